Add the API skeleton of the placement crate

The composing crates need the names of the planner, the shard controller and the document checks before their behaviour exists. The planner's input gains fields that the controller fills (overdue suspects, drained groups, fencing tokens seen); all have defaults.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,9 +1,15 @@
 //! Placement planner and shard controller.
 
+pub mod check;
+pub mod controller;
 pub mod event;
 pub mod plan;
+pub mod planner;
 pub mod settings;
 
+pub use check::Violation;
+pub use check::check_documents;
+pub use controller::ShardController;
 pub use event::ShardEffect;
 pub use event::ShardEvent;
 pub use plan::BlockedItem;
@@ -11,4 +17,6 @@
 pub use plan::PlannerGroup;
 pub use plan::PlannerInput;
 pub use plan::PlannerVm;
+pub use planner::PlacementPlanner;
 pub use settings::PlacementSettings;
+pub use settings::RepairPolicy;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,15 +1,18 @@
 //! Input and result of the planner.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use compact_str::CompactString;
 use jaysaddle_types::ids::AccountId;
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::VmId;
+use jaysaddle_types::inventory::FencingSupport;
 use jaysaddle_types::placement::PlacementDocument;
 use jaysaddle_types::rules::RulesDocument;
 use jaysaddle_types::units::SlotCount;
@@ -17,7 +20,7 @@
 use jaysaddle_types::view::VmState;
 
 /// A VM as the planner sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PlannerVm {
     /// The VM.
     pub vm: VmId,
@@ -31,6 +34,8 @@
     pub accelerators: u32,
     /// Judged state.
     pub state: VmState,
+    /// Whether its engine refuses orders with an old fencing token.
+    pub fencing: FencingSupport,
 }
 
 /// Readiness and use of a group.
@@ -55,6 +60,15 @@
     pub groups: BTreeMap<GroupId, PlannerGroup>,
     /// Use of the fleet by account.
     pub usage: BTreeMap<AccountId, SlotCount>,
+    /// VMs that have been suspect for longer than `suspect_grace`; filled by the controller.
+    pub overdue: BTreeSet<VmId>,
+    /// Draining groups that may be changed now: their requests have ended or their drain has timed
+    /// out; filled by the controller.
+    pub drained: BTreeSet<GroupId>,
+    /// Highest fencing token that each engine has reported; filled by the controller. Tokens of
+    /// different fabric domains are not comparable, so a VM that moved may have seen a higher one
+    /// than its new document has given out.
+    pub seen_generations: BTreeMap<VmId, Generation>,
 }
 
 /// Something that cannot be done, and what would make it possible.
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -29,6 +29,16 @@
     /// Time for which a member may be suspect before it is replaced; default 3 s. Shorter replaces
     /// members that only paused.
     pub suspect_grace: TimeSpan,
+    /// Time for which a group drains at least, even when it reports no running request; default
+    /// 3 s. Nodes may dispatch to the group until they have learned of the drain; shorter
+    /// interrupts such requests.
+    pub drain_settle: TimeSpan,
+    /// Time until a call to the store that found it unavailable is repeated; default 1 s, with
+    /// jitter of up to as much again.
+    pub store_retry: TimeSpan,
+    /// Time for which a loading group occupies one of the weight store's concurrent loads;
+    /// default 10 min. A group that never finishes then no longer delays the others.
+    pub load_timeout: TimeSpan,
 }
 
 impl Default for PlacementSettings {
@@ -39,6 +49,9 @@
             order_timeout: TimeSpan::from_secs(2),
             drain_timeout: TimeSpan::from_secs(60),
             suspect_grace: TimeSpan::from_secs(3),
+            drain_settle: TimeSpan::from_secs(3),
+            store_retry: TimeSpan::from_secs(1),
+            load_timeout: TimeSpan::from_secs(600),
         }
     }
 }
