Add the control lane of the reducer

Cause: configuration, membership, health, leases and placement need one owner that passes facts between them and wraps their effects.

--- /dev/null
+++ b/crates/reducer/src/control_view.rs
@@ -0,0 +1,328 @@
+//! What the control lane shows to others: the fleet view and the planner's input.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_admission::divide_shares;
+use jaysaddle_placement::PlannerGroup;
+use jaysaddle_placement::PlannerInput;
+use jaysaddle_placement::PlannerVm;
+use jaysaddle_types::engine::EngineRole;
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::node::NodeState;
+use jaysaddle_types::placement::GroupIntent;
+use jaysaddle_types::placement::GroupRecord;
+use jaysaddle_types::placement::PlacementDocument;
+use jaysaddle_types::units::SlotCount;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::view::FleetView;
+use jaysaddle_types::view::GroupState;
+use jaysaddle_types::view::GroupView;
+use jaysaddle_types::view::ServiceView;
+use jaysaddle_types::view::VmState;
+
+use crate::control::ControlState;
+use crate::control_event::ControlEffect;
+use crate::invariant::InvariantKind;
+use crate::invariant::InvariantViolation;
+
+/// Age up to which a report tells how far a group has loaded. Routing has a bound of its own.
+const REPORT_AGE: TimeSpan = TimeSpan::from_secs(3);
+
+impl ControlState {
+    pub(crate) fn publish_view(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
+        let (view, violations) = self.fleet_view(now);
+        effects.extend(violations.into_iter().map(ControlEffect::Violation));
+        effects.push(ControlEffect::PublishView(Arc::new(view)));
+    }
+
+    /// The fleet as routing is to see it, and the invariants that the stored placement breaks.
+    pub fn fleet_view(&self, now: Timestamp) -> (FleetView, Vec<InvariantViolation>) {
+        let owners = self.group_owners();
+        let mut violations = Vec::new();
+        for (vm, groups) in owners.iter().filter(|(_, groups)| groups.len() > 1) {
+            violations.push(InvariantViolation {
+                kind: InvariantKind::OneGroupPerVm,
+                subject: format_compact!("{vm}"),
+                detail: format_compact!("stored in {} groups; none of them is routed to", groups.len()),
+            });
+        }
+        let rules = self.config.rules();
+        let mut groups = Vec::new();
+        for (_, document) in self.shards.placements().values() {
+            for record in &document.groups {
+                if let Some(group) = self.group_view(document, record, &owners, now) {
+                    groups.push(group);
+                }
+            }
+        }
+        let live_nodes = self.live_nodes();
+        let others: Vec<_> = self
+            .peer_usage
+            .iter()
+            .map(|(key, usage)| (key.clone(), usage.clone()))
+            .collect();
+        let view = FleetView {
+            configured: self.config.is_complete(),
+            shares: divide_shares(
+                &self.settings.admission,
+                &rules,
+                &self.usage,
+                &others,
+                live_nodes,
+            ),
+            rules,
+            groups,
+            services: self.service_views(),
+            nodes: self
+                .membership
+                .nodes()
+                .map(|(record, state)| (record.clone(), self.shown_state(&record.key, state)))
+                .collect(),
+            handovers: self.handovers(),
+            capacity_permille: self.capacity_permille(live_nodes),
+        };
+        (view, violations)
+    }
+
+    fn shown_state(&self, key: &NodeKey, state: NodeState) -> NodeState {
+        if self.stopping && *key == self.own.key {
+            NodeState::Leaving
+        } else {
+            state
+        }
+    }
+
+    fn live_nodes(&self) -> usize {
+        self.membership
+            .nodes()
+            .filter(|(_, state)| matches!(state, NodeState::Alive | NodeState::Suspect))
+            .count()
+            .max(1)
+    }
+
+    /// This node's part of the fleet's slots, from the demand that all nodes report.
+    ///
+    /// A quarter is divided evenly, so that a node without demand can take its first requests at
+    /// once; the rest follows demand.
+    fn capacity_permille(&self, live_nodes: usize) -> u32 {
+        const EVEN_PERMILLE: u64 = 250;
+        let demand = |usage: &[jaysaddle_types::evidence::AccountUsage]| -> u64 {
+            usage.iter().map(|entry| u64::from(entry.wanted.0)).sum()
+        };
+        let own = demand(&self.usage);
+        let total = own + self.peer_usage.values().map(|usage| demand(usage)).sum::<u64>();
+        let nodes = u64::try_from(live_nodes).unwrap_or(u64::MAX);
+        let even = 1000 / nodes;
+        if total == 0 {
+            return u32::try_from(even).unwrap_or(1000);
+        }
+        let share = EVEN_PERMILLE / nodes + (1000 - EVEN_PERMILLE) * own / total;
+        u32::try_from(share.clamp(1, 1000)).unwrap_or(1000)
+    }
+
+    fn handovers(&self) -> BTreeMap<NodeKey, NodeKey> {
+        self.membership
+            .nodes()
+            .filter_map(|(record, _)| {
+                let successor = self.membership.handover_of(&record.key)?;
+                Some((record.key.clone(), successor.clone()))
+            })
+            .collect()
+    }
+
+    /// Groups that each VM is stored in.
+    fn group_owners(&self) -> BTreeMap<&VmId, Vec<&GroupRecord>> {
+        let mut owners: BTreeMap<&VmId, Vec<&GroupRecord>> = BTreeMap::new();
+        for (_, document) in self.shards.placements().values() {
+            for record in &document.groups {
+                for vm in &record.members {
+                    owners.entry(vm).or_default().push(record);
+                }
+            }
+        }
+        owners
+    }
+
+    fn group_view(
+        &self,
+        document: &PlacementDocument,
+        record: &GroupRecord,
+        owners: &BTreeMap<&VmId, Vec<&GroupRecord>>,
+        now: Timestamp,
+    ) -> Option<GroupView> {
+        let leader = self.fleet.vms.get(record.members.first()?)?;
+        let rules = self.config.rules();
+        let members: Vec<(VmId, VmState)> = record
+            .members
+            .iter()
+            .map(|vm| (vm.clone(), self.health.state(vm)))
+            .collect();
+        let shared = record
+            .members
+            .iter()
+            .find(|vm| owners.get(vm).is_some_and(|groups| groups.len() > 1));
+        let misplaced = record
+            .members
+            .iter()
+            .find(|vm| !self.is_in_fabric_domain(vm, &document.fabric_domain));
+        let (state, reason) = if let Some(vm) = shared {
+            let reason = format_compact!("{vm} is stored in another group too");
+            (GroupState::Incomplete, reason)
+        } else if let Some(vm) = misplaced {
+            let reason = format_compact!("{vm} is not in {} any more", document.fabric_domain);
+            (GroupState::Incomplete, reason)
+        } else {
+            self.group_state(record, &members, now)
+        };
+        Some(GroupView {
+            id: record.id.clone(),
+            generation: record.generation,
+            model: record.model.clone(),
+            version: record.version.clone(),
+            fabric_domain: document.fabric_domain.clone(),
+            failure_domain: leader.failure_domain.clone(),
+            members,
+            leader: leader.entry.address,
+            state,
+            slots: rules
+                .model(&record.model)
+                .map_or(SlotCount(0), |rule| rule.slots_per_group),
+            reason,
+        })
+    }
+
+    fn is_in_fabric_domain(&self, vm: &VmId, domain: &FabricDomainId) -> bool {
+        self.fleet
+            .vms
+            .get(vm)
+            .is_some_and(|vm| vm.entry.fabric_domain == *domain)
+    }
+
+    /// State of a group from its members' health and, where this node has one, its leader's report.
+    ///
+    /// Without a report the group counts as ready: the node asks the leader before it sends.
+    fn group_state(
+        &self,
+        record: &GroupRecord,
+        members: &[(VmId, VmState)],
+        now: Timestamp,
+    ) -> (GroupState, CompactString) {
+        if let Some((vm, state)) = members.iter().find(|(_, state)| !state.may_serve()) {
+            let reason = format_compact!("member {vm} is {state:?}");
+            return (GroupState::Incomplete, reason);
+        }
+        if record.intent == GroupIntent::Drain {
+            return (GroupState::Draining, "the group is to be dissolved".into());
+        }
+        let report = record
+            .members
+            .first()
+            .and_then(|leader| self.reports.get(leader))
+            .filter(|(_, at)| now.since(*at) <= REPORT_AGE)
+            .map(|(report, _)| report);
+        let Some(report) = report else {
+            return (GroupState::Ready, CompactString::default());
+        };
+        if report.confirms(&record.id, record.generation, &record.members) {
+            return (GroupState::Ready, CompactString::default());
+        }
+        let reason = if report.role == EngineRole::Loading {
+            "the leader loads weights".into()
+        } else if report.missing.is_empty() {
+            format_compact!(
+                "the leader follows generation {} of {}",
+                report.generation,
+                report.group.as_ref().map_or("no group", |id| id.as_str())
+            )
+        } else {
+            let missing: Vec<_> = report.missing.iter().map(VmId::as_str).collect();
+            format_compact!("the leader misses {}", missing.join(", "))
+        };
+        (GroupState::Loading, reason)
+    }
+
+    fn service_views(&self) -> Vec<ServiceView> {
+        self.fleet
+            .services
+            .iter()
+            .map(|service| ServiceView {
+                name: service.entry.name.clone(),
+                vm: service.entry.vm.clone(),
+                address: service.entry.address,
+                failure_domain: service.failure_domain.clone(),
+                state: self.health.state(&service.entry.vm),
+                accounts: service.entry.accounts.clone(),
+                idempotent: service.entry.idempotent,
+            })
+            .collect()
+    }
+
+    /// The fleet as the planner is to see it.
+    pub(crate) fn planner_input(&self, now: Timestamp) -> PlannerInput {
+        let vms = self
+            .fleet
+            .vms
+            .values()
+            .map(|vm| PlannerVm {
+                vm: vm.entry.name.clone(),
+                fabric_domain: vm.entry.fabric_domain.clone(),
+                failure_domain: vm.failure_domain.clone(),
+                can_host: vm.entry.can_host.clone(),
+                accelerators: vm.entry.accelerators,
+                state: self.health.state(&vm.entry.name),
+                fencing: vm.entry.fencing,
+            })
+            .collect();
+        let mut groups = BTreeMap::new();
+        for (_, document) in self.shards.placements().values() {
+            for record in &document.groups {
+                groups.insert(record.id.clone(), self.planner_group(record, now));
+            }
+        }
+        PlannerInput {
+            rules: self.config.rules(),
+            vms,
+            placements: self
+                .shards
+                .placements()
+                .iter()
+                .map(|(domain, (_, document))| (domain.clone(), document.clone()))
+                .collect(),
+            groups,
+            usage: self.fleet_usage(),
+        }
+    }
+
+    fn planner_group(&self, record: &GroupRecord, now: Timestamp) -> PlannerGroup {
+        let members: Vec<(VmId, VmState)> = record
+            .members
+            .iter()
+            .map(|vm| (vm.clone(), self.health.state(vm)))
+            .collect();
+        let (state, _) = self.group_state(record, &members, now);
+        let running = record
+            .members
+            .first()
+            .and_then(|leader| self.reports.get(leader))
+            .map_or(0, |(report, _)| report.running + report.queued);
+        PlannerGroup { state, running }
+    }
+
+    /// Requests that run in the whole fleet, by account.
+    fn fleet_usage(&self) -> BTreeMap<AccountId, SlotCount> {
+        let mut usage: BTreeMap<AccountId, SlotCount> = BTreeMap::new();
+        let all = self.usage.iter().chain(self.peer_usage.values().flatten());
+        for entry in all {
+            let slots = usage.entry(entry.account.clone()).or_default();
+            slots.0 = slots.0.saturating_add(entry.in_use.0);
+        }
+        usage
+    }
+}
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -16,6 +16,7 @@
 use crate::ids::ModelVersion;
 use crate::ids::ServiceId;
 use crate::ids::VmId;
+use crate::node::NodeKey;
 use crate::node::NodeRecord;
 use crate::node::NodeState;
 use crate::rules::RulesDocument;
@@ -138,6 +139,8 @@
     pub services: Vec<ServiceView>,
     /// Nodes, this one included.
     pub nodes: Vec<(NodeRecord, NodeState)>,
+    /// Node runs whose ledger has moved, with the run that holds it now.
+    pub handovers: BTreeMap<NodeKey, NodeKey>,
     /// This node's shares.
     pub shares: BTreeMap<AccountId, AccountShare>,
     /// Share of the fleet's slots that this node may fill, in thousandths.
