--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -406,4 +406,9 @@
 
 /// Keeps an idle connection alive.
 #[derive(Clone, PartialEq, Message)]
-pub struct HeartbeatMessage {}
+pub struct HeartbeatMessage {
+    /// Address that the sender listens on; set in the first frame on a connection that it opened,
+    /// so that answers can use the same connection.
+    #[prost(string, optional, tag = "1")]
+    pub listen: Option<String>,
+}
