--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod event;
 pub mod settings;
+pub mod tracker;
 
 pub use event::AttemptFinding;
 pub use event::HealthEffect;
@@ -10,3 +11,4 @@
 pub use event::ProbeFailure;
 pub use event::WatcherPlace;
 pub use settings::HealthSettings;
+pub use tracker::HealthTracker;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod event;
 pub mod settings;
+pub mod table;
 
 pub use event::CandidatePlace;
 pub use event::LeaseEffect;
@@ -9,3 +10,4 @@
 pub use event::LeaseRecord;
 pub use event::ShardPlace;
 pub use settings::LeaseSettings;
+pub use table::LeaseTable;
