--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,8 +1,12 @@
 //! At-most-once request ledger.
 
+pub mod ledger;
 pub mod query;
 pub mod settings;
+pub mod snapshot;
 
+pub use ledger::HomePlace;
+pub use ledger::RequestLedger;
 pub use query::ClaimOutcome;
 pub use query::ClaimQuery;
 pub use query::LedgerAnswer;
@@ -10,3 +14,6 @@
 pub use query::LedgerQuery;
 pub use query::StoredAnswer;
 pub use settings::LedgerSettings;
+pub use snapshot::LedgerSnapshot;
+pub use snapshot::SnapshotEntry;
+pub use snapshot::SnapshotState;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Choice of a group or backend server for a request.
 
 pub mod query;
+pub mod router;
 pub mod settings;
 
 pub use query::AttemptResult;
@@ -8,5 +9,6 @@
 pub use query::RouteFailure;
 pub use query::RouteQuery;
 pub use query::RouteTarget;
+pub use router::GroupRouter;
 pub use settings::RoutePolicy;
 pub use settings::RoutingSettings;
