Add the traffic lane of the reducer

Cause: claims, slots, group choice, the leader's confirmation and the send need one state machine per request that knows its verdict. Change: traffic lane, attempts, ledger handover, conversions to peer messages; checks before each send and refusal.

--- a/crates/reducer/src/config.rs
+++ b/crates/reducer/src/config.rs
@@ -78,7 +78,11 @@
             Ok(kind) => kind,
             Err(message) => return OfferOutcome::Invalid(message),
         };
-        if self.entries.get(&kind).is_some_and(|entry| entry.version >= version) {
+        if self
+            .entries
+            .get(&kind)
+            .is_some_and(|entry| entry.version >= version)
+        {
             return OfferOutcome::Older;
         }
         let document = match parse_document(&kind, value) {
@@ -104,7 +108,8 @@
 
     /// Version in force; 0 when there is none.
     pub fn version(&self, kind: &DocumentKind) -> ObjectVersion {
-        self.entry(kind).map_or(ObjectVersion(0), |entry| entry.version)
+        self.entry(kind)
+            .map_or(ObjectVersion(0), |entry| entry.version)
     }
 
     /// Versions of all documents in force.
@@ -122,7 +127,10 @@
 
     /// The rules in force.
     pub fn rules(&self) -> Arc<RulesDocument> {
-        match self.entry(&DocumentKind::Rules).map(|entry| &*entry.document) {
+        match self
+            .entry(&DocumentKind::Rules)
+            .map(|entry| &*entry.document)
+        {
             Some(ConfigDocument::Rules(rules)) => Arc::new(rules.clone()),
             _ => Arc::default(),
         }
@@ -130,7 +138,10 @@
 
     /// The VMs that operators drain.
     pub fn drains(&self) -> Vec<VmId> {
-        match self.entry(&DocumentKind::Drains).map(|entry| &*entry.document) {
+        match self
+            .entry(&DocumentKind::Drains)
+            .map(|entry| &*entry.document)
+        {
             Some(ConfigDocument::Drains(DrainsDocument { vms })) => vms.clone(),
             _ => Vec::new(),
         }
@@ -138,9 +149,11 @@
 
     /// The inventories in force, in the order of their failure domains.
     pub fn inventories(&self) -> impl Iterator<Item = &InventoryDocument> {
-        self.entries.values().filter_map(|entry| match &*entry.document {
-            ConfigDocument::Inventory(inventory) => Some(inventory),
-            _ => None,
-        })
+        self.entries
+            .values()
+            .filter_map(|entry| match &*entry.document {
+                ConfigDocument::Inventory(inventory) => Some(inventory),
+                _ => None,
+            })
     }
 }
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -187,10 +187,18 @@
                 outcome,
             } => match caller {
                 StoreCaller::Lease => {
-                    self.lease_step(LeaseEvent::CallAnswered { call, outcome }, now, &mut effects);
+                    self.lease_step(
+                        LeaseEvent::CallAnswered { call, outcome },
+                        now,
+                        &mut effects,
+                    );
                 }
                 StoreCaller::Placement => {
-                    self.shard_step(ShardEvent::CallAnswered { call, outcome }, now, &mut effects);
+                    self.shard_step(
+                        ShardEvent::CallAnswered { call, outcome },
+                        now,
+                        &mut effects,
+                    );
                 }
                 StoreCaller::Operator => {
                     let answers = self.operators.answered(call, outcome);
@@ -504,7 +512,8 @@
                 region: record.region.clone(),
             })
             .collect();
-        self.peer_usage.retain(|key, _| nodes.iter().any(|record| record.key == *key));
+        self.peer_usage
+            .retain(|key, _| nodes.iter().any(|record| record.key == *key));
         self.health_step(HealthEvent::WatchersChanged(watchers), now, effects);
         self.lease_step(LeaseEvent::CandidatesChanged(candidates), now, effects);
     }
@@ -611,7 +620,10 @@
             let Ok(kind) = name.as_str().parse() else {
                 continue;
             };
-            let known = self.wanted.get(&name).map_or(ObjectVersion(0), |w| w.version);
+            let known = self
+                .wanted
+                .get(&name)
+                .map_or(ObjectVersion(0), |w| w.version);
             if version > self.config.version(&kind) && version > known {
                 self.wanted.insert(
                     name,
--- a/crates/reducer/src/control_view.rs
+++ b/crates/reducer/src/control_view.rs
@@ -50,7 +50,10 @@
             violations.push(InvariantViolation {
                 kind: InvariantKind::OneGroupPerVm,
                 subject: format_compact!("{vm}"),
-                detail: format_compact!("stored in {} groups; none of them is routed to", groups.len()),
+                detail: format_compact!(
+                    "stored in {} groups; none of them is routed to",
+                    groups.len()
+                ),
             });
         }
         let rules = self.config.rules();
@@ -117,7 +120,12 @@
             usage.iter().map(|entry| u64::from(entry.wanted.0)).sum()
         };
         let own = demand(&self.usage);
-        let total = own + self.peer_usage.values().map(|usage| demand(usage)).sum::<u64>();
+        let total = own
+            + self
+                .peer_usage
+                .values()
+                .map(|usage| demand(usage))
+                .sum::<u64>();
         let nodes = u64::try_from(live_nodes).unwrap_or(u64::MAX);
         let even = 1000 / nodes;
         if total == 0 {
@@ -297,6 +305,8 @@
                 .collect(),
             groups,
             usage: self.fleet_usage(),
+            // What has to be tracked over time is filled in by the shard controller.
+            ..PlannerInput::default()
         }
     }
 
--- /dev/null
+++ b/crates/reducer/src/ledger_wire.rs
@@ -0,0 +1,240 @@
+//! Conversions between the ledger's types and peer messages.
+
+use compact_str::CompactString;
+use jaysaddle_ledger::LedgerAnswer;
+use jaysaddle_ledger::LedgerQuery;
+use jaysaddle_ledger::LedgerSnapshot;
+use jaysaddle_ledger::SnapshotEntry;
+use jaysaddle_ledger::SnapshotState;
+use jaysaddle_ledger::StoredAnswer;
+use jaysaddle_types::ids::CallId;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::request::BodyFingerprint;
+use jaysaddle_types::request::HomeToken;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_wire::messages::HandoverAckMessage;
+use jaysaddle_wire::messages::LedgerAnswerMessage;
+use jaysaddle_wire::messages::LedgerEntryMessage;
+use jaysaddle_wire::messages::LedgerHandoverMessage;
+use jaysaddle_wire::messages::LedgerQueryMessage;
+use jaysaddle_wire::messages::NodeRun;
+use jaysaddle_wire::messages::PeerBody;
+use jaysaddle_wire::messages::PeerMessage;
+
+/// Size of one part of a handover, in bytes of answers; well below the largest frame.
+const PART_BYTES: usize = 256 * 1024;
+
+/// Claims in one part of a handover.
+const PART_ENTRIES: usize = 2000;
+
+const ANSWER_GRANTED: u32 = 0;
+const ANSWER_STORED: u32 = 1;
+const ANSWER_RUNNING: u32 = 2;
+const ANSWER_MAY_HAVE_RUN: u32 = 3;
+const ANSWER_EXPIRED: u32 = 4;
+const ANSWER_CONFLICT: u32 = 5;
+const ENTRY_GRANTED: u32 = 6;
+
+fn run_of(key: &NodeKey) -> NodeRun {
+    NodeRun {
+        id: key.id.as_str().to_owned(),
+        incarnation: key.incarnation.0,
+    }
+}
+
+fn key_of(run: &NodeRun) -> Option<NodeKey> {
+    Some(NodeKey {
+        id: run.id.parse().ok()?,
+        incarnation: Incarnation(run.incarnation),
+    })
+}
+
+fn fingerprint_of(bytes: &[u8]) -> Option<BodyFingerprint> {
+    bytes.try_into().ok().map(BodyFingerprint)
+}
+
+fn stored_of(status: u32, content_type: String, body: Vec<u8>) -> Option<StoredAnswer> {
+    Some(StoredAnswer {
+        status: u16::try_from(status).ok()?,
+        content_type: CompactString::from(content_type),
+        body: body.into(),
+    })
+}
+
+/// The node run that sent a message.
+pub fn sender(message: &PeerMessage) -> Option<NodeKey> {
+    key_of(&NodeRun {
+        id: message.from_id.clone(),
+        incarnation: message.from_incarnation,
+    })
+}
+
+/// A question as a message.
+pub fn query_body(query: &LedgerQuery) -> PeerBody {
+    PeerBody::LedgerQuery(LedgerQueryMessage {
+        call: query.call.0,
+        account: query.account.as_str().to_owned(),
+        key: query.key.as_str().to_owned(),
+        fingerprint: query.fingerprint.0.to_vec(),
+        home: Some(run_of(&query.home.node)),
+        issued: query.home.issued.0,
+    })
+}
+
+/// A question from a message; `None` when a field is not valid.
+pub fn query_from(message: LedgerQueryMessage) -> Option<LedgerQuery> {
+    Some(LedgerQuery {
+        call: CallId(message.call),
+        account: message.account.parse().ok()?,
+        key: message.key.parse().ok()?,
+        fingerprint: fingerprint_of(&message.fingerprint)?,
+        home: HomeToken {
+            node: key_of(&message.home?)?,
+            issued: Timestamp(message.issued),
+        },
+    })
+}
+
+/// An answer as a message.
+pub fn answer_body(call: CallId, answer: &LedgerAnswer) -> PeerBody {
+    let kind = match answer {
+        LedgerAnswer::Granted => ANSWER_GRANTED,
+        LedgerAnswer::Stored(_) => ANSWER_STORED,
+        LedgerAnswer::Running => ANSWER_RUNNING,
+        LedgerAnswer::MayHaveRun => ANSWER_MAY_HAVE_RUN,
+        LedgerAnswer::Expired => ANSWER_EXPIRED,
+        LedgerAnswer::Conflict => ANSWER_CONFLICT,
+    };
+    let mut message = LedgerAnswerMessage {
+        call: call.0,
+        kind,
+        ..LedgerAnswerMessage::default()
+    };
+    if let LedgerAnswer::Stored(stored) = answer {
+        message.status = u32::from(stored.status);
+        message.content_type = stored.content_type.as_str().to_owned();
+        message.body = stored.body.to_vec();
+    }
+    PeerBody::LedgerAnswer(message)
+}
+
+/// An answer from a message; `None` when a field is not valid.
+pub fn answer_from(message: LedgerAnswerMessage) -> Option<(CallId, LedgerAnswer)> {
+    let answer = match message.kind {
+        ANSWER_GRANTED => LedgerAnswer::Granted,
+        ANSWER_STORED => LedgerAnswer::Stored(stored_of(
+            message.status,
+            message.content_type,
+            message.body,
+        )?),
+        ANSWER_RUNNING => LedgerAnswer::Running,
+        ANSWER_MAY_HAVE_RUN => LedgerAnswer::MayHaveRun,
+        ANSWER_EXPIRED => LedgerAnswer::Expired,
+        ANSWER_CONFLICT => LedgerAnswer::Conflict,
+        _ => return None,
+    };
+    Some((CallId(message.call), answer))
+}
+
+/// Confirmation of a part.
+pub fn handover_ack(message: &LedgerHandoverMessage) -> PeerBody {
+    PeerBody::HandoverAck(HandoverAckMessage {
+        home: message.home.clone(),
+        part: message.part,
+    })
+}
+
+fn entry_message(entry: SnapshotEntry) -> LedgerEntryMessage {
+    let mut message = LedgerEntryMessage {
+        account: entry.account.as_str().to_owned(),
+        key: entry.key.as_str().to_owned(),
+        fingerprint: entry.fingerprint.0.to_vec(),
+        ..LedgerEntryMessage::default()
+    };
+    match entry.state {
+        SnapshotState::Stored(stored) => {
+            message.kind = ANSWER_STORED;
+            message.status = u32::from(stored.status);
+            message.content_type = stored.content_type.as_str().to_owned();
+            message.body = stored.body.to_vec();
+        }
+        SnapshotState::MayHaveRun => message.kind = ANSWER_MAY_HAVE_RUN,
+        SnapshotState::Granted { to } => {
+            message.kind = ENTRY_GRANTED;
+            message.granted_to = Some(run_of(&to));
+        }
+    }
+    message
+}
+
+fn entry_from(message: LedgerEntryMessage) -> Option<SnapshotEntry> {
+    let state = match message.kind {
+        ANSWER_STORED => SnapshotState::Stored(stored_of(
+            message.status,
+            message.content_type,
+            message.body,
+        )?),
+        ENTRY_GRANTED => SnapshotState::Granted {
+            to: key_of(&message.granted_to?)?,
+        },
+        // An unknown kind comes from a later version; the safe reading is that the request ran.
+        _ => SnapshotState::MayHaveRun,
+    };
+    Some(SnapshotEntry {
+        account: message.account.parse().ok()?,
+        key: message.key.parse().ok()?,
+        fingerprint: fingerprint_of(&message.fingerprint)?,
+        state,
+    })
+}
+
+/// Splits a ledger into messages; there is at least one, also for an empty ledger.
+pub fn handover_parts(snapshot: LedgerSnapshot) -> Vec<LedgerHandoverMessage> {
+    let mut chunks: Vec<Vec<LedgerEntryMessage>> = vec![Vec::new()];
+    let mut bytes = 0;
+    for entry in snapshot.entries {
+        let message = entry_message(entry);
+        let full = chunks.last().is_some_and(|chunk| {
+            chunk.len() >= PART_ENTRIES || bytes + message.body.len() > PART_BYTES
+        });
+        if full {
+            chunks.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += message.body.len();
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.push(message);
+        }
+    }
+    let parts = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
+    (0..)
+        .zip(chunks)
+        .map(|(part, entries)| LedgerHandoverMessage {
+            home: Some(run_of(&snapshot.home)),
+            part,
+            parts,
+            covered_from: snapshot.covered_from.0,
+            home_now: snapshot.home_now.0,
+            entries,
+        })
+        .collect()
+}
+
+/// Joins the parts of a ledger; `None` when a part or an entry is not valid, because a claim left
+/// out could run a second time.
+pub fn snapshot_from(parts: Vec<LedgerHandoverMessage>) -> Option<LedgerSnapshot> {
+    let first = parts.first()?;
+    let mut snapshot = LedgerSnapshot {
+        home: key_of(first.home.as_ref()?)?,
+        covered_from: Timestamp(first.covered_from),
+        home_now: Timestamp(first.home_now),
+        entries: Vec::new(),
+    };
+    for part in parts {
+        for entry in part.entries {
+            snapshot.entries.push(entry_from(entry)?);
+        }
+    }
+    Some(snapshot)
+}
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -12,12 +12,14 @@
 //! [`ControlEvent::Attempted`], and [`TrafficEffect::UsageMeasured`] becomes
 //! [`ControlEvent::UsageMeasured`].
 
+pub(crate) mod attempt;
 pub mod config;
 pub mod control;
 pub mod control_event;
 pub mod control_view;
 pub mod explain;
 pub mod fleet;
+pub mod handover;
 pub mod invariant;
 pub mod ledger_wire;
 pub mod operator;
--- a/crates/reducer/src/operator.rs
+++ b/crates/reducer/src/operator.rs
@@ -150,7 +150,10 @@
         document: &str,
     ) -> Vec<OperatorEffect> {
         let invalid = |message: CompactString| {
-            vec![OperatorEffect::Answer(ticket, OperatorAnswer::Invalid(vec![message]))]
+            vec![OperatorEffect::Answer(
+                ticket,
+                OperatorAnswer::Invalid(vec![message]),
+            )]
         };
         let kind: DocumentKind = match name.parse() {
             Ok(kind) => kind,
@@ -176,7 +179,10 @@
         let problems = check::check_document(&kind, &parsed);
         if !problems.is_empty() {
             let messages = problems.iter().map(|p| format_compact!("{p}")).collect();
-            return vec![OperatorEffect::Answer(ticket, OperatorAnswer::Invalid(messages))];
+            return vec![OperatorEffect::Answer(
+                ticket,
+                OperatorAnswer::Invalid(messages),
+            )];
         }
         let change = PendingChange {
             ticket,
@@ -237,7 +243,10 @@
             return Vec::new();
         };
         if drains.vms.contains(&vm) == drained {
-            return vec![OperatorEffect::Answer(ticket, OperatorAnswer::Applied(version))];
+            return vec![OperatorEffect::Answer(
+                ticket,
+                OperatorAnswer::Applied(version),
+            )];
         }
         if drained {
             drains.vms.push(vm);
@@ -299,7 +308,10 @@
                     change.phase = ChangePhase::ReadingDrains { attempts: 0 };
                     return self.read(change, String::new());
                 }
-                vec![OperatorEffect::Answer(ticket, OperatorAnswer::Conflict(version))]
+                vec![OperatorEffect::Answer(
+                    ticket,
+                    OperatorAnswer::Conflict(version),
+                )]
             }
             StoreOutcome::Unavailable => {
                 vec![OperatorEffect::Answer(ticket, OperatorAnswer::Unavailable)]
--- /dev/null
+++ b/crates/reducer/src/traffic.rs
@@ -0,0 +1,695 @@
+//! The traffic lane: one state machine per request.
+//!
+//! A request claims its key, takes a slot, is given a group, has the group's leader confirm that
+//! the group is whole, and is sent. Its verdict starts as not run, becomes "may have run" right
+//! before the send, and returns to not run only when the backend server is known not to have run
+//! it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_admission::AdmissionController;
+use jaysaddle_admission::AdmissionSettings;
+use jaysaddle_admission::AdmitOutcome;
+use jaysaddle_admission::AdmitQuery;
+use jaysaddle_admission::QueueRelease;
+use jaysaddle_ledger::ClaimOutcome;
+use jaysaddle_ledger::ClaimQuery;
+use jaysaddle_ledger::HomePlace;
+use jaysaddle_ledger::LedgerEffect;
+use jaysaddle_ledger::LedgerSettings;
+use jaysaddle_ledger::RequestLedger;
+use jaysaddle_routing::GroupRouter;
+use jaysaddle_routing::RouteTarget;
+use jaysaddle_routing::RoutingSettings;
+use jaysaddle_types::decision::DecisionKind;
+use jaysaddle_types::decision::DecisionRecord;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::node::NodeState;
+use jaysaddle_types::request::HomeToken;
+use jaysaddle_types::request::RequestSpec;
+use jaysaddle_types::request::RequestTarget;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::ReasonCode;
+use jaysaddle_types::verdict::RequestRefusal;
+use jaysaddle_types::verdict::Verdict;
+use jaysaddle_types::view::FleetView;
+use jaysaddle_wire::messages::PeerBody;
+use jaysaddle_wire::messages::PeerMessage;
+
+use crate::handover::HandoverReceiver;
+use crate::handover::HandoverSender;
+use crate::invariant::InvariantKind;
+use crate::invariant::InvariantViolation;
+use crate::ledger_wire;
+use crate::traffic_event::TrafficEffect;
+use crate::traffic_event::TrafficEvent;
+
+/// Time between measurements of account usage.
+const USAGE_INTERVAL: TimeSpan = TimeSpan::from_secs(2);
+
+/// Time after which a refused caller may come back when nothing better is known: about the time
+/// in which a lost member is replaced and its weights are loaded.
+const DEFAULT_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
+
+/// Successors that a handover may have passed through; a longer chain counts as lost.
+const MAX_HANDOVER_CHAIN: usize = 8;
+
+/// Settings of the traffic lane.
+#[derive(Clone, Debug, Default)]
+pub struct TrafficSettings {
+    /// Routing.
+    pub routing: RoutingSettings,
+    /// Admission.
+    pub admission: AdmissionSettings,
+    /// Ledger.
+    pub ledger: LedgerSettings,
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestPhase {
+    /// Its key is being claimed.
+    Claiming,
+    /// It waits for a slot.
+    Queued,
+    /// The leader of its group is being asked.
+    Checking,
+    /// It was sent.
+    Running,
+}
+
+/// A request under way.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestEntry {
+    pub(crate) spec: RequestSpec,
+    pub(crate) phase: RequestPhase,
+    /// Verdict that a refusal would have to carry now.
+    ///
+    /// # Invariants
+    ///
+    /// [`Verdict::NotRun`] only while `cleared` equals `sent`.
+    pub(crate) verdict: Verdict,
+    /// Number of the latest attempt; 0 before the first.
+    pub(crate) attempt: u32,
+    /// Attempts sent that may start a run; resumes do not count.
+    pub(crate) sent: u32,
+    /// Attempts known not to have run.
+    pub(crate) cleared: u32,
+    /// Resumes of the latest attempt.
+    pub(crate) resumes: u32,
+    pub(crate) target: Option<(RouteTarget, SocketAddr)>,
+    /// Offset to resume at, once the leader has confirmed its group.
+    pub(crate) resume_at: Option<u32>,
+    /// VMs that failed this request.
+    pub(crate) excluded: Vec<VmId>,
+    /// Whether this request holds its key's claim.
+    pub(crate) claimed: bool,
+    /// Whether this request holds a slot.
+    pub(crate) admitted: bool,
+}
+
+/// State of the traffic lane.
+pub struct TrafficState {
+    pub(crate) own: NodeKey,
+    pub(crate) view: Arc<FleetView>,
+    pub(crate) router: GroupRouter,
+    pub(crate) admission: AdmissionController,
+    pub(crate) ledger: RequestLedger,
+    pub(crate) requests: BTreeMap<RequestId, RequestEntry>,
+    refusing: bool,
+    sender: Option<HandoverSender>,
+    receiver: HandoverReceiver,
+    last_usage: Timestamp,
+}
+
+/// The VM that stands for a target: a group's leader, or the backend server.
+pub(crate) fn target_vm(target: &RouteTarget) -> Option<&VmId> {
+    match target {
+        RouteTarget::Group { members, .. } => members.first(),
+        RouteTarget::Server { vm } => Some(vm),
+    }
+}
+
+impl TrafficState {
+    /// A node without requests.
+    pub fn new(settings: TrafficSettings, own: NodeKey, seed: u64, now: Timestamp) -> Self {
+        Self {
+            view: Arc::default(),
+            router: GroupRouter::new(settings.routing, seed),
+            admission: AdmissionController::new(settings.admission),
+            ledger: RequestLedger::new(settings.ledger, own.clone(), now),
+            requests: BTreeMap::new(),
+            refusing: false,
+            sender: None,
+            receiver: HandoverReceiver::default(),
+            last_usage: now,
+            own,
+        }
+    }
+
+    /// Requests under way.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The view in force.
+    pub fn view(&self) -> &Arc<FleetView> {
+        &self.view
+    }
+
+    /// The home token for discovery; absent once the node stops, so that no new key is bound to it.
+    pub fn home_token(&self, now: Timestamp) -> Option<HomeToken> {
+        let leaving = self
+            .view
+            .nodes
+            .iter()
+            .any(|(record, state)| record.key == self.own && *state == NodeState::Leaving);
+        (!self.refusing && !leaving).then(|| self.ledger.token(now))
+    }
+
+    /// Applies one event and returns what is to be done.
+    pub fn step(&mut self, event: TrafficEvent, now: Timestamp) -> Vec<TrafficEffect> {
+        let mut effects = Vec::new();
+        match event {
+            TrafficEvent::Tick => self.tick(now, &mut effects),
+            TrafficEvent::ViewChanged(view) => {
+                self.router.view_changed(&view);
+                self.view = view;
+            }
+            TrafficEvent::RequestArrived(spec) => self.request_arrived(spec, now, &mut effects),
+            TrafficEvent::GroupReported { request, outcome } => {
+                self.group_reported(&request, outcome, now, &mut effects);
+            }
+            TrafficEvent::VmReported(report) => self.router.reported(&report, now),
+            TrafficEvent::AttemptEnded {
+                request,
+                attempt,
+                outcome,
+            } => self.attempt_ended(&request, attempt, outcome, now, &mut effects),
+            TrafficEvent::CallerGone(request) => self.caller_gone(&request, now, &mut effects),
+            TrafficEvent::PeerReceived { from, message } => {
+                self.peer_received(from, message, now, &mut effects);
+            }
+            TrafficEvent::RefuseNew => self.refusing = true,
+            TrafficEvent::HandOverLedger => self.hand_over(now, &mut effects),
+        }
+        effects
+    }
+
+    fn tick(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+        let view = self.view.clone();
+        let releases = self.admission.tick(&view, now);
+        self.apply_releases(releases, now, effects);
+        let resolved = self.ledger.tick(now);
+        self.apply_ledger_effects(resolved, now, effects);
+        self.expire_requests(now, effects);
+        if now.since(self.last_usage) >= USAGE_INTERVAL {
+            self.last_usage = now;
+            effects.push(TrafficEffect::UsageMeasured(self.admission.usage(now)));
+        }
+        self.tick_handover(now, effects);
+    }
+
+    /// Refuses requests whose deadline passes before they are sent. A running request's deadline
+    /// is kept by the thread that reads its answer.
+    fn expire_requests(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+        let expired: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, entry)| entry.phase != RequestPhase::Running)
+            .filter(|(_, entry)| entry.spec.deadline <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for request in expired {
+            self.refuse(
+                &request,
+                RequestRefusal::not_run(
+                    ReasonCode::DeadlineExceeded,
+                    "the deadline passed before the request could be sent",
+                ),
+                now,
+                effects,
+            );
+        }
+    }
+
+    fn request_arrived(
+        &mut self,
+        spec: RequestSpec,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        let request = spec.id.clone();
+        let refusal = self.check_arrival(&spec, now);
+        let claim = spec.key.clone();
+        self.admission.fresh();
+        self.requests.insert(
+            request.clone(),
+            RequestEntry {
+                spec,
+                phase: RequestPhase::Claiming,
+                verdict: Verdict::NotRun,
+                attempt: 0,
+                sent: 0,
+                cleared: 0,
+                resumes: 0,
+                target: None,
+                resume_at: None,
+                excluded: Vec::new(),
+                claimed: false,
+                admitted: false,
+            },
+        );
+        if let Some(refusal) = refusal {
+            self.refuse(&request, refusal, now, effects);
+            return;
+        }
+        match claim {
+            Some((key, home)) => {
+                let Some(entry) = self.requests.get(&request) else {
+                    return;
+                };
+                let query = ClaimQuery {
+                    request: request.clone(),
+                    account: entry.spec.account.clone(),
+                    key,
+                    home: home.clone(),
+                    fingerprint: entry.spec.fingerprint,
+                    idempotent: entry.spec.idempotent,
+                    deadline: entry.spec.deadline,
+                };
+                let place = self.home_place(home.as_ref());
+                let (outcome, asks) = self.ledger.claim(query, place, now);
+                self.claim_resolved(&request, outcome, now, effects);
+                self.apply_ledger_effects(asks, now, effects);
+            }
+            None => self.admit(&request, now, effects),
+        }
+    }
+
+    /// Refusals that need no state of the request.
+    fn check_arrival(&self, spec: &RequestSpec, now: Timestamp) -> Option<RequestRefusal> {
+        if self.refusing {
+            return Some(RequestRefusal::retry_after(
+                ReasonCode::Stopping,
+                "this node is stopping; ask discovery for another address",
+                TimeSpan::from_millis(1),
+            ));
+        }
+        if !self.view.configured {
+            return Some(RequestRefusal::retry_after(
+                ReasonCode::NotConfigured,
+                "this node has no configuration yet; ask another address",
+                DEFAULT_RETRY_AFTER,
+            ));
+        }
+        if spec.deadline <= now {
+            return Some(RequestRefusal::not_run(
+                ReasonCode::DeadlineExceeded,
+                "the deadline had passed when the request arrived",
+            ));
+        }
+        match &spec.target {
+            RequestTarget::Model(model) => {
+                let allowed = self
+                    .view
+                    .rules
+                    .model(model)
+                    .is_some_and(|rule| rule.admits(&spec.account));
+                (!allowed).then(|| {
+                    RequestRefusal::not_run(
+                        ReasonCode::UnknownModel,
+                        format_compact!("there is no model {model} for this account"),
+                    )
+                })
+            }
+            RequestTarget::Service(service) => {
+                let allowed = self.view.services.iter().any(|view| {
+                    view.name == *service
+                        && (view.accounts.is_empty() || view.accounts.contains(&spec.account))
+                });
+                (!allowed).then(|| {
+                    RequestRefusal::not_run(
+                        ReasonCode::UnknownService,
+                        format_compact!("there is no service {service} for this account"),
+                    )
+                })
+            }
+        }
+    }
+
+    fn node_state(&self, key: &NodeKey) -> Option<NodeState> {
+        self.view
+            .nodes
+            .iter()
+            .find(|(record, _)| record.key == *key)
+            .map(|(_, state)| *state)
+    }
+
+    fn node_address(&self, key: &NodeKey) -> Option<SocketAddr> {
+        self.view
+            .nodes
+            .iter()
+            .find(|(record, _)| record.key == *key)
+            .map(|(record, _)| record.peers)
+    }
+
+    /// Where the claims of a home live now.
+    pub(crate) fn home_place(&self, home: Option<&HomeToken>) -> HomePlace {
+        let Some(home) = home else {
+            return HomePlace::Own;
+        };
+        let mut node = home.node.clone();
+        for _ in 0..MAX_HANDOVER_CHAIN {
+            if node == self.own {
+                return HomePlace::Own;
+            }
+            if let Some(successor) = self.view.handovers.get(&node) {
+                node = successor.clone();
+                continue;
+            }
+            return match self.node_state(&node) {
+                Some(NodeState::Alive | NodeState::Suspect | NodeState::Leaving) => {
+                    HomePlace::Reachable(node)
+                }
+                Some(NodeState::Dead) | None => HomePlace::Gone,
+            };
+        }
+        HomePlace::Gone
+    }
+
+    fn claim_resolved(
+        &mut self,
+        request: &RequestId,
+        outcome: ClaimOutcome,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        let Some(entry) = self.requests.get_mut(request) else {
+            // The caller hung up while its claim was resolved; a granted claim must not stay open.
+            if outcome == ClaimOutcome::Granted {
+                let freed = self.ledger.failed(request, Verdict::NotRun, now);
+                self.apply_ledger_effects(freed, now, effects);
+            }
+            return;
+        };
+        match outcome {
+            ClaimOutcome::Granted => {
+                entry.claimed = true;
+                self.admit(request, now, effects);
+            }
+            ClaimOutcome::Stored(answer) => {
+                self.requests.remove(request);
+                effects.push(TrafficEffect::Decision(DecisionRecord {
+                    kind: DecisionKind::Admit,
+                    subject: format_compact!("{request}"),
+                    inputs: CompactString::default(),
+                    choice: "stored_answer".into(),
+                    reason: "the key's request ran before".into(),
+                }));
+                effects.push(TrafficEffect::ReturnStored {
+                    request: request.clone(),
+                    answer,
+                });
+            }
+            ClaimOutcome::Waiting => {}
+            ClaimOutcome::Refused(refusal) => {
+                // The verdict is that of the key's first run, which another request holds.
+                entry.verdict = entry.verdict.combine(refusal.verdict);
+                self.refuse(request, refusal, now, effects);
+            }
+        }
+    }
+
+    pub(crate) fn apply_ledger_effects(
+        &mut self,
+        ledger_effects: Vec<LedgerEffect>,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        for effect in ledger_effects {
+            match effect {
+                LedgerEffect::Ask { node, query } => {
+                    let call = query.call;
+                    match self.node_address(&node) {
+                        Some(to) => effects.push(TrafficEffect::SendPeer {
+                            to,
+                            message: self.own_message(ledger_wire::query_body(&query)),
+                        }),
+                        None => {
+                            let resolved = self.ledger.answered(call, None, now);
+                            self.apply_ledger_effects(resolved, now, effects);
+                        }
+                    }
+                }
+                LedgerEffect::Resolved { request, outcome } => {
+                    self.claim_resolved(&request, outcome, now, effects);
+                }
+            }
+        }
+    }
+
+    fn admit(&mut self, request: &RequestId, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+        let Some(entry) = self.requests.get_mut(request) else {
+            return;
+        };
+        entry.phase = RequestPhase::Queued;
+        let query = AdmitQuery {
+            request: request.clone(),
+            account: entry.spec.account.clone(),
+            target: entry.spec.target.clone(),
+            priority: entry.spec.priority,
+            deadline: entry.spec.deadline,
+        };
+        let outcome = self.admission.admit(&query, &self.view, now);
+        self.admission_resolved(request, outcome, now, effects);
+        let displaced = self.admission.displaced();
+        self.apply_releases(displaced, now, effects);
+    }
+
+    pub(crate) fn apply_releases(
+        &mut self,
+        releases: Vec<QueueRelease>,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        for release in releases {
+            self.admission_resolved(&release.request, release.outcome, now, effects);
+        }
+    }
+
+    fn admission_resolved(
+        &mut self,
+        request: &RequestId,
+        outcome: AdmitOutcome,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        match outcome {
+            AdmitOutcome::Admitted => match self.requests.get_mut(request) {
+                Some(entry) => {
+                    entry.admitted = true;
+                    self.route(request, now, effects);
+                }
+                None => self.release_slot(request, now, effects),
+            },
+            AdmitOutcome::Queued => {}
+            AdmitOutcome::Refused(refusal) => {
+                effects.push(TrafficEffect::Decision(DecisionRecord {
+                    kind: DecisionKind::Admit,
+                    subject: format_compact!("{request}"),
+                    inputs: CompactString::default(),
+                    choice: "refused".into(),
+                    reason: refusal.message.clone(),
+                }));
+                self.refuse(request, refusal, now, effects);
+            }
+        }
+    }
+
+    fn release_slot(
+        &mut self,
+        request: &RequestId,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        let view = self.view.clone();
+        let releases = self.admission.release(request, &view, now);
+        self.apply_releases(releases, now, effects);
+    }
+
+    /// Ends a request with a refusal. The verdict sent is never weaker than what is known of the
+    /// request.
+    pub(crate) fn refuse(
+        &mut self,
+        request: &RequestId,
+        mut refusal: RequestRefusal,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        let Some(entry) = self.requests.remove(request) else {
+            return;
+        };
+        refusal.verdict = refusal.verdict.combine(entry.verdict);
+        if refusal.verdict == Verdict::NotRun && entry.sent != entry.cleared {
+            effects.push(TrafficEffect::Violation(InvariantViolation {
+                kind: InvariantKind::TruthfulRefusal,
+                subject: format_compact!("{request}"),
+                detail: format_compact!(
+                    "a refusal as not run after {} sends, {} of them known not to have run",
+                    entry.sent,
+                    entry.cleared
+                ),
+            }));
+            refusal.verdict = Verdict::MayHaveRun;
+        }
+        if refusal.verdict != Verdict::NotRun {
+            refusal.retry_after_ms = None;
+        }
+        if entry.claimed {
+            let freed = self.ledger.failed(request, refusal.verdict, now);
+            self.apply_ledger_effects(freed, now, effects);
+        } else {
+            self.ledger.abandoned(request);
+        }
+        effects.push(TrafficEffect::Refuse {
+            request: request.clone(),
+            refusal,
+        });
+        self.end_admission(request, &entry, now, effects);
+    }
+
+    /// Gives back the slot of a request that has ended, or its place in the queue.
+    pub(crate) fn end_admission(
+        &mut self,
+        request: &RequestId,
+        entry: &RequestEntry,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        if entry.admitted {
+            self.release_slot(request, now, effects);
+        } else if entry.phase == RequestPhase::Queued {
+            self.admission.cancel(request);
+        }
+    }
+
+    fn caller_gone(
+        &mut self,
+        request: &RequestId,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        let Some(entry) = self.requests.remove(request) else {
+            return;
+        };
+        if entry.claimed {
+            let freed = self.ledger.failed(request, entry.verdict, now);
+            self.apply_ledger_effects(freed, now, effects);
+        } else {
+            self.ledger.abandoned(request);
+        }
+        self.end_admission(request, &entry, now, effects);
+    }
+
+    pub(crate) fn own_message(&self, body: PeerBody) -> PeerMessage {
+        PeerMessage {
+            from_id: self.own.id.as_str().to_owned(),
+            from_incarnation: self.own.incarnation.0,
+            body: Some(body),
+        }
+    }
+
+    fn peer_received(
+        &mut self,
+        from: SocketAddr,
+        message: PeerMessage,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        let Some(sender) = ledger_wire::sender(&message) else {
+            return;
+        };
+        match message.body {
+            Some(PeerBody::LedgerQuery(body)) => {
+                let Some(query) = ledger_wire::query_from(body) else {
+                    return;
+                };
+                let call = query.call;
+                let answer = self.ledger.query(&sender, query, now);
+                effects.push(TrafficEffect::SendPeer {
+                    to: from,
+                    message: self.own_message(ledger_wire::answer_body(call, &answer)),
+                });
+            }
+            Some(PeerBody::LedgerAnswer(body)) => {
+                if let Some((call, answer)) = ledger_wire::answer_from(body) {
+                    let resolved = self.ledger.answered(call, Some(answer), now);
+                    self.apply_ledger_effects(resolved, now, effects);
+                }
+            }
+            Some(PeerBody::LedgerHandover(body)) => {
+                let ack = ledger_wire::handover_ack(&body);
+                if let Some(snapshot) = self.receiver.receive(body) {
+                    self.ledger.import(snapshot, now);
+                }
+                effects.push(TrafficEffect::SendPeer {
+                    to: from,
+                    message: self.own_message(ack),
+                });
+            }
+            Some(PeerBody::HandoverAck(body)) => {
+                if let Some(sender) = &mut self.sender {
+                    sender.acknowledged(body.part);
+                }
+                self.tick_handover(now, effects);
+            }
+            _ => {}
+        }
+    }
+
+    fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+        self.refusing = true;
+        let snapshot = self.ledger.export(now);
+        let candidates = self
+            .view
+            .nodes
+            .iter()
+            .filter(|(record, state)| record.key != self.own && *state == NodeState::Alive)
+            .map(|(record, _)| (record.key.clone(), record.peers))
+            .collect();
+        self.sender = Some(HandoverSender::new(snapshot, candidates, now));
+        self.tick_handover(now, effects);
+    }
+
+    fn tick_handover(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+        let Some(sender) = &mut self.sender else {
+            return;
+        };
+        if let Some(successor) = sender.successor_if_complete() {
+            self.sender = None;
+            effects.push(TrafficEffect::LedgerMoved { successor });
+            effects.push(TrafficEffect::HandoverEnded { complete: true });
+            return;
+        }
+        match sender.due_parts(now) {
+            Some(parts) => {
+                for (to, body) in parts {
+                    let message = self.own_message(body);
+                    effects.push(TrafficEffect::SendPeer { to, message });
+                }
+            }
+            None => {
+                self.sender = None;
+                effects.push(TrafficEffect::HandoverEnded { complete: false });
+            }
+        }
+    }
+}
