--- /dev/null
+++ b/crates/daemon/src/hub.rs
@@ -0,0 +1,199 @@
+//! What the threads of a daemon share.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use compact_str::format_compact;
+use jaysaddle_engine::EngineClient;
+use jaysaddle_platform::PlatformStore;
+use jaysaddle_reducer::ControlEvent;
+use jaysaddle_reducer::ControlState;
+use jaysaddle_reducer::TrafficEffect;
+use jaysaddle_reducer::TrafficEvent;
+use jaysaddle_reducer::TrafficState;
+use jaysaddle_settings::NodeSettings;
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::node::NodeRecord;
+use jaysaddle_types::request::RequestSpec;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::view::FleetView;
+
+use crate::clock;
+use crate::journal::DecisionJournal;
+use crate::telemetry::MetricsText;
+
+/// A question to the control lane, run on its thread.
+pub type ControlQuery = Box<dyn FnOnce(&ControlState, Timestamp) + Send>;
+
+/// A question to the traffic lane, run on its thread.
+pub type TrafficQuery = Box<dyn FnOnce(&TrafficState, Timestamp) + Send>;
+
+/// Input of the control lane.
+pub enum ControlInput {
+    /// An event for the reducer.
+    Event(ControlEvent),
+    /// An operator's change; the answer goes to the sender.
+    Operator(
+        Box<dyn FnOnce(jaysaddle_reducer::operator::OperatorTicket) -> ControlEvent + Send>,
+        flume::Sender<jaysaddle_reducer::OperatorAnswer>,
+    ),
+    /// A question.
+    Query(ControlQuery),
+}
+
+/// Input of the traffic lane.
+pub enum TrafficInput {
+    /// An event for the reducer.
+    Event(TrafficEvent),
+    /// A request; effects that concern it go to the sender.
+    Request(Box<RequestSpec>, flume::Sender<TrafficEffect>),
+    /// A question.
+    Query(TrafficQuery),
+}
+
+/// Shards that this node held when the control lane last looked.
+#[derive(Debug, Default)]
+struct HeldShards {
+    shards: BTreeSet<FabricDomainId>,
+    at: Timestamp,
+}
+
+/// Age up to which the control lane's view of its leases allows an order. Below the margin that a
+/// new holder waits beyond the lease's duration.
+const HELD_AGE: TimeSpan = TimeSpan::from_millis(500);
+
+/// Shared by all threads of a daemon.
+pub struct Hub {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// This run of the node.
+    pub own: NodeRecord,
+    /// Input of the control lane.
+    pub control: flume::Sender<ControlInput>,
+    /// Input of the traffic lane.
+    pub traffic: flume::Sender<TrafficInput>,
+    /// Engines and plain services.
+    pub engine: Arc<dyn EngineClient>,
+    /// The platform.
+    pub store: Arc<dyn PlatformStore>,
+    /// Latest decisions.
+    pub journal: DecisionJournal,
+    /// Renders the metrics.
+    pub metrics: MetricsText,
+    /// Set once a planned stop has begun.
+    pub stopping: AtomicBool,
+    /// Requests of callers that hold a thread.
+    pub open_requests: AtomicUsize,
+    view: RwLock<Arc<FleetView>>,
+    held: Mutex<HeldShards>,
+    next_request: AtomicU64,
+}
+
+impl Hub {
+    /// A hub for a node that knows nothing yet.
+    pub fn new(
+        settings: NodeSettings,
+        own: NodeRecord,
+        control: flume::Sender<ControlInput>,
+        traffic: flume::Sender<TrafficInput>,
+        engine: Arc<dyn EngineClient>,
+        store: Arc<dyn PlatformStore>,
+        metrics: MetricsText,
+    ) -> Self {
+        Self {
+            settings,
+            own,
+            control,
+            traffic,
+            engine,
+            store,
+            metrics,
+            journal: DecisionJournal::default(),
+            stopping: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
+            view: RwLock::default(),
+            held: Mutex::default(),
+            next_request: AtomicU64::new(1),
+        }
+    }
+
+    /// The view in force.
+    pub fn view(&self) -> Arc<FleetView> {
+        self.view
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Replaces the view in force.
+    pub fn set_view(&self, view: Arc<FleetView>) {
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = view;
+    }
+
+    /// Records the shards held at `now`.
+    pub fn set_held(&self, shards: BTreeSet<FabricDomainId>, now: Timestamp) {
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        *held = HeldShards { shards, at: now };
+    }
+
+    /// Whether an order for `shard` may be sent now.
+    pub fn may_order(&self, shard: &FabricDomainId) -> bool {
+        let held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        clock::now().since(held.at) <= HELD_AGE && held.shards.contains(shard)
+    }
+
+    /// An id for a request that arrives at this node.
+    pub fn new_request_id(&self) -> RequestId {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        RequestId::new(format_compact!(
+            "{}.{}.{number}",
+            self.own.key.id,
+            self.own.key.incarnation
+        ))
+    }
+
+    /// Sends an event to the control lane; lost when the lane has ended.
+    pub fn control_event(&self, event: ControlEvent) {
+        let _ = self.control.send(ControlInput::Event(event));
+    }
+
+    /// Sends an event to the traffic lane; lost when the lane has ended.
+    pub fn traffic_event(&self, event: TrafficEvent) {
+        let _ = self.traffic.send(TrafficInput::Event(event));
+    }
+
+    /// Runs `query` on the control lane and returns its result; `None` when the lane has ended.
+    pub fn ask_control<T: Send + 'static>(
+        &self,
+        query: impl FnOnce(&ControlState, Timestamp) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (sender, receiver) = flume::bounded(1);
+        let input = ControlInput::Query(Box::new(move |state, now| {
+            let _ = sender.send(query(state, now));
+        }));
+        self.control.send(input).ok()?;
+        receiver.recv().ok()
+    }
+
+    /// Runs `query` on the traffic lane and returns its result; `None` when the lane has ended.
+    pub fn ask_traffic<T: Send + 'static>(
+        &self,
+        query: impl FnOnce(&TrafficState, Timestamp) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (sender, receiver) = flume::bounded(1);
+        let input = TrafficInput::Query(Box::new(move |state, now| {
+            let _ = sender.send(query(state, now));
+        }));
+        self.traffic.send(input).ok()?;
+        receiver.recv().ok()
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,26 @@
-//! Threads, HTTP routes and effects of the daemon.
+//! The daemon of an entry VM: threads, HTTP routes and the execution of effects.
+//!
+//! Decisions are made by the reducer alone. Each of its two lanes runs on a thread of its own;
+//! everything that can block (HTTP, the store, engines, peers) runs on other threads and talks to
+//! the lanes by `flume` channels.
+
+pub mod answer;
+pub mod callers;
+pub mod clock;
+pub mod completion;
+pub mod control_lane;
+pub mod daemon;
+pub mod hub;
+pub mod journal;
+pub mod listener;
+pub mod logging;
+pub mod operators;
+pub mod pools;
+pub mod reply;
+pub mod request;
+pub mod service;
+pub mod store_watch;
+pub mod telemetry;
+pub mod traffic_lane;
+
+pub use daemon::Daemon;
--- /dev/null
+++ b/crates/daemon/src/reply.rs
@@ -0,0 +1,197 @@
+//! Answers to callers and operators.
+
+use std::io::Read;
+use std::io::Write;
+
+use compact_str::CompactString;
+use jaysaddle_types::verdict::ReasonCode;
+use jaysaddle_types::verdict::RequestRefusal;
+use jaysaddle_types::verdict::Verdict;
+use serde::Serialize;
+use tiny_http::Header;
+use tiny_http::Request;
+use tiny_http::Response;
+
+/// Content type of JSON answers.
+pub const JSON: &str = "application/json";
+
+/// Content type of streamed answers.
+pub const EVENT_STREAM: &str = "text/event-stream";
+
+fn header(name: &str, value: &str) -> Option<Header> {
+    Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
+}
+
+/// The value of a request's header.
+pub fn header_value<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request
+        .headers()
+        .iter()
+        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))
+        .map(|header| header.value.as_str())
+}
+
+/// Answers with a body; a caller that has gone is not an error.
+pub fn respond(request: Request, status: u16, content_type: &str, body: &[u8]) {
+    respond_with(request, status, content_type, body, &[]);
+}
+
+/// Answers with a body and further headers.
+pub fn respond_with(
+    request: Request,
+    status: u16,
+    content_type: &str,
+    body: &[u8],
+    headers: &[(&str, &str)],
+) {
+    let mut response = Response::from_data(body).with_status_code(status);
+    let all = [("Content-Type", content_type)];
+    for (name, value) in all.iter().chain(headers) {
+        if let Some(header) = header(name, value) {
+            response.add_header(header);
+        }
+    }
+    if let Err(error) = request.respond(response) {
+        log::debug!("a caller went away before its answer: {error}");
+    }
+}
+
+/// Answers with a JSON document.
+pub fn respond_json<T: Serialize>(request: Request, status: u16, value: &T) {
+    match serde_json::to_vec(value) {
+        Ok(body) => respond(request, status, JSON, &body),
+        Err(error) => respond(
+            request,
+            500,
+            JSON,
+            format!("{{\"error\":\"{error}\"}}").as_bytes(),
+        ),
+    }
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    error: &'a RequestRefusal,
+}
+
+/// A refusal as JSON text.
+pub fn refusal_json(refusal: &RequestRefusal) -> String {
+    serde_json::to_string(&RefusalBody { error: refusal }).unwrap_or_else(|_| "{}".to_owned())
+}
+
+/// Counts a refusal.
+pub fn count_refusal(refusal: &RequestRefusal) {
+    metrics::counter!(
+        "jaysaddle_refusals_total",
+        "reason" => refusal.reason.as_str(),
+        "verdict" => verdict_label(refusal.verdict)
+    )
+    .increment(1);
+}
+
+fn verdict_label(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::NotRun => "not_run",
+        Verdict::MayHaveRun => "may_have_run",
+        Verdict::Ran => "ran",
+    }
+}
+
+/// Refuses a request.
+pub fn respond_refusal(request: Request, refusal: &RequestRefusal) {
+    count_refusal(refusal);
+    let body = refusal_json(refusal);
+    let status = refusal.reason.http_status();
+    match refusal.retry_after_ms {
+        // The header has whole seconds; the body carries the exact time.
+        Some(span) => {
+            let seconds = span.0.div_ceil(1000).to_string();
+            let headers = [("Retry-After", seconds.as_str())];
+            respond_with(request, status, JSON, body.as_bytes(), &headers);
+        }
+        None => respond(request, status, JSON, body.as_bytes()),
+    }
+}
+
+/// Refuses a request that is not valid.
+pub fn respond_invalid(request: Request, message: impl Into<CompactString>) {
+    let refusal = RequestRefusal::not_run(ReasonCode::InvalidRequest, message);
+    respond_refusal(request, &refusal);
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails with a refusal when the body is larger, cut short or slow.
+pub fn read_body(request: &mut Request, limit: u64) -> Result<Vec<u8>, RequestRefusal> {
+    let too_large = || {
+        let message = compact_str::format_compact!("the body exceeds {limit} bytes");
+        RequestRefusal::not_run(ReasonCode::TooLarge, message)
+    };
+    let expected = request.body_length();
+    if expected.is_some_and(|length| u64::try_from(length).unwrap_or(u64::MAX) > limit) {
+        return Err(too_large());
+    }
+    let mut body = Vec::new();
+    let read = request.as_reader().take(limit + 1).read_to_end(&mut body);
+    if u64::try_from(body.len()).unwrap_or(u64::MAX) > limit {
+        return Err(too_large());
+    }
+    let complete = read.is_ok() && expected.is_none_or(|length| length == body.len());
+    if complete {
+        Ok(body)
+    } else {
+        Err(RequestRefusal::not_run(
+            ReasonCode::InvalidRequest,
+            "the body ended before its stated length",
+        ))
+    }
+}
+
+/// A streamed answer in HTTP chunks, written and flushed piece by piece.
+///
+/// `tiny_http` collects a response of unknown length and sends the first piece with the last, so
+/// the head and the chunks are written to the raw connection here.
+pub struct StreamReply {
+    writer: Box<dyn Write + Send>,
+}
+
+impl StreamReply {
+    /// Sends the head of a streamed answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller has gone.
+    pub fn start(request: Request) -> std::io::Result<Self> {
+        let mut writer = request.into_writer();
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\nContent-Type: {EVENT_STREAM}\r\nCache-Control: no-cache\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        )?;
+        Ok(Self { writer })
+    }
+
+    /// Sends one server-sent event.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller has gone.
+    pub fn send_event(&mut self, data: &str) -> std::io::Result<()> {
+        const FRAME: usize = "data: \n\n".len();
+        let length = data.len() + FRAME;
+        write!(self.writer, "{length:x}\r\ndata: {data}\n\n\r\n")?;
+        self.writer.flush()
+    }
+
+    /// Ends the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller has gone.
+    pub fn finish(mut self) -> std::io::Result<()> {
+        self.writer.write_all(b"0\r\n\r\n")?;
+        self.writer.flush()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/store_watch.rs
@@ -0,0 +1,131 @@
+//! Threads that follow the platform: watches of the store and the list of VMs.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use jaysaddle_reducer::ControlEvent;
+use jaysaddle_types::ids::StoreRevision;
+use jaysaddle_types::store::ObjectKind;
+use jaysaddle_types::units::TimeSpan;
+
+use crate::clock;
+use crate::hub::Hub;
+
+/// Wait after a failed call; it doubles up to [`MAX_BACKOFF`] and is jittered, so that nodes do not
+/// call in step when the store comes back.
+const MIN_BACKOFF: TimeSpan = TimeSpan::from_millis(200);
+
+/// Longest wait after a failed call.
+const MAX_BACKOFF: TimeSpan = TimeSpan::from_secs(2);
+
+/// Time between reads of the VM list by a fleet of [`LIST_NODES`] nodes. Larger fleets read less
+/// often per node, so that the number of calls does not grow with the fleet.
+const LIST_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
+
+/// Number of nodes up to which each reads the VM list every [`LIST_INTERVAL`].
+const LIST_NODES: usize = 7;
+
+/// Waits between failed calls.
+struct CallBackoff {
+    span: TimeSpan,
+    jitter: u64,
+}
+
+impl CallBackoff {
+    fn new(hub: &Hub, salt: u64) -> Self {
+        Self {
+            span: MIN_BACKOFF,
+            jitter: hub.own.key.incarnation.0 ^ salt,
+        }
+    }
+
+    fn reset(&mut self) {
+        self.span = MIN_BACKOFF;
+    }
+
+    fn wait(&mut self) {
+        // A linear congruential step is random enough to keep nodes out of step.
+        self.jitter = self
+            .jitter
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        let permille = 500 + (self.jitter >> 33) % 1000;
+        thread::sleep(Duration::from_millis(
+            self.span.as_millis() * permille / 1000,
+        ));
+        self.span = TimeSpan(self.span.as_millis() * 2).min(MAX_BACKOFF);
+    }
+}
+
+fn watch_kind(hub: &Hub, kind: ObjectKind) {
+    let mut backoff = CallBackoff::new(hub, u64::from(kind == ObjectKind::Placement));
+    let mut revision = StoreRevision(0);
+    loop {
+        match hub
+            .store
+            .watch(kind, revision, hub.settings.timing.watch_wait)
+        {
+            Ok(batch) => {
+                backoff.reset();
+                // A lower revision means that the store lost its history; start over.
+                if batch.revision < revision {
+                    log::error!("the store's revision went back; reading all of {kind:?} again");
+                    revision = StoreRevision(0);
+                    continue;
+                }
+                revision = batch.revision;
+                hub.control_event(ControlEvent::ObjectsChanged {
+                    kind,
+                    objects: batch.objects,
+                });
+            }
+            Err(error) => {
+                log::debug!("watch of {kind:?} failed: {error:#}");
+                hub.control_event(ControlEvent::StoreReachable(false));
+                backoff.wait();
+            }
+        }
+    }
+}
+
+fn list_vms(hub: &Hub) {
+    let mut backoff = CallBackoff::new(hub, 2);
+    loop {
+        let started = clock::now();
+        match hub.store.list_vms() {
+            Ok(list) => {
+                backoff.reset();
+                hub.control_event(ControlEvent::VmsListed(list));
+            }
+            Err(error) => {
+                log::debug!("reading the VM list failed: {error:#}");
+                backoff.wait();
+                continue;
+            }
+        }
+        let nodes = hub.view().nodes.len().max(LIST_NODES);
+        let factor = u64::try_from(nodes.div_ceil(LIST_NODES)).unwrap_or(1);
+        let next = started + TimeSpan(LIST_INTERVAL.as_millis() * factor);
+        thread::sleep(next.since(clock::now()).as_duration());
+    }
+}
+
+/// Starts the threads; they end with the process.
+///
+/// # Errors
+///
+/// Fails when a thread cannot be started.
+pub fn start(hub: &Arc<Hub>) -> std::io::Result<()> {
+    for kind in [ObjectKind::Config, ObjectKind::Placement] {
+        let hub = hub.clone();
+        thread::Builder::new()
+            .name(format!("watch-{}", kind.as_str()))
+            .spawn(move || watch_kind(&hub, kind))?;
+    }
+    let hub = hub.clone();
+    thread::Builder::new()
+        .name("vm-list".into())
+        .spawn(move || list_vms(&hub))?;
+    Ok(())
+}
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -50,6 +50,7 @@
 use jaysaddle_types::store::StoredObject;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::view::VmState;
 use jaysaddle_wire::messages::DocumentReplyMessage;
 use jaysaddle_wire::messages::DocumentRequestMessage;
 use jaysaddle_wire::messages::PeerBody;
@@ -260,6 +261,22 @@
         self.config.is_complete() && !self.stopping
     }
 
+    /// Whether the store answered when it was last called.
+    pub fn is_store_reachable(&self) -> bool {
+        self.store_reachable
+    }
+
+    /// States of all VMs of the inventory.
+    pub fn vm_states(&self) -> impl Iterator<Item = VmState> + Clone {
+        self.fleet.vms.keys().map(|vm| self.health.state(vm))
+    }
+
+    /// Shards whose lease this node holds.
+    pub fn held_shards(&self, now: Timestamp) -> BTreeSet<FabricDomainId> {
+        let held = self.leases.held(now);
+        held.into_iter().map(|(shard, _, _)| shard).collect()
+    }
+
     fn tick(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
         self.membership_step(MembershipEvent::Tick, now, effects);
         self.lease_step(LeaseEvent::Tick, now, effects);
--- a/crates/reducer/src/control_view.rs
+++ b/crates/reducer/src/control_view.rs
@@ -1,6 +1,7 @@
 //! What the control lane shows to others: the fleet view and the planner's input.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -256,6 +257,23 @@
         (GroupState::Loading, reason)
     }
 
+    /// Accelerators of live VMs that are in no ready or loading group of `view`.
+    pub fn stranded_accelerators(&self, view: &FleetView) -> u32 {
+        let used: BTreeSet<&VmId> = view
+            .groups
+            .iter()
+            .filter(|group| matches!(group.state, GroupState::Ready | GroupState::Loading))
+            .flat_map(|group| group.members.iter().map(|(vm, _)| vm))
+            .collect();
+        self.fleet
+            .vms
+            .values()
+            .filter(|vm| !used.contains(&vm.entry.name))
+            .filter(|vm| self.health.state(&vm.entry.name) == VmState::Live)
+            .map(|vm| vm.entry.accelerators)
+            .sum()
+    }
+
     fn service_views(&self) -> Vec<ServiceView> {
         self.fleet
             .services
--- a/crates/reducer/src/traffic.rs
+++ b/crates/reducer/src/traffic.rs
@@ -159,6 +159,11 @@
         self.requests.len()
     }
 
+    /// Whether a request is under way.
+    pub fn is_open(&self, request: &RequestId) -> bool {
+        self.requests.contains_key(request)
+    }
+
     /// The view in force.
     pub fn view(&self) -> &Arc<FleetView> {
         &self.view
--- a/src/bin/jaysaddled.rs
+++ b/src/bin/jaysaddled.rs
@@ -1,3 +1,55 @@
-//! Placeholder.
+//! The daemon of an entry VM.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use bpaf::Bpaf;
+use eyre::WrapErr;
+use eyre::bail;
+use jaysaddle_daemon::Daemon;
+use jaysaddle_daemon::logging;
+use jaysaddle_engine::HttpEngine;
+use jaysaddle_platform::HttpStore;
+use jaysaddle_settings::NodeSettings;
+use jaysaddle_settings::check::check_settings;
+use jaysaddle_settings::read::read_yaml;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+/// Options of the daemon.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct DaemonOptions {
+    /// Settings file, YAML; see `jaysaddle settings default`.
+    #[bpaf(long, argument("FILE"))]
+    settings: PathBuf,
+}
+
+fn run(options: &DaemonOptions) -> eyre::Result<()> {
+    let settings: NodeSettings = read_yaml(&options.settings)?;
+    let problems = check_settings(&settings);
+    if !problems.is_empty() {
+        let list: Vec<_> = problems.iter().map(ToString::to_string).collect();
+        bail!("{}: {}", options.settings.display(), list.join("; "));
+    }
+    logging::init(&settings.log, &settings.node)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("signals cannot be received")?;
+    let store = Arc::new(HttpStore::new(settings.platform));
+    let daemon = Daemon::start(settings, Arc::new(HttpEngine), store)?;
+    signals.forever().next();
+    daemon.stop();
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let options = daemon_options().run();
+    match run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jaysaddled: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
