--- a/src/bin/jaysaddle.rs
+++ b/src/bin/jaysaddle.rs
@@ -1,3 +1,16 @@
-//! Placeholder.
+//! The operators' command-line tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+use jaysaddle::commands;
+
+fn main() -> ExitCode {
+    let command = commands::tool_command().run();
+    match commands::run(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("jaysaddle: {failure}");
+            failure.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/src/commands/check.rs
@@ -0,0 +1,125 @@
+//! `jaysaddle check`: checks configuration files without a node.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use jaysaddle_settings::check::check_document;
+use jaysaddle_settings::documents::ConfigDocument;
+use jaysaddle_settings::documents::DocumentKind;
+use jaysaddle_settings::documents::DrainsDocument;
+use jaysaddle_settings::read::SettingsError;
+use jaysaddle_settings::read::read_yaml;
+use jaysaddle_types::inventory::InventoryDocument;
+use jaysaddle_types::rules::RulesDocument;
+
+use crate::exit::CommandFailure;
+use crate::exit::CommandResult;
+use crate::exit::FailureKind;
+
+/// Options of `check`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct CheckOptions {
+    /// Files named after their documents: rules.yaml, drains.yaml, inventory-<failure domain>.yaml
+    #[bpaf(positional("FILE"), some("name at least one file"))]
+    pub files: Vec<PathBuf>,
+}
+
+/// The document that a file's name stands for.
+///
+/// # Errors
+///
+/// Fails when the name stands for no document.
+pub fn kind_of_file(file: &Path) -> Result<DocumentKind, CommandFailure> {
+    let stem = file
+        .file_stem()
+        .and_then(|stem| stem.to_str())
+        .unwrap_or("");
+    stem.parse().map_err(|message| {
+        CommandFailure::new(
+            FailureKind::Invalid,
+            format!("{}: {message}", file.display()),
+        )
+    })
+}
+
+/// Reads and checks a file.
+///
+/// # Errors
+///
+/// Fails with the file, the line and the field of each problem.
+pub fn read_document(kind: &DocumentKind, file: &Path) -> Result<ConfigDocument, CommandFailure> {
+    let invalid =
+        |error: SettingsError| CommandFailure::new(FailureKind::Invalid, error.to_string());
+    let document = match kind {
+        DocumentKind::Rules => {
+            ConfigDocument::Rules(read_yaml::<RulesDocument>(file).map_err(invalid)?)
+        }
+        DocumentKind::Drains => {
+            ConfigDocument::Drains(read_yaml::<DrainsDocument>(file).map_err(invalid)?)
+        }
+        DocumentKind::Inventory(_) => {
+            ConfigDocument::Inventory(read_yaml::<InventoryDocument>(file).map_err(invalid)?)
+        }
+    };
+    let problems = check_document(kind, &document);
+    if problems.is_empty() {
+        return Ok(document);
+    }
+    let lines: Vec<_> = problems
+        .iter()
+        .map(|problem| format!("{}: {problem}", file.display()))
+        .collect();
+    Err(CommandFailure::new(FailureKind::Invalid, lines.join("\n")))
+}
+
+/// VMs that several inventories list.
+fn shared_vms(documents: &[(PathBuf, ConfigDocument)]) -> Vec<String> {
+    let mut seen = BTreeMap::new();
+    let mut problems = Vec::new();
+    for (file, document) in documents {
+        let ConfigDocument::Inventory(inventory) = document else {
+            continue;
+        };
+        for vm in &inventory.vms {
+            if let Some(other) = seen.insert(&vm.name, file)
+                && other != file
+            {
+                problems.push(format!(
+                    "{}: vms: {} is also listed in {}; a VM sits in one fabric domain",
+                    file.display(),
+                    vm.name,
+                    other.display()
+                ));
+            }
+        }
+    }
+    problems
+}
+
+/// Carries out the command.
+///
+/// # Errors
+///
+/// Fails when a file is not valid, or the files contradict one another.
+pub fn run(options: &CheckOptions) -> CommandResult {
+    let mut documents = Vec::new();
+    let mut problems = Vec::new();
+    for file in &options.files {
+        let document = kind_of_file(file).and_then(|kind| read_document(&kind, file));
+        match document {
+            Ok(document) => documents.push((file.clone(), document)),
+            Err(failure) => problems.push(failure.message),
+        }
+    }
+    problems.extend(shared_vms(&documents));
+    if problems.is_empty() {
+        println!("{} files: ok", options.files.len());
+        return Ok(());
+    }
+    Err(CommandFailure::new(
+        FailureKind::Invalid,
+        problems.join("\n"),
+    ))
+}
--- /dev/null
+++ b/src/commands/settings.rs
@@ -0,0 +1,58 @@
+//! `jaysaddle settings`: checks settings and prints annotated defaults.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use jaysaddle_settings::NodeSettings;
+use jaysaddle_settings::check::check_settings;
+use jaysaddle_settings::read::read_yaml;
+
+use crate::exit::CommandFailure;
+use crate::exit::CommandResult;
+use crate::exit::FailureKind;
+
+/// Annotated defaults; a test keeps them equal to the defaults of the program.
+pub const DEFAULT_SETTINGS: &str = include_str!("default-settings.yaml");
+
+/// What to do with settings.
+#[derive(Clone, Debug, Bpaf)]
+pub enum SettingsAction {
+    /// Checks a settings file
+    #[bpaf(command("check"))]
+    Check {
+        /// Settings file, YAML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Prints all settings with their defaults, units and effects
+    #[bpaf(command("default"))]
+    Default,
+}
+
+/// Carries out the command.
+///
+/// # Errors
+///
+/// Fails when the settings are not valid.
+pub fn run(action: &SettingsAction) -> CommandResult {
+    match action {
+        SettingsAction::Default => {
+            print!("{DEFAULT_SETTINGS}");
+            Ok(())
+        }
+        SettingsAction::Check { file } => {
+            let settings: NodeSettings = read_yaml(file)
+                .map_err(|error| CommandFailure::new(FailureKind::Invalid, error.to_string()))?;
+            let problems = check_settings(&settings);
+            if problems.is_empty() {
+                println!("{}: ok", file.display());
+                return Ok(());
+            }
+            let lines: Vec<_> = problems
+                .iter()
+                .map(|problem| format!("{}: {problem}", file.display()))
+                .collect();
+            Err(CommandFailure::new(FailureKind::Invalid, lines.join("\n")))
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,6 @@
-//! Serving system for language models whose replicas span several VMs.
+//! The programs of jaysaddle: the subcommands of the command-line tool.
+
+pub mod client;
+pub mod commands;
+pub mod exit;
+pub mod table;
