--- /dev/null
+++ b/tests/all/deployment.rs
@@ -0,0 +1,660 @@
+//! A deployment of stand-ins and daemons as separate processes.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+use serde_json::json;
+
+/// Longest wait for something that must happen; far above what it takes on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Keys that all deployments use.
+pub const OPERATOR_KEY: &str = "test-operator-key-0123";
+const CLUSTER_KEY: &str = "test-cluster-key-0123";
+
+/// Account keys and their SHA-256.
+pub const ACCOUNT_KEYS: [(&str, &str, &str); 2] = [
+    (
+        "lender-a",
+        "lender-a-key",
+        "1d30ddbb539622d48c85a0a447d20074bfa9325928286ce98eae360fd546497d",
+    ),
+    (
+        "lender-b",
+        "lender-b-key",
+        "24760e0bbe61cd119ecd8d480c70c79d2272b9c65559e2492e533f8252219acc",
+    ),
+];
+
+/// Shape of a deployment.
+#[derive(Clone, Debug)]
+pub struct DeploymentSettings {
+    /// Daemons.
+    pub nodes: usize,
+    /// VMs of each of the three fabric domains, one per failure domain.
+    pub vms: usize,
+    /// VMs of a group.
+    pub vms_per_group: usize,
+    /// Groups wanted.
+    pub groups: usize,
+    /// Concurrent requests of a group.
+    pub slots: usize,
+    /// Time of a load of weights, in milliseconds.
+    pub load_ms: u64,
+    /// Time between tokens of an engine.
+    pub token_time: &'static str,
+    /// Time for which callers keep a discovery answer.
+    pub discovery_ttl: &'static str,
+    /// Whether engines check fencing tokens.
+    pub fencing: &'static str,
+}
+
+impl Default for DeploymentSettings {
+    fn default() -> Self {
+        Self {
+            nodes: 3,
+            vms: 3,
+            vms_per_group: 2,
+            groups: 3,
+            slots: 8,
+            load_ms: 100,
+            token_time: "2ms",
+            discovery_ttl: "1s",
+            fencing: "enforced",
+        }
+    }
+}
+
+/// A process that is killed when it goes out of scope.
+pub struct TestProcess {
+    /// Name for messages.
+    pub name: String,
+    child: Child,
+}
+
+impl TestProcess {
+    fn spawn(name: &str, mut command: Command, log: PathBuf) -> Self {
+        let file = fs::File::create(&log).expect("a log file can be created");
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(file)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{name} cannot be started: {error}"));
+        Self {
+            name: name.to_owned(),
+            child,
+        }
+    }
+
+    /// Waits for `count` lines that start with `listening`.
+    fn wait_listening(&mut self, count: usize) {
+        let output = self.child.stdout.take().expect("the output is piped");
+        let mut lines = BufReader::new(output).lines();
+        for _ in 0..count {
+            let line = lines.next().and_then(Result::ok).unwrap_or_default();
+            assert!(line.starts_with("listening"), "{}: {line:?}", self.name);
+        }
+        // The rest is read, so that the process never blocks on a full pipe.
+        thread::spawn(move || lines.for_each(drop));
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        // A process that has ended already needs no signal.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Stops the process from running, as a paused VM.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process run on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Ends the process at once, as a VM that fails.
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process for a planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end of the process and returns its exit code.
+    pub fn wait_exit(&mut self) -> Option<i32> {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("{} did not end", self.name);
+    }
+
+    /// Resident memory in bytes.
+    pub fn resident_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .and_then(|rest| rest.trim().strip_suffix(" kB"))
+            .and_then(|kib| kib.trim().parse::<u64>().ok())
+            .map_or(0, |kib| kib * 1024)
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// An answer to a caller or an operator.
+#[derive(Clone, Debug)]
+pub struct TestAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body as text.
+    pub text: String,
+    /// Body as JSON; null when it is none.
+    pub json: Value,
+    /// The header Retry-After.
+    pub retry_after: Option<String>,
+}
+
+impl TestAnswer {
+    fn from_response(response: &minreq::Response) -> Self {
+        let text = String::from_utf8_lossy(response.as_bytes()).into_owned();
+        Self {
+            status: response.status_code,
+            json: serde_json::from_str(&text).unwrap_or(Value::Null),
+            retry_after: response.headers("retry-after").next().map(str::to_owned),
+            text,
+        }
+    }
+
+    /// The text of a completion.
+    pub fn completion_text(&self) -> &str {
+        self.json["choices"][0]["text"].as_str().unwrap_or_default()
+    }
+
+    /// The verdict of a refusal.
+    pub fn verdict(&self) -> &str {
+        self.json["error"]["verdict"].as_str().unwrap_or_default()
+    }
+
+    /// The reason of a refusal.
+    pub fn reason(&self) -> &str {
+        self.json["error"]["reason"].as_str().unwrap_or_default()
+    }
+}
+
+/// Stand-ins and daemons.
+pub struct Deployment {
+    /// Shape.
+    pub settings: DeploymentSettings,
+    /// Daemons by number.
+    pub nodes: Vec<TestProcess>,
+    /// Engines by VM.
+    pub engines: Vec<(String, TestProcess)>,
+    /// The plain service.
+    pub service: Option<TestProcess>,
+    /// The platform.
+    pub platform: Option<TestProcess>,
+    subnet: (u8, u8),
+    folder: PathBuf,
+}
+
+/// Numbers the deployments of this process.
+static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
+
+const ENGINE_PORT: u16 = 7100;
+const SERVICE_PORT: u16 = 7200;
+const PLATFORM_PORT: u16 = 7300;
+const CALLER_PORT: u16 = 7400;
+const PEER_PORT: u16 = 7401;
+const OPERATOR_PORT: u16 = 7402;
+
+/// Failure domains and their fabric domain.
+pub const DOMAINS: [(&str, &str); 3] = [
+    ("phc-a", "phc-a-f1"),
+    ("phc-b", "phc-b-f1"),
+    ("yen-a", "yen-a-f1"),
+];
+
+impl Deployment {
+    /// Starts everything and puts the configuration into force.
+    pub fn start(settings: DeploymentSettings) -> Self {
+        let mut deployment = Self::start_platform(settings);
+        deployment.start_engines();
+        deployment.start_service();
+        for node in 0..deployment.settings.nodes {
+            let process = deployment.start_node(node);
+            deployment.nodes.push(process);
+        }
+        deployment.wait_until("node 0 answers operators", |this| {
+            this.operator_get(0, "/healthz").is_some()
+        });
+        deployment.apply_configuration();
+        deployment
+    }
+
+    /// Starts everything and waits until every wanted group serves.
+    pub fn start_ready(settings: DeploymentSettings) -> Self {
+        let deployment = Self::start(settings);
+        deployment.wait_groups(deployment.settings.groups);
+        deployment
+    }
+
+    fn start_platform(settings: DeploymentSettings) -> Self {
+        let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        // Each deployment has loopback addresses of its own: 127.x.y.z with x and y from the
+        // process id and the number of the deployment.
+        let subnet = (
+            u8::try_from(1 + process % 250).expect("below 256"),
+            u8::try_from((process / 250 + number * 16) % 250).expect("below 256"),
+        );
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("deployment-{process}-{number}"));
+        fs::create_dir_all(&folder).expect("a folder can be created");
+        let mut deployment = Self {
+            settings,
+            nodes: Vec::new(),
+            engines: Vec::new(),
+            service: None,
+            platform: None,
+            subnet,
+            folder,
+        };
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddle-standin"));
+        command.args(["platform", "--listen"]);
+        command.arg(deployment.platform_address().to_string());
+        command.args(["--list-lag", "500ms"]);
+        let log = deployment.folder.join("platform.log");
+        let mut platform = TestProcess::spawn("platform", command, log);
+        platform.wait_listening(1);
+        deployment.platform = Some(platform);
+        deployment
+    }
+
+    fn ip(&self, host: usize) -> IpAddr {
+        let host = u8::try_from(host).expect("below 256");
+        IpAddr::V4(Ipv4Addr::new(127, self.subnet.0, self.subnet.1, host))
+    }
+
+    /// Address of the platform.
+    pub fn platform_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip(250), PLATFORM_PORT)
+    }
+
+    /// Address of the plain service.
+    pub fn service_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip(249), SERVICE_PORT)
+    }
+
+    /// Address for callers of a node.
+    pub fn caller_address(&self, node: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(node + 1), CALLER_PORT)
+    }
+
+    /// Address for operators of a node.
+    pub fn operator_address(&self, node: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(node + 1), OPERATOR_PORT)
+    }
+
+    /// Address for peers of a node.
+    pub fn peer_address(&self, node: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(node + 1), PEER_PORT)
+    }
+
+    /// All VMs with their address and the number of their domain.
+    pub fn vms(&self) -> Vec<(String, SocketAddr, usize)> {
+        let vms = self.settings.vms;
+        (0..DOMAINS.len() * vms)
+            .map(|index| {
+                let domain = index / vms;
+                let name = format!("vm-{}-{}", DOMAINS[domain].0, index % vms + 1);
+                let address = SocketAddr::new(self.ip(50 + index), ENGINE_PORT);
+                (name, address, domain)
+            })
+            .collect()
+    }
+
+    /// Address of a VM's engine.
+    pub fn vm_address(&self, vm: &str) -> SocketAddr {
+        let vms = self.vms();
+        let found = vms.iter().find(|(name, _, _)| name == vm);
+        found.expect("the VM exists").1
+    }
+
+    /// Starts the engine process of a VM.
+    pub fn start_engine(&self, vm: &str) -> TestProcess {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddle-standin"));
+        command.arg("engine");
+        for (name, address, _) in self.vms() {
+            let option = if name == vm { "--vm" } else { "--peer" };
+            command.args([option, &format!("{name}={address}")]);
+        }
+        command.args(["--fencing", self.settings.fencing]);
+        command.args(["--token-time", self.settings.token_time]);
+        command.args(["--load-ms", &self.settings.load_ms.to_string()]);
+        command.args(["--slots", &self.settings.slots.to_string()]);
+        let log = self.folder.join(format!("{vm}.log"));
+        let mut process = TestProcess::spawn(vm, command, log);
+        process.wait_listening(1);
+        process
+    }
+
+    fn start_engines(&mut self) {
+        for (name, _, _) in self.vms() {
+            let process = self.start_engine(&name);
+            self.engines.push((name, process));
+        }
+    }
+
+    fn start_service(&mut self) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddle-standin"));
+        command.args(["service", "--vm", "vm-service-1", "--listen"]);
+        command.arg(self.service_address().to_string());
+        let log = self.folder.join("service.log");
+        let mut service = TestProcess::spawn("service", command, log);
+        service.wait_listening(1);
+        self.service = Some(service);
+    }
+
+    fn node_settings(&self, node: usize) -> Value {
+        let domain = DOMAINS[node % DOMAINS.len()].0;
+        let seeds: Vec<_> = (0..self.settings.nodes)
+            .filter(|other| *other != node)
+            .map(|other| self.peer_address(other).to_string())
+            .collect();
+        json!({
+            "node": format!("entry-{}", node + 1),
+            "failure_domain": domain,
+            "region": "ng-south",
+            "listen": {
+                "callers": self.caller_address(node),
+                "operators": self.operator_address(node),
+                "peers": self.peer_address(node),
+            },
+            "seeds": seeds,
+            "platform": self.platform_address(),
+            "cluster_key": CLUSTER_KEY,
+            "operator_key": OPERATOR_KEY,
+            "timing": { "discovery_ttl": self.settings.discovery_ttl },
+        })
+    }
+
+    /// Starts a daemon; JSON is YAML too.
+    pub fn start_node(&self, node: usize) -> TestProcess {
+        let name = format!("entry-{}", node + 1);
+        let file = self.folder.join(format!("{name}.yaml"));
+        fs::write(&file, self.node_settings(node).to_string()).expect("settings can be written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddled"));
+        command.arg("--settings").arg(&file);
+        let log = self.folder.join(format!("{name}.log"));
+        TestProcess::spawn(&name, command, log)
+    }
+
+    /// Log of a node so far.
+    pub fn node_log(&self, node: usize) -> String {
+        let file = self.folder.join(format!("entry-{}.log", node + 1));
+        fs::read_to_string(file).unwrap_or_default()
+    }
+
+    /// The rules of the deployment.
+    pub fn rules(&self) -> Value {
+        let accounts: Vec<_> = ACCOUNT_KEYS
+            .iter()
+            .map(|(name, _, digest)| json!({ "name": name, "key_sha256": digest }))
+            .collect();
+        json!({
+            "objective": { "downtime": 3.0, "stranded": 1.0 },
+            "models": [
+                {
+                    "name": "reminder",
+                    "version": "1",
+                    "vms_per_group": self.settings.vms_per_group,
+                    "groups": self.settings.groups,
+                    "slots_per_group": self.settings.slots,
+                },
+                {
+                    "name": "private",
+                    "version": "1",
+                    "vms_per_group": 1,
+                    "groups": 0,
+                    "slots_per_group": 1,
+                    "accounts": ["lender-b"],
+                },
+            ],
+            "accounts": accounts,
+        })
+    }
+
+    /// The inventory of a failure domain.
+    pub fn inventory(&self, domain: usize) -> Value {
+        let (failure_domain, fabric_domain) = DOMAINS[domain];
+        let vms: Vec<_> = self
+            .vms()
+            .into_iter()
+            .filter(|(_, _, at)| *at == domain)
+            .map(|(name, address, _)| {
+                json!({
+                    "name": name,
+                    "address": address,
+                    "fabric_domain": fabric_domain,
+                    "can_host": ["reminder"],
+                    "fencing": self.settings.fencing,
+                })
+            })
+            .collect();
+        let services = if domain == 0 {
+            json!([{
+                "name": "promises",
+                "vm": "vm-service-1",
+                "address": self.service_address(),
+            }])
+        } else {
+            json!([])
+        };
+        json!({
+            "failure_domain": failure_domain,
+            "region": "ng-south",
+            "vms": vms,
+            "services": services,
+        })
+    }
+
+    fn apply_configuration(&self) {
+        for (domain, (name, _)) in DOMAINS.iter().enumerate() {
+            let answer = self.apply(0, &format!("inventory-{name}"), 0, &self.inventory(domain));
+            assert_eq!(answer.status, 200, "{}", answer.text);
+        }
+        let answer = self.apply(0, "rules", 0, &self.rules());
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+
+    /// Applies a document at a node.
+    pub fn apply(&self, node: usize, name: &str, expected: u64, document: &Value) -> TestAnswer {
+        let url = format!(
+            "http://{}/v1/config/{name}?expect={expected}",
+            self.operator_address(node)
+        );
+        let response = minreq::put(url)
+            .with_header("Authorization", format!("Bearer {OPERATOR_KEY}"))
+            .with_body(document.to_string())
+            .with_timeout(30)
+            .send()
+            .expect("the node answers");
+        TestAnswer::from_response(&response)
+    }
+
+    /// Reads a route for operators; `None` when the node does not answer.
+    pub fn operator_get(&self, node: usize, path: &str) -> Option<TestAnswer> {
+        let url = format!("http://{}{path}", self.operator_address(node));
+        let response = minreq::get(url)
+            .with_header("Authorization", format!("Bearer {OPERATOR_KEY}"))
+            .with_timeout(5)
+            .send()
+            .ok()?;
+        Some(TestAnswer::from_response(&response))
+    }
+
+    /// Posts to a route for operators.
+    pub fn operator_post(&self, node: usize, path: &str) -> TestAnswer {
+        let url = format!("http://{}{path}", self.operator_address(node));
+        let response = minreq::post(url)
+            .with_header("Authorization", format!("Bearer {OPERATOR_KEY}"))
+            .with_timeout(30)
+            .send()
+            .expect("the node answers");
+        TestAnswer::from_response(&response)
+    }
+
+    /// Switches a fault of a stand-in.
+    pub fn fault(&self, address: SocketAddr, fault: &Value) {
+        let response = minreq::post(format!("http://{address}/control/fault"))
+            .with_body(fault.to_string())
+            .with_timeout(5)
+            .send()
+            .expect("the stand-in answers");
+        assert_eq!(response.status_code, 200, "{:?}", response.as_str());
+    }
+
+    /// Sends a request of a caller.
+    pub fn post(
+        &self,
+        node: usize,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<TestAnswer, minreq::Error> {
+        let url = format!("http://{}{path}", self.caller_address(node));
+        let mut request = minreq::post(url)
+            .with_header("Content-Type", "application/json")
+            .with_body(body)
+            .with_timeout(60);
+        for (name, value) in headers {
+            request = request.with_header(*name, *value);
+        }
+        request.send().map(|response| TestAnswer::from_response(&response))
+    }
+
+    /// Asks for a completion as `lender-a`.
+    pub fn complete(
+        &self,
+        node: usize,
+        prompt: &str,
+        max_tokens: u32,
+        headers: &[(&str, &str)],
+    ) -> Result<TestAnswer, minreq::Error> {
+        let body = json!({ "model": "reminder", "prompt": prompt, "max_tokens": max_tokens });
+        let mut all = vec![("Authorization", "Bearer lender-a-key")];
+        all.extend(headers);
+        self.post(node, "/v1/completions", &all, &body.to_string())
+    }
+
+    /// Asks a node's discovery route.
+    pub fn discover(&self, node: usize) -> Option<TestAnswer> {
+        let url = format!("http://{}/v1/discovery", self.caller_address(node));
+        let response = minreq::get(url).with_timeout(5).send().ok()?;
+        Some(TestAnswer::from_response(&response))
+    }
+
+    /// The home token that a node gives out now.
+    pub fn home_token(&self, node: usize) -> String {
+        let answer = self.discover(node).expect("discovery answers");
+        answer.json["home"].as_str().expect("there is a home token").to_owned()
+    }
+
+    /// Groups in `state` as a node sees them.
+    pub fn groups_in_state(&self, node: usize, state: &str) -> Vec<Value> {
+        self.operator_get(node, "/v1/groups")
+            .and_then(|answer| answer.json["groups"].as_array().cloned())
+            .unwrap_or_default()
+            .into_iter()
+            .filter(|group| group["state"] == state)
+            .collect()
+    }
+
+    /// Whether the leader of a group reports it whole.
+    pub fn is_confirmed(&self, group: &Value) -> bool {
+        let leader = group["leader"].as_str().unwrap_or_default();
+        let answer = minreq::get(format!("http://{leader}/engine/status"))
+            .with_timeout(2)
+            .send();
+        let Ok(response) = answer else {
+            return false;
+        };
+        let report: Value = serde_json::from_slice(response.as_bytes()).unwrap_or(Value::Null);
+        report["role"] == "leader"
+            && report["group"] == group["id"]
+            && report["generation"] == group["generation"]
+            && report["missing"].as_array().is_some_and(Vec::is_empty)
+    }
+
+    /// Waits until `count` groups are ready and confirmed by their leaders, at every node.
+    pub fn wait_groups(&self, count: usize) {
+        self.wait_until(&format!("{count} groups are ready"), |this| {
+            (0..this.nodes.len()).all(|node| {
+                let groups = this.groups_in_state(node, "ready");
+                groups.len() >= count
+                    && groups.iter().filter(|group| this.is_confirmed(group)).count() >= count
+            })
+        });
+    }
+
+    /// Waits until `condition` holds; fails the test with the nodes' last log lines otherwise.
+    pub fn wait_until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            if condition(self) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        for node in 0..self.settings.nodes {
+            let log = self.node_log(node);
+            let lines: Vec<_> = log.lines().rev().take(30).collect();
+            for line in lines.iter().rev() {
+                eprintln!("entry-{}: {line}", node + 1);
+            }
+        }
+        panic!("after {PATIENCE:?} it does not hold that {what}");
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // The logs of a failed test are kept.
+        if !thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- /dev/null
+++ b/tests/all/serving.rs
@@ -0,0 +1,50 @@
+//! The normal path: a request is served from end to end.
+
+use jaysaddle_standins::expected_text;
+use jaysaddle_types::ids::ModelId;
+use serde_json::json;
+
+use crate::deployment::Deployment;
+use crate::deployment::DeploymentSettings;
+
+/// Guards against a path that is broken anywhere between caller and engine.
+#[test]
+fn completion_is_answered_at_every_node() {
+    let deployment = Deployment::start_ready(DeploymentSettings::default());
+    for node in 0..deployment.nodes.len() {
+        let prompt = format!("remind borrower {node}");
+        let answer = deployment.complete(node, &prompt, 12, &[]).expect("the node answers");
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        assert_eq!(answer.completion_text(), expected_text(&ModelId::new("reminder"), &prompt, 12));
+        assert_eq!(answer.json["usage"]["completion_tokens"], 12);
+    }
+}
+
+/// Guards against streams that end without a marker, or whose pieces do not make up the answer.
+#[test]
+fn stream_carries_the_whole_answer() {
+    let deployment = Deployment::start_ready(DeploymentSettings::default());
+    let body = json!({
+        "model": "reminder",
+        "prompt": "summarise the call",
+        "max_tokens": 20,
+        "stream": true,
+    });
+    let headers = [("Authorization", "Bearer lender-a-key")];
+    let answer = deployment
+        .post(1, "/v1/completions", &headers, &body.to_string())
+        .expect("the node answers");
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    let events: Vec<&str> = answer
+        .text
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .collect();
+    assert_eq!(events.last(), Some(&"[DONE]"));
+    let text: String = events
+        .iter()
+        .filter_map(|event| serde_json::from_str::<serde_json::Value>(event).ok())
+        .filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
+        .collect();
+    assert_eq!(text, expected_text(&ModelId::new("reminder"), "summarise the call", 20));
+}
