Judge the state of VMs from contradicting sources

Cause: routing and placement need one state for each VM while probes, reports, the platform's list, requests and peers contradict one another. Change: rendezvous choice of watchers, spread probes, cut-off mark, pause detection, tally of watchers' findings, straggler baseline, damping.

--- /dev/null
+++ b/crates/health/src/explain.rs
@@ -0,0 +1,171 @@
+//! The evidence about a VM in plain sentences.
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_types::evidence::ListedState;
+use jaysaddle_types::evidence::ProbeFinding;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::view::VmState;
+
+use crate::judge::tally;
+use crate::record::VmRecord;
+use crate::tracker::HealthTracker;
+
+impl HealthTracker {
+    /// The evidence about a VM in plain sentences: each source with its age, and what follows.
+    ///
+    /// Ages are counted to the last event that the tracker received.
+    pub fn explain(&self, vm: &VmId) -> Vec<CompactString> {
+        let now = self.last_step.unwrap_or_default();
+        let record = match self.records.get(vm) {
+            Some(record) if record.target.is_some() => record,
+            _ => return vec![format_compact!("VM {vm} is not in the inventory.")],
+        };
+        let mut lines = vec![format_compact!(
+            "VM {vm} is {:?} for {}: {}.",
+            record.damped.state,
+            now.since(record.damped.since),
+            if record.reason.is_empty() {
+                "no evidence yet"
+            } else {
+                record.reason
+            }
+        )];
+        self.explain_probes(record, now, &mut lines);
+        self.explain_peers(record, now, &mut lines);
+        self.explain_other(record, now, &mut lines);
+        self.explain_result(record, now, &mut lines);
+        lines
+    }
+
+    fn explain_probes(&self, record: &VmRecord, now: Timestamp, lines: &mut Vec<CompactString>) {
+        let Some(watch) = &record.watch else {
+            lines.push("This node does not probe it; other nodes watch it.".into());
+            return;
+        };
+        match (watch.answered_at, watch.latency) {
+            (Some(at), Some(latency)) => lines.push(format_compact!(
+                "Own probe: last answered {} ago after {latency}.",
+                now.since(at)
+            )),
+            _ => lines.push("Own probe: not answered yet.".into()),
+        }
+        if let Some((failure, at)) = watch.failure {
+            lines.push(format_compact!(
+                "Own probe: last failure ({failure:?}) {} ago; {} missed in a row.",
+                now.since(at),
+                watch.misses
+            ));
+        }
+        if let Some(finding) = watch.finding {
+            lines.push(format_compact!(
+                "Own finding: {} since {}.",
+                finding_text(finding),
+                now.since(watch.finding_since)
+            ));
+        }
+    }
+
+    fn explain_peers(&self, record: &VmRecord, now: Timestamp, lines: &mut Vec<CompactString>) {
+        for &index in &record.watchers {
+            let node = &self.places[usize::from(index)].node;
+            if *node == self.own {
+                continue;
+            }
+            let name = node_text(node);
+            let Some(note) = record.notes.iter().find(|note| note.node == *node) else {
+                lines.push(format_compact!("Watcher {name}: no finding received."));
+                continue;
+            };
+            let mark = if note.cut_off {
+                "; not counted because the watcher is cut off"
+            } else {
+                ""
+            };
+            lines.push(format_compact!(
+                "Watcher {name}: {}, received {} ago{mark}.",
+                finding_text(note.finding),
+                now.since(note.at)
+            ));
+        }
+    }
+
+    fn explain_other(&self, record: &VmRecord, now: Timestamp, lines: &mut Vec<CompactString>) {
+        lines.push(match (self.listed_at, record.listed) {
+            (None, _) => "Platform list: not received yet.".into(),
+            (Some(at), state) => format_compact!(
+                "Platform list: {}, received {} ago.",
+                match state {
+                    Some(ListedState::Live) => "live",
+                    Some(ListedState::Leaving) => "leaving",
+                    None => "absent, which alone shows nothing",
+                },
+                now.since(at)
+            ),
+        });
+        if let Some((report, at)) = &record.report {
+            let leaving = if report.leaving {
+                ", says that it leaves"
+            } else {
+                ""
+            };
+            lines.push(format_compact!(
+                "Engine report: {:?} of generation {}{leaving}, received {} ago.",
+                report.role,
+                report.generation,
+                now.since(*at)
+            ));
+        }
+        if record.requests.count > 0 {
+            lines.push(format_compact!(
+                "Requests of this node: {} failed in a row, the last {} ago.",
+                record.requests.count,
+                now.since(record.requests.last)
+            ));
+        }
+        if record.drained {
+            lines.push("Operators drain it.".into());
+        }
+    }
+
+    fn explain_result(&self, record: &VmRecord, now: Timestamp, lines: &mut Vec<CompactString>) {
+        if self.is_cut_off() {
+            lines.push("This node is cut off; its own findings are not counted.".into());
+        }
+        if tally(record, &self.context(now)).disagrees() {
+            lines.push("Its watchers disagree.".into());
+        }
+        if let Some(until) = record.damped.damped_until(&self.settings) {
+            lines.push(format_compact!(
+                "It has returned {} times; used again in {} if it stays healthy.",
+                record.damped.flaps,
+                until.since(now)
+            ));
+        }
+        let state = record.damped.state;
+        lines.push(match (state.may_serve(), state.may_be_placed()) {
+            (true, true) => "Its group may serve, and it may be placed.".into(),
+            (true, false) if state == VmState::Unknown => {
+                "Its group may serve; it is not placed until there is evidence.".into()
+            }
+            (true, false) => "Its group may serve; it is not placed anew.".into(),
+            _ => "Its group takes no new request, and it is not placed.".into(),
+        });
+    }
+}
+
+fn node_text(node: &NodeKey) -> CompactString {
+    format_compact!("{}/{}", node.id, node.incarnation)
+}
+
+fn finding_text(finding: ProbeFinding) -> &'static str {
+    match finding {
+        ProbeFinding::Answers => "answers in time",
+        ProbeFinding::Slow => "answers slowly",
+        ProbeFinding::Missed => "misses probes",
+        ProbeFinding::Gone => "gone",
+        ProbeFinding::Leaving => "says that it leaves",
+    }
+}
--- /dev/null
+++ b/crates/health/src/probing.rs
@@ -0,0 +1,266 @@
+//! Probes, this node's own pauses and its contact.
+
+use std::collections::BTreeMap;
+
+use compact_str::format_compact;
+use jaysaddle_types::engine::EngineReport;
+use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::event::HealthEffect;
+use crate::event::ProbeFailure;
+use crate::latency::LatencyBaseline;
+use crate::rendezvous::mix;
+use crate::tracker::HealthTracker;
+use crate::watch::ProbeWatch;
+
+impl HealthTracker {
+    /// A gap between steps of at least the probe timeout can make every outstanding probe time out
+    /// without any fault of a VM. A shorter gap leaves each probe some time in which this node ran.
+    pub(crate) fn notice_pause(&mut self, now: Timestamp, effects: &mut Vec<HealthEffect>) {
+        let gap = match self.last_step.replace(now) {
+            Some(last) => now.since(last),
+            None => return,
+        };
+        if gap < self.settings.probe_timeout {
+            return;
+        }
+        self.discard_failures_until = now + self.settings.probe_timeout;
+        for record in self.records.values_mut() {
+            record.damped.skip_pause(gap);
+            let Some(watch) = record.watch.as_mut() else {
+                continue;
+            };
+            let was_silent = watch.misses > 0;
+            watch.forgive_pause();
+            if was_silent && watch.misses == 0 {
+                self.contact.silent -= 1;
+            }
+        }
+        effects.push(self.node_decision(
+            "paused",
+            "the time between two steps exceeds the probe timeout; failed probes are not counted",
+            format_compact!("gap={gap}"),
+        ));
+    }
+
+    /// Time flows: due probes, the straggler baseline and running damping times.
+    pub(crate) fn on_tick(&mut self, now: Timestamp, effects: &mut Vec<HealthEffect>) {
+        self.send_due_probes(now, effects);
+        if now >= self.baseline_due {
+            self.refresh_baseline(now);
+        }
+        self.update_contact(now, effects);
+        let timed: Vec<VmId> = self.timed.iter().cloned().collect();
+        for vm in timed {
+            self.rejudge(&vm, now, effects);
+            let still_timed = self
+                .records
+                .get(&vm)
+                .is_some_and(|record| record.is_timed(now));
+            if !still_timed {
+                self.timed.remove(&vm);
+            }
+        }
+    }
+
+    /// Starts to probe a VM at its own phase of the interval, so that probes are spread.
+    pub(crate) fn start_watch(&mut self, vm: &VmId, now: Timestamp) {
+        let interval = self.settings.probe_interval.0.max(1);
+        let Some(record) = self.records.get_mut(vm) else {
+            return;
+        };
+        if record.watch.is_some() {
+            return;
+        }
+        let phase = mix(record.hash ^ self.own_hash) % interval;
+        let wait = (phase + interval - now.0 % interval) % interval;
+        let next = Timestamp(now.0 + wait);
+        record.watch = Some(ProbeWatch::new(next));
+        self.contact.targets += 1;
+        self.schedule.insert((next, vm.clone()));
+    }
+
+    /// Stops to probe a VM.
+    pub(crate) fn stop_watch(&mut self, vm: &VmId) {
+        let watch = self
+            .records
+            .get_mut(vm)
+            .and_then(|record| record.watch.take());
+        let Some(watch) = watch else {
+            return;
+        };
+        self.contact.targets -= 1;
+        self.contact.silent -= usize::from(watch.misses > 0);
+        self.schedule.remove(&(watch.next, vm.clone()));
+    }
+
+    fn send_due_probes(&mut self, now: Timestamp, effects: &mut Vec<HealthEffect>) {
+        let interval = self.settings.probe_interval.0.max(1);
+        while let Some((due, vm)) = self.schedule.pop_first() {
+            if due > now {
+                self.schedule.insert((due, vm));
+                return;
+            }
+            // Skips the turns lost in a pause and keeps the phase, so that no burst follows it.
+            let turns = now.since(due).0 / interval + 1;
+            let next = Timestamp(due.0 + turns * interval);
+            self.schedule.insert((next, vm.clone()));
+            self.send_probe(&vm, next, now, effects);
+        }
+    }
+
+    fn send_probe(
+        &mut self,
+        vm: &VmId,
+        next: Timestamp,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        let timeout = self.settings.probe_timeout;
+        let Some(record) = self.records.get_mut(vm) else {
+            return;
+        };
+        let (Some(target), Some(watch)) = (&record.target, record.watch.as_mut()) else {
+            return;
+        };
+        effects.push(HealthEffect::Probe {
+            vm: vm.clone(),
+            address: target.address,
+            timeout,
+        });
+        watch.next = next;
+        if watch.sent() {
+            self.on_missed(vm, ProbeFailure::Timeout, now, effects);
+        }
+    }
+
+    /// A probe ended. Reports of VMs that this node does not watch come from checks before a send.
+    pub(crate) fn on_probed(
+        &mut self,
+        vm: VmId,
+        outcome: Result<EngineReport, ProbeFailure>,
+        latency: TimeSpan,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        match outcome {
+            Ok(report) if report.vm == vm => {
+                self.on_answered(&vm, report, latency, now, effects);
+            }
+            Ok(_) => self.on_missed(&vm, ProbeFailure::Invalid, now, effects),
+            Err(failure) => self.on_missed(&vm, failure, now, effects),
+        }
+    }
+
+    fn on_answered(
+        &mut self,
+        vm: &VmId,
+        report: EngineReport,
+        latency: TimeSpan,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        let Some(record) = self.records.get_mut(vm) else {
+            return;
+        };
+        let leaving = report.leaving;
+        record.report = Some((Box::new(report), now));
+        if let (Some(watch), Some(target)) = (record.watch.as_mut(), &record.target) {
+            let threshold = self
+                .baseline
+                .threshold(&target.failure_domain, &self.settings);
+            self.contact.silent -= usize::from(watch.misses > 0);
+            watch.answered(leaving, latency, threshold, now);
+            self.update_contact(now, effects);
+            self.publish(vm, effects);
+        }
+        self.rejudge(vm, now, effects);
+    }
+
+    fn on_missed(
+        &mut self,
+        vm: &VmId,
+        failure: ProbeFailure,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        let Some(record) = self.records.get_mut(vm) else {
+            return;
+        };
+        let Some(watch) = record.watch.as_mut() else {
+            record.requests.note(now);
+            self.rejudge(vm, now, effects);
+            return;
+        };
+        if now < self.discard_failures_until {
+            watch.discarded();
+            return;
+        }
+        self.contact.silent += usize::from(watch.misses == 0);
+        watch.missed(failure, &self.settings, now);
+        self.update_contact(now, effects);
+        self.publish(vm, effects);
+        self.rejudge(vm, now, effects);
+    }
+
+    /// Sets or takes back the cut-off mark; a change concerns every finding of this node.
+    pub(crate) fn update_contact(&mut self, now: Timestamp, effects: &mut Vec<HealthEffect>) {
+        let Some(cut_off) = self.contact.update(now) else {
+            return;
+        };
+        let inputs = format_compact!(
+            "targets={} silent={} peers_permille={}",
+            self.contact.targets,
+            self.contact.silent,
+            self.contact.peers_permille
+        );
+        let (choice, reason) = if cut_off {
+            (
+                "cut_off",
+                "no contact with more than half of the targets or peers",
+            )
+        } else {
+            ("connected", "contact with targets and peers is back")
+        };
+        effects.push(self.node_decision(choice, reason, inputs));
+        let watched: Vec<VmId> = self.schedule.iter().map(|(_, vm)| vm.clone()).collect();
+        for vm in watched {
+            if !cut_off {
+                self.forgive_cut_off(&vm, now);
+            }
+            self.publish(&vm, effects);
+            self.rejudge(&vm, now, effects);
+        }
+    }
+
+    fn forgive_cut_off(&mut self, vm: &VmId, now: Timestamp) {
+        let watch = self
+            .records
+            .get_mut(vm)
+            .and_then(|record| record.watch.as_mut());
+        if let Some(watch) = watch {
+            watch.forgive_cut_off(&self.settings, now);
+        }
+    }
+
+    fn refresh_baseline(&mut self, now: Timestamp) {
+        let mut samples: BTreeMap<FailureDomainId, Vec<TimeSpan>> = BTreeMap::new();
+        for (_, vm) in &self.schedule {
+            let Some(record) = self.records.get(vm) else {
+                continue;
+            };
+            let latency = record.watch.as_ref().and_then(|watch| watch.latency);
+            if let (Some(latency), Some(target)) = (latency, &record.target) {
+                samples
+                    .entry(target.failure_domain.clone())
+                    .or_default()
+                    .push(latency);
+            }
+        }
+        self.baseline = LatencyBaseline::new(samples, &self.settings);
+        self.baseline_due = now + self.settings.probe_interval;
+    }
+}
--- /dev/null
+++ b/crates/health/src/rendezvous.rs
@@ -0,0 +1,70 @@
+//! Rendezvous hashing: every node computes the same watchers of a VM from the same list of nodes.
+//!
+//! The standard library's hasher may change between compiler versions, and nodes of two versions run
+//! side by side during an upgrade. The hash is therefore fixed here.
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// FNV-1a hash of an identifier.
+pub(crate) fn hash_id(text: &str) -> u64 {
+    text.bytes().fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+/// Finalizer of SplitMix64; spreads the bits of ids that differ in one digit only.
+pub(crate) fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Rendezvous score of a VM and a node.
+pub(crate) fn pair_score(vm_hash: u64, node_hash: u64) -> u64 {
+    mix(vm_hash ^ mix(node_hash))
+}
+
+/// A watcher reduced to what the choice needs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WatcherSlot {
+    /// Hash of the node's id.
+    pub(crate) hash: u64,
+    /// Index of its failure domain.
+    pub(crate) domain: usize,
+}
+
+/// Indexes of the `count` watchers of a VM: the best node of each failure domain first, then the
+/// best of the rest when there are too few failure domains.
+pub(crate) fn pick_watchers(
+    vm_hash: u64,
+    slots: &[WatcherSlot],
+    domains: usize,
+    count: usize,
+) -> Vec<u16> {
+    let mut best: Vec<Option<(u64, u16)>> = vec![None; domains];
+    for (index, slot) in slots.iter().enumerate() {
+        let score = (pair_score(vm_hash, slot.hash), index as u16);
+        let leader = &mut best[slot.domain];
+        *leader = (*leader).max(Some(score));
+    }
+    let mut picked: Vec<(u64, u16)> = best.into_iter().flatten().collect();
+    picked.sort_unstable_by(|a, b| b.cmp(a));
+    picked.truncate(count);
+    if picked.len() < count {
+        fill_up(&mut picked, vm_hash, slots, count);
+    }
+    picked.into_iter().map(|(_, index)| index).collect()
+}
+
+fn fill_up(picked: &mut Vec<(u64, u16)>, vm_hash: u64, slots: &[WatcherSlot], count: usize) {
+    let mut rest: Vec<(u64, u16)> = slots
+        .iter()
+        .enumerate()
+        .map(|(index, slot)| (pair_score(vm_hash, slot.hash), index as u16))
+        .filter(|entry| !picked.contains(entry))
+        .collect();
+    rest.sort_unstable_by(|a, b| b.cmp(a));
+    rest.truncate(count - picked.len());
+    picked.extend(rest);
+}
--- /dev/null
+++ b/crates/health/src/sources.rs
@@ -0,0 +1,262 @@
+//! Targets, watchers and the sources of evidence other than probes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use jaysaddle_types::evidence::ListedState;
+use jaysaddle_types::evidence::ListedVm;
+use jaysaddle_types::evidence::VmEvidence;
+use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::units::Timestamp;
+
+use crate::event::AttemptFinding;
+use crate::event::HealthEffect;
+use crate::event::HealthTarget;
+use crate::event::WatcherPlace;
+use crate::record::VmRecord;
+use crate::rendezvous::WatcherSlot;
+use crate::rendezvous::hash_id;
+use crate::rendezvous::pick_watchers;
+use crate::tracker::HealthTracker;
+
+/// VMs for which findings are kept while the inventory does not name them. Findings and inventories
+/// arrive in any order, and a finding is sent only when it changes.
+const MAX_EARLY_VMS: usize = 4096;
+
+impl HealthTracker {
+    /// The inventory has changed.
+    pub(crate) fn on_targets(
+        &mut self,
+        targets: Vec<HealthTarget>,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        let kept: BTreeSet<&VmId> = targets.iter().map(|target| &target.vm).collect();
+        let removed: Vec<VmId> = self
+            .records
+            .iter()
+            .filter(|(vm, record)| record.target.is_some() && !kept.contains(vm))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in &removed {
+            self.remove_target(vm);
+        }
+        for target in targets {
+            self.set_target(target, now, effects);
+        }
+        self.update_contact(now, effects);
+    }
+
+    /// A removed VM may come back when another document takes it over. Its findings stay, because
+    /// watchers that saw no removal do not send them again.
+    fn remove_target(&mut self, vm: &VmId) {
+        self.stop_watch(vm);
+        self.timed.remove(vm);
+        let Some(record) = self.records.remove(vm) else {
+            return;
+        };
+        if record.notes.is_empty() || self.early >= MAX_EARLY_VMS {
+            return;
+        }
+        self.early += 1;
+        let kept = VmRecord {
+            notes: record.notes,
+            ..VmRecord::default()
+        };
+        self.records.insert(vm.clone(), kept);
+    }
+
+    fn set_target(
+        &mut self,
+        target: HealthTarget,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        let vm = target.vm.clone();
+        if let Some(record) = self.records.get_mut(&vm)
+            && record.target.is_some()
+        {
+            record.target = Some(target);
+            return;
+        }
+        self.early -= usize::from(self.records.contains_key(&vm));
+        let record = self.records.entry(vm.clone()).or_default();
+        record.hash = hash_id(vm.as_str());
+        record.target = Some(target);
+        record.listed = self.listed.get(&vm).copied();
+        record.drained = self.drains.contains(&vm);
+        self.assign(&vm, now);
+        self.rejudge(&vm, now, effects);
+    }
+
+    /// The nodes have changed: findings of nodes that are gone are dropped, watchers chosen anew.
+    pub(crate) fn on_watchers(
+        &mut self,
+        places: Vec<WatcherPlace>,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        let kept: BTreeSet<&NodeKey> = places.iter().map(|place| &place.node).collect();
+        let gone: BTreeSet<NodeKey> = self
+            .places
+            .iter()
+            .map(|place| &place.node)
+            .filter(|node| !kept.contains(node))
+            .cloned()
+            .collect();
+        self.set_places(places);
+        let vms: Vec<VmId> = self.records.keys().cloned().collect();
+        for vm in vms {
+            if let Some(record) = self.records.get_mut(&vm) {
+                record.notes.retain(|note| !gone.contains(&note.node));
+            }
+            self.assign(&vm, now);
+            self.rejudge(&vm, now, effects);
+        }
+        self.records
+            .retain(|_, record| record.target.is_some() || !record.notes.is_empty());
+        let is_early = |record: &&VmRecord| record.target.is_none();
+        self.early = self.records.values().filter(is_early).count();
+        self.update_contact(now, effects);
+    }
+
+    /// Stores the nodes in the order that is the same on every node.
+    pub(crate) fn set_places(&mut self, mut places: Vec<WatcherPlace>) {
+        places.sort_by(|a, b| a.node.cmp(&b.node));
+        let mut domains: BTreeMap<FailureDomainId, usize> = BTreeMap::new();
+        self.slots = places
+            .iter()
+            .map(|place| {
+                let next = domains.len();
+                WatcherSlot {
+                    hash: hash_id(place.node.id.as_str()),
+                    domain: *domains.entry(place.failure_domain.clone()).or_insert(next),
+                }
+            })
+            .collect();
+        self.domains = domains.len();
+        self.own_index = places
+            .iter()
+            .position(|place| place.node == self.own)
+            .map(|index| index as u16);
+        self.places = places;
+    }
+
+    /// Chooses the watchers of a target, and probes it exactly if this node is one of them.
+    fn assign(&mut self, vm: &VmId, now: Timestamp) {
+        let Some(record) = self.records.get_mut(vm) else {
+            return;
+        };
+        if record.target.is_none() {
+            return;
+        }
+        let count = self.settings.watchers;
+        record.watchers = pick_watchers(record.hash, &self.slots, self.domains, count);
+        let is_watcher = self
+            .own_index
+            .is_some_and(|own| record.watchers.contains(&own));
+        match (is_watcher, record.watch.is_some()) {
+            (true, false) => self.start_watch(vm, now),
+            (false, true) => self.stop_watch(vm),
+            _ => {}
+        }
+    }
+
+    /// A peer's finding.
+    pub(crate) fn on_finding(
+        &mut self,
+        node: NodeKey,
+        evidence: VmEvidence,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        if node == self.own {
+            return;
+        }
+        if !self.records.contains_key(&evidence.vm) {
+            if self.early >= MAX_EARLY_VMS {
+                return;
+            }
+            self.early += 1;
+        }
+        let record = self.records.entry(evidence.vm.clone()).or_default();
+        record.note(node, &evidence, &self.places, now);
+        self.rejudge(&evidence.vm, now, effects);
+    }
+
+    /// The platform's list.
+    pub(crate) fn on_listed(
+        &mut self,
+        list: Vec<ListedVm>,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        let mut listed: BTreeMap<VmId, ListedState> = BTreeMap::new();
+        for entry in list {
+            let state = listed.entry(entry.vm).or_insert(entry.state);
+            if entry.state == ListedState::Leaving {
+                *state = ListedState::Leaving;
+            }
+        }
+        self.listed = listed;
+        self.listed_at = Some(now);
+        let mut changed: Vec<VmId> = Vec::new();
+        for (vm, record) in &mut self.records {
+            let state = self.listed.get(vm).copied();
+            if record.listed != state {
+                record.listed = state;
+                changed.push(vm.clone());
+            }
+        }
+        for vm in changed {
+            self.rejudge(&vm, now, effects);
+        }
+    }
+
+    /// The operators' drains.
+    pub(crate) fn on_drains(
+        &mut self,
+        drains: Vec<VmId>,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        self.drains = drains.into_iter().collect();
+        let mut changed: Vec<VmId> = Vec::new();
+        for (vm, record) in &mut self.records {
+            let drained = self.drains.contains(vm);
+            if record.drained != drained {
+                record.drained = drained;
+                changed.push(vm.clone());
+            }
+        }
+        for vm in changed {
+            self.rejudge(&vm, now, effects);
+        }
+    }
+
+    /// What a request of this node showed.
+    pub(crate) fn on_attempted(
+        &mut self,
+        vm: VmId,
+        finding: AttemptFinding,
+        now: Timestamp,
+        effects: &mut Vec<HealthEffect>,
+    ) {
+        let Some(record) = self.records.get_mut(&vm) else {
+            return;
+        };
+        match finding {
+            AttemptFinding::Failed => record.requests.note(now),
+            AttemptFinding::Answered => {
+                record.requests.count = 0;
+                if let Some(watch) = record.watch.as_mut() {
+                    self.contact.silent -= usize::from(watch.misses > 0);
+                    watch.request_answered();
+                }
+            }
+        }
+        self.rejudge(&vm, now, effects);
+    }
+}
