Test the health tracker under loss, pauses and partitions

Change: tests of single rules; seeded runs of five trackers over a fake fleet with lost probes, delayed rumors, pauses, blind and isolated nodes.

--- /dev/null
+++ b/crates/health/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the health tracker.
+
+mod rules;
+mod runs;
+mod support;
--- /dev/null
+++ b/crates/health/tests/all/runs.rs
@@ -0,0 +1,288 @@
+//! Seeded random runs of several trackers under loss, delay, pauses and partitions.
+//!
+//! `JAYSADDLE_SEED` and `JAYSADDLE_RUNS` choose another seed and number of runs.
+
+use jaysaddle_health::AttemptFinding;
+use jaysaddle_health::HealthEvent;
+use jaysaddle_health::HealthSettings;
+use jaysaddle_types::evidence::ListedState;
+use jaysaddle_types::evidence::ListedVm;
+use jaysaddle_types::view::VmState;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
+use crate::support::DEFAULT_SEED;
+use crate::support::env_number;
+use crate::support::fleet::FakeFleet;
+use crate::support::fleet::NODES;
+use crate::support::fleet::VMS;
+use crate::support::vm_id;
+
+/// VM on which the property is checked; no fault of the plan concerns it.
+const SUBJECT: usize = 0;
+/// Nodes that the faults of a plan may concern; the others stay sound.
+const IMPAIRED: usize = 2;
+const WARM_UP_MS: u64 = 6_000;
+const RUN_MS: u64 = 30_000;
+const LEAVING_BOUND_MS: u64 = 3_000;
+const DEAD_BOUND_MS: u64 = 9_000;
+
+/// A fault, its time after the warm-up and its length in milliseconds.
+#[derive(Clone, Debug)]
+struct Fault {
+    at: u64,
+    kind: FaultKind,
+    length: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum FaultKind {
+    /// The node's process stops.
+    Pause(usize),
+    /// The node reaches no VM, but its peers.
+    Blind(usize),
+    /// The node reaches nothing.
+    Isolate(usize),
+    /// The node does not reach the subject; only the first of the impaired nodes, as two would be a
+    /// majority of its watchers.
+    LoseSubject(usize),
+    /// The VM does not answer.
+    VmDown(usize),
+    /// A request to the VM fails at the node, though the VM answers probes.
+    RequestFails(usize, usize),
+    /// The platform's list lacks every VM.
+    EmptyList,
+}
+
+/// Faults and the seed of the network's noise.
+#[derive(Clone, Debug)]
+struct FaultPlan {
+    seed: u64,
+    loss: u64,
+    faults: Vec<Fault>,
+}
+
+impl Arbitrary for FaultPlan {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let count = usize::arbitrary(g) % 7;
+        let offset = usize::arbitrary(g);
+        Self {
+            seed: u64::arbitrary(g),
+            loss: u64::arbitrary(g) % 6,
+            faults: (0..count).map(|_| arbitrary_fault(g, offset)).collect(),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let plan = self.clone();
+        Box::new((0..self.faults.len()).map(move |index| {
+            let mut smaller = plan.clone();
+            smaller.faults.remove(index);
+            smaller
+        }))
+    }
+}
+
+fn arbitrary_fault(g: &mut Gen, offset: usize) -> Fault {
+    let node = (usize::arbitrary(g) % IMPAIRED + offset % NODES) % NODES;
+    let vm = 1 + usize::arbitrary(g) % (VMS - 1);
+    let kind = match u8::arbitrary(g) % 8 {
+        0 => FaultKind::Pause(node),
+        1 | 2 => FaultKind::Blind(node),
+        3 => FaultKind::Isolate(node),
+        4 => FaultKind::VmDown(vm),
+        5 => FaultKind::RequestFails(node, vm),
+        6 => FaultKind::LoseSubject(offset % NODES),
+        _ => FaultKind::EmptyList,
+    };
+    Fault {
+        at: u64::arbitrary(g) % RUN_MS,
+        kind,
+        length: 200 + u64::arbitrary(g) % 15_000,
+    }
+}
+
+fn inject(fleet: &mut FakeFleet, fault: &Fault) {
+    let until = fleet.now + fault.length;
+    match fault.kind {
+        FaultKind::Pause(node) => fleet.nodes[node].paused_until = until,
+        FaultKind::Blind(node) => fleet.nodes[node].blind_until = until,
+        FaultKind::Isolate(node) => fleet.nodes[node].isolated_until = until,
+        FaultKind::LoseSubject(node) => fleet.nodes[node].lost_vm = (SUBJECT, until),
+        FaultKind::VmDown(vm) => fleet.vms[vm].down_until = until,
+        FaultKind::RequestFails(node, vm) => {
+            let event = HealthEvent::Attempted {
+                vm: vm_id(vm),
+                finding: AttemptFinding::Failed,
+            };
+            fleet.send(node, event);
+        }
+        FaultKind::EmptyList => {
+            for node in 0..NODES {
+                fleet.send(node, HealthEvent::Listed(Vec::new()));
+            }
+        }
+    }
+}
+
+/// Runs the plan; `midway` is called once at a random time between the faults.
+fn run_plan(plan: &FaultPlan, mut midway: impl FnMut(&mut FakeFleet)) -> FakeFleet {
+    let mut fleet = FakeFleet::new(plan.seed, &HealthSettings::default());
+    fleet.run_until(WARM_UP_MS);
+    fleet.loss = plan.loss;
+    let mut faults = plan.faults.clone();
+    faults.sort_by_key(|fault| fault.at);
+    let middle = plan.seed % RUN_MS;
+    let mut pending = true;
+    for fault in &faults {
+        if pending && fault.at >= middle {
+            fleet.run_until(WARM_UP_MS + middle);
+            midway(&mut fleet);
+            pending = false;
+        }
+        let at = (WARM_UP_MS + fault.at).max(fleet.now);
+        fleet.run_until(at);
+        inject(&mut fleet, fault);
+    }
+    if pending {
+        let at = (WARM_UP_MS + middle).max(fleet.now);
+        fleet.run_until(at);
+        midway(&mut fleet);
+    }
+    let end = (WARM_UP_MS + RUN_MS).max(fleet.now);
+    fleet.run_until(end);
+    fleet
+}
+
+fn check(name: &str, default_runs: u64, property: fn(FaultPlan) -> TestResult) {
+    let seed = env_number("JAYSADDLE_SEED", DEFAULT_SEED);
+    let runs = env_number("JAYSADDLE_RUNS", default_runs);
+    println!("{name}: JAYSADDLE_SEED={seed} JAYSADDLE_RUNS={runs}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, seed))
+        .tests(runs)
+        .max_tests(runs)
+        .quickcheck(property);
+}
+
+/// Guards against deaths declared from a cut-off watcher's findings, from a node's own pause, from
+/// lost probes or from the platform's list: the subject answers all the time.
+#[test]
+fn a_vm_that_answers_is_never_judged_dead() {
+    fn property(plan: FaultPlan) -> TestResult {
+        let fleet = run_plan(&plan, |_| {});
+        let subject = vm_id(SUBJECT);
+        let death = fleet
+            .changes
+            .iter()
+            .find(|(_, _, vm, state)| *vm == subject && *state == VmState::Dead);
+        match death {
+            None => TestResult::passed(),
+            Some((time, node, vm, _)) => {
+                TestResult::error(format!("node {node} judged {vm} dead at {time} ms"))
+            }
+        }
+    }
+    check("never_dead", 1000, property);
+}
+
+/// Guards against new work for a leaving VM after the bound of 3 s, whichever source says so.
+#[test]
+fn a_leaving_vm_is_leaving_everywhere_within_the_bound() {
+    fn property(mut plan: FaultPlan) -> TestResult {
+        plan.loss = 0;
+        let source = plan.seed % 3;
+        let mut verdict = TestResult::passed();
+        run_plan(&plan, |fleet| {
+            let start = fleet.now;
+            announce_leaving(fleet, source);
+            fleet.run_until(start + LEAVING_BOUND_MS);
+            for node in 0..NODES {
+                let state = fleet.state(node, SUBJECT);
+                if fleet.is_sound_since(node, start) && state != VmState::Leaving {
+                    verdict = TestResult::error(format!(
+                        "node {node} judges {state:?} 3 s after {start} ms, source {source}"
+                    ));
+                }
+            }
+        });
+        verdict
+    }
+    check("leaving", 1000, property);
+}
+
+fn announce_leaving(fleet: &mut FakeFleet, source: u64) {
+    match source {
+        0 => fleet.vms[SUBJECT].leaving = true,
+        1 => {
+            for node in 0..NODES {
+                let entry = ListedVm {
+                    vm: vm_id(SUBJECT),
+                    state: ListedState::Leaving,
+                };
+                fleet.send(node, HealthEvent::Listed(vec![entry]));
+            }
+        }
+        _ => {
+            for node in 0..NODES {
+                fleet.send(node, HealthEvent::DrainsChanged(vec![vm_id(SUBJECT)]));
+            }
+        }
+    }
+}
+
+/// Guards against a failed VM that keeps its place: sound nodes judge it dead within 9 s (four
+/// probes of 1 s with their timeout, the rumor's delay and a lost answer's turn).
+#[test]
+fn a_failed_vm_is_dead_at_sound_nodes_within_the_bound() {
+    fn property(mut plan: FaultPlan) -> TestResult {
+        plan.loss = 0;
+        let mut verdict = TestResult::passed();
+        run_plan(&plan, |fleet| {
+            let start = fleet.now;
+            let sound: Vec<usize> = (0..NODES)
+                .filter(|&node| fleet.is_sound_since(node, start))
+                .collect();
+            // A majority of the watchers needs working links; later faults come after the check.
+            if sound.len() < NODES {
+                return;
+            }
+            fleet.vms[SUBJECT].down_until = u64::MAX;
+            fleet.run_until(start + DEAD_BOUND_MS);
+            for node in sound {
+                let state = fleet.state(node, SUBJECT);
+                if state != VmState::Dead {
+                    verdict = TestResult::error(format!(
+                        "node {node} judges {state:?} 9 s after {start} ms"
+                    ));
+                }
+            }
+        });
+        verdict
+    }
+    check("dead", 500, property);
+}
+
+/// Guards against a VM that stays out of use: once the faults have ended, it is live everywhere
+/// after the longest damping time that the faults can have caused.
+#[test]
+fn a_vm_that_answers_is_live_again_after_the_faults() {
+    fn property(plan: FaultPlan) -> TestResult {
+        let mut fleet = run_plan(&plan, |_| {});
+        fleet.loss = 0;
+        let end = fleet.now + 15_000 + 300_000 + 10_000;
+        fleet.run_until(end);
+        for node in 0..NODES {
+            for vm in 0..VMS {
+                let state = fleet.state(node, vm);
+                if state != VmState::Live {
+                    return TestResult::error(format!("node {node} judges vm-{vm} {state:?}"));
+                }
+            }
+        }
+        TestResult::passed()
+    }
+    check("live_again", 60, property);
+}
--- /dev/null
+++ b/crates/health/tests/all/support/fleet.rs
@@ -0,0 +1,286 @@
+//! A small fake fleet: trackers, VMs and the links between them, driven by a plan of faults.
+
+use std::cmp::Ordering;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use jaysaddle_health::HealthEffect;
+use jaysaddle_health::HealthEvent;
+use jaysaddle_health::HealthSettings;
+use jaysaddle_health::HealthTracker;
+use jaysaddle_health::ProbeFailure;
+use jaysaddle_types::engine::EngineReport;
+use jaysaddle_types::evidence::VmEvidence;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::view::VmState;
+
+use crate::support::NoiseSource;
+use crate::support::domain_of;
+use crate::support::node_key;
+use crate::support::places;
+use crate::support::report;
+use crate::support::target;
+use crate::support::vm_id;
+
+/// Nodes of the fake fleet.
+pub const NODES: usize = 5;
+/// VMs of the fake fleet.
+pub const VMS: usize = 9;
+const TICK_MS: u64 = 200;
+const TIMEOUT_MS: u64 = 1000;
+/// Longest delay of a rumor.
+const RUMOR_MS: u64 = 1500;
+
+/// A VM of the fake fleet.
+#[derive(Clone, Debug, Default)]
+pub struct FakeVm {
+    /// It does not answer until then.
+    pub down_until: u64,
+    /// Its engine says that it leaves.
+    pub leaving: bool,
+}
+
+/// A node of the fake fleet.
+pub struct FakeNode {
+    /// Its tracker.
+    pub tracker: HealthTracker,
+    /// It does nothing until then.
+    pub paused_until: u64,
+    /// It reaches no VM until then, but all peers.
+    pub blind_until: u64,
+    /// It does not reach the one VM until then.
+    pub lost_vm: (usize, u64),
+    /// It reaches neither VMs nor peers until then.
+    pub isolated_until: u64,
+}
+
+/// Something to be handled by a node.
+#[derive(Clone, Debug, PartialEq)]
+enum Delivery {
+    Tick,
+    Event(HealthEvent),
+    Probe(VmId, u64, Result<EngineReport, ProbeFailure>),
+    Rumor(usize, VmEvidence),
+}
+
+/// Entry of the queue; compared by time and number only.
+struct Entry(u64, u64, usize, Delivery);
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// The fake fleet.
+pub struct FakeFleet {
+    /// Real time in milliseconds.
+    pub now: u64,
+    /// Nodes.
+    pub nodes: Vec<FakeNode>,
+    /// VMs.
+    pub vms: Vec<FakeVm>,
+    /// Share of lost probes, in percent.
+    pub loss: u64,
+    /// State changes as (time, node, VM, state).
+    pub changes: Vec<(u64, usize, VmId, VmState)>,
+    /// Findings published so far.
+    pub published: usize,
+    noise: NoiseSource,
+    queue: BinaryHeap<Reverse<Entry>>,
+    numbers: u64,
+    /// Last delivery of a rumor for each pair of nodes; rumors of a pair stay in order.
+    last_rumor: [[u64; NODES]; NODES],
+}
+
+impl FakeFleet {
+    /// All nodes know all VMs and each other.
+    pub fn new(seed: u64, settings: &HealthSettings) -> Self {
+        let node = |index| FakeNode {
+            tracker: HealthTracker::new(settings.clone(), node_key(index), domain_of(index)),
+            paused_until: 0,
+            blind_until: 0,
+            lost_vm: (0, 0),
+            isolated_until: 0,
+        };
+        let mut fleet = Self {
+            now: 1000,
+            nodes: (0..NODES).map(node).collect(),
+            vms: vec![FakeVm::default(); VMS],
+            loss: 0,
+            changes: Vec::new(),
+            published: 0,
+            noise: NoiseSource(seed),
+            queue: BinaryHeap::new(),
+            numbers: 0,
+            last_rumor: [[0; NODES]; NODES],
+        };
+        for index in 0..NODES {
+            fleet.send(index, HealthEvent::WatchersChanged(places(0..NODES)));
+            let targets = (0..VMS).map(target).collect();
+            fleet.send(index, HealthEvent::TargetsChanged(targets));
+            let phase = fleet.noise.below(TICK_MS);
+            fleet.push(fleet.now + phase, index, Delivery::Tick);
+        }
+        fleet
+    }
+
+    /// Queues an event for a node.
+    pub fn send(&mut self, node: usize, event: HealthEvent) {
+        self.push(self.now, node, Delivery::Event(event));
+    }
+
+    /// Lets time pass.
+    pub fn run_until(&mut self, end: u64) {
+        while let Some(Reverse(entry)) = self.queue.pop() {
+            if entry.0 > end {
+                self.queue.push(Reverse(entry));
+                break;
+            }
+            let Entry(time, number, node, delivery) = entry;
+            self.now = self.now.max(time);
+            if self.nodes[node].paused_until > self.now {
+                self.postpone(number, node, delivery);
+            } else {
+                self.deliver(node, delivery);
+            }
+        }
+        self.now = end;
+    }
+
+    /// State of a VM at a node.
+    pub fn state(&self, node: usize, vm: usize) -> VmState {
+        self.nodes[node].tracker.state(&vm_id(vm))
+    }
+
+    /// Whether the node runs and has had working links since `start`.
+    pub fn is_sound_since(&self, node: usize, start: u64) -> bool {
+        let node = &self.nodes[node];
+        let until = node
+            .paused_until
+            .max(node.blind_until)
+            .max(node.isolated_until);
+        until <= start
+    }
+
+    fn push(&mut self, time: u64, node: usize, delivery: Delivery) {
+        self.numbers += 1;
+        let entry = Entry(time, self.numbers, node, delivery);
+        self.queue.push(Reverse(entry));
+    }
+
+    /// A paused node handles everything when it runs again; its probes have timed out by then.
+    fn postpone(&mut self, number: u64, node: usize, delivery: Delivery) {
+        let resume = self.nodes[node].paused_until;
+        let delivery = match delivery {
+            Delivery::Probe(vm, sent, _) if resume >= sent + TIMEOUT_MS => {
+                Delivery::Probe(vm, sent, Err(ProbeFailure::Timeout))
+            }
+            other => other,
+        };
+        self.queue
+            .push(Reverse(Entry(resume, number, node, delivery)));
+    }
+
+    fn deliver(&mut self, node: usize, delivery: Delivery) {
+        let event = match delivery {
+            Delivery::Tick => {
+                self.push(self.now + TICK_MS, node, Delivery::Tick);
+                self.note_reachable(node);
+                HealthEvent::Tick
+            }
+            Delivery::Event(event) => event,
+            Delivery::Probe(vm, sent, outcome) => HealthEvent::Probed {
+                vm,
+                outcome,
+                latency: TimeSpan(self.now - sent),
+            },
+            Delivery::Rumor(from, evidence) => {
+                if self.separated(from, node) {
+                    // Anti-entropy delivers it once the link is back.
+                    self.push(self.now + 500, node, Delivery::Rumor(from, evidence));
+                    return;
+                }
+                HealthEvent::PeerFinding {
+                    node: node_key(from),
+                    evidence,
+                }
+            }
+        };
+        let now = Timestamp(self.now);
+        let effects = self.nodes[node].tracker.step(event, now);
+        for effect in effects {
+            self.apply(node, effect);
+        }
+    }
+
+    fn note_reachable(&mut self, node: usize) {
+        let permille = if self.nodes[node].isolated_until > self.now {
+            0
+        } else {
+            1000
+        };
+        self.send(node, HealthEvent::PeersReachable(permille));
+    }
+
+    fn separated(&self, from: usize, to: usize) -> bool {
+        self.nodes[from].isolated_until > self.now || self.nodes[to].isolated_until > self.now
+    }
+
+    fn apply(&mut self, node: usize, effect: HealthEffect) {
+        match effect {
+            HealthEffect::Probe { vm, .. } => self.probe(node, vm),
+            HealthEffect::Publish(evidence) => self.publish(node, evidence),
+            HealthEffect::StateChanged { vm, state } => {
+                self.changes.push((self.now, node, vm, state));
+            }
+            HealthEffect::Decision(_) => {}
+        }
+    }
+
+    fn probe(&mut self, node: usize, vm: VmId) {
+        let index = (0..VMS).find(|&index| vm_id(index) == vm);
+        let index = index.expect("a probe names a VM of the fleet");
+        let fake = &self.vms[index];
+        let place = &self.nodes[node];
+        let lost = place.blind_until > self.now
+            || place.isolated_until > self.now
+            || (place.lost_vm.0 == index && place.lost_vm.1 > self.now)
+            || fake.down_until > self.now
+            || self.noise.below(100) < self.loss;
+        let (delay, outcome) = if lost {
+            (TIMEOUT_MS, Err(ProbeFailure::Timeout))
+        } else {
+            let leaving = self.vms[index].leaving;
+            (5 + self.noise.below(20), Ok(report(&vm, leaving)))
+        };
+        let delivery = Delivery::Probe(vm, self.now, outcome);
+        self.push(self.now + delay, node, delivery);
+    }
+
+    fn publish(&mut self, from: usize, evidence: VmEvidence) {
+        self.published += 1;
+        for to in (0..NODES).filter(|&to| to != from) {
+            let delay = 20 + self.noise.below(RUMOR_MS - 20);
+            let at = (self.now + delay).max(self.last_rumor[from][to]);
+            self.last_rumor[from][to] = at;
+            self.push(at, to, Delivery::Rumor(from, evidence.clone()));
+        }
+    }
+}
