Acquire, renew and give up control leases

Cause: control work on a shard needs one holder at a time, also when answers of the store are lost and holders are paused. Change: lease table that counts a lease from before its write, resolves unknown outcomes by reading back, ranks candidates by region and rendezvous score, polls with jitter and hands over on a planned stop.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,7 +1,11 @@
 //! Control leases with fencing.
 
+mod answers;
 pub mod event;
+mod explain;
+mod rank;
 pub mod settings;
+mod shard;
 pub mod table;
 
 pub use event::CandidatePlace;
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -1,55 +1,389 @@
 //! The sub-reducer that acquires, renews and gives up control leases.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
 use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_types::decision::DecisionKind;
+use jaysaddle_types::decision::DecisionRecord;
+use jaysaddle_types::ids::CallId;
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::WriteId;
 use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::store::ObjectKind;
+use jaysaddle_types::store::StoreRequest;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::event::CandidatePlace;
 use crate::event::LeaseEffect;
 use crate::event::LeaseEvent;
+use crate::event::LeaseRecord;
+use crate::event::ShardPlace;
+use crate::rank::JitterSource;
+use crate::rank::hash_id;
+use crate::rank::mix;
+use crate::rank::own_rank;
 use crate::settings::LeaseSettings;
+use crate::shard::NextMove;
+use crate::shard::PendingCall;
+use crate::shard::SentWrite;
+use crate::shard::ShardLease;
+use crate::shard::WritePurpose;
+
+/// Time after which a call without an answer counts as one with unknown outcome.
+const CALL_LIMIT: TimeSpan = TimeSpan::from_secs(5);
+/// Spread of the first reads, so that nodes that start together do not read at once.
+const START_SPREAD: TimeSpan = TimeSpan::from_secs(1);
+/// Spread of the reads after the holder has left the list of candidates.
+const HOLDER_GONE_SPREAD: TimeSpan = TimeSpan::from_millis(500);
 
 /// Control leases of all shards as this node knows them.
+///
+/// # Invariants
+///
+/// A lease is held only from an own write that is known to have taken effect, and only for
+/// `duration` from before that write was sent. Each acquisition raises the epoch.
 #[derive(Debug)]
 pub struct LeaseTable {
-    settings: LeaseSettings,
-    own: NodeKey,
-    seed: u64,
+    pub(crate) settings: LeaseSettings,
+    pub(crate) own: NodeKey,
+    pub(crate) shards: BTreeMap<FabricDomainId, ShardLease>,
+    pub(crate) jitter: JitterSource,
+    pub(crate) last_step: Timestamp,
+    /// Failed calls in a row, over all shards.
+    pub(crate) store_failures: u32,
+    candidates: Vec<(CandidatePlace, u64)>,
+    calls: BTreeMap<CallId, FabricDomainId>,
+    last_call: CallId,
+    /// Distinguishes the write ids of this run from those of all others.
+    write_prefix: u64,
+    writes: u64,
+    stopping: bool,
 }
 
 impl LeaseTable {
     /// Starts without shards; `seed` determines the jitter of polls.
     pub fn new(settings: LeaseSettings, own: NodeKey, seed: u64) -> Self {
+        let own_hash = hash_id(own.id.as_str());
         Self {
             settings,
             own,
-            seed,
+            shards: BTreeMap::new(),
+            jitter: JitterSource(mix(seed ^ own_hash)),
+            last_step: Timestamp::default(),
+            store_failures: 0,
+            candidates: Vec::new(),
+            calls: BTreeMap::new(),
+            last_call: CallId(0),
+            write_prefix: own_hash,
+            writes: 0,
+            stopping: false,
         }
     }
 
     /// Applies one event.
     pub fn step(&mut self, event: LeaseEvent, now: Timestamp) -> Vec<LeaseEffect> {
-        let _ = (event, now, &self.settings, &self.own, self.seed);
-        Vec::new()
+        let mut effects = Vec::new();
+        self.last_step = now;
+        self.expire(now, &mut effects);
+        match event {
+            LeaseEvent::Tick => self.act_on_all(now, &mut effects),
+            LeaseEvent::ShardsChanged(places) => self.on_shards(places, now, &mut effects),
+            LeaseEvent::CandidatesChanged(candidates) => self.on_candidates(candidates, now),
+            LeaseEvent::CallAnswered { call, outcome } => {
+                let Some(shard) = self.calls.remove(&call) else {
+                    return effects;
+                };
+                self.on_answered(&shard, outcome, now, &mut effects);
+                self.act(&shard, now, &mut effects);
+            }
+            LeaseEvent::Release => self.on_release(now, &mut effects),
+        }
+        effects
     }
 
     /// The fencing token, if this node holds the shard at `now`.
     pub fn holds(&self, shard: &FabricDomainId, now: Timestamp) -> Option<LeaseEpoch> {
-        let _ = (shard, now);
-        None
+        let held = self.shards.get(shard)?.held?;
+        (now < held.ends(&self.settings)).then_some(held.epoch)
     }
 
     /// The shards held at `now`, each with its fencing token and the earliest time of orders to
     /// engines that ignore fencing tokens.
     pub fn held(&self, now: Timestamp) -> Vec<(FabricDomainId, LeaseEpoch, Timestamp)> {
-        let _ = now;
-        Vec::new()
+        self.shards
+            .iter()
+            .filter_map(|(shard, lease)| Some((shard, lease.held?)))
+            .filter(|(_, held)| now < held.ends(&self.settings))
+            .map(|(shard, held)| (shard.clone(), held.epoch, held.orders_from))
+            .collect()
+    }
+
+    /// Reports leases whose time has passed, before any other effect of the step.
+    fn expire(&mut self, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        let settings = &self.settings;
+        let expired: Vec<FabricDomainId> = self
+            .shards
+            .iter()
+            .filter(|(_, lease)| lease.held.is_some_and(|held| now >= held.ends(settings)))
+            .map(|(shard, _)| shard.clone())
+            .collect();
+        for shard in expired {
+            self.lose(
+                &shard,
+                "no renewal took effect within its duration",
+                effects,
+            );
+        }
     }
 
-    /// What this node knows of a lease, in plain sentences.
-    pub fn explain(&self, shard: &FabricDomainId) -> Vec<CompactString> {
-        let _ = shard;
-        Vec::new()
+    /// Ends the holding of a shard.
+    pub(crate) fn lose(
+        &mut self,
+        shard: &FabricDomainId,
+        reason: &str,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        let Some(held) = self
+            .shards
+            .get_mut(shard)
+            .and_then(|lease| lease.held.take())
+        else {
+            return;
+        };
+        effects.push(LeaseEffect::Lost {
+            shard: shard.clone(),
+        });
+        let inputs = format_compact!("epoch={}", held.epoch);
+        effects.push(decision(shard.as_str(), "lost", reason, inputs));
+    }
+
+    fn on_shards(
+        &mut self,
+        places: Vec<ShardPlace>,
+        now: Timestamp,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        let kept: BTreeSet<FabricDomainId> =
+            places.iter().map(|place| place.shard.clone()).collect();
+        let removed: Vec<FabricDomainId> = self
+            .shards
+            .keys()
+            .filter(|shard| !kept.contains(*shard))
+            .cloned()
+            .collect();
+        for shard in removed {
+            self.retire(&shard, "the shard was removed", now, effects);
+        }
+        for place in places {
+            let due = now + self.jitter.below(START_SPREAD);
+            let lease = self
+                .shards
+                .entry(place.shard.clone())
+                .or_insert_with(|| ShardLease::new(place.clone(), due));
+            lease.place = place;
+            lease.retired = self.stopping;
+        }
+        self.rank_all(now);
+    }
+
+    fn on_candidates(&mut self, candidates: Vec<CandidatePlace>, now: Timestamp) {
+        let with_hash = |place: CandidatePlace| {
+            let hash = hash_id(place.node.id.as_str());
+            (place, hash)
+        };
+        self.candidates = candidates.into_iter().map(with_hash).collect();
+        self.rank_all(now);
+        let live: BTreeSet<&NodeKey> = self.candidates.iter().map(|c| &c.0.node).collect();
+        for lease in self.shards.values_mut() {
+            let gone = lease
+                .known_holder()
+                .is_some_and(|holder| !live.contains(holder));
+            if gone && lease.rank.is_some() && lease.failures == 0 {
+                lease.due = lease.due.min(now + self.jitter.below(HOLDER_GONE_SPREAD));
+            }
+        }
+    }
+
+    /// Whether the node is among the live nodes.
+    pub(crate) fn is_candidate(&self, node: &NodeKey) -> bool {
+        self.candidates.iter().any(|entry| entry.0.node == *node)
+    }
+
+    fn rank_all(&mut self, now: Timestamp) {
+        for lease in self.shards.values_mut() {
+            let rank = own_rank(&lease.place, &self.candidates, &self.own)
+                .filter(|rank| *rank < self.settings.candidates);
+            if lease.rank.is_none() && rank.is_some() && lease.held.is_none() {
+                lease.due = now + self.jitter.below(START_SPREAD);
+            }
+            lease.rank = rank;
+        }
+    }
+
+    fn on_release(&mut self, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        self.stopping = true;
+        let shards: Vec<FabricDomainId> = self.shards.keys().cloned().collect();
+        for shard in shards {
+            self.retire(&shard, "this node stops", now, effects);
+        }
     }
+
+    /// Gives a shard up: it is lost at once, and the store is told so.
+    fn retire(
+        &mut self,
+        shard: &FabricDomainId,
+        reason: &str,
+        now: Timestamp,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        self.lose(shard, reason, effects);
+        if let Some(lease) = self.shards.get_mut(shard) {
+            lease.retired = true;
+            lease.due = now;
+        }
+        self.act(shard, now, effects);
+    }
+
+    fn act_on_all(&mut self, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        self.abandon_calls(now);
+        let ready: Vec<FabricDomainId> = self
+            .shards
+            .iter()
+            .filter(|(_, lease)| {
+                lease.next_move(&self.own, &self.settings, now) != NextMove::Wait || lease.retired
+            })
+            .map(|(shard, _)| shard.clone())
+            .collect();
+        for shard in ready {
+            self.act(&shard, now, effects);
+        }
+    }
+
+    /// A call without an answer is treated as one with unknown outcome.
+    fn abandon_calls(&mut self, now: Timestamp) {
+        let settings = &self.settings;
+        for lease in self.shards.values_mut() {
+            let is_late = |call: &PendingCall| now.since(call.sent) >= CALL_LIMIT;
+            let Some(call) = lease.pending.take_if(|call| is_late(call)) else {
+                continue;
+            };
+            self.calls.remove(&call.call);
+            lease.failures = lease.failures.saturating_add(1);
+            lease.due = now;
+            if let Some(write) = call.write {
+                lease.note_unresolved(write, settings, now);
+            }
+        }
+    }
+
+    /// Does what is due for a shard.
+    fn act(&mut self, shard: &FabricDomainId, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        let Some(lease) = self.shards.get(shard) else {
+            return;
+        };
+        let next = lease.next_move(&self.own, &self.settings, now);
+        let is_done = lease.retired && !self.stopping && lease.pending.is_none();
+        match next {
+            NextMove::Wait if is_done && !lease.must_read && now >= lease.due => {
+                self.shards.remove(shard);
+            }
+            NextMove::Wait => {}
+            NextMove::Read => self.read(shard, now, effects),
+            NextMove::Write(purpose) => self.write(shard, purpose, now, effects),
+        }
+    }
+
+    fn read(&mut self, shard: &FabricDomainId, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        let request = StoreRequest::Get {
+            kind: ObjectKind::Lease,
+            name: shard.as_str().into(),
+        };
+        self.call(shard, request, None, now, effects);
+    }
+
+    fn write(
+        &mut self,
+        shard: &FabricDomainId,
+        purpose: WritePurpose,
+        now: Timestamp,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        let Some(lease) = self.shards.get(shard) else {
+            return;
+        };
+        let epoch = match purpose {
+            WritePurpose::Acquire => lease.epoch.next(),
+            WritePurpose::Renew | WritePurpose::Release => lease.epoch,
+        };
+        self.writes += 1;
+        let write_id = WriteId::new(format_compact!(
+            "{:016x}-{}-{}",
+            self.write_prefix,
+            self.own.incarnation,
+            self.writes
+        ));
+        let record = LeaseRecord {
+            holder: (purpose != WritePurpose::Release).then(|| self.own.clone()),
+            epoch,
+            write_id: write_id.clone(),
+        };
+        let Ok(value) = serde_json::to_string(&record) else {
+            return;
+        };
+        let request = StoreRequest::Put {
+            kind: ObjectKind::Lease,
+            name: shard.as_str().into(),
+            expected: lease.expected_version(),
+            write_id,
+            value,
+        };
+        let write = SentWrite {
+            purpose,
+            record,
+            sent: now,
+        };
+        self.call(shard, request, Some(write), now, effects);
+    }
+
+    fn call(
+        &mut self,
+        shard: &FabricDomainId,
+        request: StoreRequest,
+        write: Option<SentWrite>,
+        now: Timestamp,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        let Some(lease) = self.shards.get_mut(shard) else {
+            return;
+        };
+        self.last_call = self.last_call.next();
+        let call = self.last_call;
+        lease.pending = Some(PendingCall {
+            call,
+            sent: now,
+            write,
+        });
+        self.calls.insert(call, shard.clone());
+        effects.push(LeaseEffect::Call { call, request });
+    }
+}
+
+/// Log line about a lease.
+pub(crate) fn decision(
+    subject: &str,
+    choice: &str,
+    reason: &str,
+    inputs: CompactString,
+) -> LeaseEffect {
+    LeaseEffect::Decision(DecisionRecord {
+        kind: DecisionKind::Lease,
+        subject: subject.into(),
+        inputs,
+        choice: choice.into(),
+        reason: reason.into(),
+    })
 }
