--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,6 +1,12 @@
 //! Choice of a group or backend server for a request.
 
+mod affinity;
+mod index;
+mod load;
+mod outcome;
+mod policy;
 pub mod query;
+mod random;
 pub mod router;
 pub mod settings;
 
--- /dev/null
+++ b/crates/routing/src/random.rs
@@ -0,0 +1,33 @@
+//! A small seeded generator, so that decisions can be replayed.
+
+/// SplitMix64: one addition and a mix per number, without bad seeds.
+#[derive(Clone, Debug)]
+pub(crate) struct SeededGenerator {
+    state: u64,
+}
+
+impl SeededGenerator {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self { state: seed }
+    }
+
+    pub(crate) fn next(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.state)
+    }
+
+    /// A number below `bound`; 0 when `bound` is 0.
+    pub(crate) fn below(&mut self, bound: usize) -> usize {
+        if bound == 0 {
+            return 0;
+        }
+        (self.next() % bound as u64) as usize
+    }
+}
+
+/// Spreads the bits of `value` over the whole word.
+pub(crate) fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
