--- /dev/null
+++ b/crates/routing/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of routing.
+
+mod herding;
+mod presence;
+mod services;
+mod support;
--- /dev/null
+++ b/crates/routing/tests/all/services.rs
@@ -0,0 +1,113 @@
+//! Plain services are routed to live backend servers that the account may call.
+
+use std::collections::HashMap;
+
+use jaysaddle_routing::AttemptResult;
+use jaysaddle_routing::GroupRouter;
+use jaysaddle_routing::RouteTarget;
+use jaysaddle_routing::RoutingSettings;
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::ServiceId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::request::RequestTarget;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::ReasonCode;
+use jaysaddle_types::view::FleetView;
+use jaysaddle_types::view::ServiceView;
+use jaysaddle_types::view::VmState;
+
+use crate::support::check;
+use crate::support::query;
+use crate::support::view;
+
+fn fleet() -> FleetView {
+    let mut view = view(Vec::new(), Vec::new(), 1);
+    view.services = (0..3)
+        .map(|number| ServiceView {
+            name: ServiceId::new("stock"),
+            vm: VmId::new(format!("svc-{number}")),
+            address: ([127, 0, 0, 1], 9500 + number).into(),
+            failure_domain: FailureDomainId::new("fd-a"),
+            state: VmState::Live,
+            accounts: vec![AccountId::new("acme")],
+            idempotent: false,
+        })
+        .collect();
+    view
+}
+
+fn stock() -> RequestTarget {
+    RequestTarget::Service(ServiceId::new("stock"))
+}
+
+fn run(words: Vec<u64>) -> bool {
+    let mut view = fleet();
+    let mut router = GroupRouter::new(RoutingSettings::default(), 3);
+    router.view_changed(&view);
+    let mut load: HashMap<VmId, u32> = HashMap::new();
+    let mut running = Vec::new();
+    for word in words {
+        let pick = (word >> 8) as usize;
+        match word % 8 {
+            0 => {
+                let states = [VmState::Live, VmState::Dead, VmState::Leaving];
+                view.services[pick % 3].state = states[(word >> 16) as usize % 3];
+                router.view_changed(&view);
+            }
+            1 | 2 if !running.is_empty() => {
+                let vm: VmId = running.swap_remove(pick % running.len());
+                *load.entry(vm.clone()).or_default() -= 1;
+                let target = RouteTarget::Server { vm };
+                router.ended(&target, AttemptResult::Failed, Timestamp(1));
+            }
+            _ => {
+                let query = query("acme", stock(), &[]);
+                let live = view.services.iter().filter(|one| one.state.may_serve());
+                let least = live
+                    .map(|one| load.get(&one.vm).copied().unwrap_or_default())
+                    .min();
+                match (router.choose(&query, &view, Timestamp(1)), least) {
+                    (Ok(choice), Some(least)) => {
+                        let RouteTarget::Server { vm } = choice.target.clone() else {
+                            panic!("expected a backend server");
+                        };
+                        assert!(router.is_present(&choice.target, &view, Timestamp(1)));
+                        let entry = load.entry(vm.clone()).or_default();
+                        assert_eq!(*entry, least, "not the least loaded server");
+                        *entry += 1;
+                        router.sent(&choice.target, &query);
+                        running.push(vm);
+                    }
+                    (Err(failure), None) => {
+                        assert_eq!(failure.refusal.reason, ReasonCode::NoLiveServer);
+                    }
+                    (result, least) => panic!("{result:?} with least load {least:?}"),
+                }
+            }
+        }
+    }
+    true
+}
+
+/// Guards against calls of dead or leaving servers and against counts that drift.
+#[test]
+fn services_go_to_the_least_loaded_live_server() {
+    check(
+        "services_go_to_the_least_loaded_live_server",
+        200,
+        run as fn(Vec<u64>) -> bool,
+    );
+}
+
+/// Guards against calls of a service by an account that it is not open to.
+#[test]
+fn another_account_is_refused() {
+    let view = fleet();
+    let mut router = GroupRouter::new(RoutingSettings::default(), 3);
+    router.view_changed(&view);
+    let failure = router
+        .choose(&query("other", stock(), &[]), &view, Timestamp(1))
+        .expect_err("the service is not open to this account");
+    assert_eq!(failure.refusal.reason, ReasonCode::UnknownService);
+}
