Admit, queue and shed requests

Cause: without floors one account can hold every slot, and requests that cannot be served in time wait for nothing. Change: slots per model from the view; floors before borrowers; a borrower gets a slot only while free slots and the borrowed slots expected back within floor_wait (2 s) cover unused floors; lowest priority shed first; refusal at once when the drain rate is too low; max-min fair division of floors among nodes; token bucket for retries.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -1,72 +1,463 @@
 //! The admission controller.
 
+use std::collections::HashMap;
+
 use jaysaddle_types::evidence::AccountUsage;
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::request::RequestTarget;
+use jaysaddle_types::units::SlotCount;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::ReasonCode;
+use jaysaddle_types::verdict::RequestRefusal;
+use jaysaddle_types::view::AccountShare;
 use jaysaddle_types::view::FleetView;
 
+use crate::budget::RetryBudget;
 use crate::query::AdmitOutcome;
 use crate::query::AdmitQuery;
 use crate::query::QueueRelease;
+use crate::queue::AdmissionQueue;
+use crate::queue::WaitingRequest;
 use crate::settings::AdmissionSettings;
+use crate::slots::ModelSlots;
+use crate::usage::SlotUsage;
+
+/// Bounds of the advice when to come back: below, a refused caller would only load the node; above,
+/// it would miss a recovery.
+const RETRY_MIN: TimeSpan = TimeSpan::from_millis(100);
+const RETRY_MAX: TimeSpan = TimeSpan::from_secs(30);
 
 /// Grants slots to requests, queues them or refuses them.
+///
+/// An account's floor comes first: while it runs fewer requests than its floor, its next request
+/// takes the next free slot before any request beyond a floor, whatever the priorities. A request
+/// beyond its account's floor borrows. It gets a slot only while the free slots that remain,
+/// together with the borrowed slots that are expected back within
+/// [`AdmissionSettings::floor_wait`], cover all unused floors. Slots that are not needed for that
+/// are lent, whoever reserved them.
 #[derive(Clone, Debug)]
 pub struct AdmissionController {
-    /// Settings.
-    pub settings: AdmissionSettings,
+    settings: AdmissionSettings,
+    usage: SlotUsage,
+    queue: AdmissionQueue,
+    budget: RetryBudget,
+    /// Releases that a call without a list of releases caused.
+    displaced: Vec<QueueRelease>,
 }
 
 impl AdmissionController {
     /// A controller without any request.
     pub fn new(settings: AdmissionSettings) -> Self {
-        Self { settings }
+        let budget = RetryBudget::new(&settings);
+        Self {
+            settings,
+            usage: SlotUsage::default(),
+            queue: AdmissionQueue::default(),
+            budget,
+            displaced: Vec::new(),
+        }
     }
 
     /// Decides on a request that arrives.
-    pub fn admit(
-        &mut self,
-        _query: &AdmitQuery,
-        _view: &FleetView,
-        _now: Timestamp,
-    ) -> AdmitOutcome {
-        todo!("admission")
+    pub fn admit(&mut self, query: &AdmitQuery, view: &FleetView, now: Timestamp) -> AdmitOutcome {
+        if let Some(refusal) = self.invalid(query, view, now) {
+            return AdmitOutcome::Refused(refusal);
+        }
+        let account = &query.account;
+        let concurrent = self.concurrent(account) + 1;
+        if ceiling(view, account).is_some_and(|ceiling| concurrent > ceiling) {
+            return self.refuse_at_ceiling(account, now);
+        }
+        let window = self.settings.demand_window;
+        let state = self.usage.account_mut(account);
+        state.demand.observe(concurrent, window, now);
+        match &query.target {
+            RequestTarget::Model(model) => self.admit_to_model(query, model, view, now),
+            RequestTarget::Service(_) => {
+                self.usage.take(&query.request, account, None, now);
+                AdmitOutcome::Admitted
+            }
+        }
     }
 
     /// Returns the slot of `request`.
     pub fn release(
         &mut self,
-        _request: &RequestId,
-        _view: &FleetView,
-        _now: Timestamp,
+        request: &RequestId,
+        view: &FleetView,
+        now: Timestamp,
     ) -> Vec<QueueRelease> {
-        Vec::new()
+        self.usage.free(request, Some(now));
+        self.tick(view, now)
     }
 
     /// Refuses what has waited too long and grants what fits.
-    pub fn tick(&mut self, _view: &FleetView, _now: Timestamp) -> Vec<QueueRelease> {
-        Vec::new()
+    pub fn tick(&mut self, view: &FleetView, now: Timestamp) -> Vec<QueueRelease> {
+        let mut releases = self.displaced();
+        if self.queue.len() == 0 {
+            return releases;
+        }
+        self.refuse_expired(view, now, &mut releases);
+        let slots = ModelSlots::from_view(view);
+        while let Some(position) = self.next_grant(view, &slots, now) {
+            let waiting = self.queue.remove(position);
+            let model = Some(&waiting.model);
+            let usage = &mut self.usage;
+            usage.take(&waiting.request, &waiting.account, model, now);
+            releases.push(QueueRelease {
+                request: waiting.request,
+                outcome: AdmitOutcome::Admitted,
+            });
+        }
+        releases
     }
 
-    /// Requests that [`AdmissionController::admit`] and [`AdmissionController::cancel`] pushed out
-    /// of the queue; also returned by the next release or tick.
+    /// Waiting requests that [`AdmissionController::admit`] has refused in favour of others since
+    /// the last call, release or tick.
     pub fn displaced(&mut self) -> Vec<QueueRelease> {
-        Vec::new()
+        std::mem::take(&mut self.displaced)
     }
 
     /// Drops a request whose caller hung up, waiting or admitted.
-    pub fn cancel(&mut self, _request: &RequestId) {}
+    ///
+    /// A slot that becomes free is granted by the next release or tick.
+    pub fn cancel(&mut self, request: &RequestId) {
+        if self.queue.take(request).is_none() {
+            self.usage.free(request, None);
+        }
+    }
 
     /// Use by account, for the usage rumor.
-    pub fn usage(&self, _now: Timestamp) -> Vec<AccountUsage> {
-        Vec::new()
+    pub fn usage(&self, now: Timestamp) -> Vec<AccountUsage> {
+        let window = self.settings.demand_window;
+        let mut usage: Vec<AccountUsage> = self
+            .usage
+            .accounts()
+            .map(|(account, state)| {
+                let concurrent = state.meter.in_use() + self.queue.of_account(account);
+                let mean_hold = state.meter.mean_hold_ms(now).unwrap_or_default();
+                let wanted = state.demand.wanted(window, mean_hold, now);
+                AccountUsage {
+                    account: account.clone(),
+                    in_use: SlotCount(state.meter.in_use()),
+                    wanted: SlotCount(wanted.max(concurrent)),
+                }
+            })
+            .filter(|usage| usage.wanted.0 > 0)
+            .collect();
+        usage.sort_by(|one, other| one.account.cmp(&other.account));
+        usage
     }
 
     /// Counts a fresh request for the retry budget.
-    pub fn fresh(&mut self) {}
+    pub fn fresh(&mut self) {
+        self.budget.fresh();
+    }
 
     /// Takes a retry from the budget; false when it is used up.
     pub fn try_retry(&mut self) -> bool {
-        false
+        self.budget.try_retry()
+    }
+
+    fn invalid(
+        &self,
+        query: &AdmitQuery,
+        view: &FleetView,
+        now: Timestamp,
+    ) -> Option<RequestRefusal> {
+        if self.usage.holds(&query.request) || self.queue.contains(&query.request) {
+            let message = "a request with this id is already admitted";
+            return Some(RequestRefusal::not_run(ReasonCode::Internal, message));
+        }
+        if !view.configured {
+            return Some(RequestRefusal::retry_after(
+                ReasonCode::NotConfigured,
+                "this node has no configuration yet",
+                self.settings.floor_wait,
+            ));
+        }
+        (query.deadline <= now).then(|| {
+            let message = "the deadline passed before the request was admitted";
+            RequestRefusal::not_run(ReasonCode::DeadlineExceeded, message)
+        })
+    }
+
+    /// Requests of `account` that run or wait.
+    fn concurrent(&self, account: &AccountId) -> u32 {
+        self.usage.running(account) + self.queue.of_account(account)
+    }
+
+    fn refuse_at_ceiling(&mut self, account: &AccountId, now: Timestamp) -> AdmitOutcome {
+        let window = self.settings.demand_window;
+        let state = self.usage.account_mut(account);
+        state.demand.refused(window, now);
+        let rate = state.meter.rate(now);
+        AdmitOutcome::Refused(RequestRefusal::retry_after(
+            ReasonCode::AccountLimit,
+            "the account has as many requests in flight as it may",
+            self.retry_after(rate, 1),
+        ))
+    }
+
+    fn admit_to_model(
+        &mut self,
+        query: &AdmitQuery,
+        model: &ModelId,
+        view: &FleetView,
+        now: Timestamp,
+    ) -> AdmitOutcome {
+        let mut rules = view.rules.models.iter();
+        if !rules.any(|rule| rule.name == *model && rule.admits(&query.account)) {
+            return AdmitOutcome::Refused(RequestRefusal::not_run(
+                ReasonCode::UnknownModel,
+                "the model does not exist or is not open to this account",
+            ));
+        }
+        let slots = ModelSlots::from_view(view);
+        if slots.of(model) == 0 {
+            return AdmitOutcome::Refused(RequestRefusal::retry_after(
+                ReasonCode::NoWholeGroup,
+                "no group of the model is whole and ready",
+                self.settings.floor_wait,
+            ));
+        }
+        let position = self.queue.insert(WaitingRequest {
+            request: query.request.clone(),
+            account: query.account.clone(),
+            model: model.clone(),
+            priority: query.priority,
+            arrived: now,
+            deadline: query.deadline,
+        });
+        if self.next_grant(view, &slots, now) == Some(position) {
+            self.queue.remove(position);
+            let usage = &mut self.usage;
+            usage.take(&query.request, &query.account, Some(model), now);
+            return AdmitOutcome::Admitted;
+        }
+        self.keep_or_refuse(query, position, view, now)
+    }
+
+    /// Leaves the request at `position` in the queue when it can be served in time, and refuses
+    /// those behind it that no longer can.
+    fn keep_or_refuse(
+        &mut self,
+        query: &AdmitQuery,
+        position: usize,
+        view: &FleetView,
+        now: Timestamp,
+    ) -> AdmitOutcome {
+        if self.hopeless(view, now)[position] {
+            let refusal = self.overloaded(&self.queue.get(position).model, now);
+            self.queue.remove(position);
+            self.count_refusal(&query.account, now);
+            return AdmitOutcome::Refused(refusal);
+        }
+        while self.queue.len() > self.settings.queue_length {
+            let Some(last) = self.lowest_rank(view) else {
+                break;
+            };
+            if let Some(refused) = self.displace(last, query, now) {
+                return refused;
+            }
+        }
+        // One at a time, because each refusal shortens the wait of the rest.
+        while let Some(behind) = self.hopeless(view, now).iter().rposition(|one| *one) {
+            if let Some(refused) = self.displace(behind, query, now) {
+                return refused;
+            }
+        }
+        AdmitOutcome::Queued
+    }
+
+    /// Removes the request at `position`; returns the outcome when it is `query` itself.
+    fn displace(
+        &mut self,
+        position: usize,
+        query: &AdmitQuery,
+        now: Timestamp,
+    ) -> Option<AdmitOutcome> {
+        let refusal = self.overloaded(&self.queue.get(position).model, now);
+        let waiting = self.queue.remove(position);
+        self.count_refusal(&waiting.account, now);
+        let outcome = AdmitOutcome::Refused(refusal);
+        if waiting.request == query.request {
+            return Some(outcome);
+        }
+        self.displaced.push(QueueRelease {
+            request: waiting.request,
+            outcome,
+        });
+        None
+    }
+
+    fn count_refusal(&mut self, account: &AccountId, now: Timestamp) {
+        let window = self.settings.demand_window;
+        let state = self.usage.account_mut(account);
+        state.demand.refused(window, now);
+    }
+
+    /// For each waiting request, whether the slots that become free reach it too late.
+    fn hopeless(&self, view: &FleetView, now: Timestamp) -> Vec<bool> {
+        let covered = self.covered(view);
+        let mut hopeless = vec![false; covered.len()];
+        let mut ahead: HashMap<&ModelId, usize> = HashMap::new();
+        // Requests within a floor get their slots first.
+        for of_floor in [true, false] {
+            for (position, waiting) in self.queue.iter().enumerate() {
+                if covered[position] != of_floor {
+                    continue;
+                }
+                let places = ahead.entry(&waiting.model).or_default();
+                *places += 1;
+                let Some(rate) = self.usage.drain_rate(&waiting.model, now) else {
+                    continue;
+                };
+                let left = self.wait_end(waiting, of_floor).since(now);
+                hopeless[position] = wait_ms(rate, *places) > left.as_millis() as f64;
+            }
+        }
+        hopeless
+    }
+
+    /// When the request is refused at the latest.
+    fn wait_end(&self, waiting: &WaitingRequest, covered: bool) -> Timestamp {
+        let longest = match covered {
+            true => self.settings.floor_wait.max(self.settings.queue_time),
+            false => self.settings.queue_time,
+        };
+        waiting.deadline.min(waiting.arrived + longest)
+    }
+
+    /// The request that is shed first: beyond its floor, of the lowest priority, the latest.
+    fn lowest_rank(&self, view: &FleetView) -> Option<usize> {
+        let covered = self.covered(view);
+        let borrower = covered.iter().rposition(|covered| !covered);
+        borrower.or_else(|| self.queue.len().checked_sub(1))
+    }
+
+    fn overloaded(&self, model: &ModelId, now: Timestamp) -> RequestRefusal {
+        let rate = self.usage.drain_rate(model, now);
+        let waiting = self.queue.iter().filter(|one| one.model == *model).count();
+        RequestRefusal::retry_after(
+            ReasonCode::Overloaded,
+            "all slots are in use and the wait would be too long",
+            self.retry_after(rate, waiting + 1),
+        )
+    }
+
+    /// Time until `places` slots have become free.
+    fn retry_after(&self, rate: Option<f64>, places: usize) -> TimeSpan {
+        let Some(rate) = rate else {
+            return self.settings.queue_time.max(RETRY_MIN);
+        };
+        let millis = wait_ms(rate, places).min(RETRY_MAX.as_millis() as f64);
+        TimeSpan::from_millis(millis.ceil() as u64).max(RETRY_MIN)
+    }
+
+    fn refuse_expired(
+        &mut self,
+        view: &FleetView,
+        now: Timestamp,
+        releases: &mut Vec<QueueRelease>,
+    ) {
+        let covered = self.covered(view);
+        for position in (0..self.queue.len()).rev() {
+            let waiting = self.queue.get(position);
+            if now < self.wait_end(waiting, covered[position]) {
+                continue;
+            }
+            let refusal = if now >= waiting.deadline {
+                let message = "the deadline passed before a slot became free";
+                RequestRefusal::not_run(ReasonCode::DeadlineExceeded, message)
+            } else {
+                self.overloaded(&waiting.model, now)
+            };
+            let waiting = self.queue.remove(position);
+            self.count_refusal(&waiting.account, now);
+            releases.push(QueueRelease {
+                request: waiting.request,
+                outcome: AdmitOutcome::Refused(refusal),
+            });
+        }
+    }
+
+    /// Position of the waiting request that gets the next slot, if one may be granted now.
+    fn next_grant(&self, view: &FleetView, slots: &ModelSlots, now: Timestamp) -> Option<usize> {
+        let covered = self.covered(view);
+        let fits = |waiting: &WaitingRequest| {
+            let running = self.usage.running(&waiting.account);
+            let below_ceiling = ceiling(view, &waiting.account).is_none_or(|most| running < most);
+            let free = self.usage.at_model(&waiting.model) < slots.of(&waiting.model);
+            below_ceiling && free && now < waiting.deadline
+        };
+        let ranked = || self.queue.iter().zip(&covered).enumerate();
+        let by_floor = ranked()
+            .filter(|(_, (_, covered))| **covered)
+            .find(|(_, (waiting, _))| fits(waiting));
+        let next = by_floor.or_else(|| {
+            ranked().find(|(_, (waiting, covered))| {
+                !**covered && fits(waiting) && self.may_borrow(waiting, view, slots, now)
+            })
+        });
+        next.map(|(position, _)| position)
+    }
+
+    /// Whether unused floors can still be granted in time when `waiting` borrows a slot.
+    fn may_borrow(
+        &self,
+        waiting: &WaitingRequest,
+        view: &FleetView,
+        slots: &ModelSlots,
+        now: Timestamp,
+    ) -> bool {
+        let model = &waiting.model;
+        let reserved: f64 = view
+            .shares
+            .iter()
+            .map(|(account, share)| {
+                let unused = share.floor.0.saturating_sub(self.usage.slots(account));
+                f64::from(unused) * slots.weight(view, account, model)
+            })
+            .sum();
+        let total = slots.of(model);
+        let free = total.saturating_sub(self.usage.at_model(model) + 1);
+        let floor = |account: &AccountId| floor(view, account);
+        let returned = self
+            .usage
+            .returned_within(model, floor, self.settings.floor_wait, now);
+        // Rounded to whole slots; otherwise a model with one slot could never lend it.
+        f64::from(free) + returned + 0.5 >= reserved
+    }
+
+    fn covered(&self, view: &FleetView) -> Vec<bool> {
+        self.queue.covered_by_floor(|account| {
+            let used = self.usage.slots(account);
+            floor(view, account).saturating_sub(used)
+        })
+    }
+}
+
+fn share(view: &FleetView, account: &AccountId) -> AccountShare {
+    view.shares.get(account).copied().unwrap_or_default()
+}
+
+fn floor(view: &FleetView, account: &AccountId) -> u32 {
+    share(view, account).floor.0
+}
+
+fn ceiling(view: &FleetView, account: &AccountId) -> Option<u32> {
+    share(view, account).ceiling.map(|ceiling| ceiling.0)
+}
+
+/// Time until `places` slots have become free at `rate` slots per millisecond.
+fn wait_ms(rate: f64, places: usize) -> f64 {
+    if rate > 0.0 {
+        places as f64 / rate
+    } else {
+        f64::INFINITY
     }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,9 +1,14 @@
 //! Account limits, admission queue and retry budget.
 
+mod budget;
 pub mod controller;
+mod meters;
 pub mod query;
+mod queue;
 pub mod settings;
 pub mod shares;
+mod slots;
+mod usage;
 
 pub use controller::AdmissionController;
 pub use query::AdmitOutcome;
@@ -12,3 +17,4 @@
 pub use settings::AdmissionSettings;
 pub use settings::SharePolicy;
 pub use shares::divide_shares;
+pub use shares::divide_shares_of;
--- /dev/null
+++ b/crates/admission/src/meters.rs
@@ -0,0 +1,142 @@
+//! Measured slot times and demand.
+
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+/// Weight that each release takes from those before it, so that about 32 releases count.
+const RELEASE_WEIGHT: f64 = 1.0 / 32.0;
+
+/// Parts of the demand window.
+const BUCKETS: usize = 10;
+
+/// How long requests hold slots, and from that how fast slots become free.
+///
+/// The mean is the time spent in slots over the number of releases. The mean over ended requests
+/// alone would be far too short while long requests still run, and would not notice a stall.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DrainMeter {
+    /// Milliseconds spent in slots, older ones counting less.
+    held_ms: f64,
+    /// Releases, older ones counting less.
+    releases: f64,
+    in_use: u32,
+    last_change: Timestamp,
+}
+
+impl DrainMeter {
+    pub(crate) fn taken(&mut self, now: Timestamp) {
+        self.advance(now);
+        self.in_use += 1;
+    }
+
+    pub(crate) fn released(&mut self, now: Timestamp) {
+        self.advance(now);
+        self.in_use = self.in_use.saturating_sub(1);
+        let kept = 1.0 - RELEASE_WEIGHT;
+        self.held_ms *= kept;
+        self.releases = self.releases * kept + 1.0;
+    }
+
+    /// A slot became free without its request having run to its end.
+    pub(crate) fn cancelled(&mut self) {
+        self.in_use = self.in_use.saturating_sub(1);
+    }
+
+    pub(crate) fn in_use(&self) -> u32 {
+        self.in_use
+    }
+
+    /// Mean time of holding a slot, in milliseconds; `None` before the first release.
+    pub(crate) fn mean_hold_ms(&self, now: Timestamp) -> Option<f64> {
+        let held_ms = self.held_ms + self.held_since_change(now);
+        (self.releases > 0.0).then(|| (held_ms / self.releases).max(1.0))
+    }
+
+    /// Slots that become free per millisecond.
+    pub(crate) fn rate(&self, now: Timestamp) -> Option<f64> {
+        Some(f64::from(self.in_use) / self.mean_hold_ms(now)?)
+    }
+
+    /// Of `held` slots, how many are expected to be free again within `span`: the mean for
+    /// exponential times less two standard deviations; with one, up to 6% of the requests within a
+    /// floor were late behind requests of 10 s.
+    pub(crate) fn freed_within(&self, held: f64, span: TimeSpan, now: Timestamp) -> f64 {
+        let Some(mean_hold) = self.mean_hold_ms(now) else {
+            return 0.0;
+        };
+        let share = 1.0 - (-(span.as_millis() as f64) / mean_hold).exp();
+        let deviation = (held * share * (1.0 - share)).sqrt();
+        (held * share - 2.0 * deviation).max(0.0)
+    }
+
+    fn advance(&mut self, now: Timestamp) {
+        self.held_ms += self.held_since_change(now);
+        self.last_change = now;
+    }
+
+    fn held_since_change(&self, now: Timestamp) -> f64 {
+        f64::from(self.in_use) * now.since(self.last_change).as_millis() as f64
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct DemandBucket {
+    /// Number of the time slice that the bucket holds.
+    slice: u64,
+    peak: u32,
+    refused: u32,
+}
+
+/// Demand of one account over a sliding window.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DemandMeter {
+    buckets: [DemandBucket; BUCKETS],
+}
+
+impl DemandMeter {
+    /// Records that `concurrent` requests run or wait.
+    pub(crate) fn observe(&mut self, concurrent: u32, window: TimeSpan, now: Timestamp) {
+        let bucket = self.bucket(window, now);
+        bucket.peak = bucket.peak.max(concurrent);
+    }
+
+    /// Records a refusal for lack of a slot.
+    pub(crate) fn refused(&mut self, window: TimeSpan, now: Timestamp) {
+        let bucket = self.bucket(window, now);
+        bucket.refused = bucket.refused.saturating_add(1);
+    }
+
+    /// Concurrent requests that the account would have held without refusals.
+    ///
+    /// Refusals per second are turned into concurrent requests by the mean time of holding a slot.
+    pub(crate) fn wanted(&self, window: TimeSpan, mean_hold_ms: f64, now: Timestamp) -> u32 {
+        let current = slice_of(window, now);
+        let live = self
+            .buckets
+            .iter()
+            .filter(|bucket| current - bucket.slice.min(current) < BUCKETS as u64);
+        let (peak, refused) = live.fold((0, 0), |(peak, refused), bucket| {
+            (bucket.peak.max(peak), bucket.refused + refused)
+        });
+        let refused_per_ms = f64::from(refused) / window.as_millis().max(1) as f64;
+        peak.saturating_add((refused_per_ms * mean_hold_ms).ceil() as u32)
+    }
+
+    fn bucket(&mut self, window: TimeSpan, now: Timestamp) -> &mut DemandBucket {
+        let slice = slice_of(window, now);
+        let bucket = &mut self.buckets[(slice % BUCKETS as u64) as usize];
+        if bucket.slice != slice {
+            *bucket = DemandBucket {
+                slice,
+                ..DemandBucket::default()
+            };
+        }
+        bucket
+    }
+}
+
+fn slice_of(window: TimeSpan, now: Timestamp) -> u64 {
+    let width = (window.as_millis() / BUCKETS as u64).max(1);
+    // Slice 0 marks an unused bucket.
+    now.0 / width + 1
+}
--- /dev/null
+++ b/crates/admission/src/queue.rs
@@ -0,0 +1,94 @@
+//! Requests that wait for a slot.
+
+use std::collections::HashMap;
+
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::request::RequestPriority;
+use jaysaddle_types::units::Timestamp;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingRequest {
+    pub(crate) request: RequestId,
+    pub(crate) account: AccountId,
+    pub(crate) model: ModelId,
+    pub(crate) priority: RequestPriority,
+    pub(crate) arrived: Timestamp,
+    pub(crate) deadline: Timestamp,
+}
+
+/// The queue.
+///
+/// # Invariants
+///
+/// `waiting` is sorted by falling priority, then by arrival.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AdmissionQueue {
+    waiting: Vec<WaitingRequest>,
+}
+
+impl AdmissionQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(crate) fn get(&self, position: usize) -> &WaitingRequest {
+        &self.waiting[position]
+    }
+
+    pub(crate) fn iter(&self) -> impl DoubleEndedIterator<Item = &WaitingRequest> {
+        self.waiting.iter()
+    }
+
+    pub(crate) fn contains(&self, request: &RequestId) -> bool {
+        self.waiting.iter().any(|one| one.request == *request)
+    }
+
+    pub(crate) fn of_account(&self, account: &AccountId) -> u32 {
+        let count = self.waiting.iter().filter(|one| one.account == *account);
+        count.count() as u32
+    }
+
+    /// Inserts `request` in its rank and returns its position.
+    pub(crate) fn insert(&mut self, request: WaitingRequest) -> usize {
+        let position = self
+            .waiting
+            .partition_point(|one| one.priority >= request.priority);
+        self.waiting.insert(position, request);
+        position
+    }
+
+    pub(crate) fn remove(&mut self, position: usize) -> WaitingRequest {
+        self.waiting.remove(position)
+    }
+
+    pub(crate) fn take(&mut self, request: &RequestId) -> Option<WaitingRequest> {
+        let position = self
+            .waiting
+            .iter()
+            .position(|one| one.request == *request)?;
+        Some(self.waiting.remove(position))
+    }
+
+    /// For each request in rank order, whether its account's floor covers it; `unused_floor` is the
+    /// part of the floor that no running request uses.
+    ///
+    /// It counts at each model anew, because a request that waits for a busy model must not keep
+    /// the floor from one whose model has a free slot.
+    pub(crate) fn covered_by_floor(&self, unused_floor: impl Fn(&AccountId) -> u32) -> Vec<bool> {
+        let mut left: HashMap<(&AccountId, &ModelId), u32> = HashMap::new();
+        self.waiting
+            .iter()
+            .map(|one| {
+                let left = left
+                    .entry((&one.account, &one.model))
+                    .or_insert_with(|| unused_floor(&one.account));
+                let covered = *left > 0;
+                *left = left.saturating_sub(1);
+                covered
+            })
+            .collect()
+    }
+}
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -22,6 +22,10 @@
     /// Longest wait in the queue; default 500 ms. A request that waits longer is refused at once
     /// and told when to come back.
     pub queue_time: TimeSpan,
+    /// Time within which an account gets its floor back from borrowers, and the longest wait of a
+    /// request within its account's floor; default 2 s. A lower value leaves more slots idle, a
+    /// higher one lets an account wait longer for what it reserved.
+    pub floor_wait: TimeSpan,
     /// Share of fresh requests that may be retried, in thousandths; default 100.
     pub retry_permille: u32,
     /// Retries allowed without any fresh request, so that a quiet node can retry; default 10.
@@ -36,6 +40,7 @@
             shares: SharePolicy::Demand,
             queue_length: 256,
             queue_time: TimeSpan::from_millis(500),
+            floor_wait: TimeSpan::from_secs(2),
             retry_permille: 100,
             retry_burst: 10,
             demand_window: TimeSpan::from_secs(5),
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -1,4 +1,7 @@
 //! Division of floors and ceilings among nodes.
+//!
+//! Each node computes its own part from the usage that nodes report. Parts are max-min fair: a node
+//! gets what it wants up to a level that is equal for all, and unwanted slots are spread evenly.
 
 use std::collections::BTreeMap;
 
@@ -6,17 +9,152 @@
 use jaysaddle_types::ids::AccountId;
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::rules::RulesDocument;
+use jaysaddle_types::units::SlotCount;
 use jaysaddle_types::view::AccountShare;
 
 use crate::settings::AdmissionSettings;
+use crate::settings::SharePolicy;
 
 /// This node's share of each account's floor and ceiling.
+///
+/// With equal usage known to all nodes, the floors add up to at most the reserve. Slots that do not
+/// divide evenly are left out, because without its own key a node cannot tell whether they are its
+/// own; [`divide_shares_of`] gives them out.
 pub fn divide_shares(
-    _settings: &AdmissionSettings,
-    _rules: &RulesDocument,
-    _own: &[AccountUsage],
-    _others: &[(NodeKey, Vec<AccountUsage>)],
-    _live_nodes: usize,
+    settings: &AdmissionSettings,
+    rules: &RulesDocument,
+    own: &[AccountUsage],
+    others: &[(NodeKey, Vec<AccountUsage>)],
+    live_nodes: usize,
 ) -> BTreeMap<AccountId, AccountShare> {
-    BTreeMap::new()
+    divide(settings, rules, (None, own), others, live_nodes)
+}
+
+/// As [`divide_shares`], and slots that do not divide evenly go to the nodes with the lowest keys.
+pub fn divide_shares_of(
+    own_key: &NodeKey,
+    settings: &AdmissionSettings,
+    rules: &RulesDocument,
+    own: &[AccountUsage],
+    others: &[(NodeKey, Vec<AccountUsage>)],
+    live_nodes: usize,
+) -> BTreeMap<AccountId, AccountShare> {
+    divide(settings, rules, (Some(own_key), own), others, live_nodes)
+}
+
+fn divide(
+    settings: &AdmissionSettings,
+    rules: &RulesDocument,
+    own: (Option<&NodeKey>, &[AccountUsage]),
+    others: &[(NodeKey, Vec<AccountUsage>)],
+    live_nodes: usize,
+) -> BTreeMap<AccountId, AccountShare> {
+    let (own_key, own_usage) = own;
+    let shares = rules.accounts.iter().map(|rule| {
+        let demand = NodeDemand {
+            own: wanted(own_usage, &rule.name),
+            own_key,
+            others: others
+                .iter()
+                .map(|(key, usage)| (key, wanted(usage, &rule.name)))
+                .collect(),
+            nodes: live_nodes.max(others.len() + 1),
+            policy: settings.shares,
+        };
+        let floor = demand.share(rule.reserved_slots.0);
+        // A node with a ceiling of 0 would refuse its callers for good, so each gets at least 1.
+        let ceiling = rule
+            .max_slots
+            .map(|total| SlotCount(demand.share(total.0).max(1).max(floor)));
+        let share = AccountShare {
+            floor: SlotCount(floor),
+            ceiling,
+        };
+        (rule.name.clone(), share)
+    });
+    shares.collect()
+}
+
+fn wanted(usage: &[AccountUsage], account: &AccountId) -> u32 {
+    usage
+        .iter()
+        .find(|entry| entry.account == *account)
+        .map_or(0, |entry| entry.wanted.0.max(entry.in_use.0))
+}
+
+/// What the nodes want of one account's slots.
+struct NodeDemand<'a> {
+    own: u32,
+    own_key: Option<&'a NodeKey>,
+    others: Vec<(&'a NodeKey, u32)>,
+    nodes: usize,
+    policy: SharePolicy,
+}
+
+impl NodeDemand<'_> {
+    /// This node's part of `total` slots.
+    fn share(&self, total: u32) -> u32 {
+        let nodes = u32::try_from(self.nodes).unwrap_or(u32::MAX);
+        let no_rumors = self.others.is_empty() && self.nodes > 1;
+        if self.policy == SharePolicy::Static || no_rumors {
+            return self.static_share(total, nodes);
+        }
+        // A node that has not reported yet may want its static share.
+        let silent = self.nodes - 1 - self.others.len();
+        let mut wants: Vec<u32> = self.others.iter().map(|(_, want)| *want).collect();
+        wants.push(self.own);
+        wants.extend(std::iter::repeat_n(total / nodes, silent));
+        let sum: u64 = wants.iter().map(|want| u64::from(*want)).sum();
+        if sum <= u64::from(total) {
+            let spare = total - sum as u32;
+            return self.own + spare / nodes + self.extra(spare % nodes, |_| true);
+        }
+        let level = fair_level(&wants, total);
+        let given: u32 = wants.iter().map(|want| (*want).min(level)).sum();
+        if self.own <= level {
+            return self.own;
+        }
+        level + self.extra(total - given, |want| want > level)
+    }
+
+    fn static_share(&self, total: u32, nodes: u32) -> u32 {
+        let all_known = self.others.len() + 1 == self.nodes;
+        let extra = match all_known {
+            true => self.extra(total % nodes, |_| true),
+            false => 0,
+        };
+        total / nodes + extra
+    }
+
+    /// One slot out of `rest` when this node is among the first `rest` eligible nodes.
+    fn extra(&self, rest: u32, eligible: impl Fn(u32) -> bool) -> u32 {
+        let Some(own_key) = self.own_key else {
+            return 0;
+        };
+        let before = self
+            .others
+            .iter()
+            .filter(|(key, want)| *key < own_key && eligible(*want))
+            .count();
+        u32::from(before < rest as usize)
+    }
+}
+
+/// The highest level at which `wants`, cut to it, fit into `total`.
+fn fair_level(wants: &[u32], total: u32) -> u32 {
+    let fits = |level: u32| {
+        let sum: u64 = wants.iter().map(|want| u64::from((*want).min(level))).sum();
+        sum <= u64::from(total)
+    };
+    let mut low = 0;
+    let mut high = total;
+    while low < high {
+        let middle = high - (high - low) / 2;
+        if fits(middle) {
+            low = middle;
+        } else {
+            high = middle - 1;
+        }
+    }
+    low
 }
--- /dev/null
+++ b/crates/admission/src/slots.rs
@@ -0,0 +1,60 @@
+//! Slots of the models as the view shows them.
+
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::view::FleetView;
+use jaysaddle_types::view::GroupState;
+
+/// Slots of each model that this node may fill.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ModelSlots {
+    models: Vec<(ModelId, u32)>,
+}
+
+impl ModelSlots {
+    /// Adds up the slots of groups that can take a request.
+    pub(crate) fn from_view(view: &FleetView) -> Self {
+        let mut models: Vec<(ModelId, u32)> = Vec::new();
+        let ready = view.groups.iter().filter(|group| {
+            group.state == GroupState::Ready
+                && group.members.iter().all(|(_, state)| state.may_serve())
+        });
+        for group in ready {
+            match models.iter_mut().find(|(name, _)| *name == group.model) {
+                Some((_, slots)) => *slots += group.slots.0,
+                None => models.push((group.model.clone(), group.slots.0)),
+            }
+        }
+        for (_, slots) in &mut models {
+            let share = u64::from(*slots) * u64::from(view.capacity_permille);
+            // At least one, so that every node can use a model that has slots at all.
+            let least = u64::from(*slots).min(1);
+            *slots = u32::try_from(share.div_ceil(1000).max(least)).unwrap_or(u32::MAX);
+        }
+        Self { models }
+    }
+
+    /// Slots of `model`.
+    pub(crate) fn of(&self, model: &ModelId) -> u32 {
+        self.models
+            .iter()
+            .find(|(name, _)| name == model)
+            .map_or(0, |(_, slots)| *slots)
+    }
+
+    /// The part of `account`'s requests that is expected at `model`, by the models' slots.
+    pub(crate) fn weight(&self, view: &FleetView, account: &AccountId, model: &ModelId) -> f64 {
+        let admitted = |name: &ModelId| {
+            view.rules
+                .models
+                .iter()
+                .any(|rule| rule.name == *name && rule.admits(account))
+        };
+        if !admitted(model) {
+            return 0.0;
+        }
+        let open = self.models.iter().filter(|(name, _)| admitted(name));
+        let total: u32 = open.map(|(_, slots)| *slots).sum();
+        f64::from(self.of(model)) / f64::from(total.max(1))
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/all/shares.rs
@@ -0,0 +1,145 @@
+//! Floors divided among nodes never exceed the reserve and reach every node with demand.
+
+use jaysaddle_admission::AdmissionSettings;
+use jaysaddle_admission::SharePolicy;
+use jaysaddle_admission::divide_shares;
+use jaysaddle_admission::divide_shares_of;
+use jaysaddle_types::evidence::AccountUsage;
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::rules::AccountRule;
+use jaysaddle_types::rules::RulesDocument;
+use jaysaddle_types::units::SlotCount;
+
+use crate::support::check;
+
+fn account() -> AccountId {
+    AccountId::new("acme")
+}
+
+fn rules(reserved: u32) -> RulesDocument {
+    RulesDocument {
+        accounts: vec![AccountRule {
+            name: account(),
+            key_sha256: "".into(),
+            reserved_slots: SlotCount(reserved),
+            max_slots: None,
+            priority: 5,
+        }],
+        ..RulesDocument::default()
+    }
+}
+
+fn node(number: usize) -> NodeKey {
+    NodeKey {
+        id: NodeId::new(format!("n-{number:03}")),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn usage(wanted: u32) -> Vec<AccountUsage> {
+    vec![AccountUsage {
+        account: account(),
+        in_use: SlotCount(0),
+        wanted: SlotCount(wanted),
+    }]
+}
+
+/// Floors of all nodes when each knows the usage of all.
+fn floors(settings: &AdmissionSettings, reserved: u32, wants: &[u32], ranked: bool) -> Vec<u32> {
+    let rules = rules(reserved);
+    let all: Vec<_> = wants
+        .iter()
+        .enumerate()
+        .map(|(number, want)| (node(number), usage(*want)))
+        .collect();
+    (0..wants.len())
+        .map(|own| {
+            let mut others = all.clone();
+            let (key, own_usage) = others.remove(own);
+            let nodes = wants.len();
+            let shares = match ranked {
+                true => divide_shares_of(&key, settings, &rules, &own_usage, &others, nodes),
+                false => divide_shares(settings, &rules, &own_usage, &others, nodes),
+            };
+            shares[&account()].floor.0
+        })
+        .collect()
+}
+
+fn run(wants: Vec<u16>, reserved: u16) -> bool {
+    let wants: Vec<u32> = wants.iter().map(|want| u32::from(want % 200)).collect();
+    if wants.len() < 2 {
+        return true;
+    }
+    let reserved = u32::from(reserved % 1_000);
+    let nodes = wants.len() as u32;
+    let demanded: u32 = wants.iter().sum();
+    for policy in [SharePolicy::Demand, SharePolicy::Static] {
+        let settings = AdmissionSettings {
+            shares: policy,
+            ..AdmissionSettings::default()
+        };
+        let plain: u32 = floors(&settings, reserved, &wants, false).iter().sum();
+        assert!(plain <= reserved, "{plain} granted of {reserved}");
+        assert!(plain + nodes > reserved, "{plain} granted of {reserved}");
+        let ranked = floors(&settings, reserved, &wants, true);
+        assert_eq!(ranked.iter().sum::<u32>(), reserved);
+        if policy == SharePolicy::Static {
+            continue;
+        }
+        let with_demand = wants.iter().filter(|want| **want > 0).count() as u32;
+        for (want, floor) in wants.iter().zip(&ranked) {
+            let usable = *want == 0 || reserved < with_demand || *floor > 0;
+            assert!(usable, "a node that wants {want} has no share: {ranked:?}");
+            let met = demanded > reserved || floor >= want;
+            assert!(met, "a node that wants {want} has only {floor}");
+        }
+    }
+    true
+}
+
+/// Guards against floors that add up to more than the reserve, against lost slots, and against a
+/// node with callers but without a share.
+#[test]
+fn floors_add_up_to_the_reserve_and_follow_demand() {
+    check(
+        "floors_add_up_to_the_reserve_and_follow_demand",
+        60,
+        1,
+        run as fn(Vec<u16>, u16) -> bool,
+    );
+}
+
+/// Guards against demand shares computed from a single node's view during a partition.
+#[test]
+fn without_rumors_the_share_is_static() {
+    let settings = AdmissionSettings::default();
+    let shares = divide_shares(&settings, &rules(70), &usage(500), &[], 7);
+    assert_eq!(shares[&account()].floor, SlotCount(10));
+}
+
+/// Guards against a node that takes the share of nodes it has not heard from.
+#[test]
+fn a_silent_node_keeps_its_static_share() {
+    let settings = AdmissionSettings::default();
+    let others = [(node(1), usage(0))];
+    let shares = divide_shares(&settings, &rules(30), &usage(500), &others, 3);
+    assert_eq!(shares[&account()].floor, SlotCount(20));
+}
+
+/// Guards against a ceiling that locks a node's callers out, or that is below the floor.
+#[test]
+fn a_ceiling_is_usable() {
+    let settings = AdmissionSettings::default();
+    let mut rules = rules(40);
+    rules.accounts[0].max_slots = Some(SlotCount(40));
+    let others: Vec<_> = (1..20).map(|number| (node(number), usage(500))).collect();
+    let own = divide_shares(&settings, &rules, &usage(0), &others, 20);
+    assert_eq!(own[&account()].ceiling, Some(SlotCount(1)));
+    let busy = divide_shares(&settings, &rules, &usage(500), &others, 20);
+    assert_eq!(busy[&account()].floor, SlotCount(2));
+    assert_eq!(busy[&account()].ceiling, Some(SlotCount(2)));
+}
--- /dev/null
+++ b/crates/admission/tests/all/support.rs
@@ -0,0 +1,129 @@
+//! Views, queries and seeded runs for the tests.
+
+use std::sync::Arc;
+
+use jaysaddle_admission::AdmitOutcome;
+use jaysaddle_admission::AdmitQuery;
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::request::RequestPriority;
+use jaysaddle_types::request::RequestTarget;
+use jaysaddle_types::rules::ModelRule;
+use jaysaddle_types::rules::RulesDocument;
+use jaysaddle_types::units::SlotCount;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::RequestRefusal;
+use jaysaddle_types::verdict::Verdict;
+use jaysaddle_types::view::AccountShare;
+use jaysaddle_types::view::FleetView;
+use jaysaddle_types::view::GroupState;
+use jaysaddle_types::view::GroupView;
+use jaysaddle_types::view::VmState;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+
+/// Runs a property with a printed seed; `JAYSADDLE_SEED` and `JAYSADDLE_RUNS` override it.
+/// `divisor` reduces the runs of slow properties.
+pub fn check<P: Testable>(name: &str, size: usize, divisor: u64, property: P) {
+    const SEED: u64 = 20_261_203;
+    const RUNS: u64 = 2_000;
+    let number = |variable: &str, fallback: u64| {
+        std::env::var(variable)
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(fallback)
+    };
+    let seed = number("JAYSADDLE_SEED", SEED);
+    let runs = (number("JAYSADDLE_RUNS", RUNS) / divisor).max(1);
+    println!("{name}: seed {seed}, {runs} runs");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(size, seed))
+        .tests(runs)
+        .quickcheck(property);
+}
+
+/// A view with one group per model and the shares `(account, floor, ceiling)`.
+pub fn view(models: &[(&str, u32)], shares: &[(&str, u32, Option<u32>)]) -> FleetView {
+    let rules = RulesDocument {
+        models: models
+            .iter()
+            .map(|(name, slots)| ModelRule {
+                name: ModelId::new(*name),
+                version: "v1".parse().expect("valid version"),
+                vms_per_group: 1,
+                groups: 1,
+                slots_per_group: SlotCount(*slots),
+                accounts: Vec::new(),
+            })
+            .collect(),
+        ..RulesDocument::default()
+    };
+    FleetView {
+        configured: true,
+        rules: Arc::new(rules),
+        groups: models
+            .iter()
+            .map(|(name, slots)| group(name, *slots))
+            .collect(),
+        shares: shares
+            .iter()
+            .map(|(account, floor, ceiling)| {
+                let share = AccountShare {
+                    floor: SlotCount(*floor),
+                    ceiling: ceiling.map(SlotCount),
+                };
+                (AccountId::new(*account), share)
+            })
+            .collect(),
+        capacity_permille: 1000,
+        ..FleetView::default()
+    }
+}
+
+fn group(model: &str, slots: u32) -> GroupView {
+    GroupView {
+        id: GroupId::new(format!("g-{model}")),
+        generation: Generation(1),
+        model: ModelId::new(model),
+        version: "v1".parse().expect("valid version"),
+        fabric_domain: FabricDomainId::new("fab-a"),
+        failure_domain: FailureDomainId::new("fd-a"),
+        members: vec![(VmId::new(format!("vm-{model}")), VmState::Live)],
+        leader: ([127, 0, 0, 1], 9000).into(),
+        state: GroupState::Ready,
+        slots: SlotCount(slots),
+        reason: "".into(),
+    }
+}
+
+pub fn query(
+    request: usize,
+    account: &str,
+    model: &str,
+    priority: u8,
+    deadline: Timestamp,
+) -> AdmitQuery {
+    AdmitQuery {
+        request: RequestId::new(format!("r-{request}")),
+        account: AccountId::new(account),
+        target: RequestTarget::Model(ModelId::new(model)),
+        priority: RequestPriority::new(priority),
+        deadline,
+    }
+}
+
+/// The refusal in `outcome`, which must say that the request did not run.
+pub fn refusal(outcome: &AdmitOutcome) -> &RequestRefusal {
+    let AdmitOutcome::Refused(refusal) = outcome else {
+        panic!("{outcome:?} is not a refusal");
+    };
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    refusal
+}
