--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,6 +1,23 @@
 //! Membership and dissemination between daemons.
+//!
+//! The protocol follows SWIM: random probes, indirect probes, suspicion that a live node refutes,
+//! and rumors that ride on the probes. Anti-entropy fetches what the rumors missed.
 
+mod budget;
+mod contacts;
+mod digest;
+mod exchange;
+mod outbox;
+mod peers;
+mod probe;
+mod random;
+mod sync;
+mod timers;
+
+pub mod claim;
+pub mod convert;
 pub mod event;
+pub mod facts;
 pub mod settings;
 pub mod tracker;
 
--- /dev/null
+++ b/crates/membership/src/peers.rs
@@ -0,0 +1,258 @@
+//! The table of node runs and the rules for merging claims into it.
+
+use std::collections::BTreeMap;
+
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::node::NodeRecord;
+use jaysaddle_types::node::NodeState;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::claim::ClaimRank;
+use crate::claim::NodeClaim;
+
+/// Retention left below which a dead node is not learned anew: otherwise two nodes that forget it
+/// at slightly different times hand it back to one another.
+const RETENTION_MARGIN: TimeSpan = TimeSpan::from_secs(30);
+
+/// Time after a death in which claims of life are taken for rumors from before it.
+const STALE_CLAIMS: TimeSpan = TimeSpan::from_secs(10);
+
+/// What is known about one node run.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerEntry {
+    pub(crate) record: NodeRecord,
+    pub(crate) revision: u64,
+    pub(crate) state: NodeState,
+    pub(crate) accuser: Option<NodeKey>,
+    /// When the state was entered; for a dead node, the time of death.
+    pub(crate) since: Timestamp,
+}
+
+impl PeerEntry {
+    fn of(claim: &NodeClaim, now: Timestamp) -> Self {
+        Self {
+            record: claim.record.clone(),
+            revision: claim.revision,
+            state: claim.state,
+            accuser: claim.accuser.clone(),
+            since: now - claim.dead_for,
+        }
+    }
+
+    pub(crate) fn rank(&self) -> ClaimRank {
+        ClaimRank::new(self.revision, self.state)
+    }
+
+    pub(crate) fn claim(&self, now: Timestamp) -> NodeClaim {
+        let dead_for = match self.state {
+            NodeState::Dead => now.since(self.since),
+            _ => TimeSpan(0),
+        };
+        NodeClaim {
+            record: self.record.clone(),
+            revision: self.revision,
+            state: self.state,
+            accuser: self.accuser.clone(),
+            dead_for,
+        }
+    }
+
+    /// Whether the run is dead without having said so and without a successor, so that it may
+    /// merely be unreachable.
+    pub(crate) fn may_return(&self) -> bool {
+        self.state == NodeState::Dead && self.accuser.is_some()
+    }
+
+    pub(crate) fn is_live(&self) -> bool {
+        self.state != NodeState::Dead
+    }
+}
+
+/// What a claim did to the table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum MergeOutcome {
+    /// The claim is older than what is known.
+    Known,
+    /// The claim is now held. Older runs of the node that died by it are listed.
+    Adopted {
+        /// The state before, absent for a new run.
+        before: Option<NodeState>,
+        /// Older runs that are now dead.
+        superseded: Vec<NodeKey>,
+    },
+    /// Others hold the node dead and this node holds it live, or the reverse, at the same
+    /// revision. Only a probe, which makes a live node refute, can settle it.
+    Disputed,
+}
+
+/// All known node runs, the own one included.
+///
+/// # Invariants
+///
+/// Of all runs of one node id, only the one with the highest incarnation may be live.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerTable {
+    entries: BTreeMap<NodeKey, PeerEntry>,
+    retention: TimeSpan,
+}
+
+impl PeerTable {
+    pub(crate) fn new(retention: TimeSpan) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            retention,
+        }
+    }
+
+    pub(crate) fn get(&self, key: &NodeKey) -> Option<&PeerEntry> {
+        self.entries.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: &NodeKey) -> Option<&mut PeerEntry> {
+        self.entries.get_mut(key)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&NodeKey, &PeerEntry)> {
+        self.entries.iter()
+    }
+
+    pub(crate) fn values_mut(&mut self) -> impl Iterator<Item = &mut PeerEntry> {
+        self.entries.values_mut()
+    }
+
+    pub(crate) fn remove(&mut self, key: &NodeKey) -> Option<PeerEntry> {
+        self.entries.remove(key)
+    }
+
+    /// The run of a node with the highest incarnation.
+    pub(crate) fn latest(&self, id: &NodeId) -> Option<&PeerEntry> {
+        let first = NodeKey {
+            id: id.clone(),
+            incarnation: Incarnation(0),
+        };
+        let last = NodeKey {
+            id: id.clone(),
+            incarnation: Incarnation(u64::MAX),
+        };
+        self.entries
+            .range(first..=last)
+            .next_back()
+            .map(|(_, entry)| entry)
+    }
+
+    /// Whether a later run of the same node is known.
+    pub(crate) fn is_superseded(&self, key: &NodeKey) -> bool {
+        self.latest(&key.id)
+            .is_some_and(|entry| entry.record.key.incarnation > key.incarnation)
+    }
+
+    /// Puts the entry in place regardless of rank; used for the own run.
+    pub(crate) fn insert(&mut self, claim: &NodeClaim, now: Timestamp) {
+        let entry = PeerEntry::of(claim, now);
+        self.entries.insert(claim.record.key.clone(), entry);
+    }
+
+    /// Merges a claim about another node.
+    pub(crate) fn merge(&mut self, claim: &NodeClaim, now: Timestamp) -> MergeOutcome {
+        let key = &claim.record.key;
+        if self.is_superseded(key) && claim.state != NodeState::Dead {
+            return MergeOutcome::Known;
+        }
+        match self.entries.get(key) {
+            None => self.merge_new(claim, now),
+            Some(entry) => {
+                let decided = decide(entry, claim, now);
+                self.apply(claim, decided, now)
+            }
+        }
+    }
+
+    fn merge_new(&mut self, claim: &NodeClaim, now: Timestamp) -> MergeOutcome {
+        let remembered = claim.dead_for.0.saturating_add(RETENTION_MARGIN.0) < self.retention.0;
+        if claim.state == NodeState::Dead && !remembered {
+            return MergeOutcome::Known;
+        }
+        self.insert(claim, now);
+        MergeOutcome::Adopted {
+            before: None,
+            superseded: self.kill_older(&claim.record.key, now),
+        }
+    }
+
+    fn apply(&mut self, claim: &NodeClaim, decided: Decided, now: Timestamp) -> MergeOutcome {
+        let state = match decided {
+            Decided::Keep => return MergeOutcome::Known,
+            Decided::Dispute => return MergeOutcome::Disputed,
+            Decided::Adopt(state) => state,
+        };
+        let key = &claim.record.key;
+        let superseded = self.is_superseded(key);
+        let claim = NodeClaim {
+            state,
+            accuser: claim.accuser.clone().filter(|_| !superseded),
+            dead_for: if state == NodeState::Dead {
+                claim.dead_for
+            } else {
+                TimeSpan(0)
+            },
+            ..claim.clone()
+        };
+        let before = self.entries.get(&claim.record.key).map(|entry| entry.state);
+        self.insert(&claim, now);
+        MergeOutcome::Adopted {
+            before,
+            superseded: Vec::new(),
+        }
+    }
+
+    /// Declares the runs of the same node with a lower incarnation dead; returns those that lived.
+    pub(crate) fn kill_older(&mut self, key: &NodeKey, now: Timestamp) -> Vec<NodeKey> {
+        let first = NodeKey {
+            id: key.id.clone(),
+            incarnation: Incarnation(0),
+        };
+        let mut killed = Vec::new();
+        for (old, entry) in self.entries.range_mut(first..key.clone()) {
+            if entry.is_live() {
+                entry.state = NodeState::Dead;
+                entry.since = now;
+                killed.push(old.clone());
+            }
+            // A superseded run never returns, so nobody need look for it.
+            entry.accuser = None;
+        }
+        killed
+    }
+}
+
+enum Decided {
+    Keep,
+    Adopt(NodeState),
+    Dispute,
+}
+
+fn decide(entry: &PeerEntry, claim: &NodeClaim, now: Timestamp) -> Decided {
+    let accused_dead = claim.state == NodeState::Dead && claim.accuser.is_some();
+    let held_healthy = matches!(entry.state, NodeState::Alive | NodeState::Leaving);
+    if claim.rank() > entry.rank() {
+        // After a partition, each half hears that all of the other half is dead. Adopting that
+        // would make live nodes dead until their refutations arrive.
+        return match (
+            accused_dead && held_healthy,
+            claim.revision > entry.revision,
+        ) {
+            (false, _) => Decided::Adopt(claim.state),
+            (true, true) => Decided::Adopt(NodeState::Suspect),
+            (true, false) => Decided::Dispute,
+        };
+    }
+    let claims_life = claim.state != NodeState::Dead && claim.revision == entry.revision;
+    let settled = now.since(entry.since) > STALE_CLAIMS;
+    if entry.may_return() && claims_life && settled {
+        return Decided::Dispute;
+    }
+    Decided::Keep
+}
--- /dev/null
+++ b/crates/membership/src/probe.rs
@@ -0,0 +1,159 @@
+//! Which peer is probed next, and the probes that wait for an answer.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::peers::PeerTable;
+use crate::random::SeededRandom;
+
+/// Most disputed nodes that wait for a probe.
+const MAX_DISPUTED: usize = 512;
+
+/// Fewest and most probe results that the share of answering peers is computed from.
+const MIN_OUTCOMES: usize = 4;
+const MAX_OUTCOMES: usize = 16;
+
+/// How far a probe has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbePhase {
+    /// Sent over the existing connection.
+    Direct,
+    /// Sent again over a new connection, and through other nodes.
+    Retried,
+}
+
+/// A probe that waits for its answer.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingProbe {
+    pub(crate) nonce: u64,
+    pub(crate) target: NodeKey,
+    pub(crate) address: SocketAddr,
+    pub(crate) phase: ProbePhase,
+    pub(crate) deadline: Timestamp,
+}
+
+/// The round robin over a shuffled list of peers, and the pending probes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ProbeSchedule {
+    round: Vec<NodeKey>,
+    disputed: VecDeque<NodeKey>,
+    pending: Vec<PendingProbe>,
+    outcomes: VecDeque<bool>,
+}
+
+impl ProbeSchedule {
+    /// The next peer to probe: a disputed node first, then the round robin.
+    pub(crate) fn next(
+        &mut self,
+        peers: &PeerTable,
+        own: &NodeKey,
+        random: &mut SeededRandom,
+    ) -> Option<NodeKey> {
+        if let Some(key) = self.next_disputed(peers) {
+            return Some(key);
+        }
+        for attempt in 0..2 {
+            while let Some(key) = self.round.pop() {
+                if peers.get(&key).is_some_and(|entry| entry.is_live()) {
+                    return Some(key);
+                }
+            }
+            if attempt == 0 {
+                self.fill_round(peers, own, random);
+            }
+        }
+        None
+    }
+
+    fn next_disputed(&mut self, peers: &PeerTable) -> Option<NodeKey> {
+        loop {
+            let key = self.disputed.pop_front()?;
+            let useful = peers
+                .get(&key)
+                .is_some_and(|entry| entry.is_live() || entry.may_return());
+            if useful {
+                return Some(key);
+            }
+        }
+    }
+
+    fn fill_round(&mut self, peers: &PeerTable, own: &NodeKey, random: &mut SeededRandom) {
+        self.round = peers
+            .iter()
+            .filter(|(key, entry)| *key != own && entry.is_live())
+            .map(|(key, _)| key.clone())
+            .collect();
+        random.shuffle(&mut self.round);
+    }
+
+    /// Puts a new peer at a random place of the current round, so that it does not wait for the
+    /// next one.
+    pub(crate) fn add_peer(&mut self, key: NodeKey, random: &mut SeededRandom) {
+        let place = random.below(self.round.len() + 1);
+        self.round.insert(place, key);
+    }
+
+    /// Queues a node whose state is disputed for an early probe.
+    pub(crate) fn dispute(&mut self, key: NodeKey, random: &mut SeededRandom) {
+        if self.disputed.len() >= MAX_DISPUTED || self.disputed.contains(&key) {
+            return;
+        }
+        // A random place: otherwise all nodes that hear one list probe its nodes in one order.
+        let place = random.below(self.disputed.len() + 1);
+        self.disputed.insert(place, key);
+    }
+
+    pub(crate) fn start(&mut self, probe: PendingProbe) {
+        self.pending.push(probe);
+    }
+
+    /// Takes the probes whose deadline has passed.
+    pub(crate) fn take_expired(&mut self, now: Timestamp) -> Vec<PendingProbe> {
+        let is_expired = |probe: &mut PendingProbe| probe.deadline <= now;
+        self.pending.extract_if(.., is_expired).collect()
+    }
+
+    /// Takes the probe that an answer belongs to.
+    pub(crate) fn take_answered(&mut self, nonce: u64, answered: &NodeKey) -> Option<PendingProbe> {
+        let position = self
+            .pending
+            .iter()
+            .position(|probe| probe.nonce == nonce && probe.target == *answered)?;
+        Some(self.pending.swap_remove(position))
+    }
+
+    /// Expires the first phase of probes to an address that cannot be reached.
+    pub(crate) fn fail_direct(&mut self, address: SocketAddr, now: Timestamp) {
+        for probe in &mut self.pending {
+            if probe.address == address && probe.phase == ProbePhase::Direct {
+                probe.deadline = now;
+            }
+        }
+    }
+
+    /// Moves all deadlines after a pause of this node.
+    pub(crate) fn postpone(&mut self, span: TimeSpan) {
+        for probe in &mut self.pending {
+            probe.deadline = probe.deadline + span;
+        }
+    }
+
+    /// Notes whether a probed peer answered this node directly.
+    pub(crate) fn note_outcome(&mut self, answered: bool, peers: usize) {
+        self.outcomes.push_back(answered);
+        let kept = peers.clamp(MIN_OUTCOMES, MAX_OUTCOMES);
+        while self.outcomes.len() > kept {
+            self.outcomes.pop_front();
+        }
+    }
+
+    /// Latest results: how many answered, out of how many.
+    pub(crate) fn outcomes(&self) -> (usize, usize) {
+        let answered = self.outcomes.iter().filter(|answered| **answered).count();
+        (answered, self.outcomes.len())
+    }
+}
--- /dev/null
+++ b/crates/membership/src/random.rs
@@ -0,0 +1,30 @@
+//! The tracker's own random numbers, so that a run is reproducible from its seed.
+
+/// SplitMix64, a small generator that is good enough to spread probes.
+#[derive(Clone, Debug)]
+pub(crate) struct SeededRandom(u64);
+
+impl SeededRandom {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        crate::digest::mix(self.0)
+    }
+
+    /// A number below `bound`; 0 when `bound` is 0.
+    pub(crate) fn below(&mut self, bound: usize) -> usize {
+        // The bias of the remainder is below 2^-50 for the sizes used here.
+        self.next().checked_rem(bound as u64).unwrap_or(0) as usize
+    }
+
+    /// Shuffles in place, all orders equally likely.
+    pub(crate) fn shuffle<T>(&mut self, items: &mut [T]) {
+        for end in (1..items.len()).rev() {
+            let other = self.below(end + 1);
+            items.swap(end, other);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/sync.rs
@@ -0,0 +1,226 @@
+//! Anti-entropy: two nodes compare hashes and exchange only what differs.
+//!
+//! The asking node sends one hash. When it differs, the other answers with a hash per bucket of
+//! origins; the asking node lists the origins of the differing buckets; the other sends what the
+//! list lacks and asks for what it lacks itself.
+
+use std::collections::BTreeMap;
+
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_wire::messages::OriginDigest;
+use jaysaddle_wire::messages::WireRumor;
+
+use crate::convert::claim_to_wire;
+use crate::convert::fact_to_wire;
+use crate::convert::key_of;
+use crate::convert::run_of;
+use crate::digest::key_hash;
+use crate::digest::origin_hash;
+use crate::facts::FactTable;
+use crate::peers::PeerTable;
+
+/// Fewest and most buckets; about one bucket per origin keeps the lists short.
+const MIN_BUCKETS: usize = 8;
+const MAX_BUCKETS: usize = 512;
+
+/// What two nodes compare about one origin.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct OriginSummary {
+    /// Rank of the node claim; 0 when the origin is not known.
+    claim: u64,
+    highest: u64,
+    facts: u64,
+}
+
+/// What the answer to a list of origins consists of.
+#[derive(Debug, Default)]
+pub(crate) struct SyncDifference {
+    /// What the asking node lacks.
+    pub(crate) rumors: Vec<WireRumor>,
+    /// Origins about which the asking node knows more.
+    pub(crate) wanted: Vec<OriginDigest>,
+}
+
+/// The tables that anti-entropy keeps equal.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SyncView<'a> {
+    pub(crate) peers: &'a PeerTable,
+    pub(crate) facts: &'a FactTable,
+    pub(crate) now: Timestamp,
+}
+
+impl SyncView<'_> {
+    /// Hash of everything known.
+    pub(crate) fn digest(&self) -> u64 {
+        self.hashes().fold(0, |sum, (_, hash)| sum ^ hash)
+    }
+
+    /// A hash per bucket.
+    pub(crate) fn buckets(&self, count: usize) -> Vec<u32> {
+        let mut buckets = vec![0; count];
+        for (key, hash) in self.hashes() {
+            // The upper half of a mixed hash is as good as the lower one.
+            buckets[bucket_of(key, count)] ^= (hash >> 32) as u32;
+        }
+        buckets
+    }
+
+    /// The number of buckets that suits the number of origins.
+    pub(crate) fn bucket_count(&self) -> usize {
+        let origins = self.peers.iter().count();
+        origins.next_power_of_two().clamp(MIN_BUCKETS, MAX_BUCKETS)
+    }
+
+    /// Indices of the buckets that differ from `theirs`; none when the count is out of range.
+    pub(crate) fn differing(&self, theirs: &[u32]) -> Vec<u32> {
+        if theirs.is_empty() || theirs.len() > MAX_BUCKETS {
+            return Vec::new();
+        }
+        let own = self.buckets(theirs.len());
+        let pairs = (0..).zip(own.iter().zip(theirs));
+        pairs
+            .filter(|(_, (own, theirs))| own != theirs)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// All origins of the given buckets.
+    pub(crate) fn list(&self, count: usize, buckets: &[u32]) -> Vec<OriginDigest> {
+        self.peers
+            .iter()
+            .filter(|(key, _)| buckets.contains(&(bucket_of(key, count) as u32)))
+            .map(|(key, _)| summary_to_wire(key, self.summary(key)))
+            .collect()
+    }
+
+    /// Compares a list of whole buckets with the own tables.
+    pub(crate) fn compare(
+        &self,
+        count: usize,
+        buckets: &[u32],
+        listed: &[OriginDigest],
+    ) -> SyncDifference {
+        let mut difference = SyncDifference::default();
+        if count == 0 || count > MAX_BUCKETS {
+            return difference;
+        }
+        let mut theirs = read_list(listed);
+        for own in self.list(count, buckets) {
+            if let Ok(key) = key_of(own.origin.as_ref()) {
+                let summary = theirs.remove(&key).unwrap_or_default();
+                self.compare_origin(&key, summary, &mut difference);
+            }
+        }
+        for (key, summary) in theirs {
+            self.compare_origin(&key, summary, &mut difference);
+        }
+        difference
+    }
+
+    /// What a node lacks that asks for single origins.
+    pub(crate) fn answer(&self, asked: &[OriginDigest]) -> Vec<WireRumor> {
+        let mut difference = SyncDifference::default();
+        for (key, summary) in read_list(asked) {
+            self.compare_origin(&key, summary, &mut difference);
+        }
+        difference.rumors
+    }
+
+    fn compare_origin(
+        &self,
+        key: &NodeKey,
+        theirs: OriginSummary,
+        difference: &mut SyncDifference,
+    ) {
+        let own = self.summary(key);
+        if own == theirs {
+            return;
+        }
+        if own.claim != theirs.claim && own.claim > 0 {
+            // Sent even when lower: a claim of life against a death is a dispute to settle.
+            self.push_claim(key, difference);
+        }
+        if own.facts != theirs.facts {
+            // Equal sequences with different hashes mean that one of them missed a fact in between.
+            let from = if own.highest > theirs.highest {
+                theirs.highest
+            } else {
+                0
+            };
+            if own.highest >= theirs.highest {
+                self.push_facts(key, from, difference);
+            }
+        }
+        let lacks_facts = own.facts != theirs.facts && own.highest <= theirs.highest;
+        if own.claim < theirs.claim || lacks_facts {
+            difference.wanted.push(summary_to_wire(key, own));
+        }
+    }
+
+    fn push_claim(&self, key: &NodeKey, difference: &mut SyncDifference) {
+        if let Some(entry) = self.peers.get(key) {
+            let claim = entry.claim(self.now);
+            difference.rumors.push(claim_to_wire(&claim));
+        }
+    }
+
+    fn push_facts(&self, key: &NodeKey, after: u64, difference: &mut SyncDifference) {
+        let Some(facts) = self.facts.of(key) else {
+            return;
+        };
+        for entry in facts.after(after) {
+            let wire = fact_to_wire(key, entry.sequence, &entry.body);
+            difference.rumors.push(wire);
+        }
+    }
+
+    fn summary(&self, key: &NodeKey) -> OriginSummary {
+        let Some(entry) = self.peers.get(key) else {
+            return OriginSummary::default();
+        };
+        let facts = self.facts.of(key);
+        OriginSummary {
+            // Revisions start at 1, so that no known origin has rank 0.
+            claim: entry.rank().0,
+            highest: facts.map_or(0, |facts| facts.highest()),
+            facts: facts.map_or(0, |facts| facts.digest()),
+        }
+    }
+
+    fn hashes(&self) -> impl Iterator<Item = (&NodeKey, u64)> {
+        self.peers.iter().map(|(key, _)| {
+            let summary = self.summary(key);
+            (key, origin_hash(key, summary.claim, summary.facts))
+        })
+    }
+}
+
+fn bucket_of(key: &NodeKey, count: usize) -> usize {
+    (key_hash(key) % count as u64) as usize
+}
+
+fn summary_to_wire(key: &NodeKey, summary: OriginSummary) -> OriginDigest {
+    OriginDigest {
+        origin: Some(run_of(key)),
+        sequence: summary.highest,
+        digest: summary.facts,
+        claim: summary.claim,
+    }
+}
+
+fn read_list(listed: &[OriginDigest]) -> BTreeMap<NodeKey, OriginSummary> {
+    let mut summaries = BTreeMap::new();
+    for origin in listed {
+        // An unreadable origin is left out and therefore treated as unknown to the peer.
+        if let Ok(key) = key_of(origin.origin.as_ref()) {
+            let summary = OriginSummary {
+                claim: origin.claim,
+                highest: origin.sequence,
+                facts: origin.digest,
+            };
+            summaries.insert(key, summary);
+        }
+    }
+    summaries
+}
--- /dev/null
+++ b/crates/membership/src/timers.rs
@@ -0,0 +1,298 @@
+//! What happens as time passes: probes, suspicion, healing, anti-entropy and removal.
+
+use std::net::SocketAddr;
+
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::node::NodeState;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::event::MembershipEffect;
+use crate::probe::PendingProbe;
+use crate::probe::ProbePhase;
+use crate::tracker::MembershipTracker;
+
+/// Time between two ticks above which this node takes itself for paused: what it waited for may
+/// have arrived meanwhile and lie unread.
+const PAUSE_LIMIT: TimeSpan = TimeSpan::from_secs(2);
+
+/// Time between pushes of new rumors; several a second spread a rumor through 320 nodes in a few
+/// seconds.
+const PUSH_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
+
+/// Time between probes of lost nodes and seeds, usually and when many nodes are lost, which is
+/// how a partition looks.
+const HEAL_INTERVAL: TimeSpan = TimeSpan::from_secs(10);
+const PARTITION_HEAL_INTERVAL: TimeSpan = TimeSpan::from_secs(3);
+
+/// Share of answering peers, in thousandths, below which a partition is assumed.
+const PARTITION_PERMILLE: u32 = 800;
+
+/// Time between searches for records to remove.
+const PURGE_INTERVAL: TimeSpan = TimeSpan::from_secs(5);
+
+/// Seeds asked at a time while no peer is known.
+const JOIN_FANOUT: usize = 3;
+
+/// When each periodic action is due.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TimerTable {
+    pub(crate) started: bool,
+    pub(crate) last_seen: Timestamp,
+    pub(crate) next_probe: Timestamp,
+    pub(crate) next_sync: Timestamp,
+    next_push: Timestamp,
+    next_heal: Timestamp,
+    next_purge: Timestamp,
+}
+
+impl MembershipTracker {
+    pub(crate) fn tick(&mut self, now: Timestamp) {
+        self.start_timers(now);
+        self.compensate_pause(now);
+        self.budget.refill(now);
+        self.expire_probes(now);
+        self.expire_suspicions(now);
+        self.probe_next(now);
+        self.heal(now);
+        self.sync_next(now);
+        self.push_next(now);
+        self.purge(now);
+    }
+
+    fn start_timers(&mut self, now: Timestamp) {
+        if self.timers.started {
+            return;
+        }
+        // Nodes that start together spread their periodic work over the interval.
+        let spread = self.settings.sync_interval.as_millis() as usize;
+        let offset = TimeSpan(self.random.below(spread) as u64);
+        self.timers.started = true;
+        self.timers.last_seen = now;
+        self.timers.next_probe = now;
+        self.timers.next_sync = now + offset;
+        self.timers.next_heal = now + offset;
+        self.timers.next_purge = now + PURGE_INTERVAL;
+    }
+
+    fn compensate_pause(&mut self, now: Timestamp) {
+        let gap = now.since(self.timers.last_seen);
+        self.timers.last_seen = now;
+        if gap <= PAUSE_LIMIT {
+            return;
+        }
+        self.schedule.postpone(gap);
+        for entry in self.peers.values_mut() {
+            if entry.state == NodeState::Suspect {
+                entry.since = entry.since + gap;
+            }
+        }
+        self.timers.next_sync = now;
+    }
+
+    fn expire_probes(&mut self, now: Timestamp) {
+        for probe in self.schedule.take_expired(now) {
+            let wanted = self
+                .peers
+                .get(&probe.target)
+                .is_some_and(|entry| entry.is_live());
+            match probe.phase {
+                _ if !wanted => {}
+                ProbePhase::Direct => self.retry_probe(probe, now),
+                ProbePhase::Retried => self.fail_probe(&probe, now),
+            }
+        }
+    }
+
+    /// Replaces the connection and probes again, directly and through other nodes: a connection
+    /// may be silent while the peer is well.
+    fn retry_probe(&mut self, probe: PendingProbe, now: Timestamp) {
+        self.effects
+            .push(MembershipEffect::Reconnect { to: probe.address });
+        self.send_ping(&probe.target, probe.nonce, true, now);
+        let helpers = self.pick_live(self.settings.indirect_probes, Some(&probe.target));
+        for helper in helpers {
+            self.send_ping_request(&helper, probe.address, probe.nonce);
+        }
+        self.schedule.start(PendingProbe {
+            phase: ProbePhase::Retried,
+            deadline: now + self.settings.ping_timeout,
+            ..probe
+        });
+    }
+
+    fn fail_probe(&mut self, probe: &PendingProbe, now: Timestamp) {
+        self.note_outcome(false);
+        let suspected = self
+            .peers
+            .get(&probe.target)
+            .is_some_and(|entry| entry.state == NodeState::Suspect);
+        if !suspected {
+            let reason = "no answer over a new connection or through other nodes";
+            self.accuse(&probe.target, NodeState::Suspect, reason, now);
+        }
+    }
+
+    pub(crate) fn note_outcome(&mut self, answered: bool) {
+        let peers = self.peers.iter().count() - 1;
+        self.schedule.note_outcome(answered, peers);
+    }
+
+    fn expire_suspicions(&mut self, now: Timestamp) {
+        let span = self.settings.suspicion;
+        let expired: Vec<NodeKey> = self
+            .peers
+            .iter()
+            .filter(|(_, entry)| entry.state == NodeState::Suspect)
+            .filter(|(_, entry)| now.since(entry.since) >= span)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in expired {
+            self.accuse(&key, NodeState::Dead, "the suspicion was not refuted", now);
+        }
+    }
+
+    fn probe_next(&mut self, now: Timestamp) {
+        if now < self.timers.next_probe {
+            return;
+        }
+        self.timers.next_probe = now + self.settings.probe_interval;
+        self.ask_suspects(now);
+        let next = self.schedule.next(&self.peers, &self.own, &mut self.random);
+        match next {
+            Some(key) => self.start_probe(key, now),
+            None => self.join(now),
+        }
+    }
+
+    /// Tells the nodes that this node suspects, so that a live one can refute in time. A rumor
+    /// alone takes most of the suspicion time to reach them in a large cluster.
+    fn ask_suspects(&mut self, now: Timestamp) {
+        let suspects: Vec<NodeKey> = self
+            .peers
+            .iter()
+            .filter(|(_, entry)| entry.state == NodeState::Suspect)
+            .filter(|(_, entry)| entry.accuser.as_ref() == Some(&self.own))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in suspects {
+            let nonce = self.random.next();
+            self.send_ping(&key, nonce, true, now);
+        }
+    }
+
+    fn start_probe(&mut self, key: NodeKey, now: Timestamp) {
+        let Some(address) = self.address_of(&key) else {
+            return;
+        };
+        // The connection to a node held dead may be what failed.
+        let live = self.peers.get(&key).is_some_and(|entry| entry.is_live());
+        if !live {
+            self.effects
+                .push(MembershipEffect::Reconnect { to: address });
+        }
+        let nonce = self.random.next();
+        self.send_ping(&key, nonce, !live, now);
+        self.schedule.start(PendingProbe {
+            nonce,
+            target: key,
+            address,
+            phase: ProbePhase::Direct,
+            deadline: now + self.settings.ping_timeout,
+        });
+    }
+
+    /// Introduces this node to a few seeds while it knows no peer.
+    fn join(&mut self, now: Timestamp) {
+        let mut seeds = self.unclaimed_addresses(self.seeds.clone());
+        self.random.shuffle(&mut seeds);
+        for seed in seeds.into_iter().take(JOIN_FANOUT) {
+            self.send_introduction(seed, None, now);
+        }
+    }
+
+    /// Addresses that no live node uses, the own one excluded.
+    fn unclaimed_addresses(&self, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let used: Vec<SocketAddr> = self
+            .peers
+            .iter()
+            .filter(|(_, entry)| entry.is_live())
+            .map(|(_, entry)| entry.record.peers)
+            .collect();
+        addresses.retain(|address| !used.contains(address));
+        addresses
+    }
+
+    /// Probes one lost node, remembered address or seed, so that the parts of a healed partition
+    /// find each other.
+    fn heal(&mut self, now: Timestamp) {
+        if now < self.timers.next_heal {
+            return;
+        }
+        let partitioned = self.reachable(now) < PARTITION_PERMILLE;
+        let interval = if partitioned {
+            PARTITION_HEAL_INTERVAL
+        } else {
+            HEAL_INTERVAL
+        };
+        self.timers.next_heal = now + interval;
+        let lost = self.peers.iter().filter(|(_, entry)| entry.may_return());
+        let mut addresses: Vec<SocketAddr> = lost.map(|(_, entry)| entry.record.peers).collect();
+        addresses.extend(self.memory.iter());
+        addresses.extend(&self.seeds);
+        let mut addresses = self.unclaimed_addresses(addresses);
+        if addresses.is_empty() {
+            return;
+        }
+        let index = self.random.below(addresses.len());
+        let address = addresses.swap_remove(index);
+        let subject = self
+            .peers
+            .iter()
+            .find(|(_, entry)| entry.may_return() && entry.record.peers == address)
+            .map(|(key, _)| key.clone());
+        self.effects
+            .push(MembershipEffect::Reconnect { to: address });
+        self.send_introduction(address, subject.as_ref(), now);
+    }
+
+    fn sync_next(&mut self, now: Timestamp) {
+        if now < self.timers.next_sync {
+            return;
+        }
+        if let Some(key) = self.pick_live(1, None).pop() {
+            self.start_sync(&key, now);
+        }
+    }
+
+    fn push_next(&mut self, now: Timestamp) {
+        if now < self.timers.next_push || self.outbox.is_empty() {
+            return;
+        }
+        self.timers.next_push = now + PUSH_INTERVAL;
+        self.push_rumors();
+    }
+
+    fn purge(&mut self, now: Timestamp) {
+        if now < self.timers.next_purge {
+            return;
+        }
+        self.timers.next_purge = now + PURGE_INTERVAL;
+        self.memory.expire(now);
+        let retention = self.settings.dead_retention;
+        let expired: Vec<NodeKey> = self
+            .peers
+            .iter()
+            .filter(|(_, entry)| !entry.is_live() && now.since(entry.since) >= retention)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in expired {
+            self.facts.remove(&key);
+            if let Some(entry) = self.peers.remove(&key)
+                && entry.may_return()
+            {
+                self.memory.note(entry.record.peers, now);
+            }
+        }
+    }
+}
--- a/crates/membership/src/tracker.rs
+++ b/crates/membership/src/tracker.rs
@@ -1,21 +1,77 @@
-//! The membership tracker.
+//! The membership tracker: state, merging of rumors and queries.
 
 use std::net::SocketAddr;
 
+use jaysaddle_types::decision::DecisionKind;
+use jaysaddle_types::decision::DecisionRecord;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::node::NodeRecord;
 use jaysaddle_types::node::NodeState;
+use jaysaddle_types::units::ByteCount;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
+use jaysaddle_wire::messages::WireRumor;
 
+use crate::budget::ByteBudget;
+use crate::claim::NodeClaim;
+use crate::contacts::AddressMemory;
+use crate::contacts::RecentContacts;
+use crate::convert::KnownRumor;
+use crate::convert::claim_to_wire;
+use crate::convert::fact_to_wire;
+use crate::convert::rumor_of;
 use crate::event::MembershipEffect;
 use crate::event::MembershipEvent;
+use crate::event::RumorBody;
+use crate::facts::FactRumor;
+use crate::facts::FactSlot;
+use crate::facts::FactTable;
+use crate::outbox::RumorOutbox;
+use crate::outbox::RumorSlot;
+use crate::peers::MergeOutcome;
+use crate::peers::PeerTable;
+use crate::probe::ProbeSchedule;
+use crate::random::SeededRandom;
 use crate::settings::MembershipSettings;
+use crate::sync::SyncView;
+use crate::timers::TimerTable;
+
+/// Bytes of rumors pushed per second beside probes, and the most at once. Half of the budget of
+/// 5 KB/s counts for sending, and probes and anti-entropy take about as much as this.
+const PUSH_RATE: ByteCount = ByteCount(1200);
+const PUSH_BURST: ByteCount = ByteCount(8192);
+
+/// Revision of a run's first claim; 0 would be mistaken for an unknown origin in digests.
+const FIRST_REVISION: u64 = 1;
+
+/// Added to all times, so that the death of a node can lie before this machine's start.
+const CLOCK_OFFSET: TimeSpan = TimeSpan::from_secs(24 * 3600);
 
 /// Tracks the nodes of the cluster and spreads rumors between them.
-#[derive(Debug)]
+///
+/// # Invariants
+///
+/// `peers` holds the own run, and every origin in `facts` is in `peers`.
+#[derive(Clone, Debug)]
 pub struct MembershipTracker {
-    own: NodeRecord,
+    pub(crate) settings: MembershipSettings,
+    pub(crate) own: NodeKey,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) random: SeededRandom,
+    pub(crate) peers: PeerTable,
+    pub(crate) facts: FactTable,
+    pub(crate) outbox: RumorOutbox,
+    pub(crate) schedule: ProbeSchedule,
+    pub(crate) contacts: RecentContacts,
+    pub(crate) memory: AddressMemory,
+    pub(crate) budget: ByteBudget,
+    pub(crate) timers: TimerTable,
+    pub(crate) effects: Vec<MembershipEffect>,
+    /// Sequence of the last published fact.
+    sequence: u64,
+    /// Whether this node has said farewell or was superseded; it takes no further part.
+    pub(crate) stopped: bool,
 }
 
 impl MembershipTracker {
@@ -26,40 +82,314 @@
         seeds: Vec<SocketAddr>,
         seed: u64,
     ) -> Self {
-        let _ = (settings, seeds, seed);
-        Self { own }
+        let mut peers = PeerTable::new(settings.dead_retention);
+        let claim = NodeClaim {
+            record: own.clone(),
+            revision: FIRST_REVISION,
+            state: NodeState::Alive,
+            accuser: None,
+            dead_for: TimeSpan(0),
+        };
+        peers.insert(&claim, Timestamp(0));
+        let mut outbox = RumorOutbox::default();
+        outbox.push(RumorSlot::Node(own.key.clone()), claim_to_wire(&claim));
+        Self {
+            settings,
+            own: own.key,
+            seeds,
+            random: SeededRandom::new(seed),
+            peers,
+            facts: FactTable::default(),
+            outbox,
+            schedule: ProbeSchedule::default(),
+            contacts: RecentContacts::default(),
+            memory: AddressMemory::default(),
+            budget: ByteBudget::new(PUSH_RATE, PUSH_BURST),
+            timers: TimerTable::default(),
+            effects: Vec::new(),
+            sequence: 0,
+            stopped: false,
+        }
     }
 
     /// Takes one event and returns what to do about it.
     pub fn step(&mut self, event: MembershipEvent, now: Timestamp) -> Vec<MembershipEffect> {
-        let _ = (event, now);
-        Vec::new()
+        if self.stopped {
+            return Vec::new();
+        }
+        let now = now + CLOCK_OFFSET;
+        match event {
+            MembershipEvent::Tick => self.tick(now),
+            MembershipEvent::Received(message) => self.receive(&message, now),
+            MembershipEvent::SendFailed(address) => self.schedule.fail_direct(address, now),
+            MembershipEvent::Publish(body) => self.publish(body),
+            MembershipEvent::Leave => self.leave(now),
+            MembershipEvent::Stop => self.stop(now),
+        }
+        std::mem::take(&mut self.effects)
     }
 
     /// All known nodes, the own one included.
     pub fn nodes(&self) -> impl Iterator<Item = (&NodeRecord, NodeState)> {
-        std::iter::once((&self.own, NodeState::Alive))
+        self.peers
+            .iter()
+            .map(|(_, entry)| (&entry.record, entry.state))
     }
 
     /// One run of a node.
     pub fn record(&self, key: &NodeKey) -> Option<(&NodeRecord, NodeState)> {
-        self.nodes().find(|(record, _)| record.key == *key)
+        let entry = self.peers.get(key)?;
+        Some((&entry.record, entry.state))
     }
 
     /// The latest run of a node.
     pub fn by_id(&self, id: &NodeId) -> Option<(&NodeRecord, NodeState)> {
-        self.nodes().find(|(record, _)| record.key.id == *id)
+        let entry = self.peers.latest(id)?;
+        Some((&entry.record, entry.state))
     }
 
     /// Share of known peers that answer this node, in thousandths; 1000 when alone.
+    ///
+    /// Peers that died without a farewell count as not answering until their records are removed.
+    /// The share among the live ones is estimated from the latest probes, because a round over all
+    /// peers takes minutes in a large cluster.
     pub fn reachable_permille(&self, now: Timestamp) -> u32 {
-        let _ = now;
-        1000
+        self.reachable(now + CLOCK_OFFSET)
+    }
+
+    /// As [`Self::reachable_permille`], in the tracker's own time.
+    pub(crate) fn reachable(&self, now: Timestamp) -> u32 {
+        let recent = |since| now.since(since) < self.settings.dead_retention;
+        let mut live = 0;
+        let mut lost = 0;
+        for (key, entry) in self.peers.iter() {
+            if *key != self.own && entry.is_live() {
+                live += 1;
+            } else if entry.may_return() && recent(entry.since) {
+                lost += 1;
+            }
+        }
+        let (answered, probed) = self.schedule.outcomes();
+        let (answered, probed) = if probed == 0 {
+            (1, 1)
+        } else {
+            (answered, probed)
+        };
+        let permille = (1000 * live * answered).checked_div((live + lost) * probed);
+        permille.map_or(1000, |permille| permille as u32)
     }
 
     /// The node run that took over the ledger of `key`.
     pub fn handover_of(&self, key: &NodeKey) -> Option<&NodeKey> {
-        let _ = key;
-        None
+        match self.facts.body(key, &FactSlot::Handover)? {
+            RumorBody::Handover(successor) => Some(successor),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn view(&self, now: Timestamp) -> SyncView<'_> {
+        SyncView {
+            peers: &self.peers,
+            facts: &self.facts,
+            now,
+        }
+    }
+
+    fn publish(&mut self, body: RumorBody) {
+        let slot = FactSlot::of(&body);
+        // An unchanged fact costs nothing: it is not sent again.
+        if self.facts.body(&self.own, &slot) == Some(&body) {
+            return;
+        }
+        self.sequence += 1;
+        let fact = FactRumor {
+            origin: self.own.clone(),
+            sequence: self.sequence,
+            body,
+        };
+        if self.facts.accept(&fact) {
+            self.queue_fact(&fact);
+        }
+    }
+
+    fn leave(&mut self, now: Timestamp) {
+        let leaving = self
+            .peers
+            .get(&self.own)
+            .is_some_and(|entry| entry.state == NodeState::Leaving);
+        if !leaving {
+            self.claim_own(NodeState::Leaving, 0, now);
+        }
+    }
+
+    fn stop(&mut self, now: Timestamp) {
+        self.claim_own(NodeState::Dead, 0, now);
+        self.send_farewell(now);
+        self.stopped = true;
+    }
+
+    /// Raises the own revision above `heard` and spreads the own state.
+    fn claim_own(&mut self, state: NodeState, heard: u64, now: Timestamp) {
+        let own = self.own.clone();
+        let Some(entry) = self.peers.get_mut(&own) else {
+            return;
+        };
+        entry.revision = entry.revision.max(heard) + 1;
+        entry.state = state;
+        entry.since = now;
+        self.queue_claim(&own, now);
+    }
+
+    /// Merges rumors; malformed ones are skipped. Returns how many were new. Bulk transfers are
+    /// not relayed, since others know them already.
+    pub(crate) fn apply(&mut self, rumors: &[WireRumor], relay: bool, now: Timestamp) -> usize {
+        let mut fresh = 0;
+        for rumor in rumors {
+            let new = match rumor_of(rumor) {
+                Ok(KnownRumor::Node(claim)) => self.apply_claim(&claim, relay, now),
+                Ok(KnownRumor::Fact(fact)) => self.apply_fact(fact, relay),
+                Err(error) => {
+                    let reason = format!("a rumor is malformed: {error}");
+                    self.decide(self.own.clone(), "skip", &reason);
+                    false
+                }
+            };
+            fresh += usize::from(new);
+        }
+        fresh
+    }
+
+    fn apply_claim(&mut self, claim: &NodeClaim, relay: bool, now: Timestamp) -> bool {
+        let key = &claim.record.key;
+        if *key == self.own {
+            self.answer_accusation(claim, now);
+            return false;
+        }
+        match self.peers.merge(claim, now) {
+            MergeOutcome::Known => false,
+            MergeOutcome::Disputed => {
+                self.schedule.dispute(key.clone(), &mut self.random);
+                false
+            }
+            MergeOutcome::Adopted { before, superseded } => {
+                self.note_adopted(key, before);
+                for old in superseded {
+                    self.note_superseded(&old);
+                }
+                if relay {
+                    self.queue_claim(key, now);
+                }
+                true
+            }
+        }
+    }
+
+    /// Refutes a claim that this run is suspect or dead, or any claim that it has not made.
+    fn answer_accusation(&mut self, claim: &NodeClaim, now: Timestamp) {
+        let Some(own) = self.peers.get(&self.own) else {
+            return;
+        };
+        if claim.rank() > own.rank() {
+            let state = own.state;
+            self.claim_own(state, claim.revision, now);
+        }
+    }
+
+    fn note_adopted(&mut self, key: &NodeKey, before: Option<NodeState>) {
+        let Some(entry) = self.peers.get(key) else {
+            return;
+        };
+        let state = entry.state;
+        let was_live = before.is_some_and(|state| state != NodeState::Dead);
+        if entry.is_live() && !was_live {
+            self.schedule.add_peer(key.clone(), &mut self.random);
+        }
+        if before != Some(state) {
+            let reason = match (state, entry.accuser.as_ref()) {
+                (NodeState::Dead, None) => "the node has stopped".to_owned(),
+                (_, None) => "claimed by the node".to_owned(),
+                (_, Some(accuser)) => format!("claimed by {}/{}", accuser.id, accuser.incarnation),
+            };
+            self.report(key, &reason);
+        }
+    }
+
+    pub(crate) fn note_superseded(&mut self, key: &NodeKey) {
+        self.report(key, "a later run of the node is known");
+        if *key == self.own {
+            self.stopped = true;
+        }
+    }
+
+    fn apply_fact(&mut self, fact: FactRumor, relay: bool) -> bool {
+        let known = self.peers.get(&fact.origin).is_some();
+        // A fact that overtakes its origin's first claim is fetched later by anti-entropy.
+        if fact.origin == self.own || !known || !self.facts.accept(&fact) {
+            return false;
+        }
+        if relay {
+            self.queue_fact(&fact);
+        }
+        self.effects.push(MembershipEffect::RumorReceived {
+            origin: fact.origin,
+            body: fact.body,
+        });
+        true
+    }
+
+    pub(crate) fn queue_claim(&mut self, key: &NodeKey, now: Timestamp) {
+        if let Some(entry) = self.peers.get(key) {
+            let wire = claim_to_wire(&entry.claim(now));
+            self.outbox.push(RumorSlot::Node(key.clone()), wire);
+        }
+    }
+
+    fn queue_fact(&mut self, fact: &FactRumor) {
+        let slot = RumorSlot::Fact(fact.origin.clone(), FactSlot::of(&fact.body));
+        let wire = fact_to_wire(&fact.origin, fact.sequence, &fact.body);
+        self.outbox.push(slot, wire);
+    }
+
+    /// Sets the state of a peer on this node's own evidence and spreads it.
+    pub(crate) fn accuse(&mut self, key: &NodeKey, state: NodeState, reason: &str, now: Timestamp) {
+        let accuser = self.own.clone();
+        let Some(entry) = self.peers.get_mut(key) else {
+            return;
+        };
+        entry.state = state;
+        entry.since = now;
+        entry.accuser = Some(accuser);
+        self.queue_claim(key, now);
+        self.report(key, reason);
+    }
+
+    /// Reports the state of a node as an effect and a log line.
+    fn report(&mut self, key: &NodeKey, reason: &str) {
+        let Some(entry) = self.peers.get(key) else {
+            return;
+        };
+        let state = entry.state;
+        let record = entry.record.clone();
+        self.effects
+            .push(MembershipEffect::NodeChanged { record, state });
+        let choice = match state {
+            NodeState::Alive => "alive",
+            NodeState::Suspect => "suspect",
+            NodeState::Leaving => "leaving",
+            NodeState::Dead => "dead",
+        };
+        self.decide(key.clone(), choice, reason);
+    }
+
+    fn decide(&mut self, subject: NodeKey, choice: &str, reason: &str) {
+        let revision = self.peers.get(&subject).map_or(0, |entry| entry.revision);
+        self.effects
+            .push(MembershipEffect::Decision(DecisionRecord {
+                kind: DecisionKind::Member,
+                subject: format!("{}/{}", subject.id, subject.incarnation).into(),
+                inputs: format!("revision={revision}").into(),
+                choice: choice.into(),
+                reason: reason.into(),
+            }));
     }
 }
--- /dev/null
+++ b/crates/membership/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of membership.
+
+mod network;
+mod protocol;
+mod random_runs;
--- /dev/null
+++ b/crates/membership/tests/all/protocol.rs
@@ -0,0 +1,227 @@
+//! Runs of chosen situations.
+
+use jaysaddle_membership::MembershipEvent;
+use jaysaddle_membership::RumorBody;
+use jaysaddle_types::node::NodeState;
+
+use crate::network::FakeNetwork;
+use crate::network::NetworkSettings;
+use crate::network::key;
+
+fn cluster(count: usize, seed: u64) -> FakeNetwork {
+    let settings = NetworkSettings {
+        seed,
+        ..NetworkSettings::default()
+    };
+    let mut network = FakeNetwork::with_nodes(settings, count);
+    let joined = network.run_until(60_000, |network| network.disagreement().is_none());
+    assert!(joined.is_some(), "{:?}", network.disagreement());
+    // Lets the rumors of the start run out.
+    network.run(20_000);
+    network
+}
+
+fn clear_changes(network: &mut FakeNetwork) {
+    for fake in &mut network.nodes {
+        fake.changes.clear();
+    }
+}
+
+fn changes_to(network: &FakeNetwork, subject: usize, state: NodeState) -> usize {
+    let subject = key(subject, 1);
+    let changes = network.nodes.iter().flat_map(|fake| &fake.changes);
+    changes
+        .filter(|(key, seen, _)| *key == subject && *seen == state)
+        .count()
+}
+
+/// Guards against a connection that has gone silent being taken for a dead peer.
+#[test]
+fn silent_connection_is_replaced_before_suspicion() {
+    let mut network = cluster(3, 11);
+    clear_changes(&mut network);
+    for peer in 0..3 {
+        network.silent.insert((peer, 2));
+    }
+    network.run(10_000);
+    assert!(network.nodes[0].reconnects > 0);
+    assert_eq!(changes_to(&network, 2, NodeState::Suspect), 0);
+}
+
+/// Guards against suspicion of a peer that only this node cannot reach.
+#[test]
+fn indirect_probe_saves_a_peer_with_a_broken_route() {
+    let mut network = cluster(5, 12);
+    clear_changes(&mut network);
+    network.cut.insert((0, 1));
+    network.cut.insert((1, 0));
+    network.run(30_000);
+    assert_eq!(changes_to(&network, 1, NodeState::Suspect), 0);
+    assert_eq!(changes_to(&network, 0, NodeState::Suspect), 0);
+}
+
+/// Guards against a killed node that stays in the view.
+#[test]
+fn killed_node_is_dead_everywhere_within_15_s() {
+    let mut network = cluster(20, 13);
+    network.kill(7);
+    let time = network.run_until(15_000, |network| network.disagreement().is_none());
+    assert!(time.is_some(), "{:?}", network.disagreement());
+}
+
+/// Guards against the death of a node that was paused for less than the suspicion time.
+#[test]
+fn paused_node_refutes_its_suspicion() {
+    let mut network = cluster(8, 14);
+    clear_changes(&mut network);
+    network.pause(3);
+    let suspected = network.run_until(30_000, |network| {
+        network.seen(0, 3) == Some(NodeState::Suspect)
+    });
+    assert!(suspected.is_some());
+    network.resume(3);
+    network.run(20_000);
+    assert_eq!(changes_to(&network, 3, NodeState::Dead), 0);
+    assert_eq!(network.disagreement(), None);
+}
+
+/// Guards against a node that wakes up after a pause and takes all others for dead.
+#[test]
+fn paused_node_declares_no_other_dead() {
+    let mut network = cluster(8, 15);
+    clear_changes(&mut network);
+    network.pause(3);
+    network.run(60_000);
+    network.resume(3);
+    network.run(20_000);
+    let declared = network.nodes[3].changes.iter();
+    let dead = declared.filter(|(_, state, _)| *state == NodeState::Dead);
+    assert_eq!(dead.count(), 0);
+    assert_eq!(network.disagreement(), None);
+}
+
+/// Guards against halves that forget each other, and against live nodes of one half that die in
+/// their own half when the halves meet again. An hour is the longest expected partition.
+#[test]
+fn halves_find_each_other_after_an_hour() {
+    let mut network = cluster(20, 16);
+    network.partition(|node| u32::from(node % 2 == 1));
+    network.run(3_600_000);
+    assert_eq!(network.seen(0, 1), None);
+    clear_changes(&mut network);
+    network.partition(|_| 0);
+    let time = network.run_until(120_000, |network| network.disagreement().is_none());
+    assert!(time.is_some(), "{:?}", network.disagreement());
+    for subject in 0..20 {
+        let subject_key = key(subject, 1);
+        for observer in (0..20).filter(|observer| observer % 2 == subject % 2) {
+            let changes = &network.nodes[observer].changes;
+            let died = changes
+                .iter()
+                .any(|(key, state, _)| *key == subject_key && *state == NodeState::Dead);
+            assert!(
+                !died,
+                "node {observer} took its own side's node {subject} for dead"
+            );
+        }
+    }
+}
+
+/// Guards against live nodes that die in their own half when the halves meet again soon, while
+/// the records of the deaths are still kept.
+#[test]
+fn halves_merge_without_deaths() {
+    let mut network = cluster(20, 17);
+    network.partition(|node| u32::from(node >= 10));
+    network.run(120_000);
+    assert_eq!(network.seen(0, 15), Some(NodeState::Dead));
+    assert!(network.nodes[0].tracker.reachable_permille(now(&network)) < 600);
+    clear_changes(&mut network);
+    network.partition(|_| 0);
+    let time = network.run_until(60_000, |network| network.disagreement().is_none());
+    assert!(time.is_some(), "{:?}", network.disagreement());
+    for subject in 0..20 {
+        assert_eq!(changes_to(&network, subject, NodeState::Dead), 0);
+    }
+}
+
+fn now(network: &FakeNetwork) -> jaysaddle_types::units::Timestamp {
+    jaysaddle_types::units::Timestamp(network.now)
+}
+
+/// Guards against a node that is cut off and does not notice, at a size where a round of probes
+/// takes long.
+#[test]
+fn cut_off_node_notices_within_20_s() {
+    let mut network = cluster(60, 18);
+    assert_eq!(
+        network.nodes[5].tracker.reachable_permille(now(&network)),
+        1000
+    );
+    network.partition(|node| u32::from(node == 5));
+    network.run(20_000);
+    assert!(network.nodes[5].tracker.reachable_permille(now(&network)) < 300);
+    assert!(network.nodes[6].tracker.reachable_permille(now(&network)) > 800);
+}
+
+/// Guards against messages of a superseded run, which may still be alive.
+#[test]
+fn old_run_does_not_return() {
+    let mut network = cluster(5, 19);
+    let zombie = network.nodes[4].tracker.clone();
+    network.kill(4);
+    network.restart(4);
+    network.run(20_000);
+    assert_eq!(network.disagreement(), None);
+    let mut zombie = zombie;
+    for _ in 0..100 {
+        let time = now(&network);
+        for effect in zombie.step(MembershipEvent::Tick, time) {
+            if let jaysaddle_membership::MembershipEffect::Send { message, .. } = effect {
+                network.step(0, MembershipEvent::Received(message));
+            }
+        }
+        network.run(100);
+    }
+    for observer in 0..4 {
+        let tracker = &network.nodes[observer].tracker;
+        let state = tracker.record(&key(4, 1)).map(|(_, state)| state);
+        assert_eq!(state, Some(NodeState::Dead));
+    }
+    assert_eq!(network.disagreement(), None);
+}
+
+/// Guards against a planned stop that is treated as a failure, and against a lost handover.
+#[test]
+fn leaving_node_hands_over_and_is_forgotten() {
+    let mut network = cluster(8, 20);
+    network.step(2, MembershipEvent::Leave);
+    network.run(5000);
+    for observer in 0..8 {
+        assert_eq!(network.seen(observer, 2), Some(NodeState::Leaving));
+    }
+    let handover = RumorBody::Handover(key(3, 1));
+    network.step(2, MembershipEvent::Publish(handover));
+    network.run(5000);
+    network.step(2, MembershipEvent::Stop);
+    network.run(100);
+    network.kill(2);
+    network.run(5000);
+    let late = network.add_node();
+    network.run(30_000);
+    for observer in [0, 3, late] {
+        let tracker = &network.nodes[observer].tracker;
+        assert_eq!(network.seen(observer, 2), Some(NodeState::Dead));
+        assert_eq!(tracker.handover_of(&key(2, 1)), Some(&key(3, 1)));
+        assert_eq!(tracker.reachable_permille(now(&network)), 1000);
+    }
+    // Records and facts of a run that is long dead are removed everywhere.
+    network.run(700_000);
+    for observer in [0, 3, late] {
+        assert_eq!(network.seen(observer, 2), None);
+        assert_eq!(
+            network.nodes[observer].tracker.handover_of(&key(2, 1)),
+            None
+        );
+    }
+}
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -95,6 +95,10 @@
     /// Piggybacked rumors.
     #[prost(message, repeated, tag = "3")]
     pub rumors: Vec<WireRumor>,
+    /// Node to forward the answer to, copied from the probe: its peer address. The node in the
+    /// middle of an indirect probe therefore keeps no state.
+    #[prost(string, optional, tag = "4")]
+    pub relay_to: Option<String>,
 }
 
 /// Request to probe a third node.
@@ -120,6 +124,16 @@
     /// Hash over all origins; equal hashes need no list.
     #[prost(fixed64, tag = "2")]
     pub digest: u64,
+    /// The sender's own state, for a peer that does not know it yet.
+    #[prost(message, repeated, tag = "3")]
+    pub rumors: Vec<WireRumor>,
+    /// Number of buckets that origins are divided into; 0 when `origins` names single origins that
+    /// the sender asks for.
+    #[prost(uint32, tag = "4")]
+    pub bucket_count: u32,
+    /// Buckets whose origins are all listed; the other buckets are equal.
+    #[prost(uint32, repeated, tag = "5")]
+    pub buckets: Vec<u32>,
 }
 
 /// Digest of one origin's rumors.
@@ -131,9 +145,13 @@
     /// Highest sequence known.
     #[prost(uint64, tag = "2")]
     pub sequence: u64,
-    /// Hash of the (slot, sequence) pairs known.
+    /// Hash of the (slot, sequence) pairs known, node states excluded.
     #[prost(fixed64, tag = "3")]
     pub digest: u64,
+    /// Rank of the node claim known about the origin: four times the revision plus the state; 0 when
+    /// the origin is not known.
+    #[prost(uint64, tag = "4")]
+    pub claim: u64,
 }
 
 /// Rumors that the asking node lacks.
@@ -148,12 +166,15 @@
     /// Set when the digests differ and the asking node is to send its full list.
     #[prost(bool, tag = "3")]
     pub need_origins: bool,
+    /// With `need_origins`: a hash per bucket of origins, so that only differing buckets are listed.
+    #[prost(fixed32, repeated, tag = "4")]
+    pub buckets: Vec<u32>,
 }
 
 /// A versioned fact of one origin. A later sequence replaces an earlier one in the same slot.
 #[derive(Clone, PartialEq, Message)]
 pub struct WireRumor {
-    /// Node run that the fact comes from.
+    /// Node run that the fact comes from; absent on a node's state that the node itself claims.
     #[prost(message, optional, tag = "1")]
     pub origin: Option<NodeRun>,
     /// Sequence, counted per origin over all slots.
@@ -208,6 +229,9 @@
     /// Region.
     #[prost(string, tag = "7")]
     pub region: String,
+    /// For a dead node, the milliseconds since its death, so that all nodes forget it together.
+    #[prost(uint64, tag = "8")]
+    pub dead_ms: u64,
 }
 
 /// Evidence about a VM.
