Add load and replay

Cause: the cost of the path and the outcomes of recorded traces have to be shown by commands that anyone can run. Change: load compares node and engine in alternating rounds; replay sends a trace, switches faults and checks stated outcomes; the store counts as down only after two seconds without any answer.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -34,8 +34,8 @@
     let format = settings.format;
     fern::Dispatch::new()
         .level(level)
-        // The HTTP library logs each accepted connection.
-        .level_for("tiny_http", LevelFilter::Warn)
+        // The HTTP library reports the end of each accept loop as an error; `listener` meets it.
+        .level_for("tiny_http", LevelFilter::Off)
         .format(move |out, message, record| match format {
             LogFormat::Text => out.finish(format_args!(
                 "ts={} level={} node={node} target={} {message}",
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -36,6 +36,7 @@
 use jaysaddle_types::decision::DecisionRecord;
 use jaysaddle_types::engine::EngineReport;
 use jaysaddle_types::evidence::AccountUsage;
+use jaysaddle_types::ids::CallId;
 use jaysaddle_types::ids::DocumentName;
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::LeaseEpoch;
@@ -47,6 +48,7 @@
 use jaysaddle_types::node::NodeState;
 use jaysaddle_types::placement::PlacementDocument;
 use jaysaddle_types::store::ObjectKind;
+use jaysaddle_types::store::StoreOutcome;
 use jaysaddle_types::store::StoredObject;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -78,6 +80,9 @@
 /// Time until another request for the same document.
 const PEER_FETCH_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 
+/// Time without any answer after which the store counts as down. A single failed call is no outage.
+const STORE_GRACE: TimeSpan = TimeSpan::from_secs(2);
+
 /// Settings of the control lane.
 #[derive(Clone, Debug, Default)]
 pub struct ControlSettings {
@@ -118,6 +123,8 @@
     /// Reports read by this node, with the time of their arrival.
     pub(crate) reports: BTreeMap<VmId, (EngineReport, Timestamp)>,
     pub(crate) store_reachable: bool,
+    /// When the store last answered.
+    store_seen: Timestamp,
     pub(crate) stopping: bool,
     wanted: BTreeMap<DocumentName, WantedDocument>,
     health_probes: BTreeSet<VmId>,
@@ -156,6 +163,7 @@
             peer_usage: BTreeMap::new(),
             reports: BTreeMap::new(),
             store_reachable: true,
+            store_seen: Timestamp::default(),
             stopping: false,
             wanted: BTreeMap::new(),
             health_probes: BTreeSet::new(),
@@ -180,32 +188,17 @@
                 self.objects_changed(kind, objects, now, &mut effects);
             }
             ControlEvent::StoreReachable(reachable) => {
-                self.store_answered(reachable, &mut effects);
+                self.store_answered(reachable, now, &mut effects);
             }
             ControlEvent::CallAnswered {
                 caller,
                 call,
                 outcome,
-            } => match caller {
-                StoreCaller::Lease => {
-                    self.lease_step(
-                        LeaseEvent::CallAnswered { call, outcome },
-                        now,
-                        &mut effects,
-                    );
-                }
-                StoreCaller::Placement => {
-                    self.shard_step(
-                        ShardEvent::CallAnswered { call, outcome },
-                        now,
-                        &mut effects,
-                    );
-                }
-                StoreCaller::Operator => {
-                    let answers = self.operators.answered(call, outcome);
-                    self.apply_operator_effects(answers, now, &mut effects);
-                }
-            },
+            } => {
+                let failed = matches!(outcome, StoreOutcome::Unavailable | StoreOutcome::Unknown);
+                self.store_answered(!failed, now, &mut effects);
+                self.call_answered(caller, call, outcome, now, &mut effects);
+            }
             ControlEvent::VmsListed(list) => {
                 self.health_step(HealthEvent::Listed(list), now, &mut effects);
             }
@@ -333,8 +326,17 @@
         }
     }
 
-    fn store_answered(&mut self, reachable: bool, effects: &mut Vec<ControlEffect>) {
-        if self.store_reachable == reachable {
+    fn store_answered(
+        &mut self,
+        reachable: bool,
+        now: Timestamp,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        if reachable {
+            self.store_seen = now;
+        }
+        let silent = !reachable && now.since(self.store_seen) >= STORE_GRACE;
+        if self.store_reachable != silent {
             return;
         }
         self.store_reachable = reachable;
@@ -389,6 +391,28 @@
         self.view_changed = true;
     }
 
+    fn call_answered(
+        &mut self,
+        caller: StoreCaller,
+        call: CallId,
+        outcome: StoreOutcome,
+        now: Timestamp,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        match caller {
+            StoreCaller::Lease => {
+                self.lease_step(LeaseEvent::CallAnswered { call, outcome }, now, effects);
+            }
+            StoreCaller::Placement => {
+                self.shard_step(ShardEvent::CallAnswered { call, outcome }, now, effects);
+            }
+            StoreCaller::Operator => {
+                let answers = self.operators.answered(call, outcome);
+                self.apply_operator_effects(answers, now, effects);
+            }
+        }
+    }
+
     fn usage_measured(
         &mut self,
         usage: Vec<AccountUsage>,
@@ -411,7 +435,7 @@
         now: Timestamp,
         effects: &mut Vec<ControlEffect>,
     ) {
-        self.store_answered(true, effects);
+        self.store_answered(true, now, effects);
         for object in objects {
             match kind {
                 ObjectKind::Config => self.offer_document(
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -5,6 +5,8 @@
 pub mod drain;
 pub mod explain;
 pub mod get;
+pub mod load;
+pub mod replay;
 pub mod settings;
 pub mod watch;
 
@@ -40,6 +42,12 @@
     /// Gives a drained VM work again
     #[bpaf(command)]
     Undrain(#[bpaf(external(drain::drain_options))] drain::DrainOptions),
+    /// Puts load on a node and on an engine directly, and compares them
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::load_options))] load::LoadOptions),
+    /// Replays a recorded trace and checks its stated outcomes
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::replay_options))] replay::ReplayOptions),
     /// Prints decisions as they are made
     #[bpaf(command)]
     Watch(#[bpaf(external(watch::watch_options))] watch::WatchOptions),
@@ -59,6 +67,8 @@
         ToolCommand::Explain(options) => explain::run(options),
         ToolCommand::Drain(options) => drain::run(options, true),
         ToolCommand::Undrain(options) => drain::run(options, false),
+        ToolCommand::Load(options) => load::run(options),
+        ToolCommand::Replay(options) => replay::run(options),
         ToolCommand::Watch(options) => watch::run(options),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod commands;
 pub mod exit;
 pub mod table;
+pub mod trace;
--- a/tests/all/deployment.rs
+++ b/tests/all/deployment.rs
@@ -563,7 +563,9 @@
         for (name, value) in headers {
             request = request.with_header(*name, *value);
         }
-        request.send().map(|response| TestAnswer::from_response(&response))
+        request
+            .send()
+            .map(|response| TestAnswer::from_response(&response))
     }
 
     /// Asks for a completion as `lender-a`.
@@ -590,7 +592,10 @@
     /// The home token that a node gives out now.
     pub fn home_token(&self, node: usize) -> String {
         let answer = self.discover(node).expect("discovery answers");
-        answer.json["home"].as_str().expect("there is a home token").to_owned()
+        answer.json["home"]
+            .as_str()
+            .expect("there is a home token")
+            .to_owned()
     }
 
     /// Groups in `state` as a node sees them.
@@ -625,7 +630,11 @@
             (0..this.nodes.len()).all(|node| {
                 let groups = this.groups_in_state(node, "ready");
                 groups.len() >= count
-                    && groups.iter().filter(|group| this.is_confirmed(group)).count() >= count
+                    && groups
+                        .iter()
+                        .filter(|group| this.is_confirmed(group))
+                        .count()
+                        >= count
             })
         });
     }
--- a/tests/all/serving.rs
+++ b/tests/all/serving.rs
@@ -13,9 +13,14 @@
     let deployment = Deployment::start_ready(DeploymentSettings::default());
     for node in 0..deployment.nodes.len() {
         let prompt = format!("remind borrower {node}");
-        let answer = deployment.complete(node, &prompt, 12, &[]).expect("the node answers");
+        let answer = deployment
+            .complete(node, &prompt, 12, &[])
+            .expect("the node answers");
         assert_eq!(answer.status, 200, "{}", answer.text);
-        assert_eq!(answer.completion_text(), expected_text(&ModelId::new("reminder"), &prompt, 12));
+        assert_eq!(
+            answer.completion_text(),
+            expected_text(&ModelId::new("reminder"), &prompt, 12)
+        );
         assert_eq!(answer.json["usage"]["completion_tokens"], 12);
     }
 }
@@ -46,5 +51,8 @@
         .filter_map(|event| serde_json::from_str::<serde_json::Value>(event).ok())
         .filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
         .collect();
-    assert_eq!(text, expected_text(&ModelId::new("reminder"), "summarise the call", 20));
+    assert_eq!(
+        text,
+        expected_text(&ModelId::new("reminder"), "summarise the call", 20)
+    );
 }
