Test the lease table under lost answers, outages and pauses

Cause: two holders of one shard, or none, come from combinations of lost answers, late writes, pauses, outages and clocks of different rates. Change: seeded runs of four tables with clock rates 0.95 to 1.05 over a fake store (late writes after an unknown outcome, outages, 3 s delays, pauses, one killed node); tests of single answers and rules.

--- /dev/null
+++ b/crates/lease/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the lease table.
+
+mod answers;
+mod cluster;
+mod rules;
+mod runs;
