--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,9 +1,17 @@
 //! At-most-once request ledger.
 
+mod claims;
+mod coverage;
+mod handover;
+mod home;
 pub mod ledger;
 pub mod query;
+mod refusal;
+mod remote;
 pub mod settings;
 pub mod snapshot;
+mod table;
+mod waiters;
 
 pub use ledger::HomePlace;
 pub use ledger::RequestLedger;
