Plan placements: repairs, rollouts, stragglers and the stranded bound

Serving groups drain before they change. Passes repeat on the plan's own output until nothing changes, and a VM that moved is claimed only after its old document is stored without it.

--- /dev/null
+++ b/crates/placement/src/bound.rs
@@ -0,0 +1,143 @@
+//! Stranded accelerators and their lower bound.
+
+use std::collections::BTreeMap;
+
+use jaysaddle_types::view::VmState;
+
+use crate::work::GroupFate;
+use crate::work::PlannerWork;
+
+/// Accelerators of healthy VMs that are in no whole group of the wanted size under the plan.
+///
+/// A group that is to be dissolved no longer counts as whole.
+pub(crate) fn stranded(work: &PlannerWork<'_>) -> u32 {
+    let mut placed = vec![false; work.vms.len()];
+    for group in 0..work.groups.len() {
+        for vm in whole_members(work, group) {
+            placed[vm] = true;
+        }
+    }
+    let idle = work
+        .vms
+        .iter()
+        .zip(&placed)
+        .filter(|(vm, placed)| vm.state == VmState::Live && !**placed);
+    idle.map(|(vm, _)| vm.accelerators).sum()
+}
+
+/// Members of the group if it is whole and of the wanted size.
+fn whole_members(work: &PlannerWork<'_>, group: usize) -> Vec<usize> {
+    let entry = &work.groups[group];
+    let size = entry.model.map(|model| work.demand.models[model].size);
+    let members: Vec<usize> = match &entry.fate {
+        GroupFate::Change(members) => members.clone(),
+        GroupFate::Keep | GroupFate::Drain => entry.kept().collect(),
+        GroupFate::Broken | GroupFate::Retire | GroupFate::Dissolve => return Vec::new(),
+    };
+    if size == Some(members.len()) {
+        members
+    } else {
+        Vec::new()
+    }
+}
+
+/// Least number of stranded accelerators that the inventory and the rules allow.
+///
+/// Per fabric domain, the most VMs that whole groups can cover is found over the group sizes, with
+/// at most the wanted number of groups of each model, and at most as many as the VMs that may host
+/// the model allow. Those VMs are taken to be the ones with the most accelerators. The sum over all
+/// domains is also at least what the wanted groups of the whole fleet leave over.
+///
+/// The bound is exact when every VM may host every model and has as many accelerators as the
+/// others, and either the wanted groups do not limit the fleet or all groups have one size.
+/// Otherwise it may be too low, never too high: a VM that two models compete for is counted for
+/// both, and one wanted group may be counted in several domains.
+pub(crate) fn stranded_bound(work: &PlannerWork<'_>) -> u32 {
+    let limits = group_limits(work);
+    let mut by_domain: Vec<Vec<usize>> = vec![Vec::new(); work.domains.len()];
+    for vm in 0..work.vms.len() {
+        if may_be_covered(work, vm) {
+            by_domain[work.vm_domain[vm]].push(vm);
+        }
+    }
+    let domains: u32 = by_domain
+        .iter()
+        .map(|vms| uncovered(work, vms, most_covered(work, vms, &limits)))
+        .sum();
+    let everything: Vec<usize> = by_domain.concat();
+    let wanted = limits
+        .iter()
+        .zip(&work.demand.models)
+        .map(|(limit, model)| limit * model.size);
+    domains.max(uncovered(work, &everything, wanted.sum()))
+}
+
+/// Groups of each model that may exist: those wanted, or for the time of a rollout those kept.
+fn group_limits(work: &PlannerWork<'_>) -> Vec<usize> {
+    let mut kept = vec![0; work.demand.models.len()];
+    for group in 0..work.groups.len() {
+        if let (Some(model), false) = (
+            work.groups[group].model,
+            whole_members(work, group).is_empty(),
+        ) {
+            kept[model] += 1;
+        }
+    }
+    let wanted = work.demand.models.iter().map(|model| model.wanted);
+    wanted
+        .zip(kept)
+        .map(|(wanted, kept)| wanted.max(kept))
+        .collect()
+}
+
+/// Whether the VM can be a member of a whole group, also one that is not placed anew.
+fn may_be_covered(work: &PlannerWork<'_>, vm: usize) -> bool {
+    match work.vms[vm].state {
+        VmState::Live | VmState::Unknown | VmState::Straggler => true,
+        VmState::Suspect => !work.input.overdue.contains(&work.vms[vm].vm),
+        VmState::Dead | VmState::Leaving | VmState::Returning => false,
+    }
+}
+
+/// Most VMs of a domain that whole groups can cover.
+fn most_covered(work: &PlannerWork<'_>, vms: &[usize], limits: &[usize]) -> usize {
+    let mut counts: BTreeMap<usize, usize> = BTreeMap::new();
+    for (model, limit) in limits.iter().enumerate() {
+        let size = work.demand.models[model].size;
+        let hosts = vms
+            .iter()
+            .filter(|vm| work.hosts[**vm].contains(&model))
+            .count();
+        *counts.entry(size).or_default() += (*limit).min(hosts / size);
+    }
+    // used[n] is the least number of groups of the present size with which n VMs are covered.
+    let mut reachable = vec![false; vms.len() + 1];
+    reachable[0] = true;
+    for (size, count) in counts {
+        let mut used = vec![usize::MAX; vms.len() + 1];
+        for covered in 0..=vms.len() {
+            if reachable[covered] {
+                used[covered] = 0;
+            } else if covered >= size && used[covered - size] < count {
+                used[covered] = used[covered - size] + 1;
+                reachable[covered] = true;
+            }
+        }
+    }
+    reachable
+        .iter()
+        .rposition(|reachable| *reachable)
+        .unwrap_or(0)
+}
+
+/// Healthy accelerators among `vms` that remain when the `count` VMs with the most are covered.
+fn uncovered(work: &PlannerWork<'_>, vms: &[usize], count: usize) -> u32 {
+    let mut accelerators: Vec<u32> = vms.iter().map(|vm| work.vms[*vm].accelerators).collect();
+    accelerators.sort_unstable_by(|a, b| b.cmp(a));
+    let covered: u32 = accelerators.iter().take(count).sum();
+    let healthy = vms
+        .iter()
+        .filter(|vm| work.vms[**vm].state == VmState::Live);
+    let healthy: u32 = healthy.map(|vm| work.vms[*vm].accelerators).sum();
+    healthy.saturating_sub(covered)
+}
--- /dev/null
+++ b/crates/placement/src/build.rs
@@ -0,0 +1,221 @@
+//! Building the working state from the planner's input.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::placement::GroupRecord;
+use jaysaddle_types::placement::PlacementDocument;
+use jaysaddle_types::view::VmState;
+
+use crate::demand::FleetDemand;
+use crate::plan::PlannerInput;
+use crate::work::GroupFate;
+use crate::work::MemberLoss;
+use crate::work::PlannerWork;
+use crate::work::WorkDomain;
+use crate::work::WorkGroup;
+use crate::work::WorkMember;
+
+impl<'a> PlannerWork<'a> {
+    /// Builds the state from the input. `stored` are the documents in the store, which the input
+    /// of a later pass is ahead of.
+    pub fn new(
+        input: &'a PlannerInput,
+        stored: &BTreeMap<FabricDomainId, PlacementDocument>,
+    ) -> Self {
+        let demand = FleetDemand::new(&input.rules);
+        let mut index: BTreeMap<&FabricDomainId, usize> = BTreeMap::new();
+        index.extend(input.placements.keys().map(|id| (id, 0)));
+        index.extend(input.vms.iter().map(|vm| (&vm.fabric_domain, 0)));
+        let mut domains = Vec::with_capacity(index.len());
+        for (id, position) in &mut index {
+            *position = domains.len();
+            domains.push(WorkDomain {
+                id,
+                failure_domain: None,
+                free: Vec::new(),
+                groups: Vec::new(),
+            });
+        }
+        let vm_domain: Vec<usize> = input
+            .vms
+            .iter()
+            .map(|vm| index[&vm.fabric_domain])
+            .collect();
+        for (vm, domain) in input.vms.iter().zip(&vm_domain) {
+            domains[*domain].failure_domain = Some(&vm.failure_domain);
+        }
+        let hosts = input
+            .vms
+            .iter()
+            .map(|vm| {
+                vm.can_host
+                    .iter()
+                    .filter_map(|model| demand.index(model))
+                    .collect()
+            })
+            .collect();
+        let models = demand.models.len();
+        let mut work = Self {
+            input,
+            demand,
+            vms: &input.vms,
+            hosts,
+            vm_domain,
+            domains,
+            groups: Vec::new(),
+            good: vec![0; models],
+            old: vec![0; models],
+            promised: vec![0; models],
+        };
+        let mut owners = work.add_groups();
+        work.claim_stored(stored, &mut owners);
+        work.fill_free(&owners);
+        work
+    }
+
+    /// Adds the stored groups and returns each VM's owner.
+    fn add_groups(&mut self) -> Vec<Option<usize>> {
+        let input = self.input;
+        let numbers: HashMap<&VmId, usize> = input
+            .vms
+            .iter()
+            .enumerate()
+            .map(|(number, vm)| (&vm.vm, number))
+            .collect();
+        let mut owners: Vec<Option<usize>> = vec![None; input.vms.len()];
+        let mut claims: Vec<(usize, &'a GroupRecord)> = Vec::new();
+        for domain in 0..self.domains.len() {
+            let document = input.placements.get(self.domains[domain].id);
+            claims.extend(
+                document
+                    .iter()
+                    .flat_map(|document| &document.groups)
+                    .map(|group| (domain, group)),
+            );
+        }
+        // The document of the VM's own fabric domain has the first claim, so that a VM in two
+        // documents is given up by the other one.
+        for (number, (domain, record)) in claims.iter().enumerate() {
+            for vm in record.members.iter().filter_map(|vm| numbers.get(vm)) {
+                if self.vm_domain[*vm] == *domain && owners[*vm].is_none() {
+                    owners[*vm] = Some(number);
+                }
+            }
+        }
+        for (number, (domain, record)) in claims.into_iter().enumerate() {
+            let model = self.demand.index(&record.model);
+            let members: Vec<WorkMember> = record
+                .members
+                .iter()
+                .map(|vm| {
+                    let vm = numbers.get(vm).copied();
+                    let foreign = vm.is_some_and(|vm| owners[vm] != Some(number));
+                    WorkMember {
+                        vm,
+                        loss: if foreign {
+                            Some(MemberLoss::Moved)
+                        } else {
+                            self.loss(vm, model)
+                        },
+                    }
+                })
+                .collect();
+            for vm in members.iter().filter_map(|member| member.vm) {
+                // A VM that moved is not free in its new domain while its old document has it.
+                owners[vm].get_or_insert(number);
+            }
+            self.push_group(domain, record, model, members);
+        }
+        owners
+    }
+
+    /// Keeps VMs that another domain's stored document has from being free: until that document is
+    /// stored without them, a document that claims them could be stored first.
+    fn claim_stored(
+        &self,
+        stored: &BTreeMap<FabricDomainId, PlacementDocument>,
+        owners: &mut [Option<usize>],
+    ) {
+        let mut foreign: BTreeMap<&VmId, &FabricDomainId> = BTreeMap::new();
+        for document in stored.values() {
+            let members = document.groups.iter().flat_map(|group| &group.members);
+            foreign.extend(members.map(|vm| (vm, &document.fabric_domain)));
+        }
+        for (vm, owner) in self.vms.iter().zip(owners) {
+            if foreign
+                .get(&vm.vm)
+                .is_some_and(|domain| **domain != vm.fabric_domain)
+            {
+                owner.get_or_insert(usize::MAX);
+            }
+        }
+    }
+
+    fn push_group(
+        &mut self,
+        domain: usize,
+        record: &'a GroupRecord,
+        model: Option<usize>,
+        members: Vec<WorkMember>,
+    ) {
+        let current = model.is_some_and(|model| {
+            let demand = &self.demand.models[model];
+            demand.rule.version == record.version && demand.size == record.members.len()
+        });
+        let whole = members.iter().all(|member| member.loss.is_none());
+        if let (Some(model), true) = (model, whole) {
+            let count = if current {
+                &mut self.good
+            } else {
+                &mut self.old
+            };
+            count[model] += 1;
+        }
+        self.domains[domain].groups.push(self.groups.len());
+        self.groups.push(WorkGroup {
+            domain,
+            stored: Some(record),
+            model,
+            current,
+            members,
+            fate: if whole {
+                GroupFate::Keep
+            } else {
+                GroupFate::Broken
+            },
+            reason: CompactString::default(),
+            promised: false,
+        });
+    }
+
+    fn loss(&self, vm: Option<usize>, model: Option<usize>) -> Option<MemberLoss> {
+        let Some(vm) = vm else {
+            return Some(MemberLoss::Withdrawn);
+        };
+        match self.vms[vm].state {
+            VmState::Dead | VmState::Returning => return Some(MemberLoss::Failed),
+            VmState::Suspect if self.input.overdue.contains(&self.vms[vm].vm) => {
+                return Some(MemberLoss::Failed);
+            }
+            VmState::Leaving => return Some(MemberLoss::Withdrawn),
+            _ => {}
+        }
+        let hosted = model.is_none_or(|model| self.hosts[vm].contains(&model));
+        (!hosted).then_some(MemberLoss::Withdrawn)
+    }
+
+    fn fill_free(&mut self, owners: &[Option<usize>]) {
+        for (vm, owner) in owners.iter().enumerate() {
+            if owner.is_none() && self.vms[vm].state.may_be_placed() {
+                self.domains[self.vm_domain[vm]].free.push(vm);
+            }
+        }
+        for domain in 0..self.domains.len() {
+            self.sort_free(domain);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/fill.rs
@@ -0,0 +1,379 @@
+//! Filling wants: repairs groups and forms new ones until no model can get another group.
+
+use compact_str::format_compact;
+
+use crate::work::GroupFate;
+use crate::work::MemberLoss;
+use crate::work::PlannerWork;
+
+/// Least improvement, in units of the weights' sum, for which VMs are taken from a serving group.
+/// Two groups load anew then, so a change that gains less is not worth it.
+const PREEMPT_MARGIN: f64 = 0.25;
+
+/// Gives groups to the models that are short, the most urgent model first.
+///
+/// Each step takes the first of these options that is possible: spares of the same fabric domain
+/// complete a broken group; free VMs form a new group; broken groups are dissolved for one whole
+/// group; a group whose loss costs less gives up its VMs.
+pub(crate) fn fill_wants(work: &mut PlannerWork<'_>) {
+    fill_without_loss(work);
+    let mut tried = vec![false; work.demand.models.len()];
+    while let Some(model) = most_urgent(work, &tried, true) {
+        if wait_for_drains(work, model) || take_from_serving(work, model) {
+            fill_without_loss(work);
+        } else {
+            tried[model] = true;
+        }
+    }
+}
+
+/// Notes a group that a later plan forms when `draining` groups of the domain have drained. The VMs
+/// that are free already are reserved for it.
+fn promise(work: &mut PlannerWork<'_>, domain: usize, model: usize, draining: &[usize]) {
+    for group in draining {
+        work.groups[*group].promised = true;
+    }
+    work.promised[model] += 1;
+    let size = work.demand.models[model].size;
+    let free = work.free_count(domain, model).min(size);
+    work.take_free(domain, model, free);
+}
+
+/// Promises the model a group of VMs that come free anyway, when groups have drained.
+fn wait_for_drains(work: &mut PlannerWork<'_>, model: usize) -> bool {
+    let size = work.demand.models[model].size;
+    for domain in 0..work.domains.len() {
+        let mut available = work.free_count(domain, model);
+        let mut draining = Vec::new();
+        for group in &work.domains[domain].groups {
+            let entry = &work.groups[*group];
+            if available < size && entry.fate == GroupFate::Retire && !entry.promised {
+                available += usable_of(work, *group, model);
+                draining.push(*group);
+            }
+        }
+        if available >= size {
+            promise(work, domain, model, &draining);
+            return true;
+        }
+    }
+    false
+}
+
+fn fill_without_loss(work: &mut PlannerWork<'_>) {
+    let mut tried = vec![false; work.demand.models.len()];
+    while let Some(model) = most_urgent(work, &tried, false) {
+        if repair_from_spares(work, model) || form_from_free(work, model) {
+            continue;
+        }
+        let rollout_only = work.good[model] + work.old[model] >= work.demand.models[model].wanted;
+        if !rollout_only && merge_broken(work, model) {
+            // VMs that the dissolved groups leave over may suffice for a smaller model.
+            tried.fill(false);
+        } else {
+            tried[model] = true;
+        }
+    }
+}
+
+/// The model that is to get the next group. With `unserved`, groups of an outdated version count
+/// as there, because a rollout alone takes no VMs from others.
+fn most_urgent(work: &PlannerWork<'_>, tried: &[bool], unserved: bool) -> Option<usize> {
+    let up = |model: usize| work.good[model] + work.old[model] + work.promised[model];
+    (0..tried.len())
+        .filter(|model| !tried[*model])
+        .filter(|model| {
+            let there = if unserved {
+                up(*model)
+            } else {
+                work.good[*model] + work.promised[*model]
+            };
+            there < work.demand.models[*model].wanted
+        })
+        .min_by(|a, b| work.demand.compare((*a, up(*a)), (*b, up(*b))))
+}
+
+/// Broken groups of a model that keep their id when they are completed, the cheapest first.
+fn repairable(work: &PlannerWork<'_>, model: usize) -> Vec<usize> {
+    let size = work.demand.models[model].size;
+    let mut groups: Vec<usize> = (0..work.groups.len())
+        .filter(|group| {
+            let group = &work.groups[*group];
+            group.fate == GroupFate::Broken
+                && group.model == Some(model)
+                && group.members.len() == size
+                && group.lost() < size
+        })
+        .collect();
+    groups.sort_by_key(|group| work.groups[*group].lost());
+    groups
+}
+
+fn repair_from_spares(work: &mut PlannerWork<'_>, model: usize) -> bool {
+    for group in repairable(work, model) {
+        let domain = work.groups[group].domain;
+        let lost = work.groups[group].lost();
+        if let Some(spares) = work.take_free(domain, model, lost) {
+            complete(work, group, model, spares);
+            return true;
+        }
+    }
+    false
+}
+
+fn complete(work: &mut PlannerWork<'_>, group: usize, model: usize, spares: Vec<usize>) {
+    let names: Vec<&str> = spares.iter().map(|vm| work.vms[*vm].vm.as_str()).collect();
+    let names = names.join(" ");
+    let losses = work.losses(group);
+    work.groups[group].reason =
+        format_compact!("lost {losses}; replaced from the same fabric domain by {names}");
+    let (more, slow) = work.replace_slow(group, model);
+    let spares = [spares, more].concat();
+    work.rebuild(group, model, spares, &slow);
+}
+
+/// Groups of the model in the failure domain of `domain`, for the spread.
+fn neighbours(work: &PlannerWork<'_>, domain: usize, model: usize) -> usize {
+    let failure_domain = work.domains[domain].failure_domain;
+    let same = work
+        .domains
+        .iter()
+        .filter(|other| other.failure_domain == failure_domain);
+    same.flat_map(|other| &other.groups)
+        .filter(|group| work.groups[**group].model == Some(model))
+        .filter(|group| {
+            !matches!(
+                work.groups[**group].fate,
+                GroupFate::Broken | GroupFate::Retire | GroupFate::Dissolve
+            )
+        })
+        .count()
+}
+
+/// The fabric domain for a new group: the failure domain with the fewest groups of the model, then
+/// the domain that has the fewest VMs left over.
+fn best_domain(
+    work: &PlannerWork<'_>,
+    model: usize,
+    available: impl Fn(usize) -> usize,
+) -> Option<usize> {
+    let size = work.demand.models[model].size;
+    (0..work.domains.len())
+        .filter_map(|domain| Some((domain, available(domain).checked_sub(size)?)))
+        .min_by_key(|(domain, left)| (neighbours(work, *domain, model), *left, *domain))
+        .map(|(domain, _)| domain)
+}
+
+fn form_from_free(work: &mut PlannerWork<'_>, model: usize) -> bool {
+    let Some(domain) = best_domain(work, model, |domain| work.free_count(domain, model)) else {
+        return false;
+    };
+    form(work, domain, model)
+}
+
+fn form(work: &mut PlannerWork<'_>, domain: usize, model: usize) -> bool {
+    let rule = work.demand.models[model].rule;
+    let size = work.demand.models[model].size;
+    let Some(members) = work.take_free(domain, model, size) else {
+        return false;
+    };
+    let up = work.good[model] + work.old[model];
+    let reason = format_compact!(
+        "model {} has {up} of {} groups; formed of {size} free VMs",
+        rule.name,
+        rule.groups
+    );
+    work.form(domain, model, members, reason);
+    true
+}
+
+/// Broken groups of a domain: those that may be dissolved at once first, then the least urgent.
+fn donors(work: &PlannerWork<'_>, domain: usize) -> Vec<usize> {
+    let mut donors: Vec<usize> = work.domains[domain]
+        .groups
+        .iter()
+        .copied()
+        .filter(|group| work.groups[*group].fate == GroupFate::Broken)
+        .collect();
+    let up = |model: usize| (model, work.good[model] + work.old[model]);
+    donors.sort_by(|a, b| {
+        let at_once = work.changeable(*b).cmp(&work.changeable(*a));
+        let (a, b) = (&work.groups[*a], &work.groups[*b]);
+        let urgency = match (a.model, b.model) {
+            (Some(a), Some(b)) => work.demand.compare(up(b), up(a)),
+            (a, b) => a.cmp(&b),
+        };
+        at_once.then(urgency).then(b.lost().cmp(&a.lost()))
+    });
+    donors
+}
+
+fn usable_of(work: &PlannerWork<'_>, group: usize, model: usize) -> usize {
+    work.members(group)
+        .into_iter()
+        .filter(|vm| work.vms[*vm].state.may_be_placed() && work.hosts[*vm].contains(&model))
+        .count()
+}
+
+/// Dissolves broken groups of one fabric domain, so that their VMs complete or form one group.
+fn merge_broken(work: &mut PlannerWork<'_>, model: usize) -> bool {
+    let available = |domain: usize| {
+        let spare = work.free_count(domain, model);
+        let broken = donors(work, domain).into_iter();
+        spare
+            + broken
+                .map(|group| usable_of(work, group, model))
+                .sum::<usize>()
+    };
+    let Some(domain) = best_domain(work, model, available) else {
+        return false;
+    };
+    let base = repairable(work, model)
+        .into_iter()
+        .find(|group| work.groups[*group].domain == domain);
+    let needed = match base {
+        Some(group) => work.groups[group].lost(),
+        None => work.demand.models[model].size,
+    };
+    let mut available = work.free_count(domain, model);
+    let mut given = Vec::new();
+    for donor in donors(work, domain) {
+        let usable = usable_of(work, donor, model);
+        if available < needed && Some(donor) != base && usable > 0 {
+            available += usable;
+            given.push(donor);
+        }
+    }
+    let name = &work.demand.models[model].rule.name;
+    let reason = format_compact!(
+        "lost members without a replacement; dissolved so that its VMs serve a group of model {name}"
+    );
+    if !work.retire_all(&given, &reason) {
+        promise(work, domain, model, &given);
+        return true;
+    }
+    match base {
+        Some(group) => {
+            let spares = work.take_free(domain, model, needed);
+            let repaired = spares.is_some();
+            if let Some(spares) = spares {
+                complete(work, group, model, spares);
+            }
+            repaired
+        }
+        None => form(work, domain, model),
+    }
+}
+
+/// A set of serving groups that could give up their VMs.
+struct VictimChoice {
+    gain: f64,
+    domain: usize,
+    victims: Vec<usize>,
+}
+
+/// Takes VMs from the serving groups whose loss costs least, if the gain exceeds that loss.
+///
+/// The gain is the decrease of: weight of downtime times the value of the missing groups, plus
+/// weight of stranded accelerators times idle VMs in units of a mean group. Every such step
+/// decreases this sum by a margin, so steps cannot undo one another in turn.
+fn take_from_serving(work: &mut PlannerWork<'_>, model: usize) -> bool {
+    let mut best: Option<VictimChoice> = None;
+    for domain in 0..work.domains.len() {
+        let Some(choice) = cheapest_victims(work, domain, model) else {
+            continue;
+        };
+        if best.as_ref().is_none_or(|best| choice.gain > best.gain) {
+            best = Some(choice);
+        }
+    }
+    let Some(choice) = best else {
+        return false;
+    };
+    let name = &work.demand.models[model].rule.name;
+    let reason = format_compact!(
+        "gives its VMs to model {name}, whose groups are worth more (gain {:.2})",
+        choice.gain
+    );
+    if work.retire_all(&choice.victims, &reason) {
+        form_from_free(work, model) || merge_broken(work, model)
+    } else {
+        promise(work, choice.domain, model, &choice.victims);
+        true
+    }
+}
+
+fn cheapest_victims(work: &PlannerWork<'_>, domain: usize, model: usize) -> Option<VictimChoice> {
+    let size = work.demand.models[model].size;
+    let broken: usize = donors(work, domain)
+        .into_iter()
+        .map(|group| usable_of(work, group, model))
+        .sum();
+    let mut available = work.free_count(domain, model) + broken;
+    if available >= size {
+        return None;
+    }
+    let idle_before = available;
+    let mut up: Vec<usize> = (0..work.good.len())
+        .map(|model| work.good[model] + work.old[model] + work.promised[model])
+        .collect();
+    let gained = work.demand.models[model].value_of_next(up[model]);
+    let mut candidates: Vec<usize> = work.domains[domain]
+        .groups
+        .iter()
+        .copied()
+        .filter(|group| is_victim(work, *group, model))
+        .collect();
+    candidates.sort_by(|a, b| {
+        let key = |group: usize| {
+            let entry = &work.groups[group];
+            let other = entry.model.unwrap_or_default();
+            let loss = work.demand.models[other].loss_of_last(up[other]);
+            (loss, work.members(group).len())
+        };
+        let (a, b) = (
+            (key(*a), !work.groups[*a].draining(), a),
+            (key(*b), !work.groups[*b].draining(), b),
+        );
+        a.0.0
+            .total_cmp(&b.0.0)
+            .then(a.0.1.cmp(&b.0.1))
+            .then(a.1.cmp(&b.1))
+            .then(a.2.cmp(b.2))
+    });
+    let mut lost = 0.0;
+    let mut freed = 0;
+    let mut victims = Vec::new();
+    for group in candidates {
+        if available >= size {
+            break;
+        }
+        let other = work.groups[group].model?;
+        lost += work.demand.models[other].loss_of_last(up[other]);
+        up[other] -= 1;
+        freed += work.members(group).len();
+        available += usable_of(work, group, model);
+        victims.push(group);
+    }
+    if available < size {
+        return None;
+    }
+    let weights = &work.demand.weights;
+    let idle_after = (idle_before + freed).saturating_sub(size) as f64;
+    let used = (idle_before as f64 - idle_after) / work.demand.mean_size();
+    let gain = weights.downtime * (gained - lost) + weights.stranded * used;
+    let margin = PREEMPT_MARGIN * (weights.downtime + weights.stranded);
+    (gain > margin).then_some(VictimChoice {
+        gain,
+        domain,
+        victims,
+    })
+}
+
+fn is_victim(work: &PlannerWork<'_>, group: usize, model: usize) -> bool {
+    let entry = &work.groups[group];
+    matches!(entry.fate, GroupFate::Keep | GroupFate::Change(_))
+        && entry.model.is_some_and(|other| other != model)
+        && !entry.has_loss(MemberLoss::Moved)
+        && usable_of(work, group, model) > 0
+}
--- /dev/null
+++ b/crates/placement/src/finish.rs
@@ -0,0 +1,203 @@
+//! Turning the working state into documents and load order.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::ids::WriteId;
+use jaysaddle_types::placement::GroupIntent;
+use jaysaddle_types::placement::GroupRecord;
+use jaysaddle_types::placement::PlacementDocument;
+
+use crate::plan::PlacementPlan;
+use crate::work::GroupFate;
+use crate::work::PlannerWork;
+use crate::work::WorkGroup;
+
+/// Writes the changed documents, the reasons and the load order into `plan`.
+pub(crate) fn write_documents(work: &PlannerWork<'_>, plan: &mut PlacementPlan) {
+    let mut loading = vec![Vec::new(); work.demand.models.len()];
+    let mut ready = vec![0; work.demand.models.len()];
+    for domain in 0..work.domains.len() {
+        let mut writer = DocumentWriter::new(work, domain);
+        for group in &work.domains[domain].groups {
+            let entry = &work.groups[*group];
+            let record = writer.write(entry, &mut plan.reasons);
+            let (Some(record), Some(model)) = (record, entry.model) else {
+                continue;
+            };
+            match entry.fate {
+                GroupFate::Keep if work.ready(*group) => ready[model] += 1,
+                GroupFate::Keep => loading[model].push((0, record)),
+                GroupFate::Change(_) => loading[model].push((1, record)),
+                _ => {}
+            }
+        }
+        let stored = work.input.placements.get(work.domains[domain].id);
+        let changed = match stored {
+            Some(stored) => *stored != writer.document,
+            None => !writer.document.groups.is_empty(),
+        };
+        if changed {
+            plan.documents
+                .insert(writer.document.fabric_domain.clone(), writer.document);
+        }
+    }
+    plan.load_order = load_order(work, loading, ready);
+}
+
+/// Orders loads by urgency: each load counts as served for the ones after it, so that models take
+/// turns. Groups that were stored before come first, because their loads may already run.
+fn load_order(
+    work: &PlannerWork<'_>,
+    mut loading: Vec<Vec<(u8, GroupId)>>,
+    mut ready: Vec<usize>,
+) -> Vec<GroupId> {
+    for groups in &mut loading {
+        groups.sort();
+        groups.reverse();
+    }
+    let mut order = Vec::new();
+    loop {
+        let next = (0..loading.len())
+            .filter(|model| !loading[*model].is_empty())
+            .min_by(|a, b| work.demand.compare((*a, ready[*a]), (*b, ready[*b])));
+        let Some(model) = next else {
+            return order;
+        };
+        ready[model] += 1;
+        order.extend(loading[model].pop().map(|(_, group)| group));
+    }
+}
+
+struct DocumentWriter<'a, 'b> {
+    work: &'b PlannerWork<'a>,
+    document: PlacementDocument,
+}
+
+impl<'a, 'b> DocumentWriter<'a, 'b> {
+    fn new(work: &'b PlannerWork<'a>, domain: usize) -> Self {
+        let id = work.domains[domain].id;
+        let stored = work.input.placements.get(id);
+        let highest = stored
+            .iter()
+            .flat_map(|stored| &stored.groups)
+            .map(|group| group.generation)
+            .max();
+        let last = stored.map(|stored| stored.last_generation).max(highest);
+        let document = PlacementDocument {
+            fabric_domain: id.clone(),
+            epoch: stored.map_or(LeaseEpoch(0), |stored| stored.epoch),
+            write_id: stored.map_or_else(WriteId::default, |stored| stored.write_id.clone()),
+            last_generation: last.unwrap_or_default(),
+            groups: Vec::new(),
+        };
+        Self { work, document }
+    }
+
+    /// Writes one group and returns its id, unless it is dissolved.
+    fn write(
+        &mut self,
+        entry: &WorkGroup<'_>,
+        reasons: &mut BTreeMap<GroupId, CompactString>,
+    ) -> Option<GroupId> {
+        let (record, reason) = match (&entry.fate, entry.stored) {
+            (GroupFate::Change(members), stored) => {
+                (self.changed(entry, stored, members)?, entry.reason.clone())
+            }
+            (GroupFate::Dissolve, Some(stored)) => {
+                reasons.insert(stored.id.clone(), entry.reason.clone());
+                return None;
+            }
+            (GroupFate::Drain | GroupFate::Retire, Some(stored)) => (
+                with_intent(stored, GroupIntent::Drain),
+                entry.reason.clone(),
+            ),
+            (_, Some(stored)) => self.kept(entry, stored),
+            (_, None) => return None,
+        };
+        let id = record.id.clone();
+        if entry.stored != Some(&record) {
+            reasons.insert(id.clone(), reason);
+        }
+        self.document.groups.push(record);
+        Some(id)
+    }
+
+    fn kept(
+        &mut self,
+        entry: &WorkGroup<'_>,
+        stored: &GroupRecord,
+    ) -> (GroupRecord, CompactString) {
+        let mut record = with_intent(stored, GroupIntent::Serve);
+        let members: Vec<&VmId> = entry.kept().map(|vm| &self.work.vms[vm].vm).collect();
+        if entry.lost() == 0 && self.highest_seen(&members) > record.generation {
+            let members: Vec<VmId> = members.into_iter().cloned().collect();
+            record.generation = self.next_generation(&members);
+            return (record, "an engine has seen a higher fencing token".into());
+        }
+        (
+            record,
+            "the group is needed and no longer has a reason to drain".into(),
+        )
+    }
+
+    fn changed(
+        &mut self,
+        entry: &WorkGroup<'_>,
+        stored: Option<&GroupRecord>,
+        members: &[usize],
+    ) -> Option<GroupRecord> {
+        let rule = self.work.demand.models[entry.model?].rule;
+        let members: Vec<VmId> = members
+            .iter()
+            .map(|vm| self.work.vms[*vm].vm.clone())
+            .collect();
+        let generation = self.next_generation(&members);
+        let id = match stored {
+            Some(stored) => stored.id.clone(),
+            // The generation makes the id unique in the document for all time.
+            None => GroupId::new(format_compact!(
+                "g{generation}.{}",
+                self.document.fabric_domain
+            )),
+        };
+        Some(GroupRecord {
+            id,
+            generation,
+            model: rule.name.clone(),
+            version: rule.version.clone(),
+            members,
+            intent: GroupIntent::Serve,
+        })
+    }
+
+    /// A generation above all that the document has given out and all that the engines have seen.
+    fn next_generation(&mut self, members: &[VmId]) -> Generation {
+        let members: Vec<&VmId> = members.iter().collect();
+        let next = self
+            .document
+            .last_generation
+            .max(self.highest_seen(&members))
+            .next();
+        self.document.last_generation = next;
+        next
+    }
+
+    fn highest_seen(&self, members: &[&VmId]) -> Generation {
+        let seen = &self.work.input.seen_generations;
+        let highest = members.iter().filter_map(|vm| seen.get(*vm)).max();
+        highest.copied().unwrap_or_default()
+    }
+}
+
+fn with_intent(stored: &GroupRecord, intent: GroupIntent) -> GroupRecord {
+    GroupRecord {
+        intent,
+        ..stored.clone()
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,11 +1,19 @@
 //! Placement planner and shard controller.
 
+mod blocked;
+mod bound;
+mod build;
 pub mod check;
 pub mod controller;
+mod demand;
 pub mod event;
+mod fill;
+mod finish;
 pub mod plan;
 pub mod planner;
+mod rollout;
 pub mod settings;
+mod work;
 
 pub use check::Violation;
 pub use check::check_documents;
--- /dev/null
+++ b/crates/placement/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the planner and the shard controller, linked once.
+
+mod fleet;
+mod planner;
+mod properties;
+mod random;
--- /dev/null
+++ b/crates/placement/tests/all/planner.rs
@@ -0,0 +1,356 @@
+//! Single decisions of the planner.
+
+use jaysaddle_placement::PlacementPlan;
+use jaysaddle_placement::PlacementPlanner;
+use jaysaddle_placement::PlacementSettings;
+use jaysaddle_placement::PlannerVm;
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::ids::ModelVersion;
+use jaysaddle_types::placement::GroupIntent;
+use jaysaddle_types::placement::GroupRecord;
+use jaysaddle_types::rules::ObjectiveWeights;
+use jaysaddle_types::view::GroupState;
+use jaysaddle_types::view::VmState;
+
+use crate::fleet::FleetModel;
+use crate::fleet::account;
+use crate::fleet::model;
+use crate::fleet::vms;
+use crate::random::SeededChoice;
+
+fn plan(fleet: &FleetModel) -> PlacementPlan {
+    PlacementPlanner::new(PlacementSettings::default()).plan(&fleet.input)
+}
+
+/// Plans and lets time pass until nothing changes.
+fn settle(fleet: &mut FleetModel) {
+    let mut choice = SeededChoice::new(1);
+    for _ in 0..60 {
+        let next = plan(fleet);
+        fleet.apply(&next);
+        fleet.settle(&mut choice);
+    }
+    assert!(plan(fleet).documents.is_empty(), "the plan does not settle");
+}
+
+fn one_domain(count: usize, size: u32, groups: u32) -> FleetModel {
+    let mut fleet = FleetModel::new(
+        vms("hall-a", "fab-a", count, &["chat"]),
+        vec![model("chat", size, groups)],
+        Vec::new(),
+    );
+    settle(&mut fleet);
+    fleet
+}
+
+fn group_of<'a>(fleet: &'a FleetModel, vm: &str) -> Option<&'a GroupRecord> {
+    fleet
+        .groups()
+        .find(|group| group.members.iter().any(|member| member.as_str() == vm))
+}
+
+fn subjects(plan: &PlacementPlan) -> Vec<&str> {
+    plan.blocked
+        .iter()
+        .map(|item| item.subject.as_str())
+        .collect()
+}
+
+/// Guards against a repair that forms the group anew: one member changes, the others keep ranks.
+#[test]
+fn a_lost_member_is_replaced_by_a_spare() {
+    let mut fleet = one_domain(9, 4, 2);
+    let before = group_of(&fleet, "fab-a-01").expect("placed").clone();
+    fleet.set_state("fab-a-01", VmState::Dead);
+    let next = plan(&fleet);
+    fleet.apply(&next);
+    let after = fleet
+        .groups()
+        .find(|group| group.id == before.id)
+        .expect("kept");
+    assert!(after.generation > before.generation);
+    let changed: Vec<_> = before
+        .members
+        .iter()
+        .zip(&after.members)
+        .filter(|(a, b)| a != b)
+        .collect();
+    assert_eq!(changed.len(), 1);
+    assert_eq!(changed[0].1.as_str(), "fab-a-08");
+    assert!(next.reasons[&before.id].contains("fab-a-01"));
+}
+
+/// Guards against replacing a member that only paused: within the grace nothing changes.
+#[test]
+fn a_suspect_member_is_replaced_only_when_overdue() {
+    let mut fleet = one_domain(5, 4, 1);
+    let vm = fleet.groups().next().expect("formed").members[2].clone();
+    fleet.set_state(vm.as_str(), VmState::Suspect);
+    assert!(plan(&fleet).documents.is_empty());
+    fleet.input.overdue.insert(vm);
+    assert!(!plan(&fleet).documents.is_empty());
+}
+
+/// Guards against a silent shortage: the item names the VM, the model and what to add.
+#[test]
+fn a_loss_without_a_spare_is_reported() {
+    let mut fleet = one_domain(4, 4, 1);
+    fleet.set_state("fab-a-02", VmState::Dead);
+    let next = plan(&fleet);
+    assert!(next.documents.is_empty(), "the group waits for its VM");
+    assert_eq!(subjects(&next), ["VM fab-a-02", "model chat"]);
+    assert!(next.blocked[0].remedy.contains("add 1 VMs"));
+    assert_eq!((next.stranded, next.stranded_bound), (3, 3));
+}
+
+/// Guards against idle healthy VMs: two groups that each lost a member become one whole group.
+#[test]
+fn broken_groups_merge() {
+    let mut fleet = one_domain(8, 4, 2);
+    fleet.set_state("fab-a-00", VmState::Dead);
+    fleet.set_state("fab-a-07", VmState::Dead);
+    let next = plan(&fleet);
+    fleet.apply(&next);
+    assert_eq!(fleet.groups().count(), 1);
+    assert!(fleet.groups().all(|group| fleet.whole(group)));
+    assert_eq!((next.stranded, next.stranded_bound), (2, 2));
+}
+
+/// Two models of one domain; the larger one lost a member and there is no spare.
+fn contended(weights: ObjectiveWeights) -> FleetModel {
+    let mut fleet = FleetModel::new(
+        vms("hall-a", "fab-a", 6, &["chat", "draft"]),
+        vec![model("chat", 4, 1), model("draft", 1, 2)],
+        Vec::new(),
+    );
+    fleet.change_rules(|rules| rules.objective = weights);
+    settle(&mut fleet);
+    let member = fleet
+        .groups()
+        .find(|group| group.members.len() == 4)
+        .expect("the large group is formed")
+        .members[1]
+        .clone();
+    fleet.set_state(member.as_str(), VmState::Dead);
+    fleet
+}
+
+/// Guards against weights without effect: taking one VM from a small group leaves one group down
+/// either way, but saves three idle accelerators.
+#[test]
+fn weight_on_stranded_accelerators_takes_vms_from_a_small_group() {
+    let weights = |downtime, stranded| ObjectiveWeights { downtime, stranded };
+    let mut fleet = contended(weights(1.0, 3.0));
+    settle(&mut fleet);
+    let large = fleet
+        .groups()
+        .find(|group| group.members.len() == 4)
+        .expect("kept");
+    assert!(fleet.whole(large));
+    assert_eq!(plan(&fleet).stranded, 0);
+    // Without weight on stranded accelerators there is nothing to gain.
+    let mut fleet = contended(weights(1.0, 0.0));
+    settle(&mut fleet);
+    assert_eq!(plan(&fleet).stranded, 3);
+}
+
+/// Guards against a reserve that stays uncovered while another model has more than it needs.
+#[test]
+fn a_reserve_takes_vms_from_a_model_above_its_reserve() {
+    let mut chat = model("chat", 2, 2);
+    chat.accounts = vec![account("ebiere", 0).name];
+    let mut draft = model("draft", 2, 2);
+    draft.accounts = vec![account("medjerda", 0).name];
+    let mut fleet = FleetModel::new(
+        vms("hall-a", "fab-a", 8, &["chat", "draft"]),
+        vec![chat, draft],
+        vec![account("medjerda", 16)],
+    );
+    settle(&mut fleet);
+    for vm in ["fab-a-00", "fab-a-02", "fab-a-04", "fab-a-06"] {
+        fleet.set_state(vm, VmState::Dead);
+    }
+    settle(&mut fleet);
+    let served: Vec<&str> = fleet
+        .groups()
+        .filter(|group| fleet.whole(group))
+        .map(|group| group.model.as_str())
+        .collect();
+    assert_eq!(served, ["draft", "draft"]);
+}
+
+/// Guards against lost capacity in a rollout with spares: the new group is up first.
+#[test]
+fn a_rollout_with_spares_starts_the_new_group_first() {
+    let mut fleet = one_domain(12, 4, 2);
+    fleet.change_rules(|rules| rules.models[0].version = ModelVersion::new("v2"));
+    let mut choice = SeededChoice::new(3);
+    for _ in 0..40 {
+        let next = plan(&fleet);
+        fleet.apply(&next);
+        let serving = fleet.groups().filter(|group| {
+            group.intent == GroupIntent::Serve
+                && fleet.input.groups[&group.id].state == GroupState::Ready
+        });
+        assert!(
+            serving.count() >= 2,
+            "a group went before its successor was up"
+        );
+        fleet.settle(&mut choice);
+    }
+    assert!(fleet.groups().all(|group| group.version.as_str() == "v2"));
+    assert_eq!(fleet.groups().count(), 2);
+}
+
+/// Guards against a rollout that takes all groups down together when there are no spares.
+#[test]
+fn a_rollout_without_spares_replaces_one_group_at_a_time() {
+    let mut fleet = one_domain(12, 4, 3);
+    fleet.change_rules(|rules| {
+        rules.models[0].version = ModelVersion::new("v2");
+        rules.accounts = vec![account("ebiere", 24)];
+    });
+    assert!(subjects(&plan(&fleet)).contains(&"model chat"));
+    let mut choice = SeededChoice::new(3);
+    for _ in 0..60 {
+        let next = plan(&fleet);
+        fleet.apply(&next);
+        let serving = fleet.groups().filter(|group| {
+            group.intent == GroupIntent::Serve
+                && fleet.input.groups[&group.id].state == GroupState::Ready
+        });
+        assert!(serving.count() >= 2, "two groups were down together");
+        fleet.settle(&mut choice);
+    }
+    assert!(fleet.groups().all(|group| group.version.as_str() == "v2"));
+}
+
+/// Guards against a straggler that slows its group for good, and against an interrupted request.
+#[test]
+fn a_straggler_is_replaced_after_a_drain_when_there_is_a_spare() {
+    let mut fleet = one_domain(5, 4, 1);
+    let group = fleet.groups().next().expect("formed").clone();
+    fleet
+        .input
+        .groups
+        .get_mut(&group.id)
+        .expect("known")
+        .running = 2;
+    fleet.set_state(group.members[0].as_str(), VmState::Straggler);
+    let next = plan(&fleet);
+    fleet.apply(&next);
+    let drained = fleet.groups().next().expect("kept");
+    assert_eq!(
+        (drained.intent, drained.generation),
+        (GroupIntent::Drain, group.generation)
+    );
+    settle(&mut fleet);
+    let repaired = fleet.groups().next().expect("kept");
+    assert!(!repaired.members.contains(&group.members[0]));
+    assert_eq!(repaired.intent, GroupIntent::Serve);
+}
+
+/// Guards against a VM in two documents: a VM that moved is claimed only once it was released.
+#[test]
+fn a_moved_vm_is_released_before_it_is_claimed() {
+    let mut all = vms("hall-a", "fab-a", 4, &["chat"]);
+    all.extend(vms("hall-b", "fab-b", 3, &["chat"]));
+    let mut fleet = FleetModel::new(all, vec![model("chat", 4, 2)], Vec::new());
+    settle(&mut fleet);
+    let moved = |vm: &mut PlannerVm| {
+        vm.fabric_domain = FabricDomainId::new("fab-b");
+        vm.failure_domain = "hall-b".parse().expect("valid");
+    };
+    moved(&mut fleet.input.vms[0]);
+    fleet.input.drained.extend(
+        fleet
+            .input
+            .placements
+            .values()
+            .flat_map(|d| d.groups.iter().map(|g| g.id.clone())),
+    );
+    let first = plan(&fleet);
+    let changed: Vec<&str> = first.documents.keys().map(|id| id.as_str()).collect();
+    assert_eq!(changed, ["fab-a"], "only the release");
+    fleet.apply(&first);
+    let second = plan(&fleet);
+    assert!(second.documents.contains_key(&FabricDomainId::new("fab-b")));
+}
+
+/// Guards against a group that an engine refuses for good: tokens of two documents differ, so the
+/// new group's token must exceed what its engines have seen.
+#[test]
+fn generations_exceed_what_the_engines_have_seen() {
+    let mut fleet = FleetModel::new(
+        vms("hall-a", "fab-a", 2, &["chat"]),
+        vec![model("chat", 2, 1)],
+        Vec::new(),
+    );
+    let vm = fleet.input.vms[1].vm.clone();
+    fleet
+        .input
+        .seen_generations
+        .insert(vm.clone(), Generation(70));
+    settle(&mut fleet);
+    assert_eq!(
+        group_of(&fleet, "fab-a-01").expect("placed").generation,
+        Generation(71)
+    );
+    fleet.input.seen_generations.insert(vm, Generation(90));
+    settle(&mut fleet);
+    assert_eq!(
+        group_of(&fleet, "fab-a-01").expect("placed").generation,
+        Generation(91)
+    );
+}
+
+/// Guards against groups of a model crowded in one failure domain.
+#[test]
+fn groups_are_spread_over_failure_domains() {
+    let mut all = vms("phc-a", "fab-a", 8, &["chat"]);
+    all.extend(vms("phc-b", "fab-b", 8, &["chat"]));
+    all.extend(vms("yen-a", "fab-c", 8, &["chat"]));
+    let mut fleet = FleetModel::new(all, vec![model("chat", 4, 3)], Vec::new());
+    settle(&mut fleet);
+    let counts: Vec<usize> = fleet
+        .input
+        .placements
+        .values()
+        .map(|document| document.groups.len())
+        .collect();
+    assert_eq!(counts, [1, 1, 1]);
+}
+
+/// Guards against groups beyond the wanted number, which two holders with different inputs may
+/// have formed: whoever plans, the same ones go.
+#[test]
+fn surplus_groups_are_given_up_alike_by_all() {
+    let mut fleet = one_domain(16, 4, 4);
+    fleet.change_rules(|rules| rules.models[0].groups = 2);
+    let first = plan(&fleet);
+    assert_eq!(first, plan(&fleet.clone()));
+    settle(&mut fleet);
+    assert_eq!(fleet.groups().count(), 2);
+}
+
+/// Guards against a rule that nobody can meet and nobody hears of.
+#[test]
+fn unmeetable_rules_are_reported() {
+    let mut fleet = FleetModel::new(
+        vms("hall-a", "fab-a", 4, &["chat"]),
+        vec![model("draft", 2, 1), model("zero", 0, 1)],
+        vec![account("ebiere", 10)],
+    );
+    settle(&mut fleet);
+    let next = plan(&fleet);
+    assert_eq!(
+        subjects(&next),
+        [
+            "VM fab-a-00",
+            "account ebiere",
+            "model draft",
+            "rule of model zero"
+        ]
+    );
+}
--- /dev/null
+++ b/crates/placement/tests/all/random.rs
@@ -0,0 +1,85 @@
+//! Seeded choices and the number of runs.
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
+/// A small deterministic generator (splitmix64), so that a printed seed reproduces a run.
+#[derive(Clone, Debug)]
+pub struct SeededChoice(u64);
+
+impl SeededChoice {
+    pub fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    pub fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// A number below `bound`; 0 when the bound is 0.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        if bound == 0 { 0 } else { self.next() % bound }
+    }
+
+    /// A number from `low` to `high`, both included.
+    pub fn between(&mut self, low: u64, high: u64) -> u64 {
+        low + self.below(high - low + 1)
+    }
+
+    /// True in `percent` of the calls.
+    pub fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Seed of one run; it is not shrunk, because neighbouring seeds are unrelated runs.
+#[derive(Clone, Debug)]
+struct RunSeed(u64);
+
+impl Arbitrary for RunSeed {
+    fn arbitrary(source: &mut Gen) -> Self {
+        Self(u64::arbitrary(source))
+    }
+}
+
+/// Checks `property` for many seeds and panics with its message when it does not hold.
+///
+/// `JAYSADDLE_SEED` is the seed from which those of the runs are drawn, or that of the only run
+/// when `JAYSADDLE_RUNS` is 1. `JAYSADDLE_RUNS` is the number of runs.
+pub fn check_runs(name: &str, runs: u64, property: fn(u64) -> Result<(), String>) {
+    let seed = number("JAYSADDLE_SEED").unwrap_or(20_261_203);
+    let runs = number("JAYSADDLE_RUNS").unwrap_or(runs);
+    println!("{name}: JAYSADDLE_SEED={seed} JAYSADDLE_RUNS={runs}");
+    let run = move |seed: u64| match property(seed) {
+        Ok(()) => TestResult::passed(),
+        Err(message) => TestResult::error(format!(
+            "{message}\nto repeat: JAYSADDLE_RUNS=1 JAYSADDLE_SEED={seed}"
+        )),
+    };
+    if runs == 1 {
+        assert!(!run(seed).is_failure(), "{name}: {:?}", property(seed));
+        return;
+    }
+    let source = Gen::from_size_and_seed(64, seed);
+    let mut checks = QuickCheck::new().rng(source).tests(runs).max_tests(runs);
+    checks.quickcheck(SeededProperty(run));
+}
+
+struct SeededProperty<F>(F);
+
+impl<F: Fn(u64) -> TestResult + 'static> quickcheck::Testable for SeededProperty<F> {
+    fn result(&self, source: &mut Gen) -> TestResult {
+        let RunSeed(seed) = RunSeed::arbitrary(source);
+        (self.0)(seed)
+    }
+}
