--- /dev/null
+++ b/crates/reducer/tests/random/runs.rs
@@ -0,0 +1,64 @@
+//! The runs.
+
+use std::env;
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+use crate::faults::RunPlan;
+use crate::world::RunSummary;
+use crate::world::World;
+
+/// Seed of the first run; further runs count up from it.
+const FIRST_SEED: u64 = 20_261_203;
+
+/// Runs of the suite.
+const RUNS: u64 = 1_000;
+
+fn from_env(name: &str, default: u64) -> u64 {
+    env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+/// Guards against every invariant being broken by combinations of faults.
+#[test]
+fn invariants_hold_under_faults() {
+    let first = from_env("JAYSADDLE_SEED", FIRST_SEED);
+    let runs = from_env("JAYSADDLE_RUNS", RUNS);
+    println!("seeds {first} to {}", first + runs - 1);
+    let threads = u64::try_from(std::thread::available_parallelism().map_or(4, usize::from))
+        .unwrap_or(4)
+        .min(runs);
+    let workers: Vec<_> = (0..threads)
+        .map(|offset| {
+            std::thread::spawn(move || {
+                let mut total = RunSummary::default();
+                for seed in
+                    (first + offset..first + runs).step_by(usize::try_from(threads).expect("small"))
+                {
+                    let plan = RunPlan::arbitrary(&mut Gen::from_size_and_seed(64, seed));
+                    let outcome = std::panic::catch_unwind(|| World::new(plan).run());
+                    let summary =
+                        outcome.unwrap_or_else(|_| panic!("the run with seed {seed} failed"));
+                    total.answered += summary.answered;
+                    total.may_have_run += summary.may_have_run;
+                    total.not_run += summary.not_run;
+                    total.silent += summary.silent;
+                }
+                total
+            })
+        })
+        .collect();
+    let mut total = RunSummary::default();
+    for worker in workers {
+        let part = worker.join().expect("no run fails");
+        total.answered += part.answered;
+        total.may_have_run += part.may_have_run;
+        total.not_run += part.not_run;
+        total.silent += part.silent;
+    }
+    println!("{total:?}");
+    assert!(total.answered > 0, "no call was answered");
+}
