Test the ledger over a fake network

Cause: at-most-once must hold under loss, delay, duplication, reordering, partitions, restarts, handovers and retries at any node. Found by the runs and corrected: a conflict or a full ledger was reported as not run for idempotent requests that had run elsewhere; an import gave a waiting request the answer to another body.

--- a/crates/ledger/src/handover.rs
+++ b/crates/ledger/src/handover.rs
@@ -129,10 +129,12 @@
         }
         known.verdict = known.verdict.combine(verdict);
         if matches!(known.state, ClaimState::Asked { .. }) {
+            let same_body = known.fingerprint == imported.fingerprint;
             known.fingerprint = imported.fingerprint;
             known.confirmed = true;
             let waiters = self.take_waiters(&key);
             let refused = match &state {
+                _ if !same_body => refusal::conflict(false),
                 ClaimState::Stored(answer) => ClaimOutcome::Stored(answer.clone()),
                 _ => refusal::ended(verdict),
             };
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -217,7 +217,9 @@
             return refusal::home_unreachable();
         };
         if entry.fingerprint != query.fingerprint {
-            return refusal::conflict(entry.confirmed);
+            // An idempotent request may have run on another node without a grant.
+            let proven = entry.confirmed && !query.idempotent;
+            return refusal::conflict(proven);
         }
         match &entry.state {
             ClaimState::Stored(answer) => ClaimOutcome::Stored(answer.clone()),
@@ -274,7 +276,8 @@
             }
         }
         if !self.table.make_room(&self.settings) {
-            return refusal::full(covered, self.settings.query_timeout);
+            let proven = covered && !query.idempotent;
+            return refusal::full(proven, self.settings.query_timeout);
         }
         // Making room may have moved the coverage past this token.
         if covered && !self.table.coverage.covers(token, now) && !query.idempotent {
--- a/crates/ledger/src/remote.rs
+++ b/crates/ledger/src/remote.rs
@@ -63,7 +63,11 @@
             }
             Some(LedgerAnswer::Conflict) => {
                 let waiters = self.close_ask(&key, call, now);
-                resolve_all(waiters, &refusal::conflict(true))
+                let conflict = |waiter: ClaimWaiter| {
+                    let refused = refusal::conflict(!waiter.idempotent);
+                    resolved(waiter, refused)
+                };
+                waiters.into_iter().map(conflict).collect()
             }
             Some(LedgerAnswer::MayHaveRun) => {
                 let refused = refusal::ended(Verdict::MayHaveRun);
--- /dev/null
+++ b/crates/ledger/tests/all/bounds.rs
@@ -0,0 +1,146 @@
+//! The ledger stays within its bounds, and what it forgets counts as may have run.
+
+use jaysaddle_ledger::ClaimOutcome;
+use jaysaddle_ledger::ClaimQuery;
+use jaysaddle_ledger::HomePlace;
+use jaysaddle_ledger::LedgerSettings;
+use jaysaddle_ledger::RequestLedger;
+use jaysaddle_types::ids::IdempotencyKey;
+use jaysaddle_types::units::ByteCount;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::ReasonCode;
+use jaysaddle_types::verdict::Verdict;
+
+use crate::support::answer;
+use crate::support::claim;
+use crate::support::node;
+use crate::support::refusal;
+use crate::support::request;
+
+fn small(entries: usize, answer_bytes: u64) -> RequestLedger {
+    let settings = LedgerSettings {
+        entries,
+        answer_bytes: ByteCount(answer_bytes),
+        ..LedgerSettings::default()
+    };
+    RequestLedger::new(settings, node(0, 1), Timestamp(1_000))
+}
+
+fn keyed(ledger: &RequestLedger, number: u64, now: u64) -> ClaimQuery {
+    ClaimQuery {
+        key: IdempotencyKey::new(format!("k-{number}")),
+        ..claim(
+            &format!("r-{number}"),
+            Some(ledger.token(Timestamp(now))),
+            now,
+        )
+    }
+}
+
+fn run(ledger: &mut RequestLedger, number: u64, now: u64) -> ClaimQuery {
+    let query = keyed(ledger, number, now);
+    let (outcome, _) = ledger.claim(query.clone(), HomePlace::Own, Timestamp(now));
+    assert_eq!(outcome, ClaimOutcome::Granted);
+    let done = answer(&format!("answer {number:04}"));
+    ledger.finished(&query.request, done, Timestamp(now + 5));
+    query
+}
+
+fn again(ledger: &mut RequestLedger, query: &ClaimQuery, now: u64) -> ClaimOutcome {
+    let retry = ClaimQuery {
+        request: request("retry"),
+        ..query.clone()
+    };
+    ledger.claim(retry, HomePlace::Own, Timestamp(now)).0
+}
+
+/// Guards against a second run of a key whose claim was evicted for lack of room.
+#[test]
+fn an_evicted_claim_is_not_granted_again() {
+    let mut ledger = small(10, 1_000_000);
+    let queries: Vec<ClaimQuery> = (0..30)
+        .map(|number| run(&mut ledger, number, 2_000 + 10 * number))
+        .collect();
+    for (number, query) in queries.iter().enumerate() {
+        let outcome = again(&mut ledger, query, 3_000);
+        if number < 20 {
+            assert_eq!(refusal(&outcome).reason, ReasonCode::KeyExpired);
+            assert_eq!(refusal(&outcome).verdict, Verdict::MayHaveRun);
+        } else {
+            assert_eq!(
+                outcome,
+                ClaimOutcome::Stored(answer(&format!("answer {number:04}")))
+            );
+        }
+    }
+    // A token issued after the evicted claims is covered.
+    run(&mut ledger, 99, 3_001);
+}
+
+/// Guards against a second run of a key whose claim was forgotten after the retention.
+#[test]
+fn a_claim_past_its_retention_is_not_granted_again() {
+    let mut ledger = small(10, 1_000_000);
+    let query = run(&mut ledger, 1, 2_000);
+    let retention = LedgerSettings::default().retention;
+    ledger.tick(Timestamp(2_005) + retention);
+    let outcome = again(&mut ledger, &query, 700_000);
+    assert!(matches!(outcome, ClaimOutcome::Stored(_)));
+    ledger.tick(Timestamp(2_006) + retention);
+    let outcome = again(&mut ledger, &query, 700_000);
+    assert_eq!(refusal(&outcome).reason, ReasonCode::KeyExpired);
+}
+
+/// Guards against answers that use more memory than allowed, and against a key that is freed with
+/// its answer.
+#[test]
+fn an_evicted_answer_keeps_its_claim() {
+    // One answer takes 11 bytes and 16 of its content type.
+    let mut ledger = small(100, 3 * 27);
+    let queries: Vec<ClaimQuery> = (0..10)
+        .map(|number| run(&mut ledger, number, 2_000))
+        .collect();
+    for (number, query) in queries.iter().enumerate() {
+        let outcome = again(&mut ledger, query, 3_000);
+        if number < 7 {
+            assert_eq!(refusal(&outcome).verdict, Verdict::Ran);
+        } else {
+            assert!(matches!(outcome, ClaimOutcome::Stored(_)), "{outcome:?}");
+        }
+    }
+}
+
+/// Guards against an eviction of running claims, which would allow a second run.
+#[test]
+fn running_claims_are_never_evicted() {
+    let mut ledger = small(3, 1_000);
+    for number in 0..3 {
+        let query = keyed(&ledger, number, 2_000);
+        let (outcome, _) = ledger.claim(query, HomePlace::Own, Timestamp(2_000));
+        assert_eq!(outcome, ClaimOutcome::Granted);
+    }
+    let query = keyed(&ledger, 3, 2_000);
+    let (outcome, _) = ledger.claim(query.clone(), HomePlace::Own, Timestamp(2_000));
+    assert_eq!(refusal(&outcome).reason, ReasonCode::Overloaded);
+    assert_eq!(refusal(&outcome).verdict, Verdict::NotRun);
+    ledger.failed(&request("r-0"), Verdict::NotRun, Timestamp(2_001));
+    let outcome = again(&mut ledger, &query, 2_002);
+    assert_eq!(outcome, ClaimOutcome::Granted);
+}
+
+/// Guards against memory that grows with the number of requests.
+#[test]
+fn bytes_are_bounded() {
+    let mut ledger = small(100, 10_000);
+    let mut most = 0;
+    for number in 0..5_000 {
+        run(&mut ledger, number, 2_000 + number);
+        ledger.tick(Timestamp(2_000 + number));
+        most = most.max(ledger.bytes().0);
+    }
+    assert!(most < 100 * 600 + 10_000, "{most} bytes");
+    let after = Timestamp(10_000) + LedgerSettings::default().retention;
+    ledger.tick(after + TimeSpan::from_secs(1));
+    assert_eq!(ledger.bytes(), ByteCount(0));
+}
--- /dev/null
+++ b/crates/ledger/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the ledger.
+
+mod at_most_once;
+mod bounds;
+mod handover;
+mod network;
+mod random;
+mod single;
+mod support;
--- /dev/null
+++ b/crates/ledger/tests/all/support.rs
@@ -0,0 +1,101 @@
+//! Keys, nodes and seeded runs for the tests.
+
+use jaysaddle_ledger::ClaimOutcome;
+use jaysaddle_ledger::ClaimQuery;
+use jaysaddle_ledger::LedgerEffect;
+use jaysaddle_ledger::LedgerQuery;
+use jaysaddle_ledger::LedgerSettings;
+use jaysaddle_ledger::RequestLedger;
+use jaysaddle_ledger::StoredAnswer;
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::IdempotencyKey;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::request::BodyFingerprint;
+use jaysaddle_types::request::HomeToken;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::RequestRefusal;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+
+/// Runs a property with a printed seed; `JAYSADDLE_SEED` and `JAYSADDLE_RUNS` override it.
+pub fn check<P: Testable>(name: &str, size: usize, property: P) {
+    const SEED: u64 = 20_261_203;
+    const RUNS: u64 = 4_000;
+    let number = |variable: &str, fallback: u64| {
+        std::env::var(variable)
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(fallback)
+    };
+    let seed = number("JAYSADDLE_SEED", SEED);
+    let runs = number("JAYSADDLE_RUNS", RUNS);
+    println!("{name}: seed {seed}, {runs} runs");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(size, seed))
+        .tests(runs)
+        .quickcheck(property);
+}
+
+pub fn node(number: usize, incarnation: u64) -> NodeKey {
+    NodeKey {
+        id: NodeId::new(format!("n-{number}")),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+pub fn ledger(number: usize) -> RequestLedger {
+    RequestLedger::new(LedgerSettings::default(), node(number, 1), Timestamp(1_000))
+}
+
+pub fn answer(text: &str) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        content_type: "application/json".into(),
+        body: text.as_bytes().into(),
+    }
+}
+
+/// A non-idempotent claim of key `k` with a deadline of 30 s.
+pub fn claim(request: &str, home: Option<HomeToken>, now: u64) -> ClaimQuery {
+    ClaimQuery {
+        request: RequestId::new(request),
+        account: AccountId::new("acme"),
+        key: IdempotencyKey::new("k"),
+        home,
+        fingerprint: BodyFingerprint([1; 32]),
+        idempotent: false,
+        deadline: Timestamp(now + 30_000),
+    }
+}
+
+pub fn request(name: &str) -> RequestId {
+    RequestId::new(name)
+}
+
+/// The refusal in `outcome`.
+pub fn refusal(outcome: &ClaimOutcome) -> &RequestRefusal {
+    match outcome {
+        ClaimOutcome::Refused(refusal) => refusal,
+        other => panic!("{other:?} is not a refusal"),
+    }
+}
+
+/// The only question among `effects`.
+pub fn question(effects: &[LedgerEffect]) -> LedgerQuery {
+    match effects {
+        [LedgerEffect::Ask { query, .. }] => query.clone(),
+        other => panic!("{other:?} is not one question"),
+    }
+}
+
+/// The only resolution among `effects`.
+pub fn resolution(effects: &[LedgerEffect]) -> (RequestId, ClaimOutcome) {
+    match effects {
+        [LedgerEffect::Resolved { request, outcome }] => (request.clone(), outcome.clone()),
+        other => panic!("{other:?} is not one resolution"),
+    }
+}
