Implement the peer transport and test the frame codec

Cause: daemons need connections that survive silent links, bad frames and floods.

Change: one thread with a current-thread runtime keeps a connection per peer address. The first frame on a connection names the address that its sender listens on, so that answers use the same connection and events carry that address. Idle links carry heartbeats; a link with unanswered frames is closed after the silence limit and reported. Queues, connections and half-open connections are bounded.

The hub now takes reports before commands.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,13 +1,25 @@
 //! Peer links between daemons.
 
+mod hub;
+mod link;
+mod telemetry;
+
 pub mod command;
 pub mod settings;
 
 use std::io;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
 use std::thread::JoinHandle;
 
 use jaysaddle_wire::ClusterKey;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+use tokio::task::LocalSet;
+
+use crate::hub::LinkHub;
+use crate::link::LinkContext;
 
 pub use command::TransportCommand;
 pub use command::TransportEvent;
@@ -32,8 +44,36 @@
         commands: flume::Receiver<TransportCommand>,
         events: flume::Sender<TransportEvent>,
     ) -> io::Result<Self> {
-        let _ = (settings, key, commands, events);
-        Err(io::Error::other("not yet implemented"))
+        if settings.listen.ip().is_unspecified() {
+            let reason = "peers cannot reach an unspecified address; set the node's own";
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, reason));
+        }
+        let listener = TcpListener::bind(settings.listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let settings = TransportSettings {
+            listen: address,
+            ..settings
+        };
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let thread = std::thread::Builder::new()
+            .name("peer-transport".to_owned())
+            .spawn(move || {
+                let (reports, received) = flume::unbounded();
+                let context = LinkContext {
+                    settings: Rc::new(settings),
+                    key,
+                    events,
+                    reports,
+                };
+                run(
+                    &runtime,
+                    listener,
+                    LinkHub::new(context, received),
+                    commands,
+                );
+            })?;
+        Ok(Self { address, thread })
     }
 
     /// The address that the transport listens on.
@@ -48,3 +88,18 @@
         }
     }
 }
+
+fn run(
+    runtime: &Runtime,
+    listener: TcpListener,
+    hub: LinkHub,
+    commands: flume::Receiver<TransportCommand>,
+) {
+    let work = async {
+        match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => hub.run(listener, commands).await,
+            Err(error) => log::error!("the peer transport cannot listen: {error}"),
+        }
+    };
+    LocalSet::new().block_on(runtime, work);
+}
--- /dev/null
+++ b/crates/transport/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the peer transport on loopback.
+
+mod faults;
+mod flow;
+mod support;
--- /dev/null
+++ b/crates/wire/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the framing.
+
+mod codec;
