--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -80,12 +80,15 @@
         let reports = self.reports.clone();
         loop {
             tokio::select! {
+                // Reports go first: the answer to a message must find the connection that it
+                // came over, which a report sent before the message has announced.
+                biased;
+                Ok(report) = reports.recv_async() => self.note_report(report),
                 command = commands.recv_async() => match command {
                     Ok(TransportCommand::Send { to, message }) => self.send(to, message),
                     Ok(TransportCommand::Reconnect { to }) => self.reconnect(to),
                     Ok(TransportCommand::Stop) | Err(_) => break,
                 },
-                Ok(report) = reports.recv_async() => self.note_report(report),
                 accepted = listener.accept() => self.accept(accepted).await,
             }
             telemetry::set_connections(self.links.len());
