--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -518,13 +518,14 @@
         }
         let versions = MembershipEvent::Publish(RumorBody::Documents(self.config.versions()));
         self.membership_step(versions, now, effects);
+        // Watchers come before targets: a node that knows no other watcher would probe every VM.
+        self.nodes_changed(now, effects);
         let targets = HealthEvent::TargetsChanged(self.fleet.health_targets());
         self.health_step(targets, now, effects);
         let drains = HealthEvent::DrainsChanged(self.config.drains());
         self.health_step(drains, now, effects);
         let shards = LeaseEvent::ShardsChanged(self.fleet.shards());
         self.lease_step(shards, now, effects);
-        self.nodes_changed(now, effects);
     }
 
     fn nodes_changed(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
--- a/tests/all/deployment.rs
+++ b/tests/all/deployment.rs
@@ -64,6 +64,8 @@
     pub discovery_ttl: &'static str,
     /// Whether engines check fencing tokens.
     pub fencing: &'static str,
+    /// Whether the plain service runs.
+    pub service: bool,
 }
 
 impl Default for DeploymentSettings {
@@ -78,6 +80,7 @@
             token_time: "2ms",
             discovery_ttl: "1s",
             fencing: "enforced",
+            service: false,
         }
     }
 }
@@ -252,7 +255,9 @@
     pub fn start(settings: DeploymentSettings) -> Self {
         let mut deployment = Self::start_platform(settings);
         deployment.start_engines();
-        deployment.start_service();
+        if deployment.settings.service {
+            deployment.start_service();
+        }
         for node in 0..deployment.settings.nodes {
             let process = deployment.start_node(node);
             deployment.nodes.push(process);
