Keep findings of nodes that were only out of reach

Cause: findings were dropped when their node left the list. A node that was merely separated sends a finding again only when it changes, so VMs stayed Suspect on the other side after a partition had ended. Change: findings of nodes outside the list stay stored without counting until a later run of the node appears; a partition test; random sequences of all events; the fake fleet drops rumors older than a delivered one, as numbered rumors allow.

--- a/crates/health/src/sources.rs
+++ b/crates/health/src/sources.rs
@@ -7,6 +7,8 @@
 use jaysaddle_types::evidence::ListedVm;
 use jaysaddle_types::evidence::VmEvidence;
 use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::units::Timestamp;
@@ -91,26 +93,28 @@
         self.rejudge(&vm, now, effects);
     }
 
-    /// The nodes have changed: findings of nodes that are gone are dropped, watchers chosen anew.
+    /// The nodes have changed: watchers are chosen anew. Findings of a node that is gone count no
+    /// longer, because it is no watcher. They stay stored until a later run of the node appears: a
+    /// node that was only out of reach sends its findings again only when they change.
     pub(crate) fn on_watchers(
         &mut self,
         places: Vec<WatcherPlace>,
         now: Timestamp,
         effects: &mut Vec<HealthEffect>,
     ) {
-        let kept: BTreeSet<&NodeKey> = places.iter().map(|place| &place.node).collect();
-        let gone: BTreeSet<NodeKey> = self
-            .places
+        let runs: BTreeMap<NodeId, Incarnation> = places
             .iter()
-            .map(|place| &place.node)
-            .filter(|node| !kept.contains(node))
-            .cloned()
+            .map(|place| (place.node.id.clone(), place.node.incarnation))
             .collect();
+        let is_replaced = |node: &NodeKey| {
+            runs.get(&node.id)
+                .is_some_and(|incarnation| *incarnation > node.incarnation)
+        };
         self.set_places(places);
         let vms: Vec<VmId> = self.records.keys().cloned().collect();
         for vm in vms {
             if let Some(record) = self.records.get_mut(&vm) {
-                record.notes.retain(|note| !gone.contains(&note.node));
+                record.notes.retain(|note| !is_replaced(&note.node));
             }
             self.assign(&vm, now);
             self.rejudge(&vm, now, effects);
--- a/crates/health/tests/all/main.rs
+++ b/crates/health/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the health tracker.
 
+mod events;
 mod rules;
 mod runs;
 mod support;
--- a/crates/health/tests/all/rules.rs
+++ b/crates/health/tests/all/rules.rs
@@ -231,6 +231,29 @@
     assert!(bench.tracker.is_cut_off(), "most peers do not answer");
 }
 
+/// Guards against removed targets that are still counted as contact or probed twice on their return.
+#[test]
+fn removed_targets_leave_no_count_and_no_probe_behind() {
+    let mut bench = TrackerBench::new(3, 6);
+    let set = |bench: &mut TrackerBench, count: usize| {
+        bench.step(HealthEvent::TargetsChanged(
+            (0..count).map(target).collect(),
+        ));
+    };
+    (0..4).for_each(|_| bench.miss(5));
+    (0..3).for_each(|_| (set(&mut bench, 0), set(&mut bench, 6)).1);
+    assert_eq!(
+        bench.wait(1_000).len(),
+        6,
+        "each is probed once in the interval"
+    );
+    set(&mut bench, 3);
+    bench.miss(0);
+    assert!(!bench.tracker.is_cut_off(), "one of three is silent");
+    bench.miss(1);
+    assert!(bench.tracker.is_cut_off(), "two of three are silent");
+}
+
 /// Guards against a node that takes its own pauses for failures of VMs: every probe times out,
 /// because the process stops for 1.2 s in each 1.3 s.
 #[test]
--- a/crates/health/tests/all/runs.rs
+++ b/crates/health/tests/all/runs.rs
@@ -17,7 +17,9 @@
 use crate::support::env_number;
 use crate::support::fleet::FakeFleet;
 use crate::support::fleet::NODES;
+use crate::support::fleet::SPLIT;
 use crate::support::fleet::VMS;
+use crate::support::places;
 use crate::support::vm_id;
 
 /// VM on which the property is checked; no fault of the plan concerns it.
@@ -286,3 +288,37 @@
     }
     check("live_again", 60, property);
 }
+
+/// Guards against a partition that leaves VMs out of use after it has ended: each side forgets the
+/// other's nodes, and watchers that saw no change send no finding again.
+#[test]
+fn a_partition_leaves_nothing_behind() {
+    for seed in 0..100 {
+        let mut fleet = FakeFleet::new(seed, &HealthSettings::default());
+        fleet.run_until(WARM_UP_MS + seed * 10);
+        let start = fleet.now;
+        fleet.split_until = start + 60_000;
+        fleet.run_until(start + 5_000);
+        for node in 0..NODES {
+            let side: Vec<usize> = (0..NODES)
+                .filter(|other| (*other < SPLIT) == (node < SPLIT))
+                .collect();
+            fleet.send(node, HealthEvent::WatchersChanged(places(side)));
+        }
+        fleet.run_until(start + 60_000);
+        let far = (fleet.state(0, 3), fleet.state(NODES - 1, 0));
+        let dead = (VmState::Dead, VmState::Dead);
+        assert_eq!(far, dead, "seed {seed}: out of reach");
+        fleet.run_until(start + 61_000);
+        for node in 0..NODES {
+            fleet.send(node, HealthEvent::WatchersChanged(places(0..NODES)));
+        }
+        fleet.run_until(start + 61_000 + 30_000);
+        for node in 0..NODES {
+            for vm in 0..VMS {
+                let state = fleet.state(node, vm);
+                assert_eq!(state, VmState::Live, "seed {seed}: node {node}, vm-{vm}");
+            }
+        }
+    }
+}
--- a/crates/health/tests/all/support/fleet.rs
+++ b/crates/health/tests/all/support/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 
 use jaysaddle_health::HealthEffect;
@@ -26,6 +27,11 @@
 
 /// Nodes of the fake fleet.
 pub const NODES: usize = 5;
+/// Nodes below this number are on the first side of a partition.
+pub const SPLIT: usize = 2;
+/// VMs below the first number are reached from the first side of a partition only, those below the
+/// second from the second side only, and the others from both.
+const VM_SPLIT: (usize, usize) = (3, 6);
 /// VMs of the fake fleet.
 pub const VMS: usize = 9;
 const TICK_MS: u64 = 200;
@@ -62,7 +68,7 @@
     Tick,
     Event(HealthEvent),
     Probe(VmId, u64, Result<EngineReport, ProbeFailure>),
-    Rumor(usize, VmEvidence),
+    Rumor(usize, usize, VmEvidence),
 }
 
 /// Entry of the queue; compared by time and number only.
@@ -96,6 +102,8 @@
     pub nodes: Vec<FakeNode>,
     /// VMs.
     pub vms: Vec<FakeVm>,
+    /// Until then, a partition separates the two sides.
+    pub split_until: u64,
     /// Share of lost probes, in percent.
     pub loss: u64,
     /// State changes as (time, node, VM, state).
@@ -105,8 +113,8 @@
     noise: NoiseSource,
     queue: BinaryHeap<Reverse<Entry>>,
     numbers: u64,
-    /// Last delivery of a rumor for each pair of nodes; rumors of a pair stay in order.
-    last_rumor: [[u64; NODES]; NODES],
+    /// Number of the latest delivered rumor by origin, receiver and VM.
+    latest_rumor: BTreeMap<(usize, usize, VmId), usize>,
 }
 
 impl FakeFleet {
@@ -123,13 +131,14 @@
             now: 1000,
             nodes: (0..NODES).map(node).collect(),
             vms: vec![FakeVm::default(); VMS],
+            split_until: 0,
             loss: 0,
             changes: Vec::new(),
             published: 0,
             noise: NoiseSource(seed),
             queue: BinaryHeap::new(),
             numbers: 0,
-            last_rumor: [[0; NODES]; NODES],
+            latest_rumor: BTreeMap::new(),
         };
         for index in 0..NODES {
             fleet.send(index, HealthEvent::WatchersChanged(places(0..NODES)));
@@ -211,12 +220,20 @@
                 outcome,
                 latency: TimeSpan(self.now - sent),
             },
-            Delivery::Rumor(from, evidence) => {
+            Delivery::Rumor(from, number, evidence) => {
                 if self.separated(from, node) {
                     // Anti-entropy delivers it once the link is back.
-                    self.push(self.now + 500, node, Delivery::Rumor(from, evidence));
+                    let delivery = Delivery::Rumor(from, number, evidence);
+                    self.push(self.now + 500, node, delivery);
                     return;
                 }
+                // Membership numbers rumors and drops those that are older than a delivered one.
+                let key = (from, node, evidence.vm.clone());
+                let latest = self.latest_rumor.entry(key).or_default();
+                if number < *latest {
+                    return;
+                }
+                *latest = number;
                 HealthEvent::PeerFinding {
                     node: node_key(from),
                     evidence,
@@ -239,8 +256,22 @@
         self.send(node, HealthEvent::PeersReachable(permille));
     }
 
+    /// Whether a partition separates a node from a VM.
+    fn is_split(&self, node: usize, vm: usize) -> bool {
+        let (first, second) = VM_SPLIT;
+        let far = if node < SPLIT {
+            first..second
+        } else {
+            0..first
+        };
+        self.split_until > self.now && far.contains(&vm)
+    }
+
     fn separated(&self, from: usize, to: usize) -> bool {
-        self.nodes[from].isolated_until > self.now || self.nodes[to].isolated_until > self.now
+        let is_split = self.split_until > self.now && (from < SPLIT) != (to < SPLIT);
+        is_split
+            || self.nodes[from].isolated_until > self.now
+            || self.nodes[to].isolated_until > self.now
     }
 
     fn apply(&mut self, node: usize, effect: HealthEffect) {
@@ -262,6 +293,7 @@
         let lost = place.blind_until > self.now
             || place.isolated_until > self.now
             || (place.lost_vm.0 == index && place.lost_vm.1 > self.now)
+            || self.is_split(node, index)
             || fake.down_until > self.now
             || self.noise.below(100) < self.loss;
         let (delay, outcome) = if lost {
@@ -278,9 +310,8 @@
         self.published += 1;
         for to in (0..NODES).filter(|&to| to != from) {
             let delay = 20 + self.noise.below(RUMOR_MS - 20);
-            let at = (self.now + delay).max(self.last_rumor[from][to]);
-            self.last_rumor[from][to] = at;
-            self.push(at, to, Delivery::Rumor(from, evidence.clone()));
+            let delivery = Delivery::Rumor(from, self.published, evidence.clone());
+            self.push(self.now + delay, to, delivery);
         }
     }
 }
