Test the lease table with arbitrary sequences of events

Cause: the fake store gives only sensible answers. Change: random sequences of events and answers, also those that no store gives; reports of acquired and lost leases must match what is held.

--- a/crates/lease/tests/all/main.rs
+++ b/crates/lease/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod answers;
 mod cluster;
+mod events;
 mod rules;
 mod runs;
