--- a/crates/placement/src/bound.rs
+++ b/crates/placement/src/bound.rs
@@ -51,7 +51,8 @@
 /// The bound is exact when every VM may host every model and has as many accelerators as the
 /// others, and either the wanted groups do not limit the fleet or all groups have one size.
 /// Otherwise it may be too low, never too high: a VM that two models compete for is counted for
-/// both, and one wanted group may be counted in several domains.
+/// both, one wanted group may be counted in several domains, and a straggler counts as a possible
+/// member of a group although it is not placed anew.
 pub(crate) fn stranded_bound(work: &PlannerWork<'_>) -> u32 {
     let limits = group_limits(work);
     let mut by_domain: Vec<Vec<usize>> = vec![Vec::new(); work.domains.len()];
--- a/crates/placement/src/build.rs
+++ b/crates/placement/src/build.rs
@@ -26,7 +26,11 @@
         input: &'a PlannerInput,
         stored: &BTreeMap<FabricDomainId, PlacementDocument>,
     ) -> Self {
-        let demand = FleetDemand::new(&input.rules);
+        let usable = input
+            .vms
+            .iter()
+            .filter(|vm| vm.state.may_serve() || vm.state == VmState::Suspect);
+        let demand = FleetDemand::new(&input.rules, usable.count());
         let mut index: BTreeMap<&FabricDomainId, usize> = BTreeMap::new();
         index.extend(input.placements.keys().map(|id| (id, 0)));
         index.extend(input.vms.iter().map(|vm| (&vm.fabric_domain, 0)));
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -66,15 +66,16 @@
     pub models: Vec<ModelDemand<'a>>,
     /// Weights of the objectives.
     pub weights: ObjectiveWeights,
-    largest: f64,
+    /// Whether there are fewer VMs than all wanted groups need.
+    pub scarce: bool,
 }
 
 impl<'a> FleetDemand<'a> {
-    /// Reads the demand from the rules.
+    /// Reads the demand from the rules, for `usable` VMs.
     ///
     /// An account's reserve is divided among the models that it may use, in proportion to the
     /// capacity wanted of each, because a reserve names no model.
-    pub fn new(rules: &'a RulesDocument) -> Self {
+    pub fn new(rules: &'a RulesDocument, usable: usize) -> Self {
         let mut models: Vec<ModelDemand<'a>> = Vec::new();
         for rule in rules.models.iter().filter(|rule| rule.vms_per_group > 0) {
             let repeated = models.iter().any(|model| model.rule.name == rule.name);
@@ -105,11 +106,11 @@
                 }
             }
         }
-        let largest = models.iter().map(|model| model.size).max().unwrap_or(1) as f64;
+        let needed: usize = models.iter().map(|model| model.wanted * model.size).sum();
         Self {
             models,
             weights: rules.objective,
-            largest,
+            scarce: usable < needed,
         }
     }
 
@@ -122,19 +123,24 @@
 
     /// Orders two models by urgency, given their groups; the more urgent one is less.
     ///
-    /// Uncovered reserves come first. Among models whose reserves are covered alike, weight on
-    /// downtime prefers the one that misses the larger share of its groups; weight on stranded
-    /// accelerators prefers the larger groups, because small ones still fit into what is left.
+    /// Uncovered reserves come first. Among models whose reserves are covered alike, large groups
+    /// come first while there are VMs for all, because small ones still fit into what is left. When
+    /// VMs are scarce, weight on downtime prefers small groups, of which the same VMs make more,
+    /// and weight on stranded accelerators prefers large ones; with equal weights the model that
+    /// misses the larger share of its groups comes first.
     pub fn compare(&self, a: (usize, usize), b: (usize, usize)) -> Ordering {
         let floors = |(model, up): (usize, usize)| self.models[model].below_floor(up);
-        let value = |(model, up): (usize, usize)| {
-            let model = &self.models[model];
-            self.weights.downtime * model.below_wanted(up)
-                + self.weights.stranded * model.size as f64 / self.largest
+        let missing = |(model, up): (usize, usize)| self.models[model].below_wanted(up);
+        let preference = if self.scarce {
+            self.weights.stranded - self.weights.downtime
+        } else {
+            1.0
         };
+        let size = |(model, _): (usize, usize)| preference * self.models[model].size as f64;
         floors(b)
             .cmp(&floors(a))
-            .then_with(|| value(b).total_cmp(&value(a)))
+            .then_with(|| size(b).total_cmp(&size(a)))
+            .then_with(|| missing(b).total_cmp(&missing(a)))
             .then(a.0.cmp(&b.0))
     }
 
--- a/crates/placement/src/fill.rs
+++ b/crates/placement/src/fill.rs
@@ -16,10 +16,11 @@
 /// complete a broken group; free VMs form a new group; broken groups are dissolved for one whole
 /// group; a group whose loss costs less gives up its VMs.
 pub(crate) fn fill_wants(work: &mut PlannerWork<'_>) {
+    keep_promises(work);
     fill_without_loss(work);
     let mut tried = vec![false; work.demand.models.len()];
     while let Some(model) = most_urgent(work, &tried, true) {
-        if wait_for_drains(work, model) || take_from_serving(work, model) {
+        if wait_for_drains(work, model) || take_from_serving(work, model, false) {
             fill_without_loss(work);
         } else {
             tried[model] = true;
@@ -27,6 +28,17 @@
     }
 }
 
+/// Goes on with what earlier plans have begun: where groups drain already to give up their VMs, the
+/// free VMs that are to join these are not given to another model in the meantime.
+fn keep_promises(work: &mut PlannerWork<'_>) {
+    let mut tried = vec![false; work.demand.models.len()];
+    while let Some(model) = most_urgent(work, &tried, true) {
+        if !take_from_serving(work, model, true) {
+            tried[model] = true;
+        }
+    }
+}
+
 /// Notes a group that a later plan forms when `draining` groups of the domain have drained. The VMs
 /// that are free already are reserved for it.
 fn promise(work: &mut PlannerWork<'_>, domain: usize, model: usize, draining: &[usize]) {
@@ -277,10 +289,12 @@
 /// The gain is the decrease of: weight of downtime times the value of the missing groups, plus
 /// weight of stranded accelerators times idle VMs in units of a mean group. Every such step
 /// decreases this sum by a margin, so steps cannot undo one another in turn.
-fn take_from_serving(work: &mut PlannerWork<'_>, model: usize) -> bool {
+///
+/// With `draining`, only groups that drain already are taken.
+fn take_from_serving(work: &mut PlannerWork<'_>, model: usize, draining: bool) -> bool {
     let mut best: Option<VictimChoice> = None;
     for domain in 0..work.domains.len() {
-        let Some(choice) = cheapest_victims(work, domain, model) else {
+        let Some(choice) = cheapest_victims(work, domain, model, draining) else {
             continue;
         };
         if best.as_ref().is_none_or(|best| choice.gain > best.gain) {
@@ -303,7 +317,12 @@
     }
 }
 
-fn cheapest_victims(work: &PlannerWork<'_>, domain: usize, model: usize) -> Option<VictimChoice> {
+fn cheapest_victims(
+    work: &PlannerWork<'_>,
+    domain: usize,
+    model: usize,
+    draining: bool,
+) -> Option<VictimChoice> {
     let size = work.demand.models[model].size;
     let broken: usize = donors(work, domain)
         .into_iter()
@@ -317,12 +336,13 @@
     let mut up: Vec<usize> = (0..work.good.len())
         .map(|model| work.good[model] + work.old[model] + work.promised[model])
         .collect();
-    let gained = work.demand.models[model].value_of_next(up[model]);
+
     let mut candidates: Vec<usize> = work.domains[domain]
         .groups
         .iter()
         .copied()
         .filter(|group| is_victim(work, *group, model))
+        .filter(|group| !draining || work.groups[*group].draining())
         .collect();
     candidates.sort_by(|a, b| {
         let key = |group: usize| {
@@ -358,8 +378,14 @@
     if available < size {
         return None;
     }
+    // What the victims leave over may make further groups of the model.
+    let demand = &work.demand.models[model];
+    let formed = (available / size).min(demand.wanted.saturating_sub(up[model]));
+    let gained: f64 = (0..formed)
+        .map(|more| demand.value_of_next(up[model] + more))
+        .sum();
     let weights = &work.demand.weights;
-    let idle_after = (idle_before + freed).saturating_sub(size) as f64;
+    let idle_after = (idle_before + freed).saturating_sub(formed * size) as f64;
     let used = (idle_before as f64 - idle_after) / work.demand.mean_size();
     let gain = weights.downtime * (gained - lost) + weights.stranded * used;
     let margin = PREEMPT_MARGIN * (weights.downtime + weights.stranded);
