Count broken groups' VMs when a model waits for drains

A model that was short waited for draining groups only if these and the free VMs sufficed, and else took more groups in another domain, although the VMs of a broken group there completed the set.

--- a/crates/placement/src/fill.rs
+++ b/crates/placement/src/fill.rs
@@ -33,7 +33,7 @@
 fn keep_promises(work: &mut PlannerWork<'_>) {
     let mut tried = vec![false; work.demand.models.len()];
     while let Some(model) = most_urgent(work, &tried, true) {
-        if !take_from_serving(work, model, true) {
+        if !wait_for_drains(work, model) && !take_from_serving(work, model, true) {
             tried[model] = true;
         }
     }
@@ -55,7 +55,10 @@
 fn wait_for_drains(work: &mut PlannerWork<'_>, model: usize) -> bool {
     let size = work.demand.models[model].size;
     for domain in 0..work.domains.len() {
-        let mut available = work.free_count(domain, model);
+        let mut available = idle_count(work, domain, model);
+        if available >= size {
+            continue;
+        }
         let mut draining = Vec::new();
         for group in &work.domains[domain].groups {
             let entry = &work.groups[*group];
@@ -72,6 +75,13 @@
     false
 }
 
+/// VMs of a domain that are free or in broken groups and may host the model.
+fn idle_count(work: &PlannerWork<'_>, domain: usize, model: usize) -> usize {
+    let broken = donors(work, domain).into_iter();
+    let broken = broken.map(|group| usable_of(work, group, model));
+    work.free_count(domain, model) + broken.sum::<usize>()
+}
+
 fn fill_without_loss(work: &mut PlannerWork<'_>) {
     let mut tried = vec![false; work.demand.models.len()];
     while let Some(model) = most_urgent(work, &tried, false) {
@@ -229,14 +239,7 @@
 
 /// Dissolves broken groups of one fabric domain, so that their VMs complete or form one group.
 fn merge_broken(work: &mut PlannerWork<'_>, model: usize) -> bool {
-    let available = |domain: usize| {
-        let spare = work.free_count(domain, model);
-        let broken = donors(work, domain).into_iter();
-        spare
-            + broken
-                .map(|group| usable_of(work, group, model))
-                .sum::<usize>()
-    };
+    let available = |domain: usize| idle_count(work, domain, model);
     let Some(domain) = best_domain(work, model, available) else {
         return false;
     };
@@ -324,11 +327,7 @@
     draining: bool,
 ) -> Option<VictimChoice> {
     let size = work.demand.models[model].size;
-    let broken: usize = donors(work, domain)
-        .into_iter()
-        .map(|group| usable_of(work, group, model))
-        .sum();
-    let mut available = work.free_count(domain, model) + broken;
+    let mut available = idle_count(work, domain, model);
     if available >= size {
         return None;
     }
