Give account usage a byte budget of its own and bound the time in the rumor queue

Cause: in a trial at 128 nodes with usage of 10 accounts per node every 60 s, usage used up the byte budget of rumors, and a Documents rumor took 18.5 s (median of 10) to reach all nodes. Nodes that started together knew all others only after the first periodic exchange, 10 s or later.

Change: usage rumors wait in their own queue with their own budget; other kinds go first. A rumor leaves the queue after 10 s and is left to anti-entropy, which sends it only to nodes that lack it. During its first 20 s a node exchanges digests every 2 s.

--- a/crates/membership/src/budget.rs
+++ b/crates/membership/src/budget.rs
@@ -1,40 +1,45 @@
-//! A token bucket that bounds the bytes of pushed rumors.
+//! A token bucket that bounds the bytes of rumors.
 
 use jaysaddle_types::units::ByteCount;
 use jaysaddle_types::units::Timestamp;
 
 /// Bytes that may be sent now, refilled at a fixed rate.
+///
+/// One message may overdraw the bucket, so that it need not be cut to what is left; the debt is
+/// paid off before the next one.
 #[derive(Clone, Debug)]
 pub(crate) struct ByteBudget {
-    per_second: u64,
-    burst: u64,
-    available: u64,
+    per_second: i64,
+    burst: i64,
+    available: i64,
     refilled: Option<Timestamp>,
 }
 
 impl ByteBudget {
     pub(crate) fn new(per_second: ByteCount, burst: ByteCount) -> Self {
+        let burst = i64::try_from(burst.0).unwrap_or(i64::MAX);
         Self {
-            per_second: per_second.0,
-            burst: burst.0,
-            available: burst.0,
+            per_second: i64::try_from(per_second.0).unwrap_or(i64::MAX),
+            burst,
+            available: burst,
             refilled: None,
         }
     }
 
     pub(crate) fn refill(&mut self, now: Timestamp) {
         let elapsed = self.refilled.map_or(0, |last| now.since(last).as_millis());
+        let elapsed = i64::try_from(elapsed).unwrap_or(i64::MAX);
         let gained = self.per_second.saturating_mul(elapsed) / 1000;
         self.refilled = Some(now);
         self.available = self.available.saturating_add(gained).min(self.burst);
     }
 
-    /// Takes up to `bytes` out of the bucket.
     pub(crate) fn spend(&mut self, bytes: usize) {
-        self.available = self.available.saturating_sub(bytes as u64);
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.available = self.available.saturating_sub(bytes);
     }
 
-    pub(crate) fn allows(&self, bytes: usize) -> bool {
-        self.available >= bytes as u64
+    pub(crate) fn has_credit(&self) -> bool {
+        self.available > 0
     }
 }
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -222,7 +222,7 @@
     }
 
     pub(crate) fn start_sync(&mut self, to: &NodeKey, now: Timestamp) {
-        self.timers.next_sync = now + self.settings.sync_interval;
+        self.timers.next_sync = now + self.sync_interval(now);
         let request = SyncRequestMessage {
             digest: self.view(now).digest(),
             rumors: self.own_claim(now),
@@ -275,9 +275,6 @@
         }
         targets.retain(|key| self.is_live(key));
         for target in targets {
-            if !self.budget.allows(limit) {
-                return;
-            }
             let rumors = self.take_rumors(limit);
             self.send_rumors(&target, rumors);
         }
@@ -326,12 +323,10 @@
         rumors
     }
 
+    /// Queued rumors for one message, within its limit and the byte budgets.
     fn take_rumors(&mut self, limit: usize) -> Vec<WireRumor> {
         let transmissions = self.transmissions();
-        let rumors = self.outbox.pack(limit, transmissions);
-        let bytes = rumors.iter().map(|rumor| rumor.encoded_len()).sum();
-        self.budget.spend(bytes);
-        rumors
+        self.outbox.pack(limit, transmissions)
     }
 
     fn transmissions(&self) -> u32 {
--- a/crates/membership/src/outbox.rs
+++ b/crates/membership/src/outbox.rs
@@ -4,14 +4,34 @@
 use std::collections::BTreeSet;
 
 use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::units::ByteCount;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
 use jaysaddle_wire::messages::WireRumor;
 use prost::Message;
 
+use crate::budget::ByteBudget;
 use crate::facts::FactSlot;
 
 /// Bytes of tag and length around a rumor inside a message.
 const RUMOR_OVERHEAD_BYTES: usize = 3;
 
+/// Longest time in the queue. Under more rumors than the byte budget carries, anti-entropy spreads
+/// the rest at fewer bytes, because it sends only what the other node lacks.
+const MAX_QUEUED: TimeSpan = TimeSpan::from_secs(10);
+
+/// Bytes of rumors sent per second, and the most at once. Half of the budget of 5 KB/s is for
+/// sending, and probes, anti-entropy and heartbeats need about 1 KB/s of it.
+const URGENT_RATE: ByteCount = ByteCount(1000);
+const URGENT_BURST: ByteCount = ByteCount(16 << 10);
+
+/// The same for account usage, which every node publishes and which is of use when it is late.
+const ROUTINE_RATE: ByteCount = ByteCount(500);
+const ROUTINE_BURST: ByteCount = ByteCount(4 << 10);
+
+/// Room left in a message below which no routine rumor is added.
+const MIN_ROUTINE_ROOM: usize = 256;
+
 /// What a rumor is about; a newer rumor replaces a queued one with the same subject.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum RumorSlot {
@@ -26,6 +46,7 @@
     wire: WireRumor,
     bytes: usize,
     order: RumorOrder,
+    queued: Timestamp,
 }
 
 /// Rumors sent least often go first, among them the newest.
@@ -36,34 +57,83 @@
     age: u64,
 }
 
-/// The queue of rumors to pass on.
+/// The rumors to pass on. Account usage has a queue and a budget of its own, so that it never
+/// delays the other kinds.
+#[derive(Clone, Debug)]
+pub(crate) struct RumorOutbox {
+    urgent: RumorQueue,
+    routine: RumorQueue,
+}
+
+impl Default for RumorOutbox {
+    fn default() -> Self {
+        Self {
+            urgent: RumorQueue::new(ByteBudget::new(URGENT_RATE, URGENT_BURST)),
+            routine: RumorQueue::new(ByteBudget::new(ROUTINE_RATE, ROUTINE_BURST)),
+        }
+    }
+}
+
+impl RumorOutbox {
+    /// Whether a rumor may be sent now.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.urgent.is_ready() || self.routine.is_ready()
+    }
+
+    pub(crate) fn push(&mut self, slot: RumorSlot, wire: WireRumor, now: Timestamp) {
+        match slot {
+            RumorSlot::Fact(_, FactSlot::Usage) => self.routine.push(slot, wire, now),
+            _ => self.urgent.push(slot, wire, now),
+        }
+    }
+
+    /// Refills the budgets and drops rumors that have been queued for too long.
+    pub(crate) fn refresh(&mut self, now: Timestamp) {
+        self.urgent.refresh(now);
+        self.routine.refresh(now);
+    }
+
+    /// Takes rumors of at most `limit` bytes for one message and counts them as sent. A rumor that
+    /// is larger than the limit goes alone. A rumor is dropped after `max_transmissions`.
+    pub(crate) fn pack(&mut self, limit: usize, max_transmissions: u32) -> Vec<WireRumor> {
+        let mut wires = self.urgent.pack(limit, max_transmissions);
+        let used: usize = wires.iter().map(|wire| wire.encoded_len()).sum();
+        let room = limit.saturating_sub(used);
+        if wires.is_empty() || room >= MIN_ROUTINE_ROOM {
+            wires.extend(self.routine.pack(room, max_transmissions));
+        }
+        wires
+    }
+}
+
+/// One queue of rumors.
 ///
 /// # Invariants
 ///
 /// `order` holds exactly the slots of `rumors`, each under its order.
 #[derive(Clone, Debug)]
-pub(crate) struct RumorOutbox {
+struct RumorQueue {
     rumors: BTreeMap<RumorSlot, QueuedRumor>,
     order: BTreeSet<(RumorOrder, RumorSlot)>,
     next_age: u64,
+    budget: ByteBudget,
 }
 
-impl Default for RumorOutbox {
-    fn default() -> Self {
+impl RumorQueue {
+    fn new(budget: ByteBudget) -> Self {
         Self {
             rumors: BTreeMap::new(),
             order: BTreeSet::new(),
             next_age: u64::MAX,
+            budget,
         }
     }
-}
 
-impl RumorOutbox {
-    pub(crate) fn is_empty(&self) -> bool {
-        self.rumors.is_empty()
+    fn is_ready(&self) -> bool {
+        !self.rumors.is_empty() && self.budget.has_credit()
     }
 
-    pub(crate) fn push(&mut self, slot: RumorSlot, wire: WireRumor) {
+    fn push(&mut self, slot: RumorSlot, wire: WireRumor, now: Timestamp) {
         self.remove(&slot);
         let order = RumorOrder {
             transmissions: 0,
@@ -72,18 +142,37 @@
         self.next_age -= 1;
         let bytes = wire.encoded_len() + RUMOR_OVERHEAD_BYTES;
         self.order.insert((order, slot.clone()));
-        self.rumors.insert(slot, QueuedRumor { wire, bytes, order });
+        let rumor = QueuedRumor {
+            wire,
+            bytes,
+            order,
+            queued: now,
+        };
+        self.rumors.insert(slot, rumor);
     }
 
-    pub(crate) fn remove(&mut self, slot: &RumorSlot) {
+    fn remove(&mut self, slot: &RumorSlot) {
         if let Some(old) = self.rumors.remove(slot) {
             self.order.remove(&(old.order, slot.clone()));
         }
     }
 
-    /// Takes rumors of at most `limit` bytes for one message and counts them as sent. A rumor that
-    /// is larger than the limit goes alone. A rumor is dropped after `max_transmissions`.
-    pub(crate) fn pack(&mut self, limit: usize, max_transmissions: u32) -> Vec<WireRumor> {
+    fn refresh(&mut self, now: Timestamp) {
+        self.budget.refill(now);
+        let order = &mut self.order;
+        self.rumors.retain(|slot, rumor| {
+            let fresh = now.since(rumor.queued) <= MAX_QUEUED;
+            if !fresh {
+                order.remove(&(rumor.order, slot.clone()));
+            }
+            fresh
+        });
+    }
+
+    fn pack(&mut self, limit: usize, max_transmissions: u32) -> Vec<WireRumor> {
+        if !self.is_ready() {
+            return Vec::new();
+        }
         let chosen = self.choose(limit);
         let mut wires = Vec::with_capacity(chosen.len());
         for (order, slot) in chosen {
@@ -91,6 +180,7 @@
             let Some(queued) = self.rumors.get_mut(&slot) else {
                 continue;
             };
+            self.budget.spend(queued.bytes);
             wires.push(queued.wire.clone());
             queued.order.transmissions += 1;
             if queued.order.transmissions >= max_transmissions {
--- a/crates/membership/src/timers.rs
+++ b/crates/membership/src/timers.rs
@@ -34,10 +34,16 @@
 /// Seeds asked at a time while no peer is known.
 const JOIN_FANOUT: usize = 3;
 
+/// Time after the start during which a node syncs more often: others may start with it, and their
+/// claims may exceed the byte budget of rumors.
+const JOINING: TimeSpan = TimeSpan::from_secs(20);
+const JOINING_SYNC_INTERVAL: TimeSpan = TimeSpan::from_secs(2);
+
 /// When each periodic action is due.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TimerTable {
-    pub(crate) started: bool,
+    /// Time of the first tick.
+    pub(crate) started: Option<Timestamp>,
     pub(crate) last_seen: Timestamp,
     pub(crate) next_probe: Timestamp,
     pub(crate) next_sync: Timestamp,
@@ -50,7 +56,6 @@
     pub(crate) fn tick(&mut self, now: Timestamp) {
         self.start_timers(now);
         self.compensate_pause(now);
-        self.budget.refill(now);
         self.expire_probes(now);
         self.expire_suspicions(now);
         self.probe_next(now);
@@ -61,13 +66,15 @@
     }
 
     fn start_timers(&mut self, now: Timestamp) {
-        if self.timers.started {
+        if self.timers.started.is_some() {
             return;
         }
         // Nodes that start together spread their periodic work over the interval.
         let spread = self.settings.sync_interval.as_millis() as usize;
         let offset = TimeSpan(self.random.below(spread) as u64);
-        self.timers.started = true;
+        self.timers.started = Some(now);
+        let own = self.own.clone();
+        self.queue_claim(&own, now);
         self.timers.last_seen = now;
         self.timers.next_probe = now;
         self.timers.next_sync = now + offset;
@@ -265,8 +272,22 @@
         }
     }
 
+    /// Time until the next anti-entropy exchange.
+    pub(crate) fn sync_interval(&self, now: Timestamp) -> TimeSpan {
+        let started = self.timers.started.unwrap_or(now);
+        if now.since(started) < JOINING {
+            JOINING_SYNC_INTERVAL.min(self.settings.sync_interval)
+        } else {
+            self.settings.sync_interval
+        }
+    }
+
     fn push_next(&mut self, now: Timestamp) {
-        if now < self.timers.next_push || self.outbox.is_empty() {
+        if now < self.timers.next_push {
+            return;
+        }
+        self.outbox.refresh(now);
+        if !self.outbox.is_ready() {
             return;
         }
         self.timers.next_push = now + PUSH_INTERVAL;
--- a/crates/membership/src/tracker.rs
+++ b/crates/membership/src/tracker.rs
@@ -8,12 +8,10 @@
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::node::NodeRecord;
 use jaysaddle_types::node::NodeState;
-use jaysaddle_types::units::ByteCount;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use jaysaddle_wire::messages::WireRumor;
 
-use crate::budget::ByteBudget;
 use crate::claim::NodeClaim;
 use crate::contacts::AddressMemory;
 use crate::contacts::RecentContacts;
@@ -37,11 +35,6 @@
 use crate::sync::SyncView;
 use crate::timers::TimerTable;
 
-/// Bytes of rumors pushed per second beside probes, and the most at once. Half of the budget of
-/// 5 KB/s counts for sending, and probes and anti-entropy take about as much as this.
-const PUSH_RATE: ByteCount = ByteCount(1200);
-const PUSH_BURST: ByteCount = ByteCount(8192);
-
 /// Revision of a run's first claim; 0 would be mistaken for an unknown origin in digests.
 const FIRST_REVISION: u64 = 1;
 
@@ -65,7 +58,6 @@
     pub(crate) schedule: ProbeSchedule,
     pub(crate) contacts: RecentContacts,
     pub(crate) memory: AddressMemory,
-    pub(crate) budget: ByteBudget,
     pub(crate) timers: TimerTable,
     pub(crate) effects: Vec<MembershipEffect>,
     /// Sequence of the last published fact.
@@ -91,8 +83,6 @@
             dead_for: TimeSpan(0),
         };
         peers.insert(&claim, Timestamp(0));
-        let mut outbox = RumorOutbox::default();
-        outbox.push(RumorSlot::Node(own.key.clone()), claim_to_wire(&claim));
         Self {
             settings,
             own: own.key,
@@ -100,11 +90,10 @@
             random: SeededRandom::new(seed),
             peers,
             facts: FactTable::default(),
-            outbox,
+            outbox: RumorOutbox::default(),
             schedule: ProbeSchedule::default(),
             contacts: RecentContacts::default(),
             memory: AddressMemory::default(),
-            budget: ByteBudget::new(PUSH_RATE, PUSH_BURST),
             timers: TimerTable::default(),
             effects: Vec::new(),
             sequence: 0,
@@ -122,7 +111,7 @@
             MembershipEvent::Tick => self.tick(now),
             MembershipEvent::Received(message) => self.receive(&message, now),
             MembershipEvent::SendFailed(address) => self.schedule.fail_direct(address, now),
-            MembershipEvent::Publish(body) => self.publish(body),
+            MembershipEvent::Publish(body) => self.publish(body, now),
             MembershipEvent::Leave => self.leave(now),
             MembershipEvent::Stop => self.stop(now),
         }
@@ -195,7 +184,7 @@
         }
     }
 
-    fn publish(&mut self, body: RumorBody) {
+    fn publish(&mut self, body: RumorBody, now: Timestamp) {
         let slot = FactSlot::of(&body);
         // An unchanged fact costs nothing: it is not sent again.
         if self.facts.body(&self.own, &slot) == Some(&body) {
@@ -208,7 +197,7 @@
             body,
         };
         if self.facts.accept(&fact) {
-            self.queue_fact(&fact);
+            self.queue_fact(&fact, now);
         }
     }
 
@@ -234,7 +223,7 @@
         let Some(entry) = self.peers.get_mut(&own) else {
             return;
         };
-        entry.revision = entry.revision.max(heard) + 1;
+        entry.revision = entry.revision.max(heard).saturating_add(1);
         entry.state = state;
         entry.since = now;
         self.queue_claim(&own, now);
@@ -247,7 +236,7 @@
         for rumor in rumors {
             let new = match rumor_of(rumor) {
                 Ok(KnownRumor::Node(claim)) => self.apply_claim(&claim, relay, now),
-                Ok(KnownRumor::Fact(fact)) => self.apply_fact(fact, relay),
+                Ok(KnownRumor::Fact(fact)) => self.apply_fact(fact, relay, now),
                 Err(error) => {
                     let reason = format!("a rumor is malformed: {error}");
                     self.decide(self.own.clone(), "skip", &reason);
@@ -321,14 +310,14 @@
         }
     }
 
-    fn apply_fact(&mut self, fact: FactRumor, relay: bool) -> bool {
+    fn apply_fact(&mut self, fact: FactRumor, relay: bool, now: Timestamp) -> bool {
         let known = self.peers.get(&fact.origin).is_some();
         // A fact that overtakes its origin's first claim is fetched later by anti-entropy.
         if fact.origin == self.own || !known || !self.facts.accept(&fact) {
             return false;
         }
         if relay {
-            self.queue_fact(&fact);
+            self.queue_fact(&fact, now);
         }
         self.effects.push(MembershipEffect::RumorReceived {
             origin: fact.origin,
@@ -340,14 +329,14 @@
     pub(crate) fn queue_claim(&mut self, key: &NodeKey, now: Timestamp) {
         if let Some(entry) = self.peers.get(key) {
             let wire = claim_to_wire(&entry.claim(now));
-            self.outbox.push(RumorSlot::Node(key.clone()), wire);
+            self.outbox.push(RumorSlot::Node(key.clone()), wire, now);
         }
     }
 
-    fn queue_fact(&mut self, fact: &FactRumor) {
+    fn queue_fact(&mut self, fact: &FactRumor, now: Timestamp) {
         let slot = RumorSlot::Fact(fact.origin.clone(), FactSlot::of(&fact.body));
         let wire = fact_to_wire(&fact.origin, fact.sequence, &fact.body);
-        self.outbox.push(slot, wire);
+        self.outbox.push(slot, wire, now);
     }
 
     /// Sets the state of a peer on this node's own evidence and spreads it.
--- a/crates/membership/tests/all/main.rs
+++ b/crates/membership/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of membership.
 
+mod hostile;
 mod network;
 mod protocol;
 mod random_runs;
--- a/crates/membership/tests/all/network.rs
+++ b/crates/membership/tests/all/network.rs
@@ -7,6 +7,8 @@
 use std::collections::BinaryHeap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use jaysaddle_membership::MembershipEffect;
 use jaysaddle_membership::MembershipEvent;
@@ -59,6 +61,8 @@
     pub bytes_sent: u64,
     pub bytes_received: u64,
     pub messages_sent: u64,
+    /// Time that the tracker took.
+    pub step_time: Duration,
     /// Bodies received, by origin, in order.
     pub rumors: Vec<(NodeKey, RumorBody)>,
     /// State changes seen, in order.
@@ -168,6 +172,7 @@
             bytes_sent: 0,
             bytes_received: 0,
             messages_sent: 0,
+            step_time: Duration::ZERO,
             rumors: Vec::new(),
             changes: Vec::new(),
             reconnects: 0,
@@ -224,8 +229,11 @@
         self.nodes[node].paused = self.nodes[node].running;
     }
 
+    /// Continues a paused node. Its timers fire before it reads what has arrived, the order in
+    /// which a wrong conclusion is most likely.
     pub fn resume(&mut self, node: usize) {
         if std::mem::take(&mut self.nodes[node].paused) {
+            self.step(node, MembershipEvent::Tick);
             for event in std::mem::take(&mut self.nodes[node].inbox) {
                 self.step(node, event);
             }
@@ -295,7 +303,9 @@
             self.nodes[node].bytes_received += FrameCodec::frame_bytes(message) as u64;
         }
         let now = Timestamp(self.now);
+        let started = Instant::now();
         let effects = self.nodes[node].tracker.step(event, now);
+        self.nodes[node].step_time += started.elapsed();
         for effect in effects {
             self.carry_out(node, effect);
         }
--- a/crates/membership/tests/all/protocol.rs
+++ b/crates/membership/tests/all/protocol.rs
@@ -1,8 +1,12 @@
 //! Runs of chosen situations.
 
+use jaysaddle_membership::MembershipEffect;
 use jaysaddle_membership::MembershipEvent;
 use jaysaddle_membership::RumorBody;
+use jaysaddle_types::ids::DocumentName;
+use jaysaddle_types::ids::ObjectVersion;
 use jaysaddle_types::node::NodeState;
+use jaysaddle_types::units::Timestamp;
 
 use crate::network::FakeNetwork;
 use crate::network::NetworkSettings;
@@ -145,8 +149,106 @@
     }
 }
 
-fn now(network: &FakeNetwork) -> jaysaddle_types::units::Timestamp {
-    jaysaddle_types::units::Timestamp(network.now)
+/// Guards against halves that can meet only through their seeds: all VMs are replaced in time.
+#[test]
+fn halves_without_seeds_find_each_other_after_an_hour() {
+    let mut network = cluster(20, 21);
+    network.kill(0);
+    network.kill(1);
+    network.partition(|node| u32::from(node >= 10));
+    network.run(3_600_000);
+    assert_eq!(network.seen(2, 12), None);
+    network.partition(|_| 0);
+    let time = network.run_until(120_000, |network| network.disagreement().is_none());
+    assert!(time.is_some(), "{:?}", network.disagreement());
+}
+
+/// Guards against a node that wakes up and declares a suspect dead whose refutation it has not
+/// read yet.
+#[test]
+fn suspicion_does_not_expire_during_a_pause() {
+    let mut network = cluster(8, 22);
+    clear_changes(&mut network);
+    network.pause(4);
+    let suspected = network.run_until(30_000, |network| {
+        network.seen(3, 4) == Some(NodeState::Suspect)
+    });
+    assert!(suspected.is_some());
+    network.pause(3);
+    network.resume(4);
+    // Longer than the suspicion time.
+    network.run(6000);
+    network.resume(3);
+    network.run(10_000);
+    assert_eq!(changes_to(&network, 4, NodeState::Dead), 0);
+}
+
+/// Guards against a rumor that is lost because all its transmissions were.
+#[test]
+fn anti_entropy_fetches_a_rumor_whose_transmissions_were_lost() {
+    let mut network = cluster(8, 23);
+    network.settings.loss_permille = 1000;
+    publish_documents(&mut network, 5, 7);
+    network.run(1500);
+    network.settings.loss_permille = 0;
+    network.run(30_000);
+    assert_eq!(holders(&network, 5, 7), 7);
+}
+
+/// Guards against a node that joins and does not learn older facts.
+#[test]
+fn joining_node_learns_old_facts() {
+    let mut network = cluster(8, 24);
+    publish_documents(&mut network, 5, 7);
+    network.run(60_000);
+    let late = network.add_node();
+    network.run(5000);
+    assert_eq!(network.nodes[late].rumors.len(), 1);
+}
+
+/// Guards against a join that costs all nodes the whole state. The joining node receives it once.
+#[test]
+fn join_costs_in_proportion_to_the_change() {
+    let mut network = cluster(40, 25);
+    let quiet = bytes_in_30_s(&mut network);
+    let late = network.add_node();
+    let join = bytes_in_30_s(&mut network);
+    let per_node = join.saturating_sub(quiet) / 40;
+    // One claim of about 110 bytes, sent 2 * 6 times at most, and a share of one transfer of the
+    // state.
+    assert!(per_node < 2500, "{per_node} bytes per node");
+    assert!(network.nodes[late].bytes_received < 20_000);
+    assert_eq!(network.disagreement(), None);
+}
+
+fn bytes_in_30_s(network: &mut FakeNetwork) -> u64 {
+    let sent = |network: &FakeNetwork| {
+        network
+            .nodes
+            .iter()
+            .map(|fake| fake.bytes_sent)
+            .sum::<u64>()
+    };
+    let before = sent(network);
+    network.run(30_000);
+    sent(network) - before
+}
+
+fn publish_documents(network: &mut FakeNetwork, node: usize, version: u64) {
+    let versions = vec![(DocumentName::new("rules"), ObjectVersion(version))];
+    let body = RumorBody::Documents(versions);
+    network.step(node, MembershipEvent::Publish(body));
+}
+
+fn holders(network: &FakeNetwork, origin: usize, version: u64) -> usize {
+    let versions = vec![(DocumentName::new("rules"), ObjectVersion(version))];
+    let rumor = (key(origin, 1), RumorBody::Documents(versions));
+    let fakes = network.nodes.iter();
+    fakes.filter(|fake| fake.rumors.contains(&rumor)).count()
+}
+
+fn now(network: &FakeNetwork) -> Timestamp {
+    Timestamp(network.now)
 }
 
 /// Guards against a node that is cut off and does not notice, at a size where a round of probes
@@ -177,7 +279,7 @@
     for _ in 0..100 {
         let time = now(&network);
         for effect in zombie.step(MembershipEvent::Tick, time) {
-            if let jaysaddle_membership::MembershipEffect::Send { message, .. } = effect {
+            if let MembershipEffect::Send { message, .. } = effect {
                 network.step(0, MembershipEvent::Received(message));
             }
         }
