--- a/crates/transport/tests/all/faults.rs
+++ b/crates/transport/tests/all/faults.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use jaysaddle_transport::TransportCommand;
+use jaysaddle_transport::TransportEvent;
 use jaysaddle_transport::TransportSettings;
 use jaysaddle_wire::ClusterKey;
 
@@ -96,6 +97,9 @@
     let mut raw = RawPeer::connect(peer.address());
     raw.send(message(1));
     assert_eq!(raw.read_message(), None);
+    std::thread::sleep(Duration::from_millis(200));
+    let is_message = |event: &TransportEvent| matches!(event, TransportEvent::Received { .. });
+    assert!(!peer.events.try_iter().any(|event| is_message(&event)));
     let good = Peer::start(fast());
     good.send(peer.address(), 7);
     assert_eq!(peer.expect(7), good.address());
