Test that loss kills no live node

Cause: the random runs judge the views only after the loss has ended.

Change: 40 trackers run for 10 minutes with 5% loss and delays up to 120 ms; none may be declared dead.

--- a/crates/membership/tests/all/protocol.rs
+++ b/crates/membership/tests/all/protocol.rs
@@ -89,6 +89,19 @@
     assert_eq!(network.disagreement(), None);
 }
 
+/// Guards against loss that is taken for death: each message is lost with 5%.
+#[test]
+fn loss_kills_no_live_node() {
+    let mut network = cluster(40, 26);
+    clear_changes(&mut network);
+    network.settings.loss_permille = 50;
+    network.settings.delay_ms = (1, 120);
+    network.run(600_000);
+    for subject in 0..40 {
+        assert_eq!(changes_to(&network, subject, NodeState::Dead), 0);
+    }
+}
+
 /// Guards against a node that wakes up after a pause and takes all others for dead.
 #[test]
 fn paused_node_declares_no_other_dead() {
