Form a group of free VMs at once instead of waiting for drains

A model that was short reserved VMs of draining groups even where free VMs of another domain would have sufficed, which adds the drain to its downtime. The new test fails without the check ("the new group is formed at once").

--- a/crates/placement/src/fill.rs
+++ b/crates/placement/src/fill.rs
@@ -33,12 +33,23 @@
 fn keep_promises(work: &mut PlannerWork<'_>) {
     let mut tried = vec![false; work.demand.models.len()];
     while let Some(model) = most_urgent(work, &tried, true) {
-        if !wait_for_drains(work, model) && !take_from_serving(work, model, true) {
-            tried[model] = true;
-        }
+        // What can be had at once is not waited for.
+        let waits = !can_fill_now(work, model)
+            && (wait_for_drains(work, model) || take_from_serving(work, model, true));
+        tried[model] = !waits;
     }
 }
 
+/// Whether spares, free VMs or broken groups suffice for a group of the model.
+fn can_fill_now(work: &PlannerWork<'_>, model: usize) -> bool {
+    let size = work.demand.models[model].size;
+    let repairable = repairable(work, model).into_iter().any(|group| {
+        let group = &work.groups[group];
+        work.free_count(group.domain, model) >= group.lost()
+    });
+    repairable || (0..work.domains.len()).any(|domain| idle_count(work, domain, model) >= size)
+}
+
 /// Notes a group that a later plan forms when `draining` groups of the domain have drained. The VMs
 /// that are free already are reserved for it.
 fn promise(work: &mut PlannerWork<'_>, domain: usize, model: usize, draining: &[usize]) {
--- a/crates/placement/tests/all/planner.rs
+++ b/crates/placement/tests/all/planner.rs
@@ -305,6 +305,30 @@
     );
 }
 
+/// Guards against needless downtime: a model that can have free VMs at once does not wait for VMs
+/// that come free elsewhere when a group has drained.
+#[test]
+fn a_model_does_not_wait_for_drains_when_free_vms_suffice() {
+    let mut all = vms("hall-a", "fab-a", 4, &["chat", "draft"]);
+    all.extend(vms("hall-b", "fab-b", 4, &["chat"]));
+    let mut fleet = FleetModel::new(
+        all,
+        vec![model("chat", 4, 0), model("draft", 4, 1)],
+        Vec::new(),
+    );
+    settle(&mut fleet);
+    fleet.change_rules(|rules| {
+        rules.models[0].groups = 1;
+        rules.models[1].groups = 0;
+    });
+    let next = plan(&fleet);
+    fleet.apply(&next);
+    let drained = group_of(&fleet, "fab-a-00").expect("the old group drains");
+    assert_eq!(drained.intent, GroupIntent::Drain);
+    let formed = group_of(&fleet, "fab-b-00").expect("the new group is formed at once");
+    assert_eq!(formed.model.as_str(), "chat");
+}
+
 /// Guards against groups of a model crowded in one failure domain.
 #[test]
 fn groups_are_spread_over_failure_domains() {
