Test the assembly of answers

Cause: a caller must get the whole answer to its own request also when pieces are late, doubled or reordered.

--- /dev/null
+++ b/crates/daemon/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the daemon's parts that need no process.
+
+mod answer;
