Tell a connection without an answer from status 503

Cause: when a connection closes before an answer, minreq reports status 503 with the phrase "Server did not provide a status line", and it reports a body shorter than its Content-Length as whole. The store client therefore took a lost answer of a write for a write without effect, and the engine client passed a service call that may have run on as the service's own 503 or as a truncated answer. The stand-ins hid this: tiny_http keeps the connection of a dropped request open unless the client asks to close it, so cut calls ended only by the client's timeout.

Ruled out: the stand-in closing the socket itself; tiny_http gives no access to it, and a receive timeout on the listener breaks its accept loop.

Change: both clients send Connection: close, which they act by anyway, and recognise the made-up phrase; a service answer must have its announced length. Replay counts a connection without an answer as no_answer.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -31,6 +31,14 @@
 /// Time for a cancel order.
 const CANCEL_TIMEOUT_SECS: u64 = 1;
 
+/// Header of every call: `minreq` uses a connection once. A server that expects further requests
+/// would hold it open, and a stream that it has given up on would look silent instead of ended.
+const CLOSE_CONNECTION: (&str, &str) = ("Connection", "close");
+
+/// Reason phrase that `minreq` makes up, with status 503, when the connection closes before an
+/// answer. Taken as an answer, it would hide that the request may have run.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Client of engines' and services' HTTP interfaces.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HttpEngine;
@@ -53,6 +61,16 @@
     )
 }
 
+/// Whether the connection delivered an answer, and all of it; `minreq` reports neither as an error.
+fn is_whole(response: &minreq::Response) -> bool {
+    let announced = response
+        .headers("content-length")
+        .next()
+        .and_then(|text| text.parse::<usize>().ok());
+    response.reason_phrase != NO_STATUS_LINE
+        && announced.is_none_or(|length| length == response.as_bytes().len())
+}
+
 /// Whether the error proves that no connection was opened.
 fn proves_not_sent(error: &minreq::Error) -> bool {
     matches!(error, minreq::Error::IoError(io) if io.kind() == ErrorKind::ConnectionRefused)
@@ -69,6 +87,7 @@
     let answer = minreq::post(format!("http://{address}/engine/completions"))
         .with_header("Content-Type", "application/json")
         .with_body(body)
+        .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
         .with_timeout(timeout_secs(TimeSpan::from_millis(completion.deadline_ms)))
         .send_lazy();
     let response = match answer {
@@ -112,6 +131,7 @@
         timeout: TimeSpan,
     ) -> Result<EngineReport, ReportFailure> {
         let answer = minreq::get(format!("http://{address}/engine/status"))
+            .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
             .with_timeout(timeout_secs(timeout))
             .send();
         let response = match answer {
@@ -119,6 +139,9 @@
             Err(error) if is_timeout(&error) => return Err(ReportFailure::Timeout),
             Err(_) => return Err(ReportFailure::Refused),
         };
+        if response.reason_phrase == NO_STATUS_LINE {
+            return Err(ReportFailure::Refused);
+        }
         if response.status_code != 200 {
             return Err(ReportFailure::Invalid);
         }
@@ -135,6 +158,7 @@
         let response = minreq::post(format!("http://{address}/engine/orders"))
             .with_header("Content-Type", "application/json")
             .with_body(body)
+            .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
             .with_timeout(timeout_secs(timeout))
             .send()
             .ok()?;
@@ -167,6 +191,7 @@
         let outcome = minreq::post(format!("http://{address}/engine/cancel"))
             .with_header("Content-Type", "application/json")
             .with_body(body)
+            .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
             .with_timeout(CANCEL_TIMEOUT_SECS)
             .send();
         // The engine ends the request at its deadline when the cancel is lost.
@@ -178,9 +203,11 @@
             .with_header("Content-Type", call.content_type.as_str())
             .with_header("X-Request-Id", call.request_id.as_str())
             .with_body(call.body.as_slice())
+            .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
             .with_timeout(timeout_secs(call.timeout))
             .send();
         match answer {
+            Ok(response) if !is_whole(&response) => ServiceOutcome::Failed,
             Ok(response) => ServiceOutcome::Answered {
                 status: response.status_code,
                 content_type: response
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -25,6 +25,14 @@
 /// Time beyond a watch's wait after which the connection counts as silent.
 const WATCH_GRACE_SECS: u64 = 3;
 
+/// Header of every call: `minreq` uses a connection once. A server that expects further requests
+/// would hold it open, and a lost answer would show only after the time for the call.
+const CLOSE_CONNECTION: (&str, &str) = ("Connection", "close");
+
+/// Reason phrase that `minreq` makes up, with status 503, when the connection closes before an
+/// answer. Taken as an answer, it would turn a lost answer into a write without effect.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Client of the platform's HTTP interface.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
@@ -54,6 +62,7 @@
 
     fn get(&self, kind: ObjectKind, name: &str) -> StoreOutcome {
         let answer = minreq::get(self.object_url(kind, name))
+            .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
             .with_timeout(CALL_TIMEOUT_SECS)
             .send();
         // A read has no effect, so every failure means no more than that the store is unavailable.
@@ -80,11 +89,15 @@
         let answer = minreq::put(self.object_url(kind, name))
             .with_header("If-Match", expected.to_string())
             .with_body(value)
+            .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
             .with_timeout(CALL_TIMEOUT_SECS)
             .send();
         // After the request was sent, a failure says nothing about the write. Only a refused
         // connection proves that the store has not seen it.
         let response = match answer {
+            Ok(response) if response.reason_phrase == NO_STATUS_LINE => {
+                return StoreOutcome::Unknown;
+            }
             Ok(response) => response,
             Err(minreq::Error::IoError(error))
                 if error.kind() == std::io::ErrorKind::ConnectionRefused =>
@@ -130,6 +143,7 @@
             wait.as_millis()
         );
         let response = minreq::get(url)
+            .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
             .with_timeout(wait.as_millis() / 1000 + WATCH_GRACE_SECS)
             .send()
             .wrap_err("watch of the platform's store failed")?;
@@ -149,6 +163,7 @@
 
     fn list_vms(&self) -> eyre::Result<Vec<ListedVm>> {
         let response = minreq::get(format!("http://{}/vms", self.address))
+            .with_header(CLOSE_CONNECTION.0, CLOSE_CONNECTION.1)
             .with_timeout(CALL_TIMEOUT_SECS)
             .send()
             .wrap_err("reading the platform's VM list failed")?;
--- /dev/null
+++ b/crates/standins/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins over HTTP, as the daemon uses them.
+
+mod closing;
--- a/src/commands/replay.rs
+++ b/src/commands/replay.rs
@@ -50,6 +50,10 @@
     }
 }
 
+/// Reason phrase that `minreq` makes up, with status 503, when the connection closes before an
+/// answer.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Options of `replay`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct ReplayOptions {
@@ -128,6 +132,9 @@
     let Ok(response) = call.send() else {
         return ReplayOutcome::default();
     };
+    if response.reason_phrase == NO_STATUS_LINE {
+        return ReplayOutcome::default();
+    }
     let text = String::from_utf8_lossy(response.as_bytes()).into_owned();
     let body: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
     let answer = body["choices"][0]["text"].as_str().map(str::to_owned);
