--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use eyre::WrapErr;
 use eyre::eyre;
@@ -26,6 +27,12 @@
 /// Time that a write may block on a client that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for a killed VM's port to become free again.
+const REBIND_LIMIT: Duration = Duration::from_secs(5);
+
+/// Pause between attempts to listen again.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
 /// Largest body that a stand-in reads, in bytes; the platform's object limit is below it.
 pub const MAX_BODY_BYTES: u64 = 4 << 20;
 
@@ -63,6 +70,22 @@
         })
     }
 
+    /// Listens again on an address that was closed a moment ago.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address does not become free.
+    pub fn bind_again(address: SocketAddr) -> eyre::Result<Self> {
+        let started = Instant::now();
+        loop {
+            match Self::bind(address) {
+                Ok(listener) => return Ok(listener),
+                Err(error) if started.elapsed() > REBIND_LIMIT => return Err(error),
+                Err(_) => thread::sleep(REBIND_PAUSE),
+            }
+        }
+    }
+
     /// The address in use.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -154,6 +177,9 @@
 }
 
 /// Drops the connection without an answer; an ordinary drop would answer 500.
+///
+/// `tiny_http` closes it only for clients that sent `Connection: close`, as the daemon's do; for
+/// others it stays open and silent. The same holds for a [`ChunkWriter`] that is dropped.
 pub fn drop_unanswered(request: Request) {
     drop(request.into_writer());
 }
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,402 @@
+//! A plain service: deterministic answers, a record of runs, fault injection.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use jaysaddle_types::engine::EngineReport;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
+use serde::Deserialize;
+use serde::Serialize;
+use tiny_http::Method;
+use tiny_http::Request;
+
+use crate::engine::fault::FaultKind;
+use crate::engine::fault::FaultSwitches;
+use crate::engine::fault::StreamFault;
+use crate::engine::fault::VmFault;
+use crate::http::RouteHandler;
+use crate::http::StandinListener;
+use crate::http::drop_unanswered;
+use crate::http::header;
+use crate::http::read_body;
+use crate::http::read_json;
+use crate::http::respond_json;
+use crate::http::respond_text;
+use crate::http::spawn_small;
+use crate::http::split_url;
+use crate::text::service_confirmation;
+
+/// Threads that read requests; each call gets a thread of its own.
+const WORKERS: usize = 2;
+
+/// How often a running call looks for faults.
+const FAULT_TICK: Duration = Duration::from_millis(10);
+
+/// Least time of a call that a `slow` fault multiplies, so that it also shows without a delay.
+const SLOW_BASE: Duration = Duration::from_millis(10);
+
+/// Runs that are recorded; further ones are only counted, which bounds memory in load tests.
+const MAX_RECORDED_RUNS: usize = 200_000;
+
+/// Settings of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// VM that the service runs on.
+    pub vm: VmId,
+    /// Address to listen on. Default: a free port on loopback.
+    pub listen: SocketAddr,
+    /// Address of the control routes. They are also served at the service's address, but only this
+    /// one answers while the service is killed. Default: none.
+    pub control: Option<SocketAddr>,
+    /// Time of a call. Default: zero.
+    pub delay: TimeSpan,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            vm: VmId::new("vm-service-1"),
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            control: None,
+            delay: TimeSpan::from_millis(0),
+        }
+    }
+}
+
+/// A recorded run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRun {
+    /// VM that ran it.
+    pub vm: VmId,
+    /// Request id.
+    pub request_id: RequestId,
+    /// Body of the call.
+    pub body: String,
+    /// Number of starts.
+    pub starts: u32,
+}
+
+/// Answer of `GET /control/runs`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRunList {
+    /// Runs, by request id and body.
+    pub runs: Vec<ServiceRun>,
+    /// Starts that were not recorded. A test of at-most-once must find 0 here.
+    pub dropped: u64,
+}
+
+/// Answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceAnswer {
+    /// Path of the call.
+    pub path: String,
+    /// Body of the call.
+    pub request: String,
+    /// Function of path and body.
+    pub confirmation: CompactString,
+}
+
+#[derive(Default)]
+struct ServiceState {
+    runs: BTreeMap<(RequestId, String), u32>,
+    dropped: u64,
+    leaving: bool,
+    listener: Option<StandinListener>,
+    /// Requests that arrived while frozen.
+    held: Vec<Request>,
+    /// Calls that a `silent` fault keeps open.
+    parked: Vec<Request>,
+}
+
+/// State and routes of the service.
+struct ServiceRoutes {
+    settings: ServiceSettings,
+    /// Address in use, for a restart at the same port.
+    address: SocketAddr,
+    faults: FaultSwitches,
+    state: Mutex<ServiceState>,
+}
+
+impl ServiceRoutes {
+    fn lock(&self) -> MutexGuard<'_, ServiceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn report(&self) -> EngineReport {
+        EngineReport {
+            vm: self.settings.vm.clone(),
+            leaving: self.lock().leaving,
+            ..EngineReport::default()
+        }
+    }
+
+    fn record(&self, request: RequestId, body: String) {
+        let mut state = self.lock();
+        if state.runs.len() >= MAX_RECORDED_RUNS {
+            state.dropped += 1;
+            return;
+        }
+        *state.runs.entry((request, body)).or_default() += 1;
+    }
+
+    fn runs(&self) -> ServiceRunList {
+        let state = self.lock();
+        let runs = state
+            .runs
+            .iter()
+            .map(|((request, body), starts)| ServiceRun {
+                vm: self.settings.vm.clone(),
+                request_id: request.clone(),
+                body: body.clone(),
+                starts: *starts,
+            });
+        ServiceRunList {
+            runs: runs.collect(),
+            dropped: state.dropped,
+        }
+    }
+
+    /// Runs a call on its own thread.
+    fn call(&self, mut request: Request, path: &str) {
+        if self.lock().leaving {
+            return respond_text(request, 503, "the VM is leaving");
+        }
+        let id = header(&request, "X-Request-Id").and_then(|text| text.parse().ok());
+        let Some(id) = id else {
+            return respond_text(request, 400, "X-Request-Id must name a request id");
+        };
+        let Ok(body) = read_body(&mut request) else {
+            return drop_unanswered(request);
+        };
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let since = self.faults.epoch();
+        self.record(id, text.clone());
+        let started = Instant::now();
+        loop {
+            match self.faults.hits(since) {
+                StreamFault::None if started.elapsed() >= self.call_time() => break,
+                StreamFault::None | StreamFault::Frozen => thread::sleep(FAULT_TICK),
+                StreamFault::Cut => return drop_unanswered(request),
+                StreamFault::Silent => return self.lock().parked.push(request),
+            }
+        }
+        if self.faults.empty() {
+            return respond_text(request, 200, "");
+        }
+        let answer = ServiceAnswer {
+            path: path.to_owned(),
+            request: text,
+            confirmation: service_confirmation(path, &body),
+        };
+        respond_json(request, 200, &answer);
+    }
+
+    fn call_time(&self) -> Duration {
+        let delay = self.settings.delay.as_duration();
+        let slowness = self.faults.slowness();
+        if slowness > 1.0 {
+            delay.max(SLOW_BASE).mul_f64(slowness)
+        } else {
+            delay
+        }
+    }
+}
+
+/// Routes at the service's and the control address.
+#[derive(Clone)]
+struct ServiceHandler {
+    routes: Arc<ServiceRoutes>,
+    /// Whether only control routes are served.
+    control_only: bool,
+}
+
+impl ServiceHandler {
+    fn answer(&self, request: Request) {
+        let url = CompactString::from(request.url());
+        let (path, _) = split_url(&url);
+        match (request.method(), path) {
+            (Method::Get, "/engine/status") => respond_json(request, 200, &self.routes.report()),
+            (Method::Post, path) => {
+                let path = path.to_owned();
+                let routes = Arc::clone(&self.routes);
+                // When no thread can be started, the request is dropped with status 500.
+                let spawned = spawn_small("service-call", move || routes.call(request, &path));
+                if let Err(error) = spawned {
+                    log::error!("a call of the service got no thread: {error:#}");
+                }
+            }
+            _ => respond_text(request, 404, "no such route"),
+        }
+    }
+
+    fn control(&self, request: Request, path: &str) {
+        match (request.method(), path) {
+            (Method::Post, "fault") => {
+                let Some((request, fault)) = read_json::<VmFault>(request) else {
+                    return;
+                };
+                if fault
+                    .vm
+                    .as_ref()
+                    .is_some_and(|vm| *vm != self.routes.settings.vm)
+                {
+                    return respond_text(request, 404, "no such VM in this process");
+                }
+                match self.inject(&fault) {
+                    Ok(()) => respond_json(request, 200, &fault),
+                    Err(error) => respond_text(request, 500, &format!("{error:#}")),
+                }
+            }
+            (Method::Get, "runs") => respond_json(request, 200, &self.routes.runs()),
+            _ => respond_text(request, 404, "no such control route"),
+        }
+    }
+
+    fn inject(&self, fault: &VmFault) -> eyre::Result<()> {
+        self.routes.faults.apply(fault);
+        match fault.fault {
+            FaultKind::Kill => self.kill(),
+            FaultKind::Leave => self.routes.lock().leaving = true,
+            FaultKind::Recover => self.recover()?,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn kill(&self) {
+        let mut state = self.routes.lock();
+        if let Some(listener) = state.listener.take() {
+            listener.close();
+        }
+        let mut ended = std::mem::take(&mut state.held);
+        ended.append(&mut state.parked);
+        drop(state);
+        ended.into_iter().for_each(drop_unanswered);
+    }
+
+    fn recover(&self) -> eyre::Result<()> {
+        let mut state = self.routes.lock();
+        state.leaving = false;
+        let held = std::mem::take(&mut state.held);
+        let parked = std::mem::take(&mut state.parked);
+        let listening = state.listener.is_some();
+        drop(state);
+        parked.into_iter().for_each(drop_unanswered);
+        // A process that continues answers what arrived meanwhile, however late.
+        held.into_iter().for_each(|request| self.answer(request));
+        if listening {
+            return Ok(());
+        }
+        let listener = StandinListener::bind_again(self.routes.address)?;
+        self.listen(listener)
+    }
+
+    fn listen(&self, listener: StandinListener) -> eyre::Result<()> {
+        let handler: Arc<dyn RouteHandler> = Arc::new(Self {
+            control_only: false,
+            ..self.clone()
+        });
+        listener.serve(WORKERS, &handler)?;
+        self.routes.lock().listener = Some(listener);
+        Ok(())
+    }
+}
+
+impl RouteHandler for ServiceHandler {
+    fn handle(&self, request: Request) {
+        let url = CompactString::from(request.url());
+        if let Some(path) = split_url(&url).0.strip_prefix("/control/") {
+            return self.control(request, path);
+        }
+        if self.control_only {
+            return respond_text(request, 404, "no such control route");
+        }
+        if self.routes.faults.killed() {
+            return drop_unanswered(request);
+        }
+        if self.routes.faults.frozen() {
+            self.routes.lock().held.push(request);
+            return;
+        }
+        self.answer(request);
+    }
+}
+
+/// A running plain service; dropping it closes its listeners.
+pub struct ServiceStandin {
+    handler: ServiceHandler,
+    control: Option<StandinListener>,
+}
+
+impl ServiceStandin {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is not free or no thread can be started.
+    pub fn start(settings: ServiceSettings) -> eyre::Result<Self> {
+        let listener = StandinListener::bind(settings.listen)?;
+        let control = settings.control.map(StandinListener::bind).transpose()?;
+        let handler = ServiceHandler {
+            routes: Arc::new(ServiceRoutes {
+                settings,
+                address: listener.address(),
+                faults: FaultSwitches::default(),
+                state: Mutex::new(ServiceState::default()),
+            }),
+            control_only: true,
+        };
+        handler.listen(listener)?;
+        if let Some(control) = &control {
+            let routes: Arc<dyn RouteHandler> = Arc::new(handler.clone());
+            control.serve(1, &routes)?;
+        }
+        Ok(Self { handler, control })
+    }
+
+    /// The address in use.
+    pub fn address(&self) -> SocketAddr {
+        self.handler.routes.address
+    }
+
+    /// Address of the control routes, if configured.
+    pub fn control_address(&self) -> Option<SocketAddr> {
+        self.control.as_ref().map(StandinListener::address)
+    }
+
+    /// Injects a fault.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a killed service cannot listen again.
+    pub fn inject(&self, fault: &VmFault) -> eyre::Result<()> {
+        self.handler.inject(fault)
+    }
+
+    /// The record of started runs.
+    pub fn runs(&self) -> ServiceRunList {
+        self.handler.routes.runs()
+    }
+}
+
+impl Drop for ServiceStandin {
+    fn drop(&mut self) {
+        if let Some(listener) = self.handler.routes.lock().listener.take() {
+            listener.close();
+        }
+        if let Some(listener) = &self.control {
+            listener.close();
+        }
+    }
+}
--- a/crates/standins/src/text.rs
+++ b/crates/standins/src/text.rs
@@ -11,6 +11,14 @@
 const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
+/// Hash of two texts and the border between them.
+fn fnv_hash(first: &[u8], second: &[u8]) -> u64 {
+    let bytes = first.iter().chain(&[0]).chain(second);
+    bytes.fold(FNV_OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
 /// Seed of a model's answer to a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AnswerSeed(u64);
@@ -18,10 +26,7 @@
 impl AnswerSeed {
     /// The seed of `model`'s answer to `prompt`.
     pub fn new(model: &ModelId, prompt: &str) -> Self {
-        let bytes = model.as_str().bytes().chain([0]).chain(prompt.bytes());
-        Self(bytes.fold(FNV_OFFSET_BASIS, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-        }))
+        Self(fnv_hash(model.as_str().as_bytes(), prompt.as_bytes()))
     }
 
     /// Text of the token at `offset`.
@@ -36,3 +41,9 @@
     let seed = AnswerSeed::new(model, prompt);
     (0..max_tokens).map(|offset| seed.token(offset)).collect()
 }
+
+/// The confirmation that a plain service gives for a call. It contains no counter, so that equal
+/// calls have equal answers and only the record of runs tells whether a call ran twice.
+pub fn service_confirmation(path: &str, body: &[u8]) -> CompactString {
+    format_compact!("{:016x}", fnv_hash(path.as_bytes(), body))
+}
--- /dev/null
+++ b/crates/standins/src/weights.rs
@@ -0,0 +1,221 @@
+//! The weight store: loads limited in concurrency and rate.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use jaysaddle_types::units::RequestRate;
+use jaysaddle_types::units::TimeSpan;
+use serde::Deserialize;
+use serde::Serialize;
+use tiny_http::Method;
+use tiny_http::Request;
+
+use crate::http::RouteHandler;
+use crate::http::StandinListener;
+use crate::http::respond_json;
+use crate::http::respond_text;
+use crate::http::spawn_small;
+use crate::http::split_url;
+
+/// Threads that read requests; each load gets a thread of its own.
+const WORKERS: usize = 2;
+
+/// Settings of the weight store.
+#[derive(Clone, Debug)]
+pub struct WeightSettings {
+    /// Address to listen on. Default: a free port on loopback.
+    pub listen: SocketAddr,
+    /// Time of one load. Default: 200 ms.
+    pub load_time: TimeSpan,
+    /// Loads that run at once. Default: 8. Zero counts as one.
+    pub concurrent_loads: u32,
+    /// Loads that start in a second. Default: 20/s. Zero counts as 1/s.
+    pub load_rate: RequestRate,
+    /// Loads that wait before further ones get status 429. Default: 64. Zero refuses every load
+    /// that cannot start at once.
+    pub queue_limit: u32,
+}
+
+impl Default for WeightSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            load_time: TimeSpan::from_millis(200),
+            concurrent_loads: 8,
+            load_rate: RequestRate(20),
+            queue_limit: 64,
+        }
+    }
+}
+
+/// Counts of the weight store, as answered by `GET /control/stats`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightStats {
+    /// Loads that ended.
+    pub loads: u64,
+    /// Loads refused with status 429.
+    pub refused: u64,
+    /// Most loads that ran at once.
+    pub most_running: u32,
+}
+
+#[derive(Default)]
+struct LoadQueue {
+    running: u32,
+    waiting: u32,
+    /// Number of the next load to arrive; loads start in this order.
+    next_ticket: u64,
+    /// Number of the next load to start.
+    next_start: u64,
+    /// Time before which no load starts.
+    earliest: Option<Instant>,
+    stats: WeightStats,
+}
+
+struct WeightRoutes {
+    settings: WeightSettings,
+    queue: Mutex<LoadQueue>,
+    changed: Condvar,
+}
+
+impl WeightRoutes {
+    fn lock(&self) -> MutexGuard<'_, LoadQueue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn concurrent(&self) -> u32 {
+        self.settings.concurrent_loads.max(1)
+    }
+
+    /// Takes a place in the queue; `None` when it is full.
+    fn enter(&self) -> Option<u64> {
+        let mut queue = self.lock();
+        let free = self.concurrent().saturating_sub(queue.running);
+        if queue.waiting >= free.saturating_add(self.settings.queue_limit) {
+            queue.stats.refused += 1;
+            return None;
+        }
+        queue.waiting += 1;
+        queue.next_ticket += 1;
+        Some(queue.next_ticket - 1)
+    }
+
+    /// Waits for the turn of `ticket` and makes the load.
+    fn load(&self, ticket: u64) {
+        let interval = Duration::from_secs(1)
+            / u32::try_from(self.settings.load_rate.0.max(1)).unwrap_or(u32::MAX);
+        let mut queue = self.lock();
+        loop {
+            let now = Instant::now();
+            let pause = queue
+                .earliest
+                .map_or(Duration::ZERO, |earliest| earliest.duration_since(now));
+            let turn = queue.next_start == ticket && queue.running < self.concurrent();
+            if turn && pause.is_zero() {
+                queue.earliest = Some(now + interval);
+                break;
+            }
+            let limit = if turn { pause } else { Duration::from_secs(1) };
+            queue = self
+                .changed
+                .wait_timeout(queue, limit)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+        queue.next_start += 1;
+        queue.waiting -= 1;
+        queue.running += 1;
+        queue.stats.most_running = queue.stats.most_running.max(queue.running);
+        drop(queue);
+        self.changed.notify_all();
+        thread::sleep(self.settings.load_time.as_duration());
+        let mut queue = self.lock();
+        queue.running -= 1;
+        queue.stats.loads += 1;
+        drop(queue);
+        self.changed.notify_all();
+    }
+}
+
+/// Routes of the store; loads hold a reference of their own.
+struct WeightHandler(Arc<WeightRoutes>);
+
+impl WeightHandler {
+    fn start_load(&self, request: Request) {
+        let Some(ticket) = self.0.enter() else {
+            return respond_text(request, 429, "too many loads wait");
+        };
+        let routes = Arc::clone(&self.0);
+        // Without a thread the load is made here, so that its place in the queue is not lost.
+        let spawned = spawn_small("weight-load", move || {
+            routes.load(ticket);
+            respond_text(request, 200, "");
+        });
+        if let Err(error) = spawned {
+            log::error!("a load of weights got no thread: {error:#}");
+            self.0.load(ticket);
+        }
+    }
+}
+
+impl RouteHandler for WeightHandler {
+    fn handle(&self, request: Request) {
+        let url = CompactString::from(request.url());
+        let (path, _) = split_url(&url);
+        let names_version = path
+            .strip_prefix("/weights/")
+            .and_then(|rest| rest.split_once('/'))
+            .is_some_and(|(model, version)| !model.is_empty() && !version.is_empty());
+        match (request.method(), path) {
+            (Method::Post, _) if names_version => self.start_load(request),
+            (Method::Get, "/control/stats") => {
+                let stats = self.0.lock().stats;
+                respond_json(request, 200, &stats);
+            }
+            _ => respond_text(request, 404, "no such route"),
+        }
+    }
+}
+
+/// A running weight store; dropping it closes the listener.
+pub struct WeightStandin {
+    listener: StandinListener,
+}
+
+impl WeightStandin {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is not free or no thread can be started.
+    pub fn start(settings: WeightSettings) -> eyre::Result<Self> {
+        let listener = StandinListener::bind(settings.listen)?;
+        let handler: Arc<dyn RouteHandler> = Arc::new(WeightHandler(Arc::new(WeightRoutes {
+            settings,
+            queue: Mutex::new(LoadQueue::default()),
+            changed: Condvar::new(),
+        })));
+        listener.serve(WORKERS, &handler)?;
+        Ok(Self { listener })
+    }
+
+    /// The address in use.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+}
+
+impl Drop for WeightStandin {
+    fn drop(&mut self) {
+        self.listener.close();
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/all/engine.rs
@@ -0,0 +1,291 @@
+//! Engines: runs, orders, members, broken streams.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use jaysaddle_engine::EngineClient;
+use jaysaddle_engine::HttpEngine;
+use jaysaddle_engine::StreamItem;
+use jaysaddle_standins::EngineSettings;
+use jaysaddle_standins::EngineSpeed;
+use jaysaddle_standins::EngineStandin;
+use jaysaddle_standins::engine::FaultKind;
+use jaysaddle_standins::engine::FencingMode;
+use jaysaddle_standins::engine::VmFault;
+use jaysaddle_standins::engine::WeightSource;
+use jaysaddle_standins::expected_text;
+use jaysaddle_types::engine::EngineCompletion;
+use jaysaddle_types::engine::EngineOrder;
+use jaysaddle_types::engine::EngineRefusal;
+use jaysaddle_types::engine::OrderAction;
+use jaysaddle_types::engine::OrderOutcome;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::ModelVersion;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
+
+use crate::CLOSED_WITHIN;
+use crate::PATIENCE;
+use crate::wait_until;
+
+const ORDER_TIME: TimeSpan = TimeSpan::from_millis(5000);
+
+/// Two engines of one process.
+struct TestGroup {
+    standin: EngineStandin,
+    leader: SocketAddr,
+    member: SocketAddr,
+}
+
+impl TestGroup {
+    fn start(fencing: FencingMode, token_ms: u64) -> Self {
+        let binding = |name: &str| format!("{name}=127.0.0.1:0").parse().expect("a binding");
+        let standin = EngineStandin::start(EngineSettings {
+            vms: vec![binding("vm-1"), binding("vm-2")],
+            fencing,
+            speed: EngineSpeed {
+                token_time: TimeSpan::from_millis(token_ms),
+                ..EngineSpeed::default()
+            },
+            weights: WeightSource::Fixed(TimeSpan::from_millis(10)),
+            member_check: TimeSpan::from_millis(20),
+            ..EngineSettings::default()
+        })
+        .expect("the engines start");
+        let addresses = standin.addresses();
+        Self {
+            leader: addresses[0].1,
+            member: addresses[1].1,
+            standin,
+        }
+    }
+
+    /// Starts the engines and forms a group of generation 5.
+    fn start_whole(token_ms: u64) -> Self {
+        let group = Self::start(FencingMode::Enforced, token_ms);
+        for address in [group.leader, group.member] {
+            assert_eq!(group.join(address, 5), Some(OrderOutcome::Accepted));
+        }
+        wait_until("the group is whole", || group.is_whole());
+        group
+    }
+
+    fn join(&self, address: SocketAddr, generation: u64) -> Option<OrderOutcome> {
+        let order = EngineOrder {
+            group: GroupId::new("group-1"),
+            generation: Generation(generation),
+            action: OrderAction::Join {
+                model: ModelId::new("reminder"),
+                version: ModelVersion::new("1"),
+                members: vec![VmId::new("vm-1"), VmId::new("vm-2")],
+            },
+        };
+        HttpEngine.order(address, &order, ORDER_TIME)
+    }
+
+    fn is_whole(&self) -> bool {
+        HttpEngine
+            .report(self.leader, ORDER_TIME)
+            .is_ok_and(|report| {
+                report.confirms(
+                    &GroupId::new("group-1"),
+                    Generation(5),
+                    &[VmId::new("vm-1"), VmId::new("vm-2")],
+                )
+            })
+    }
+
+    fn inject(&self, vm: &str, fault: FaultKind) {
+        let fault = VmFault {
+            vm: Some(VmId::new(vm)),
+            fault,
+            value: None,
+        };
+        self.standin.inject(&fault).expect("the fault is injected");
+    }
+
+    fn stream(&self, completion: EngineCompletion) -> flume::Receiver<StreamItem> {
+        HttpEngine.complete(self.leader, completion)
+    }
+
+    fn starts(&self, request: &str) -> u32 {
+        let runs = self.standin.runs();
+        assert_eq!(runs.dropped, 0);
+        runs.runs
+            .iter()
+            .filter(|run| run.request_id.as_str() == request)
+            .map(|run| run.starts)
+            .sum()
+    }
+}
+
+fn completion(id: &str, max_tokens: u32) -> EngineCompletion {
+    EngineCompletion {
+        request_id: RequestId::new(id),
+        attempt: 1,
+        group: GroupId::new("group-1"),
+        generation: Generation(5),
+        model: ModelId::new("reminder"),
+        prompt: "remind borrower 7".to_owned(),
+        max_tokens,
+        priority: 5,
+        offset: 0,
+        resume: false,
+        deadline_ms: 20_000,
+    }
+}
+
+fn expected(max_tokens: u32) -> String {
+    expected_text(&ModelId::new("reminder"), "remind borrower 7", max_tokens)
+}
+
+/// Text, tokens and end marker of a stream that ends.
+fn read_to_end(stream: &flume::Receiver<StreamItem>) -> (String, u32, bool) {
+    let mut text = String::new();
+    let mut tokens = 0;
+    let mut whole = false;
+    loop {
+        match stream.recv_timeout(PATIENCE).expect("the stream goes on") {
+            StreamItem::Chunk(chunk) => {
+                text.push_str(&chunk.text);
+                tokens += chunk.tokens;
+                whole |= chunk.finish.is_some();
+            }
+            StreamItem::Ended => return (text, tokens, whole),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+}
+
+fn read_refusal(stream: &flume::Receiver<StreamItem>) -> EngineRefusal {
+    match stream.recv_timeout(PATIENCE) {
+        Ok(StreamItem::Refused(refusal)) => refusal,
+        other => panic!("expected a refusal, saw {other:?}"),
+    }
+}
+
+/// Guards against a resume that repeats or skips tokens, or starts a second run.
+#[test]
+fn cut_stream_resumes_at_its_offset_without_a_second_run() {
+    let group = TestGroup::start_whole(10);
+    let stream = group.stream(completion("r1", 40));
+    let Ok(StreamItem::Chunk(first)) = stream.recv_timeout(PATIENCE) else {
+        panic!("the stream brought no token");
+    };
+    let cut = Instant::now();
+    group.inject("vm-1", FaultKind::Cut);
+    let (rest, tokens, whole) = read_to_end(&stream);
+    assert!(cut.elapsed() < CLOSED_WITHIN, "the stream was not closed");
+    assert!(!whole, "the cut stream has an end marker");
+    let offset = first.tokens + tokens;
+    assert!(offset < 40, "the stream was not cut");
+    let resumed = group.stream(EngineCompletion {
+        attempt: 2,
+        offset,
+        resume: true,
+        ..completion("r1", 40)
+    });
+    let (end, _, whole) = read_to_end(&resumed);
+    assert!(whole);
+    assert_eq!(format!("{}{rest}{end}", first.text), expected(40));
+    assert_eq!(group.starts("r1"), 1);
+}
+
+/// Guards against a silent stream that ends visibly, and against new connections that hang too.
+#[test]
+fn silent_stream_stays_open_while_new_ones_work() {
+    let group = TestGroup::start_whole(10);
+    let stream = group.stream(completion("r2", 40));
+    stream
+        .recv_timeout(PATIENCE)
+        .expect("the first token comes");
+    group.inject("vm-1", FaultKind::Silent);
+    let resumed = group.stream(EngineCompletion {
+        resume: true,
+        ..completion("r2", 40)
+    });
+    let (text, _, whole) = read_to_end(&resumed);
+    assert!(whole);
+    assert_eq!(text, expected(40));
+    // The other stream has had the time of the whole answer; it neither ended nor finished.
+    while let Ok(item) = stream.recv_timeout(Duration::from_millis(200)) {
+        assert!(
+            matches!(&item, StreamItem::Chunk(chunk) if chunk.finish.is_none()),
+            "unexpected {item:?}"
+        );
+    }
+    assert!(!stream.is_disconnected());
+    assert_eq!(group.starts("r2"), 1);
+}
+
+/// Guards against an engine that runs a repeated request id again.
+#[test]
+fn same_request_id_runs_once() {
+    let group = TestGroup::start_whole(2);
+    let streams: Vec<_> = (0..4).map(|_| group.stream(completion("r3", 20))).collect();
+    for stream in &streams {
+        assert_eq!(read_to_end(stream).0, expected(20));
+    }
+    assert_eq!(
+        read_to_end(&group.stream(completion("r3", 20))).0,
+        expected(20)
+    );
+    assert_eq!(group.starts("r3"), 1);
+}
+
+/// Guards against a resume of an unknown request that starts a run.
+#[test]
+fn resume_of_an_unknown_request_is_refused() {
+    let group = TestGroup::start_whole(2);
+    let stream = group.stream(EngineCompletion {
+        resume: true,
+        ..completion("r4", 20)
+    });
+    assert_eq!(read_refusal(&stream), EngineRefusal::UnknownRequest);
+    assert_eq!(group.starts("r4"), 0);
+}
+
+/// Guards against an engine that follows an order with an outdated token though it checks tokens.
+#[test]
+fn enforced_fencing_refuses_an_outdated_order() {
+    let group = TestGroup::start_whole(2);
+    let stale = OrderOutcome::Stale {
+        generation: Generation(5),
+    };
+    assert_eq!(group.join(group.leader, 4), Some(stale));
+    assert!(group.is_whole());
+    let stream = group.stream(EngineCompletion {
+        generation: Generation(4),
+        ..completion("r5", 20)
+    });
+    assert_eq!(read_refusal(&stream), EngineRefusal::StaleGeneration);
+}
+
+/// Guards against a stand-in for engines without fencing that checks tokens after all.
+#[test]
+fn ignored_fencing_follows_the_last_order() {
+    let group = TestGroup::start(FencingMode::Ignored, 2);
+    for generation in [5, 4] {
+        let outcome = group.join(group.leader, generation);
+        assert_eq!(outcome, Some(OrderOutcome::Accepted));
+    }
+    let report = HttpEngine
+        .report(group.leader, ORDER_TIME)
+        .expect("the engine answers");
+    assert_eq!(report.generation, Generation(4));
+}
+
+/// Guards against a leader that runs a request while a member is gone.
+#[test]
+fn request_is_refused_while_a_member_is_missing() {
+    let group = TestGroup::start_whole(2);
+    group.inject("vm-2", FaultKind::Kill);
+    wait_until("the leader misses its member", || !group.is_whole());
+    let stream = group.stream(completion("r6", 20));
+    assert_eq!(read_refusal(&stream), EngineRefusal::NotWhole);
+    assert_eq!(group.starts("r6"), 0);
+}
--- /dev/null
+++ b/crates/standins/tests/all/platform.rs
@@ -0,0 +1,156 @@
+//! The platform's object API.
+
+use std::thread;
+use std::time::Duration;
+
+use jaysaddle_platform::HttpStore;
+use jaysaddle_platform::PlatformStore;
+use jaysaddle_standins::PlatformSettings;
+use jaysaddle_standins::PlatformStandin;
+use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::ids::WriteId;
+use jaysaddle_types::store::ObjectKind;
+use jaysaddle_types::store::StoreOutcome;
+use jaysaddle_types::store::StoreRequest;
+use jaysaddle_types::units::RequestRate;
+use jaysaddle_types::units::TimeSpan;
+
+fn start(settings: &PlatformSettings) -> (PlatformStandin, HttpStore) {
+    let standin = PlatformStandin::start(settings).expect("the platform starts");
+    let store = HttpStore::new(standin.address());
+    (standin, store)
+}
+
+fn put(store: &HttpStore, name: &str, expected: u64, value: &str) -> StoreOutcome {
+    store.call(&StoreRequest::Put {
+        kind: ObjectKind::Config,
+        name: name.into(),
+        expected: ObjectVersion(expected),
+        write_id: WriteId::new("write-1"),
+        value: value.to_owned(),
+    })
+}
+
+fn get(store: &HttpStore, name: &str) -> StoreOutcome {
+    store.call(&StoreRequest::Get {
+        kind: ObjectKind::Config,
+        name: name.into(),
+    })
+}
+
+/// Guards against two racing writers that both succeed, which would hide lost updates.
+#[test]
+fn one_of_two_racing_writers_succeeds() {
+    let (_standin, store) = start(&PlatformSettings::default());
+    assert_eq!(
+        put(&store, "rules", 0, "first"),
+        StoreOutcome::Written(ObjectVersion(1))
+    );
+    let writers: Vec<_> = ["left", "right"]
+        .into_iter()
+        .map(|value| {
+            let store = store.clone();
+            thread::spawn(move || (value, put(&store, "rules", 1, value)))
+        })
+        .collect();
+    let outcomes: Vec<_> = writers
+        .into_iter()
+        .map(|writer| writer.join().expect("the writer ends"))
+        .collect();
+    let written: Vec<_> = outcomes
+        .iter()
+        .filter(|(_, outcome)| *outcome == StoreOutcome::Written(ObjectVersion(2)))
+        .collect();
+    let conflicts = outcomes
+        .iter()
+        .filter(|(_, outcome)| *outcome == StoreOutcome::Conflict(ObjectVersion(2)));
+    assert_eq!((written.len(), conflicts.count()), (1, 1), "{outcomes:?}");
+    let StoreOutcome::Found(object) = get(&store, "rules") else {
+        panic!("the object is missing");
+    };
+    assert_eq!(object.value, written[0].0);
+}
+
+/// Guards against a `lose_writes` fault that loses the write instead of its answer.
+#[test]
+fn lost_answer_leaves_the_write_in_effect() {
+    let (standin, store) = start(&PlatformSettings::default());
+    let response = minreq::post(format!("http://{}/control/fault", standin.address()))
+        .with_body(r#"{"lose_writes": 1}"#)
+        .with_timeout(5)
+        .send()
+        .expect("the platform answers");
+    assert_eq!(response.status_code, 200);
+    assert_eq!(put(&store, "rules", 0, "value"), StoreOutcome::Unknown);
+    let StoreOutcome::Found(object) = get(&store, "rules") else {
+        panic!("the write had no effect");
+    };
+    assert_eq!(
+        (object.version, object.value.as_str()),
+        (ObjectVersion(1), "value")
+    );
+    assert_eq!(
+        put(&store, "rules", 1, "next"),
+        StoreOutcome::Written(ObjectVersion(2))
+    );
+}
+
+/// Guards against a watch that misses a write, or repeats one from before its revision.
+#[test]
+fn watch_delivers_what_came_after_a_revision() {
+    let (_standin, store) = start(&PlatformSettings::default());
+    put(&store, "old", 0, "1");
+    let all = store
+        .watch(
+            ObjectKind::Config,
+            Default::default(),
+            TimeSpan::from_millis(0),
+        )
+        .expect("the platform answers");
+    assert_eq!(all.objects.len(), 1);
+    put(&store, "new", 0, "2");
+    let missed = store
+        .watch(ObjectKind::Config, all.revision, TimeSpan::from_secs(20))
+        .expect("the platform answers");
+    let names: Vec<_> = missed
+        .objects
+        .iter()
+        .map(|object| object.name.as_str())
+        .collect();
+    assert_eq!(names, ["new"]);
+    let waiting = {
+        let store = store.clone();
+        thread::spawn(move || {
+            store.watch(ObjectKind::Config, missed.revision, TimeSpan::from_secs(20))
+        })
+    };
+    thread::sleep(Duration::from_millis(100));
+    put(&store, "late", 0, "3");
+    let batch = waiting
+        .join()
+        .expect("the watch ends")
+        .expect("the platform answers");
+    let names: Vec<_> = batch
+        .objects
+        .iter()
+        .map(|object| object.name.as_str())
+        .collect();
+    assert_eq!(names, ["late"]);
+}
+
+/// Guards against a call budget that is not enforced.
+#[test]
+fn calls_beyond_the_budget_are_refused() {
+    let (_standin, store) = start(&PlatformSettings {
+        write_budget: RequestRate(1),
+        ..PlatformSettings::default()
+    });
+    let outcomes: Vec<_> = (0..20)
+        .map(|number| put(&store, &format!("object-{number}"), 0, "value"))
+        .collect();
+    assert_eq!(outcomes[0], StoreOutcome::Written(ObjectVersion(1)));
+    assert!(
+        outcomes.contains(&StoreOutcome::Unavailable),
+        "{outcomes:?}"
+    );
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,4 +4,5 @@
 //! Waits are bounded by generous limits; no verdict depends on how fast the machine is.
 
 mod deployment;
+mod service;
 mod serving;
