Send Connection: close with every client call

tiny_http servers keep a connection open until the client ends it, so a server that drops an answer looked silent to minreq, which never reuses a connection anyway.

The clients now say that the connection ends with the answer.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -69,6 +69,7 @@
     let answer = minreq::post(format!("http://{address}/engine/completions"))
         .with_header("Content-Type", "application/json")
         .with_body(body)
+        .with_header("Connection", "close")
         .with_timeout(timeout_secs(TimeSpan::from_millis(completion.deadline_ms)))
         .send_lazy();
     let response = match answer {
@@ -112,6 +113,7 @@
         timeout: TimeSpan,
     ) -> Result<EngineReport, ReportFailure> {
         let answer = minreq::get(format!("http://{address}/engine/status"))
+            .with_header("Connection", "close")
             .with_timeout(timeout_secs(timeout))
             .send();
         let response = match answer {
@@ -135,6 +137,7 @@
         let response = minreq::post(format!("http://{address}/engine/orders"))
             .with_header("Content-Type", "application/json")
             .with_body(body)
+            .with_header("Connection", "close")
             .with_timeout(timeout_secs(timeout))
             .send()
             .ok()?;
@@ -167,6 +170,7 @@
         let outcome = minreq::post(format!("http://{address}/engine/cancel"))
             .with_header("Content-Type", "application/json")
             .with_body(body)
+            .with_header("Connection", "close")
             .with_timeout(CANCEL_TIMEOUT_SECS)
             .send();
         // The engine ends the request at its deadline when the cancel is lost.
@@ -178,6 +182,7 @@
             .with_header("Content-Type", call.content_type.as_str())
             .with_header("X-Request-Id", call.request_id.as_str())
             .with_body(call.body.as_slice())
+            .with_header("Connection", "close")
             .with_timeout(timeout_secs(call.timeout))
             .send();
         match answer {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -54,6 +54,7 @@
 
     fn get(&self, kind: ObjectKind, name: &str) -> StoreOutcome {
         let answer = minreq::get(self.object_url(kind, name))
+            .with_header("Connection", "close")
             .with_timeout(CALL_TIMEOUT_SECS)
             .send();
         // A read has no effect, so every failure means no more than that the store is unavailable.
@@ -80,6 +81,7 @@
         let answer = minreq::put(self.object_url(kind, name))
             .with_header("If-Match", expected.to_string())
             .with_body(value)
+            .with_header("Connection", "close")
             .with_timeout(CALL_TIMEOUT_SECS)
             .send();
         // After the request was sent, a failure says nothing about the write. Only a refused
@@ -130,6 +132,7 @@
             wait.as_millis()
         );
         let response = minreq::get(url)
+            .with_header("Connection", "close")
             .with_timeout(wait.as_millis() / 1000 + WATCH_GRACE_SECS)
             .send()
             .wrap_err("watch of the platform's store failed")?;
@@ -149,6 +152,7 @@
 
     fn list_vms(&self) -> eyre::Result<Vec<ListedVm>> {
         let response = minreq::get(format!("http://{}/vms", self.address))
+            .with_header("Connection", "close")
             .with_timeout(CALL_TIMEOUT_SECS)
             .send()
             .wrap_err("reading the platform's VM list failed")?;
