Add the platform and engine stand-ins

The daemon needs counterparts for its store and engine clients that can fail on command.

The platform has the object API, watches, budgets, the lagging list of VMs and its faults. The engine process hosts several VMs with continuous batching, prefix cache, orders with fencing, resume, member checks and its faults. Answers are a function of model, prompt and position.

--- /dev/null
+++ b/crates/standins/src/engine/batch.rs
@@ -0,0 +1,185 @@
+//! Continuous batching: the queue, the running requests and kept outputs of one engine.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use jaysaddle_types::engine::FinishReason;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::request::PREFIX_BLOCK_BYTES;
+
+use crate::engine::cache::PrefixCache;
+use crate::engine::run::Run;
+use crate::engine::run::RunEnd;
+use crate::engine::settings::EngineSpeed;
+use crate::engine::stats::EngineStats;
+
+/// Bytes of prompt in one token, on average.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// A request in a slot.
+#[derive(Debug)]
+struct ActiveRun {
+    run: Arc<Run>,
+    /// When its prompt is processed.
+    prefilled: Instant,
+}
+
+/// The requests of one engine.
+///
+/// # Invariants
+///
+/// Each run of `queue` and `active` is in `known`; at most `slots` runs are in `active`.
+#[derive(Debug)]
+pub(crate) struct RequestBatch {
+    speed: EngineSpeed,
+    queue: Vec<Arc<Run>>,
+    active: Vec<ActiveRun>,
+    known: HashMap<RequestId, Arc<Run>>,
+    pub(crate) cache: PrefixCache,
+}
+
+impl RequestBatch {
+    pub(crate) fn new(speed: EngineSpeed) -> Self {
+        Self {
+            speed,
+            queue: Vec::new(),
+            active: Vec::new(),
+            known: HashMap::new(),
+            cache: PrefixCache::new(speed.cache_blocks),
+        }
+    }
+
+    pub(crate) fn find(&self, request: &RequestId) -> Option<&Arc<Run>> {
+        self.known.get(request)
+    }
+
+    pub(crate) fn running(&self) -> u32 {
+        u32::try_from(self.active.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn queued(&self) -> u32 {
+        u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.active.is_empty()
+    }
+
+    /// Whether a further request has to be refused.
+    pub(crate) fn is_full(&self) -> bool {
+        self.queued() >= self.speed.queue_limit && self.running() >= self.speed.slots
+    }
+
+    pub(crate) fn submit(&mut self, run: Arc<Run>) {
+        self.known.insert(run.request.clone(), Arc::clone(&run));
+        self.queue.push(run);
+    }
+
+    /// Moves waiting requests into free slots, the highest priority first and then the oldest.
+    pub(crate) fn admit(&mut self, now: Instant, slowness: f64) {
+        while self.running() < self.speed.slots {
+            let best = self
+                .queue
+                .iter()
+                .enumerate()
+                .max_by_key(|(index, run)| (run.priority, std::cmp::Reverse(*index)));
+            let Some((index, _)) = best else {
+                return;
+            };
+            let run = self.queue.remove(index);
+            let cached = self.cache.admit(&run.prefix, now);
+            let tokens = cached * PREFIX_BLOCK_BYTES / BYTES_PER_TOKEN;
+            run.set_cached_tokens(u32::try_from(tokens).unwrap_or(u32::MAX));
+            let uncached = u32::try_from(run.prefix.len() - cached).unwrap_or(u32::MAX);
+            let prefill = self.speed.prefill_block_time.as_duration() * uncached;
+            self.active.push(ActiveRun {
+                run,
+                prefilled: now + prefill.mul_f64(slowness),
+            });
+        }
+    }
+
+    /// Time of the next decoding step.
+    pub(crate) fn step_time(&self, now: Instant, slowness: f64) -> Duration {
+        let decoding = self
+            .active
+            .iter()
+            .filter(|active| active.prefilled <= now)
+            .count();
+        let others = u32::try_from(decoding.saturating_sub(1)).unwrap_or(u32::MAX);
+        let growth = f64::from(others) * f64::from(self.speed.batch_growth_permille) / 1000.0;
+        self.speed
+            .token_time
+            .as_duration()
+            .mul_f64(slowness * (1.0 + growth))
+    }
+
+    /// Gives each running request whose prompt is processed one token.
+    pub(crate) fn advance(&mut self, now: Instant, stats: &mut EngineStats) {
+        self.active.retain(|active| {
+            let complete = active.prefilled <= now && active.run.produce(now);
+            stats.finished += u64::from(complete);
+            !complete
+        });
+    }
+
+    /// Cancels requests past their deadline or without a connection, and drops those that ended.
+    pub(crate) fn cancel_given_up(
+        &mut self,
+        now: Instant,
+        grace: Duration,
+        stats: &mut EngineStats,
+    ) {
+        for run in self.unfinished() {
+            if run.given_up(now, grace) {
+                stats.cancelled += 1;
+                run.end(RunEnd::Finished(FinishReason::Cancelled), now);
+            }
+        }
+        self.remove_ended();
+    }
+
+    /// Cancels one request.
+    pub(crate) fn cancel(&mut self, request: &RequestId, now: Instant) -> bool {
+        let Some(run) = self.known.get(request).filter(|run| run.ended().is_none()) else {
+            return false;
+        };
+        run.end(RunEnd::Finished(FinishReason::Cancelled), now);
+        self.remove_ended();
+        true
+    }
+
+    /// Ends all requests; gives their number.
+    pub(crate) fn end_all(&mut self, end: RunEnd, now: Instant) -> u64 {
+        let runs = self.unfinished();
+        for run in &runs {
+            run.end(end, now);
+        }
+        self.remove_ended();
+        runs.len() as u64
+    }
+
+    /// Forgets outputs that ended more than `kept` ago.
+    pub(crate) fn forget_old(&mut self, now: Instant, kept: Duration) {
+        self.known.retain(|_, run| {
+            run.ended()
+                .is_none_or(|(_, at)| now.duration_since(at) < kept)
+        });
+    }
+
+    fn unfinished(&self) -> Vec<Arc<Run>> {
+        self.active
+            .iter()
+            .map(|active| &active.run)
+            .chain(&self.queue)
+            .cloned()
+            .collect()
+    }
+
+    fn remove_ended(&mut self) {
+        self.active.retain(|active| active.run.ended().is_none());
+        self.queue.retain(|run| run.ended().is_none());
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/cache.rs
@@ -0,0 +1,141 @@
+//! The prefix cache and its events.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Events kept for readers.
+const MAX_EVENTS: usize = 10_000;
+
+/// What happened to a block.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheChange {
+    /// The block is in the cache now.
+    Stored,
+    /// The block was evicted.
+    Evicted,
+}
+
+/// One cache event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Position in the sequence of events; a missing number is a lost event.
+    pub sequence: u64,
+    /// What happened.
+    pub change: CacheChange,
+    /// Hash of the block and all blocks before it.
+    pub hash: u64,
+}
+
+/// Answer of `GET /engine/cache-events`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEventBatch {
+    /// Position for the next read.
+    pub last: u64,
+    /// Events after the position asked for.
+    pub events: Vec<CacheEvent>,
+}
+
+/// Cache of prompt blocks; the least recently used block leaves first.
+///
+/// # Invariants
+///
+/// `order` and `used` hold the same blocks.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    capacity: usize,
+    used: HashMap<u64, u64>,
+    order: BTreeMap<u64, u64>,
+    clock: u64,
+    events: VecDeque<(Instant, CacheEvent)>,
+    sequence: u64,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            used: HashMap::new(),
+            order: BTreeMap::new(),
+            clock: 0,
+            events: VecDeque::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Number of leading blocks in the cache; afterwards all blocks are in it.
+    pub(crate) fn admit(&mut self, prefix: &[u64], now: Instant) -> usize {
+        let cached = prefix
+            .iter()
+            .take_while(|hash| self.used.contains_key(hash))
+            .count();
+        // The last block is touched first: it is of least use to other prompts.
+        for hash in prefix.iter().rev() {
+            self.touch(*hash, now);
+        }
+        while self.used.len() > self.capacity {
+            let Some((_, hash)) = self.order.pop_first() else {
+                break;
+            };
+            self.used.remove(&hash);
+            self.record(CacheChange::Evicted, hash, now);
+        }
+        cached
+    }
+
+    fn touch(&mut self, hash: u64, now: Instant) {
+        self.clock += 1;
+        match self.used.insert(hash, self.clock) {
+            Some(before) => {
+                self.order.remove(&before);
+            }
+            None => self.record(CacheChange::Stored, hash, now),
+        }
+        self.order.insert(self.clock, hash);
+    }
+
+    fn record(&mut self, change: CacheChange, hash: u64, now: Instant) {
+        self.sequence += 1;
+        let event = CacheEvent {
+            sequence: self.sequence,
+            change,
+            hash,
+        };
+        self.events.push_back((now, event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Events after `after` that are at least `lag` old; one of `gap` is left out.
+    pub(crate) fn events_after(
+        &self,
+        after: u64,
+        now: Instant,
+        lag: Duration,
+        gap: u32,
+    ) -> CacheEventBatch {
+        let visible = self
+            .events
+            .iter()
+            .filter(|(at, event)| event.sequence > after && now.duration_since(*at) >= lag)
+            .map(|(_, event)| *event);
+        let mut batch = CacheEventBatch {
+            last: after,
+            events: Vec::new(),
+        };
+        for event in visible {
+            batch.last = event.sequence;
+            if gap == 0 || !event.sequence.is_multiple_of(u64::from(gap)) {
+                batch.events.push(event);
+            }
+        }
+        batch
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/completions.rs
@@ -0,0 +1,232 @@
+//! Completions: checks before a run, attaching to a known run, the stream of its tokens.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use jaysaddle_types::engine::EngineCompletion;
+use jaysaddle_types::engine::EngineRefusal;
+use jaysaddle_types::engine::EngineRole;
+use jaysaddle_types::engine::FinishReason;
+use jaysaddle_types::engine::TokenChunk;
+use serde::Serialize;
+use tiny_http::Request;
+
+use crate::engine::fault::StreamFault;
+use crate::engine::run::Run;
+use crate::engine::run::RunEnd;
+use crate::engine::vm::EngineVm;
+use crate::engine::vm::VmState;
+use crate::http::ChunkWriter;
+use crate::http::respond_json;
+
+/// How often a waiting stream looks for faults.
+const FAULT_TICK: Duration = Duration::from_millis(20);
+
+#[derive(Serialize)]
+struct RefusalBody {
+    refused: EngineRefusal,
+}
+
+/// Progress of a run as a stream sends it.
+struct StreamStep {
+    chunk: TokenChunk,
+    cut: bool,
+}
+
+/// Sends pieces, duplicated or reordered where a fault says so.
+struct PieceSender<'a> {
+    vm: &'a EngineVm,
+    writer: ChunkWriter,
+    held_back: Option<String>,
+}
+
+impl PieceSender<'_> {
+    fn send(&mut self, chunk: &TokenChunk) -> std::io::Result<()> {
+        let json = serde_json::to_string(chunk)?;
+        let piece = format!("data: {json}\n\n");
+        if self.vm.faults.reorder() && self.held_back.is_none() && chunk.finish.is_none() {
+            self.held_back = Some(piece);
+            return Ok(());
+        }
+        self.writer.send(&piece)?;
+        if self.vm.faults.duplicate() {
+            self.writer.send(&piece)?;
+        }
+        match self.held_back.take() {
+            Some(earlier) => self.writer.send(&earlier),
+            None => Ok(()),
+        }
+    }
+}
+
+impl EngineVm {
+    /// Answers a completion on its own thread.
+    pub(crate) fn complete(&self, request: Request, completion: &EngineCompletion) {
+        match self.submit(completion) {
+            Ok(run) => self.stream(request, &run, completion),
+            Err(refused) => {
+                self.lock().stats.refused += 1;
+                respond_json(request, 409, &RefusalBody { refused });
+            }
+        }
+    }
+
+    /// Finds the run of the request or starts it. The caller counts as a follower of the run.
+    fn submit(&self, completion: &EngineCompletion) -> Result<Arc<Run>, EngineRefusal> {
+        if let Some(run) = self.attach(&mut self.lock(), completion) {
+            return Ok(run);
+        }
+        if completion.resume {
+            return Err(EngineRefusal::UnknownRequest);
+        }
+        if completion.deadline_ms == 0 {
+            return Err(EngineRefusal::DeadlineExceeded);
+        }
+        self.check_members(self.settings.member_check.as_duration());
+        let mut state = self.lock();
+        // The same request may have arrived twice while the members were checked.
+        if let Some(run) = self.attach(&mut state, completion) {
+            return Ok(run);
+        }
+        may_run(&state, completion)?;
+        let mut run = Run::new(completion, Instant::now());
+        if self.faults.empty() {
+            run.max_tokens = 0;
+        }
+        let run = Arc::new(run);
+        run.follow();
+        state.stats.started += 1;
+        state
+            .recorder
+            .record(&completion.request_id, &completion.prompt);
+        state.batch.submit(Arc::clone(&run));
+        drop(state);
+        self.wake();
+        Ok(run)
+    }
+
+    fn attach(&self, state: &mut VmState, completion: &EngineCompletion) -> Option<Arc<Run>> {
+        let run = state.batch.find(&completion.request_id)?;
+        let run = Arc::clone(run);
+        run.follow();
+        state.stats.attached += 1;
+        Some(run)
+    }
+
+    fn stream(&self, request: Request, run: &Run, completion: &EngineCompletion) {
+        let outcome = self.send_tokens(request, run, completion);
+        run.unfollow(Instant::now());
+        if let Err(error) = outcome {
+            log::debug!(
+                "the connection of request {} broke: {error}",
+                completion.request_id
+            );
+        }
+    }
+
+    fn send_tokens(
+        &self,
+        request: Request,
+        run: &Run,
+        completion: &EngineCompletion,
+    ) -> std::io::Result<()> {
+        let since = self.faults.epoch();
+        let joined_late = run.ended().is_some();
+        let mut sender = PieceSender {
+            vm: self,
+            writer: ChunkWriter::start_events(request)?,
+            held_back: None,
+        };
+        let mut sent = completion.offset;
+        loop {
+            match self.faults.hits(since) {
+                StreamFault::None => {}
+                StreamFault::Frozen => {
+                    thread::sleep(FAULT_TICK);
+                    continue;
+                }
+                StreamFault::Cut => return Ok(()),
+                StreamFault::Silent => {
+                    self.lock().parked.push(sender.writer);
+                    return Ok(());
+                }
+            }
+            let Some(step) = next_step(run, completion, sent, joined_late) else {
+                continue;
+            };
+            if step.cut {
+                return Ok(());
+            }
+            sender.send(&step.chunk)?;
+            sent += step.chunk.tokens;
+            if step.chunk.finish.is_some() {
+                return sender.writer.finish();
+            }
+        }
+    }
+}
+
+/// Waits a moment for tokens after `sent`; `None` when there are none yet.
+fn next_step(
+    run: &Run,
+    completion: &EngineCompletion,
+    sent: u32,
+    joined_late: bool,
+) -> Option<StreamStep> {
+    let mut progress = run.lock();
+    if progress.produced <= sent && progress.end.is_none() {
+        progress = run.wait(progress, FAULT_TICK);
+    }
+    let tokens = progress.produced.saturating_sub(sent);
+    let end = progress.end.map(|(end, _)| end);
+    if tokens == 0 && end.is_none() {
+        return None;
+    }
+    let finish = match end {
+        Some(RunEnd::Finished(reason)) => Some(reason),
+        Some(RunEnd::Aborted) if joined_late => Some(FinishReason::Cancelled),
+        _ => None,
+    };
+    let text: CompactString = (sent..sent + tokens)
+        .map(|offset| run.seed.token(offset))
+        .collect();
+    let chunk = TokenChunk {
+        request_id: completion.request_id.clone(),
+        attempt: completion.attempt,
+        offset: sent,
+        tokens,
+        text,
+        finish,
+        cached_tokens: if sent == 0 { progress.cached_tokens } else { 0 },
+    };
+    Some(StreamStep {
+        cut: end == Some(RunEnd::Aborted) && !joined_late,
+        chunk,
+    })
+}
+
+/// Checks a request that would start a new run.
+fn may_run(state: &VmState, completion: &EngineCompletion) -> Result<(), EngineRefusal> {
+    let report = &state.report;
+    if report.leaving {
+        return Err(EngineRefusal::Leaving);
+    }
+    if report.group.as_ref() != Some(&completion.group)
+        || report.generation != completion.generation
+    {
+        return Err(EngineRefusal::StaleGeneration);
+    }
+    if report.role != EngineRole::Leader || !report.missing.is_empty() {
+        return Err(EngineRefusal::NotWhole);
+    }
+    if report.model.as_ref() != Some(&completion.model) {
+        return Err(EngineRefusal::WrongModel);
+    }
+    if state.batch.is_full() {
+        return Err(EngineRefusal::Overloaded);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/engine/control.rs
@@ -0,0 +1,200 @@
+//! Control routes of an engine process: faults, counts and the record of runs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use eyre::bail;
+use jaysaddle_types::ids::VmId;
+use tiny_http::Method;
+use tiny_http::Request;
+
+use crate::engine::fault::FaultKind;
+use crate::engine::fault::VmFault;
+use crate::engine::routes::EngineRoutes;
+use crate::engine::run::RunEnd;
+use crate::engine::stats::EngineStats;
+use crate::engine::stats::RunList;
+use crate::engine::vm::EngineVm;
+use crate::http::RouteHandler;
+use crate::http::StandinListener;
+use crate::http::drop_unanswered;
+use crate::http::read_json;
+use crate::http::respond_json;
+use crate::http::respond_text;
+use crate::http::spawn_small;
+use crate::http::split_url;
+
+/// Threads that read the requests to one VM; completions get threads of their own.
+const VM_WORKERS: usize = 2;
+
+/// Time for a killed VM's port to become free again.
+const REBIND_LIMIT: Duration = Duration::from_secs(5);
+
+/// Pause between attempts to listen again.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// The VMs of a process with their addresses.
+pub(crate) struct ControlRoutes {
+    vms: BTreeMap<VmId, (SocketAddr, Arc<EngineVm>)>,
+    itself: Weak<ControlRoutes>,
+}
+
+impl ControlRoutes {
+    /// Starts to listen at each VM's address.
+    pub(crate) fn start(vms: Vec<(SocketAddr, Arc<EngineVm>)>) -> eyre::Result<Arc<Self>> {
+        let mut bound = BTreeMap::new();
+        for (address, vm) in vms {
+            let listener = StandinListener::bind(address)?;
+            let entry = (listener.address(), Arc::clone(&vm));
+            vm.lock().listener = Some(listener);
+            if bound.insert(vm.id.clone(), entry).is_some() {
+                bail!("VM {} is named twice", vm.id);
+            }
+        }
+        let control = Arc::new_cyclic(|itself| Self {
+            vms: bound,
+            itself: Weak::clone(itself),
+        });
+        for (_, vm) in control.vms.values() {
+            let state = vm.lock();
+            if let Some(listener) = &state.listener {
+                control.serve(listener, vm)?;
+            }
+        }
+        Ok(control)
+    }
+
+    fn serve(&self, listener: &StandinListener, vm: &Arc<EngineVm>) -> eyre::Result<()> {
+        let handler: Arc<dyn RouteHandler> = Arc::new(EngineRoutes {
+            vm: Arc::clone(vm),
+            control: Weak::clone(&self.itself),
+        });
+        listener.serve(VM_WORKERS, &handler)
+    }
+
+    /// The VMs and their addresses.
+    pub(crate) fn vms(&self) -> impl Iterator<Item = (&VmId, SocketAddr, &Arc<EngineVm>)> {
+        self.vms
+            .iter()
+            .map(|(id, (address, vm))| (id, *address, vm))
+    }
+
+    /// Injects a fault; false when the process has no such VM.
+    pub(crate) fn inject(&self, fault: &VmFault) -> eyre::Result<bool> {
+        let mut found = false;
+        for (id, (address, vm)) in &self.vms {
+            if fault.vm.as_ref().is_none_or(|named| named == id) {
+                found = true;
+                self.inject_into(*address, vm, fault)?;
+            }
+        }
+        Ok(found)
+    }
+
+    fn inject_into(
+        &self,
+        address: SocketAddr,
+        vm: &Arc<EngineVm>,
+        fault: &VmFault,
+    ) -> eyre::Result<()> {
+        vm.faults.apply(fault);
+        match fault.fault {
+            FaultKind::Kill => kill(vm),
+            FaultKind::Leave => vm.lock().report.leaving = true,
+            FaultKind::Recover => self.recover(address, vm)?,
+            _ => {}
+        }
+        vm.wake();
+        Ok(())
+    }
+
+    fn recover(&self, address: SocketAddr, vm: &Arc<EngineVm>) -> eyre::Result<()> {
+        let (held, parked, listening) = {
+            let mut state = vm.lock();
+            state.report.leaving = false;
+            let held = std::mem::take(&mut state.held);
+            let parked = std::mem::take(&mut state.parked);
+            (held, parked, state.listener.is_some())
+        };
+        drop(parked);
+        // A process that continues answers what arrived meanwhile, however late.
+        for request in held {
+            let vm = Arc::clone(vm);
+            spawn_small("engine-held", move || vm.answer(request))?;
+        }
+        if listening {
+            return Ok(());
+        }
+        let listener = bind_again(address)?;
+        self.serve(&listener, vm)?;
+        vm.lock().listener = Some(listener);
+        Ok(())
+    }
+
+    fn stats(&self) -> BTreeMap<VmId, EngineStats> {
+        self.vms()
+            .map(|(id, _, vm)| (id.clone(), vm.lock().stats))
+            .collect()
+    }
+
+    /// The record of started runs of all VMs.
+    pub(crate) fn runs(&self) -> RunList {
+        let mut list = RunList::default();
+        for (id, _, vm) in self.vms() {
+            vm.lock().recorder.append_to(id, &mut list);
+        }
+        list
+    }
+}
+
+impl RouteHandler for ControlRoutes {
+    fn handle(&self, request: Request) {
+        let url = CompactString::from(request.url());
+        let (path, _) = split_url(&url);
+        match (request.method(), path) {
+            (Method::Post, "/control/fault") => {
+                let Some((request, fault)) = read_json::<VmFault>(request) else {
+                    return;
+                };
+                match self.inject(&fault) {
+                    Ok(true) => respond_json(request, 200, &fault),
+                    Ok(false) => respond_text(request, 404, "no such VM in this process"),
+                    Err(error) => respond_text(request, 500, &format!("{error:#}")),
+                }
+            }
+            (Method::Get, "/control/runs") => respond_json(request, 200, &self.runs()),
+            (Method::Get, "/control/stats") => respond_json(request, 200, &self.stats()),
+            _ => respond_text(request, 404, "no such control route"),
+        }
+    }
+}
+
+fn kill(vm: &EngineVm) {
+    let mut state = vm.lock();
+    if let Some(listener) = state.listener.take() {
+        listener.close();
+    }
+    let now = Instant::now();
+    state.stats.aborted += state.batch.end_all(RunEnd::Aborted, now);
+    let held = std::mem::take(&mut state.held);
+    vm.reset(&mut state);
+    drop(state);
+    held.into_iter().for_each(drop_unanswered);
+}
+
+fn bind_again(address: SocketAddr) -> eyre::Result<StandinListener> {
+    let started = Instant::now();
+    loop {
+        match StandinListener::bind(address) {
+            Ok(listener) => return Ok(listener),
+            Err(error) if started.elapsed() > REBIND_LIMIT => return Err(error),
+            Err(_) => thread::sleep(REBIND_PAUSE),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/run.rs
@@ -0,0 +1,140 @@
+//! One request's run: its progress and the connections that follow it.
+
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use jaysaddle_types::engine::EngineCompletion;
+use jaysaddle_types::engine::FinishReason;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::request::prefix_hashes;
+
+use crate::text::AnswerSeed;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunEnd {
+    /// With an end marker.
+    Finished(FinishReason),
+    /// Without one, because the group fell apart. Connections are cut.
+    Aborted,
+}
+
+/// Progress of a run.
+#[derive(Debug)]
+pub(crate) struct RunProgress {
+    /// Tokens generated.
+    pub(crate) produced: u32,
+    /// Prompt tokens that the prefix cache held.
+    pub(crate) cached_tokens: u32,
+    /// How and when it ended.
+    pub(crate) end: Option<(RunEnd, Instant)>,
+    /// Connections that follow the run.
+    followers: u32,
+    /// Since when there is none.
+    orphaned: Option<Instant>,
+}
+
+/// A run.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) request: RequestId,
+    pub(crate) seed: AnswerSeed,
+    pub(crate) max_tokens: u32,
+    pub(crate) priority: u8,
+    pub(crate) deadline: Instant,
+    pub(crate) prefix: Arc<[u64]>,
+    progress: Mutex<RunProgress>,
+    changed: Condvar,
+}
+
+impl Run {
+    pub(crate) fn new(completion: &EngineCompletion, now: Instant) -> Self {
+        Self {
+            request: completion.request_id.clone(),
+            seed: AnswerSeed::new(&completion.model, &completion.prompt),
+            max_tokens: completion.max_tokens,
+            priority: completion.priority,
+            deadline: now + Duration::from_millis(completion.deadline_ms),
+            prefix: prefix_hashes(&completion.prompt),
+            progress: Mutex::new(RunProgress {
+                produced: 0,
+                cached_tokens: 0,
+                end: None,
+                followers: 0,
+                orphaned: Some(now),
+            }),
+            changed: Condvar::new(),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, RunProgress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for progress, at most `limit`.
+    pub(crate) fn wait<'a>(
+        &self,
+        progress: MutexGuard<'a, RunProgress>,
+        limit: Duration,
+    ) -> MutexGuard<'a, RunProgress> {
+        self.changed
+            .wait_timeout(progress, limit)
+            .unwrap_or_else(PoisonError::into_inner)
+            .0
+    }
+
+    /// Adds one token; tells whether the answer is complete.
+    pub(crate) fn produce(&self, now: Instant) -> bool {
+        let mut progress = self.lock();
+        if progress.end.is_none() && progress.produced < self.max_tokens {
+            progress.produced += 1;
+        }
+        if progress.end.is_none() && progress.produced >= self.max_tokens {
+            progress.end = Some((RunEnd::Finished(FinishReason::Length), now));
+        }
+        self.changed.notify_all();
+        progress.end.is_some()
+    }
+
+    /// Ends the run unless it has ended.
+    pub(crate) fn end(&self, end: RunEnd, now: Instant) {
+        let mut progress = self.lock();
+        progress.end.get_or_insert((end, now));
+        self.changed.notify_all();
+    }
+
+    pub(crate) fn set_cached_tokens(&self, tokens: u32) {
+        self.lock().cached_tokens = tokens;
+    }
+
+    pub(crate) fn ended(&self) -> Option<(RunEnd, Instant)> {
+        self.lock().end
+    }
+
+    /// Counts a connection in.
+    pub(crate) fn follow(&self) {
+        let mut progress = self.lock();
+        progress.followers += 1;
+        progress.orphaned = None;
+    }
+
+    /// Counts a connection out.
+    pub(crate) fn unfollow(&self, now: Instant) {
+        let mut progress = self.lock();
+        progress.followers = progress.followers.saturating_sub(1);
+        if progress.followers == 0 {
+            progress.orphaned = Some(now);
+        }
+    }
+
+    /// Whether the run has to be cancelled: its deadline has passed or nobody follows it.
+    pub(crate) fn given_up(&self, now: Instant, grace: Duration) -> bool {
+        let orphaned = self.lock().orphaned;
+        now >= self.deadline || orphaned.is_some_and(|since| now.duration_since(since) > grace)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/settings.rs
@@ -0,0 +1,161 @@
+//! Settings of the engine stand-in.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
+
+/// Whether an engine checks the fencing token of orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FencingMode {
+    /// An order with an outdated token is refused.
+    #[default]
+    Enforced,
+    /// The token is ignored; the last order to arrive wins.
+    Ignored,
+}
+
+impl FromStr for FencingMode {
+    type Err = CompactString;
+
+    fn from_str(text: &str) -> Result<Self, CompactString> {
+        match text {
+            "enforced" => Ok(Self::Enforced),
+            "ignored" => Ok(Self::Ignored),
+            _ => Err("expected enforced or ignored".into()),
+        }
+    }
+}
+
+/// A VM and its address, written `NAME=IP:PORT`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmBinding {
+    /// The VM.
+    pub vm: VmId,
+    /// Its address; port 0 takes a free port.
+    pub address: SocketAddr,
+}
+
+impl FromStr for VmBinding {
+    type Err = CompactString;
+
+    fn from_str(text: &str) -> Result<Self, CompactString> {
+        let error = || CompactString::from("expected NAME=IP:PORT");
+        let (name, address) = text.rsplit_once('=').ok_or_else(error)?;
+        Ok(Self {
+            vm: name.parse().map_err(|_| error())?,
+            address: address.parse().map_err(|_| error())?,
+        })
+    }
+}
+
+/// Where the time for loading weights comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WeightSource {
+    /// A fixed time.
+    Fixed(TimeSpan),
+    /// The weight store at this address.
+    Store(SocketAddr),
+}
+
+/// Speed and size of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSpeed {
+    /// Time of one decoding step with one running request. Default: 5 ms.
+    pub token_time: TimeSpan,
+    /// Growth of the step time with each further running request, in thousandths of the token time.
+    /// Default: 20. Zero makes a full batch as fast as a single request.
+    pub batch_growth_permille: u32,
+    /// Prefill time of one prompt block that the prefix cache does not hold. Default: 4 ms.
+    pub prefill_block_time: TimeSpan,
+    /// Requests that run at once. Default: 16.
+    pub slots: u32,
+    /// Requests that wait before further ones are refused. Default: 64.
+    pub queue_limit: u32,
+    /// Blocks that the prefix cache holds. Default: 4096.
+    pub cache_blocks: usize,
+}
+
+impl Default for EngineSpeed {
+    fn default() -> Self {
+        Self {
+            token_time: TimeSpan::from_millis(5),
+            batch_growth_permille: 20,
+            prefill_block_time: TimeSpan::from_millis(4),
+            slots: 16,
+            queue_limit: 64,
+            cache_blocks: 4096,
+        }
+    }
+}
+
+/// Settings of one engine process, which hosts any number of VMs.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Address of the control routes. They are also served at each VM's address, but only this one
+    /// answers while a VM is killed. Default: none.
+    pub control: Option<SocketAddr>,
+    /// VMs of this process. Default: none.
+    pub vms: Vec<VmBinding>,
+    /// VMs of other processes that may be members of the same groups. Default: none. A member that
+    /// is in neither list counts as missing.
+    pub peers: Vec<VmBinding>,
+    /// Whether orders' tokens are checked. Default: enforced.
+    pub fencing: FencingMode,
+    /// VMs that ignore tokens whatever `fencing` says. Default: none.
+    pub ignore_fencing: Vec<VmId>,
+    /// Speed and size. All VMs of the process are alike.
+    pub speed: EngineSpeed,
+    /// Time for loading weights. Default: 200 ms.
+    pub weights: WeightSource,
+    /// Lag of the load figures in reports. Default: 500 ms.
+    pub report_lag: TimeSpan,
+    /// Age at which a leader checks its members again. Default: 300 ms.
+    pub member_check: TimeSpan,
+    /// Time that a member is missing before the running requests end. Default: 1 s. Zero ends them
+    /// at the first lost ping.
+    pub stall_limit: TimeSpan,
+    /// Time that the output of an ended request is kept. Default: 60 s.
+    pub output_kept: TimeSpan,
+    /// Time that a request runs on without a connection. Default: 2 s. Zero makes a resume after a
+    /// broken connection fail.
+    pub orphan_grace: TimeSpan,
+    /// Delay of cache events. Default: 1 s.
+    pub cache_event_lag: TimeSpan,
+    /// One of this many cache events is lost; zero loses none. Default: 10.
+    pub cache_event_gap: u32,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            control: None,
+            vms: Vec::new(),
+            peers: Vec::new(),
+            fencing: FencingMode::Enforced,
+            ignore_fencing: Vec::new(),
+            speed: EngineSpeed::default(),
+            weights: WeightSource::Fixed(TimeSpan::from_millis(200)),
+            report_lag: TimeSpan::from_millis(500),
+            member_check: TimeSpan::from_millis(300),
+            stall_limit: TimeSpan::from_secs(1),
+            output_kept: TimeSpan::from_secs(60),
+            orphan_grace: TimeSpan::from_secs(2),
+            cache_event_lag: TimeSpan::from_secs(1),
+            cache_event_gap: 10,
+        }
+    }
+}
+
+impl EngineSettings {
+    /// Whether `vm` checks the tokens of orders.
+    pub fn fencing_of(&self, vm: &VmId) -> FencingMode {
+        if self.ignore_fencing.contains(vm) {
+            FencingMode::Ignored
+        } else {
+            self.fencing
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,15 @@
-//! Stand-ins for the platform, engines, services and the weight store.
+//! Stand-ins for the platform, engines, services and the weight store, with fault injection.
+//!
+//! They exist for tests and measurements and run as plain processes on loopback.
+
+pub mod engine;
+pub mod http;
+pub mod platform;
+pub mod text;
+
+pub use engine::EngineSettings;
+pub use engine::EngineSpeed;
+pub use engine::EngineStandin;
+pub use platform::PlatformSettings;
+pub use platform::PlatformStandin;
+pub use text::expected_text;
--- /dev/null
+++ b/crates/standins/src/platform/mod.rs
@@ -0,0 +1,80 @@
+//! The platform: object API with versions and watches, list of VMs.
+
+pub mod fault;
+pub mod routes;
+pub mod store;
+
+pub use fault::OutageMode;
+pub use fault::PlatformFault;
+pub use store::PlatformStats;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jaysaddle_types::units::RequestRate;
+use jaysaddle_types::units::TimeSpan;
+
+use crate::http::RouteHandler;
+use crate::http::StandinListener;
+use crate::platform::routes::PlatformRoutes;
+
+/// Settings of the platform stand-in.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// Address to listen on. Default: a free port on loopback.
+    pub listen: SocketAddr,
+    /// Lag of the list of VMs behind `POST /control/vms`. Default: 2 s. Zero hides faults that the
+    /// lag causes.
+    pub list_lag: TimeSpan,
+    /// Reads, watches and lists a second before 429. Default: 2000/s.
+    pub read_budget: RequestRate,
+    /// Writes a second before 429. Default: 500/s.
+    pub write_budget: RequestRate,
+    /// Threads that answer calls; a waiting watch holds none. Default: 16. A `delay` fault lets at
+    /// most this many calls wait at a time.
+    pub workers: usize,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            list_lag: TimeSpan::from_secs(2),
+            read_budget: RequestRate(2000),
+            write_budget: RequestRate(500),
+            workers: 16,
+        }
+    }
+}
+
+/// A running platform stand-in; dropping it closes the listener.
+pub struct PlatformStandin {
+    listener: StandinListener,
+}
+
+impl PlatformStandin {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is not free or no thread can be started.
+    pub fn start(settings: &PlatformSettings) -> eyre::Result<Self> {
+        let listener = StandinListener::bind(settings.listen)?;
+        let routes = PlatformRoutes::start(settings)?;
+        let handler: Arc<dyn RouteHandler> = routes;
+        listener.serve(settings.workers, &handler)?;
+        Ok(Self { listener })
+    }
+
+    /// The address in use.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+}
+
+impl Drop for PlatformStandin {
+    fn drop(&mut self) {
+        self.listener.close();
+    }
+}
--- a/src/bin/jaysaddle_standin.rs
+++ b/src/bin/jaysaddle_standin.rs
@@ -1,3 +1,30 @@
-//! Placeholder.
+//! Stand-ins for the outside systems, as plain processes for tests and measurements.
 
-fn main() {}
+#[path = "../standin_commands/mod.rs"]
+mod standin_commands;
+
+use bpaf::Bpaf;
+
+use crate::standin_commands::engine::EngineCommand;
+use crate::standin_commands::engine::engine_command;
+use crate::standin_commands::platform::PlatformCommand;
+use crate::standin_commands::platform::platform_command;
+
+/// Stand-ins for the platform, engines, services and the weight store.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum StandinCommand {
+    /// Runs the platform: object API and list of VMs.
+    #[bpaf(command("platform"))]
+    Platform(#[bpaf(external(platform_command))] PlatformCommand),
+    /// Runs the engines of one or more VMs.
+    #[bpaf(command("engine"))]
+    Engine(#[bpaf(external(engine_command))] EngineCommand),
+}
+
+fn main() -> eyre::Result<()> {
+    match standin_command().run() {
+        StandinCommand::Platform(command) => command.run(),
+        StandinCommand::Engine(command) => command.run(),
+    }
+}
