Publish views at most four times a second unless they matter

Cause: each report marked the view as changed, and each tick copied the whole fleet. Change: news that can wait is published every 250 ms; what tells routing to leave a VM or a node out is published with the next tick. The example runs one node among others that answer its membership probes.

--- a/crates/reducer/examples/control_cost.rs
+++ b/crates/reducer/examples/control_cost.rs
@@ -1,8 +1,8 @@
 //! Processor time and memory of one node's control lane at several fleet sizes.
 //!
-//! One control lane runs alone for a simulated minute: it holds as many shards as its share of the
-//! fabric domains, all probes are answered at once, and the store answers every call. Messages of
-//! membership are measured by the example of that crate. Run with
+//! One control lane runs for a simulated minute among nodes that only answer its membership probes.
+//! Of the shards it holds as many as stated; the others' leases are renewed by somebody else. All
+//! probes are answered at once, and the store answers every call. Run with
 //! `cargo run --release -p jaysaddle-reducer --example control_cost`.
 
 use std::collections::BTreeMap;
@@ -36,6 +36,14 @@
 use jaysaddle_types::store::StoredObject;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
+use jaysaddle_wire::messages::AckMessage;
+use jaysaddle_wire::messages::NodeRumor;
+use jaysaddle_wire::messages::NodeRun;
+use jaysaddle_wire::messages::PeerBody;
+use jaysaddle_wire::messages::PeerMessage;
+use jaysaddle_wire::messages::SyncReplyMessage;
+use jaysaddle_wire::messages::WireRumor;
+use jaysaddle_wire::messages::WireRumorBody;
 
 const TICK_MS: u64 = 50;
 const RUN_MS: u64 = 60_000;
@@ -45,6 +53,9 @@
 struct Fleet {
     vms: usize,
     group: usize,
+    nodes: usize,
+    /// Shards that the node may hold.
+    shards: usize,
 }
 
 fn vm_name(index: usize) -> VmId {
@@ -112,11 +123,26 @@
     duties: BTreeMap<VmId, EngineOrder>,
     calls: u64,
     probes: u64,
+    shards: usize,
 }
 
 impl FakeWorld {
     fn call(&mut self, request: &StoreRequest) -> StoreOutcome {
         self.calls += 1;
+        if let Some(name) = self.foreign_lease(request) {
+            // Somebody else renews: every read shows another version.
+            return StoreOutcome::Found(StoredObject {
+                value: serde_json::json!({
+                    "holder": { "id": "n1", "incarnation": 1 },
+                    "epoch": 1,
+                    "write_id": "other",
+                })
+                .to_string(),
+                name,
+                version: ObjectVersion(self.calls),
+                revision: StoreRevision(1),
+            });
+        }
         match request {
             StoreRequest::Get { kind, name } => {
                 match self.objects.get(&(*kind, name.to_string())) {
@@ -149,6 +175,12 @@
         }
     }
 
+    fn foreign_lease(&self, request: &StoreRequest) -> Option<compact_str::CompactString> {
+        let (StoreRequest::Get { kind, name } | StoreRequest::Put { kind, name, .. }) = request;
+        let number: usize = name.strip_prefix('f')?.parse().ok()?;
+        (*kind == ObjectKind::Lease && number >= self.shards).then(|| name.clone())
+    }
+
     fn report(&self, vm: &VmId) -> EngineReport {
         let mut report = EngineReport {
             vm: vm.clone(),
@@ -203,11 +235,79 @@
                     outcome: Some(OrderOutcome::Accepted),
                 })
             }
+            ControlEffect::SendPeer { to, message } => answer_peer(to, message),
             _ => None,
         }
     }
 }
 
+fn node_address(index: usize) -> SocketAddr {
+    let high = u8::try_from(index / 200).expect("below 256");
+    let low = u8::try_from(index % 200 + 1).expect("below 256");
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 2, high, low)), 7401)
+}
+
+fn node_of(address: SocketAddr) -> Option<usize> {
+    let IpAddr::V4(ip) = address.ip() else {
+        return None;
+    };
+    let [_, _, high, low] = ip.octets();
+    Some(usize::from(high) * 200 + usize::from(low) - 1)
+}
+
+fn node_run(index: usize) -> NodeRun {
+    NodeRun {
+        id: format!("n{index}"),
+        incarnation: 1,
+    }
+}
+
+/// Acknowledges a membership probe, as a node that knows no news.
+fn answer_peer(to: SocketAddr, message: PeerMessage) -> Option<ControlEvent> {
+    let Some(PeerBody::Ping(ping)) = message.body else {
+        return None;
+    };
+    let run = node_run(node_of(to)?);
+    Some(ControlEvent::PeerReceived(PeerMessage {
+        from_id: run.id.clone(),
+        from_incarnation: run.incarnation,
+        body: Some(PeerBody::Ack(AckMessage {
+            nonce: ping.nonce,
+            answered: Some(run),
+            ..AckMessage::default()
+        })),
+    }))
+}
+
+/// Tells the node about the others, as the answer to its first exchange would.
+fn introduce(nodes: usize) -> ControlEvent {
+    let rumors = (1..nodes)
+        .map(|index| WireRumor {
+            origin: Some(node_run(index)),
+            sequence: 1,
+            body: Some(WireRumorBody::Node(NodeRumor {
+                node: Some(node_run(index)),
+                revision: 1,
+                state: 0,
+                callers: node_address(index).to_string(),
+                peers: node_address(index).to_string(),
+                failure_domain: format!("d{}", index % 9),
+                region: "r".to_owned(),
+                ..NodeRumor::default()
+            })),
+        })
+        .collect();
+    let run = node_run(1);
+    ControlEvent::PeerReceived(PeerMessage {
+        from_id: run.id,
+        from_incarnation: run.incarnation,
+        body: Some(PeerBody::SyncReply(SyncReplyMessage {
+            rumors,
+            ..SyncReplyMessage::default()
+        })),
+    })
+}
+
 fn resident_kib() -> u64 {
     std::fs::read_to_string("/proc/self/status")
         .unwrap_or_default()
@@ -225,8 +325,8 @@
             id: NodeId::new("n0"),
             incarnation: Incarnation(1),
         },
-        callers: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7400),
-        peers: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7401),
+        callers: node_address(0),
+        peers: node_address(0),
         failure_domain: FailureDomainId::new("d0"),
         region: RegionId::new("r"),
     };
@@ -236,11 +336,15 @@
         duties: BTreeMap::new(),
         calls: 0,
         probes: 0,
+        shards: fleet.shards,
     };
-    let mut queue = vec![ControlEvent::ObjectsChanged {
-        kind: ObjectKind::Config,
-        objects: fleet.documents(),
-    }];
+    let mut queue = vec![
+        ControlEvent::ObjectsChanged {
+            kind: ObjectKind::Config,
+            objects: fleet.documents(),
+        },
+        introduce(fleet.nodes),
+    ];
     let mut spent = std::time::Duration::ZERO;
     let mut longest = std::time::Duration::ZERO;
     for now in (1_000..1_000 + RUN_MS).step_by(usize::try_from(TICK_MS).expect("small")) {
@@ -262,8 +366,9 @@
     }
     let seconds = f64::from(u32::try_from((RUN_MS + 1_000 - WARM_UP_MS) / 1000).expect("small"));
     println!(
-        "{:>6} {:>6} {:>8} {:>10.2} {:>10.2} {:>9.1} {:>9.1} {:>10}",
+        "{:>6} {:>6} {:>6} {:>8} {:>10.2} {:>10.2} {:>9.1} {:>9.1} {:>10}",
         fleet.vms,
+        state.fleet_view(Timestamp(RUN_MS)).0.nodes.len(),
         state.held_shards(Timestamp(RUN_MS)).len(),
         state.fleet_view(Timestamp(RUN_MS)).0.groups.len(),
         spent.as_secs_f64() * 1000.0 / seconds,
@@ -275,9 +380,21 @@
 }
 
 fn main() {
-    println!("one node that holds every shard and watches every VM");
-    println!("   vms shards   groups  cpu_ms/s  longest_ms  probes/s  calls/s    rss_kib");
-    for (vms, group) in [(60, 4), (600, 16), (2_700, 16)] {
-        measure(&Fleet { vms, group });
+    println!("   vms  nodes shards   groups   cpu_ms/s longest_ms  probes/s   calls/s    rss_kib");
+    for (vms, group, nodes, shards) in [
+        (60, 4, 7, 0),
+        (60, 4, 7, 1),
+        (600, 16, 70, 0),
+        (600, 16, 70, 1),
+        (2_700, 16, 320, 0),
+        (2_700, 16, 320, 1),
+        (2_700, 16, 320, 50),
+    ] {
+        measure(&Fleet {
+            vms,
+            group,
+            nodes,
+            shards,
+        });
     }
 }
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -70,6 +70,9 @@
 /// Time between the control lane's periodic work, such as the planner's input.
 const HOUSEKEEPING_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
 
+/// Time between views that carry only news which can wait, such as reports and usage.
+const VIEW_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
+
 /// Time between probes of the VMs of held shards; their holder needs all reports itself.
 const SHARD_PROBE_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 
@@ -130,7 +133,11 @@
     health_probes: BTreeSet<VmId>,
     last_housekeeping: Timestamp,
     last_shard_probe: Timestamp,
+    /// Whether the view is out of date.
     view_changed: bool,
+    /// Whether routing must see the change with the next tick.
+    view_urgent: bool,
+    last_view: Timestamp,
 }
 
 impl ControlState {
@@ -170,6 +177,8 @@
             last_housekeeping: Timestamp::default(),
             last_shard_probe: Timestamp::default(),
             view_changed: true,
+            view_urgent: true,
+            last_view: Timestamp::default(),
             settings,
             own,
         }
@@ -240,7 +249,7 @@
                 self.stopping = true;
                 self.lease_step(LeaseEvent::Release, now, &mut effects);
                 self.membership_step(MembershipEvent::Leave, now, &mut effects);
-                self.view_changed = true;
+                self.view_urgent = true;
             }
             ControlEvent::Stopped => {
                 self.membership_step(MembershipEvent::Stop, now, &mut effects);
@@ -279,10 +288,13 @@
             self.last_housekeeping = now;
             self.keep_house(now, effects);
         }
-        // Views are published by ticks alone: one per report would copy the fleet hundreds of times
-        // a second.
-        if self.view_changed {
+        // A view per report would copy the fleet hundreds of times a second. What tells routing to
+        // leave a VM or a node out does not wait.
+        let due = now.since(self.last_view) >= VIEW_INTERVAL;
+        if self.view_urgent || (self.view_changed && due) {
             self.view_changed = false;
+            self.view_urgent = false;
+            self.last_view = now;
             self.publish_view(now, effects);
         }
     }
@@ -465,7 +477,7 @@
                     document,
                 };
                 self.shard_step(event, now, effects);
-                self.view_changed = true;
+                self.view_urgent = true;
             }
             Err(error) => effects.push(ControlEffect::Decision(DecisionRecord {
                 kind: DecisionKind::Place,
@@ -506,7 +518,7 @@
 
     fn config_changed(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
         self.fleet = FleetIndex::from_inventories(self.config.inventories());
-        self.view_changed = true;
+        self.view_urgent = true;
         for (vm, reason) in &self.fleet.conflicts {
             effects.push(ControlEffect::Decision(DecisionRecord {
                 kind: DecisionKind::Config,
@@ -529,7 +541,7 @@
     }
 
     fn nodes_changed(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
-        self.view_changed = true;
+        self.view_urgent = true;
         let nodes: Vec<NodeRecord> = self
             .membership
             .nodes()
@@ -648,7 +660,7 @@
                 self.peer_usage.insert(origin, usage);
                 self.view_changed = true;
             }
-            RumorBody::Handover(_) => self.view_changed = true,
+            RumorBody::Handover(_) => self.view_urgent = true,
         }
     }
 
@@ -764,7 +776,7 @@
                     let event = MembershipEvent::Publish(RumorBody::Vm(evidence));
                     self.membership_step(event, now, effects);
                 }
-                HealthEffect::StateChanged { .. } => self.view_changed = true,
+                HealthEffect::StateChanged { .. } => self.view_urgent = true,
                 HealthEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
             }
         }
