Bound the log lines about rejected peer connections

Cause: a flood of bad or half-open connections wrote a log line for each.

A connection closed because too many are half-open is logged with its own address.

The number of lines itself has no test.

--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -34,6 +34,8 @@
 /// What the hub holds of a connection.
 #[derive(Debug)]
 struct LinkEntry {
+    /// Address at the other end of the connection; for an accepted one, a passing port.
+    remote: SocketAddr,
     /// Address that the peer listens on; absent until an accepted connection has greeted.
     peer: Option<SocketAddr>,
     outgoing: flume::Sender<PeerMessage>,
@@ -114,16 +116,21 @@
         // that a flood of silent connections cannot keep peers out.
         if self.greeting.len() >= self.context.settings.max_greeting
             && let Some(oldest) = self.greeting.pop_front()
+            && let Some(entry) = self.discard(oldest)
         {
-            telemetry::note_bad_frame("greeting_flood", remote, "too many half-open connections");
-            self.discard(oldest);
+            let detail = "too many connections wait for their first frame";
+            let rejections = &self.context.rejections;
+            rejections.note("greeting_flood", entry.remote, detail);
         }
-        let id = self.open(None, |task| spawn_local(task.accept(stream, remote)));
+        let id = self.open(remote, None, |task| {
+            spawn_local(task.accept(stream, remote))
+        });
         self.greeting.push_back(id);
     }
 
     fn open(
         &mut self,
+        remote: SocketAddr,
         peer: Option<SocketAddr>,
         spawn: impl FnOnce(LinkTask) -> JoinHandle<()>,
     ) -> u64 {
@@ -138,6 +145,7 @@
             clock: Rc::clone(&clock),
         });
         let entry = LinkEntry {
+            remote,
             peer,
             outgoing,
             queue,
@@ -181,7 +189,7 @@
 
     fn dial(&mut self, to: SocketAddr) -> u64 {
         self.make_room();
-        let id = self.open(Some(to), |task| spawn_local(task.dial(to)));
+        let id = self.open(to, Some(to), |task| spawn_local(task.dial(to)));
         self.routes.insert(to, id);
         id
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -20,6 +20,7 @@
 
 use crate::hub::LinkHub;
 use crate::link::LinkContext;
+use crate::telemetry::RejectionLog;
 
 pub use command::TransportCommand;
 pub use command::TransportEvent;
@@ -65,6 +66,7 @@
                     key,
                     events,
                     reports,
+                    rejections: Rc::new(RejectionLog::new()),
                 };
                 run(
                     &runtime,
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -27,6 +27,7 @@
 use crate::command::TransportEvent;
 use crate::settings::TransportSettings;
 use crate::telemetry;
+use crate::telemetry::RejectionLog;
 
 /// Added to the idle time of an accepted connection, so that usually the side that opened it
 /// closes it and no frame crosses the close.
@@ -160,6 +161,7 @@
     pub(crate) key: ClusterKey,
     pub(crate) events: flume::Sender<TransportEvent>,
     pub(crate) reports: flume::Sender<LinkReport>,
+    pub(crate) rejections: Rc<RejectionLog>,
 }
 
 /// The task of one connection.
@@ -330,12 +332,13 @@
     }
 
     fn report_end(&self, end: LinkEnd, remote: SocketAddr) {
+        let rejections = &self.context.rejections;
         match &end {
             LinkEnd::BadFrame(error) => {
-                telemetry::note_bad_frame(error.cause(), remote, &error.to_string());
+                rejections.note(error.cause(), remote, &error.to_string());
             }
             LinkEnd::NoGreeting => {
-                telemetry::note_bad_frame("no_greeting", remote, &end.to_string());
+                rejections.note("no_greeting", remote, &end.to_string());
             }
             _ => log::debug!("the peer connection with {remote} ended: {end}"),
         }
