--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -154,7 +154,7 @@
     pub claim: u64,
 }
 
-/// Rumors that the asking node lacks.
+/// Rumors that the asking node lacks; also sent unasked, to push new rumors.
 #[derive(Clone, PartialEq, Message)]
 pub struct SyncReplyMessage {
     /// The rumors.
