Count a group that drains as given up until it is needed again

A whole group that was draining for another model still counted as present. Such a group now counts as gone, is promised together with the VMs it joins, or is taken back by its own model. Rollouts start only after all models that lack groups had their turn. A holder skips planning when only load figures changed, and looks only at its own shards in a tick.

--- a/crates/placement/examples/measure.rs
+++ b/crates/placement/examples/measure/schedule.rs
@@ -1,35 +1,28 @@
-//! Measures the planner: its time, the size of stored documents, and group downtime and stranded
-//! accelerators over the fault schedule in `faults.txt`.
-//!
-//! Run with `cargo run --release -p jaysaddle-placement --example measure`.
+//! A stepped run over the fault schedule.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
 
 use jaysaddle_placement::PlacementPlan;
 use jaysaddle_placement::PlacementPlanner;
-use jaysaddle_placement::PlacementSettings;
 use jaysaddle_placement::PlannerGroup;
 use jaysaddle_placement::PlannerInput;
-use jaysaddle_placement::PlannerVm;
 use jaysaddle_placement::RepairPolicy;
-use jaysaddle_types::ids::FabricDomainId;
-use jaysaddle_types::ids::FailureDomainId;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
-use jaysaddle_types::ids::ModelId;
-use jaysaddle_types::ids::ModelVersion;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
-use jaysaddle_types::rules::ModelRule;
 use jaysaddle_types::rules::ObjectiveWeights;
 use jaysaddle_types::rules::RulesDocument;
-use jaysaddle_types::units::SlotCount;
 use jaysaddle_types::view::GroupState;
 use jaysaddle_types::view::VmState;
 
+use crate::inventory;
+use crate::model;
+use crate::planner;
+use crate::store;
+
 /// Time from a fault until all nodes know of it, in seconds.
 const DETECTION_S: u64 = 5;
 
@@ -42,159 +35,6 @@
 /// Model loads that may run at once.
 const CONCURRENT_LOADS: usize = 8;
 
-/// Runs of which the median and the longest time are shown.
-const TIMED_RUNS: usize = 21;
-
-fn main() {
-    let text = include_str!("faults.txt");
-    println!("planner time and document size");
-    for (vms, size, fabrics) in [(60, 4, 6), (600, 16, 6), (2700, 16, 27), (2700, 16, 9)] {
-        // With all capacity wanted a lost domain leaves little to decide; with a part of it in
-        // reserve its groups are formed elsewhere.
-        measure_time(vms, size, fabrics, 100);
-        measure_time(vms, size, fabrics, 75);
-    }
-    println!("\nfault schedule: 60 VMs, 6 fabric domains, 8 groups of 4 and 10 groups of 2");
-    let weights = |downtime, stranded| ObjectiveWeights { downtime, stranded };
-    let ebiere = weights(3.0, 1.0);
-    let medjerda = weights(1.0, 3.0);
-    for (name, policy, weights) in [
-        ("None", RepairPolicy::None, ebiere),
-        ("Greedy", RepairPolicy::Greedy, ebiere),
-        ("Weighted, Ebiere 3:1", RepairPolicy::Weighted, ebiere),
-        ("Weighted, Medjerda 1:3", RepairPolicy::Weighted, medjerda),
-    ] {
-        ScheduleRun::new(policy, weights).run(name, text);
-    }
-}
-
-fn model(name: &str, size: u32, groups: u32) -> ModelRule {
-    ModelRule {
-        name: ModelId::new(name),
-        version: ModelVersion::new("2026-11"),
-        vms_per_group: size,
-        groups,
-        slots_per_group: SlotCount(32),
-        accounts: Vec::new(),
-    }
-}
-
-/// `count` VMs in `fabrics` fabric domains; failure domains have `per_failure` fabric domains.
-fn inventory(count: usize, fabrics: usize, per_failure: usize) -> Vec<PlannerVm> {
-    let mut vms: Vec<PlannerVm> = (0..count)
-        .map(|number| {
-            let fabric = number % fabrics;
-            let failure = ["phc-a", "phc-b", "yen-a"].get(fabric / per_failure);
-            let failure = match failure {
-                Some(name) if fabrics <= 6 => (*name).to_string(),
-                _ => format!("fd-{}", fabric / per_failure),
-            };
-            let domain = format!("{failure}-f{}", fabric % per_failure + 1);
-            let index = number / fabrics;
-            let racks = count / fabrics / 2;
-            let rack = index / racks.max(1) + 1;
-            PlannerVm {
-                vm: VmId::new(format!("{domain}-r{rack}-{}", index % racks.max(1))),
-                fabric_domain: FabricDomainId::new(domain),
-                failure_domain: FailureDomainId::new(failure),
-                can_host: vec![ModelId::new("draft"), ModelId::new("chat")],
-                accelerators: 1,
-                state: VmState::Live,
-                ..PlannerVm::default()
-            }
-        })
-        .collect();
-    vms.sort_by(|a, b| a.vm.cmp(&b.vm));
-    vms
-}
-
-fn planner(policy: RepairPolicy) -> PlacementPlanner {
-    PlacementPlanner::new(PlacementSettings {
-        policy,
-        ..PlacementSettings::default()
-    })
-}
-
-/// Stores the plan; all groups serve.
-fn store(input: &mut PlannerInput, plan: &PlacementPlan) {
-    input.placements.extend(plan.documents.clone());
-    let ready = PlannerGroup {
-        state: GroupState::Ready,
-        running: 4,
-    };
-    input.groups = input
-        .placements
-        .values()
-        .flat_map(|document| &document.groups)
-        .map(|group| (group.id.clone(), ready.clone()))
-        .collect();
-}
-
-fn timed(input: &PlannerInput) -> (f64, f64, PlacementPlan) {
-    let planner = planner(RepairPolicy::Weighted);
-    let mut plan = planner.plan(input);
-    let mut times: Vec<f64> = (0..TIMED_RUNS)
-        .map(|_| {
-            let start = Instant::now();
-            plan = planner.plan(input);
-            start.elapsed().as_secs_f64() * 1000.0
-        })
-        .collect();
-    times.sort_by(f64::total_cmp);
-    (times[TIMED_RUNS / 2], times[TIMED_RUNS - 1], plan)
-}
-
-fn measure_time(count: usize, size: u32, fabrics: usize, percent: u32) {
-    let per_failure = match fabrics {
-        6 => 2,
-        fabrics => fabrics / 9,
-    };
-    let groups = (count / fabrics / size as usize * fabrics) as u32 * percent / 100;
-    let rules = RulesDocument {
-        models: vec![
-            model("draft", size, groups / 2),
-            model("chat", size, groups - groups / 2),
-        ],
-        ..RulesDocument::default()
-    };
-    let mut input = PlannerInput {
-        rules: Arc::new(rules),
-        vms: inventory(count, fabrics, per_failure),
-        ..PlannerInput::default()
-    };
-    let (empty, empty_max, plan) = timed(&input);
-    store(&mut input, &plan);
-    let (normal, normal_max, unchanged) = timed(&input);
-    let bytes: Vec<usize> = input
-        .placements
-        .values()
-        .filter_map(|document| serde_json::to_string(document).ok())
-        .map(|text| text.len())
-        .collect();
-    let lost = input.vms[0].failure_domain.clone();
-    let dark = input.vms.iter_mut().filter(|vm| vm.failure_domain == lost);
-    let dark = dark.map(|vm| vm.state = VmState::Dead).count();
-    let (loss, loss_max, repair) = timed(&input);
-    println!(
-        "{count} VMs, groups of {size}, {groups} groups wanted ({percent}% of capacity), {fabrics} fabric domains: median (longest) of {TIMED_RUNS} runs"
-    );
-    println!("  nothing placed yet   {empty:8.2} ms ({empty_max:.2} ms)");
-    println!(
-        "  normal state         {normal:8.2} ms ({normal_max:.2} ms), changed documents {}",
-        unchanged.documents.len()
-    );
-    println!(
-        "  failure domain lost  {loss:8.2} ms ({loss_max:.2} ms), {dark} VMs dead, changed documents {}, blocked items {}",
-        repair.documents.len(),
-        repair.blocked.len()
-    );
-    println!(
-        "  stored documents: largest {} B, all {} B",
-        bytes.iter().max().unwrap_or(&0),
-        bytes.iter().sum::<usize>()
-    );
-}
-
 /// One event of the schedule.
 struct FaultEvent {
     at: u64,
@@ -233,7 +73,7 @@
 }
 
 /// A stepped run: fixed load and drain times, no traffic.
-struct ScheduleRun {
+pub struct ScheduleRun {
     planner: PlacementPlanner,
     input: PlannerInput,
     /// The actual state of each VM.
@@ -246,7 +86,8 @@
 }
 
 impl ScheduleRun {
-    fn new(policy: RepairPolicy, objective: ObjectiveWeights) -> Self {
+    /// A run under a policy and its weights.
+    pub fn new(policy: RepairPolicy, objective: ObjectiveWeights) -> Self {
         let rules = RulesDocument {
             objective,
             models: vec![model("draft", 4, 8), model("chat", 2, 10)],
@@ -275,7 +116,8 @@
         }
     }
 
-    fn run(mut self, name: &str, text: &str) {
+    /// Replays the schedule and prints its sums.
+    pub fn run(mut self, name: &str, text: &str) {
         let events = parse(text);
         let end = events.last().map_or(0, |event| event.at);
         for now in 0..end {
--- a/crates/placement/src/build.rs
+++ b/crates/placement/src/build.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::VmId;
+use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
 use jaysaddle_types::placement::PlacementDocument;
 use jaysaddle_types::view::VmState;
@@ -171,7 +172,19 @@
             demand.rule.version == record.version && demand.size == record.members.len()
         });
         let whole = members.iter().all(|member| member.loss.is_none());
-        if let (Some(model), true) = (model, whole) {
+        let slow = members
+            .iter()
+            .filter_map(|member| member.vm)
+            .any(|vm| self.vms[vm].state == VmState::Straggler);
+        // A group in force that drains has been given up, and does not count until it is needed.
+        // Outdated groups and those with stragglers drain in order to be changed.
+        let given_up = whole && current && !slow && record.intent == GroupIntent::Drain;
+        let fate = match (whole, given_up) {
+            (false, _) => GroupFate::Broken,
+            (true, false) => GroupFate::Keep,
+            (true, true) => GroupFate::Retire,
+        };
+        if let (Some(model), GroupFate::Keep) = (model, &fate) {
             let count = if current {
                 &mut self.good
             } else {
@@ -186,11 +199,7 @@
             model,
             current,
             members,
-            fate: if whole {
-                GroupFate::Keep
-            } else {
-                GroupFate::Broken
-            },
+            fate,
             reason: CompactString::default(),
             promised: false,
         });
--- a/crates/placement/src/controller.rs
+++ b/crates/placement/src/controller.rs
@@ -20,14 +20,18 @@
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::PlacementDocument;
+use jaysaddle_types::rules::RulesDocument;
 use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::view::GroupState;
 use jaysaddle_types::view::VmState;
 
 use crate::event::ShardEffect;
 use crate::event::ShardEvent;
 use crate::loads::LoadAdmission;
 use crate::plan::PlacementPlan;
+use crate::plan::PlannerGroup;
 use crate::plan::PlannerInput;
+use crate::plan::PlannerVm;
 use crate::planner::PlacementPlanner;
 use crate::settings::PlacementSettings;
 use crate::storing::PendingCall;
@@ -56,7 +60,12 @@
 /// What a plan depends on; a plan is computed anew only when this differs.
 #[derive(Debug, PartialEq)]
 struct PlanBasis {
-    input: Arc<PlannerInput>,
+    rules: Arc<RulesDocument>,
+    vms: Vec<PlannerVm>,
+    stored: BTreeMap<FabricDomainId, PlacementDocument>,
+    /// Without the numbers of requests: they change all the time, and the planner asks only whether
+    /// a loading group runs any.
+    groups: BTreeMap<GroupId, PlannerGroup>,
     placements: u64,
     overdue: BTreeSet<VmId>,
     drained: BTreeSet<GroupId>,
@@ -270,7 +279,10 @@
             return;
         }
         let basis = PlanBasis {
-            input: Arc::clone(&self.input),
+            rules: Arc::clone(&self.input.rules),
+            vms: self.input.vms.clone(),
+            stored: self.input.placements.clone(),
+            groups: self.input.groups.iter().map(coarse).collect(),
             placements: self.changes,
             overdue: self.overdue(now),
             drained: self.drained(now),
@@ -285,7 +297,14 @@
     }
 
     fn planner_input(&self, basis: &PlanBasis) -> PlannerInput {
-        let mut input = PlannerInput::clone(&basis.input);
+        let mut input = PlannerInput {
+            rules: Arc::clone(&basis.rules),
+            vms: basis.vms.clone(),
+            placements: basis.stored.clone(),
+            groups: basis.groups.clone(),
+            usage: self.input.usage.clone(),
+            ..PlannerInput::default()
+        };
         for (domain, (_, document)) in &self.placements {
             input.placements.insert(domain.clone(), document.clone());
         }
@@ -324,6 +343,18 @@
     }
 }
 
+fn coarse((id, group): (&GroupId, &PlannerGroup)) -> (GroupId, PlannerGroup) {
+    let running = match group.state {
+        GroupState::Loading => group.running.min(1),
+        _ => 0,
+    };
+    let group = PlannerGroup {
+        state: group.state,
+        running,
+    };
+    (id.clone(), group)
+}
+
 /// A placement decision for the log.
 pub(crate) fn decision(
     subject: &str,
--- a/crates/placement/src/fill.rs
+++ b/crates/placement/src/fill.rs
@@ -17,15 +17,21 @@
 /// group; a group whose loss costs less gives up its VMs.
 pub(crate) fn fill_wants(work: &mut PlannerWork<'_>) {
     keep_promises(work);
+    let mut tried = vec![false; work.demand.models.len()];
+    while let Some(model) = most_urgent(work, &tried, true) {
+        tried[model] = !reclaim(work, model);
+    }
+    dissolve_drained(work);
     fill_without_loss(work);
     let mut tried = vec![false; work.demand.models.len()];
     while let Some(model) = most_urgent(work, &tried, true) {
-        if wait_for_drains(work, model) || take_from_serving(work, model, false) {
+        if take_from_serving(work, model, false) {
             fill_without_loss(work);
         } else {
             tried[model] = true;
         }
     }
+    start_rollouts(work);
 }
 
 /// Goes on with what earlier plans have begun: where groups drain already to give up their VMs, the
@@ -34,8 +40,7 @@
     let mut tried = vec![false; work.demand.models.len()];
     while let Some(model) = most_urgent(work, &tried, true) {
         // What can be had at once is not waited for.
-        let waits = !can_fill_now(work, model)
-            && (wait_for_drains(work, model) || take_from_serving(work, model, true));
+        let waits = !can_fill_now(work, model) && take_from_serving(work, model, true);
         tried[model] = !waits;
     }
 }
@@ -62,30 +67,6 @@
     work.take_free(domain, model, free);
 }
 
-/// Promises the model a group of VMs that come free anyway, when groups have drained.
-fn wait_for_drains(work: &mut PlannerWork<'_>, model: usize) -> bool {
-    let size = work.demand.models[model].size;
-    for domain in 0..work.domains.len() {
-        let mut available = idle_count(work, domain, model);
-        if available >= size {
-            continue;
-        }
-        let mut draining = Vec::new();
-        for group in &work.domains[domain].groups {
-            let entry = &work.groups[*group];
-            if available < size && entry.fate == GroupFate::Retire && !entry.promised {
-                available += usable_of(work, *group, model);
-                draining.push(*group);
-            }
-        }
-        if available >= size {
-            promise(work, domain, model, &draining);
-            return true;
-        }
-    }
-    false
-}
-
 /// VMs of a domain that are free or in broken groups and may host the model.
 fn idle_count(work: &PlannerWork<'_>, domain: usize, model: usize) -> usize {
     let broken = donors(work, domain).into_iter();
@@ -95,12 +76,11 @@
 
 fn fill_without_loss(work: &mut PlannerWork<'_>) {
     let mut tried = vec![false; work.demand.models.len()];
-    while let Some(model) = most_urgent(work, &tried, false) {
+    while let Some(model) = most_urgent(work, &tried, true) {
         if repair_from_spares(work, model) || form_from_free(work, model) {
             continue;
         }
-        let rollout_only = work.good[model] + work.old[model] >= work.demand.models[model].wanted;
-        if !rollout_only && merge_broken(work, model) {
+        if merge_broken(work, model) {
             // VMs that the dissolved groups leave over may suffice for a smaller model.
             tried.fill(false);
         } else {
@@ -109,6 +89,38 @@
     }
 }
 
+/// Forms groups of the version in force next to outdated ones that still serve, of VMs that no
+/// model lacks.
+fn start_rollouts(work: &mut PlannerWork<'_>) {
+    let mut tried = vec![false; work.demand.models.len()];
+    while let Some(model) = most_urgent(work, &tried, false) {
+        tried[model] = !form_from_free(work, model);
+    }
+}
+
+/// Dissolves groups that have drained and are not meant for a certain model together with others.
+fn dissolve_drained(work: &mut PlannerWork<'_>) {
+    for group in 0..work.groups.len() {
+        let entry = &work.groups[group];
+        if entry.given_up() && !entry.promised && work.changeable(group) {
+            work.retire(group, "it has drained".into());
+        }
+    }
+}
+
+/// Takes back a group of the model that drains and is meant for no other model.
+fn reclaim(work: &mut PlannerWork<'_>, model: usize) -> bool {
+    let reclaimed = work.groups.iter_mut().find(|group| {
+        group.model == Some(model) && group.current && group.given_up() && !group.promised
+    });
+    let Some(group) = reclaimed else {
+        return false;
+    };
+    group.fate = GroupFate::Keep;
+    work.good[model] += 1;
+    true
+}
+
 /// The model that is to get the next group. With `unserved`, groups of an outdated version count
 /// as there, because a rollout alone takes no VMs from others.
 fn most_urgent(work: &PlannerWork<'_>, tried: &[bool], unserved: bool) -> Option<usize> {
@@ -352,14 +364,16 @@
         .iter()
         .copied()
         .filter(|group| is_victim(work, *group, model))
-        .filter(|group| !draining || work.groups[*group].draining())
+        .filter(|group| !draining || work.groups[*group].given_up())
         .collect();
     candidates.sort_by(|a, b| {
         let key = |group: usize| {
             let entry = &work.groups[group];
             let other = entry.model.unwrap_or_default();
-            let loss = work.demand.models[other].loss_of_last(up[other]);
-            (loss, work.members(group).len())
+            (
+                victim_loss(work, group, up[other]),
+                work.members(group).len(),
+            )
         };
         let (a, b) = (
             (key(*a), !work.groups[*a].draining(), a),
@@ -379,8 +393,10 @@
             break;
         }
         let other = work.groups[group].model?;
-        lost += work.demand.models[other].loss_of_last(up[other]);
-        up[other] -= 1;
+        lost += victim_loss(work, group, up[other]);
+        if !work.groups[group].given_up() {
+            up[other] -= 1;
+        }
         freed += work.members(group).len();
         available += usable_of(work, group, model);
         victims.push(group);
@@ -406,9 +422,25 @@
     })
 }
 
+/// What a model loses with a group of it, when it has `up`. A group that drains already is not
+/// among them: without it, its model only cannot take it back.
+fn victim_loss(work: &PlannerWork<'_>, group: usize, up: usize) -> f64 {
+    let entry = &work.groups[group];
+    let Some(model) = entry.model else {
+        return 0.0;
+    };
+    let demand = &work.demand.models[model];
+    if entry.given_up() {
+        demand.value_of_next(up)
+    } else {
+        demand.loss_of_last(up)
+    }
+}
+
 fn is_victim(work: &PlannerWork<'_>, group: usize, model: usize) -> bool {
     let entry = &work.groups[group];
-    matches!(entry.fate, GroupFate::Keep | GroupFate::Change(_))
+    let present = matches!(entry.fate, GroupFate::Keep | GroupFate::Change(_));
+    (present || entry.given_up() && !entry.promised)
         && entry.model.is_some_and(|other| other != model)
         && !entry.has_loss(MemberLoss::Moved)
         && usable_of(work, group, model) > 0
--- a/crates/placement/src/orders.rs
+++ b/crates/placement/src/orders.rs
@@ -43,16 +43,27 @@
         }
         self.update_loads(now);
         let mut loads = std::mem::take(&mut self.loads);
-        let places = self.stored_places();
-        let states: BTreeMap<&VmId, VmState> =
-            self.input.vms.iter().map(|vm| (&vm.vm, vm.state)).collect();
+        // Only held shards are looked at: at each tick, most nodes hold few of many.
+        let own: Vec<&PlannerVm> = self
+            .input
+            .vms
+            .iter()
+            .filter(|vm| self.shards.contains_key(&vm.fabric_domain))
+            .collect();
+        let places = self.places_in(|shard| self.shards.contains_key(shard));
+        let states: BTreeMap<&VmId, VmState> = own.iter().map(|vm| (&vm.vm, vm.state)).collect();
         let rule = &self.input.rules.weight_store;
         let mut orders = Vec::new();
-        for vm in &self.input.vms {
+        for vm in own {
             let Some(report) = self.trusted_report(vm, now) else {
                 continue;
             };
-            let Some(order) = order_for(vm, report, places.get(&vm.vm)) else {
+            let place = places.get(&vm.vm);
+            if place.is_none() && report.group.is_some() && self.stored_elsewhere(vm) {
+                // The VM moved, and its old document still has it: it is released there first.
+                continue;
+            }
+            let Some(order) = order_for(vm, report, place) else {
                 continue;
             };
             let joins = matches!(order.action, OrderAction::Join { .. });
@@ -64,7 +75,7 @@
                     )
                 })
             };
-            let useful = places.get(&vm.vm).is_none_or(|place| present(place.group));
+            let useful = place.is_none_or(|place| present(place.group));
             if joins && (!useful || !loads.admit(&order.group, order.generation, rule, now)) {
                 continue;
             }
@@ -105,9 +116,18 @@
         (now >= earliest && *at >= earliest).then_some(report)
     }
 
-    fn stored_places(&self) -> BTreeMap<&VmId, StoredPlace<'_>> {
+    fn stored_elsewhere(&self, vm: &PlannerVm) -> bool {
+        let places = self.places_in(|shard| *shard != vm.fabric_domain);
+        places.contains_key(&vm.vm)
+    }
+
+    fn places_in(
+        &self,
+        chosen: impl Fn(&FabricDomainId) -> bool,
+    ) -> BTreeMap<&VmId, StoredPlace<'_>> {
         let mut places: BTreeMap<&VmId, StoredPlace<'_>> = BTreeMap::new();
-        for (shard, (_, document)) in &self.placements {
+        let documents = self.placements.iter().filter(|(shard, _)| chosen(shard));
+        for (shard, (_, document)) in documents {
             for group in &document.groups {
                 for vm in &group.members {
                     places.insert(vm, StoredPlace { shard, group });
@@ -222,7 +242,7 @@
             )),
             None => lines.push(format_compact!("the inventory has no VM {vm}")),
         }
-        match self.stored_places().get(vm) {
+        match self.places_in(|_| true).get(vm) {
             Some(place) => lines.push(format_compact!(
                 "stored in placement/{} as a member of group {} generation {}",
                 place.shard,
@@ -295,7 +315,7 @@
         return release(report);
     };
     if *place.shard != vm.fabric_domain {
-        // The VM moved, and its old document still has it: it is released there first.
+        // It moved between two held shards and is released in its old document first.
         return None;
     }
     let record = place.group;
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -6,6 +6,7 @@
 use compact_str::format_compact;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
 use jaysaddle_types::placement::PlacementDocument;
 use jaysaddle_types::view::GroupState;
@@ -122,12 +123,18 @@
             .map(|group| (&group.id, group.generation))
             .collect();
         for group in &document.groups {
-            if known.get(&group.id) != Some(&group.generation) {
+            let changed = known.get(&group.id) != Some(&group.generation);
+            let drains = group.intent == GroupIntent::Drain;
+            if changed {
                 let loading = PlannerGroup {
                     state: GroupState::Loading,
                     running: 0,
                 };
                 next.groups.insert(group.id.clone(), loading);
+            } else if let (true, Some(known)) = (drains, next.groups.get_mut(&group.id))
+                && known.state != GroupState::Loading
+            {
+                known.state = GroupState::Draining;
             }
         }
     }
--- a/crates/placement/src/work.rs
+++ b/crates/placement/src/work.rs
@@ -93,6 +93,11 @@
         self.members.iter().any(|member| member.loss == Some(loss))
     }
 
+    /// Whether it drains already and is to be dissolved.
+    pub fn given_up(&self) -> bool {
+        self.fate == GroupFate::Retire && self.draining()
+    }
+
     /// Whether the stored intent is to drain.
     pub fn draining(&self) -> bool {
         self.stored
