Tell an interrupted answer from a refusal in the clients

minreq reports a connection that ends before a status line as status 503, and a body that ends early as a shorter body. A write whose answer was lost therefore counted as refused before any effect, and a cut service call as answered with 503.

The store client now gives Unknown and the service client Failed in these cases.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -31,6 +31,9 @@
 /// Time for a cancel order.
 const CANCEL_TIMEOUT_SECS: u64 = 1;
 
+/// Reason that `minreq` makes up, with status 503, when the connection ends before a status line.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Client of engines' and services' HTTP interfaces.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HttpEngine;
@@ -53,6 +56,18 @@
     )
 }
 
+/// Whether the answer arrived whole. `minreq` reports a connection that ended early as a shorter
+/// body or as status 503, which must not pass for an answer of the service.
+fn is_complete(response: &minreq::Response) -> bool {
+    let length = response
+        .headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        .and_then(|(_, value)| value.trim().parse::<usize>().ok());
+    response.reason_phrase != NO_STATUS_LINE
+        && length.is_none_or(|length| length == response.as_bytes().len())
+}
+
 /// Whether the error proves that no connection was opened.
 fn proves_not_sent(error: &minreq::Error) -> bool {
     matches!(error, minreq::Error::IoError(io) if io.kind() == ErrorKind::ConnectionRefused)
@@ -186,6 +201,7 @@
             .with_timeout(timeout_secs(call.timeout))
             .send();
         match answer {
+            Ok(response) if !is_complete(&response) => ServiceOutcome::Failed,
             Ok(response) => ServiceOutcome::Answered {
                 status: response.status_code,
                 content_type: response
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -25,6 +25,10 @@
 /// Time beyond a watch's wait after which the connection counts as silent.
 const WATCH_GRACE_SECS: u64 = 3;
 
+/// Reason that `minreq` makes up, with status 503, when the connection ends before a status line.
+/// It must not pass for a refusal: a write may have taken effect.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Client of the platform's HTTP interface.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
@@ -95,6 +99,9 @@
             }
             Err(_) => return StoreOutcome::Unknown,
         };
+        if response.reason_phrase == NO_STATUS_LINE {
+            return StoreOutcome::Unknown;
+        }
         let version = serde_json::from_slice::<VersionBody>(response.as_bytes());
         match (response.status_code, version) {
             (200, Ok(body)) => StoreOutcome::Written(body.version),
