Bound the engine's queue and mix the answer's words

Requests enter slots only between two steps, so the queue could pass its limit while a step ran: 0 of 12 requests were refused with 2 slots and a queue of 2. Neighbouring offsets also shared words, which would hide reordered pieces.

--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -67,9 +67,11 @@
         self.queue.is_empty() && self.active.is_empty()
     }
 
-    /// Whether a further request has to be refused.
+    /// Whether a further request has to be refused. Requests move into slots between two steps only,
+    /// so waiting and running ones are counted together.
     pub(crate) fn is_full(&self) -> bool {
-        self.queued() >= self.speed.queue_limit && self.running() >= self.speed.slots
+        let limit = self.speed.queue_limit.saturating_add(self.speed.slots);
+        self.queued().saturating_add(self.running()) >= limit
     }
 
     pub(crate) fn submit(&mut self, run: Arc<Run>) {
--- a/crates/standins/src/text.rs
+++ b/crates/standins/src/text.rs
@@ -11,6 +11,9 @@
 const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
+/// Increment of the SplitMix64 generator.
+const GOLDEN_GAMMA: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Seed of a model's answer to a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AnswerSeed(u64);
@@ -26,8 +29,14 @@
 
     /// Text of the token at `offset`.
     pub fn token(self, offset: u32) -> CompactString {
-        let mixed = (self.0 ^ u64::from(offset).wrapping_mul(FNV_PRIME)).wrapping_mul(FNV_PRIME);
-        format_compact!(" {:05x}", (mixed >> 40) & 0xf_ffff)
+        // SplitMix64: neighbouring offsets give unrelated words.
+        let mut mixed = self
+            .0
+            .wrapping_add(u64::from(offset).wrapping_mul(GOLDEN_GAMMA));
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^= mixed >> 31;
+        format_compact!(" {:05x}", mixed & 0xf_ffff)
     }
 }
 
