Add the service and weight store stand-ins and tests of all stand-ins

Tests of the daemon need services whose runs are counted and loads that wait for their turn.

The service records each run by request id and body and takes the faults of engines; the weight store limits loads in number and rate. Tests go through the daemon's clients.

--- a/crates/standins/src/engine/control.rs
+++ b/crates/standins/src/engine/control.rs
@@ -4,8 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Weak;
-use std::thread;
-use std::time::Duration;
 use std::time::Instant;
 
 use compact_str::CompactString;
@@ -23,6 +21,7 @@
 use crate::engine::vm::EngineVm;
 use crate::http::RouteHandler;
 use crate::http::StandinListener;
+use crate::http::bind_again;
 use crate::http::drop_unanswered;
 use crate::http::read_json;
 use crate::http::respond_json;
@@ -33,12 +32,6 @@
 /// Threads that read the requests to one VM; completions get threads of their own.
 const VM_WORKERS: usize = 2;
 
-/// Time for a killed VM's port to become free again.
-const REBIND_LIMIT: Duration = Duration::from_secs(5);
-
-/// Pause between attempts to listen again.
-const REBIND_PAUSE: Duration = Duration::from_millis(20);
-
 /// The VMs of a process with their addresses.
 pub(crate) struct ControlRoutes {
     vms: BTreeMap<VmId, (SocketAddr, Arc<EngineVm>)>,
@@ -187,14 +180,3 @@
     drop(state);
     held.into_iter().for_each(drop_unanswered);
 }
-
-fn bind_again(address: SocketAddr) -> eyre::Result<StandinListener> {
-    let started = Instant::now();
-    loop {
-        match StandinListener::bind(address) {
-            Ok(listener) => return Ok(listener),
-            Err(error) if started.elapsed() > REBIND_LIMIT => return Err(error),
-            Err(_) => thread::sleep(REBIND_PAUSE),
-        }
-    }
-}
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use eyre::WrapErr;
 use eyre::eyre;
@@ -26,6 +27,12 @@
 /// Time that a write may block on a client that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for the port of a closed listener to become free again.
+const REBIND_LIMIT: Duration = Duration::from_secs(5);
+
+/// Pause between attempts to listen again.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
 /// Largest body that a stand-in reads, in bytes; the platform's object limit is below it.
 pub const MAX_BODY_BYTES: u64 = 4 << 20;
 
@@ -97,6 +104,22 @@
     }
 }
 
+/// Listens again on the address of a closed listener, whose accept thread may still hold the port.
+///
+/// # Errors
+///
+/// Fails when the address stays in use.
+pub fn bind_again(address: SocketAddr) -> eyre::Result<StandinListener> {
+    let started = Instant::now();
+    loop {
+        match StandinListener::bind(address) {
+            Ok(listener) => return Ok(listener),
+            Err(error) if started.elapsed() > REBIND_LIMIT => return Err(error),
+            Err(_) => thread::sleep(REBIND_PAUSE),
+        }
+    }
+}
+
 /// Starts a thread with a small stack.
 ///
 /// # Errors
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,11 +5,17 @@
 pub mod engine;
 pub mod http;
 pub mod platform;
+pub mod service;
 pub mod text;
+pub mod weights;
 
 pub use engine::EngineSettings;
 pub use engine::EngineSpeed;
 pub use engine::EngineStandin;
 pub use platform::PlatformSettings;
 pub use platform::PlatformStandin;
+pub use service::ServiceSettings;
+pub use service::ServiceStandin;
 pub use text::expected_text;
+pub use weights::WeightSettings;
+pub use weights::WeightStandin;
--- a/src/bin/jaysaddle_standin.rs
+++ b/src/bin/jaysaddle_standin.rs
@@ -9,6 +9,10 @@
 use crate::standin_commands::engine::engine_command;
 use crate::standin_commands::platform::PlatformCommand;
 use crate::standin_commands::platform::platform_command;
+use crate::standin_commands::service::ServiceCommand;
+use crate::standin_commands::service::service_command;
+use crate::standin_commands::weights::WeightsCommand;
+use crate::standin_commands::weights::weights_command;
 
 /// Stand-ins for the platform, engines, services and the weight store.
 #[derive(Clone, Debug, Bpaf)]
@@ -20,11 +24,19 @@
     /// Runs the engines of one or more VMs.
     #[bpaf(command("engine"))]
     Engine(#[bpaf(external(engine_command))] EngineCommand),
+    /// Runs the plain services of one or more VMs.
+    #[bpaf(command("service"))]
+    Service(#[bpaf(external(service_command))] ServiceCommand),
+    /// Runs the weight store.
+    #[bpaf(command("weights"))]
+    Weights(#[bpaf(external(weights_command))] WeightsCommand),
 }
 
 fn main() -> eyre::Result<()> {
     match standin_command().run() {
         StandinCommand::Platform(command) => command.run(),
         StandinCommand::Engine(command) => command.run(),
+        StandinCommand::Service(command) => command.run(),
+        StandinCommand::Weights(command) => command.run(),
     }
 }
--- a/src/standin_commands/mod.rs
+++ b/src/standin_commands/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod engine;
 pub mod platform;
+pub mod service;
+pub mod weights;
 
 use std::fmt::Display;
 use std::io::Write;
