Forget old outputs while an engine is busy

Outputs were forgotten only when an engine became idle, so its memory grew under steady load.

The decoding loop scans once a second. Tests of priorities and of loads through the weight store join the test of this.

--- a/crates/standins/src/engine/vm.rs
+++ b/crates/standins/src/engine/vm.rs
@@ -28,9 +28,12 @@
 use crate::http::ChunkWriter;
 use crate::http::StandinListener;
 
-/// How often an idle decoding loop cleans up.
+/// Longest sleep of an idle decoding loop.
 const IDLE_TICK: Duration = Duration::from_millis(500);
 
+/// How often old outputs are forgotten; the scan covers all kept outputs.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How often a decoding loop that cannot go on looks again.
 const STALL_TICK: Duration = Duration::from_millis(10);
 
@@ -86,6 +89,8 @@
     /// Streams that a `silent` fault keeps open.
     pub(crate) parked: Vec<ChunkWriter>,
     load: LoadHistory,
+    /// When old outputs were last forgotten.
+    forgotten: Instant,
 }
 
 /// One engine.
@@ -124,6 +129,7 @@
             held: Vec::new(),
             parked: Vec::new(),
             load: LoadHistory::default(),
+            forgotten: Instant::now(),
         };
         Self {
             fencing: settings.fencing_of(&id),
@@ -223,9 +229,12 @@
         state.batch.admit(now, slowness);
         let (running, queued) = (state.batch.running(), state.batch.queued());
         state.load.record(now, running, queued);
-        if state.batch.is_idle() {
+        if now.duration_since(state.forgotten) >= FORGET_INTERVAL {
             let kept = self.settings.output_kept.as_duration();
             state.batch.forget_old(now, kept);
+            state.forgotten = now;
+        }
+        if state.batch.is_idle() {
             return None;
         }
         if stalled {
--- a/crates/standins/tests/standins/engine.rs
+++ b/crates/standins/tests/standins/engine.rs
@@ -8,8 +8,12 @@
 use jaysaddle_engine::StreamItem;
 use jaysaddle_standins::EngineSettings;
 use jaysaddle_standins::EngineSpeed;
+use jaysaddle_standins::WeightSettings;
+use jaysaddle_standins::WeightStandin;
 use jaysaddle_standins::engine::FaultKind;
+use jaysaddle_standins::engine::WeightSource;
 use jaysaddle_standins::expected_text;
+use jaysaddle_standins::weights::WeightStats;
 use jaysaddle_types::engine::EngineRefusal;
 use jaysaddle_types::engine::FinishReason;
 use jaysaddle_types::ids::Generation;
@@ -169,3 +173,68 @@
     assert_eq!(cold[0].cached_tokens, 0);
     assert_eq!(warm[0].cached_tokens, 256);
 }
+
+/// Guards against outputs that are kept for ever while the engine is never idle.
+#[test]
+fn old_outputs_are_forgotten_under_load() {
+    let standin = start_group(EngineSettings {
+        output_kept: TimeSpan::from_millis(100),
+        ..pair_settings()
+    });
+    collect(&standin, completion("old", "p", 2));
+    let busy = HttpEngine.complete(address(&standin, "a"), completion("busy", "p", 600));
+    thread::sleep(Duration::from_millis(1500));
+    let mut resumed = completion("old", "p", 2);
+    resumed.resume = true;
+    let items = collect(&standin, resumed);
+    assert_eq!(items, [StreamItem::Refused(EngineRefusal::UnknownRequest)]);
+    assert!(!busy.is_disconnected(), "the engine became idle");
+}
+
+/// Guards against a queue that ignores priorities.
+#[test]
+fn the_highest_priority_leaves_the_queue_first() {
+    let standin = start_group(EngineSettings {
+        speed: EngineSpeed {
+            slots: 1,
+            ..EngineSpeed::default()
+        },
+        ..pair_settings()
+    });
+    let first = HttpEngine.complete(address(&standin, "a"), completion("r0", "p", 60));
+    assert!(matches!(first.recv(), Ok(StreamItem::Chunk(_))));
+    let (sender, order) = flume::unbounded();
+    thread::scope(|scope| {
+        for (id, priority) in [("low", 1), ("middle", 5), ("high", 9)] {
+            let mut request = completion(id, "p", 10);
+            request.priority = priority;
+            let (standin, sender) = (&standin, sender.clone());
+            scope.spawn(move || {
+                collect(standin, request);
+                sender.send(id).unwrap();
+            });
+        }
+    });
+    drop(sender);
+    let order: Vec<&str> = order.into_iter().collect();
+    assert_eq!(order, ["high", "middle", "low"]);
+}
+
+/// Guards against loads that pass by the weight store.
+#[test]
+fn loads_go_through_the_weight_store() {
+    let store = WeightStandin::start(&WeightSettings {
+        load_time: TimeSpan::from_millis(20),
+        ..WeightSettings::default()
+    })
+    .unwrap();
+    let _standin = start_group(EngineSettings {
+        weights: WeightSource::Store(store.address()),
+        ..pair_settings()
+    });
+    let stats = minreq::get(format!("http://{}/control/stats", store.address()))
+        .send()
+        .unwrap();
+    let stats: WeightStats = serde_json::from_slice(stats.as_bytes()).unwrap();
+    assert_eq!(stats.loads, 2);
+}
