Hand the ledger to one successor, with the homes taken over before

Cause: the ledger's tests showed that two nodes that hold one home can both grant a key; the handover tried a second candidate after 5 s.

--- a/crates/reducer/src/handover.rs
+++ b/crates/reducer/src/handover.rs
@@ -1,8 +1,9 @@
 //! Handover of the ledger on a planned stop.
 //!
-//! The node that stops sends its claims in parts to a successor, which confirms each. A part
-//! without a confirmation is sent again; a successor that stays silent is given up for the next
-//! candidate. Receiving a part twice is harmless.
+//! The node that stops sends its claims in parts to one successor, which confirms each. A part
+//! without a confirmation is sent again, and receiving a part twice is harmless. There is no second
+//! candidate: a first one that confirmed too late would hold the ledger as well, and both could grant
+//! one key. Without a successor, the keys count as may have run.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
+use jaysaddle_wire::messages::HandoverAckMessage;
 use jaysaddle_wire::messages::LedgerHandoverMessage;
 use jaysaddle_wire::messages::NodeRun;
 use jaysaddle_wire::messages::PeerBody;
@@ -20,62 +22,52 @@
 /// Time until a part without a confirmation is sent again.
 const RESEND_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
 
-/// Time for which one candidate may take to confirm all parts.
-const CANDIDATE_TIME: TimeSpan = TimeSpan::from_secs(5);
+/// Time for which the successor may take to confirm all parts.
+const SUCCESSOR_TIME: TimeSpan = TimeSpan::from_secs(10);
 
 /// The sending side.
 #[derive(Clone, Debug)]
 pub struct HandoverSender {
-    parts: Vec<LedgerHandoverMessage>,
-    confirmed: Vec<bool>,
-    candidates: Vec<(NodeKey, SocketAddr)>,
+    /// Parts without a confirmation yet.
+    pending: Vec<LedgerHandoverMessage>,
+    successor: Option<(NodeKey, SocketAddr)>,
     started: Timestamp,
     last_sent: Option<Timestamp>,
 }
 
 impl HandoverSender {
-    /// Starts to hand `snapshot` over to the first of `candidates`.
+    /// Starts to hand `snapshots` over: this node's claims, and those that it took over itself.
     pub fn new(
-        snapshot: LedgerSnapshot,
-        candidates: Vec<(NodeKey, SocketAddr)>,
+        snapshots: Vec<LedgerSnapshot>,
+        successor: Option<(NodeKey, SocketAddr)>,
         now: Timestamp,
     ) -> Self {
-        let parts = ledger_wire::handover_parts(snapshot);
         Self {
-            confirmed: vec![false; parts.len()],
-            parts,
-            candidates,
+            pending: snapshots.into_iter().flat_map(ledger_wire::handover_parts).collect(),
+            successor,
             started: now,
             last_sent: None,
         }
     }
 
     /// Records a confirmation.
-    pub fn acknowledged(&mut self, part: u32) {
-        let index = usize::try_from(part).unwrap_or(usize::MAX);
-        if let Some(confirmed) = self.confirmed.get_mut(index) {
-            *confirmed = true;
-        }
+    pub fn acknowledged(&mut self, ack: &HandoverAckMessage) {
+        self.pending
+            .retain(|part| part.part != ack.part || part.home != ack.home);
     }
 
     /// The successor, once it has confirmed every part.
     pub fn successor_if_complete(&self) -> Option<NodeKey> {
-        let (successor, _) = self.candidates.first()?;
-        self.confirmed
-            .iter()
-            .all(|confirmed| *confirmed)
-            .then(|| successor.clone())
+        let (successor, _) = self.successor.as_ref()?;
+        self.pending.is_empty().then(|| successor.clone())
     }
 
-    /// Messages that are due now; `None` when no candidate is left.
+    /// Messages that are due now; `None` when there is no successor or it stays silent.
     pub fn due_parts(&mut self, now: Timestamp) -> Option<Vec<(SocketAddr, PeerBody)>> {
-        if now.since(self.started) >= CANDIDATE_TIME && !self.candidates.is_empty() {
-            self.candidates.remove(0);
-            self.confirmed.fill(false);
-            self.started = now;
-            self.last_sent = None;
+        if now.since(self.started) >= SUCCESSOR_TIME {
+            return None;
         }
-        let (_, to) = self.candidates.first()?;
+        let to = self.successor.as_ref()?.1;
         let due = self
             .last_sent
             .is_none_or(|sent| now.since(sent) >= RESEND_INTERVAL);
@@ -84,11 +76,9 @@
         }
         self.last_sent = Some(now);
         let messages = self
-            .parts
+            .pending
             .iter()
-            .zip(&self.confirmed)
-            .filter(|(_, confirmed)| !**confirmed)
-            .map(|(part, _)| (*to, PeerBody::LedgerHandover(part.clone())))
+            .map(|part| (to, PeerBody::LedgerHandover(part.clone())))
             .collect();
         Some(messages)
     }
--- a/crates/reducer/src/traffic.rs
+++ b/crates/reducer/src/traffic.rs
@@ -652,7 +652,7 @@
             }
             Some(PeerBody::HandoverAck(body)) => {
                 if let Some(sender) = &mut self.sender {
-                    sender.acknowledged(body.part);
+                    sender.acknowledged(&body);
                 }
                 self.tick_handover(now, effects);
             }
@@ -662,15 +662,23 @@
 
     fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
         self.refusing = true;
-        let snapshot = self.ledger.export(now);
-        let candidates = self
-            .view
-            .nodes
-            .iter()
-            .filter(|(record, state)| record.key != self.own && *state == NodeState::Alive)
-            .map(|(record, _)| (record.key.clone(), record.peers))
-            .collect();
-        self.sender = Some(HandoverSender::new(snapshot, candidates, now));
+        let mut snapshots = vec![self.ledger.export(now)];
+        snapshots.extend(self.ledger.export_imported());
+        // Nodes that stop one after the other pick different successors, each the next by key.
+        let alive = |after: bool| {
+            self.view
+                .nodes
+                .iter()
+                .filter(|(record, state)| {
+                    record.key != self.own
+                        && *state == NodeState::Alive
+                        && (record.key > self.own) == after
+                })
+                .map(|(record, _)| (record.key.clone(), record.peers))
+                .min()
+        };
+        let successor = alive(true).or_else(|| alive(false));
+        self.sender = Some(HandoverSender::new(snapshots, successor, now));
         self.tick_handover(now, effects);
     }
 
