Give a request that may have run the reason that says so

Cause: tests/all/faults.rs (empty answers): a request whose every group failed after the send was refused with verdict may_have_run and reason no_whole_group, which docs/callers.md lists as not_run. A caller that goes by the reason would repeat it. Ruled out: a wrong verdict; the verdict in the refusal was right. Change: after a send that may have run, the reasons that stand for requests that were not run become backend_failed. Result: before, Refused(may_have_run, no_whole_group); after, (may_have_run, backend_failed). The reducer's tests pass (randomised run in 74 s).

--- a/crates/reducer/src/traffic.rs
+++ b/crates/reducer/src/traffic.rs
@@ -137,6 +137,18 @@
     }
 }
 
+/// The reason to give when the request may have run. Callers are told that these reasons stand for
+/// requests that were not run; after an earlier send, the failure of that send is what counts.
+fn reason_after_send(reason: ReasonCode) -> ReasonCode {
+    match reason {
+        ReasonCode::NoWholeGroup
+        | ReasonCode::NoLiveServer
+        | ReasonCode::Overloaded
+        | ReasonCode::BackendRefused => ReasonCode::BackendFailed,
+        other => other,
+    }
+}
+
 impl TrafficState {
     /// A node without requests.
     pub fn new(settings: TrafficSettings, own: NodeKey, seed: u64, now: Timestamp) -> Self {
@@ -557,6 +569,7 @@
         }
         if refusal.verdict != Verdict::NotRun {
             refusal.retry_after_ms = None;
+            refusal.reason = reason_after_send(refusal.reason);
         }
         if entry.claimed {
             let freed = self.ledger.failed(request, refusal.verdict, now);
