Test failed members, disturbed streams and empty answers under load

Cause: these faults had only been tested over fakes. Change: tests/all/load.rs, callers that check every answer; tests/all/faults.rs: kill -9 and pause of a member, silent and broken connections, repeated and reordered pieces, empty answers.

--- a/tests/all/deployment.rs
+++ b/tests/all/deployment.rs
@@ -141,6 +141,11 @@
         let _ = self.child.wait();
     }
 
+    /// Ends the process at once without waiting for it; for processes that tests share.
+    pub fn fail(&self) {
+        self.signal(Signal::KILL);
+    }
+
     /// Asks the process for a planned stop.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
--- /dev/null
+++ b/tests/all/faults.rs
@@ -0,0 +1,201 @@
+//! Faults of VMs, streams and daemons while requests run all the time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployment::Deployment;
+use crate::deployment::DeploymentSettings;
+use crate::load::CallerLoad;
+use crate::load::CallerOutcome;
+use crate::load::ask;
+
+const CALLERS: usize = 6;
+
+/// Names of a group's members.
+fn members(group: &Value) -> Vec<String> {
+    let pairs = group["members"].as_array().cloned().unwrap_or_default();
+    pairs
+        .iter()
+        .filter_map(|pair| pair[0].as_str().map(str::to_owned))
+        .collect()
+}
+
+/// Waits until every wanted group is whole again at these nodes, without `vm`.
+fn wait_repaired(deployment: &Deployment, nodes: &[usize], vm: &str) {
+    deployment.wait_until(&format!("the groups are whole without {vm}"), |this| {
+        nodes.iter().all(|node| {
+            let groups = this.groups_in_state(*node, "ready");
+            groups.len() == this.settings.groups
+                && groups.iter().all(|group| {
+                    this.is_confirmed(group) && !members(group).iter().any(|m| m == vm)
+                })
+        })
+    });
+}
+
+/// Starts of each prompt over all engines.
+fn runs(deployment: &Deployment) -> BTreeMap<String, u64> {
+    let mut starts = BTreeMap::new();
+    for (vm, address, _) in deployment.vms() {
+        let response = minreq::get(format!("http://{address}/control/runs"))
+            .with_timeout(10)
+            .send()
+            .unwrap_or_else(|error| panic!("{vm} does not answer: {error}"));
+        let list: Value = serde_json::from_slice(response.as_bytes()).expect("a list of runs");
+        assert_eq!(list["dropped"], 0, "{vm} recorded every run");
+        for run in list["runs"].as_array().into_iter().flatten() {
+            let prompt = run["prompt"].as_str().unwrap_or_default().to_owned();
+            *starts.entry(prompt).or_default() += run["starts"].as_u64().unwrap_or(0);
+        }
+    }
+    starts
+}
+
+fn member_of_first_group(deployment: &Deployment, rank: usize) -> String {
+    let groups = deployment.groups_in_state(0, "ready");
+    members(&groups[0])[rank].clone()
+}
+
+fn engine<'a>(deployment: &'a Deployment, vm: &str) -> &'a crate::deployment::TestProcess {
+    let found = deployment.engines.iter().find(|(name, _)| name == vm);
+    &found.expect("the VM has an engine").1
+}
+
+/// Guards against a group that goes on serving without a member, that is not repaired, or answers
+/// that are cut or mixed up when a member fails: once a follower, once a leader.
+#[test]
+fn killed_member_is_replaced_while_requests_go_on() {
+    let deployment = Arc::new(Deployment::start_ready(DeploymentSettings::default()));
+    let load = CallerLoad::start(&deployment, CALLERS, 40);
+    load.wait_whole(&deployment, 50);
+    let mut killed = Vec::new();
+    for rank in [1, 0] {
+        let vm = member_of_first_group(&deployment, rank);
+        engine(&deployment, &vm).fail();
+        load.wait_whole(&deployment, 50);
+        // The second loss leaves a fabric domain without a spare when it hits the first one's.
+        if rank == 1 {
+            wait_repaired(&deployment, &[0, 1, 2], &vm);
+        }
+        killed.push(vm);
+        load.wait_whole(&deployment, 50);
+    }
+    let report = load.finish();
+    println!("killed {killed:?}: {report:?}");
+    assert_eq!(report.broken, 0, "{report:?}");
+}
+
+/// Guards against requests that hang or are answered wrongly when a member pauses, and against a
+/// group that counts the paused VM as present.
+#[test]
+fn paused_member_is_replaced_and_may_come_back() {
+    let deployment = Arc::new(Deployment::start_ready(DeploymentSettings::default()));
+    let load = CallerLoad::start(&deployment, CALLERS, 40);
+    load.wait_whole(&deployment, 50);
+    let vm = member_of_first_group(&deployment, 0);
+    engine(&deployment, &vm).freeze();
+    thread::sleep(Duration::from_secs(6));
+    load.wait_whole(&deployment, 50);
+    engine(&deployment, &vm).thaw();
+    load.wait_whole(&deployment, 100);
+    deployment.wait_groups(deployment.settings.groups);
+    let report = load.finish();
+    println!("paused {vm}: {report:?}");
+    assert_eq!(report.broken, 0, "{report:?}");
+}
+
+/// Streams long enough for a fault in their middle.
+fn long_streams() -> DeploymentSettings {
+    DeploymentSettings {
+        token_time: "20ms",
+        ..DeploymentSettings::default()
+    }
+}
+
+/// Asks for streams at all nodes and applies a fault to all engines while they run.
+fn streams_through(deployment: &Arc<Deployment>, name: &str, fault: &Value) -> Vec<CallerOutcome> {
+    let threads: Vec<_> = (0..9)
+        .map(|caller| {
+            let deployment = Arc::clone(deployment);
+            let prompt = format!("{name} {caller}");
+            thread::spawn(move || ask(&deployment, caller % 3, &prompt, 100, caller < 6, &[]))
+        })
+        .collect();
+    let started = format!("{name} ");
+    deployment.wait_until("all streams run", |this| {
+        let found = runs(this);
+        found
+            .keys()
+            .filter(|prompt| prompt.starts_with(&started))
+            .count()
+            == 9
+    });
+    thread::sleep(Duration::from_millis(200));
+    for (_, address, _) in deployment.vms() {
+        deployment.fault(address, fault);
+    }
+    threads
+        .into_iter()
+        .map(|thread| thread.join().expect("a caller ends"))
+        .collect()
+}
+
+/// Guards against streams that hang or end without their whole answer when connections go silent
+/// or break, or when pieces come twice or out of order. The runs go on at the engines, so every
+/// answer must be whole, and no run may start twice.
+#[test]
+fn disturbed_streams_are_whole() {
+    let deployment = Arc::new(Deployment::start_ready(long_streams()));
+    for name in ["silent", "cut", "duplicate", "reorder"] {
+        let outcomes = streams_through(&deployment, name, &json!({ "fault": name }));
+        for outcome in &outcomes {
+            assert_eq!(*outcome, CallerOutcome::Whole, "{name}: {outcomes:?}");
+        }
+        for (prompt, starts) in runs(&deployment) {
+            assert_eq!(starts, 1, "{prompt} ran once");
+        }
+        for (_, address, _) in deployment.vms() {
+            deployment.fault(address, &json!({ "fault": "recover" }));
+        }
+    }
+}
+
+/// Guards against empty answers that count as success: a quote draft once came back empty.
+#[test]
+fn empty_answers_are_errors() {
+    let deployment = Arc::new(Deployment::start_ready(DeploymentSettings::default()));
+    for (_, address, _) in deployment.vms() {
+        deployment.fault(address, &json!({ "fault": "empty" }));
+    }
+    for round in 0..6 {
+        for idempotent in ["true", "false"] {
+            let prompt = format!("empty {round} {idempotent}");
+            let headers = [("Jaysaddle-Idempotent", idempotent)];
+            let outcome = ask(&deployment, round % 3, &prompt, 8, round < 3, &headers);
+            let CallerOutcome::Refused(verdict, reason) = &outcome else {
+                panic!("an empty answer must be an error: {outcome:?}");
+            };
+            // Groups whose requests fail are suspected after a while; then nothing is sent.
+            let starts = runs(&deployment).get(&prompt).copied().unwrap_or(0);
+            match (verdict.as_str(), reason.as_str()) {
+                ("may_have_run", "backend_failed") => assert!(starts > 0, "{prompt}: {starts}"),
+                ("not_run", "no_whole_group") => assert_eq!(starts, 0, "{prompt}"),
+                _ => panic!("{prompt}: {outcome:?}"),
+            }
+            if idempotent == "false" {
+                assert!(starts <= 1, "{prompt} ran {starts} times");
+            }
+        }
+    }
+    for (_, address, _) in deployment.vms() {
+        deployment.fault(address, &json!({ "fault": "recover" }));
+    }
+    deployment.wait_until("answers are whole again", |this| {
+        ask(this, 0, "after the fault", 8, true, &[]) == CallerOutcome::Whole
+    });
+}
--- /dev/null
+++ b/tests/all/load.rs
@@ -0,0 +1,223 @@
+//! Callers that send requests all the time and check every answer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use jaysaddle_standins::expected_text;
+use jaysaddle_types::ids::ModelId;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployment::Deployment;
+use crate::deployment::TestAnswer;
+
+/// Pause of a caller between two requests.
+const CALLER_PAUSE: Duration = Duration::from_millis(10);
+
+/// What the callers saw.
+#[derive(Clone, Debug, Default)]
+pub struct LoadReport {
+    /// Whole answers.
+    pub whole: u64,
+    /// Refusals by reason, also those that ended a stream.
+    pub refused: BTreeMap<String, u64>,
+    /// Connections that broke without an answer or inside a stream.
+    pub broken: u64,
+    /// Answers that break a promise, with their request.
+    pub wrong: Vec<String>,
+}
+
+/// One answer as a caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerOutcome {
+    /// The whole answer.
+    Whole,
+    /// A refusal with its verdict and reason.
+    Refused(String, String),
+    /// No answer, or a stream that ends without its marker.
+    Broken,
+    /// A broken promise.
+    Wrong(String),
+}
+
+/// The text of a stream's events, whether its end marker came, and the refusal that ended it.
+fn read_events(text: &str) -> (String, bool, Option<Value>) {
+    let events: Vec<_> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .collect();
+    let parsed: Vec<Value> = events
+        .iter()
+        .filter_map(|event| serde_json::from_str(event).ok())
+        .collect();
+    let pieces = parsed
+        .iter()
+        .filter_map(|event| event["choices"][0]["text"].as_str())
+        .collect();
+    let refusal = parsed.iter().find(|event| event["error"].is_object());
+    (pieces, events.last() == Some(&"[DONE]"), refusal.cloned())
+}
+
+fn refusal_of(body: &Value) -> CallerOutcome {
+    let verdict = body["error"]["verdict"].as_str().unwrap_or_default();
+    let reason = body["error"]["reason"].as_str().unwrap_or_default();
+    if verdict.is_empty() || reason.is_empty() {
+        return CallerOutcome::Wrong(format!("a refusal without verdict or reason: {body}"));
+    }
+    CallerOutcome::Refused(verdict.to_owned(), reason.to_owned())
+}
+
+/// Judges an answer to a completion.
+pub fn judge(
+    answer: &Result<TestAnswer, minreq::Error>,
+    prompt: &str,
+    max_tokens: u32,
+    stream: bool,
+) -> CallerOutcome {
+    let expected = expected_text(&ModelId::new("reminder"), prompt, max_tokens);
+    let Ok(answer) = answer else {
+        return CallerOutcome::Broken;
+    };
+    if answer.status != 200 {
+        return refusal_of(&answer.json);
+    }
+    if !stream {
+        if answer.completion_text() == expected {
+            return CallerOutcome::Whole;
+        }
+        return CallerOutcome::Wrong(format!("{prompt}: {}", answer.text));
+    }
+    let (text, done, refusal) = read_events(&answer.text);
+    match (done, refusal) {
+        (true, None) if text == expected => CallerOutcome::Whole,
+        (false, refusal) if expected.starts_with(&text) => match refusal {
+            Some(body) => refusal_of(&body),
+            None => CallerOutcome::Broken,
+        },
+        _ => CallerOutcome::Wrong(format!("{prompt}: {}", answer.text)),
+    }
+}
+
+/// Sends a completion and judges its answer.
+pub fn ask(
+    deployment: &Deployment,
+    node: usize,
+    prompt: &str,
+    max_tokens: u32,
+    stream: bool,
+    headers: &[(&str, &str)],
+) -> CallerOutcome {
+    let body = json!({
+        "model": "reminder",
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "stream": stream,
+    });
+    let mut all = vec![("Authorization", "Bearer lender-a-key")];
+    all.extend(headers);
+    let answer = deployment.post(node, "/v1/completions", &all, &body.to_string());
+    judge(&answer, prompt, max_tokens, stream)
+}
+
+#[derive(Default)]
+struct LoadState {
+    stop: AtomicBool,
+    nodes: Mutex<Vec<usize>>,
+    report: Mutex<LoadReport>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Threads of callers, which stop when it goes out of scope.
+pub struct CallerLoad {
+    state: Arc<LoadState>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl CallerLoad {
+    /// Starts callers at all nodes; each asks for up to `max_tokens` tokens at a time.
+    pub fn start(deployment: &Arc<Deployment>, callers: usize, max_tokens: u32) -> Self {
+        let state = Arc::new(LoadState {
+            nodes: Mutex::new((0..deployment.nodes.len()).collect()),
+            ..LoadState::default()
+        });
+        let threads = (0..callers)
+            .map(|caller| {
+                let state = Arc::clone(&state);
+                let deployment = Arc::clone(deployment);
+                thread::spawn(move || run_caller(&state, &deployment, caller, max_tokens))
+            })
+            .collect();
+        Self { state, threads }
+    }
+
+    /// Sends to these nodes only from now on.
+    pub fn use_nodes(&self, nodes: &[usize]) {
+        *lock(&self.state.nodes) = nodes.to_vec();
+    }
+
+    /// What the callers saw so far.
+    pub fn report(&self) -> LoadReport {
+        lock(&self.state.report).clone()
+    }
+
+    /// Waits until `count` more answers were whole.
+    pub fn wait_whole(&self, deployment: &Deployment, count: u64) {
+        let goal = self.report().whole + count;
+        deployment.wait_until("requests are answered", |_| self.report().whole >= goal);
+    }
+
+    /// Ends the callers and checks that every answer kept its promise.
+    pub fn finish(mut self) -> LoadReport {
+        self.state.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            thread.join().expect("a caller ends");
+        }
+        let report = self.report();
+        assert!(report.wrong.is_empty(), "wrong answers: {report:?}");
+        report
+    }
+}
+
+impl Drop for CallerLoad {
+    fn drop(&mut self) {
+        self.state.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            // A caller's panic shows in the report of the test that waits for its answers.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn run_caller(state: &LoadState, deployment: &Deployment, caller: usize, max_tokens: u32) {
+    let mut round = 0;
+    while !state.stop.load(Ordering::Relaxed) {
+        let nodes = lock(&state.nodes).clone();
+        let node = nodes[(caller + round) % nodes.len()];
+        let prompt = format!("caller {caller} round {round}");
+        // Lengths differ, so that runs overlap in every phase.
+        let tokens = 1 + max_tokens * (1 + u32::try_from(round % 4).unwrap_or(0)) / 4;
+        let stream = round % 2 == 0;
+        let outcome = ask(deployment, node, &prompt, tokens, stream, &[]);
+        let mut report = lock(&state.report);
+        match outcome {
+            CallerOutcome::Whole => report.whole += 1,
+            CallerOutcome::Broken => report.broken += 1,
+            CallerOutcome::Wrong(text) => report.wrong.push(format!("node {node}: {text}")),
+            CallerOutcome::Refused(_, reason) => *report.refused.entry(reason).or_default() += 1,
+        }
+        drop(report);
+        round += 1;
+        thread::sleep(CALLER_PAUSE);
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,8 @@
 //! Waits are bounded by generous limits; no verdict depends on how fast the machine is.
 
 mod deployment;
+mod faults;
 mod files;
 mod input;
+mod load;
 mod serving;
