--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod files;
 mod input;
 mod load;
+mod service;
 mod serving;
