Drain broken groups together with the victims whose VMs they join

When a model took a serving group's VMs to join those of a broken group that itself had to drain, the serving group was dissolved first, its VMs went to another model during the second drain, and the step began anew, without end (run of plans_for_mixed_sizes_come_to_rest). The broken groups are now given up in the same step.

--- a/crates/placement/src/fill.rs
+++ b/crates/placement/src/fill.rs
@@ -387,7 +387,10 @@
     });
     let mut lost = 0.0;
     let mut freed = 0;
-    let mut victims = Vec::new();
+    // The broken groups give up their VMs together with the victims, so that none is used otherwise
+    // while the others drain.
+    let mut victims = donors(work, domain);
+    victims.retain(|group| usable_of(work, *group, model) > 0);
     for group in candidates {
         if available >= size {
             break;
