Announce documents once and spread usage less often in large fleets

Cause: the cost of membership at 320 nodes was measured at 4.4 KB/s a node with usage of ten accounts every minute, and would exceed 5 KB/s if each node announced each change of the configuration. The control lane's files are split.

--- a/crates/daemon/src/control_lane.rs
+++ b/crates/daemon/src/control_lane.rs
@@ -34,6 +34,10 @@
 /// engines that ignore fencing tokens, so an order must not be in flight for longer.
 const ORDER_TIMEOUT: TimeSpan = TimeSpan::from_secs(2);
 
+/// Exit code of a run that a later run of the same node has superseded. Two runs would both answer
+/// for one node.
+const SUPERSEDED_EXIT_CODE: i32 = 3;
+
 /// Workers of the control lane, apart from each other so that one kind of slow call does not delay
 /// the others.
 #[derive(Clone)]
@@ -231,6 +235,10 @@
                     let _ = sender.send(answer);
                 }
             }
+            ControlEffect::Superseded => {
+                log::error!("a later run of this node has started; this one ends");
+                std::process::exit(SUPERSEDED_EXIT_CODE);
+            }
             ControlEffect::Decision(record) => hub.journal.record(record),
             ControlEffect::Violation(violation) => report_violation(&violation),
         }
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -10,62 +10,41 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use compact_str::format_compact;
 use jaysaddle_admission::AdmissionSettings;
-use jaysaddle_health::HealthEffect;
 use jaysaddle_health::HealthEvent;
 use jaysaddle_health::HealthSettings;
 use jaysaddle_health::HealthTracker;
 use jaysaddle_health::ProbeFailure;
-use jaysaddle_health::WatcherPlace;
-use jaysaddle_lease::CandidatePlace;
-use jaysaddle_lease::LeaseEffect;
 use jaysaddle_lease::LeaseEvent;
 use jaysaddle_lease::LeaseSettings;
 use jaysaddle_lease::LeaseTable;
-use jaysaddle_membership::MembershipEffect;
 use jaysaddle_membership::MembershipEvent;
 use jaysaddle_membership::MembershipSettings;
 use jaysaddle_membership::MembershipTracker;
 use jaysaddle_membership::RumorBody;
 use jaysaddle_placement::PlacementSettings;
 use jaysaddle_placement::ShardController;
-use jaysaddle_placement::ShardEffect;
 use jaysaddle_placement::ShardEvent;
 use jaysaddle_types::decision::DecisionKind;
 use jaysaddle_types::decision::DecisionRecord;
 use jaysaddle_types::engine::EngineReport;
 use jaysaddle_types::evidence::AccountUsage;
-use jaysaddle_types::ids::CallId;
-use jaysaddle_types::ids::DocumentName;
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::LeaseEpoch;
-use jaysaddle_types::ids::NodeId;
-use jaysaddle_types::ids::ObjectVersion;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::node::NodeRecord;
-use jaysaddle_types::node::NodeState;
-use jaysaddle_types::placement::PlacementDocument;
-use jaysaddle_types::store::ObjectKind;
 use jaysaddle_types::store::StoreOutcome;
-use jaysaddle_types::store::StoredObject;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use jaysaddle_types::view::VmState;
-use jaysaddle_wire::messages::DocumentReplyMessage;
-use jaysaddle_wire::messages::DocumentRequestMessage;
-use jaysaddle_wire::messages::PeerBody;
-use jaysaddle_wire::messages::PeerMessage;
 
 use crate::config::ConfigTable;
-use crate::config::OfferOutcome;
 use crate::control_event::ControlEffect;
 use crate::control_event::ControlEvent;
-use crate::control_event::StoreCaller;
+use crate::documents::DocumentExchange;
 use crate::fleet::FleetIndex;
 use crate::operator::OperatorDesk;
-use crate::operator::OperatorEffect;
 
 /// Time between the control lane's periodic work, such as the planner's input.
 const HOUSEKEEPING_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
@@ -76,13 +55,6 @@
 /// Time between probes of the VMs of held shards; their holder needs all reports itself.
 const SHARD_PROBE_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 
-/// Time for which a watch may deliver a document before a peer is asked for it. The watch is
-/// usually faster, and then costs the peers nothing.
-const PEER_FETCH_DELAY: TimeSpan = TimeSpan::from_millis(500);
-
-/// Time until another request for the same document.
-const PEER_FETCH_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
-
 /// Time without any answer after which the store counts as down. A single failed call is no outage.
 const STORE_GRACE: TimeSpan = TimeSpan::from_secs(2);
 
@@ -101,15 +73,6 @@
     pub admission: AdmissionSettings,
 }
 
-/// A document that a peer has in a higher version.
-#[derive(Clone, Debug)]
-struct WantedDocument {
-    version: ObjectVersion,
-    source: NodeKey,
-    since: Timestamp,
-    asked: Option<Timestamp>,
-}
-
 /// State of the control lane.
 pub struct ControlState {
     pub(crate) settings: ControlSettings,
@@ -129,14 +92,16 @@
     /// When the store last answered.
     store_seen: Timestamp,
     pub(crate) stopping: bool,
-    wanted: BTreeMap<DocumentName, WantedDocument>,
-    health_probes: BTreeSet<VmId>,
+    pub(crate) documents: DocumentExchange,
+    pub(crate) health_probes: BTreeSet<VmId>,
     last_housekeeping: Timestamp,
     last_shard_probe: Timestamp,
+    /// When account usage was last spread, and what was.
+    pub(crate) usage_spread: (Timestamp, Vec<AccountUsage>),
     /// Whether the view is out of date.
-    view_changed: bool,
+    pub(crate) view_changed: bool,
     /// Whether routing must see the change with the next tick.
-    view_urgent: bool,
+    pub(crate) view_urgent: bool,
     last_view: Timestamp,
 }
 
@@ -163,7 +128,7 @@
             ),
             leases: LeaseTable::new(settings.lease.clone(), key.clone(), seed),
             shards: ShardController::new(settings.placement.clone(), key.clone(), seed),
-            operators: OperatorDesk::new(key),
+            operators: OperatorDesk::new(key.clone()),
             config: ConfigTable::default(),
             fleet: FleetIndex::default(),
             usage: Vec::new(),
@@ -172,7 +137,8 @@
             store_reachable: true,
             store_seen: Timestamp::default(),
             stopping: false,
-            wanted: BTreeMap::new(),
+            documents: DocumentExchange::new(&key),
+            usage_spread: (Timestamp::default(), Vec::new()),
             health_probes: BTreeSet::new(),
             last_housekeeping: Timestamp::default(),
             last_shard_probe: Timestamp::default(),
@@ -279,11 +245,11 @@
         held.into_iter().map(|(shard, _, _)| shard).collect()
     }
 
-    fn tick(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
+    pub(crate) fn tick(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
         self.membership_step(MembershipEvent::Tick, now, effects);
         self.lease_step(LeaseEvent::Tick, now, effects);
         self.health_step(HealthEvent::Tick, now, effects);
-        self.fetch_wanted(now, effects);
+        self.exchange_documents(now, effects);
         if now.since(self.last_housekeeping) >= HOUSEKEEPING_INTERVAL {
             self.last_housekeeping = now;
             self.keep_house(now, effects);
@@ -299,7 +265,7 @@
         }
     }
 
-    fn keep_house(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
+    pub(crate) fn keep_house(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
         let reachable = self.membership.reachable_permille(now);
         self.health_step(HealthEvent::PeersReachable(reachable), now, effects);
         let held = self.leases.held(now);
@@ -312,7 +278,7 @@
         self.view_changed = true;
     }
 
-    fn probe_held_shards(
+    pub(crate) fn probe_held_shards(
         &mut self,
         held: &[(FabricDomainId, LeaseEpoch, Timestamp)],
         now: Timestamp,
@@ -338,7 +304,7 @@
         }
     }
 
-    fn store_answered(
+    pub(crate) fn store_answered(
         &mut self,
         reachable: bool,
         now: Timestamp,
@@ -370,7 +336,7 @@
         }));
     }
 
-    fn vm_reported(
+    pub(crate) fn vm_reported(
         &mut self,
         vm: VmId,
         outcome: Result<EngineReport, ProbeFailure>,
@@ -402,451 +368,4 @@
         }
         self.view_changed = true;
     }
-
-    fn call_answered(
-        &mut self,
-        caller: StoreCaller,
-        call: CallId,
-        outcome: StoreOutcome,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        match caller {
-            StoreCaller::Lease => {
-                self.lease_step(LeaseEvent::CallAnswered { call, outcome }, now, effects);
-            }
-            StoreCaller::Placement => {
-                self.shard_step(ShardEvent::CallAnswered { call, outcome }, now, effects);
-            }
-            StoreCaller::Operator => {
-                let answers = self.operators.answered(call, outcome);
-                self.apply_operator_effects(answers, now, effects);
-            }
-        }
-    }
-
-    fn usage_measured(
-        &mut self,
-        usage: Vec<AccountUsage>,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        if usage == self.usage {
-            return;
-        }
-        self.usage = usage.clone();
-        self.view_changed = true;
-        let event = MembershipEvent::Publish(RumorBody::Usage(usage));
-        self.membership_step(event, now, effects);
-    }
-
-    fn objects_changed(
-        &mut self,
-        kind: ObjectKind,
-        objects: Vec<StoredObject>,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        self.store_answered(true, now, effects);
-        for object in objects {
-            match kind {
-                ObjectKind::Config => self.offer_document(
-                    &object.name,
-                    object.version,
-                    &object.value,
-                    "watch",
-                    now,
-                    effects,
-                ),
-                ObjectKind::Placement => self.placement_changed(&object, now, effects),
-                ObjectKind::Lease => {}
-            }
-        }
-    }
-
-    fn placement_changed(
-        &mut self,
-        object: &StoredObject,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        match serde_json::from_str::<PlacementDocument>(&object.value) {
-            Ok(document) => {
-                let event = ShardEvent::PlacementChanged {
-                    version: object.version,
-                    document,
-                };
-                self.shard_step(event, now, effects);
-                self.view_urgent = true;
-            }
-            Err(error) => effects.push(ControlEffect::Decision(DecisionRecord {
-                kind: DecisionKind::Place,
-                subject: object.name.clone(),
-                inputs: format_compact!("version={}", object.version),
-                choice: "ignored".into(),
-                reason: format_compact!("the stored placement cannot be parsed: {error}"),
-            })),
-        }
-    }
-
-    fn offer_document(
-        &mut self,
-        name: &str,
-        version: ObjectVersion,
-        value: &str,
-        source: &str,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        let outcome = self.config.offer(name, version, value);
-        let (choice, reason) = match outcome {
-            OfferOutcome::Older => return,
-            OfferOutcome::Applied => ("applied", format_compact!("learned from {source}")),
-            OfferOutcome::Invalid(message) => ("rejected", message),
-        };
-        effects.push(ControlEffect::Decision(DecisionRecord {
-            kind: DecisionKind::Config,
-            subject: name.into(),
-            inputs: format_compact!("version={version}"),
-            choice: choice.into(),
-            reason,
-        }));
-        if choice == "applied" {
-            self.config_changed(now, effects);
-        }
-    }
-
-    fn config_changed(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
-        self.fleet = FleetIndex::from_inventories(self.config.inventories());
-        self.view_urgent = true;
-        for (vm, reason) in &self.fleet.conflicts {
-            effects.push(ControlEffect::Decision(DecisionRecord {
-                kind: DecisionKind::Config,
-                subject: format_compact!("{vm}"),
-                inputs: CompactString::default(),
-                choice: "excluded".into(),
-                reason: reason.clone(),
-            }));
-        }
-        let versions = MembershipEvent::Publish(RumorBody::Documents(self.config.versions()));
-        self.membership_step(versions, now, effects);
-        // Watchers come before targets: a node that knows no other watcher would probe every VM.
-        self.nodes_changed(now, effects);
-        let targets = HealthEvent::TargetsChanged(self.fleet.health_targets());
-        self.health_step(targets, now, effects);
-        let drains = HealthEvent::DrainsChanged(self.config.drains());
-        self.health_step(drains, now, effects);
-        let shards = LeaseEvent::ShardsChanged(self.fleet.shards());
-        self.lease_step(shards, now, effects);
-    }
-
-    fn nodes_changed(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
-        self.view_urgent = true;
-        let nodes: Vec<NodeRecord> = self
-            .membership
-            .nodes()
-            .filter(|(record, state)| match state {
-                NodeState::Alive | NodeState::Suspect => true,
-                NodeState::Leaving => record.key == self.own.key && !self.stopping,
-                NodeState::Dead => false,
-            })
-            .map(|(record, _)| record.clone())
-            .collect();
-        let watchers = nodes
-            .iter()
-            .map(|record| WatcherPlace {
-                node: record.key.clone(),
-                failure_domain: record.failure_domain.clone(),
-            })
-            .collect();
-        let candidates = nodes
-            .iter()
-            .map(|record| CandidatePlace {
-                node: record.key.clone(),
-                region: record.region.clone(),
-            })
-            .collect();
-        self.peer_usage
-            .retain(|key, _| nodes.iter().any(|record| record.key == *key));
-        self.health_step(HealthEvent::WatchersChanged(watchers), now, effects);
-        self.lease_step(LeaseEvent::CandidatesChanged(candidates), now, effects);
-    }
-
-    fn peer_received(
-        &mut self,
-        message: PeerMessage,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        match &message.body {
-            Some(PeerBody::DocumentRequest(request)) => {
-                let request = request.clone();
-                self.reply_document(&message, &request, effects);
-            }
-            Some(PeerBody::DocumentReply(reply)) => {
-                let reply = reply.clone();
-                self.offer_document(
-                    &reply.name,
-                    ObjectVersion(reply.version),
-                    &reply.value,
-                    &message.from_id,
-                    now,
-                    effects,
-                );
-            }
-            _ => self.membership_step(MembershipEvent::Received(message), now, effects),
-        }
-    }
-
-    fn peer_address(&self, id: &str) -> Option<SocketAddr> {
-        let id: NodeId = id.parse().ok()?;
-        self.membership.by_id(&id).map(|(record, _)| record.peers)
-    }
-
-    fn own_message(&self, body: PeerBody) -> PeerMessage {
-        PeerMessage {
-            from_id: self.own.key.id.as_str().to_owned(),
-            from_incarnation: self.own.key.incarnation.0,
-            body: Some(body),
-        }
-    }
-
-    fn reply_document(
-        &self,
-        message: &PeerMessage,
-        request: &DocumentRequestMessage,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        let Some(to) = self.peer_address(&message.from_id) else {
-            return;
-        };
-        let Ok(kind) = request.name.parse() else {
-            return;
-        };
-        let Some(entry) = self.config.entry(&kind) else {
-            return;
-        };
-        if entry.version.0 < request.version {
-            return;
-        }
-        let body = PeerBody::DocumentReply(DocumentReplyMessage {
-            name: request.name.clone(),
-            version: entry.version.0,
-            value: entry.value.clone(),
-        });
-        effects.push(ControlEffect::SendPeer {
-            to,
-            message: self.own_message(body),
-        });
-    }
-
-    fn rumor_received(
-        &mut self,
-        origin: NodeKey,
-        body: RumorBody,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        match body {
-            RumorBody::Vm(evidence) => {
-                let event = HealthEvent::PeerFinding {
-                    node: origin,
-                    evidence,
-                };
-                self.health_step(event, now, effects);
-            }
-            RumorBody::Documents(versions) => self.versions_received(&origin, versions, now),
-            RumorBody::Usage(usage) => {
-                self.peer_usage.insert(origin, usage);
-                self.view_changed = true;
-            }
-            RumorBody::Handover(_) => self.view_urgent = true,
-        }
-    }
-
-    fn versions_received(
-        &mut self,
-        origin: &NodeKey,
-        versions: Vec<(DocumentName, ObjectVersion)>,
-        now: Timestamp,
-    ) {
-        for (name, version) in versions {
-            let Ok(kind) = name.as_str().parse() else {
-                continue;
-            };
-            let known = self
-                .wanted
-                .get(&name)
-                .map_or(ObjectVersion(0), |w| w.version);
-            if version > self.config.version(&kind) && version > known {
-                self.wanted.insert(
-                    name,
-                    WantedDocument {
-                        version,
-                        source: origin.clone(),
-                        since: now,
-                        asked: None,
-                    },
-                );
-            }
-        }
-    }
-
-    fn fetch_wanted(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
-        let config = &self.config;
-        self.wanted.retain(|name, wanted| {
-            name.as_str()
-                .parse()
-                .is_ok_and(|kind| config.version(&kind) < wanted.version)
-        });
-        let mut requests = Vec::new();
-        for (name, wanted) in &mut self.wanted {
-            let due = match wanted.asked {
-                None => now.since(wanted.since) >= PEER_FETCH_DELAY,
-                Some(asked) => now.since(asked) >= PEER_FETCH_INTERVAL,
-            };
-            if due {
-                wanted.asked = Some(now);
-                requests.push((name.clone(), wanted.version, wanted.source.id.clone()));
-            }
-        }
-        for (name, version, source) in requests {
-            let Some(to) = self.peer_address(source.as_str()) else {
-                continue;
-            };
-            let body = PeerBody::DocumentRequest(DocumentRequestMessage {
-                name: name.as_str().to_owned(),
-                version: version.0,
-            });
-            effects.push(ControlEffect::SendPeer {
-                to,
-                message: self.own_message(body),
-            });
-        }
-    }
-
-    fn membership_step(
-        &mut self,
-        event: MembershipEvent,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        let mut nodes_changed = false;
-        for effect in self.membership.step(event, now) {
-            match effect {
-                MembershipEffect::Send { to, message } => {
-                    effects.push(ControlEffect::SendPeer { to, message });
-                }
-                MembershipEffect::Reconnect { to } => {
-                    effects.push(ControlEffect::Reconnect { to });
-                }
-                MembershipEffect::NodeChanged { .. } => nodes_changed = true,
-                MembershipEffect::RumorReceived { origin, body } => {
-                    self.rumor_received(origin, body, now, effects);
-                }
-                MembershipEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
-            }
-        }
-        if nodes_changed {
-            self.nodes_changed(now, effects);
-        }
-    }
-
-    fn health_step(
-        &mut self,
-        event: HealthEvent,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        for effect in self.health.step(event, now) {
-            match effect {
-                HealthEffect::Probe {
-                    vm,
-                    address,
-                    timeout,
-                } => {
-                    self.health_probes.insert(vm.clone());
-                    effects.push(ControlEffect::ProbeVm {
-                        vm,
-                        address,
-                        timeout,
-                    });
-                }
-                HealthEffect::Publish(evidence) => {
-                    let event = MembershipEvent::Publish(RumorBody::Vm(evidence));
-                    self.membership_step(event, now, effects);
-                }
-                HealthEffect::StateChanged { .. } => self.view_urgent = true,
-                HealthEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
-            }
-        }
-    }
-
-    fn lease_step(&mut self, event: LeaseEvent, now: Timestamp, effects: &mut Vec<ControlEffect>) {
-        for effect in self.leases.step(event, now) {
-            match effect {
-                LeaseEffect::Call { call, request } => effects.push(ControlEffect::CallStore {
-                    caller: StoreCaller::Lease,
-                    call,
-                    request,
-                }),
-                // The shard controller learns the held shards with each tick.
-                LeaseEffect::Acquired { .. } | LeaseEffect::Lost { .. } => {}
-                LeaseEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
-            }
-        }
-    }
-
-    fn shard_step(&mut self, event: ShardEvent, now: Timestamp, effects: &mut Vec<ControlEffect>) {
-        for effect in self.shards.step(event, now) {
-            match effect {
-                ShardEffect::Call { call, request } => effects.push(ControlEffect::CallStore {
-                    caller: StoreCaller::Placement,
-                    call,
-                    request,
-                }),
-                ShardEffect::Order { shard, vm, order } => {
-                    let Some(address) = self.fleet.vms.get(&vm).map(|vm| vm.entry.address) else {
-                        continue;
-                    };
-                    effects.push(ControlEffect::OrderEngine {
-                        shard,
-                        vm,
-                        address,
-                        order,
-                    });
-                }
-                ShardEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
-            }
-        }
-        self.view_changed = true;
-    }
-
-    fn apply_operator_effects(
-        &mut self,
-        answers: Vec<OperatorEffect>,
-        now: Timestamp,
-        effects: &mut Vec<ControlEffect>,
-    ) {
-        for effect in answers {
-            match effect {
-                OperatorEffect::Call(call, request) => effects.push(ControlEffect::CallStore {
-                    caller: StoreCaller::Operator,
-                    call,
-                    request,
-                }),
-                OperatorEffect::Learned(object) => self.offer_document(
-                    &object.name,
-                    object.version,
-                    &object.value,
-                    "an operator's change",
-                    now,
-                    effects,
-                ),
-                OperatorEffect::Answer(ticket, answer) => {
-                    effects.push(ControlEffect::AnswerOperator { ticket, answer });
-                }
-            }
-        }
-    }
 }
--- a/crates/reducer/src/control_event.rs
+++ b/crates/reducer/src/control_event.rs
@@ -179,6 +179,8 @@
         /// The answer.
         answer: OperatorAnswer,
     },
+    /// A later run of this node is known to the peers; this run has to end at once.
+    Superseded,
     /// Log line.
     Decision(DecisionRecord),
     /// An invariant would have been broken; the effect was withheld.
--- /dev/null
+++ b/crates/reducer/src/control_parts.rs
@@ -0,0 +1,184 @@
+//! Steps of the control lane's parts, and the way of their effects.
+
+use jaysaddle_health::HealthEffect;
+use jaysaddle_health::HealthEvent;
+use jaysaddle_lease::LeaseEffect;
+use jaysaddle_lease::LeaseEvent;
+use jaysaddle_membership::MembershipEffect;
+use jaysaddle_membership::MembershipEvent;
+use jaysaddle_membership::RumorBody;
+use jaysaddle_placement::ShardEffect;
+use jaysaddle_placement::ShardEvent;
+use jaysaddle_types::ids::CallId;
+use jaysaddle_types::node::NodeState;
+use jaysaddle_types::store::StoreOutcome;
+use jaysaddle_types::units::Timestamp;
+
+use crate::control::ControlState;
+use crate::control_event::ControlEffect;
+use crate::control_event::StoreCaller;
+use crate::operator::OperatorEffect;
+
+impl ControlState {
+    pub(crate) fn membership_step(
+        &mut self,
+        event: MembershipEvent,
+        now: Timestamp,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        let mut nodes_changed = false;
+        for effect in self.membership.step(event, now) {
+            match effect {
+                MembershipEffect::Send { to, message } => {
+                    effects.push(ControlEffect::SendPeer { to, message });
+                }
+                MembershipEffect::Reconnect { to } => {
+                    effects.push(ControlEffect::Reconnect { to });
+                }
+                MembershipEffect::NodeChanged { record, state } => {
+                    nodes_changed = true;
+                    if record.key == self.own.key && state == NodeState::Dead {
+                        effects.push(ControlEffect::Superseded);
+                    }
+                }
+                MembershipEffect::RumorReceived { origin, body } => {
+                    self.rumor_received(origin, body, now, effects);
+                }
+                MembershipEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
+            }
+        }
+        if nodes_changed {
+            self.nodes_changed(now, effects);
+        }
+    }
+
+    pub(crate) fn health_step(
+        &mut self,
+        event: HealthEvent,
+        now: Timestamp,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        for effect in self.health.step(event, now) {
+            match effect {
+                HealthEffect::Probe {
+                    vm,
+                    address,
+                    timeout,
+                } => {
+                    self.health_probes.insert(vm.clone());
+                    effects.push(ControlEffect::ProbeVm {
+                        vm,
+                        address,
+                        timeout,
+                    });
+                }
+                HealthEffect::Publish(evidence) => {
+                    let event = MembershipEvent::Publish(RumorBody::Vm(evidence));
+                    self.membership_step(event, now, effects);
+                }
+                HealthEffect::StateChanged { .. } => self.view_urgent = true,
+                HealthEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
+            }
+        }
+    }
+
+    pub(crate) fn lease_step(
+        &mut self,
+        event: LeaseEvent,
+        now: Timestamp,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        for effect in self.leases.step(event, now) {
+            match effect {
+                LeaseEffect::Call { call, request } => effects.push(ControlEffect::CallStore {
+                    caller: StoreCaller::Lease,
+                    call,
+                    request,
+                }),
+                // The shard controller learns the held shards with each tick.
+                LeaseEffect::Acquired { .. } | LeaseEffect::Lost { .. } => {}
+                LeaseEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
+            }
+        }
+    }
+
+    pub(crate) fn shard_step(
+        &mut self,
+        event: ShardEvent,
+        now: Timestamp,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        for effect in self.shards.step(event, now) {
+            match effect {
+                ShardEffect::Call { call, request } => effects.push(ControlEffect::CallStore {
+                    caller: StoreCaller::Placement,
+                    call,
+                    request,
+                }),
+                ShardEffect::Order { shard, vm, order } => {
+                    let Some(address) = self.fleet.vms.get(&vm).map(|vm| vm.entry.address) else {
+                        continue;
+                    };
+                    effects.push(ControlEffect::OrderEngine {
+                        shard,
+                        vm,
+                        address,
+                        order,
+                    });
+                }
+                ShardEffect::Decision(record) => effects.push(ControlEffect::Decision(record)),
+            }
+        }
+        self.view_changed = true;
+    }
+
+    pub(crate) fn apply_operator_effects(
+        &mut self,
+        answers: Vec<OperatorEffect>,
+        now: Timestamp,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        for effect in answers {
+            match effect {
+                OperatorEffect::Call(call, request) => effects.push(ControlEffect::CallStore {
+                    caller: StoreCaller::Operator,
+                    call,
+                    request,
+                }),
+                OperatorEffect::Learned(object) => self.offer_document(
+                    &object.name,
+                    object.version,
+                    &object.value,
+                    "an operator's change",
+                    now,
+                    effects,
+                ),
+                OperatorEffect::Answer(ticket, answer) => {
+                    effects.push(ControlEffect::AnswerOperator { ticket, answer });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn call_answered(
+        &mut self,
+        caller: StoreCaller,
+        call: CallId,
+        outcome: StoreOutcome,
+        now: Timestamp,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        match caller {
+            StoreCaller::Lease => {
+                self.lease_step(LeaseEvent::CallAnswered { call, outcome }, now, effects);
+            }
+            StoreCaller::Placement => {
+                self.shard_step(ShardEvent::CallAnswered { call, outcome }, now, effects);
+            }
+            StoreCaller::Operator => {
+                let answers = self.operators.answered(call, outcome);
+                self.apply_operator_effects(answers, now, effects);
+            }
+        }
+    }
+}
--- a/crates/reducer/src/control_view.rs
+++ b/crates/reducer/src/control_view.rs
@@ -104,7 +104,7 @@
         }
     }
 
-    fn live_nodes(&self) -> usize {
+    pub(crate) fn live_nodes(&self) -> usize {
         self.membership
             .nodes()
             .filter(|(_, state)| matches!(state, NodeState::Alive | NodeState::Suspect))
--- a/crates/reducer/src/handover.rs
+++ b/crates/reducer/src/handover.rs
@@ -43,7 +43,10 @@
         now: Timestamp,
     ) -> Self {
         Self {
-            pending: snapshots.into_iter().flat_map(ledger_wire::handover_parts).collect(),
+            pending: snapshots
+                .into_iter()
+                .flat_map(ledger_wire::handover_parts)
+                .collect(),
             successor,
             started: now,
             last_sent: None,
