Restart requests whose resume fails before the caller got anything

Cause: an idempotent request whose leader failed in the middle of the answer was refused with backend_failed although no byte had reached the caller. The attempt breaks after tokens, is resumed at its offset, and the resume cannot be sent. From then on the offset stood in for what the caller got; it is above 0 for an answer that the node only collects.

Ruled out: the retry budget (its burst of 10 was unused), the admission limits, and a lack of groups: two of three were whole and idle.

Change: the request remembers whether a piece reached the caller, and only that keeps it from another group. The leader that could not be resumed is excluded from the new attempt. Test deployments give engines and the service a control address that answers while the VM is killed.

Result: unstreamed_request_is_answered_by_another_group fails before (502 for 200) and passes after; streamed_request_ends_without_a_second_run fails when the new condition is left out. The random runs of the reducer pass.

--- a/crates/reducer/src/attempt.rs
+++ b/crates/reducer/src/attempt.rs
@@ -138,7 +138,7 @@
             }
         }
         if entry.resume_at.is_some() {
-            self.give_up_or_reroute(request, false, now, effects);
+            self.give_up_or_reroute(request, now, effects);
         } else {
             self.route(request, now, effects);
         }
@@ -311,7 +311,7 @@
         };
         // A resume that did not get through says nothing about the run that it was to resume.
         if entry.resume_at.is_some() {
-            self.give_up_or_reroute(request, false, now, effects);
+            self.give_up_or_reroute(request, now, effects);
             return;
         }
         entry.cleared += 1;
@@ -386,6 +386,7 @@
         let Some(entry) = self.requests.get_mut(request) else {
             return;
         };
+        entry.delivered |= delivered;
         if resumable && entry.resumes < MAX_RESUMES {
             entry.resumes += 1;
             entry.resume_at = Some(received);
@@ -403,7 +404,7 @@
                 finding: AttemptFinding::Failed,
             });
         }
-        self.give_up_or_reroute(request, delivered, now, effects);
+        self.give_up_or_reroute(request, now, effects);
     }
 
     /// Starts an idempotent request again elsewhere, if nothing of its answer reached the caller
@@ -411,15 +412,23 @@
     fn give_up_or_reroute(
         &mut self,
         request: &RequestId,
-        delivered: bool,
         now: Timestamp,
         effects: &mut Vec<TrafficEffect>,
     ) {
-        let Some(entry) = self.requests.get(request) else {
+        let Some(entry) = self.requests.get_mut(request) else {
             return;
         };
-        let untouched = !delivered && entry.resume_at.unwrap_or(0) == 0;
-        if entry.spec.idempotent && untouched && self.admission.try_retry() {
+        // A leader that could not be resumed would fail the new attempt too.
+        let failed = entry
+            .target
+            .as_ref()
+            .and_then(|(target, _)| target_vm(target));
+        if let Some(vm) = failed.cloned()
+            && !entry.excluded.contains(&vm)
+        {
+            entry.excluded.push(vm);
+        }
+        if entry.spec.idempotent && !entry.delivered && self.admission.try_retry() {
             self.route(request, now, effects);
             return;
         }
--- a/crates/reducer/src/traffic.rs
+++ b/crates/reducer/src/traffic.rs
@@ -107,6 +107,9 @@
     pub(crate) target: Option<(RouteTarget, SocketAddr)>,
     /// Offset to resume at, once the leader has confirmed its group.
     pub(crate) resume_at: Option<u32>,
+    /// Whether a piece of the answer reached the caller. From then on, the request is not started
+    /// again elsewhere. Tokens that a node collects for a whole answer do not count.
+    pub(crate) delivered: bool,
     /// VMs that failed this request.
     pub(crate) excluded: Vec<VmId>,
     /// Whether this request holds its key's claim.
@@ -267,6 +270,7 @@
                 resumes: 0,
                 target: None,
                 resume_at: None,
+                delivered: false,
                 excluded: Vec::new(),
                 claimed: false,
                 admitted: false,
--- a/tests/all/deployment.rs
+++ b/tests/all/deployment.rs
@@ -238,11 +238,16 @@
 
 const ENGINE_PORT: u16 = 7100;
 const SERVICE_PORT: u16 = 7200;
+/// Port of the control routes of engines and services; they answer while the VM is killed.
+const CONTROL_PORT: u16 = 7500;
 const PLATFORM_PORT: u16 = 7300;
 const CALLER_PORT: u16 = 7400;
 const PEER_PORT: u16 = 7401;
 const OPERATOR_PORT: u16 = 7402;
 
+/// VM of the plain service.
+pub const SERVICE_VM: &str = "vm-service-1";
+
 /// Failure domains and their fabric domain.
 pub const DOMAINS: [(&str, &str); 3] = [
     ("phc-a", "phc-a-f1"),
@@ -358,10 +363,20 @@
         found.expect("the VM exists").1
     }
 
+    /// Address of the control routes of a VM's engine or of the plain service.
+    pub fn control_address(&self, vm: &str) -> SocketAddr {
+        let address = match vm {
+            SERVICE_VM => self.service_address(),
+            engine => self.vm_address(engine),
+        };
+        SocketAddr::new(address.ip(), CONTROL_PORT)
+    }
+
     /// Starts the engine process of a VM.
     pub fn start_engine(&self, vm: &str) -> TestProcess {
         let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddle-standin"));
-        command.arg("engine");
+        command.args(["engine", "--listen"]);
+        command.arg(self.control_address(vm).to_string());
         for (name, address, _) in self.vms() {
             let option = if name == vm { "--vm" } else { "--peer" };
             command.args([option, &format!("{name}={address}")]);
@@ -372,7 +387,7 @@
         command.args(["--slots", &self.settings.slots.to_string()]);
         let log = self.folder.join(format!("{vm}.log"));
         let mut process = TestProcess::spawn(vm, command, log);
-        process.wait_listening(1);
+        process.wait_listening(2);
         process
     }
 
@@ -385,11 +400,13 @@
 
     fn start_service(&mut self) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddle-standin"));
-        command.args(["service", "--vm", "vm-service-1", "--listen"]);
+        command.args(["service", "--vm", SERVICE_VM, "--listen"]);
         command.arg(self.service_address().to_string());
+        command.arg("--control");
+        command.arg(self.control_address(SERVICE_VM).to_string());
         let log = self.folder.join("service.log");
         let mut service = TestProcess::spawn("service", command, log);
-        service.wait_listening(1);
+        service.wait_listening(2);
         self.service = Some(service);
     }
 
@@ -482,7 +499,7 @@
         let services = if domain == 0 {
             json!([{
                 "name": "promises",
-                "vm": "vm-service-1",
+                "vm": SERVICE_VM,
                 "address": self.service_address(),
             }])
         } else {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,5 +4,6 @@
 //! Waits are bounded by generous limits; no verdict depends on how fast the machine is.
 
 mod deployment;
+mod restarts;
 mod service;
 mod serving;
--- /dev/null
+++ b/tests/all/restarts.rs
@@ -0,0 +1,85 @@
+//! Idempotent requests whose leader fails after it has sent a part of the answer.
+
+use jaysaddle_standins::expected_text;
+use jaysaddle_types::ids::ModelId;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployment::Deployment;
+use crate::deployment::DeploymentSettings;
+
+/// Tokens of an answer that takes over a second, so that the kill hits it in the middle.
+const LONG_ANSWER: u32 = 600;
+
+/// VMs that started the request with `prompt`, with the number of starts.
+fn starts(deployment: &Deployment, prompt: &str) -> Vec<(String, u64)> {
+    let mut found = Vec::new();
+    for (vm, _, _) in deployment.vms() {
+        let url = format!("http://{}/control/runs", deployment.control_address(&vm));
+        let response = minreq::get(url)
+            .with_timeout(5)
+            .send()
+            .expect("the control address answers");
+        let list: Value = serde_json::from_slice(response.as_bytes()).expect("the list is JSON");
+        let runs = list["runs"].as_array().expect("there is a list");
+        let matching = runs.iter().filter(|run| run["prompt"] == prompt);
+        found.extend(matching.map(|run| (vm.clone(), run["starts"].as_u64().unwrap_or(0))));
+    }
+    found
+}
+
+/// Sends a long request, kills its leader while it runs and returns the body of the answer.
+fn fail_leader(deployment: &Deployment, prompt: &str, stream: bool) -> (u16, String) {
+    let body = json!({
+        "model": "reminder",
+        "prompt": prompt,
+        "max_tokens": LONG_ANSWER,
+        "stream": stream,
+    });
+    std::thread::scope(|scope| {
+        let headers = [("Authorization", "Bearer lender-a-key")];
+        let call =
+            scope.spawn(move || deployment.post(0, "/v1/completions", &headers, &body.to_string()));
+        deployment.wait_until("the request runs", |this| !starts(this, prompt).is_empty());
+        // Some tokens have to be on their way before the leader fails.
+        std::thread::sleep(std::time::Duration::from_millis(300));
+        let (leader, _) = starts(deployment, prompt).remove(0);
+        let control = deployment.control_address(&leader);
+        deployment.fault(control, &json!({ "vm": leader, "fault": "kill" }));
+        let answer = call
+            .join()
+            .expect("the call ends")
+            .expect("the node answers");
+        (answer.status, answer.text)
+    })
+}
+
+/// Guards against a refusal of a request that no token has left the node for, though another group
+/// could answer it.
+#[test]
+fn unstreamed_request_is_answered_by_another_group() {
+    let deployment = Deployment::start_ready(DeploymentSettings::default());
+    let prompt = "quote order 41";
+    let (status, text) = fail_leader(&deployment, prompt, false);
+    assert_eq!(status, 200, "{text}");
+    let answer: Value = serde_json::from_str(&text).expect("the answer is JSON");
+    assert_eq!(
+        answer["choices"][0]["text"],
+        expected_text(&ModelId::new("reminder"), prompt, LONG_ANSWER)
+    );
+    let starts = starts(&deployment, prompt);
+    assert_eq!(starts.len(), 2, "{starts:?}");
+}
+
+/// Guards against a stream that is started again elsewhere after tokens reached the caller.
+#[test]
+fn streamed_request_ends_without_a_second_run() {
+    let deployment = Deployment::start_ready(DeploymentSettings::default());
+    let prompt = "quote order 42";
+    let (status, text) = fail_leader(&deployment, prompt, true);
+    assert_eq!(status, 200, "{text}");
+    assert!(!text.contains("[DONE]"), "{text}");
+    assert!(text.contains("\"verdict\":\"may_have_run\""), "{text}");
+    let starts = starts(&deployment, prompt);
+    assert_eq!(starts.iter().map(|(_, count)| count).sum::<u64>(), 1);
+}
