--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 
 mod at_most_once;
 mod deployment;
+<<<<<<< HEAD
 mod faults;
 mod files;
 mod fleet;
@@ -15,3 +16,9 @@
 mod serving;
 mod stop;
 mod store_faults;
+=======
+mod restarts;
+mod service;
+mod serving;
+mod traces;
+>>>>>>> quickstart
