Survive a stated body length that cannot be allocated

Ruled out: reading the body first (the buffer is sized by what is left), and dropping the request on another thread (an allocation failure ends the process). Change: a request that states more than 256 MiB is answered with 413 and never dropped; its connection is shut down through a duplicate of its descriptor. The descriptor and one waiting thread stay, counted by jaysaddle_abandoned_connections_total.

--- /dev/null
+++ b/crates/daemon/src/abandon.rs
@@ -0,0 +1,84 @@
+//! Refusal of requests whose body may not be left unread.
+//!
+//! `tiny_http` 0.12 reads the rest of a body when a request is dropped, into one buffer of the
+//! stated length. A length that cannot be allocated ends the process. Such a request is answered
+//! and then never dropped: its connection is shut down through a duplicate of its descriptor, while
+//! the descriptor and the thread that waits for the rest of the body stay until the process ends.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::os::fd::RawFd;
+
+use compact_str::format_compact;
+use jaysaddle_types::units::ByteCount;
+use jaysaddle_types::verdict::ReasonCode;
+use jaysaddle_types::verdict::RequestRefusal;
+use rustix::net::Shutdown;
+use rustix::process::PidfdFlags;
+use rustix::process::PidfdGetfdFlags;
+use tiny_http::Request;
+use tiny_http::Response;
+
+use crate::reply;
+
+/// Stated length above which a request is abandoned. Buffers up to this length are allocated
+/// lazily by the system and freed with the request.
+const MAX_STATED_BODY: ByteCount = ByteCount(256 << 20);
+
+/// Whether a request must not be dropped.
+pub fn must_abandon(request: &Request) -> bool {
+    request
+        .body_length()
+        .is_some_and(|length| u64::try_from(length).unwrap_or(u64::MAX) > MAX_STATED_BODY.0)
+}
+
+/// Duplicates of the process's descriptors whose peer is `peer`.
+fn sockets_of(peer: SocketAddr) -> Vec<OwnedFd> {
+    let own = rustix::process::getpid();
+    let Ok(pidfd) = rustix::process::pidfd_open(own, PidfdFlags::empty()) else {
+        return Vec::new();
+    };
+    let Ok(entries) = fs::read_dir("/proc/self/fd") else {
+        return Vec::new();
+    };
+    entries
+        .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse::<RawFd>().ok())
+        .filter_map(|number| {
+            rustix::process::pidfd_getfd(&pidfd, number, PidfdGetfdFlags::empty()).ok()
+        })
+        .filter(|socket| {
+            rustix::net::getpeername(socket)
+                .ok()
+                .flatten()
+                .and_then(|address| SocketAddr::try_from(address).ok())
+                == Some(peer)
+        })
+        .collect()
+}
+
+/// Refuses a request as too large and shuts its connection down without dropping it.
+pub fn abandon(request: Request) {
+    metrics::counter!("jaysaddle_abandoned_connections_total").increment(1);
+    let peer = request.remote_addr().copied();
+    log::warn!(
+        "a request states a body of {} bytes; its connection is shut down, its descriptor stays",
+        request.body_length().unwrap_or(0)
+    );
+    let refusal = RequestRefusal::not_run(
+        ReasonCode::TooLarge,
+        format_compact!("the stated body exceeds {MAX_STATED_BODY}"),
+    );
+    reply::count_refusal(&refusal);
+    let response = Response::from_string(reply::refusal_json(&refusal))
+        .with_status_code(ReasonCode::TooLarge.http_status());
+    // The upgrade hands out reader and writer together, so that neither is dropped with the request.
+    std::mem::forget(request.upgrade("close", response));
+    let Some(peer) = peer else {
+        return;
+    };
+    for socket in sockets_of(peer) {
+        // A peer that has gone already needs no shutdown.
+        let _ = rustix::net::shutdown(&socket, Shutdown::Both);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! everything that can block (HTTP, the store, engines, peers) runs on other threads and talks to
 //! the lanes by `flume` channels.
 
+pub mod abandon;
 pub mod answer;
 pub mod callers;
 pub mod clock;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -23,6 +23,8 @@
 use tiny_http::Request;
 use tiny_http::Server;
 
+use crate::abandon;
+
 /// Stack of a thread that serves one request.
 const REQUEST_STACK_BYTES: usize = 256 * 1024;
 
@@ -179,6 +181,10 @@
     max_requests: usize,
     request: Request,
 ) {
+    if abandon::must_abandon(&request) {
+        abandon::abandon(request);
+        return;
+    }
     if open.load(Ordering::Relaxed) >= max_requests {
         handler.refuse_overload(request);
         return;
