Report a change whose answer was lost as one that may come into force

Cause: the tool took a connection that closed without an answer for a node that gave an invalid answer (exit 1), and a timeout after a sent change for a node that did not answer (exit 4, "nothing was changed").

Change: apply, drain and undrain exit with 5 when the request may have been sent; only a refused connection gives 4. Commands that read give 4 in all of these cases.

The exit code after a timeout has no test.

--- a/src/client.rs
+++ b/src/client.rs
@@ -1,5 +1,6 @@
 //! Client of the operators' HTTP interface.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use bpaf::Bpaf;
@@ -11,6 +12,10 @@
 /// Time for one call; a change waits for the store.
 const CALL_TIMEOUT_SECS: u64 = 20;
 
+/// Reason phrase that `minreq` makes up, with status 503, when the connection closes before an
+/// answer.
+pub const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Options of every command that talks to a node.
 #[derive(Clone, Debug, Bpaf)]
 pub struct ServerOptions {
@@ -78,15 +83,35 @@
 }
 
 impl ServerOptions {
-    fn send(&self, request: minreq::Request) -> Result<Value, CommandFailure> {
-        let response = request
+    /// Sends a request; `lost` is the kind of failure when the answer to a sent request is missing.
+    fn send(&self, request: minreq::Request, lost: FailureKind) -> Result<Value, CommandFailure> {
+        let answer = request
             .with_header("Authorization", format!("Bearer {}", self.key))
             .with_timeout(CALL_TIMEOUT_SECS)
-            .send()
-            .map_err(|error| {
+            .send();
+        let response = match answer {
+            Ok(response) if response.reason_phrase == NO_STATUS_LINE => {
+                let message = format!(
+                    "node {} closed the connection without an answer",
+                    self.server
+                );
+                return Err(CommandFailure::new(lost, message));
+            }
+            Ok(response) => response,
+            Err(error) => {
                 let message = format!("node {} does not answer: {error}", self.server);
-                CommandFailure::new(FailureKind::Unavailable, message)
-            })?;
+                let refused = matches!(
+                    &error,
+                    minreq::Error::IoError(io) if io.kind() == ErrorKind::ConnectionRefused
+                );
+                let kind = if refused {
+                    FailureKind::Unavailable
+                } else {
+                    lost
+                };
+                return Err(CommandFailure::new(kind, message));
+            }
+        };
         let body: Value = serde_json::from_slice(response.as_bytes()).map_err(|error| {
             let message = format!("node {} gave an invalid answer: {error}", self.server);
             CommandFailure::new(FailureKind::Failed, message)
@@ -108,7 +133,7 @@
     ///
     /// Fails with the node's reason.
     pub fn get(&self, path: &str) -> Result<Value, CommandFailure> {
-        self.send(minreq::get(self.url(path)))
+        self.send(minreq::get(self.url(path)), FailureKind::Unavailable)
     }
 
     /// Posts to `path`.
@@ -117,7 +142,7 @@
     ///
     /// Fails with the node's reason.
     pub fn post(&self, path: &str) -> Result<Value, CommandFailure> {
-        self.send(minreq::post(self.url(path)))
+        self.send(minreq::post(self.url(path)), FailureKind::Unknown)
     }
 
     /// Puts `body` at `path`.
@@ -126,7 +151,10 @@
     ///
     /// Fails with the node's reason.
     pub fn put(&self, path: &str, body: String) -> Result<Value, CommandFailure> {
-        self.send(minreq::put(self.url(path)).with_body(body))
+        self.send(
+            minreq::put(self.url(path)).with_body(body),
+            FailureKind::Unknown,
+        )
     }
 
     /// Prints an answer as JSON, or by `table`.
--- a/src/commands/replay.rs
+++ b/src/commands/replay.rs
@@ -16,6 +16,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::client::NO_STATUS_LINE;
 use crate::exit::CommandFailure;
 use crate::exit::CommandResult;
 use crate::exit::FailureKind;
@@ -51,10 +52,6 @@
     }
 }
 
-/// Reason phrase that `minreq` makes up, with status 503, when the connection closes before an
-/// answer.
-const NO_STATUS_LINE: &str = "Server did not provide a status line";
-
 /// Options of `replay`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct ReplayOptions {
--- /dev/null
+++ b/tests/all/lost_answers.rs
@@ -0,0 +1,50 @@
+//! The tool when the answer of a node is lost.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::Command;
+use std::thread;
+
+/// A node that reads the start of one request and closes the connection.
+fn close_once() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it has an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the tool connects");
+        let mut buffer = [0; 64 * 1024];
+        stream.read(&mut buffer).expect("the request arrives")
+    });
+    address
+}
+
+fn exit_code(server: SocketAddr, arguments: &[&str]) -> Option<i32> {
+    let status = Command::new(env!("CARGO_BIN_EXE_jaysaddle"))
+        .args(arguments)
+        .env("JAYSADDLE_SERVER", server.to_string())
+        .env("JAYSADDLE_OPERATOR_KEY", "test-operator-key-0123")
+        .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")))
+        .status();
+    status.expect("the tool runs").code()
+}
+
+/// Guards against a change that may come into force, reported as one that did not.
+#[test]
+fn change_without_an_answer_may_come_into_force() {
+    let apply = ["apply", "--expect", "0", "examples/quickstart/rules.yaml"];
+    assert_eq!(exit_code(close_once(), &apply), Some(5));
+    assert_eq!(exit_code(close_once(), &["drain", "vm-phc-a-1"]), Some(5));
+}
+
+/// Guards against a doubt about a change where no node was reached or nothing was to be changed.
+#[test]
+fn refused_connection_and_lost_reading_change_nothing() {
+    let unused = {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        listener.local_addr().expect("it has an address")
+    };
+    let apply = ["apply", "--expect", "0", "examples/quickstart/rules.yaml"];
+    assert_eq!(exit_code(unused, &apply), Some(4));
+    assert_eq!(exit_code(close_once(), &["get", "groups"]), Some(4));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 //! Waits are bounded by generous limits; no verdict depends on how fast the machine is.
 
 mod deployment;
+mod lost_answers;
 mod restarts;
 mod service;
 mod serving;
