--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod input;
 mod load;
+mod lost_answers;
 mod operators;
 mod restarts;
 mod service;
