Test that an incomplete group is sent nothing

Cause: with the presence check before a send switched off, the tests of failed members still passed, since routing leaves the group out and its leader refuses as well. Change: a test that counts what the leader of an incomplete group without spares gets, started and refused, once every node knows of the loss.

--- a/tests/all/faults.rs
+++ b/tests/all/faults.rs
@@ -10,6 +10,7 @@
 use crate::deployment::Deployment;
 use crate::deployment::DeploymentSettings;
 use crate::fleet::engine;
+use crate::fleet::engine_count;
 use crate::fleet::member_of_first_group;
 use crate::fleet::runs;
 use crate::fleet::wait_repaired;
@@ -43,6 +44,34 @@
     assert_eq!(report.broken, 0, "{report:?}");
 }
 
+/// Guards against requests that are sent to a group that lacks a member. No spare can replace it,
+/// and the leader refuses what it gets, so what it refuses shows what it was sent.
+#[test]
+fn incomplete_group_is_sent_nothing() {
+    let deployment = Arc::new(Deployment::start_ready(DeploymentSettings {
+        vms: 2,
+        ..DeploymentSettings::default()
+    }));
+    let load = CallerLoad::start(&deployment, CALLERS, 20);
+    load.wait_whole(&deployment, 50);
+    let leader = member_of_first_group(&deployment, 0);
+    let lost = member_of_first_group(&deployment, 1);
+    engine(&deployment, &lost).fail();
+    deployment.wait_until("every node knows of the loss", |this| {
+        (0..3).all(|node| this.groups_in_state(node, "ready").len() == 2)
+    });
+    // Requests that were routed before may still arrive.
+    thread::sleep(Duration::from_secs(2));
+    let sent = || {
+        engine_count(&deployment, &leader, "refused")
+            + engine_count(&deployment, &leader, "started")
+    };
+    let before = sent();
+    load.wait_whole(&deployment, 200);
+    assert_eq!(sent(), before, "{leader} without {lost} was sent requests");
+    println!("{leader} without {lost}: {:?}", load.finish());
+}
+
 /// Guards against requests that hang or are answered wrongly when a member pauses, and against a
 /// group that counts the paused VM as present.
 #[test]
