--- a/crates/daemon/src/control_lane.rs
+++ b/crates/daemon/src/control_lane.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use jaysaddle_engine::ReportFailure;
 use jaysaddle_health::ProbeFailure;
@@ -34,6 +35,10 @@
 /// engines that ignore fencing tokens, so an order must not be in flight for longer.
 const ORDER_TIMEOUT: TimeSpan = TimeSpan::from_secs(2);
 
+/// Exit code of a run that a later run of the same node has superseded. Two runs would both answer
+/// for one node.
+const SUPERSEDED_EXIT_CODE: i32 = 3;
+
 /// Workers of the control lane, apart from each other so that one kind of slow call does not delay
 /// the others.
 #[derive(Clone)]
@@ -153,12 +158,15 @@
     }
 
     fn step(&mut self, event: ControlEvent) {
-        for effect in self.lane.state.step(event, clock::now()) {
-            self.perform(effect);
+        let started = Instant::now();
+        let effects = self.lane.state.step(event, clock::now());
+        let took = started.elapsed();
+        for effect in effects {
+            self.perform(effect, took);
         }
     }
 
-    fn perform(&mut self, effect: ControlEffect) {
+    fn perform(&mut self, effect: ControlEffect, took: Duration) {
         let hub = self.lane.hub.clone();
         match effect {
             ControlEffect::SendPeer { to, message } => {
@@ -231,7 +239,11 @@
                     let _ = sender.send(answer);
                 }
             }
-            ControlEffect::Decision(record) => hub.journal.record(record),
+            ControlEffect::Superseded => {
+                log::error!("a later run of this node has started; this one ends");
+                std::process::exit(SUPERSEDED_EXIT_CODE);
+            }
+            ControlEffect::Decision(record) => hub.journal.record(record, took),
             ControlEffect::Violation(violation) => report_violation(&violation),
         }
     }
--- a/crates/reducer/src/traffic.rs
+++ b/crates/reducer/src/traffic.rs
@@ -107,6 +107,9 @@
     pub(crate) target: Option<(RouteTarget, SocketAddr)>,
     /// Offset to resume at, once the leader has confirmed its group.
     pub(crate) resume_at: Option<u32>,
+    /// Whether a piece of the answer reached the caller. From then on, the request is not started
+    /// again elsewhere. Tokens that a node collects for a whole answer do not count.
+    pub(crate) delivered: bool,
     /// VMs that failed this request.
     pub(crate) excluded: Vec<VmId>,
     /// Whether this request holds its key's claim.
@@ -279,6 +282,7 @@
                 resumes: 0,
                 target: None,
                 resume_at: None,
+                delivered: false,
                 excluded: Vec::new(),
                 claimed: false,
                 admitted: false,
@@ -665,7 +669,7 @@
             }
             Some(PeerBody::HandoverAck(body)) => {
                 if let Some(sender) = &mut self.sender {
-                    sender.acknowledged(body.part);
+                    sender.acknowledged(&body);
                 }
                 self.tick_handover(now, effects);
             }
@@ -675,15 +679,23 @@
 
     fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
         self.refusing = true;
-        let snapshot = self.ledger.export(now);
-        let candidates = self
-            .view
-            .nodes
-            .iter()
-            .filter(|(record, state)| record.key != self.own && *state == NodeState::Alive)
-            .map(|(record, _)| (record.key.clone(), record.peers))
-            .collect();
-        self.sender = Some(HandoverSender::new(snapshot, candidates, now));
+        let mut snapshots = vec![self.ledger.export(now)];
+        snapshots.extend(self.ledger.export_imported());
+        // Nodes that stop one after the other pick different successors, each the next by key.
+        let alive = |after: bool| {
+            self.view
+                .nodes
+                .iter()
+                .filter(|(record, state)| {
+                    record.key != self.own
+                        && *state == NodeState::Alive
+                        && (record.key > self.own) == after
+                })
+                .map(|(record, _)| (record.key.clone(), record.peers))
+                .min()
+        };
+        let successor = alive(true).or_else(|| alive(false));
+        self.sender = Some(HandoverSender::new(snapshots, successor, now));
         self.tick_handover(now, effects);
     }
 
