--- a/crates/placement/src/orders.rs
+++ b/crates/placement/src/orders.rs
@@ -240,6 +240,10 @@
                 known.failure_domain,
                 known.state
             )),
+            None if self.input.vms.is_empty() => lines.push(
+                "this node holds no shard and has planned nothing; ask the holder why it is idle"
+                    .into(),
+            ),
             None => lines.push(format_compact!("the inventory has no VM {vm}")),
         }
         match self.places_in(|_| true).get(vm) {
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod operator;
 pub mod traffic;
 pub mod traffic_event;
+pub(crate) mod traffic_ledger;
 
 pub use control::ControlSettings;
 pub use control::ControlState;
--- a/crates/reducer/src/traffic.rs
+++ b/crates/reducer/src/traffic.rs
@@ -16,10 +16,7 @@
 use jaysaddle_admission::AdmitOutcome;
 use jaysaddle_admission::AdmitQuery;
 use jaysaddle_admission::QueueRelease;
-use jaysaddle_ledger::ClaimOutcome;
 use jaysaddle_ledger::ClaimQuery;
-use jaysaddle_ledger::HomePlace;
-use jaysaddle_ledger::LedgerEffect;
 use jaysaddle_ledger::LedgerSettings;
 use jaysaddle_ledger::RequestLedger;
 use jaysaddle_routing::GroupRouter;
@@ -40,14 +37,11 @@
 use jaysaddle_types::verdict::RequestRefusal;
 use jaysaddle_types::verdict::Verdict;
 use jaysaddle_types::view::FleetView;
-use jaysaddle_wire::messages::PeerBody;
-use jaysaddle_wire::messages::PeerMessage;
 
 use crate::handover::HandoverReceiver;
 use crate::handover::HandoverSender;
 use crate::invariant::InvariantKind;
 use crate::invariant::InvariantViolation;
-use crate::ledger_wire;
 use crate::traffic_event::TrafficEffect;
 use crate::traffic_event::TrafficEvent;
 
@@ -58,9 +52,6 @@
 /// in which a lost member is replaced and its weights are loaded.
 const DEFAULT_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
 
-/// Successors that a handover may have passed through; a longer chain counts as lost.
-const MAX_HANDOVER_CHAIN: usize = 8;
-
 /// Settings of the traffic lane.
 #[derive(Clone, Debug, Default)]
 pub struct TrafficSettings {
@@ -126,9 +117,9 @@
     pub(crate) admission: AdmissionController,
     pub(crate) ledger: RequestLedger,
     pub(crate) requests: BTreeMap<RequestId, RequestEntry>,
-    refusing: bool,
-    sender: Option<HandoverSender>,
-    receiver: HandoverReceiver,
+    pub(crate) refusing: bool,
+    pub(crate) sender: Option<HandoverSender>,
+    pub(crate) receiver: HandoverReceiver,
     last_usage: Timestamp,
 }
 
@@ -223,7 +214,7 @@
         effects
     }
 
-    fn tick(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+    pub(crate) fn tick(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
         let view = self.view.clone();
         let releases = self.admission.tick(&view, now);
         self.apply_releases(releases, now, effects);
@@ -239,7 +230,7 @@
 
     /// Refuses requests whose deadline passes before they are sent. A running request's deadline
     /// is kept by the thread that reads its answer.
-    fn expire_requests(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+    pub(crate) fn expire_requests(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
         let expired: Vec<RequestId> = self
             .requests
             .iter()
@@ -260,7 +251,7 @@
         }
     }
 
-    fn request_arrived(
+    pub(crate) fn request_arrived(
         &mut self,
         spec: RequestSpec,
         now: Timestamp,
@@ -316,7 +307,11 @@
     }
 
     /// Refusals that need no state of the request.
-    fn check_arrival(&self, spec: &RequestSpec, now: Timestamp) -> Option<RequestRefusal> {
+    pub(crate) fn check_arrival(
+        &self,
+        spec: &RequestSpec,
+        now: Timestamp,
+    ) -> Option<RequestRefusal> {
         if self.refusing {
             return Some(RequestRefusal::retry_after(
                 ReasonCode::Stopping,
@@ -366,118 +361,12 @@
         }
     }
 
-    fn node_state(&self, key: &NodeKey) -> Option<NodeState> {
-        self.view
-            .nodes
-            .iter()
-            .find(|(record, _)| record.key == *key)
-            .map(|(_, state)| *state)
-    }
-
-    fn node_address(&self, key: &NodeKey) -> Option<SocketAddr> {
-        self.view
-            .nodes
-            .iter()
-            .find(|(record, _)| record.key == *key)
-            .map(|(record, _)| record.peers)
-    }
-
-    /// Where the claims of a home live now.
-    pub(crate) fn home_place(&self, home: Option<&HomeToken>) -> HomePlace {
-        let Some(home) = home else {
-            return HomePlace::Own;
-        };
-        let mut node = home.node.clone();
-        for _ in 0..MAX_HANDOVER_CHAIN {
-            if node == self.own {
-                return HomePlace::Own;
-            }
-            if let Some(successor) = self.view.handovers.get(&node) {
-                node = successor.clone();
-                continue;
-            }
-            return match self.node_state(&node) {
-                Some(NodeState::Alive | NodeState::Suspect | NodeState::Leaving) => {
-                    HomePlace::Reachable(node)
-                }
-                Some(NodeState::Dead) | None => HomePlace::Gone,
-            };
-        }
-        HomePlace::Gone
-    }
-
-    fn claim_resolved(
+    pub(crate) fn admit(
         &mut self,
         request: &RequestId,
-        outcome: ClaimOutcome,
-        now: Timestamp,
-        effects: &mut Vec<TrafficEffect>,
-    ) {
-        let Some(entry) = self.requests.get_mut(request) else {
-            // The caller hung up while its claim was resolved; a granted claim must not stay open.
-            if outcome == ClaimOutcome::Granted {
-                let freed = self.ledger.failed(request, Verdict::NotRun, now);
-                self.apply_ledger_effects(freed, now, effects);
-            }
-            return;
-        };
-        match outcome {
-            ClaimOutcome::Granted => {
-                entry.claimed = true;
-                self.admit(request, now, effects);
-            }
-            ClaimOutcome::Stored(answer) => {
-                self.requests.remove(request);
-                effects.push(TrafficEffect::Decision(DecisionRecord {
-                    kind: DecisionKind::Admit,
-                    subject: format_compact!("{request}"),
-                    inputs: CompactString::default(),
-                    choice: "stored_answer".into(),
-                    reason: "the key's request ran before".into(),
-                }));
-                effects.push(TrafficEffect::ReturnStored {
-                    request: request.clone(),
-                    answer,
-                });
-            }
-            ClaimOutcome::Waiting => {}
-            ClaimOutcome::Refused(refusal) => {
-                // The verdict is that of the key's first run, which another request holds.
-                entry.verdict = entry.verdict.combine(refusal.verdict);
-                self.refuse(request, refusal, now, effects);
-            }
-        }
-    }
-
-    pub(crate) fn apply_ledger_effects(
-        &mut self,
-        ledger_effects: Vec<LedgerEffect>,
         now: Timestamp,
         effects: &mut Vec<TrafficEffect>,
     ) {
-        for effect in ledger_effects {
-            match effect {
-                LedgerEffect::Ask { node, query } => {
-                    let call = query.call;
-                    match self.node_address(&node) {
-                        Some(to) => effects.push(TrafficEffect::SendPeer {
-                            to,
-                            message: self.own_message(ledger_wire::query_body(&query)),
-                        }),
-                        None => {
-                            let resolved = self.ledger.answered(call, None, now);
-                            self.apply_ledger_effects(resolved, now, effects);
-                        }
-                    }
-                }
-                LedgerEffect::Resolved { request, outcome } => {
-                    self.claim_resolved(&request, outcome, now, effects);
-                }
-            }
-        }
-    }
-
-    fn admit(&mut self, request: &RequestId, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
         let Some(entry) = self.requests.get_mut(request) else {
             return;
         };
@@ -506,7 +395,7 @@
         }
     }
 
-    fn admission_resolved(
+    pub(crate) fn admission_resolved(
         &mut self,
         request: &RequestId,
         outcome: AdmitOutcome,
@@ -535,7 +424,7 @@
         }
     }
 
-    fn release_slot(
+    pub(crate) fn release_slot(
         &mut self,
         request: &RequestId,
         now: Timestamp,
@@ -603,7 +492,7 @@
         }
     }
 
-    fn caller_gone(
+    pub(crate) fn caller_gone(
         &mut self,
         request: &RequestId,
         now: Timestamp,
@@ -620,106 +509,4 @@
         }
         self.end_admission(request, &entry, now, effects);
     }
-
-    pub(crate) fn own_message(&self, body: PeerBody) -> PeerMessage {
-        PeerMessage {
-            from_id: self.own.id.as_str().to_owned(),
-            from_incarnation: self.own.incarnation.0,
-            body: Some(body),
-        }
-    }
-
-    fn peer_received(
-        &mut self,
-        from: SocketAddr,
-        message: PeerMessage,
-        now: Timestamp,
-        effects: &mut Vec<TrafficEffect>,
-    ) {
-        let Some(sender) = ledger_wire::sender(&message) else {
-            return;
-        };
-        match message.body {
-            Some(PeerBody::LedgerQuery(body)) => {
-                let Some(query) = ledger_wire::query_from(body) else {
-                    return;
-                };
-                let call = query.call;
-                let answer = self.ledger.query(&sender, query, now);
-                effects.push(TrafficEffect::SendPeer {
-                    to: from,
-                    message: self.own_message(ledger_wire::answer_body(call, &answer)),
-                });
-            }
-            Some(PeerBody::LedgerAnswer(body)) => {
-                if let Some((call, answer)) = ledger_wire::answer_from(body) {
-                    let resolved = self.ledger.answered(call, Some(answer), now);
-                    self.apply_ledger_effects(resolved, now, effects);
-                }
-            }
-            Some(PeerBody::LedgerHandover(body)) => {
-                let ack = ledger_wire::handover_ack(&body);
-                if let Some(snapshot) = self.receiver.receive(body) {
-                    self.ledger.import(snapshot, now);
-                }
-                effects.push(TrafficEffect::SendPeer {
-                    to: from,
-                    message: self.own_message(ack),
-                });
-            }
-            Some(PeerBody::HandoverAck(body)) => {
-                if let Some(sender) = &mut self.sender {
-                    sender.acknowledged(&body);
-                }
-                self.tick_handover(now, effects);
-            }
-            _ => {}
-        }
-    }
-
-    fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
-        self.refusing = true;
-        let mut snapshots = vec![self.ledger.export(now)];
-        snapshots.extend(self.ledger.export_imported());
-        // Nodes that stop one after the other pick different successors, each the next by key.
-        let alive = |after: bool| {
-            self.view
-                .nodes
-                .iter()
-                .filter(|(record, state)| {
-                    record.key != self.own
-                        && *state == NodeState::Alive
-                        && (record.key > self.own) == after
-                })
-                .map(|(record, _)| (record.key.clone(), record.peers))
-                .min()
-        };
-        let successor = alive(true).or_else(|| alive(false));
-        self.sender = Some(HandoverSender::new(snapshots, successor, now));
-        self.tick_handover(now, effects);
-    }
-
-    fn tick_handover(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
-        let Some(sender) = &mut self.sender else {
-            return;
-        };
-        if let Some(successor) = sender.successor_if_complete() {
-            self.sender = None;
-            effects.push(TrafficEffect::LedgerMoved { successor });
-            effects.push(TrafficEffect::HandoverEnded { complete: true });
-            return;
-        }
-        match sender.due_parts(now) {
-            Some(parts) => {
-                for (to, body) in parts {
-                    let message = self.own_message(body);
-                    effects.push(TrafficEffect::SendPeer { to, message });
-                }
-            }
-            None => {
-                self.sender = None;
-                effects.push(TrafficEffect::HandoverEnded { complete: false });
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/reducer/src/traffic_ledger.rs
@@ -0,0 +1,242 @@
+//! Claims of the traffic lane: where a key's home lives, its questions and answers, the handover.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_ledger::ClaimOutcome;
+use jaysaddle_ledger::HomePlace;
+use jaysaddle_ledger::LedgerEffect;
+use jaysaddle_types::decision::DecisionKind;
+use jaysaddle_types::decision::DecisionRecord;
+use jaysaddle_types::ids::RequestId;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::node::NodeState;
+use jaysaddle_types::request::HomeToken;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::Verdict;
+use jaysaddle_wire::messages::PeerBody;
+use jaysaddle_wire::messages::PeerMessage;
+
+use crate::handover::HandoverSender;
+use crate::ledger_wire;
+use crate::traffic::TrafficState;
+use crate::traffic_event::TrafficEffect;
+
+/// Successors that a handover may have passed through; a longer chain counts as lost.
+const MAX_HANDOVER_CHAIN: usize = 8;
+
+impl TrafficState {
+    pub(crate) fn node_state(&self, key: &NodeKey) -> Option<NodeState> {
+        self.view
+            .nodes
+            .iter()
+            .find(|(record, _)| record.key == *key)
+            .map(|(_, state)| *state)
+    }
+
+    pub(crate) fn node_address(&self, key: &NodeKey) -> Option<SocketAddr> {
+        self.view
+            .nodes
+            .iter()
+            .find(|(record, _)| record.key == *key)
+            .map(|(record, _)| record.peers)
+    }
+
+    /// Where the claims of a home live now.
+    pub(crate) fn home_place(&self, home: Option<&HomeToken>) -> HomePlace {
+        let Some(home) = home else {
+            return HomePlace::Own;
+        };
+        let mut node = home.node.clone();
+        for _ in 0..MAX_HANDOVER_CHAIN {
+            if node == self.own {
+                return HomePlace::Own;
+            }
+            if let Some(successor) = self.view.handovers.get(&node) {
+                node = successor.clone();
+                continue;
+            }
+            return match self.node_state(&node) {
+                Some(NodeState::Alive | NodeState::Suspect | NodeState::Leaving) => {
+                    HomePlace::Reachable(node)
+                }
+                Some(NodeState::Dead) | None => HomePlace::Gone,
+            };
+        }
+        HomePlace::Gone
+    }
+
+    pub(crate) fn claim_resolved(
+        &mut self,
+        request: &RequestId,
+        outcome: ClaimOutcome,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        let Some(entry) = self.requests.get_mut(request) else {
+            // The caller hung up while its claim was resolved; a granted claim must not stay open.
+            if outcome == ClaimOutcome::Granted {
+                let freed = self.ledger.failed(request, Verdict::NotRun, now);
+                self.apply_ledger_effects(freed, now, effects);
+            }
+            return;
+        };
+        match outcome {
+            ClaimOutcome::Granted => {
+                entry.claimed = true;
+                self.admit(request, now, effects);
+            }
+            ClaimOutcome::Stored(answer) => {
+                self.requests.remove(request);
+                effects.push(TrafficEffect::Decision(DecisionRecord {
+                    kind: DecisionKind::Admit,
+                    subject: format_compact!("{request}"),
+                    inputs: CompactString::default(),
+                    choice: "stored_answer".into(),
+                    reason: "the key's request ran before".into(),
+                }));
+                effects.push(TrafficEffect::ReturnStored {
+                    request: request.clone(),
+                    answer,
+                });
+            }
+            ClaimOutcome::Waiting => {}
+            ClaimOutcome::Refused(refusal) => {
+                // The verdict is that of the key's first run, which another request holds.
+                entry.verdict = entry.verdict.combine(refusal.verdict);
+                self.refuse(request, refusal, now, effects);
+            }
+        }
+    }
+
+    pub(crate) fn apply_ledger_effects(
+        &mut self,
+        ledger_effects: Vec<LedgerEffect>,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        for effect in ledger_effects {
+            match effect {
+                LedgerEffect::Ask { node, query } => {
+                    let call = query.call;
+                    match self.node_address(&node) {
+                        Some(to) => effects.push(TrafficEffect::SendPeer {
+                            to,
+                            message: self.own_message(ledger_wire::query_body(&query)),
+                        }),
+                        None => {
+                            let resolved = self.ledger.answered(call, None, now);
+                            self.apply_ledger_effects(resolved, now, effects);
+                        }
+                    }
+                }
+                LedgerEffect::Resolved { request, outcome } => {
+                    self.claim_resolved(&request, outcome, now, effects);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn own_message(&self, body: PeerBody) -> PeerMessage {
+        PeerMessage {
+            from_id: self.own.id.as_str().to_owned(),
+            from_incarnation: self.own.incarnation.0,
+            body: Some(body),
+        }
+    }
+
+    pub(crate) fn peer_received(
+        &mut self,
+        from: SocketAddr,
+        message: PeerMessage,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
+        let Some(sender) = ledger_wire::sender(&message) else {
+            return;
+        };
+        match message.body {
+            Some(PeerBody::LedgerQuery(body)) => {
+                let Some(query) = ledger_wire::query_from(body) else {
+                    return;
+                };
+                let call = query.call;
+                let answer = self.ledger.query(&sender, query, now);
+                effects.push(TrafficEffect::SendPeer {
+                    to: from,
+                    message: self.own_message(ledger_wire::answer_body(call, &answer)),
+                });
+            }
+            Some(PeerBody::LedgerAnswer(body)) => {
+                if let Some((call, answer)) = ledger_wire::answer_from(body) {
+                    let resolved = self.ledger.answered(call, Some(answer), now);
+                    self.apply_ledger_effects(resolved, now, effects);
+                }
+            }
+            Some(PeerBody::LedgerHandover(body)) => {
+                let ack = ledger_wire::handover_ack(&body);
+                if let Some(snapshot) = self.receiver.receive(body) {
+                    self.ledger.import(snapshot, now);
+                }
+                effects.push(TrafficEffect::SendPeer {
+                    to: from,
+                    message: self.own_message(ack),
+                });
+            }
+            Some(PeerBody::HandoverAck(body)) => {
+                if let Some(sender) = &mut self.sender {
+                    sender.acknowledged(&body);
+                }
+                self.tick_handover(now, effects);
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+        self.refusing = true;
+        let mut snapshots = vec![self.ledger.export(now)];
+        snapshots.extend(self.ledger.export_imported());
+        // Nodes that stop one after the other pick different successors, each the next by key.
+        let alive = |after: bool| {
+            self.view
+                .nodes
+                .iter()
+                .filter(|(record, state)| {
+                    record.key != self.own
+                        && *state == NodeState::Alive
+                        && (record.key > self.own) == after
+                })
+                .map(|(record, _)| (record.key.clone(), record.peers))
+                .min()
+        };
+        let successor = alive(true).or_else(|| alive(false));
+        self.sender = Some(HandoverSender::new(snapshots, successor, now));
+        self.tick_handover(now, effects);
+    }
+
+    pub(crate) fn tick_handover(&mut self, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+        let Some(sender) = &mut self.sender else {
+            return;
+        };
+        if let Some(successor) = sender.successor_if_complete() {
+            self.sender = None;
+            effects.push(TrafficEffect::LedgerMoved { successor });
+            effects.push(TrafficEffect::HandoverEnded { complete: true });
+            return;
+        }
+        match sender.due_parts(now) {
+            Some(parts) => {
+                for (to, body) in parts {
+                    let message = self.own_message(body);
+                    effects.push(TrafficEffect::SendPeer { to, message });
+                }
+            }
+            None => {
+                self.sender = None;
+                effects.push(TrafficEffect::HandoverEnded { complete: false });
+            }
+        }
+    }
+}
