Split the randomised world and the bench of process tests

Change: the world's engines, faults, checks, set-up and callers, and the bench's processes, are files of their own; RequestEntry::clear_attempt.

--- a/crates/reducer/src/attempt.rs
+++ b/crates/reducer/src/attempt.rs
@@ -314,10 +314,7 @@
             self.give_up_or_reroute(request, now, effects);
             return;
         }
-        entry.cleared += 1;
-        if entry.cleared == entry.sent {
-            entry.verdict = Verdict::NotRun;
-        }
+        entry.clear_attempt();
         if let Some(vm) = target_vm(target) {
             entry.excluded.push(vm.clone());
         }
@@ -338,10 +335,7 @@
             .is_some_and(|entry| entry.resume_at.is_some());
         if refusal == EngineRefusal::DeadlineExceeded && !resumed {
             if let Some(entry) = self.requests.get_mut(request) {
-                entry.cleared += 1;
-                if entry.cleared == entry.sent {
-                    entry.verdict = Verdict::NotRun;
-                }
+                entry.clear_attempt();
             }
             let refusal = RequestRefusal::not_run(
                 ReasonCode::DeadlineExceeded,
@@ -353,10 +347,7 @@
         // A busy engine means that the fleet is busy: going elsewhere is a retry and costs budget.
         if refusal == EngineRefusal::Overloaded && !resumed && !self.admission.try_retry() {
             if let Some(entry) = self.requests.get_mut(request) {
-                entry.cleared += 1;
-                if entry.cleared == entry.sent {
-                    entry.verdict = Verdict::NotRun;
-                }
+                entry.clear_attempt();
             }
             let refusal = RequestRefusal::retry_after(
                 ReasonCode::Overloaded,
--- a/crates/reducer/src/traffic.rs
+++ b/crates/reducer/src/traffic.rs
@@ -109,6 +109,16 @@
     pub(crate) admitted: bool,
 }
 
+impl RequestEntry {
+    /// Records that the latest attempt is known not to have run.
+    pub(crate) fn clear_attempt(&mut self) {
+        self.cleared += 1;
+        if self.cleared == self.sent {
+            self.verdict = Verdict::NotRun;
+        }
+    }
+}
+
 /// State of the traffic lane.
 pub struct TrafficState {
     pub(crate) own: NodeKey,
--- a/crates/reducer/tests/random/main.rs
+++ b/crates/reducer/tests/random/main.rs
@@ -11,3 +11,8 @@
 mod runs;
 mod store;
 mod world;
+mod world_callers;
+mod world_checks;
+mod world_engines;
+mod world_faults;
+mod world_setup;
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -7,7 +7,7 @@
 
 use crate::deployment::DOMAINS;
 use crate::deployment::Deployment;
-use crate::deployment::TestProcess;
+use crate::process::TestProcess;
 
 /// Names of a group's members.
 pub fn members(group: &Value) -> Vec<String> {
--- a/tests/all/input.rs
+++ b/tests/all/input.rs
@@ -19,7 +19,7 @@
 use crate::deployment::Deployment;
 use crate::deployment::DeploymentSettings;
 use crate::deployment::PATIENCE;
-use crate::deployment::TestAnswer;
+use crate::process::TestAnswer;
 
 /// Node that gets the flood of connections; the other tests send to the nodes before it.
 const FLOODED_NODE: usize = 2;
--- a/tests/all/load.rs
+++ b/tests/all/load.rs
@@ -17,7 +17,7 @@
 use serde_json::json;
 
 use crate::deployment::Deployment;
-use crate::deployment::TestAnswer;
+use crate::process::TestAnswer;
 
 /// Pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(10);
--- /dev/null
+++ b/tests/all/process.rs
@@ -0,0 +1,164 @@
+//! Processes of a test and the answers of nodes.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+
+use crate::deployment::PATIENCE;
+
+/// A process that is killed when it goes out of scope.
+pub struct TestProcess {
+    /// Name for messages.
+    pub name: String,
+    child: Child,
+}
+
+impl TestProcess {
+    pub(crate) fn spawn(name: &str, mut command: Command, log: PathBuf) -> Self {
+        let file = fs::File::create(&log).expect("a log file can be created");
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(file)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{name} cannot be started: {error}"));
+        Self {
+            name: name.to_owned(),
+            child,
+        }
+    }
+
+    /// Waits for `count` lines that start with `listening`.
+    pub(crate) fn wait_listening(&mut self, count: usize) {
+        let output = self.child.stdout.take().expect("the output is piped");
+        let mut lines = BufReader::new(output).lines();
+        for _ in 0..count {
+            let line = lines.next().and_then(Result::ok).unwrap_or_default();
+            assert!(line.starts_with("listening"), "{}: {line:?}", self.name);
+        }
+        // The rest is read, so that the process never blocks on a full pipe.
+        thread::spawn(move || lines.for_each(drop));
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        // A process that has ended already needs no signal.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Stops the process from running, as a paused VM.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process run on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Ends the process at once, as a VM that fails.
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        let _ = self.child.wait();
+    }
+
+    /// Ends the process at once without waiting for it; for processes that tests share.
+    pub fn fail(&self) {
+        self.signal(Signal::KILL);
+    }
+
+    /// Asks the process for a planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end of the process and returns its exit code.
+    pub fn wait_exit(&mut self) -> Option<i32> {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("{} did not end", self.name);
+    }
+
+    pub(crate) fn status_field(&self, name: &str) -> Option<String> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).ok()?;
+        let rest = status.lines().find_map(|line| line.strip_prefix(name))?;
+        Some(rest.trim().to_owned())
+    }
+
+    /// Resident memory in bytes.
+    pub fn resident_bytes(&self) -> u64 {
+        let field = self.status_field("VmRSS:").unwrap_or_default();
+        let kib = field.strip_suffix(" kB").and_then(|kib| kib.parse().ok());
+        kib.map_or(0, |kib: u64| kib * 1024)
+    }
+
+    /// Number of threads.
+    pub fn threads(&self) -> u64 {
+        let field = self.status_field("Threads:").unwrap_or_default();
+        field.parse().unwrap_or(0)
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// An answer to a caller or an operator.
+#[derive(Clone, Debug)]
+pub struct TestAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body as text.
+    pub text: String,
+    /// Body as JSON; null when it is none.
+    pub json: Value,
+    /// The header Retry-After.
+    pub retry_after: Option<String>,
+}
+
+impl TestAnswer {
+    pub(crate) fn from_response(response: &minreq::Response) -> Self {
+        let text = String::from_utf8_lossy(response.as_bytes()).into_owned();
+        Self {
+            status: response.status_code,
+            json: serde_json::from_str(&text).unwrap_or(Value::Null),
+            retry_after: response.headers("retry-after").next().map(str::to_owned),
+            text,
+        }
+    }
+
+    /// The text of a completion.
+    pub fn completion_text(&self) -> &str {
+        self.json["choices"][0]["text"].as_str().unwrap_or_default()
+    }
+
+    /// The verdict of a refusal.
+    pub fn verdict(&self) -> &str {
+        self.json["error"]["verdict"].as_str().unwrap_or_default()
+    }
+
+    /// The reason of a refusal.
+    pub fn reason(&self) -> &str {
+        self.json["error"]["reason"].as_str().unwrap_or_default()
+    }
+}
