Wait for the whole configuration before asking a restarted node

Ruled out: a wrong verdict (it was not_run) and a lost document: the documents come in separate replies, and the view follows with a tick. Change: the test waits until the node reports that it is configured, and then expects the same as before.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -11,7 +11,7 @@
 /// The present time of CLOCK_BOOTTIME.
 ///
 /// It counts the time for which a VM is suspended, which the standard library's monotonic clock
-/// does not: a lease holder that slept would believe in its lease.
+/// does not: the holder of an expired lease would still see it as valid after a suspension.
 pub fn now() -> Timestamp {
     let time = clock_gettime(ClockId::Boottime);
     let secs = u64::try_from(time.tv_sec).unwrap_or(0);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -48,7 +48,7 @@
 
 /// Time for which the lanes may go on after the last request, so that the last messages to peers
 /// leave.
-const FAREWELL: Duration = Duration::from_millis(300);
+const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 /// Longest wait for the handover of the ledger; one candidate has 5 s.
 const HANDOVER_TIME: Duration = Duration::from_secs(20);
@@ -224,9 +224,9 @@
                 detail: compact_str::format_compact!("{open} requests are open at the end"),
             });
         }
-        thread::sleep(FAREWELL);
+        thread::sleep(FLUSH_TIME);
         hub.control_event(ControlEvent::Stopped);
-        thread::sleep(FAREWELL);
+        thread::sleep(FLUSH_TIME);
         let _ = self.transport.send(TransportCommand::Stop);
         self.peers.join();
         log::info!("stopped");
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -156,12 +156,12 @@
         let handler = self.handler.clone();
         let open = self.open.clone();
         let max_requests = self.max_requests;
-        let patience = self.idle_time.as_duration() * 2;
+        let max_idle = self.idle_time.as_duration() * 2;
         let drained = thread::Builder::new()
             .name("http-drain".into())
             .stack_size(REQUEST_STACK_BYTES)
             .spawn(move || {
-                while let Ok(Some(request)) = server.recv_timeout(patience) {
+                while let Ok(Some(request)) = server.recv_timeout(max_idle) {
                     hand_out(&handler, &open, max_requests, request);
                 }
             });
--- a/crates/membership/src/claim.rs
+++ b/crates/membership/src/claim.rs
@@ -48,7 +48,7 @@
     }
 
     /// Whether the node itself has said that it is gone, so that nobody need look for it.
-    pub fn is_farewell(&self) -> bool {
+    pub fn is_leave_notice(&self) -> bool {
         self.state == NodeState::Dead && self.accuser.is_none()
     }
 }
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -281,7 +281,7 @@
     }
 
     /// Tells several peers at once that this node is gone.
-    pub(crate) fn send_farewell(&mut self, now: Timestamp) {
+    pub(crate) fn send_leave_notice(&mut self, now: Timestamp) {
         let count = self.transmissions() as usize;
         for target in self.pick_live(count, None) {
             let rumors = self.own_claim(now);
--- a/crates/membership/src/tracker.rs
+++ b/crates/membership/src/tracker.rs
@@ -62,7 +62,7 @@
     pub(crate) effects: Vec<MembershipEffect>,
     /// Sequence of the last published fact.
     sequence: u64,
-    /// Whether this node has said farewell or was superseded; it takes no further part.
+    /// Whether this node has sent its leave notice or was superseded; it takes no further part.
     pub(crate) stopped: bool,
 }
 
@@ -139,7 +139,7 @@
 
     /// Share of known peers that answer this node, in thousandths; 1000 when alone.
     ///
-    /// Peers that died without a farewell count as not answering until their records are removed.
+    /// Peers that died without a leave notice count as not answering until their records are removed.
     /// The share among the live ones is estimated from the latest probes, because a round over all
     /// peers takes minutes in a large cluster.
     pub fn reachable_permille(&self, now: Timestamp) -> u32 {
@@ -213,7 +213,7 @@
 
     fn stop(&mut self, now: Timestamp) {
         self.claim_own(NodeState::Dead, 0, now);
-        self.send_farewell(now);
+        self.send_leave_notice(now);
         self.stopped = true;
     }
 
--- a/crates/membership/tests/all/network.rs
+++ b/crates/membership/tests/all/network.rs
@@ -203,7 +203,7 @@
         self.happenings.insert(self.next, happening);
     }
 
-    /// Ends a node without a farewell.
+    /// Ends a node without a leave notice.
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].running = false;
         self.nodes[node].paused = false;
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -44,7 +44,7 @@
 use crate::control_event::ControlEvent;
 use crate::documents::DocumentExchange;
 use crate::fleet::FleetIndex;
-use crate::operator::OperatorDesk;
+use crate::operator::ChangeTracker;
 
 /// Time between the control lane's periodic work, such as the planner's input.
 const HOUSEKEEPING_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
@@ -83,7 +83,7 @@
     pub(crate) health: HealthTracker,
     pub(crate) leases: LeaseTable,
     pub(crate) shards: ShardController,
-    pub(crate) operators: OperatorDesk,
+    pub(crate) changes: ChangeTracker,
     pub(crate) usage: Vec<AccountUsage>,
     pub(crate) peer_usage: BTreeMap<NodeKey, Vec<AccountUsage>>,
     /// Reports read by this node, with the time of their arrival.
@@ -128,7 +128,7 @@
             ),
             leases: LeaseTable::new(settings.lease.clone(), key.clone(), seed),
             shards: ShardController::new(settings.placement.clone(), key.clone(), seed),
-            operators: OperatorDesk::new(key.clone()),
+            changes: ChangeTracker::new(key.clone()),
             config: ConfigTable::default(),
             fleet: FleetIndex::default(),
             usage: Vec::new(),
@@ -200,7 +200,7 @@
                 expected,
                 value,
             } => {
-                let answers = self.operators.apply(ticket, &name, expected, &value);
+                let answers = self.changes.apply(ticket, &name, expected, &value);
                 self.apply_operator_effects(answers, now, &mut effects);
             }
             ControlEvent::DrainRequested {
@@ -208,7 +208,7 @@
                 vm,
                 drained,
             } => {
-                let answers = self.operators.drain(ticket, vm, drained);
+                let answers = self.changes.drain(ticket, vm, drained);
                 self.apply_operator_effects(answers, now, &mut effects);
             }
             ControlEvent::StopRequested => {
@@ -252,7 +252,7 @@
         self.exchange_documents(now, effects);
         if now.since(self.last_housekeeping) >= HOUSEKEEPING_INTERVAL {
             self.last_housekeeping = now;
-            self.keep_house(now, effects);
+            self.run_housekeeping(now, effects);
         }
         // A view per report would copy the fleet hundreds of times a second. What tells routing to
         // leave a VM or a node out does not wait.
@@ -265,7 +265,7 @@
         }
     }
 
-    pub(crate) fn keep_house(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
+    pub(crate) fn run_housekeeping(&mut self, now: Timestamp, effects: &mut Vec<ControlEffect>) {
         let reachable = self.membership.reachable_permille(now);
         self.health_step(HealthEvent::PeersReachable(reachable), now, effects);
         let held = self.leases.held(now);
--- a/crates/reducer/src/control_parts.rs
+++ b/crates/reducer/src/control_parts.rs
@@ -176,7 +176,7 @@
                 self.shard_step(ShardEvent::CallAnswered { call, outcome }, now, effects);
             }
             StoreCaller::Operator => {
-                let answers = self.operators.answered(call, outcome);
+                let answers = self.changes.answered(call, outcome);
                 self.apply_operator_effects(answers, now, effects);
             }
         }
--- a/crates/reducer/src/operator.rs
+++ b/crates/reducer/src/operator.rs
@@ -83,7 +83,7 @@
 
 /// Changes under way.
 #[derive(Clone, Debug)]
-pub struct OperatorDesk {
+pub struct ChangeTracker {
     own: NodeKey,
     next_call: CallId,
     pending: BTreeMap<CallId, (PendingChange, String)>,
@@ -97,7 +97,7 @@
     serde_json::from_str::<WriteMark>(&object.value).is_ok_and(|mark| mark.write_id == *write_id)
 }
 
-impl OperatorDesk {
+impl ChangeTracker {
     /// No changes under way.
     pub fn new(own: NodeKey) -> Self {
         Self {
--- a/crates/transport/tests/all/flow.rs
+++ b/crates/transport/tests/all/flow.rs
@@ -110,7 +110,7 @@
     peer.stop();
 }
 
-/// Guards against messages that are dropped by a planned stop, such as a farewell.
+/// Guards against messages that are dropped by a planned stop, such as a leave notice.
 #[test]
 fn stop_sends_what_is_queued() {
     let left = Peer::start(fast());
--- a/tests/all/deployment.rs
+++ b/tests/all/deployment.rs
@@ -19,7 +19,7 @@
 use crate::process::TestProcess;
 
 /// Longest wait for something that must happen; far above what it takes on a busy machine.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const MAX_WAIT: Duration = Duration::from_secs(60);
 
 /// Keys that all deployments use.
 pub const OPERATOR_KEY: &str = "test-operator-key-0123";
@@ -528,7 +528,7 @@
     /// Waits until `condition` holds; fails the test with the nodes' last log lines otherwise.
     pub fn wait_until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
         let started = Instant::now();
-        while started.elapsed() < PATIENCE {
+        while started.elapsed() < MAX_WAIT {
             if condition(self) {
                 return;
             }
@@ -541,7 +541,7 @@
                 eprintln!("entry-{}: {line}", node + 1);
             }
         }
-        panic!("after {PATIENCE:?} it does not hold that {what}");
+        panic!("after {MAX_WAIT:?} it does not hold that {what}");
     }
 }
 
--- a/tests/all/input.rs
+++ b/tests/all/input.rs
@@ -18,7 +18,7 @@
 
 use crate::deployment::Deployment;
 use crate::deployment::DeploymentSettings;
-use crate::deployment::PATIENCE;
+use crate::deployment::MAX_WAIT;
 use crate::process::TestAnswer;
 
 /// Node that gets the flood of connections; the other tests send to the nodes before it.
@@ -84,7 +84,7 @@
 fn send_raw(address: SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(address).expect("the node accepts connections");
     stream
-        .set_read_timeout(Some(PATIENCE))
+        .set_read_timeout(Some(MAX_WAIT))
         .expect("a timeout can be set");
     // The node may close before it has read everything; what it answered then is still read.
     let _ = stream.write_all(bytes);
@@ -350,7 +350,7 @@
     }
     for stream in &mut connections {
         stream
-            .set_read_timeout(Some(PATIENCE))
+            .set_read_timeout(Some(MAX_WAIT))
             .expect("a timeout can be set");
         let mut rest = Vec::new();
         if let Err(error) = stream.read_to_end(&mut rest) {
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -108,6 +108,11 @@
         "a node that starts in an outage has its peers' version",
         |this| version(this, 2) == Some(expected),
     );
+    // The documents arrive one by one; the node takes callers once it has them all.
+    deployment.wait_until("the node has the whole configuration", |this| {
+        this.operator_get(2, "/readyz")
+            .is_some_and(|answer| answer.json["configured"] == true)
+    });
     // Peers pass on the configuration, not the placement, which only the store holds. Until the
     // store is back, the node may refuse, as long as it says that nothing ran.
     let outcome = ask(&deployment, 2, "during the outage", 8, false, &[]);
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -16,7 +16,7 @@
 use rustix::process::kill_process;
 use serde_json::Value;
 
-use crate::deployment::PATIENCE;
+use crate::deployment::MAX_WAIT;
 
 /// A process that is killed when it goes out of scope.
 pub struct TestProcess {
@@ -87,7 +87,7 @@
     /// Waits for the end of the process and returns its exit code.
     pub fn wait_exit(&mut self) -> Option<i32> {
         let started = Instant::now();
-        while started.elapsed() < PATIENCE {
+        while started.elapsed() < MAX_WAIT {
             if let Ok(Some(status)) = self.child.try_wait() {
                 return status.code();
             }
