--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -51,7 +51,7 @@
 impl AdmissionController {
     /// A controller without any request.
     pub fn new(settings: AdmissionSettings) -> Self {
-        let budget = RetryBudget::new(&settings);
+        let budget = RetryBudget::new(settings.retry_burst, settings.retry_permille);
         Self {
             settings,
             usage: SlotUsage::default(),
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,6 +10,7 @@
 mod slots;
 mod usage;
 
+pub use budget::RetryBudget;
 pub use controller::AdmissionController;
 pub use query::AdmitOutcome;
 pub use query::AdmitQuery;
--- /dev/null
+++ b/crates/entry/src/beats.rs
@@ -0,0 +1,200 @@
+//! Sends this node's state to its peers and takes theirs, in datagrams.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::ToCompactString;
+use eyre::WrapErr;
+use jaysaddle_daemon::clock;
+use jaysaddle_fleet::lease::LeaseClaim;
+use jaysaddle_fleet::lease::LeaseEvent;
+use jaysaddle_fleet::peers::PeerBeat;
+use jaysaddle_fleet::peers::PeerPhase;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_wire::beat::BeatMessage;
+use jaysaddle_wire::beat::ClaimMessage;
+use jaysaddle_wire::beat::RefusedMessage;
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+use crate::control;
+use crate::node::EntryNode;
+
+/// Interval of beats. Peers count a node as down after five.
+const BEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Largest datagram; beats stay far below the usual limit of a link's packets.
+const MAX_BEAT_BYTES: usize = 16 << 10;
+/// Peers that get a beat at a time; beyond, they take turns.
+const MAX_RECEIVERS: usize = 24;
+/// Pause after a failed receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Addresses of all peers that were ever heard of.
+pub type PeerAddresses = Rc<RefCell<BTreeSet<SocketAddr>>>;
+
+fn own_beat(node: &EntryNode) -> BeatMessage {
+    let now = clock::now();
+    let gateway = node.gateway.borrow();
+    let loads = gateway.loads();
+    let claim = node.lease.borrow().claim(now);
+    BeatMessage {
+        node: node.settings.node.to_string(),
+        incarnation: node.incarnation.0,
+        failure_domain: node.settings.failure_domain.to_string(),
+        caller_address: node.settings.listen.callers.to_string(),
+        peer_address: node.settings.peer_address().to_string(),
+        phase: match node.phase.get() {
+            PeerPhase::Starting => 0,
+            PeerPhase::Serving => 1,
+            PeerPhase::Stopping => 2,
+        },
+        config_version: node.config_version(),
+        table_age_ms: node.table_age(now).as_millis(),
+        claim: claim.map(|claim| ClaimMessage {
+            term: claim.term.0,
+            version: claim.version.0,
+            remaining_ms: claim.remaining.as_millis(),
+        }),
+        load_targets: loads.iter().map(|(target, _)| *target).collect(),
+        load_counts: loads.iter().map(|(_, count)| *count).collect(),
+        silent: gateway
+            .silent_groups(now)
+            .into_iter()
+            .map(|(number, _)| number.0)
+            .collect(),
+        refused: gateway
+            .refused()
+            .into_iter()
+            .map(|(model, count)| RefusedMessage {
+                model: model.to_string(),
+                count,
+            })
+            .collect(),
+    }
+}
+
+fn decode(data: &[u8]) -> eyre::Result<PeerBeat> {
+    let message = BeatMessage::decode(data)?;
+    let refused = message
+        .refused
+        .into_iter()
+        .map(|refused| Ok((refused.model.parse::<ModelId>()?, refused.count)))
+        .collect::<eyre::Result<_>>()?;
+    Ok(PeerBeat {
+        node: message.node.parse()?,
+        incarnation: Incarnation(message.incarnation),
+        failure_domain: message.failure_domain.parse()?,
+        caller_address: message.caller_address.parse()?,
+        peer_address: message.peer_address.parse()?,
+        phase: match message.phase {
+            1 => PeerPhase::Serving,
+            2 => PeerPhase::Stopping,
+            _ => PeerPhase::Starting,
+        },
+        config_version: message.config_version,
+        table_age: TimeSpan(message.table_age_ms),
+        claim: message.claim.map(|claim| LeaseClaim {
+            term: LeaseEpoch(claim.term),
+            version: ObjectVersion(claim.version),
+            remaining: TimeSpan(claim.remaining_ms),
+        }),
+        loads: message
+            .load_targets
+            .into_iter()
+            .zip(message.load_counts)
+            .collect(),
+        silent: message.silent,
+        refused,
+    })
+}
+
+/// Opens the socket for beats.
+pub async fn open(address: SocketAddr) -> eyre::Result<UdpSocket> {
+    UdpSocket::bind(address)
+        .await
+        .wrap_err_with(|| format!("socket for peers at {address}"))
+}
+
+async fn send_to_all(node: &EntryNode, socket: &UdpSocket, addresses: &PeerAddresses, turn: usize) {
+    let own = node.settings.peer_address();
+    let receivers: Vec<SocketAddr> = addresses
+        .borrow()
+        .iter()
+        .copied()
+        .filter(|address| *address != own)
+        .collect();
+    let beat = own_beat(node).encode_to_vec();
+    let count = receivers.len().min(MAX_RECEIVERS);
+    for step in 0..count {
+        let receiver = receivers[(turn * MAX_RECEIVERS + step) % receivers.len()];
+        if let Err(error) = socket.send_to(&beat, receiver).await {
+            log::debug!("event=beat_not_sent peer={receiver} error=\"{error}\"");
+        }
+    }
+}
+
+/// Sends beats until the process ends.
+pub async fn send_beats(node: Rc<EntryNode>, socket: Rc<UdpSocket>, addresses: PeerAddresses) {
+    let mut ticks = interval(BEAT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    for turn in 0usize.. {
+        ticks.tick().await;
+        node.peers.borrow_mut().tick(clock::now());
+        let count = node.peers.borrow().live(clock::now()).count() + 1;
+        node.gateway
+            .borrow_mut()
+            .set_node_count(u32::try_from(count).unwrap_or(u32::MAX));
+        send_to_all(&node, &socket, &addresses, turn).await;
+    }
+}
+
+/// Sends one beat at once, such as before a stop.
+pub async fn send_now(node: &EntryNode, socket: &UdpSocket, addresses: &PeerAddresses) {
+    send_to_all(node, socket, addresses, 0).await;
+}
+
+/// Takes beats until the process ends.
+pub async fn receive_beats(node: Rc<EntryNode>, socket: Rc<UdpSocket>, addresses: PeerAddresses) {
+    let mut buffer = vec![0; MAX_BEAT_BYTES];
+    loop {
+        let size = match socket.recv_from(&mut buffer).await {
+            Ok((size, _)) => size,
+            Err(error) => {
+                log::debug!("event=beat_not_received error=\"{error}\"");
+                sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
+        };
+        match decode(&buffer[..size]) {
+            Ok(beat) if beat.node != node.settings.node => {
+                addresses.borrow_mut().insert(beat.peer_address);
+                if let Some(claim) = beat.claim {
+                    control::lease_event(&node, LeaseEvent::Claimed(claim));
+                }
+                node.peers.borrow_mut().heard(beat, clock::now());
+            }
+            Ok(_) => {}
+            Err(error) => log::debug!(
+                "event=beat_undecodable bytes={} error=\"{error:#}\"",
+                size.to_compact_string()
+            ),
+        }
+    }
+}
+
+/// Takes over the addresses that the store names.
+pub async fn collect_addresses(found: flume::Receiver<SocketAddr>, addresses: PeerAddresses) {
+    while let Ok(address) = found.recv_async().await {
+        addresses.borrow_mut().insert(address);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller_request.rs
@@ -0,0 +1,202 @@
+//! A caller's request, read as a whole and ready to be sent any number of times.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use eyre::WrapErr;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use jaysaddle_adapter::headers;
+use jaysaddle_daemon::clock;
+use jaysaddle_gateway::routes::RouteMatch;
+use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::serving::ClientLimits;
+use jaysaddle_types::serving::RequestKind;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use tokio::time::timeout;
+
+use crate::answer::NodeFailure;
+use crate::exchange::RequestBody;
+
+/// Time kept back for the way of the answer to the caller, so that it arrives before the caller gives up.
+const ANSWER_MARGIN: TimeSpan = TimeSpan(25);
+/// Highest urgency number that engines know.
+const LOWEST_URGENCY: u32 = 9;
+
+/// A caller's request.
+pub struct CallerRequest {
+    pub id: CompactString,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub route: RouteMatch,
+    pub model: Option<ModelId>,
+    /// Number of the last event that the caller has.
+    pub last_event: Option<u64>,
+    pub received: Timestamp,
+    /// When the answer has to be complete.
+    pub deadline: Timestamp,
+}
+
+/// Headers that concern one connection only, or that this node sets itself.
+const OWN_HEADERS: [HeaderName; 14] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+    header::CONTENT_LENGTH,
+    headers::ACCOUNT_KEY,
+    headers::ACCOUNT,
+    headers::EXPECTED_BACKEND,
+];
+
+/// Removes the headers that are not passed on.
+pub fn strip_connection_headers(map: &mut HeaderMap) {
+    let named: Vec<HeaderName> = map
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        map.remove(name);
+    }
+    for name in &OWN_HEADERS {
+        map.remove(name);
+    }
+}
+
+/// The value of a header as text.
+pub fn text<'a>(map: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    map.get(name)?.to_str().ok()
+}
+
+/// Reads the body of a request.
+pub async fn read_body(body: Incoming, limits: &ClientLimits) -> Result<Bytes, NodeFailure> {
+    let limited = Limited::new(body, limits.body_bytes);
+    let wait = Duration::from_millis(limits.idle_time.as_millis());
+    match timeout(wait, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(NodeFailure::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+        )),
+        Ok(Err(_)) => Err(NodeFailure::not_run(
+            StatusCode::BAD_REQUEST,
+            "body_incomplete",
+        )),
+        Err(_) => Err(NodeFailure::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+        )),
+    }
+}
+
+impl CallerRequest {
+    /// Puts together what is known of a request.
+    pub fn new(
+        parts: http::request::Parts,
+        body: Bytes,
+        route: RouteMatch,
+        received: Timestamp,
+    ) -> Self {
+        let stated = text(&parts.headers, &headers::TIME_LEFT)
+            .and_then(|value| value.parse::<u64>().ok())
+            .map(TimeSpan);
+        let limit = stated.map_or(route.rule.timeout, |stated| stated.min(route.rule.timeout));
+        let model = text(&parts.headers, &headers::MODEL).and_then(|value| value.parse().ok());
+        let last_event =
+            text(&parts.headers, &headers::LAST_EVENT).and_then(|value| value.parse().ok());
+        let id = text(&parts.headers, &headers::REQUEST_ID)
+            .unwrap_or("-")
+            .to_compact_string();
+        Self {
+            id,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            route,
+            model,
+            last_event,
+            received,
+            deadline: received + TimeSpan(limit.0.saturating_sub(ANSWER_MARGIN.0)),
+        }
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(&self) -> bool {
+        matches!(self.route.rule.kind, RequestKind::Stream { .. })
+    }
+
+    /// Time until the answer has to be complete.
+    pub fn time_left(&self) -> TimeSpan {
+        self.deadline.since(clock::now())
+    }
+
+    /// The request as it is sent to `target`, going on after `last_event`.
+    pub fn for_target(
+        &self,
+        target: &RequestTarget,
+        last_event: Option<u64>,
+    ) -> eyre::Result<Request<RequestBody>> {
+        let mut map = self.headers.clone();
+        strip_connection_headers(&mut map);
+        map.insert(
+            headers::TIME_LEFT,
+            number_value(self.time_left().as_millis())?,
+        );
+        map.insert(
+            headers::EXPECTED_BACKEND,
+            HeaderValue::from_str(target.backend.as_str())?,
+        );
+        if let Some(account) = &self.route.account {
+            map.insert(headers::ACCOUNT, HeaderValue::from_str(account.as_str())?);
+        }
+        if target.model.is_some() {
+            let urgency = self.route.priority.min(LOWEST_URGENCY);
+            map.insert(headers::ENGINE_PRIORITY, number_value(u64::from(urgency))?);
+        }
+        if let Some(last_event) = last_event {
+            map.insert(headers::LAST_EVENT, number_value(last_event)?);
+        }
+        let uri = self
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(uri)
+            .body(Full::new(self.body.clone()))
+            .wrap_err("the request cannot be passed on")?;
+        *request.headers_mut() = map;
+        Ok(request)
+    }
+}
+
+fn number_value(number: u64) -> eyre::Result<HeaderValue> {
+    HeaderValue::from_str(&number.to_compact_string()).wrap_err("number as header value")
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,95 @@
+//! Connections of callers.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use http::HeaderValue;
+use http::Request;
+use http::header;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use jaysaddle_fleet::peers::PeerPhase;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use crate::answer::Answer;
+use crate::forward;
+use crate::node::EntryNode;
+
+/// Pause after a failed accept, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least size of the buffer for the header section that the HTTP library takes.
+const LEAST_HEADER_BYTES: usize = 8192;
+
+/// Listens on `address`.
+pub async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("listening on {address}"))
+}
+
+/// Serves callers until the process ends.
+pub async fn serve(node: Rc<EntryNode>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(node: Rc<EntryNode>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+    let mut answer = forward::handle(node.clone(), request).await;
+    if node.phase.get() == PeerPhase::Stopping {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(answer)
+}
+
+async fn serve_connection(node: Rc<EntryNode>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=nodelay_failed error=\"{error}\"");
+    }
+    let limits = node
+        .config
+        .borrow()
+        .as_ref()
+        .map(|config| config.limits)
+        .unwrap_or_default();
+    let service_node = node.clone();
+    let service = service_fn(move |request| answer(service_node.clone(), request));
+    // The library's limit covers the time before the header section, too, so it cannot be shorter than the
+    // time for which callers keep idle connections.
+    let header_time = limits.idle_time.as_duration() + limits.header_time.as_duration();
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_time)
+        .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let stopping = node.stopping.notified();
+    tokio::pin!(stopping);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = stopping.as_mut() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("event=caller_connection_ended error=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/copies.rs
@@ -0,0 +1,168 @@
+//! Copies of the store's content from peers, for a node that the store turns away.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use eyre::eyre;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use jaysaddle_daemon::clock;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_wire::beat::CopiedEntry;
+use jaysaddle_wire::beat::CopyReply;
+use jaysaddle_wire::beat::CopyRequest;
+use prost::Message;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::node::EntryNode;
+
+/// Pause between two looks at what peers have.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+/// Age of the own reading from which a peer's is asked for; readings come every half second.
+const OLD_TABLE: TimeSpan = TimeSpan(1300);
+/// Time for one exchange with a peer.
+const COPY_LIMIT: Duration = Duration::from_millis(800);
+/// Largest frame: all entries of the fleet and a configuration.
+const MAX_FRAME_BYTES: usize = 8 << 20;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Answers peers until the process ends.
+pub async fn serve(node: Rc<EntryNode>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let node = node.clone();
+                tokio::task::spawn_local(async move {
+                    match timeout(COPY_LIMIT, answer(&node, stream)).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(error)) => {
+                            log::debug!("event=copy_not_sent peer={peer} error=\"{error:#}\"");
+                        }
+                        Err(_) => log::debug!("event=copy_not_sent peer={peer} error=timeout"),
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(node: &EntryNode, stream: TcpStream) -> eyre::Result<()> {
+    let mut frames = framed(stream);
+    let frame = frames.next().await.ok_or_else(|| eyre!("no request"))??;
+    let request = CopyRequest::decode(frame)?;
+    let reply = reply_to(node, request)?;
+    frames.send(Bytes::from(reply.encode_to_vec())).await?;
+    Ok(())
+}
+
+fn reply_to(node: &EntryNode, request: CopyRequest) -> eyre::Result<CopyReply> {
+    let mut reply = CopyReply::default();
+    if node.config_version() > request.config_version
+        && let Some(config) = &*node.raw_config.borrow()
+    {
+        reply.config = serde_json::to_vec(config)?;
+    }
+    if request.wants_table {
+        reply.has_table = node.table_read.get().is_some();
+        reply.table_age_ms = node.table_age(clock::now()).as_millis();
+        for (name, spec) in &*node.raw_entries.borrow() {
+            reply.entries.push(CopiedEntry {
+                name: name.to_string(),
+                content: serde_json::to_vec(spec)?,
+            });
+        }
+    }
+    Ok(reply)
+}
+
+/// Asks peers for what this node lacks, until the process ends.
+pub async fn follow_peers(node: Rc<EntryNode>) {
+    loop {
+        sleep(LOOK_PAUSE).await;
+        let Some((peer, request)) = wanted(&node) else {
+            continue;
+        };
+        match timeout(COPY_LIMIT, copy(&node, peer, request)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::info!("event=copy_failed peer={peer} error=\"{error:#}\""),
+            Err(_) => log::info!("event=copy_failed peer={peer} error=timeout"),
+        }
+    }
+}
+
+/// The peer to ask, and for what.
+fn wanted(node: &EntryNode) -> Option<(SocketAddr, CopyRequest)> {
+    let now = clock::now();
+    let config_version = node.config_version();
+    let own_age = node.table_age(now);
+    let peers = node.peers.borrow();
+    let newest = peers
+        .live(now)
+        .max_by_key(|record| record.beat.config_version)?;
+    let freshest = peers.live(now).min_by_key(|record| record.beat.table_age)?;
+    let wants_config = newest.beat.config_version > config_version;
+    let wants_table = own_age > OLD_TABLE
+        && freshest.beat.table_age.0.saturating_add(OLD_TABLE.0 / 2) < own_age.0;
+    if wants_table {
+        let request = CopyRequest {
+            config_version,
+            wants_table: true,
+        };
+        Some((freshest.beat.peer_address, request))
+    } else if wants_config {
+        let request = CopyRequest {
+            config_version,
+            wants_table: false,
+        };
+        Some((newest.beat.peer_address, request))
+    } else {
+        None
+    }
+}
+
+async fn copy(node: &EntryNode, peer: SocketAddr, request: CopyRequest) -> eyre::Result<()> {
+    let asked = clock::now();
+    let stream = TcpStream::connect(peer).await.wrap_err("connect")?;
+    let mut frames = framed(stream);
+    frames.send(Bytes::from(request.encode_to_vec())).await?;
+    let frame = frames.next().await.ok_or_else(|| eyre!("no reply"))??;
+    let reply = CopyReply::decode(frame)?;
+    if !reply.config.is_empty() {
+        node.apply_config(serde_json::from_slice(&reply.config)?, "peer");
+    }
+    let is_fresher = reply.table_age_ms < node.table_age(clock::now()).as_millis();
+    if reply.has_table && is_fresher {
+        let entries = reply
+            .entries
+            .into_iter()
+            .map(|entry| Ok((entry.name.into(), serde_json::from_slice(&entry.content)?)))
+            .collect::<eyre::Result<_>>()?;
+        let read = asked - TimeSpan(reply.table_age_ms);
+        log::info!(
+            "event=table_copied peer={peer} age_ms={}",
+            reply.table_age_ms
+        );
+        node.replace_table(entries, read);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/forward.rs
@@ -0,0 +1,558 @@
+//! Handles a caller's request: route, target, attempts and answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::format_compact;
+use eyre::eyre;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use jaysaddle_adapter::headers;
+use jaysaddle_daemon::clock;
+use jaysaddle_gateway::gateway::TargetOutcome;
+use jaysaddle_gateway::gateway::TargetQuery;
+use jaysaddle_gateway::gateway::TargetRefusal;
+use jaysaddle_gateway::routes::RouteRefusal;
+use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_gateway::target::TargetNumber;
+use jaysaddle_types::serving::RequestKind;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::Verdict;
+use tokio::time::timeout;
+
+use crate::answer::Answer;
+use crate::answer::NodeFailure;
+use crate::answer::whole_body;
+use crate::caller_request::CallerRequest;
+use crate::caller_request::read_body;
+use crate::caller_request::strip_connection_headers;
+use crate::caller_request::text;
+use crate::exchange::ExchangeError;
+use crate::exchange::send;
+use crate::node::EntryNode;
+use crate::pool::BackendKey;
+use crate::pool::PooledConnection;
+use crate::relay::StreamRelay;
+
+/// Sends of one request, refused ones included. Refusals use up the shared budget for repeats, too.
+const MAX_SENDS: usize = 4;
+/// Time that must be left for another send to make sense.
+pub const LEAST_TIME_LEFT: TimeSpan = TimeSpan(60);
+/// Largest body of an answer that is not a stream.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Part of the time left that an idempotent request waits for its first backend server, in percent. Work takes
+/// a small part of the time budget; a backend server that needs more hangs.
+const FIRST_WAIT_PERCENT: u64 = 55;
+/// Step at which a silent backend server is judged again.
+pub const SILENCE_STEP: TimeSpan = TimeSpan(150);
+
+/// Accounts for a request at a target until its end.
+pub struct AttemptGuard {
+    node: Rc<EntryNode>,
+    pub target: Rc<RequestTarget>,
+    started: Timestamp,
+    is_finished: bool,
+}
+
+impl AttemptGuard {
+    fn new(node: &Rc<EntryNode>, target: Rc<RequestTarget>) -> Self {
+        let now = clock::now();
+        node.gateway.borrow_mut().started(target.number, now);
+        Self {
+            node: node.clone(),
+            target,
+            started: now,
+            is_finished: false,
+        }
+    }
+
+    /// Takes note of the end of the request at the target.
+    pub fn finish(mut self, outcome: TargetOutcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: TargetOutcome) {
+        if self.is_finished {
+            return;
+        }
+        self.is_finished = true;
+        let now = clock::now();
+        self.node
+            .gateway
+            .borrow_mut()
+            .ended(&self.target, outcome, now.since(self.started), now);
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.end(TargetOutcome::Abandoned);
+    }
+}
+
+/// What a request has used up so far.
+#[derive(Debug, Default)]
+pub struct AttemptLog {
+    /// Targets to which the request was sent.
+    pub tried: Vec<TargetNumber>,
+    /// Targets at which it may have run.
+    pub runs: u32,
+}
+
+/// An attempt whose answer has begun.
+pub struct LiveAttempt {
+    pub guard: AttemptGuard,
+    pub connection: PooledConnection,
+    pub response: Response<Incoming>,
+}
+
+impl LiveAttempt {
+    /// The backend server's limit on idle connections.
+    pub fn stated_idle(&self) -> Option<TimeSpan> {
+        stated_idle(&self.response)
+    }
+}
+
+fn stated_idle(response: &Response<Incoming>) -> Option<TimeSpan> {
+    let value = response.headers().get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    Some(TimeSpan::from_secs(seconds.parse().ok()?))
+}
+
+/// Result of one send.
+enum SendResult {
+    Answered(LiveAttempt),
+    /// The backend server did not run the request.
+    NotRun(String),
+    /// The request may have run.
+    Lost(String),
+}
+
+/// Whether a silent attempt is to be given up, given the silence of the whole target.
+pub fn is_stalled(
+    node: &EntryNode,
+    target: &RequestTarget,
+    own_silence: TimeSpan,
+    now: Timestamp,
+) -> bool {
+    let gateway = node.gateway.borrow();
+    let limit = gateway.silence_limit();
+    let target_silence = gateway.silence_of(target.number, now).unwrap_or_default();
+    own_silence >= limit && (target_silence >= limit || own_silence.0 >= limit.0 * 3)
+}
+
+/// Sends a request to one target and waits for the head of the answer.
+async fn send_once(
+    node: &Rc<EntryNode>,
+    request: &CallerRequest,
+    target: Rc<RequestTarget>,
+    last_event: Option<u64>,
+    may_give_up: bool,
+) -> SendResult {
+    let guard = AttemptGuard::new(node, target.clone());
+    let key = BackendKey {
+        id: target.backend.clone(),
+        started: target.started,
+        address: target.address,
+    };
+    let must_be_fresh = !request.route.rule.kind.may_repeat();
+    let mut connection = match node.pool.take(&key, must_be_fresh).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            node.gateway.borrow_mut().avoid(target.number, clock::now());
+            guard.finish(TargetOutcome::Failed);
+            return SendResult::NotRun(format!("connect: {:#}", error.cause));
+        }
+    };
+    let outgoing = match request.for_target(&target, last_event) {
+        Ok(outgoing) => outgoing,
+        Err(error) => return SendResult::NotRun(format!("{error:#}")),
+    };
+    let head = wait_for_head(
+        node,
+        request,
+        &target,
+        &mut connection,
+        outgoing,
+        may_give_up,
+    )
+    .await;
+    let response = match head {
+        Ok(response) => response,
+        Err(error) => {
+            node.gateway.borrow_mut().avoid(target.number, clock::now());
+            guard.finish(TargetOutcome::Failed);
+            let cause = format!("{:#}", error.cause);
+            return match error.verdict {
+                Verdict::NotRun => SendResult::NotRun(cause),
+                _ => SendResult::Lost(cause),
+            };
+        }
+    };
+    node.gateway
+        .borrow_mut()
+        .progressed(target.number, None, clock::now());
+    judge_head(node, request, guard, connection, response)
+}
+
+fn judge_head(
+    node: &Rc<EntryNode>,
+    request: &CallerRequest,
+    guard: AttemptGuard,
+    connection: PooledConnection,
+    response: Response<Incoming>,
+) -> SendResult {
+    let status = response.status();
+    let map = response.headers();
+    let echoed = text(map, &headers::REQUEST_ID);
+    let is_refusal =
+        map.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+    if is_refusal && echoed.is_none_or(|id| id == request.id) {
+        let blamed = text(map, &headers::FAULTY_BACKEND)
+            .unwrap_or("-")
+            .to_owned();
+        let number = guard.target.number;
+        guard.finish(TargetOutcome::Refused);
+        node.gateway.borrow_mut().avoid(number, clock::now());
+        return SendResult::NotRun(format!("status {} blamed={blamed}", status.as_u16()));
+    }
+    if echoed != Some(request.id.as_str()) {
+        guard.finish(TargetOutcome::Failed);
+        return SendResult::Lost("the answer belongs to another request".to_owned());
+    }
+    if map.contains_key(header::CONTENT_ENCODING) || !map.contains_key(headers::RECEIPT) {
+        let is_success = status.is_success();
+        if is_success {
+            guard.finish(TargetOutcome::Failed);
+            return SendResult::Lost("the answer is not the backend server's own".to_owned());
+        }
+    }
+    SendResult::Answered(LiveAttempt {
+        guard,
+        connection,
+        response,
+    })
+}
+
+async fn wait_for_head(
+    node: &Rc<EntryNode>,
+    request: &CallerRequest,
+    target: &RequestTarget,
+    connection: &mut PooledConnection,
+    outgoing: Request<crate::exchange::RequestBody>,
+    may_give_up: bool,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let sent = clock::now();
+    let first_wait = TimeSpan(request.time_left().0 * FIRST_WAIT_PERCENT / 100);
+    let exchange = send(&mut connection.connection, outgoing);
+    tokio::pin!(exchange);
+    loop {
+        let left = request.time_left();
+        if left.0 == 0 {
+            return Err(ExchangeError::may_have_run(eyre!("time is up")));
+        }
+        let wait = SILENCE_STEP.min(left).as_duration();
+        if let Ok(result) = timeout(wait, &mut exchange).await {
+            return result;
+        }
+        let now = clock::now();
+        let waited = now.since(sent);
+        let is_hanging = if target.model.is_some() {
+            is_stalled(node, target, waited, now)
+        } else {
+            waited >= first_wait
+        };
+        if may_give_up && is_hanging {
+            return Err(ExchangeError::may_have_run(eyre!("no data for {waited}")));
+        }
+    }
+}
+
+/// Sends a request to targets until one answers.
+///
+/// # Errors
+///
+/// Fails when no target takes the request, or it may have run and must not, or cannot, be sent again.
+pub async fn attempt(
+    node: &Rc<EntryNode>,
+    request: &CallerRequest,
+    log: &mut AttemptLog,
+    last_event: Option<u64>,
+) -> Result<LiveAttempt, NodeFailure> {
+    let rule = &request.route.rule;
+    let may_repeat = rule.kind.may_repeat();
+    loop {
+        let has_run = log.runs > 0;
+        if request.time_left() < LEAST_TIME_LEFT {
+            return Err(ended(
+                has_run,
+                StatusCode::GATEWAY_TIMEOUT,
+                "time_is_up",
+                node,
+            ));
+        }
+        if log.tried.len() >= MAX_SENDS {
+            return Err(ended(
+                has_run,
+                StatusCode::BAD_GATEWAY,
+                "no_more_sends",
+                node,
+            ));
+        }
+        let query = TargetQuery {
+            service: &request.route.service,
+            model: request.model.as_ref(),
+            latency_target: rule.latency_target,
+            tried: &log.tried,
+            is_repeat: has_run,
+        };
+        let chosen = node
+            .gateway
+            .borrow_mut()
+            .choose(&query, &node.peers.borrow(), clock::now());
+        let target = match chosen {
+            Ok(target) => target,
+            Err(refusal) => return Err(refused(has_run, refusal, node)),
+        };
+        let is_repeat = !log.tried.is_empty();
+        if is_repeat && !node.gateway.borrow_mut().try_repeat(&request.route.service) {
+            return Err(ended(
+                has_run,
+                StatusCode::BAD_GATEWAY,
+                "no_repeat_budget",
+                node,
+            ));
+        }
+        log.tried.push(target.number);
+        let may_give_up = may_repeat && log.runs + 1 < rule.max_attempts;
+        log::debug!(
+            "event=send request={} backend={} repeat={is_repeat}",
+            request.id,
+            target.backend
+        );
+        match send_once(node, request, target.clone(), last_event, may_give_up).await {
+            SendResult::Answered(live) => {
+                log.runs += 1;
+                let failed = live.response.status().is_server_error();
+                let again = failed
+                    && may_repeat
+                    && log.runs < rule.max_attempts
+                    && request.time_left() > LEAST_TIME_LEFT;
+                if !again {
+                    return Ok(live);
+                }
+                if !node.gateway.borrow_mut().try_repeat(&request.route.service) {
+                    return Ok(live);
+                }
+                live.guard.finish(TargetOutcome::Failed);
+            }
+            SendResult::NotRun(reason) => {
+                log::info!(
+                    "event=not_run request={} backend={} reason=\"{reason}\"",
+                    request.id,
+                    target.backend
+                );
+            }
+            SendResult::Lost(reason) => {
+                log.runs += 1;
+                log::info!(
+                    "event=may_have_run request={} backend={} reason=\"{reason}\"",
+                    request.id,
+                    target.backend
+                );
+                if !may_repeat || log.runs >= rule.max_attempts {
+                    let status = if request.time_left().0 == 0 {
+                        StatusCode::GATEWAY_TIMEOUT
+                    } else {
+                        StatusCode::BAD_GATEWAY
+                    };
+                    return Err(NodeFailure::may_have_run(status, "backend_failed"));
+                }
+            }
+        }
+    }
+}
+
+fn ended(has_run: bool, status: StatusCode, reason: &str, node: &EntryNode) -> NodeFailure {
+    if has_run {
+        NodeFailure::may_have_run(status, reason)
+    } else {
+        let retry_after = node.gateway.borrow_mut().retry_after();
+        NodeFailure::unavailable(reason, retry_after)
+    }
+}
+
+fn refused(has_run: bool, refusal: TargetRefusal, node: &EntryNode) -> NodeFailure {
+    ended(
+        has_run,
+        StatusCode::BAD_GATEWAY,
+        &format_compact!("{refusal}"),
+        node,
+    )
+}
+
+/// Counts a request while it is handled.
+struct OpenRequest(Rc<EntryNode>);
+
+impl OpenRequest {
+    fn new(node: &Rc<EntryNode>) -> Self {
+        node.open_requests.set(node.open_requests.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+/// Handles a caller's request.
+pub async fn handle(node: Rc<EntryNode>, incoming: Request<Incoming>) -> Answer {
+    let open = OpenRequest::new(&node);
+    let received = clock::now();
+    let id = text(incoming.headers(), &headers::REQUEST_ID)
+        .unwrap_or("-")
+        .to_owned();
+    match handle_inner(&node, incoming, received, open).await {
+        Ok(answer) => answer,
+        Err(failure) => {
+            metrics::counter!("jaysaddle_failures_total", "reason" => failure.reason.to_string())
+                .increment(1);
+            log::info!(
+                "event=failure request={id} status={} verdict={} reason={} held_ms={}",
+                failure.status.as_u16(),
+                failure.verdict,
+                failure.reason,
+                clock::now().since(received).as_millis()
+            );
+            failure.into_answer()
+        }
+    }
+}
+
+async fn handle_inner(
+    node: &Rc<EntryNode>,
+    incoming: Request<Incoming>,
+    received: Timestamp,
+    open: OpenRequest,
+) -> Result<Answer, NodeFailure> {
+    let (parts, body) = incoming.into_parts();
+    let (route, limits) = find_route(node, &parts)?;
+    let body = read_body(body, &limits).await?;
+    let request = CallerRequest::new(parts, body, route, received);
+    node.gateway.borrow_mut().fresh(&request.route.service);
+    let mut log = AttemptLog::default();
+    let live = attempt(node, &request, &mut log, request.last_event).await?;
+    let is_stream = matches!(request.route.rule.kind, RequestKind::Stream { .. })
+        && live.response.status().is_success();
+    if is_stream {
+        let relay = StreamRelay::new(node.clone(), request, log, live, open);
+        return Ok(relay.into_answer());
+    }
+    whole_answer(node, request, log, live).await
+}
+
+fn find_route(
+    node: &EntryNode,
+    parts: &http::request::Parts,
+) -> Result<
+    (
+        jaysaddle_gateway::routes::RouteMatch,
+        jaysaddle_types::serving::ClientLimits,
+    ),
+    NodeFailure,
+> {
+    let mut gateway = node.gateway.borrow_mut();
+    let retry_after = gateway.retry_after();
+    let Some(routes) = gateway.routes() else {
+        return Err(NodeFailure::unavailable("no_configuration", retry_after));
+    };
+    let host = text(&parts.headers, &header::HOST)
+        .or_else(|| parts.uri.host())
+        .unwrap_or("");
+    let key = text(&parts.headers, &headers::ACCOUNT_KEY);
+    let id = text(&parts.headers, &headers::REQUEST_ID).unwrap_or("");
+    let route = routes
+        .find(host, parts.uri.path(), key, id)
+        .map_err(|refusal| match refusal {
+            RouteRefusal::UnknownRoute => {
+                NodeFailure::not_run(StatusCode::NOT_FOUND, "unknown_route")
+            }
+            RouteRefusal::UnknownKey => {
+                NodeFailure::not_run(StatusCode::UNAUTHORIZED, "unknown_key")
+            }
+        })?;
+    Ok((route, routes.config().limits))
+}
+
+/// Reads a whole answer before passing it on, so that a cut one is noticed.
+async fn whole_answer(
+    node: &Rc<EntryNode>,
+    request: CallerRequest,
+    mut log: AttemptLog,
+    mut live: LiveAttempt,
+) -> Result<Answer, NodeFailure> {
+    let rule = request.route.rule.clone();
+    loop {
+        let stated_idle = live.stated_idle();
+        let LiveAttempt {
+            guard,
+            connection,
+            response,
+        } = live;
+        let (mut parts, body) = response.into_parts();
+        let left = Duration::from_millis(request.time_left().as_millis());
+        let limited = Limited::new(body, MAX_ANSWER_BYTES);
+        let cause = match timeout(left, limited.collect()).await {
+            Ok(Ok(collected)) => {
+                guard.finish(TargetOutcome::Answered);
+                node.pool.put(connection, stated_idle);
+                strip_connection_headers(&mut parts.headers);
+                let body = whole_body(collected.to_bytes());
+                return Ok(Response::from_parts(parts, body));
+            }
+            Ok(Err(error)) => format!("{error}"),
+            Err(_) => "time is up".to_owned(),
+        };
+        log::info!(
+            "event=answer_cut request={} backend={} cause=\"{cause}\"",
+            request.id,
+            guard.target.backend
+        );
+        guard.finish(TargetOutcome::Failed);
+        let may_repeat = rule.kind.may_repeat() && log.runs < rule.max_attempts;
+        if !may_repeat {
+            return Err(NodeFailure::may_have_run(
+                StatusCode::BAD_GATEWAY,
+                "answer_cut",
+            ));
+        }
+        live = attempt(node, &request, &mut log, request.last_event).await?;
+    }
+}
+
+/// Keeps the count of open requests until a stream has ended.
+pub struct StreamHold {
+    _open: OpenRequest,
+}
+
+impl StreamHold {
+    fn new(open: OpenRequest) -> Self {
+        Self { _open: open }
+    }
+}
+
+impl From<OpenRequest> for StreamHold {
+    fn from(open: OpenRequest) -> Self {
+        Self::new(open)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,30 @@
+//! The daemon of an entry VM on the platform.
+//!
+//! One event loop on one thread serves callers, calls backend servers, follows the platform's store and talks
+//! to peers. Decisions are made in `jaysaddle-gateway` (requests) and `jaysaddle-fleet` (groups, lease, peers);
+//! the platform's names and formats are in `jaysaddle-adapter`. This crate connects them to sockets and time.
+
+mod answer;
+mod beats;
+mod caller_request;
+mod callers;
+mod control;
+mod copies;
+mod directory;
+mod events;
+mod exchange;
+mod forward;
+mod log_writer;
+mod node;
+mod pool;
+mod relay;
+mod stop;
+mod store_client;
+mod store_sync;
+mod telemetry;
+
+pub mod run;
+pub mod settings;
+
+pub use run::run_entry;
+pub use settings::EntrySettings;
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,195 @@
+//! What all parts of the event loop share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use jaysaddle_adapter::backend::parse_entry;
+use jaysaddle_adapter::config::parse_config;
+use jaysaddle_daemon::clock;
+use jaysaddle_fleet::controller::ControllerTiming;
+use jaysaddle_fleet::controller::FleetController;
+use jaysaddle_fleet::lease::LeaseKeeper;
+use jaysaddle_fleet::lease::LeaseTiming;
+use jaysaddle_fleet::peers::PeerPhase;
+use jaysaddle_fleet::peers::PeerTable;
+use jaysaddle_fleet::table::BackendTable;
+use jaysaddle_gateway::gateway::GatewaySettings;
+use jaysaddle_gateway::gateway::RequestGateway;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::serving::BackendEntry;
+use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use serde_json::Value;
+use tokio::sync::Notify;
+
+use crate::pool::BackendPool;
+use crate::settings::EntrySettings;
+use crate::store_client::StoreClient;
+
+/// Share of the platform's slack for repeats that is used; the rest covers requests that nodes count in
+/// different windows.
+const REPEAT_SLACK_SHARE: f64 = 0.8;
+/// Share of the platform's ratio of repeats that is used, for the same reason.
+const REPEAT_RATIO_SHARE: f64 = 0.9;
+
+/// State of an entry node.
+pub struct EntryNode {
+    pub settings: EntrySettings,
+    pub incarnation: Incarnation,
+    pub gateway: RefCell<RequestGateway>,
+    pub peers: RefCell<PeerTable>,
+    pub table: RefCell<BackendTable>,
+    /// When the table was last known to be complete and current.
+    pub table_read: Cell<Option<Timestamp>>,
+    pub config: RefCell<Option<Rc<ServingConfig>>>,
+    /// The configuration as read, for peers.
+    pub raw_config: RefCell<Option<Value>>,
+    /// Entries as read, for peers.
+    pub raw_entries: RefCell<BTreeMap<CompactString, Value>>,
+    pub controller: RefCell<FleetController>,
+    pub lease: RefCell<LeaseKeeper>,
+    pub pool: BackendPool,
+    pub store: StoreClient,
+    pub phase: Cell<PeerPhase>,
+    /// Requests of callers that are being handled.
+    pub open_requests: Cell<u32>,
+    /// Wakes the connections of callers when the node stops.
+    pub stopping: Notify,
+}
+
+impl EntryNode {
+    pub fn new(settings: EntrySettings) -> Self {
+        let bounds = settings.bounds;
+        let gateway_settings = GatewaySettings {
+            repeat_permille: (bounds.repeat_ratio * REPEAT_RATIO_SHARE * 1000.0) as u32,
+            repeat_burst: (f64::from(bounds.repeat_slack) * REPEAT_SLACK_SHARE) as u32,
+            ..GatewaySettings::default()
+        };
+        let incarnation = clock::new_incarnation();
+        Self {
+            gateway: RefCell::new(RequestGateway::new(gateway_settings, incarnation.0)),
+            peers: RefCell::default(),
+            table: RefCell::default(),
+            table_read: Cell::new(None),
+            config: RefCell::default(),
+            raw_config: RefCell::default(),
+            raw_entries: RefCell::default(),
+            controller: RefCell::new(FleetController::new(ControllerTiming::default())),
+            lease: RefCell::new(LeaseKeeper::new(
+                settings.node.clone(),
+                LeaseTiming::default(),
+            )),
+            pool: BackendPool::default(),
+            store: StoreClient::new(settings.store),
+            phase: Cell::new(PeerPhase::Starting),
+            open_requests: Cell::new(0),
+            stopping: Notify::new(),
+            incarnation,
+            settings,
+        }
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub fn config_version(&self) -> u64 {
+        self.config
+            .borrow()
+            .as_ref()
+            .map_or(0, |config| config.version)
+    }
+
+    /// Puts a configuration in force when it is newer than the present one.
+    pub fn apply_config(&self, spec: Value, origin: &str) {
+        let decoded = match parse_config(&spec) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                log::warn!("event=config_undecodable origin={origin} error=\"{error:#}\"");
+                return;
+            }
+        };
+        for problem in &decoded.problems {
+            log::warn!("event=config_part_undecodable problem=\"{problem}\"");
+        }
+        let before = self.config_version();
+        let config = Rc::new(decoded.config);
+        if config.version <= before {
+            return;
+        }
+        log::info!(
+            "event=config_in_force version={} before={before} origin={origin} routes={}",
+            config.version,
+            config.routes.len()
+        );
+        *self.raw_config.borrow_mut() = Some(spec);
+        *self.config.borrow_mut() = Some(config.clone());
+        self.gateway
+            .borrow_mut()
+            .set_config(config, &self.table.borrow());
+        if self.phase.get() == PeerPhase::Starting {
+            self.phase.set(PeerPhase::Serving);
+        }
+    }
+
+    /// Replaces the table by a whole reading.
+    pub fn replace_table(&self, entries: BTreeMap<CompactString, Value>, read: Timestamp) {
+        let decoded: Vec<BackendEntry> = entries
+            .iter()
+            .filter_map(|(name, spec)| decode_entry(name, spec))
+            .collect();
+        *self.raw_entries.borrow_mut() = entries;
+        self.table.borrow_mut().replace(decoded, clock::now());
+        self.table_read.set(Some(read));
+        self.fleet_changed();
+    }
+
+    /// Takes over one changed entry.
+    pub fn put_entry(&self, name: &CompactString, spec: Value) {
+        let now = clock::now();
+        match decode_entry(name, &spec) {
+            Some(entry) => {
+                self.table.borrow_mut().put(entry, now);
+            }
+            None => {
+                if let Ok(id) = name.parse() {
+                    self.table.borrow_mut().remove(&id, now);
+                }
+            }
+        }
+        self.raw_entries.borrow_mut().insert(name.clone(), spec);
+    }
+
+    /// Takes over the removal of an entry.
+    pub fn remove_entry(&self, name: &CompactString) {
+        self.raw_entries.borrow_mut().remove(name);
+        if let Ok(id) = name.parse() {
+            self.table.borrow_mut().remove(&id, clock::now());
+        }
+    }
+
+    /// Makes changes of the table visible to the gateway.
+    pub fn fleet_changed(&self) {
+        self.gateway
+            .borrow_mut()
+            .fleet_changed(&self.table.borrow());
+    }
+
+    /// Age of the table's reading.
+    pub fn table_age(&self, now: Timestamp) -> TimeSpan {
+        self.table_read
+            .get()
+            .map_or(TimeSpan(u64::MAX), |read| now.since(read))
+    }
+}
+
+fn decode_entry(name: &str, spec: &Value) -> Option<BackendEntry> {
+    match parse_entry(name, spec) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            log::debug!("event=entry_undecodable entry={name:?} error=\"{error:#}\"");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/pool.rs
@@ -0,0 +1,172 @@
+//! Kept connections to backend servers.
+//!
+//! # Invariants
+//!
+//! - A connection carries one request at a time and returns only after the whole answer was read.
+//! - A connection that closed, or got bytes that no request asked for, is not used again.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use jaysaddle_daemon::clock;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::exchange::Connection;
+use crate::exchange::ExchangeError;
+use crate::exchange::connect;
+
+/// Idle time after which a connection is not used again when the backend server states no limit. Most servers
+/// keep idle connections for longer.
+const UNSTATED_IDLE: TimeSpan = TimeSpan(4000);
+/// Part of the stated idle limit up to which a connection is used, in percent.
+const IDLE_PERCENT: u64 = 60;
+/// Idle time up to which a connection carries a request that must not run twice. A backend server that has just
+/// answered is not about to close.
+const FRESH_IDLE: TimeSpan = TimeSpan(1000);
+/// Kept connections a backend server.
+const KEPT_CONNECTIONS: usize = 16;
+
+/// One start of a backend server at its address.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct BackendKey {
+    pub id: VmId,
+    pub started: u64,
+    pub address: SocketAddr,
+}
+
+struct IdleConnection {
+    connection: Connection,
+    since: Timestamp,
+    idle_limit: TimeSpan,
+}
+
+type OpenCounts = Rc<RefCell<HashMap<VmId, u32>>>;
+
+/// Counts an open connection while it lives.
+struct OpenCount {
+    counts: OpenCounts,
+    id: VmId,
+}
+
+impl OpenCount {
+    fn new(counts: &OpenCounts, id: &VmId) -> Self {
+        *counts.borrow_mut().entry(id.clone()).or_default() += 1;
+        Self {
+            counts: counts.clone(),
+            id: id.clone(),
+        }
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        let mut counts = self.counts.borrow_mut();
+        if let Some(count) = counts.get_mut(&self.id) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.id);
+            }
+        }
+    }
+}
+
+/// A connection that is in use.
+pub struct PooledConnection {
+    pub connection: Connection,
+    key: BackendKey,
+    count: OpenCount,
+}
+
+/// Kept connections to backend servers.
+#[derive(Default)]
+pub struct BackendPool {
+    idle: RefCell<HashMap<BackendKey, Vec<(IdleConnection, OpenCount)>>>,
+    open: OpenCounts,
+}
+
+impl BackendPool {
+    /// Connections that are open to a backend server, in use or not.
+    pub fn open_count(&self, id: &VmId) -> u32 {
+        self.open.borrow().get(id).copied().unwrap_or(0)
+    }
+
+    /// Takes a kept connection or opens one. With `must_be_fresh`, a kept one must have been used lately.
+    pub async fn take(
+        &self,
+        key: &BackendKey,
+        must_be_fresh: bool,
+    ) -> Result<PooledConnection, ExchangeError> {
+        if let Some(kept) = self.take_idle(key, must_be_fresh) {
+            return Ok(kept);
+        }
+        let count = OpenCount::new(&self.open, &key.id);
+        let connection = connect(key.address).await?;
+        metrics::counter!("jaysaddle_backend_connections_total").increment(1);
+        Ok(PooledConnection {
+            connection,
+            key: key.clone(),
+            count,
+        })
+    }
+
+    fn take_idle(&self, key: &BackendKey, must_be_fresh: bool) -> Option<PooledConnection> {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(key)?;
+        while let Some((candidate, count)) = kept.pop() {
+            let age = now.since(candidate.since);
+            let limit = if must_be_fresh {
+                candidate.idle_limit.min(FRESH_IDLE)
+            } else {
+                candidate.idle_limit
+            };
+            let is_usable =
+                age < limit && !candidate.connection.is_closed() && candidate.connection.is_ready();
+            if is_usable {
+                return Some(PooledConnection {
+                    connection: candidate.connection,
+                    key: key.clone(),
+                    count,
+                });
+            }
+        }
+        None
+    }
+
+    /// Takes back a connection after a whole answer. `stated_idle` is the backend server's limit.
+    pub fn put(&self, pooled: PooledConnection, stated_idle: Option<TimeSpan>) {
+        if pooled.connection.is_closed() {
+            return;
+        }
+        let idle_limit = stated_idle.map_or(UNSTATED_IDLE, |stated| {
+            TimeSpan(stated.0 * IDLE_PERCENT / 100)
+        });
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(pooled.key).or_default();
+        if kept.len() < KEPT_CONNECTIONS {
+            let connection = IdleConnection {
+                connection: pooled.connection,
+                since: clock::now(),
+                idle_limit,
+            };
+            kept.push((connection, pooled.count));
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self) {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|(candidate, _)| {
+                now.since(candidate.since) < candidate.idle_limit
+                    && !candidate.connection.is_closed()
+            });
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,217 @@
+//! Passes a stream on to its caller, event by event, and goes on at another group when the first one fails.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use jaysaddle_daemon::clock;
+use jaysaddle_gateway::gateway::TargetOutcome;
+use jaysaddle_types::serving::RequestKind;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use tokio::time::timeout;
+
+use crate::answer::Answer;
+use crate::answer::AnswerBody;
+use crate::caller_request::CallerRequest;
+use crate::caller_request::strip_connection_headers;
+use crate::events::EventBuffer;
+use crate::forward::AttemptLog;
+use crate::forward::LEAST_TIME_LEFT;
+use crate::forward::LiveAttempt;
+use crate::forward::SILENCE_STEP;
+use crate::forward::StreamHold;
+use crate::forward::attempt;
+use crate::forward::is_stalled;
+use crate::node::EntryNode;
+
+/// Least time left for a stream to go on elsewhere: its prompt has to be read again.
+const LEAST_RESUME_TIME: TimeSpan = TimeSpan(400);
+
+/// A stream on its way to a caller.
+pub struct StreamRelay {
+    node: Rc<EntryNode>,
+    request: CallerRequest,
+    log: AttemptLog,
+    live: Option<LiveAttempt>,
+    events: EventBuffer,
+    /// When data came last, for the pause between events.
+    last_data: Timestamp,
+    has_data: bool,
+    _hold: StreamHold,
+}
+
+/// What one wait for data gave.
+enum Arrival {
+    Data(Bytes),
+    End,
+    Broken(String),
+}
+
+impl StreamRelay {
+    /// A relay of an answer that has begun.
+    pub fn new(
+        node: Rc<EntryNode>,
+        request: CallerRequest,
+        log: AttemptLog,
+        live: LiveAttempt,
+        hold: impl Into<StreamHold>,
+    ) -> Self {
+        let events = EventBuffer::after(request.last_event);
+        Self {
+            node,
+            request,
+            log,
+            live: Some(live),
+            events,
+            last_data: clock::now(),
+            has_data: false,
+            _hold: hold.into(),
+        }
+    }
+
+    /// The answer: headers of the first backend server, and the events as they come.
+    pub fn into_answer(self) -> Answer {
+        let mut answer = Response::new(());
+        if let Some(live) = &self.live {
+            *answer.status_mut() = live.response.status();
+            *answer.headers_mut() = live.response.headers().clone();
+        }
+        strip_connection_headers(answer.headers_mut());
+        let stream = unfold(Some(self), |state| async move {
+            let mut relay = state?;
+            match relay.next().await {
+                Some(Ok(data)) => Some((Ok(Frame::data(data)), Some(relay))),
+                Some(Err(error)) => Some((Err(error), None)),
+                None => None,
+            }
+        });
+        answer.map(|()| Box::pin(StreamBody::new(stream)) as AnswerBody)
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        loop {
+            let cause = match self.arrival().await {
+                Arrival::Data(data) => match self.events.push(&data) {
+                    Ok(ready) if ready.is_empty() => continue,
+                    Ok(ready) => return Some(Ok(ready)),
+                    Err(error) => error.to_string(),
+                },
+                Arrival::End if !self.events.has_partial() => {
+                    self.complete();
+                    return None;
+                }
+                Arrival::End => "ended inside an event".to_owned(),
+                Arrival::Broken(cause) => cause,
+            };
+            if let Err(cause) = self.resume(&cause).await {
+                metrics::counter!("jaysaddle_streams_broken_total").increment(1);
+                log::info!(
+                    "event=stream_broken request={} last_event={:?} cause=\"{cause}\"",
+                    self.request.id,
+                    self.events.last_id()
+                );
+                return Some(Err(io::Error::other(cause)));
+            }
+        }
+    }
+
+    /// Waits for data until it comes, the stream ends, or the backend server counts as failed.
+    async fn arrival(&mut self) -> Arrival {
+        loop {
+            let left = self.request.time_left();
+            if left.0 == 0 {
+                return Arrival::Broken("time is up".to_owned());
+            }
+            let may_resume = self.may_resume();
+            let Some(live) = &mut self.live else {
+                return Arrival::Broken("no backend server".to_owned());
+            };
+            let wait = SILENCE_STEP.min(left).as_duration();
+            let target = live.guard.target.clone();
+            match timeout(wait, live.response.body_mut().frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let now = clock::now();
+                    let pause = self.has_data.then(|| now.since(self.last_data));
+                    self.last_data = now;
+                    self.has_data = true;
+                    self.node
+                        .gateway
+                        .borrow_mut()
+                        .progressed(target.number, pause, now);
+                    if let Ok(data) = frame.into_data() {
+                        return Arrival::Data(data);
+                    }
+                }
+                Ok(Some(Err(error))) => return Arrival::Broken(error.to_string()),
+                Ok(None) => return Arrival::End,
+                Err(_) => {
+                    let now = clock::now();
+                    let silence = now.since(self.last_data);
+                    if may_resume && is_stalled(&self.node, &target, silence, now) {
+                        return Arrival::Broken(format!("no data for {silence}"));
+                    }
+                }
+            }
+        }
+    }
+
+    fn may_resume(&self) -> bool {
+        let rule = &self.request.route.rule;
+        let is_resumable = matches!(
+            rule.kind,
+            RequestKind::Stream {
+                is_resumable: true,
+                ..
+            }
+        );
+        is_resumable
+            && self.log.runs < rule.max_attempts
+            && self.request.time_left() >= LEAST_RESUME_TIME
+    }
+
+    fn complete(&mut self) {
+        if let Some(live) = self.live.take() {
+            let stated_idle = live.stated_idle();
+            live.guard.finish(TargetOutcome::Answered);
+            self.node.pool.put(live.connection, stated_idle);
+        }
+    }
+
+    /// Goes on at another group after the last event that the caller has.
+    async fn resume(&mut self, cause: &str) -> Result<(), String> {
+        if let Some(live) = self.live.take() {
+            let number = live.guard.target.number;
+            self.node.gateway.borrow_mut().avoid(number, clock::now());
+            live.guard.finish(TargetOutcome::Failed);
+        }
+        if !self.may_resume() || self.request.time_left() < LEAST_TIME_LEFT {
+            return Err(cause.to_owned());
+        }
+        self.events.drop_partial();
+        let last = self.events.last_id();
+        let live = attempt(&self.node, &self.request, &mut self.log, last)
+            .await
+            .map_err(|failure| format!("{cause}; resume: {}", failure.reason))?;
+        if !live.response.status().is_success() {
+            let status = live.response.status().as_u16();
+            live.guard.finish(TargetOutcome::Failed);
+            return Err(format!("{cause}; resume: status {status}"));
+        }
+        metrics::counter!("jaysaddle_streams_resumed_total").increment(1);
+        log::info!(
+            "event=stream_resumed request={} last_event={last:?} backend={} cause=\"{cause}\"",
+            self.request.id,
+            live.guard.target.backend
+        );
+        self.last_data = clock::now();
+        self.has_data = false;
+        self.live = Some(live);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/store_client.rs
@@ -0,0 +1,131 @@
+//! Calls to the platform's store over kept connections.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use eyre::eyre;
+use http::Request;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use jaysaddle_adapter::store::StoreAnswer;
+use jaysaddle_adapter::store::StoreCall;
+use jaysaddle_adapter::store::encode_call;
+use jaysaddle_adapter::store::parse_answer;
+use jaysaddle_types::units::TimeSpan;
+use tokio::time::timeout;
+
+use crate::exchange::Connection;
+use crate::exchange::ExchangeError;
+use crate::exchange::connect;
+use crate::exchange::send;
+
+/// Connections that are kept; a watch and a few calls run side by side.
+const KEPT_CONNECTIONS: usize = 3;
+
+/// Client of the store.
+#[derive(Debug)]
+pub struct StoreClient {
+    address: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+    /// Whether the last call was answered; for logging the changes only.
+    is_reachable: Cell<bool>,
+}
+
+impl StoreClient {
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: RefCell::default(),
+            is_reachable: Cell::new(true),
+        }
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be reached or does not answer in time; the verdict says whether the call
+    /// may have been carried out.
+    pub async fn call(
+        &self,
+        call: &StoreCall,
+        limit: TimeSpan,
+    ) -> Result<StoreAnswer, ExchangeError> {
+        metrics::counter!("jaysaddle_store_calls_total", "call" => call.label()).increment(1);
+        let result = match timeout(limit.as_duration(), self.exchange(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(ExchangeError::may_have_run(eyre!("no answer in {limit}"))),
+        };
+        self.note(call, &result);
+        result
+    }
+
+    fn note(&self, call: &StoreCall, result: &Result<StoreAnswer, ExchangeError>) {
+        let failure = match result {
+            Ok(StoreAnswer::Refused { status }) => Some(format!("status {status}")),
+            Ok(_) => None,
+            Err(error) => Some(format!("{:#}", error.cause)),
+        };
+        let was_reachable = self.is_reachable.replace(failure.is_none());
+        if let Some(failure) = failure {
+            metrics::counter!("jaysaddle_store_failures_total", "call" => call.label())
+                .increment(1);
+            if was_reachable {
+                log::warn!(
+                    "event=store_lost call={} failure=\"{failure}\"",
+                    call.label()
+                );
+            }
+        } else if !was_reachable {
+            log::info!("event=store_regained call={}", call.label());
+        }
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if !connection.is_closed() && connection.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn exchange(&self, call: &StoreCall) -> Result<StoreAnswer, ExchangeError> {
+        let encoded = encode_call(call);
+        let mut connection = match self.take_idle() {
+            Some(connection) => connection,
+            None => connect(self.address).await?,
+        };
+        let mut builder = Request::builder()
+            .method(encoded.method)
+            .uri(encoded.target.as_str())
+            .header(header::HOST, self.address.to_string());
+        if !encoded.body.is_empty() {
+            builder = builder.header(header::CONTENT_TYPE, "application/json");
+        }
+        let request = builder
+            .body(Full::new(Bytes::from(encoded.body)))
+            .map_err(ExchangeError::not_run)?;
+        let response = send(&mut connection, request).await?;
+        let status = response.status().as_u16();
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(ExchangeError::may_have_run)?
+            .to_bytes();
+        let answer = parse_answer(call, status, &body)
+            .wrap_err_with(|| format!("answer to {}", call.label()))
+            .map_err(ExchangeError::may_have_run)?;
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < KEPT_CONNECTIONS && !connection.is_closed() {
+            idle.push(connection);
+        }
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/store_sync.rs
@@ -0,0 +1,263 @@
+//! Follows the platform's store: configuration, backend servers, nodes and the lease.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use jaysaddle_adapter::store::CONFIG_NAME;
+use jaysaddle_adapter::store::ObjectKind;
+use jaysaddle_adapter::store::StoreAnswer;
+use jaysaddle_adapter::store::StoreCall;
+use jaysaddle_adapter::store::StoreObject;
+use jaysaddle_daemon::clock;
+use jaysaddle_types::ids::StoreRevision;
+use jaysaddle_types::units::TimeSpan;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::node::EntryNode;
+
+/// Time for a call that does not wait; the store answers in milliseconds, and in some hundred when it is slow.
+pub const CALL_LIMIT: TimeSpan = TimeSpan(900);
+/// Longest wait of a watch of the configuration. A connection that went silent is replaced after this time.
+const CONFIG_WAIT: TimeSpan = TimeSpan(2500);
+/// Longest wait of a watch of the backend servers, which write all the time.
+const TABLE_WAIT: TimeSpan = TimeSpan(1000);
+/// Time beyond a watch's wait after which its connection counts as silent.
+const WATCH_GRACE: TimeSpan = TimeSpan(400);
+/// Pause after a failed call, so that a store that comes back is not flooded.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two readings of changed entries at the controller, which has to notice losses.
+const CONTROLLER_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two readings of changed entries at the other nodes.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(450);
+/// Pauses before the first readings of the list of nodes, while all nodes start.
+const NODE_LIST_STARTS: [Duration; 3] = [
+    Duration::from_millis(300),
+    Duration::from_millis(700),
+    Duration::from_millis(1500),
+];
+/// Pause between two later readings of the list of nodes; beats tell of new nodes sooner.
+const NODE_LIST_PAUSE: Duration = Duration::from_secs(5);
+
+/// Reads all objects of a kind.
+async fn read_all(
+    node: &EntryNode,
+    kind: ObjectKind,
+    may_be_stale: bool,
+) -> Option<(Vec<StoreObject>, StoreRevision)> {
+    let mut all = Vec::new();
+    let mut after = None;
+    let mut first_revision = None;
+    loop {
+        let call = StoreCall::List {
+            kind,
+            after: after.take(),
+            may_be_stale,
+        };
+        match node.store.call(&call, CALL_LIMIT).await {
+            Ok(StoreAnswer::Page {
+                objects,
+                has_more,
+                revision,
+            }) => {
+                // Changes after the first page are read again by the watch.
+                let revision = *first_revision.get_or_insert(revision);
+                after = objects.last().map(|object| object.name.clone());
+                all.extend(objects);
+                if !has_more || after.is_none() {
+                    return Some((all, revision));
+                }
+            }
+            Ok(StoreAnswer::Missing) => return Some((all, StoreRevision(0))),
+            _ => return None,
+        }
+    }
+}
+
+/// Keeps the configuration in force.
+pub async fn follow_config(node: Rc<EntryNode>) {
+    let mut since: Option<StoreRevision> = None;
+    loop {
+        let Some(revision) = since else {
+            match read_all(&node, ObjectKind::Config, false).await {
+                Some((objects, revision)) => {
+                    apply_config_objects(&node, objects);
+                    since = Some(revision);
+                }
+                None => sleep(FAILURE_PAUSE).await,
+            }
+            continue;
+        };
+        let call = StoreCall::Watch {
+            kind: ObjectKind::Config,
+            since: revision,
+            wait: CONFIG_WAIT,
+        };
+        let limit = TimeSpan(CONFIG_WAIT.0 + WATCH_GRACE.0);
+        match node.store.call(&call, limit).await {
+            Ok(StoreAnswer::Changes { changes, revision }) => {
+                let objects = changes
+                    .into_iter()
+                    .filter(|change| !change.is_removed)
+                    .map(|change| change.object)
+                    .collect();
+                apply_config_objects(&node, objects);
+                since = Some(revision);
+            }
+            Ok(StoreAnswer::HistoryGone) => since = None,
+            _ => {
+                since = None;
+                sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn apply_config_objects(node: &EntryNode, objects: Vec<StoreObject>) {
+    for object in objects {
+        if object.name == CONFIG_NAME {
+            node.apply_config(object.spec, "store");
+        }
+    }
+}
+
+/// Keeps the table of backend servers.
+pub async fn follow_backends(node: Rc<EntryNode>) {
+    let mut since: Option<StoreRevision> = None;
+    loop {
+        let started = clock::now();
+        let Some(revision) = since else {
+            match read_all(&node, ObjectKind::Backends, false).await {
+                Some((objects, revision)) => {
+                    let entries = objects
+                        .into_iter()
+                        .map(|object| (object.name, object.spec))
+                        .collect::<BTreeMap<_, _>>();
+                    node.replace_table(entries, started);
+                    since = Some(revision);
+                }
+                None => sleep(FAILURE_PAUSE).await,
+            }
+            continue;
+        };
+        let call = StoreCall::Watch {
+            kind: ObjectKind::Backends,
+            since: revision,
+            wait: TABLE_WAIT,
+        };
+        let limit = TimeSpan(TABLE_WAIT.0 + WATCH_GRACE.0);
+        match node.store.call(&call, limit).await {
+            Ok(StoreAnswer::Changes { changes, revision }) => {
+                for change in changes {
+                    if change.is_removed {
+                        node.remove_entry(&change.object.name);
+                    } else {
+                        node.put_entry(&change.object.name, change.object.spec);
+                    }
+                }
+                node.table_read.set(Some(started));
+                node.fleet_changed();
+                since = Some(revision);
+            }
+            Ok(StoreAnswer::HistoryGone) => since = None,
+            _ => {
+                since = None;
+                sleep(FAILURE_PAUSE).await;
+            }
+        }
+        let holds = node.lease.borrow().holds(clock::now()).is_some();
+        sleep(if holds {
+            CONTROLLER_PAUSE
+        } else {
+            FOLLOWER_PAUSE
+        })
+        .await;
+    }
+}
+
+/// Content of a node's object.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct NodeBody {
+    peer_address: SocketAddr,
+}
+
+/// Tells other nodes where this one is, and learns where they are.
+pub async fn follow_nodes(node: Rc<EntryNode>, addresses: flume::Sender<SocketAddr>) {
+    let mut is_registered = false;
+    let mut pauses = NODE_LIST_STARTS.into_iter();
+    loop {
+        if !is_registered {
+            is_registered = register(&node).await;
+        }
+        let pause = pauses.next();
+        let may_be_stale = pause.is_none();
+        if let Some((objects, _)) = read_all(&node, ObjectKind::Nodes, may_be_stale).await {
+            for object in objects {
+                match NodeBody::deserialize(&object.spec) {
+                    Ok(body) => {
+                        // The receiver lives as long as the node.
+                        let _ = addresses.send(body.peer_address);
+                    }
+                    Err(error) => log::warn!(
+                        "event=node_object_undecodable object={:?} error=\"{error}\"",
+                        object.name
+                    ),
+                }
+            }
+        }
+        sleep(pause.unwrap_or(NODE_LIST_PAUSE)).await;
+    }
+}
+
+async fn register(node: &EntryNode) -> bool {
+    let name: CompactString = node.settings.node.to_compact_string();
+    let body = NodeBody {
+        peer_address: node.settings.peer_address(),
+    };
+    let spec = match serde_json::to_value(&body) {
+        Ok(spec) => spec,
+        Err(error) => {
+            log::error!("event=node_object_unencodable error=\"{error}\"");
+            return false;
+        }
+    };
+    let create = StoreCall::Create {
+        kind: ObjectKind::Nodes,
+        name: name.clone(),
+        spec: spec.clone(),
+    };
+    match node.store.call(&create, CALL_LIMIT).await {
+        Ok(StoreAnswer::Object(_)) => true,
+        Ok(StoreAnswer::Conflict) => replace_registration(node, name, spec).await,
+        _ => false,
+    }
+}
+
+async fn replace_registration(node: &EntryNode, name: CompactString, spec: Value) -> bool {
+    let read = StoreCall::Read {
+        kind: ObjectKind::Nodes,
+        name: name.clone(),
+    };
+    match node.store.call(&read, CALL_LIMIT).await {
+        Ok(StoreAnswer::Object(object)) if object.spec == spec => true,
+        Ok(StoreAnswer::Object(object)) => {
+            let replace = StoreCall::Replace {
+                kind: ObjectKind::Nodes,
+                name,
+                version: object.version,
+                spec,
+            };
+            matches!(
+                node.store.call(&replace, CALL_LIMIT).await,
+                Ok(StoreAnswer::Object(_))
+            )
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/controller.rs
@@ -0,0 +1,1006 @@
+//! Forms and repairs groups. Runs at the node that holds the controller's lease.
+//!
+//! The truth about groups is what the backend servers report. The controller keeps only what it has ordered
+//! and not yet seen done, so that another node can go on from the reports alone.
+//!
+//! # Invariants
+//!
+//! - A group is opened only after every member has reported that it holds its part under the group's name and
+//!   generation.
+//! - A VM is ordered into another group only when the leader of its group is not serving: it has answered an
+//!   order to leave, reports that it does not serve, or is gone.
+//! - Every order to join names the number of orders that the VM is known to have accepted, so that an order
+//!   which arrives after a newer one has no effect.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::ServiceId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::BackendEntry;
+use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::EngineProfile;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::serving::OrderResult;
+use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::demand::DemandMeter;
+use crate::groups::ReportedGroup;
+use crate::groups::reported_groups;
+use crate::loads::LoadPacer;
+use crate::plan::FreeVm;
+use crate::plan::ModelNeed;
+use crate::plan::PlannedGroup;
+use crate::plan::plan_groups;
+use crate::table::BackendTable;
+
+/// Bits of a generation below the controller's term; a term forms fewer groups than this holds.
+const COUNTER_BITS: u32 = 20;
+
+/// Times of the controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ControllerTiming {
+    /// Time without a new backend server after which the first plan is made.
+    pub settle: TimeSpan,
+    /// Latest time of the first plan after the first backend server was seen.
+    pub settle_limit: TimeSpan,
+    /// Pause before an order or probe without success is repeated.
+    pub repeat: TimeSpan,
+    /// Pause before an accepted order to a leader that shows no effect is repeated.
+    pub leader_repeat: TimeSpan,
+    /// Pause between probes of a VM that counts as lost.
+    pub lost_repeat: TimeSpan,
+    /// Time after which an accepted join that the entry does not show has failed.
+    pub join_visible: TimeSpan,
+    /// Longest formation of a group; loads share the weight store, so this is several load times.
+    pub join_limit: TimeSpan,
+    /// Time for which an order without an answer may still be carried out.
+    pub uncertain: TimeSpan,
+    /// Time after which the VMs of a leader that is gone are free: the platform treats its entry as final then.
+    pub leader_gone: TimeSpan,
+    /// Failed probes in a row after which a member counts as lost.
+    pub lost_probes: u32,
+    /// Time after which a group that is asked to close is made to leave.
+    pub close_limit: TimeSpan,
+    /// Join with weights that are in memory.
+    pub memory_join_time: TimeSpan,
+}
+
+impl Default for ControllerTiming {
+    fn default() -> Self {
+        Self {
+            settle: TimeSpan(400),
+            settle_limit: TimeSpan(4000),
+            repeat: TimeSpan(250),
+            leader_repeat: TimeSpan(1000),
+            lost_repeat: TimeSpan(1000),
+            join_visible: TimeSpan(3000),
+            join_limit: TimeSpan::from_secs(60),
+            uncertain: TimeSpan::from_secs(13),
+            leader_gone: TimeSpan(2500),
+            lost_probes: 2,
+            close_limit: TimeSpan(9000),
+            memory_join_time: TimeSpan(200),
+        }
+    }
+}
+
+/// Where a group stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum GroupStage {
+    /// Members join.
+    Joining,
+    /// The leader was told to open.
+    Opening,
+    /// The leader serves.
+    Serving,
+    /// The leader finishes its requests because a member is leaving.
+    Closing { since: Timestamp },
+    /// The leader is told to leave because a member is lost.
+    Dissolving,
+}
+
+/// A group under control.
+#[derive(Clone, Debug)]
+struct ControlledGroup {
+    service: ServiceId,
+    model: ModelId,
+    members: Vec<VmId>,
+    stage: GroupStage,
+    since: Timestamp,
+    /// Members that have accepted the order to join, and when.
+    joined: BTreeMap<VmId, Timestamp>,
+    /// When the last order to the leader was sent.
+    last_order: Option<Timestamp>,
+}
+
+impl ControlledGroup {
+    fn leader(&self) -> &VmId {
+        &self.members[0]
+    }
+}
+
+/// What the controller knows about a VM beyond its entry.
+#[derive(Clone, Debug, Default)]
+struct ControlledVm {
+    started: u64,
+    address: Option<SocketAddr>,
+    /// Accepted orders, from reports and answers; `None` until a report was read.
+    order_count: Option<u64>,
+    in_flight: Option<BackendOrder>,
+    /// Until when an order without an answer may still be carried out.
+    uncertain_until: Option<Timestamp>,
+    next_order: Option<Timestamp>,
+    probe_in_flight: bool,
+    next_probe: Option<Timestamp>,
+    failed_probes: u32,
+}
+
+/// An event of the controller.
+#[derive(Clone, Debug)]
+pub enum FleetEvent {
+    /// Time has passed.
+    Tick,
+    /// This node took the lease.
+    Acquired(LeaseEpoch),
+    /// This node lost the lease.
+    Lost,
+    /// An order ended.
+    Ordered {
+        /// VM.
+        id: VmId,
+        /// The order.
+        order: BackendOrder,
+        /// Result.
+        result: OrderResult,
+    },
+    /// A report was read, or could not be. `Some` holds the number of accepted orders.
+    Probed {
+        /// VM.
+        id: VmId,
+        /// Accepted orders.
+        order_count: Option<u64>,
+    },
+    /// Requests at the leader `id` get no data.
+    Silent {
+        /// VM.
+        id: VmId,
+    },
+    /// Requests that run, wait or were refused, by model.
+    Demand(Vec<(ModelId, f64)>),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetEffect {
+    /// Send an order.
+    Order {
+        /// VM.
+        id: VmId,
+        /// Its address.
+        address: SocketAddr,
+        /// The order.
+        order: BackendOrder,
+        /// Accepted orders that the order names.
+        order_count: Option<u64>,
+    },
+    /// Read a report.
+    Probe {
+        /// VM.
+        id: VmId,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// A decision, for the log.
+    Decided(CompactString),
+}
+
+/// What the controller reads.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetView<'a> {
+    /// Backend servers.
+    pub table: &'a BackendTable,
+    /// Configuration.
+    pub config: &'a ServingConfig,
+}
+
+/// The controller.
+#[derive(Debug)]
+pub struct FleetController {
+    timing: ControllerTiming,
+    term: Option<LeaseEpoch>,
+    next_counter: u64,
+    groups: BTreeMap<GroupKey, ControlledGroup>,
+    vms: BTreeMap<VmId, ControlledVm>,
+    demand: DemandMeter,
+    loads: LoadPacer,
+    acquired: Timestamp,
+    has_planned: bool,
+    effects: Vec<FleetEffect>,
+}
+
+impl FleetController {
+    /// A controller without a term.
+    pub fn new(timing: ControllerTiming) -> Self {
+        Self {
+            timing,
+            term: None,
+            next_counter: 0,
+            groups: BTreeMap::new(),
+            vms: BTreeMap::new(),
+            demand: DemandMeter::default(),
+            loads: LoadPacer::default(),
+            acquired: Timestamp(0),
+            has_planned: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Handles an event.
+    pub fn step(
+        &mut self,
+        event: FleetEvent,
+        view: FleetView<'_>,
+        now: Timestamp,
+    ) -> Vec<FleetEffect> {
+        match event {
+            FleetEvent::Acquired(term) => self.acquire(term, now),
+            FleetEvent::Lost => self.release(),
+            FleetEvent::Tick => self.tick(view, now),
+            FleetEvent::Ordered { id, order, result } => self.ordered(&id, order, result, now),
+            FleetEvent::Probed { id, order_count } => self.probed(&id, order_count, now),
+            FleetEvent::Silent { id } => self.silent(&id, now),
+            FleetEvent::Demand(demands) => {
+                for (model, places) in demands {
+                    self.demand.observe(&model, places, now);
+                }
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Number of groups by stage, for metrics.
+    pub fn group_count(&self) -> usize {
+        self.groups.len()
+    }
+
+    fn acquire(&mut self, term: LeaseEpoch, now: Timestamp) {
+        self.term = Some(term);
+        self.next_counter = 0;
+        self.groups.clear();
+        self.vms.clear();
+        self.acquired = now;
+        self.has_planned = false;
+    }
+
+    fn release(&mut self) {
+        self.term = None;
+        self.groups.clear();
+        self.vms.clear();
+    }
+
+    fn decided(&mut self, text: CompactString) {
+        self.effects.push(FleetEffect::Decided(text));
+    }
+
+    fn tick(&mut self, view: FleetView<'_>, now: Timestamp) {
+        if self.term.is_none() {
+            return;
+        }
+        self.follow_entries(view);
+        let reported = reported_groups(view.table, view.config);
+        self.adopt(&reported, now);
+        let keys: Vec<GroupKey> = self.groups.keys().cloned().collect();
+        for key in keys {
+            self.advance(&key, view, reported.get(&key), now);
+        }
+        self.probe_due(now);
+        if self.may_plan(view, now) {
+            self.form_groups(view, &reported, now);
+        }
+    }
+
+    fn follow_entries(&mut self, view: FleetView<'_>) {
+        for row in view.table.rows() {
+            let entry = &row.entry;
+            if view.config.engine(&entry.service).is_none() {
+                continue;
+            }
+            let vm = self.vms.entry(entry.id.clone()).or_default();
+            if vm.started != entry.started {
+                *vm = ControlledVm {
+                    started: entry.started,
+                    ..ControlledVm::default()
+                };
+            }
+            vm.address = Some(entry.address);
+        }
+        let held: BTreeSet<VmId> = self
+            .groups
+            .values()
+            .flat_map(|group| group.members.iter().cloned())
+            .collect();
+        self.vms
+            .retain(|id, _| view.table.get(id).is_some() || held.contains(id));
+    }
+
+    /// Takes over groups that an earlier holder of the lease has formed.
+    fn adopt(&mut self, reported: &BTreeMap<GroupKey, ReportedGroup>, now: Timestamp) {
+        for (key, group) in reported {
+            if self.groups.contains_key(key) {
+                continue;
+            }
+            let Some(phase) = group.leader_phase else {
+                continue;
+            };
+            let is_held = group
+                .members
+                .values()
+                .any(|id| self.holder_of(id).is_some());
+            let stage = match phase {
+                _ if is_held => match phase {
+                    MemberPhase::Open | MemberPhase::Closing => GroupStage::Dissolving,
+                    _ => continue,
+                },
+                MemberPhase::Open if group.is_whole() && group.is_loaded => GroupStage::Serving,
+                MemberPhase::Closing => GroupStage::Closing { since: now },
+                MemberPhase::Open => GroupStage::Dissolving,
+                MemberPhase::Joining | MemberPhase::Ready if group.is_whole() => {
+                    GroupStage::Joining
+                }
+                _ => continue,
+            };
+            let members: Vec<VmId> = group.members.values().cloned().collect();
+            let joined = members.iter().map(|id| (id.clone(), now)).collect();
+            self.decided(format_compact!(
+                "group={key} decision=adopt model={} phase={phase:?} members={}",
+                group.model,
+                members.len()
+            ));
+            self.groups.insert(
+                key.clone(),
+                ControlledGroup {
+                    service: group.service.clone(),
+                    model: group.model.clone(),
+                    members,
+                    stage,
+                    since: now,
+                    joined,
+                    last_order: None,
+                },
+            );
+        }
+    }
+
+    fn holder_of(&self, id: &VmId) -> Option<&GroupKey> {
+        self.groups
+            .iter()
+            .find(|(_, group)| group.members.contains(id))
+            .map(|(key, _)| key)
+    }
+
+    fn is_lost(&self, id: &VmId) -> bool {
+        self.vms
+            .get(id)
+            .is_some_and(|vm| vm.failed_probes >= self.timing.lost_probes)
+    }
+
+    /// Why a member cannot stay in its group; `None` when it can.
+    fn member_fault(&self, key: &GroupKey, id: &VmId, view: FleetView<'_>) -> Option<&'static str> {
+        let Some(row) = view.table.get(id) else {
+            return Some("gone");
+        };
+        if self.is_lost(id) {
+            return Some("unreachable");
+        }
+        let membership = row.entry.membership.as_ref();
+        match membership {
+            Some(membership) if membership.key == *key => match membership.phase {
+                MemberPhase::Broken => Some("broken"),
+                MemberPhase::Unknown => Some("unknown_phase"),
+                _ => None,
+            },
+            Some(_) => Some("in_another_group"),
+            None => Some("in_no_group"),
+        }
+    }
+
+    fn advance(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        reported: Option<&ReportedGroup>,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key) else {
+            return;
+        };
+        match group.stage.clone() {
+            GroupStage::Joining => self.advance_joining(key, view, reported, now),
+            GroupStage::Opening | GroupStage::Serving => {
+                self.advance_serving(key, view, reported, now);
+            }
+            GroupStage::Closing { since } => self.advance_closing(key, view, since, now),
+            GroupStage::Dissolving => self.advance_dissolving(key, view, now),
+        }
+    }
+
+    fn advance_joining(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        reported: Option<&ReportedGroup>,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key).cloned() else {
+            return;
+        };
+        let mut fault = None;
+        for id in &group.members {
+            let Some(row) = view.table.get(id) else {
+                fault = Some((id.clone(), "gone"));
+                break;
+            };
+            if row.entry.is_draining {
+                fault = Some((id.clone(), "draining"));
+            } else if self.is_lost(id) {
+                fault = Some((id.clone(), "unreachable"));
+            } else if let Some(accepted) = group.joined.get(id) {
+                let shown = row
+                    .entry
+                    .membership
+                    .as_ref()
+                    .is_some_and(|membership| membership.key == *key);
+                if !shown && now.since(*accepted) >= self.timing.join_visible {
+                    fault = Some((id.clone(), "join_not_shown"));
+                }
+            }
+        }
+        if fault.is_none() && now.since(group.since) >= self.timing.join_limit {
+            fault = Some((group.leader().clone(), "join_timeout"));
+        }
+        if let Some((id, reason)) = fault {
+            self.decided(format_compact!(
+                "group={key} decision=abandon vm={id} reason={reason}"
+            ));
+            self.groups.remove(key);
+            return;
+        }
+        let is_ready = reported.is_some_and(|group| {
+            group.is_whole()
+                && group.is_loaded
+                && matches!(
+                    group.leader_phase,
+                    Some(MemberPhase::Ready | MemberPhase::Open)
+                )
+        });
+        if is_ready {
+            if self.order_leader(key, BackendOrder::Open { key: key.clone() }, now) {
+                self.set_stage(key, GroupStage::Opening);
+            }
+            return;
+        }
+        let missing: Vec<VmId> = group
+            .members
+            .iter()
+            .filter(|id| !group.joined.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            let order = BackendOrder::Join {
+                key: key.clone(),
+                model: group.model.clone(),
+                members: group.members.clone(),
+            };
+            self.send_order(&id, order, now);
+        }
+    }
+
+    fn advance_serving(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        reported: Option<&ReportedGroup>,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key).cloned() else {
+            return;
+        };
+        let fault = group
+            .members
+            .iter()
+            .find_map(|id| Some((id.clone(), self.member_fault(key, id, view)?)));
+        if let Some((id, reason)) = fault {
+            self.decided(format_compact!(
+                "group={key} decision=dissolve vm={id} reason={reason}"
+            ));
+            self.set_stage(key, GroupStage::Dissolving);
+            self.advance_dissolving(key, view, now);
+            return;
+        }
+        let Some(reported) = reported else {
+            return;
+        };
+        if reported.has_draining {
+            self.decided(format_compact!(
+                "group={key} decision=close reason=draining_member"
+            ));
+            self.set_stage(key, GroupStage::Closing { since: now });
+            self.order_leader(key, BackendOrder::Close { key: key.clone() }, now);
+            return;
+        }
+        match reported.leader_phase {
+            Some(MemberPhase::Open) if group.stage == GroupStage::Opening => {
+                self.decided(format_compact!(
+                    "group={key} decision=serve model={} formed_ms={}",
+                    group.model,
+                    now.since(group.since).as_millis()
+                ));
+                self.set_stage(key, GroupStage::Serving);
+            }
+            Some(MemberPhase::Ready) => {
+                let due = group
+                    .last_order
+                    .is_none_or(|sent| now.since(sent) >= self.timing.leader_repeat);
+                if due {
+                    self.order_leader(key, BackendOrder::Open { key: key.clone() }, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn advance_closing(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        since: Timestamp,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key) else {
+            return;
+        };
+        let leader = group.leader().clone();
+        let phase = view.table.get(&leader).and_then(|row| {
+            let membership = row.entry.membership.as_ref()?;
+            (membership.key == *key).then_some(membership.phase)
+        });
+        match phase {
+            Some(MemberPhase::Ready | MemberPhase::Broken) => {
+                self.decided(format_compact!("group={key} decision=free reason=closed"));
+                self.groups.remove(key);
+            }
+            Some(MemberPhase::Open | MemberPhase::Closing)
+                if now.since(since) < self.timing.close_limit =>
+            {
+                let due = group
+                    .last_order
+                    .is_none_or(|sent| now.since(sent) >= self.timing.leader_repeat);
+                if phase == Some(MemberPhase::Open) && due {
+                    self.order_leader(key, BackendOrder::Close { key: key.clone() }, now);
+                }
+            }
+            _ => {
+                self.set_stage(key, GroupStage::Dissolving);
+                self.advance_dissolving(key, view, now);
+            }
+        }
+    }
+
+    fn advance_dissolving(&mut self, key: &GroupKey, view: FleetView<'_>, now: Timestamp) {
+        let Some(group) = self.groups.get(key) else {
+            return;
+        };
+        let leader = group.leader().clone();
+        let entry = view.table.get(&leader).map(|row| &row.entry);
+        let reason = match entry {
+            Some(entry) => match &entry.membership {
+                Some(membership) if membership.key == *key => match membership.phase {
+                    MemberPhase::Broken => Some("leader_broken"),
+                    _ => None,
+                },
+                _ => Some("leader_left"),
+            },
+            None => {
+                let gone = view
+                    .table
+                    .removed_at(&leader)
+                    .is_none_or(|removed| now.since(removed) >= self.timing.leader_gone);
+                (gone && self.is_lost(&leader)).then_some("leader_gone")
+            }
+        };
+        if let Some(reason) = reason {
+            self.decided(format_compact!("group={key} decision=free reason={reason}"));
+            self.groups.remove(key);
+            return;
+        }
+        let due = group
+            .last_order
+            .is_none_or(|sent| now.since(sent) >= self.timing.repeat);
+        if due {
+            self.order_leader(key, BackendOrder::Leave { key: key.clone() }, now);
+        }
+    }
+
+    fn set_stage(&mut self, key: &GroupKey, stage: GroupStage) {
+        if let Some(group) = self.groups.get_mut(key) {
+            group.stage = stage;
+            group.last_order = None;
+        }
+    }
+
+    /// Sends an order to the leader of a group. Returns whether it was sent.
+    fn order_leader(&mut self, key: &GroupKey, order: BackendOrder, now: Timestamp) -> bool {
+        let Some(group) = self.groups.get(key) else {
+            return false;
+        };
+        let leader = group.leader().clone();
+        let sent = self.send_order(&leader, order, now);
+        if sent && let Some(group) = self.groups.get_mut(key) {
+            group.last_order = Some(now);
+        }
+        sent
+    }
+
+    fn send_order(&mut self, id: &VmId, order: BackendOrder, now: Timestamp) -> bool {
+        let Some(vm) = self.vms.get_mut(id) else {
+            return false;
+        };
+        let Some(address) = vm.address else {
+            return false;
+        };
+        // An order to leave does not wait for the answer of another order.
+        let is_leave = matches!(order, BackendOrder::Leave { .. });
+        if vm.in_flight.is_some() && !is_leave {
+            return false;
+        }
+        if vm.next_order.is_some_and(|time| now < time) && !is_leave {
+            return false;
+        }
+        let is_join = matches!(order, BackendOrder::Join { .. });
+        if is_join && vm.order_count.is_none() {
+            if vm.next_probe.is_none() {
+                vm.next_probe = Some(now);
+            }
+            return false;
+        }
+        let order_count = vm.order_count.filter(|_| is_join);
+        vm.in_flight = Some(order.clone());
+        self.effects.push(FleetEffect::Order {
+            id: id.clone(),
+            address,
+            order,
+            order_count,
+        });
+        true
+    }
+
+    fn ordered(&mut self, id: &VmId, order: BackendOrder, result: OrderResult, now: Timestamp) {
+        let repeat = self.timing.repeat;
+        let uncertain = self.timing.uncertain;
+        let Some(vm) = self.vms.get_mut(id) else {
+            return;
+        };
+        if vm.in_flight.as_ref() == Some(&order) {
+            vm.in_flight = None;
+        }
+        match result {
+            OrderResult::Begun => {
+                vm.failed_probes = 0;
+                vm.order_count = vm.order_count.map(|count| count + 1);
+            }
+            OrderResult::Done => vm.failed_probes = 0,
+            OrderResult::Refused { .. } => {
+                vm.failed_probes = 0;
+                vm.next_order = Some(now + repeat);
+                vm.order_count = None;
+                vm.next_probe = Some(now + repeat);
+            }
+            OrderResult::Unreachable | OrderResult::Unknown => {
+                vm.next_order = Some(now + repeat);
+                vm.order_count = None;
+                vm.next_probe = Some(now);
+                if result == OrderResult::Unknown {
+                    vm.uncertain_until = Some(now + uncertain);
+                }
+            }
+        }
+        match order {
+            BackendOrder::Join { key, .. } => {
+                if let Some(group) = self.groups.get_mut(&key) {
+                    match result {
+                        OrderResult::Begun | OrderResult::Done => {
+                            group.joined.insert(id.clone(), now);
+                        }
+                        OrderResult::Refused { status } => {
+                            self.decided(format_compact!(
+                                "group={key} decision=retry_join vm={id} status={status}"
+                            ));
+                        }
+                        OrderResult::Unreachable | OrderResult::Unknown => {}
+                    }
+                }
+            }
+            BackendOrder::Leave { key } => {
+                let is_leader = self
+                    .groups
+                    .get(&key)
+                    .is_some_and(|group| group.leader() == id);
+                let has_left = match result {
+                    OrderResult::Begun | OrderResult::Done => true,
+                    OrderResult::Refused { status } => status == 409,
+                    _ => false,
+                };
+                if is_leader && has_left {
+                    self.decided(format_compact!("group={key} decision=free reason=left"));
+                    self.groups.remove(&key);
+                }
+            }
+            BackendOrder::Open { .. } | BackendOrder::Close { .. } | BackendOrder::Stage { .. } => {
+            }
+        }
+    }
+
+    fn probed(&mut self, id: &VmId, order_count: Option<u64>, now: Timestamp) {
+        let is_held = self.holder_of(id).is_some();
+        let repeat = self.timing.repeat;
+        let lost_probes = self.timing.lost_probes;
+        let lost_repeat = self.timing.lost_repeat;
+        let Some(vm) = self.vms.get_mut(id) else {
+            return;
+        };
+        vm.probe_in_flight = false;
+        match order_count {
+            Some(count) => {
+                if vm.failed_probes >= lost_probes {
+                    self.effects.push(FleetEffect::Decided(format_compact!(
+                        "vm={id} decision=reachable_again"
+                    )));
+                }
+                vm.failed_probes = 0;
+                vm.order_count = vm.order_count.max(Some(count));
+                vm.next_probe = None;
+            }
+            None => {
+                vm.failed_probes += 1;
+                let pause = if vm.failed_probes >= lost_probes {
+                    lost_repeat
+                } else {
+                    repeat
+                };
+                vm.next_probe = Some(now + pause);
+                if vm.failed_probes == lost_probes {
+                    self.effects.push(FleetEffect::Decided(format_compact!(
+                        "vm={id} decision=unreachable failed_probes={lost_probes} is_member={is_held}"
+                    )));
+                }
+            }
+        }
+    }
+
+    fn silent(&mut self, id: &VmId, now: Timestamp) {
+        let Some(key) = self.holder_of(id).cloned() else {
+            return;
+        };
+        let Some(group) = self.groups.get(&key) else {
+            return;
+        };
+        for member in &group.members {
+            if let Some(vm) = self.vms.get_mut(member)
+                && vm.next_probe.is_none()
+                && !vm.probe_in_flight
+            {
+                vm.next_probe = Some(now);
+            }
+        }
+    }
+
+    fn probe_due(&mut self, now: Timestamp) {
+        for (id, vm) in &mut self.vms {
+            let Some(address) = vm.address else {
+                continue;
+            };
+            let is_due = vm.next_probe.is_some_and(|time| now >= time);
+            if is_due && !vm.probe_in_flight {
+                vm.probe_in_flight = true;
+                vm.next_probe = None;
+                self.effects.push(FleetEffect::Probe {
+                    id: id.clone(),
+                    address,
+                });
+            }
+        }
+    }
+
+    fn may_plan(&mut self, view: FleetView<'_>, now: Timestamp) -> bool {
+        if self.has_planned {
+            return true;
+        }
+        let engines = view
+            .table
+            .rows()
+            .filter(|row| view.config.engine(&row.entry.service).is_some());
+        let (mut first, mut last) = (None, None);
+        for row in engines {
+            let appeared = row.appeared;
+            first = Some(first.map_or(appeared, |time: Timestamp| time.min(appeared)));
+            last = Some(last.map_or(appeared, |time: Timestamp| time.max(appeared)));
+        }
+        let (Some(first), Some(last)) = (first, last) else {
+            return false;
+        };
+        let has_settled =
+            now.since(last) >= self.timing.settle || now.since(first) >= self.timing.settle_limit;
+        self.has_planned = has_settled;
+        has_settled
+    }
+
+    fn free_vm(
+        &self,
+        entry: &BackendEntry,
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
+        now: Timestamp,
+    ) -> bool {
+        if entry.is_draining || entry.fabric_domain.is_none() {
+            return false;
+        }
+        let Some(vm) = self.vms.get(&entry.id) else {
+            return false;
+        };
+        if vm.in_flight.is_some() || vm.failed_probes > 0 || self.holder_of(&entry.id).is_some() {
+            return false;
+        }
+        let Some(membership) = &entry.membership else {
+            return true;
+        };
+        match membership.phase {
+            MemberPhase::Broken => true,
+            MemberPhase::Ready => match reported.get(&membership.key) {
+                // The leader reports, and it is not under control: it does not serve.
+                Some(group) if group.leader_phase.is_some() => !matches!(
+                    group.leader_phase,
+                    Some(MemberPhase::Open | MemberPhase::Closing)
+                ),
+                // The leader is unknown to this holder of the lease; it may serve until its entry is final.
+                _ => {
+                    now.since(self.acquired) >= self.timing.leader_gone
+                        && self.leader_is_gone(&membership.key, view, now)
+                }
+            },
+            MemberPhase::Joining
+            | MemberPhase::Open
+            | MemberPhase::Closing
+            | MemberPhase::Unknown => false,
+        }
+    }
+
+    /// Whether the leader of a group that is not under control has been gone for long enough.
+    fn leader_is_gone(&self, key: &GroupKey, view: FleetView<'_>, now: Timestamp) -> bool {
+        let _ = (key, view);
+        now.since(self.acquired) >= self.timing.leader_gone
+    }
+
+    fn needs_of(&self, service: &ServiceId, profile: &EngineProfile) -> Vec<ModelNeed> {
+        let places = f64::from(profile.slots.0);
+        profile
+            .models
+            .iter()
+            .map(|model| {
+                let groups = self.groups.values().filter(|group| {
+                    group.service == *service
+                        && group.model == model.id
+                        && matches!(
+                            group.stage,
+                            GroupStage::Joining | GroupStage::Opening | GroupStage::Serving
+                        )
+                });
+                ModelNeed {
+                    id: model.id.clone(),
+                    group_size: model.group_size,
+                    group_places: places,
+                    capacity: groups.count() as f64 * places,
+                    demand: self.demand.places(&model.id),
+                    memory_join_time: self.timing.memory_join_time,
+                    host_join_time: model.staged_join_time,
+                    load_time: model.load_time,
+                }
+            })
+            .collect()
+    }
+
+    fn form_groups(
+        &mut self,
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
+        now: Timestamp,
+    ) {
+        for service in &view.config.services {
+            let Some(profile) = &service.engine else {
+                continue;
+            };
+            let entries: Vec<&BackendEntry> = view
+                .table
+                .rows()
+                .map(|row| &row.entry)
+                .filter(|entry| entry.service == service.id)
+                .collect();
+            for model in &profile.models {
+                let groups = model.work_share * entries.len() as f64 / model.group_size as f64;
+                let places = groups * f64::from(profile.slots.0);
+                self.demand.expect(&model.id, places, now);
+            }
+            let free: Vec<FreeVm> = entries
+                .iter()
+                .filter(|entry| self.free_vm(entry, view, reported, now))
+                .filter_map(|entry| {
+                    Some(FreeVm {
+                        id: entry.id.clone(),
+                        domain: entry.fabric_domain.clone()?,
+                        last_model: entry.model.clone(),
+                        staged: entry.staged.clone(),
+                    })
+                })
+                .collect();
+            if free.is_empty() {
+                continue;
+            }
+            let mut needs = self.needs_of(&service.id, profile);
+            let available = self.loads.available(profile.loads_per_second, now);
+            for planned in plan_groups(free, &mut needs, available) {
+                self.start_group(&service.id, planned, now);
+            }
+        }
+    }
+
+    fn start_group(&mut self, service: &ServiceId, planned: PlannedGroup, now: Timestamp) {
+        let Some(term) = self.term else {
+            return;
+        };
+        self.next_counter += 1;
+        let generation = Generation((term.0 << COUNTER_BITS) | self.next_counter);
+        let key = GroupKey {
+            group: GroupId::new(format_compact!("g{}-{}", term, self.next_counter)),
+            generation,
+        };
+        for _ in 0..planned.loads {
+            self.loads.started(now);
+        }
+        self.decided(format_compact!(
+            "group={key} decision=form model={} domain={} members={} loads={} expected_ms={}",
+            planned.model,
+            planned.domain,
+            planned.members.len(),
+            planned.loads,
+            planned.join_time.as_millis()
+        ));
+        let group = ControlledGroup {
+            service: service.clone(),
+            model: planned.model.clone(),
+            members: planned.members.clone(),
+            stage: GroupStage::Joining,
+            since: now,
+            joined: BTreeMap::new(),
+            last_order: None,
+        };
+        self.groups.insert(key.clone(), group);
+        for id in &planned.members {
+            let order = BackendOrder::Join {
+                key: key.clone(),
+                model: planned.model.clone(),
+                members: planned.members.clone(),
+            };
+            self.send_order(id, order, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lease.rs
@@ -0,0 +1,341 @@
+//! The lease of the controller.
+//!
+//! One node at a time forms and repairs groups. It holds a lease object in the platform's store, which it
+//! renews by conditional writes. Its messages to peers say how long the lease still lasts, so that another
+//! node can take over as soon as that time has passed, without asking the store in between.
+//!
+//! # Invariants
+//!
+//! A holder's lease counts from before its write was sent, on a clock that counts suspension. A follower
+//! counts from when it received the evidence. So the follower's time never ends before the holder's.
+
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+/// Times of the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTiming {
+    /// Validity after a write. A killed holder is replaced after at most this time.
+    pub duration: TimeSpan,
+    /// Time between two renewals; three fit into the duration, so that one may fail.
+    pub renewal: TimeSpan,
+    /// Time after which a call without an answer is repeated.
+    pub call_timeout: TimeSpan,
+    /// Delay of a candidate for each candidate that goes before it.
+    pub rank_delay: TimeSpan,
+}
+
+impl Default for LeaseTiming {
+    fn default() -> Self {
+        Self {
+            duration: TimeSpan(1600),
+            renewal: TimeSpan(500),
+            call_timeout: TimeSpan(700),
+            rank_delay: TimeSpan(150),
+        }
+    }
+}
+
+/// Content of the lease object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseRecord {
+    /// Holder; `None` after a resignation.
+    pub holder: Option<NodeId>,
+    /// Raised with every change of holder.
+    pub term: LeaseEpoch,
+    /// Distinguishes the writes of one node, to recognise a write whose answer was lost.
+    pub write_number: u64,
+}
+
+/// What a peer says about the lease it holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseClaim {
+    /// Term.
+    pub term: LeaseEpoch,
+    /// Version of the lease object after the last renewal.
+    pub version: ObjectVersion,
+    /// How long the lease lasts without a renewal.
+    pub remaining: TimeSpan,
+}
+
+/// Result of a write to the lease object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseWrite {
+    /// Written.
+    Done {
+        /// Version of the object.
+        version: ObjectVersion,
+    },
+    /// The object has another version.
+    Conflict,
+    /// Refused, or no connection; nothing was written.
+    NotDone,
+    /// No answer; it may have been written, or may be later.
+    Unknown,
+}
+
+/// An event of the lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseEvent {
+    /// Time has passed. `rank` is the number of live candidates that go before this node.
+    Tick {
+        /// Candidates before this node.
+        rank: u32,
+    },
+    /// A peer holds the lease.
+    Claimed(LeaseClaim),
+    /// The object was read; `None` when it does not exist.
+    Read(Option<(ObjectVersion, LeaseRecord)>),
+    /// A read failed.
+    ReadFailed,
+    /// A write ended.
+    Written(LeaseWrite),
+    /// The node stops.
+    Resign,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseEffect {
+    /// Read the object.
+    Read,
+    /// Write the object; `None` creates it.
+    Write {
+        /// Version that must be in the store.
+        version: Option<ObjectVersion>,
+        /// Content.
+        record: LeaseRecord,
+    },
+    /// This node now holds the lease.
+    Acquired(LeaseEpoch),
+    /// This node does not hold the lease any more.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PendingCall {
+    None,
+    Read { since: Timestamp },
+    Write { since: Timestamp, term: LeaseEpoch },
+}
+
+/// State of the lease at one node.
+#[derive(Debug)]
+pub struct LeaseKeeper {
+    own: NodeId,
+    timing: LeaseTiming,
+    /// Term and end of validity while this node holds the lease.
+    held: Option<(LeaseEpoch, Timestamp)>,
+    /// Last known version and content of the object.
+    known: Option<(ObjectVersion, LeaseRecord)>,
+    /// Until when another node may hold the lease; `None` before anything is known.
+    others_until: Option<Timestamp>,
+    /// Version that the last claim or reading named.
+    claimed_version: Option<ObjectVersion>,
+    pending: PendingCall,
+    last_write: Timestamp,
+    write_number: u64,
+    is_resigning: bool,
+}
+
+impl LeaseKeeper {
+    /// A keeper that knows nothing.
+    pub fn new(own: NodeId, timing: LeaseTiming) -> Self {
+        Self {
+            own,
+            timing,
+            held: None,
+            known: None,
+            others_until: None,
+            claimed_version: None,
+            pending: PendingCall::None,
+            last_write: Timestamp(0),
+            write_number: 0,
+            is_resigning: false,
+        }
+    }
+
+    /// The term, while the lease is valid.
+    pub fn holds(&self, now: Timestamp) -> Option<LeaseEpoch> {
+        self.held
+            .filter(|(_, until)| now < *until)
+            .map(|(term, _)| term)
+    }
+
+    /// What this node tells its peers.
+    pub fn claim(&self, now: Timestamp) -> Option<LeaseClaim> {
+        let (term, until) = self.held.filter(|(_, until)| now < *until)?;
+        let (version, _) = self.known.as_ref()?;
+        Some(LeaseClaim {
+            term,
+            version: *version,
+            remaining: until.since(now),
+        })
+    }
+
+    /// Handles an event.
+    pub fn step(&mut self, event: LeaseEvent, now: Timestamp) -> Vec<LeaseEffect> {
+        let mut effects = Vec::new();
+        if self.held.is_some_and(|(_, until)| now >= until) {
+            self.held = None;
+            self.others_until = None;
+            effects.push(LeaseEffect::Lost);
+        }
+        match event {
+            LeaseEvent::Tick { rank } => self.tick(rank, now, &mut effects),
+            LeaseEvent::Claimed(claim) => self.claimed(claim, now, &mut effects),
+            LeaseEvent::Read(found) => self.read(found, now, &mut effects),
+            LeaseEvent::ReadFailed => self.pending = PendingCall::None,
+            LeaseEvent::Written(result) => self.written(result, now, &mut effects),
+            LeaseEvent::Resign => {
+                self.is_resigning = true;
+                if let Some((term, _)) = self.held.take() {
+                    effects.push(LeaseEffect::Lost);
+                    let record = self.record(None, term);
+                    let version = self.known.as_ref().map(|(version, _)| *version);
+                    effects.push(LeaseEffect::Write { version, record });
+                }
+            }
+        }
+        effects
+    }
+
+    fn record(&mut self, holder: Option<NodeId>, term: LeaseEpoch) -> LeaseRecord {
+        self.write_number += 1;
+        LeaseRecord {
+            holder,
+            term,
+            write_number: self.write_number,
+        }
+    }
+
+    fn tick(&mut self, rank: u32, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        let since = match self.pending {
+            PendingCall::None => None,
+            PendingCall::Read { since } | PendingCall::Write { since, .. } => Some(since),
+        };
+        if let Some(since) = since {
+            if now.since(since) < self.timing.call_timeout {
+                return;
+            }
+            self.pending = PendingCall::None;
+        }
+        if self.is_resigning {
+            return;
+        }
+        if let Some((term, _)) = self.held {
+            if now.since(self.last_write) >= self.timing.renewal {
+                self.write(term, now, effects);
+            }
+            return;
+        }
+        let delay = TimeSpan(self.timing.rank_delay.0 * u64::from(rank));
+        let may_ask = match self.others_until {
+            None => true,
+            Some(until) => now >= until + delay,
+        };
+        if may_ask {
+            self.pending = PendingCall::Read { since: now };
+            effects.push(LeaseEffect::Read);
+        }
+    }
+
+    fn write(&mut self, term: LeaseEpoch, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        let record = self.record(Some(self.own.clone()), term);
+        let version = self.known.as_ref().map(|(version, _)| *version);
+        self.pending = PendingCall::Write { since: now, term };
+        self.last_write = now;
+        effects.push(LeaseEffect::Write { version, record });
+    }
+
+    fn claimed(&mut self, claim: LeaseClaim, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        if let Some((term, _)) = self.held {
+            if claim.term > term {
+                self.held = None;
+                effects.push(LeaseEffect::Lost);
+            } else {
+                return;
+            }
+        }
+        self.claimed_version = Some(claim.version);
+        self.others_until = Some(now + claim.remaining);
+    }
+
+    fn read(
+        &mut self,
+        found: Option<(ObjectVersion, LeaseRecord)>,
+        now: Timestamp,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        self.pending = PendingCall::None;
+        let Some((version, record)) = found else {
+            self.known = None;
+            if !self.is_resigning {
+                self.write(LeaseEpoch(1), now, effects);
+            }
+            return;
+        };
+        let is_free = record.holder.is_none();
+        let is_own = record.holder.as_ref() == Some(&self.own);
+        let was_known = self.claimed_version == Some(version);
+        let term = record.term;
+        self.known = Some((version, record));
+        self.claimed_version = Some(version);
+        if self.held.is_some() {
+            // A renewal whose answer was lost: the object decides, and the next renewal goes out at once.
+            if !is_own {
+                self.held = None;
+                effects.push(LeaseEffect::Lost);
+            } else {
+                self.last_write = Timestamp(0);
+            }
+            return;
+        }
+        let has_expired = was_known && self.others_until.is_some_and(|until| now >= until);
+        if (is_free || has_expired) && !self.is_resigning {
+            self.write(term.next(), now, effects);
+        } else if !has_expired {
+            self.others_until = Some(now + self.timing.duration);
+        }
+    }
+
+    fn written(&mut self, result: LeaseWrite, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        let PendingCall::Write { since, term } = self.pending else {
+            // An answer after the time for the call; the next reading shows what happened.
+            return;
+        };
+        self.pending = PendingCall::None;
+        match result {
+            LeaseWrite::Done { version } => {
+                let until = since + self.timing.duration;
+                let is_new = self.held.is_none();
+                if now >= until {
+                    return;
+                }
+                let record = LeaseRecord {
+                    holder: Some(self.own.clone()),
+                    term,
+                    write_number: self.write_number,
+                };
+                self.known = Some((version, record));
+                self.claimed_version = Some(version);
+                self.held = Some((term, until));
+                if is_new {
+                    effects.push(LeaseEffect::Acquired(term));
+                }
+            }
+            LeaseWrite::Conflict | LeaseWrite::Unknown => {
+                // Another write may be in force: the object has to be read before the next write.
+                if self.held.is_none() {
+                    self.others_until = Some(now + self.timing.duration);
+                }
+                self.pending = PendingCall::Read { since: now };
+                effects.push(LeaseEffect::Read);
+            }
+            LeaseWrite::NotDone => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/peers.rs
@@ -0,0 +1,126 @@
+//! The other nodes: who lives, who takes callers, and what they carry.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::lease::LeaseClaim;
+
+/// Whether a node takes callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerPhase {
+    /// It has no configuration yet.
+    Starting,
+    /// It takes callers.
+    Serving,
+    /// It finishes what it has.
+    Stopping,
+}
+
+/// What a node says about itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerBeat {
+    /// The node.
+    pub node: NodeId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Where it takes callers.
+    pub caller_address: SocketAddr,
+    /// Where it takes messages of peers.
+    pub peer_address: SocketAddr,
+    /// Whether it takes callers.
+    pub phase: PeerPhase,
+    /// Version of its configuration.
+    pub config_version: u64,
+    /// Age of its reading of the backend servers.
+    pub table_age: TimeSpan,
+    /// The lease, when it holds it.
+    pub claim: Option<LeaseClaim>,
+    /// Requests in flight, by the number of the target.
+    pub loads: Vec<(u32, u32)>,
+    /// Targets that send nothing although requests wait.
+    pub silent: Vec<u32>,
+    /// Requests refused for want of capacity since its start, by model.
+    pub refused: Vec<(ModelId, u64)>,
+}
+
+/// A peer as last heard.
+#[derive(Clone, Debug)]
+pub struct PeerRecord {
+    /// What it said.
+    pub beat: PeerBeat,
+    /// When.
+    pub heard: Timestamp,
+}
+
+/// Silence after which a peer counts as down: five beats of 200 ms, so that lost datagrams alone hardly do it.
+pub const PEER_TIMEOUT: TimeSpan = TimeSpan(1100);
+/// Silence after which a peer is forgotten.
+const PEER_FORGOTTEN: TimeSpan = TimeSpan::from_secs(60);
+
+/// The other nodes.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<NodeId, PeerRecord>,
+    loads: HashMap<u32, u32>,
+}
+
+impl PeerTable {
+    /// Takes over a beat; beats of an earlier start are passed over.
+    pub fn heard(&mut self, beat: PeerBeat, now: Timestamp) {
+        let stale = self
+            .peers
+            .get(&beat.node)
+            .is_some_and(|record| record.beat.incarnation > beat.incarnation);
+        if stale {
+            return;
+        }
+        self.peers
+            .insert(beat.node.clone(), PeerRecord { beat, heard: now });
+        self.sum_loads(now);
+    }
+
+    /// Forgets peers that were silent for long.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.peers
+            .retain(|_, record| now.since(record.heard) < PEER_FORGOTTEN);
+        self.sum_loads(now);
+    }
+
+    fn sum_loads(&mut self, now: Timestamp) {
+        self.loads.clear();
+        for record in self.peers.values() {
+            if now.since(record.heard) < PEER_TIMEOUT {
+                for (target, count) in &record.beat.loads {
+                    *self.loads.entry(*target).or_default() += count;
+                }
+            }
+        }
+    }
+
+    /// Requests of live peers at a target.
+    pub fn load_of(&self, target: u32) -> u32 {
+        self.loads.get(&target).copied().unwrap_or(0)
+    }
+
+    /// Peers heard lately.
+    pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
+        self.peers
+            .values()
+            .filter(move |record| now.since(record.heard) < PEER_TIMEOUT)
+    }
+
+    /// All peers that are not forgotten.
+    pub fn all(&self) -> impl Iterator<Item = &PeerRecord> {
+        self.peers.values()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,220 @@
+//! Which groups to form from VMs that are free.
+//!
+//! A group's value is the demand that it adds to what is served, with diminishing returns, per VM, discounted
+//! by the time until it serves. The planner takes the best group, again and again, until no group fits.
+
+use std::collections::BTreeMap;
+
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
+
+/// Steepness of the diminishing returns: at a capacity equal to the demand, about three quarters of the value
+/// are reached, because bursts and lost groups need the rest.
+const SATURATION: f64 = 1.3;
+
+/// Time over which a group is expected to be of use; a group that is ready later than this is worth nothing
+/// against one that is ready now.
+const HORIZON: TimeSpan = TimeSpan::from_secs(24);
+
+/// Least part of a group's value that the discount leaves, so that slow groups are formed when nothing else
+/// can be.
+const LEAST_DISCOUNT: f64 = 0.05;
+
+/// How a VM would come to hold a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum JoinSource {
+    /// It held the model in its last group.
+    Memory,
+    /// The weights are on its host.
+    Host,
+    /// The weights have to be loaded from the weight store.
+    WeightStore,
+}
+
+/// A VM that no group holds.
+#[derive(Clone, Debug)]
+pub struct FreeVm {
+    /// The VM.
+    pub id: VmId,
+    /// Its fabric domain.
+    pub domain: FabricDomainId,
+    /// Model of its last group.
+    pub last_model: Option<ModelId>,
+    /// Models on its host.
+    pub staged: Vec<ModelId>,
+}
+
+impl FreeVm {
+    /// How this VM would come to hold `model`.
+    pub fn source_of(&self, model: &ModelId) -> JoinSource {
+        if self.last_model.as_ref() == Some(model) {
+            JoinSource::Memory
+        } else if self.staged.contains(model) {
+            JoinSource::Host
+        } else {
+            JoinSource::WeightStore
+        }
+    }
+}
+
+/// A model, what it needs and what it has.
+#[derive(Clone, Debug)]
+pub struct ModelNeed {
+    /// The model.
+    pub id: ModelId,
+    /// VMs in a group.
+    pub group_size: usize,
+    /// Concurrent requests of a group.
+    pub group_places: f64,
+    /// Concurrent requests of the groups that serve or are being formed.
+    pub capacity: f64,
+    /// Concurrent requests that are asked for.
+    pub demand: f64,
+    /// Time of a join from memory.
+    pub memory_join_time: TimeSpan,
+    /// Time of a join from the host.
+    pub host_join_time: TimeSpan,
+    /// Time of a join with a load, at the present number of loads.
+    pub load_time: TimeSpan,
+}
+
+impl ModelNeed {
+    fn served(&self, capacity: f64) -> f64 {
+        self.demand * (1.0 - (-SATURATION * capacity / self.demand).exp())
+    }
+
+    /// Value of one more group for each of its VMs.
+    pub fn marginal_value(&self) -> f64 {
+        let gain = self.served(self.capacity + self.group_places) - self.served(self.capacity);
+        gain / self.group_size as f64
+    }
+
+    fn join_time(&self, source: JoinSource) -> TimeSpan {
+        match source {
+            JoinSource::Memory => self.memory_join_time,
+            JoinSource::Host => self.host_join_time,
+            JoinSource::WeightStore => self.load_time,
+        }
+    }
+}
+
+/// A group to be formed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedGroup {
+    /// Model.
+    pub model: ModelId,
+    /// Fabric domain of all members.
+    pub domain: FabricDomainId,
+    /// Members; the first is the leader.
+    pub members: Vec<VmId>,
+    /// Expected time until all members hold their parts.
+    pub join_time: TimeSpan,
+    /// Loads from the weight store.
+    pub loads: usize,
+}
+
+struct Candidate {
+    value: f64,
+    need: usize,
+    domain: FabricDomainId,
+    /// Positions in the domain's list of free VMs.
+    members: Vec<usize>,
+    join_time: TimeSpan,
+    loads: usize,
+}
+
+fn discount(join_time: TimeSpan) -> f64 {
+    let horizon = HORIZON.as_millis() as f64;
+    let rest = horizon - join_time.as_millis() as f64;
+    (rest / horizon).max(LEAST_DISCOUNT)
+}
+
+fn candidate(
+    need_index: usize,
+    need: &ModelNeed,
+    domain: &FabricDomainId,
+    free: &[FreeVm],
+    loads_available: usize,
+) -> Option<Candidate> {
+    if free.len() < need.group_size {
+        return None;
+    }
+    let mut order: Vec<(JoinSource, usize)> = free
+        .iter()
+        .enumerate()
+        .map(|(position, vm)| (vm.source_of(&need.id), position))
+        .collect();
+    order.sort();
+    order.truncate(need.group_size);
+    let loads = order
+        .iter()
+        .filter(|(source, _)| *source == JoinSource::WeightStore)
+        .count();
+    if loads > loads_available {
+        return None;
+    }
+    let slowest = order.last().map(|(source, _)| *source)?;
+    let join_time = need.join_time(slowest);
+    Some(Candidate {
+        value: need.marginal_value() * discount(join_time),
+        need: need_index,
+        domain: domain.clone(),
+        members: order.into_iter().map(|(_, position)| position).collect(),
+        join_time,
+        loads,
+    })
+}
+
+/// Chooses groups for the free VMs. `needs` is updated with the capacity of the chosen groups.
+pub fn plan_groups(
+    free: Vec<FreeVm>,
+    needs: &mut [ModelNeed],
+    mut loads_available: usize,
+) -> Vec<PlannedGroup> {
+    let mut domains: BTreeMap<FabricDomainId, Vec<FreeVm>> = BTreeMap::new();
+    for vm in free {
+        domains.entry(vm.domain.clone()).or_default().push(vm);
+    }
+    let mut planned = Vec::new();
+    loop {
+        let mut best: Option<Candidate> = None;
+        for (domain, free) in &domains {
+            for (index, need) in needs.iter().enumerate() {
+                let Some(candidate) = candidate(index, need, domain, free, loads_available) else {
+                    continue;
+                };
+                // Of equal candidates, the domain with more free VMs goes first: it keeps room for large groups.
+                let is_better = best.as_ref().is_none_or(|best| {
+                    let room = domains[&best.domain].len();
+                    candidate.value > best.value
+                        || (candidate.value == best.value && free.len() > room)
+                });
+                if is_better {
+                    best = Some(candidate);
+                }
+            }
+        }
+        let Some(best) = best else {
+            return planned;
+        };
+        loads_available -= best.loads;
+        let need = &mut needs[best.need];
+        need.capacity += need.group_places;
+        let free = domains.entry(best.domain.clone()).or_default();
+        let members: Vec<VmId> = best
+            .members
+            .iter()
+            .map(|position| free[*position].id.clone())
+            .collect();
+        free.retain(|vm| !members.contains(&vm.id));
+        planned.push(PlannedGroup {
+            model: need.id.clone(),
+            domain: best.domain,
+            members,
+            join_time: best.join_time,
+            loads: best.loads,
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,426 @@
+//! Choice of a target for each request, admission, and the budget for repeats.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+
+use jaysaddle_admission::RetryBudget;
+use jaysaddle_fleet::peers::PeerTable;
+use jaysaddle_fleet::table::BackendTable;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::ServiceId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::random::SpreadRandom;
+use crate::routes::RouteIndex;
+use crate::target::RequestTarget;
+use crate::target::TargetHealth;
+use crate::target::TargetNumber;
+use crate::target::blend;
+use crate::target::current_targets;
+
+/// Settings of the gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Part of the latency target that a request may wait for a place at a busy target; the rest is for reading
+    /// the prompt.
+    pub wait_share: f64,
+    /// Duration of a request before one was measured, in milliseconds.
+    pub assumed_duration_ms: f64,
+    /// Silence of a busy group after which it is avoided and its members are probed.
+    pub silence: TimeSpan,
+    /// Time for which a target without progress or with a refusal is avoided.
+    pub avoid_time: TimeSpan,
+    /// Repeats for each request, in thousandths.
+    pub repeat_permille: u32,
+    /// Repeats that all nodes together may send beside that, in a window of the budget.
+    pub repeat_burst: u32,
+    /// Bounds of the time after which a refused caller may come back.
+    pub retry_after: (TimeSpan, TimeSpan),
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        Self {
+            wait_share: 0.5,
+            assumed_duration_ms: 800.0,
+            silence: TimeSpan(600),
+            avoid_time: TimeSpan(1500),
+            repeat_permille: 180,
+            repeat_burst: 90,
+            retry_after: (TimeSpan(250), TimeSpan(1000)),
+        }
+    }
+}
+
+/// What a request needs of a target.
+#[derive(Clone, Debug)]
+pub struct TargetQuery<'a> {
+    /// Service.
+    pub service: &'a ServiceId,
+    /// Model, for services of model engines.
+    pub model: Option<&'a ModelId>,
+    /// Time within which an answer is on time.
+    pub latency_target: TimeSpan,
+    /// Targets that this request was sent to already.
+    pub tried: &'a [TargetNumber],
+    /// Whether a long queue is no reason to refuse, because the request has been running.
+    pub is_repeat: bool,
+}
+
+/// Why no target takes the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetRefusal {
+    /// No target serves the service or model.
+    NoTarget,
+    /// All targets are full.
+    Full,
+}
+
+impl fmt::Display for TargetRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            TargetRefusal::NoTarget => "no_target",
+            TargetRefusal::Full => "full",
+        })
+    }
+}
+
+/// How a request at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetOutcome {
+    /// It was answered.
+    Answered,
+    /// The target refused it without running it.
+    Refused,
+    /// It failed, or gave no data for too long.
+    Failed,
+    /// The caller left; this says nothing about the target.
+    Abandoned,
+}
+
+type TargetClass = (ServiceId, Option<ModelId>);
+
+/// State of the decisions about requests at one node.
+#[derive(Debug)]
+pub struct RequestGateway {
+    settings: GatewaySettings,
+    index: Option<RouteIndex>,
+    targets: HashMap<TargetClass, Vec<Rc<RequestTarget>>>,
+    health: HashMap<TargetNumber, TargetHealth>,
+    durations: HashMap<TargetClass, f64>,
+    budgets: HashMap<ServiceId, RetryBudget>,
+    node_count: u32,
+    refused: BTreeMap<ModelId, u64>,
+    random: SpreadRandom,
+    table_change: Option<u64>,
+}
+
+impl RequestGateway {
+    /// A gateway without a configuration.
+    pub fn new(settings: GatewaySettings, seed: u64) -> Self {
+        Self {
+            settings,
+            index: None,
+            targets: HashMap::new(),
+            health: HashMap::new(),
+            durations: HashMap::new(),
+            budgets: HashMap::new(),
+            node_count: 1,
+            refused: BTreeMap::new(),
+            random: SpreadRandom::new(seed),
+            table_change: None,
+        }
+    }
+
+    /// Puts a configuration in force.
+    pub fn set_config(&mut self, config: Rc<ServingConfig>, table: &BackendTable) {
+        self.index = Some(RouteIndex::new(config));
+        self.table_change = None;
+        self.fleet_changed(table);
+    }
+
+    /// The routes, once a configuration is known.
+    pub fn routes(&self) -> Option<&RouteIndex> {
+        self.index.as_ref()
+    }
+
+    /// Takes over the registered backend servers.
+    pub fn fleet_changed(&mut self, table: &BackendTable) {
+        if self.table_change == Some(table.change_count()) {
+            return;
+        }
+        let Some(index) = &self.index else {
+            return;
+        };
+        self.table_change = Some(table.change_count());
+        self.targets.clear();
+        for target in current_targets(table, index.config()) {
+            let class = (target.service.clone(), target.model.clone());
+            self.targets.entry(class).or_default().push(Rc::new(target));
+        }
+        let targets = &self.targets;
+        self.health.retain(|number, health| {
+            health.in_flight > 0
+                || targets
+                    .values()
+                    .flatten()
+                    .any(|target| target.number == *number)
+        });
+    }
+
+    /// Takes over the number of nodes among which the budget for repeats is divided.
+    pub fn set_node_count(&mut self, count: u32) {
+        let count = count.max(1);
+        if self.node_count != count {
+            self.node_count = count;
+            self.budgets.clear();
+        }
+    }
+
+    /// Chooses a target. The caller reports the start, progress and end of the request there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no target serves the request or all are full.
+    pub fn choose(
+        &mut self,
+        query: &TargetQuery<'_>,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> Result<Rc<RequestTarget>, TargetRefusal> {
+        let class = (query.service.clone(), query.model.cloned());
+        let targets = self.targets.get(&class).map_or(&[][..], Vec::as_slice);
+        if targets.is_empty() {
+            self.count_refusal(query);
+            return Err(TargetRefusal::NoTarget);
+        }
+        let duration = self
+            .durations
+            .get(&class)
+            .copied()
+            .unwrap_or(self.settings.assumed_duration_ms);
+        let wait = query.latency_target.as_millis() as f64 * self.settings.wait_share;
+        let least_pause = targets
+            .iter()
+            .filter_map(|target| self.health.get(&target.number))
+            .map(|health| health.pause_ms)
+            .filter(|pause| *pause > 0.0)
+            .fold(f64::INFINITY, f64::min);
+        let offset = self.random.below(targets.len());
+        let mut best: Option<(bool, f64, &Rc<RequestTarget>)> = None;
+        for step in 0..targets.len() {
+            let target = &targets[(offset + step) % targets.len()];
+            if query.tried.contains(&target.number) {
+                continue;
+            }
+            let health = self.health.get(&target.number);
+            let own = health.map_or(0, |health| health.in_flight);
+            let load = f64::from(own + peers.load_of(target.number.0));
+            let slots = f64::from(target.slots);
+            let limit = slots * (1.0 + wait / duration);
+            if load >= limit && !query.is_repeat {
+                continue;
+            }
+            let is_avoided = health.is_some_and(|health| {
+                now < health.avoid_until
+                    || (target.model.is_some()
+                        && health
+                            .silence(now)
+                            .is_some_and(|silence| silence >= self.settings.silence))
+            });
+            let slowness = health.map_or(1.0, |health| {
+                let pause = if health.pause_ms > 0.0 && least_pause.is_finite() {
+                    (health.pause_ms / least_pause).max(1.0)
+                } else {
+                    1.0
+                };
+                pause * (1.0 + 8.0 * health.failure_rate)
+            });
+            let score = (load + 1.0) / slots * slowness;
+            let is_better = best
+                .as_ref()
+                .is_none_or(|(avoided, least, _)| (is_avoided, score) < (*avoided, *least));
+            if is_better {
+                best = Some((is_avoided, score, target));
+            }
+        }
+        match best {
+            Some((_, _, target)) => Ok(target.clone()),
+            None => {
+                self.count_refusal(query);
+                Err(TargetRefusal::Full)
+            }
+        }
+    }
+
+    fn count_refusal(&mut self, query: &TargetQuery<'_>) {
+        if let Some(model) = query.model {
+            *self.refused.entry(model.clone()).or_default() += 1;
+        }
+    }
+
+    /// When a refused caller may come back.
+    pub fn retry_after(&mut self) -> TimeSpan {
+        let (least, most) = self.settings.retry_after;
+        let spread = usize::try_from(most.0.saturating_sub(least.0)).unwrap_or(0);
+        TimeSpan(least.0 + self.random.below(spread + 1) as u64)
+    }
+
+    /// Takes note of a request sent to a target.
+    pub fn started(&mut self, number: TargetNumber, now: Timestamp) {
+        let health = self.health.entry(number).or_default();
+        if health.in_flight == 0 {
+            health.last_data = now;
+        }
+        health.in_flight += 1;
+    }
+
+    /// Takes note of data from a target. `pause` is the time since the data before in the same answer.
+    pub fn progressed(&mut self, number: TargetNumber, pause: Option<TimeSpan>, now: Timestamp) {
+        if let Some(health) = self.health.get_mut(&number) {
+            health.last_data = now;
+            health.avoid_until = Timestamp(0);
+            if let Some(pause) = pause {
+                blend(&mut health.pause_ms, pause.as_millis().max(1) as f64);
+            }
+        }
+    }
+
+    /// Takes note of the end of a request at a target.
+    pub fn ended(
+        &mut self,
+        target: &RequestTarget,
+        outcome: TargetOutcome,
+        duration: TimeSpan,
+        now: Timestamp,
+    ) {
+        let avoid_time = self.settings.avoid_time;
+        let Some(health) = self.health.get_mut(&target.number) else {
+            return;
+        };
+        health.in_flight = health.in_flight.saturating_sub(1);
+        match outcome {
+            TargetOutcome::Answered => {
+                health.failure_rate *= 0.8;
+                let class = (target.service.clone(), target.model.clone());
+                let millis = duration.as_millis().max(1) as f64;
+                blend(&mut health.duration_ms, millis);
+                blend(self.durations.entry(class).or_insert(millis), millis);
+            }
+            TargetOutcome::Refused => health.avoid_until = now + avoid_time,
+            TargetOutcome::Failed => {
+                health.failure_rate += (1.0 - health.failure_rate) * 0.2;
+            }
+            TargetOutcome::Abandoned => {}
+        }
+    }
+
+    /// Prefers other targets for a while.
+    pub fn avoid(&mut self, number: TargetNumber, now: Timestamp) {
+        let avoid_time = self.settings.avoid_time;
+        if let Some(health) = self.health.get_mut(&number) {
+            health.avoid_until = now + avoid_time;
+        }
+    }
+
+    /// Silence of a busy target.
+    pub fn silence_of(&self, number: TargetNumber, now: Timestamp) -> Option<TimeSpan> {
+        self.health.get(&number)?.silence(now)
+    }
+
+    /// Silence after which a busy group is suspected.
+    pub fn silence_limit(&self) -> TimeSpan {
+        self.settings.silence
+    }
+
+    /// Groups that have requests and send nothing.
+    pub fn silent_groups(&self, now: Timestamp) -> Vec<(TargetNumber, VmId)> {
+        self.targets
+            .values()
+            .flatten()
+            .filter(|target| target.group.is_some())
+            .filter(|target| {
+                self.silence_of(target.number, now)
+                    .is_some_and(|silence| silence >= self.settings.silence)
+            })
+            .map(|target| (target.number, target.backend.clone()))
+            .collect()
+    }
+
+    /// The backend server of a target number.
+    pub fn backend_of(&self, number: TargetNumber) -> Option<&VmId> {
+        self.targets
+            .values()
+            .flatten()
+            .find(|target| target.number == number)
+            .map(|target| &target.backend)
+    }
+
+    /// Requests of this node at each target.
+    pub fn loads(&self) -> Vec<(u32, u32)> {
+        self.health
+            .iter()
+            .filter(|(_, health)| health.in_flight > 0)
+            .map(|(number, health)| (number.0, health.in_flight))
+            .collect()
+    }
+
+    /// Requests of this node and its peers at the groups of each model.
+    pub fn model_loads(&self, peers: &PeerTable) -> BTreeMap<ModelId, u32> {
+        let mut loads = BTreeMap::new();
+        for target in self.targets.values().flatten() {
+            if let Some(model) = &target.model {
+                let own = self
+                    .health
+                    .get(&target.number)
+                    .map_or(0, |health| health.in_flight);
+                *loads.entry(model.clone()).or_default() += own + peers.load_of(target.number.0);
+            }
+        }
+        loads
+    }
+
+    /// Requests refused for want of a target since the start, by model.
+    pub fn refused(&self) -> Vec<(ModelId, u64)> {
+        self.refused
+            .iter()
+            .map(|(model, count)| (model.clone(), *count))
+            .collect()
+    }
+
+    /// Average duration of the requests of a model, in milliseconds.
+    pub fn duration_ms(&self, model: &ModelId) -> f64 {
+        self.durations
+            .iter()
+            .find(|((_, known), _)| known.as_ref() == Some(model))
+            .map_or(self.settings.assumed_duration_ms, |(_, duration)| *duration)
+    }
+
+    fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
+        let burst = self.settings.repeat_burst / self.node_count;
+        let permille = self.settings.repeat_permille;
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(burst, permille))
+    }
+
+    /// Takes note of a caller's request for a service.
+    pub fn fresh(&mut self, service: &ServiceId) {
+        self.budget(service).fresh();
+    }
+
+    /// Takes one repeat out of the budget of a service, when there is one.
+    pub fn try_repeat(&mut self, service: &ServiceId) -> bool {
+        self.budget(service).try_retry()
+    }
+
+    /// Number of targets by model, for metrics.
+    pub fn target_count(&self) -> usize {
+        self.targets.values().map(Vec::len).sum()
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 pub mod request;
 pub mod rules;
+pub mod serving;
 pub mod store;
 pub mod units;
 pub mod verdict;
