Repair groups: staged second models, exchanges between models, quick suspicion

Now every host gets a second model staged while loads are free, VMs are reserved for the model that groups are closed for, demand is arrivals times duration, and members are probed after 350 ms of silence. Ruled out: more repeats (no_repeat_budget: 1 of 1,420 refusals).

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -18,9 +18,9 @@
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ObjectVersion;
 use jaysaddle_types::units::TimeSpan;
+use jaysaddle_wire::beat::ArrivalMessage;
 use jaysaddle_wire::beat::BeatMessage;
 use jaysaddle_wire::beat::ClaimMessage;
-use jaysaddle_wire::beat::RefusedMessage;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -72,23 +72,24 @@
             .into_iter()
             .map(|(number, _)| number.0)
             .collect(),
-        refused: gateway
-            .refused()
+        arrivals: gateway
+            .arrivals()
             .into_iter()
-            .map(|(model, count)| RefusedMessage {
+            .map(|(model, count)| ArrivalMessage {
                 model: model.to_string(),
                 count,
             })
             .collect(),
+        closed: gateway.closed(),
     }
 }
 
 fn decode(data: &[u8]) -> eyre::Result<PeerBeat> {
     let message = BeatMessage::decode(data)?;
-    let refused = message
-        .refused
+    let arrivals = message
+        .arrivals
         .into_iter()
-        .map(|refused| Ok((refused.model.parse::<ModelId>()?, refused.count)))
+        .map(|arrival| Ok((arrival.model.parse::<ModelId>()?, arrival.count)))
         .collect::<eyre::Result<_>>()?;
     Ok(PeerBeat {
         node: message.node.parse()?,
@@ -114,7 +115,8 @@
             .zip(message.load_counts)
             .collect(),
         silent: message.silent,
-        refused,
+        arrivals,
+        closed: message.closed,
     })
 }
 
@@ -148,7 +150,10 @@
     let mut ticks = interval(BEAT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     for turn in 0usize.. {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = node.news.notified() => {}
+        }
         node.peers.borrow_mut().tick(clock::now());
         let count = node.peers.borrow().live(clock::now()).count() + 1;
         node.gateway
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,5 +1,6 @@
 //! Runs the controller and its lease: carries out their effects and reports the results.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use jaysaddle_fleet::controller::FleetEffect;
 use jaysaddle_fleet::controller::FleetEvent;
 use jaysaddle_fleet::controller::FleetView;
+use jaysaddle_fleet::controller::ModelTraffic;
 use jaysaddle_fleet::lease::LeaseEffect;
 use jaysaddle_fleet::lease::LeaseEvent;
 use jaysaddle_fleet::lease::LeaseRecord;
@@ -57,7 +59,7 @@
 /// Time for an order. Answers come in milliseconds; a later one counts as unknown.
 const ORDER_LIMIT: Duration = Duration::from_millis(800);
 /// Time for a report. A member that needs longer delays its whole group.
-const REPORT_LIMIT: Duration = Duration::from_millis(500);
+const REPORT_LIMIT: Duration = Duration::from_millis(250);
 /// Name of the lease object.
 const LEASE_NAME: &str = "controller";
 
@@ -73,8 +75,6 @@
 pub async fn run(node: Rc<EntryNode>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-    let mut refused_before: std::collections::BTreeMap<ModelId, u64> =
-        std::collections::BTreeMap::new();
     loop {
         ticks.tick().await;
         node.pool.sweep();
@@ -86,12 +86,12 @@
         if node.lease.borrow().holds(clock::now()).is_none() {
             continue;
         }
-        let demands = demands(&node, &mut refused_before);
-        fleet_event(&node, FleetEvent::Demand(demands));
+        fleet_event(&node, FleetEvent::Demand(traffic(&node)));
         for id in silent_leaders(&node) {
             fleet_event(&node, FleetEvent::Silent { id });
         }
         fleet_event(&node, FleetEvent::Tick);
+        publish_closed(&node);
     }
 }
 
@@ -130,32 +130,34 @@
     leaders
 }
 
-/// Requests that run, and those that were refused since the last call times their duration.
-fn demands(
-    node: &EntryNode,
-    refused_before: &mut std::collections::BTreeMap<ModelId, u64>,
-) -> Vec<(ModelId, f64)> {
+/// Tells the gateway, and with the next beat the peers, which groups get no new request.
+fn publish_closed(node: &EntryNode) {
+    let leaders = node.controller.borrow().closed_leaders();
+    let mut gateway = node.gateway.borrow_mut();
+    let before = gateway.closed().len();
+    gateway.set_closed(&leaders);
+    if gateway.closed().len() > before {
+        node.news.notify_one();
+    }
+}
+
+/// Requests of callers at this node and its live peers.
+fn traffic(node: &EntryNode) -> Vec<ModelTraffic> {
     let gateway = node.gateway.borrow();
-    let peers = node.peers.borrow();
-    let mut refused: std::collections::BTreeMap<ModelId, u64> =
-        gateway.refused().into_iter().collect();
-    for record in peers.live(clock::now()) {
-        for (model, count) in &record.beat.refused {
-            *refused.entry(model.clone()).or_default() += count;
+    let mut arrivals: BTreeMap<ModelId, u64> = gateway.arrivals().into_iter().collect();
+    for record in node.peers.borrow().live(clock::now()) {
+        for (model, count) in &record.beat.arrivals {
+            *arrivals.entry(model.clone()).or_default() += count;
         }
     }
-    let mut demands: std::collections::BTreeMap<ModelId, f64> = gateway
-        .model_loads(&peers)
+    arrivals
         .into_iter()
-        .map(|(model, load)| (model, f64::from(load)))
-        .collect();
-    for (model, count) in refused {
-        let before = refused_before.insert(model.clone(), count).unwrap_or(count);
-        let new = count.saturating_sub(before) as f64;
-        let per_tick = gateway.duration_ms(&model) / TICK.as_millis() as f64;
-        *demands.entry(model).or_default() += new * per_tick;
-    }
-    demands.into_iter().collect()
+        .map(|(model, arrivals)| ModelTraffic {
+            duration_ms: gateway.duration_ms(&model),
+            model,
+            arrivals,
+        })
+        .collect()
 }
 
 /// Handles an event of the lease and carries out its effects.
@@ -175,6 +177,7 @@
             }
             LeaseEffect::Lost => {
                 log::info!("event=lease_lost");
+                node.gateway.borrow_mut().set_closed(&[]);
                 fleet_event(node, FleetEvent::Lost);
             }
         }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -22,7 +22,7 @@
 
 /// Time for opening a connection. Between failure domains it takes a few milliseconds; a lost packet is sent
 /// again after a second, by when another target has been tried.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Why an exchange failed, and whether the request may have run.
 #[derive(Debug)]
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -449,7 +449,9 @@
     let (route, limits) = find_route(node, &parts)?;
     let body = read_body(body, &limits).await?;
     let request = CallerRequest::new(parts, body, route, received);
-    node.gateway.borrow_mut().fresh(&request.route.service);
+    node.gateway
+        .borrow_mut()
+        .fresh(&request.route.service, request.model.as_ref());
     let mut log = AttemptLog::default();
     let live = attempt(node, &request, &mut log, request.last_event).await?;
     let is_stream = matches!(request.route.rule.kind, RequestKind::Stream { .. })
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -57,6 +57,8 @@
     pub phase: Cell<PeerPhase>,
     /// Requests of callers that are being handled.
     pub open_requests: Cell<u32>,
+    /// Has a beat sent at once.
+    pub news: Notify,
     /// Wakes the connections of callers when the node stops.
     pub stopping: Notify,
 }
@@ -87,6 +89,7 @@
             store: StoreClient::new(settings.store),
             phase: Cell::new(PeerPhase::Starting),
             open_requests: Cell::new(0),
+            news: Notify::new(),
             stopping: Notify::new(),
             incarnation,
             settings,
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -18,6 +18,7 @@
 
 use compact_str::CompactString;
 use compact_str::format_compact;
+use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
 use jaysaddle_types::ids::LeaseEpoch;
@@ -30,6 +31,7 @@
 use jaysaddle_types::serving::GroupKey;
 use jaysaddle_types::serving::MemberPhase;
 use jaysaddle_types::serving::OrderResult;
+use jaysaddle_types::serving::ServiceRule;
 use jaysaddle_types::serving::ServingConfig;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -38,15 +40,30 @@
 use crate::groups::ReportedGroup;
 use crate::groups::reported_groups;
 use crate::loads::LoadPacer;
+use crate::plan::DonorGroup;
 use crate::plan::FreeVm;
 use crate::plan::ModelNeed;
 use crate::plan::PlannedGroup;
+use crate::plan::plan_exchange;
 use crate::plan::plan_groups;
+use crate::plan::plan_one;
 use crate::table::BackendTable;
 
 /// Bits of a generation below the controller's term; a term forms fewer groups than this holds.
 const COUNTER_BITS: u32 = 20;
 
+/// The weight store loads this many times as fast until the platform's first request.
+const EARLY_LOAD_FACTOR: u64 = 10;
+
+/// Fabric domains in which groups are exchanged at a time.
+const MAX_EXCHANGES: usize = 2;
+
+/// Loads of a window that are kept for joins; one group of the largest size and one of the smallest.
+const RESERVED_LOADS: usize = 12;
+
+/// Load times after which a host that does not show a staged model is asked again.
+const STAGING_PATIENCE: u64 = 3;
+
 /// Times of the controller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ControllerTiming {
@@ -66,12 +83,19 @@
     pub join_limit: TimeSpan,
     /// Time for which an order without an answer may still be carried out.
     pub uncertain: TimeSpan,
-    /// Time after which the VMs of a leader that is gone are free: the platform treats its entry as final then.
-    pub leader_gone: TimeSpan,
+    /// Time after which a new holder of the lease takes a leader as gone that it has never seen: the platform
+    /// brings back the entry of a live one within two seconds.
+    pub unknown_leader: TimeSpan,
     /// Failed probes in a row after which a member counts as lost.
     pub lost_probes: u32,
     /// Time after which a group that is asked to close is made to leave.
     pub close_limit: TimeSpan,
+    /// Time for which free VMs are kept for a group that others are closed for.
+    pub reservation: TimeSpan,
+    /// Time between two exchanges in a fabric domain; an exchange takes about three seconds to show its effect.
+    pub exchange_pause: TimeSpan,
+    /// Time for which a group that was given up is remembered, against entries that are out of date.
+    pub ended_memory: TimeSpan,
     /// Join with weights that are in memory.
     pub memory_join_time: TimeSpan,
 }
@@ -81,15 +105,18 @@
         Self {
             settle: TimeSpan(400),
             settle_limit: TimeSpan(4000),
-            repeat: TimeSpan(250),
+            repeat: TimeSpan(100),
             leader_repeat: TimeSpan(1000),
             lost_repeat: TimeSpan(1000),
             join_visible: TimeSpan(3000),
             join_limit: TimeSpan::from_secs(60),
             uncertain: TimeSpan::from_secs(13),
-            leader_gone: TimeSpan(2500),
+            unknown_leader: TimeSpan(2500),
             lost_probes: 2,
             close_limit: TimeSpan(9000),
+            reservation: TimeSpan(5000),
+            exchange_pause: TimeSpan(4000),
+            ended_memory: TimeSpan::from_secs(20),
             memory_join_time: TimeSpan(200),
         }
     }
@@ -141,11 +168,24 @@
     /// Until when an order without an answer may still be carried out.
     uncertain_until: Option<Timestamp>,
     next_order: Option<Timestamp>,
+    /// Model that is being put on the host, and until when that is believed.
+    staging: Option<(ModelId, Timestamp)>,
     probe_in_flight: bool,
     next_probe: Option<Timestamp>,
     failed_probes: u32,
 }
 
+/// Requests of callers for a model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelTraffic {
+    /// Model.
+    pub model: ModelId,
+    /// Requests since the nodes' starts, refused ones included.
+    pub arrivals: u64,
+    /// Usual duration, in milliseconds.
+    pub duration_ms: f64,
+}
+
 /// An event of the controller.
 #[derive(Clone, Debug)]
 pub enum FleetEvent {
@@ -176,8 +216,8 @@
         /// VM.
         id: VmId,
     },
-    /// Requests that run, wait or were refused, by model.
-    Demand(Vec<(ModelId, f64)>),
+    /// Requests of callers at all nodes.
+    Demand(Vec<ModelTraffic>),
 }
 
 /// What is to be done.
@@ -214,6 +254,15 @@
     pub config: &'a ServingConfig,
 }
 
+fn as_free_vm(entry: &BackendEntry) -> Option<FreeVm> {
+    Some(FreeVm {
+        id: entry.id.clone(),
+        domain: entry.fabric_domain.clone()?,
+        last_model: entry.model.clone(),
+        staged: entry.staged.clone(),
+    })
+}
+
 /// The controller.
 #[derive(Debug)]
 pub struct FleetController {
@@ -222,6 +271,12 @@
     next_counter: u64,
     groups: BTreeMap<GroupKey, ControlledGroup>,
     vms: BTreeMap<VmId, ControlledVm>,
+    /// Groups that were given up, and when; their entries may still show them for a while.
+    ended: BTreeMap<GroupKey, Timestamp>,
+    /// Fabric domains whose free VMs are kept for a model, and until when.
+    reserved: BTreeMap<FabricDomainId, (ModelId, Timestamp)>,
+    /// When groups were last exchanged in a fabric domain.
+    exchanged: BTreeMap<FabricDomainId, Timestamp>,
     demand: DemandMeter,
     loads: LoadPacer,
     acquired: Timestamp,
@@ -238,6 +293,9 @@
             next_counter: 0,
             groups: BTreeMap::new(),
             vms: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            reserved: BTreeMap::new(),
+            exchanged: BTreeMap::new(),
             demand: DemandMeter::default(),
             loads: LoadPacer::default(),
             acquired: Timestamp(0),
@@ -261,14 +319,29 @@
             FleetEvent::Probed { id, order_count } => self.probed(&id, order_count, now),
             FleetEvent::Silent { id } => self.silent(&id, now),
             FleetEvent::Demand(demands) => {
-                for (model, places) in demands {
-                    self.demand.observe(&model, places, now);
+                for traffic in demands {
+                    self.demand
+                        .observe(&traffic.model, traffic.arrivals, traffic.duration_ms, now);
                 }
             }
         }
         std::mem::take(&mut self.effects)
     }
 
+    /// Leaders of the groups that must get no new request.
+    pub fn closed_leaders(&self) -> Vec<VmId> {
+        self.groups
+            .values()
+            .filter(|group| {
+                matches!(
+                    group.stage,
+                    GroupStage::Closing { .. } | GroupStage::Dissolving
+                )
+            })
+            .map(|group| group.leader().clone())
+            .collect()
+    }
+
     /// Number of groups by stage, for metrics.
     pub fn group_count(&self) -> usize {
         self.groups.len()
@@ -279,6 +352,8 @@
         self.next_counter = 0;
         self.groups.clear();
         self.vms.clear();
+        self.ended.clear();
+        self.reserved.clear();
         self.acquired = now;
         self.has_planned = false;
     }
@@ -336,8 +411,10 @@
 
     /// Takes over groups that an earlier holder of the lease has formed.
     fn adopt(&mut self, reported: &BTreeMap<GroupKey, ReportedGroup>, now: Timestamp) {
+        let memory = self.timing.ended_memory;
+        self.ended.retain(|_, ended| now.since(*ended) < memory);
         for (key, group) in reported {
-            if self.groups.contains_key(key) {
+            if self.groups.contains_key(key) || self.ended.contains_key(key) {
                 continue;
             }
             let Some(phase) = group.leader_phase else {
@@ -473,7 +550,7 @@
             self.decided(format_compact!(
                 "group={key} decision=abandon vm={id} reason={reason}"
             ));
-            self.groups.remove(key);
+            self.end_group(key, now);
             return;
         }
         let is_ready = reported.is_some_and(|group| {
@@ -578,7 +655,7 @@
         match phase {
             Some(MemberPhase::Ready | MemberPhase::Broken) => {
                 self.decided(format_compact!("group={key} decision=free reason=closed"));
-                self.groups.remove(key);
+                self.end_group(key, now);
             }
             Some(MemberPhase::Open | MemberPhase::Closing)
                 if now.since(since) < self.timing.close_limit =>
@@ -612,16 +689,18 @@
                 _ => Some("leader_left"),
             },
             None => {
-                let gone = view
-                    .table
-                    .removed_at(&leader)
-                    .is_none_or(|removed| now.since(removed) >= self.timing.leader_gone);
-                (gone && self.is_lost(&leader)).then_some("leader_gone")
+                if let Some(vm) = self.vms.get_mut(&leader)
+                    && vm.next_probe.is_none()
+                    && !vm.probe_in_flight
+                {
+                    vm.next_probe = Some(now);
+                }
+                self.is_lost(&leader).then_some("leader_gone")
             }
         };
         if let Some(reason) = reason {
             self.decided(format_compact!("group={key} decision=free reason={reason}"));
-            self.groups.remove(key);
+            self.end_group(key, now);
             return;
         }
         let due = group
@@ -632,6 +711,11 @@
         }
     }
 
+    fn end_group(&mut self, key: &GroupKey, now: Timestamp) {
+        self.groups.remove(key);
+        self.ended.insert(key.clone(), now);
+    }
+
     fn set_stage(&mut self, key: &GroupKey, stage: GroupStage) {
         if let Some(group) = self.groups.get_mut(key) {
             group.stage = stage;
@@ -743,7 +827,7 @@
                 };
                 if is_leader && has_left {
                     self.decided(format_compact!("group={key} decision=free reason=left"));
-                    self.groups.remove(&key);
+                    self.end_group(&key, now);
                 }
             }
             BackendOrder::Open { .. } | BackendOrder::Close { .. } | BackendOrder::Stage { .. } => {
@@ -848,7 +932,6 @@
     fn free_vm(
         &self,
         entry: &BackendEntry,
-        view: FleetView<'_>,
         reported: &BTreeMap<GroupKey, ReportedGroup>,
         now: Timestamp,
     ) -> bool {
@@ -866,6 +949,7 @@
         };
         match membership.phase {
             MemberPhase::Broken => true,
+            MemberPhase::Ready if self.ended.contains_key(&membership.key) => true,
             MemberPhase::Ready => match reported.get(&membership.key) {
                 // The leader reports, and it is not under control: it does not serve.
                 Some(group) if group.leader_phase.is_some() => !matches!(
@@ -873,10 +957,7 @@
                     Some(MemberPhase::Open | MemberPhase::Closing)
                 ),
                 // The leader is unknown to this holder of the lease; it may serve until its entry is final.
-                _ => {
-                    now.since(self.acquired) >= self.timing.leader_gone
-                        && self.leader_is_gone(&membership.key, view, now)
-                }
+                _ => now.since(self.acquired) >= self.timing.unknown_leader,
             },
             MemberPhase::Joining
             | MemberPhase::Open
@@ -885,14 +966,14 @@
         }
     }
 
-    /// Whether the leader of a group that is not under control has been gone for long enough.
-    fn leader_is_gone(&self, key: &GroupKey, view: FleetView<'_>, now: Timestamp) -> bool {
-        let _ = (key, view);
-        now.since(self.acquired) >= self.timing.leader_gone
-    }
-
-    fn needs_of(&self, service: &ServiceId, profile: &EngineProfile) -> Vec<ModelNeed> {
+    fn needs_of(
+        &self,
+        service: &ServiceId,
+        profile: &EngineProfile,
+        now: Timestamp,
+    ) -> Vec<ModelNeed> {
         let places = f64::from(profile.slots.0);
+        let has_traffic = self.demand.has_traffic();
         profile
             .models
             .iter()
@@ -910,10 +991,14 @@
                     group_size: model.group_size,
                     group_places: places,
                     capacity: groups.count() as f64 * places,
-                    demand: self.demand.places(&model.id),
+                    demand: self.demand.places(&model.id, now),
                     memory_join_time: self.timing.memory_join_time,
                     host_join_time: model.staged_join_time,
-                    load_time: model.load_time,
+                    load_time: if has_traffic {
+                        model.load_time
+                    } else {
+                        TimeSpan(model.load_time.0 / EARLY_LOAD_FACTOR)
+                    },
                 }
             })
             .collect()
@@ -942,23 +1027,223 @@
             }
             let free: Vec<FreeVm> = entries
                 .iter()
-                .filter(|entry| self.free_vm(entry, view, reported, now))
-                .filter_map(|entry| {
-                    Some(FreeVm {
-                        id: entry.id.clone(),
-                        domain: entry.fabric_domain.clone()?,
-                        last_model: entry.model.clone(),
-                        staged: entry.staged.clone(),
-                    })
-                })
+                .filter(|entry| self.free_vm(entry, reported, now))
+                .filter_map(|entry| as_free_vm(entry))
+                .collect();
+            let mut needs = self.needs_of(&service.id, profile, now);
+            self.exchange_groups(service, &free, &needs, view, now);
+            self.form_reserved(&service.id, &free, &needs, now);
+            let open: Vec<FreeVm> = free
+                .into_iter()
+                .filter(|vm| !self.reserved.contains_key(&vm.domain))
+                .filter(|vm| self.holder_of(&vm.id).is_none())
+                .collect();
+            let available = if self.demand.has_traffic() {
+                self.loads.available(profile.loads_per_second, now)
+            } else {
+                usize::MAX
+            };
+            for group in plan_groups(open, &mut needs, available) {
+                self.start_group(&service.id, group, now);
+            }
+            self.stage_models(service, profile, view, now);
+        }
+    }
+
+    /// Forms the groups for which free VMs are reserved, once there are enough.
+    fn form_reserved(
+        &mut self,
+        service: &ServiceId,
+        free: &[FreeVm],
+        needs: &[ModelNeed],
+        now: Timestamp,
+    ) {
+        self.reserved.retain(|_, (_, until)| now < *until);
+        for (domain, (model, _)) in self.reserved.clone() {
+            let Some(need) = needs.iter().find(|need| need.id == model) else {
+                continue;
+            };
+            let free: Vec<FreeVm> = free
+                .iter()
+                .filter(|vm| vm.domain == domain && self.holder_of(&vm.id).is_none())
+                .cloned()
+                .collect();
+            if let Some(group) = plan_one(&domain, &free, need) {
+                self.reserved.remove(&domain);
+                self.start_group(service, group, now);
+            }
+        }
+    }
+
+    /// Closes groups of one model where another needs their VMs more.
+    fn exchange_groups(
+        &mut self,
+        service: &ServiceRule,
+        free: &[FreeVm],
+        needs: &[ModelNeed],
+        view: FleetView<'_>,
+        now: Timestamp,
+    ) {
+        let mut donors: BTreeMap<FabricDomainId, Vec<DonorGroup>> = BTreeMap::new();
+        let mut soon_free: BTreeMap<FabricDomainId, Vec<FreeVm>> = BTreeMap::new();
+        for (key, group) in &self.groups {
+            if group.service != service.id {
+                continue;
+            }
+            let members: Vec<FreeVm> = group
+                .members
+                .iter()
+                .filter_map(|id| as_free_vm(&view.table.get(id)?.entry))
                 .collect();
-            if free.is_empty() {
+            let Some(domain) = members.first().map(|vm| vm.domain.clone()) else {
                 continue;
+            };
+            if matches!(
+                group.stage,
+                GroupStage::Closing { .. } | GroupStage::Dissolving
+            ) {
+                let healthy = members.into_iter().filter(|vm| !self.is_lost(&vm.id));
+                soon_free.entry(domain).or_default().extend(healthy);
+            } else if group.stage == GroupStage::Serving {
+                donors.entry(domain.clone()).or_default().push(DonorGroup {
+                    key: key.clone(),
+                    model: group.model.clone(),
+                    domain,
+                    members,
+                });
             }
-            let mut needs = self.needs_of(&service.id, profile);
-            let available = self.loads.available(profile.loads_per_second, now);
-            for planned in plan_groups(free, &mut needs, available) {
-                self.start_group(&service.id, planned, now);
+        }
+        if self.reserved.len() >= MAX_EXCHANGES || !self.demand.is_measured(now) {
+            return;
+        }
+        for (domain, donors) in donors {
+            let is_recent = self
+                .exchanged
+                .get(&domain)
+                .is_some_and(|time| now.since(*time) < self.timing.exchange_pause);
+            if is_recent || self.reserved.contains_key(&domain) {
+                continue;
+            }
+            let mut free: Vec<FreeVm> = free
+                .iter()
+                .filter(|vm| vm.domain == domain)
+                .cloned()
+                .collect();
+            free.extend(soon_free.remove(&domain).unwrap_or_default());
+            let Some(exchange) = plan_exchange(&domain, &free, &donors, needs) else {
+                continue;
+            };
+            self.exchanged.insert(domain.clone(), now);
+            let until = now + self.timing.reservation;
+            self.reserved
+                .insert(domain.clone(), (exchange.model.clone(), until));
+            for key in exchange.donors {
+                self.decided(format_compact!(
+                    "group={key} decision=close reason=exchange for_model={} domain={domain}",
+                    exchange.model
+                ));
+                self.set_stage(&key, GroupStage::Closing { since: now });
+                self.order_leader(&key, BackendOrder::Close { key: key.clone() }, now);
+            }
+            return;
+        }
+    }
+
+    /// Has the weights of a second model put on hosts, so that a VM can change its model without a load.
+    fn stage_models(
+        &mut self,
+        service: &ServiceRule,
+        profile: &EngineProfile,
+        view: FleetView<'_>,
+        now: Timestamp,
+    ) {
+        let has_traffic = self.demand.has_traffic();
+        let mut running = 0;
+        for vm in self.vms.values_mut() {
+            if vm.staging.as_ref().is_some_and(|(_, until)| now >= *until) {
+                vm.staging = None;
+            }
+            running += usize::from(vm.staging.is_some());
+        }
+        let joining = self
+            .groups
+            .values()
+            .filter(|group| group.stage == GroupStage::Joining)
+            .map(|group| group.members.len())
+            .sum::<usize>();
+        let mut allowed = if has_traffic {
+            let by_rate = self
+                .loads
+                .available(profile.loads_per_second, now)
+                .saturating_sub(RESERVED_LOADS);
+            let by_count = profile.concurrent_loads.saturating_sub(running + joining);
+            by_rate.min(by_count)
+        } else {
+            usize::MAX
+        };
+        // VMs of the model with small groups come first: they complete large groups.
+        let mut wanted: Vec<(usize, VmId, ModelId, TimeSpan)> = Vec::new();
+        for row in view.table.rows() {
+            let entry = &row.entry;
+            if entry.service != service.id || entry.is_draining {
+                continue;
+            }
+            let Some(present) = &entry.model else {
+                continue;
+            };
+            let is_loaded = entry.membership.as_ref().is_none_or(|membership| {
+                matches!(membership.phase, MemberPhase::Ready | MemberPhase::Open)
+            });
+            let other = profile
+                .models
+                .iter()
+                .filter(|model| model.id != *present)
+                .max_by_key(|model| model.group_size);
+            let Some(other) = other else {
+                continue;
+            };
+            let is_staged = entry.staged.iter().any(|staged| staged != present);
+            let vm = self.vms.get_mut(&entry.id);
+            if let Some(vm) = vm
+                && vm
+                    .staging
+                    .as_ref()
+                    .is_some_and(|(model, _)| entry.staged.contains(model))
+            {
+                vm.staging = None;
+            }
+            let may_stage = self.vms.get(&entry.id).is_some_and(|vm| {
+                vm.staging.is_none() && vm.in_flight.is_none() && vm.failed_probes == 0
+            });
+            if is_loaded && !is_staged && may_stage {
+                let present_size = profile
+                    .models
+                    .iter()
+                    .find(|model| model.id == *present)
+                    .map_or(usize::MAX, |model| model.group_size);
+                wanted.push((
+                    present_size,
+                    entry.id.clone(),
+                    other.id.clone(),
+                    other.load_time,
+                ));
+            }
+        }
+        wanted.sort();
+        for (_, id, model, load_time) in wanted {
+            if allowed == 0 {
+                return;
+            }
+            let order = BackendOrder::Stage {
+                model: model.clone(),
+            };
+            if self.send_order(&id, order, now) {
+                allowed -= 1;
+                self.loads.started(now);
+                let limit = TimeSpan(load_time.0 * STAGING_PATIENCE);
+                if let Some(vm) = self.vms.get_mut(&id) {
+                    vm.staging = Some((model, now + limit));
+                }
             }
         }
     }
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,4 +1,7 @@
-//! Demand for models, in concurrent requests.
+//! Demand for models, in concurrent requests: the rate of requests times their usual duration.
+//!
+//! The number of requests in flight would grow with the load of the groups and is no measure of what is asked
+//! for.
 
 use std::collections::BTreeMap;
 
@@ -6,66 +9,89 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
-/// Time constant of the average. Short enough to follow a jump of the traffic, long enough to pass over the
+/// Time constant of the average rate. Short enough to follow a jump of the traffic, long enough to pass over the
 /// noise of some tens of requests.
-const AVERAGING: TimeSpan = TimeSpan(4000);
+const AVERAGING: TimeSpan = TimeSpan(3000);
 
 /// Share of the first estimate that stays as a floor, so that a model without traffic keeps a group.
-const FLOOR_SHARE: f64 = 0.15;
+const FLOOR_SHARE: f64 = 0.1;
+
+/// Time after the first request during which the first estimate holds.
+const WARM_UP: TimeSpan = TimeSpan(3000);
 
 /// Demand for each model.
 #[derive(Clone, Debug, Default)]
 pub struct DemandMeter {
     demands: BTreeMap<ModelId, ModelDemand>,
+    first_request: Option<Timestamp>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct ModelDemand {
     first_estimate: f64,
-    average: f64,
+    /// Requests a second.
+    rate: f64,
+    duration_ms: f64,
+    arrivals: Option<u64>,
     updated: Timestamp,
-    has_traffic: bool,
 }
 
 impl DemandMeter {
-    /// Sets the estimate that holds until traffic is seen.
+    /// Sets the estimate that holds until enough traffic was seen.
     pub fn expect(&mut self, model: &ModelId, places: f64, now: Timestamp) {
         let demand = self.demands.entry(model.clone()).or_insert(ModelDemand {
             first_estimate: places,
-            average: places,
+            rate: 0.0,
+            duration_ms: 0.0,
+            arrivals: None,
             updated: now,
-            has_traffic: false,
         });
         demand.first_estimate = places;
-        if !demand.has_traffic {
-            demand.average = places;
-        }
     }
 
-    /// Takes over the number of requests that run, wait or were refused at this time.
-    pub fn observe(&mut self, model: &ModelId, places: f64, now: Timestamp) {
+    /// Takes over the number of requests that all nodes have had for `model`, and their usual duration.
+    pub fn observe(&mut self, model: &ModelId, arrivals: u64, duration_ms: f64, now: Timestamp) {
+        if arrivals > 0 && self.first_request.is_none() {
+            self.first_request = Some(now);
+        }
         let Some(demand) = self.demands.get_mut(model) else {
             return;
         };
-        if !demand.has_traffic {
-            if places <= 0.0 {
-                return;
-            }
-            demand.has_traffic = true;
-        }
+        demand.duration_ms = duration_ms;
         let elapsed = now.since(demand.updated).as_millis() as f64;
-        let weight = 1.0 - (-elapsed / AVERAGING.as_millis() as f64).exp();
-        demand.average += (places - demand.average) * weight;
+        let before = demand.arrivals.replace(arrivals);
         demand.updated = now;
+        let Some(before) = before else {
+            return;
+        };
+        if elapsed > 0.0 {
+            // A node that restarts counts anew; the sum of the counts falls then.
+            let rate = arrivals.saturating_sub(before) as f64 * 1000.0 / elapsed;
+            let weight = 1.0 - (-elapsed / AVERAGING.as_millis() as f64).exp();
+            demand.rate += (rate - demand.rate) * weight;
+        }
+    }
+
+    /// Whether any request was seen.
+    pub fn has_traffic(&self) -> bool {
+        self.first_request.is_some()
+    }
+
+    /// Whether enough traffic was seen for the demand to be measured.
+    pub fn is_measured(&self, now: Timestamp) -> bool {
+        self.first_request
+            .is_some_and(|first| now.since(first) >= WARM_UP)
     }
 
     /// Demand for `model`, never zero.
-    pub fn places(&self, model: &ModelId) -> f64 {
-        self.demands.get(model).map_or(1.0, |demand| {
-            demand
-                .average
-                .max(demand.first_estimate * FLOOR_SHARE)
-                .max(1.0)
-        })
+    pub fn places(&self, model: &ModelId, now: Timestamp) -> f64 {
+        let Some(demand) = self.demands.get(model) else {
+            return 1.0;
+        };
+        if !self.is_measured(now) {
+            return demand.first_estimate.max(1.0);
+        }
+        let places = demand.rate * demand.duration_ms / 1000.0;
+        places.max(demand.first_estimate * FLOOR_SHARE).max(1.0)
     }
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use jaysaddle_types::ids::FailureDomainId;
@@ -49,8 +50,10 @@
     pub loads: Vec<(u32, u32)>,
     /// Targets that send nothing although requests wait.
     pub silent: Vec<u32>,
-    /// Requests refused for want of capacity since its start, by model.
-    pub refused: Vec<(ModelId, u64)>,
+    /// Requests of callers since its start, by model.
+    pub arrivals: Vec<(ModelId, u64)>,
+    /// Targets that must get no new request, as the controller says.
+    pub closed: Vec<u32>,
 }
 
 /// A peer as last heard.
@@ -72,6 +75,8 @@
 pub struct PeerTable {
     peers: BTreeMap<NodeId, PeerRecord>,
     loads: HashMap<u32, u32>,
+    silent: HashSet<u32>,
+    closed: HashSet<u32>,
 }
 
 impl PeerTable {
@@ -98,11 +103,15 @@
 
     fn sum_loads(&mut self, now: Timestamp) {
         self.loads.clear();
+        self.silent.clear();
+        self.closed.clear();
         for record in self.peers.values() {
             if now.since(record.heard) < PEER_TIMEOUT {
                 for (target, count) in &record.beat.loads {
                     *self.loads.entry(*target).or_default() += count;
                 }
+                self.silent.extend(&record.beat.silent);
+                self.closed.extend(&record.beat.closed);
             }
         }
     }
@@ -112,6 +121,16 @@
         self.loads.get(&target).copied().unwrap_or(0)
     }
 
+    /// Whether a live peer gets no data from a target.
+    pub fn is_silent(&self, target: u32) -> bool {
+        self.silent.contains(&target)
+    }
+
+    /// Whether the controller, at a peer, has closed a target.
+    pub fn is_closed(&self, target: u32) -> bool {
+        self.closed.contains(&target)
+    }
+
     /// Peers heard lately.
     pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
         self.peers
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,6 +1,8 @@
 //! Which groups to form from VMs that are free.
 //!
-//! A group's value is the demand that it adds to what is served, with diminishing returns, per VM, discounted
+//! Where a model lacks VMs that another model's groups hold, the planner names groups to close for it.
+//!
+//! A group's value is the demand that it adds to what is served, with diminishing returns, discounted
 //! by the time until it serves. The planner takes the best group, again and again, until no group fits.
 
 use std::collections::BTreeMap;
@@ -8,6 +10,7 @@
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::GroupKey;
 use jaysaddle_types::units::TimeSpan;
 
 /// Steepness of the diminishing returns: at a capacity equal to the demand, about three quarters of the value
@@ -85,10 +88,9 @@
         self.demand * (1.0 - (-SATURATION * capacity / self.demand).exp())
     }
 
-    /// Value of one more group for each of its VMs.
+    /// Value of one more group. It does not count the group's size: capacity follows demand alike for all models.
     pub fn marginal_value(&self) -> f64 {
-        let gain = self.served(self.capacity + self.group_places) - self.served(self.capacity);
-        gain / self.group_size as f64
+        self.served(self.capacity + self.group_places) - self.served(self.capacity)
     }
 
     fn join_time(&self, source: JoinSource) -> TimeSpan {
@@ -167,6 +169,26 @@
     })
 }
 
+/// A group of one model from the free VMs of a fabric domain, without a load from the weight store.
+pub fn plan_one(
+    domain: &FabricDomainId,
+    free: &[FreeVm],
+    need: &ModelNeed,
+) -> Option<PlannedGroup> {
+    let candidate = candidate(0, need, domain, free, 0)?;
+    Some(PlannedGroup {
+        model: need.id.clone(),
+        domain: candidate.domain,
+        members: candidate
+            .members
+            .iter()
+            .map(|position| free[*position].id.clone())
+            .collect(),
+        join_time: candidate.join_time,
+        loads: candidate.loads,
+    })
+}
+
 /// Chooses groups for the free VMs. `needs` is updated with the capacity of the chosen groups.
 pub fn plan_groups(
     free: Vec<FreeVm>,
@@ -218,3 +240,90 @@
         });
     }
 }
+
+/// A group that serves, as a possible source of VMs.
+#[derive(Clone, Debug)]
+pub struct DonorGroup {
+    /// The group.
+    pub key: GroupKey,
+    /// Its model.
+    pub model: ModelId,
+    /// Its fabric domain.
+    pub domain: FabricDomainId,
+    /// Its members, as they would be free.
+    pub members: Vec<FreeVm>,
+}
+
+/// Factor by which the gain of an exchange has to exceed its loss, so that groups are not exchanged back and
+/// forth when the demand varies.
+const EXCHANGE_MARGIN: f64 = 1.3;
+
+/// Least gain of an exchange, in concurrent requests; smaller ones are not worth the pause.
+const LEAST_EXCHANGE_GAIN: f64 = 0.8;
+
+/// Groups to close in one fabric domain, for a group of another model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedExchange {
+    /// Groups to close.
+    pub donors: Vec<GroupKey>,
+    /// Model that gets their VMs.
+    pub model: ModelId,
+    /// Fabric domain.
+    pub domain: FabricDomainId,
+}
+
+fn loss_of(need: &ModelNeed, groups: usize) -> f64 {
+    let rest = need.capacity - groups as f64 * need.group_places;
+    need.served(need.capacity) - need.served(rest.max(0.0))
+}
+
+/// Number of VMs, out of all, that hold or have staged `model`.
+fn quick_count<'a>(vms: impl Iterator<Item = &'a FreeVm>, model: &ModelId) -> usize {
+    vms.filter(|vm| vm.source_of(model) < JoinSource::WeightStore)
+        .count()
+}
+
+/// The best exchange in one fabric domain, if any is worth it. `donors` are the groups of the domain, the least
+/// busy first.
+pub fn plan_exchange(
+    domain: &FabricDomainId,
+    free: &[FreeVm],
+    donors: &[DonorGroup],
+    needs: &[ModelNeed],
+) -> Option<PlannedExchange> {
+    let mut best: Option<(f64, PlannedExchange)> = None;
+    for need in needs {
+        let gain = need.marginal_value() * discount(need.host_join_time);
+        for giver in needs.iter().filter(|giver| giver.id != need.id) {
+            let mut chosen: Vec<&DonorGroup> = Vec::new();
+            let mut count = quick_count(free.iter(), &need.id);
+            for donor in donors.iter().filter(|donor| donor.model == giver.id) {
+                if count >= need.group_size {
+                    break;
+                }
+                let quick = quick_count(donor.members.iter(), &need.id);
+                if quick > 0 {
+                    count += quick;
+                    chosen.push(donor);
+                }
+            }
+            if chosen.is_empty() || count < need.group_size {
+                continue;
+            }
+            let loss = loss_of(giver, chosen.len());
+            if gain < loss * EXCHANGE_MARGIN || gain - loss < LEAST_EXCHANGE_GAIN {
+                continue;
+            }
+            let value = gain - loss;
+            if best.as_ref().is_none_or(|(least, _)| value > *least) {
+                let exchange = PlannedExchange {
+                    donors: chosen.iter().map(|donor| donor.key.clone()).collect(),
+                    model: need.id.clone(),
+                    domain: domain.clone(),
+                };
+                best = Some((value, exchange));
+            }
+        }
+    }
+    best.map(|(_, exchange)| exchange)
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::rc::Rc;
 
@@ -31,7 +32,9 @@
     pub wait_share: f64,
     /// Duration of a request before one was measured, in milliseconds.
     pub assumed_duration_ms: f64,
-    /// Silence of a busy group after which it is avoided and its members are probed.
+    /// Silence of a busy group after which it is avoided and its members are probed. Events come every 50 ms.
+    pub suspicion: TimeSpan,
+    /// Silence after which a request goes on elsewhere.
     pub silence: TimeSpan,
     /// Time for which a target without progress or with a refusal is avoided.
     pub avoid_time: TimeSpan,
@@ -48,6 +51,7 @@
         Self {
             wait_share: 0.5,
             assumed_duration_ms: 800.0,
+            suspicion: TimeSpan(350),
             silence: TimeSpan(600),
             avoid_time: TimeSpan(1500),
             repeat_permille: 180,
@@ -115,7 +119,8 @@
     durations: HashMap<TargetClass, f64>,
     budgets: HashMap<ServiceId, RetryBudget>,
     node_count: u32,
-    refused: BTreeMap<ModelId, u64>,
+    arrivals: BTreeMap<ModelId, u64>,
+    closed: HashSet<TargetNumber>,
     random: SpreadRandom,
     table_change: Option<u64>,
 }
@@ -131,7 +136,8 @@
             durations: HashMap::new(),
             budgets: HashMap::new(),
             node_count: 1,
-            refused: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
+            closed: HashSet::new(),
             random: SpreadRandom::new(seed),
             table_change: None,
         }
@@ -196,7 +202,6 @@
         let class = (query.service.clone(), query.model.cloned());
         let targets = self.targets.get(&class).map_or(&[][..], Vec::as_slice);
         if targets.is_empty() {
-            self.count_refusal(query);
             return Err(TargetRefusal::NoTarget);
         }
         let duration = self
@@ -215,7 +220,9 @@
         let mut best: Option<(bool, f64, &Rc<RequestTarget>)> = None;
         for step in 0..targets.len() {
             let target = &targets[(offset + step) % targets.len()];
-            if query.tried.contains(&target.number) {
+            let is_closed =
+                self.closed.contains(&target.number) || peers.is_closed(target.number.0);
+            if is_closed || query.tried.contains(&target.number) {
                 continue;
             }
             let health = self.health.get(&target.number);
@@ -226,13 +233,8 @@
             if load >= limit && !query.is_repeat {
                 continue;
             }
-            let is_avoided = health.is_some_and(|health| {
-                now < health.avoid_until
-                    || (target.model.is_some()
-                        && health
-                            .silence(now)
-                            .is_some_and(|silence| silence >= self.settings.silence))
-            });
+            let is_avoided = peers.is_silent(target.number.0)
+                || health.is_some_and(|health| self.is_suspect(target, health, now));
             let slowness = health.map_or(1.0, |health| {
                 let pause = if health.pause_ms > 0.0 && least_pause.is_finite() {
                     (health.pause_ms / least_pause).max(1.0)
@@ -251,16 +253,7 @@
         }
         match best {
             Some((_, _, target)) => Ok(target.clone()),
-            None => {
-                self.count_refusal(query);
-                Err(TargetRefusal::Full)
-            }
-        }
-    }
-
-    fn count_refusal(&mut self, query: &TargetQuery<'_>) {
-        if let Some(model) = query.model {
-            *self.refused.entry(model.clone()).or_default() += 1;
+            None => Err(TargetRefusal::Full),
         }
     }
 
@@ -309,7 +302,6 @@
                 health.failure_rate *= 0.8;
                 let class = (target.service.clone(), target.model.clone());
                 let millis = duration.as_millis().max(1) as f64;
-                blend(&mut health.duration_ms, millis);
                 blend(self.durations.entry(class).or_insert(millis), millis);
             }
             TargetOutcome::Refused => health.avoid_until = now + avoid_time,
@@ -333,20 +325,29 @@
         self.health.get(&number)?.silence(now)
     }
 
-    /// Silence after which a busy group is suspected.
+    /// Silence after which a request goes on elsewhere.
     pub fn silence_limit(&self) -> TimeSpan {
         self.settings.silence
     }
 
-    /// Groups that have requests and send nothing.
+    /// Whether other targets are preferred to this one.
+    fn is_suspect(&self, target: &RequestTarget, health: &TargetHealth, now: Timestamp) -> bool {
+        let is_silent = health
+            .silence(now)
+            .is_some_and(|silence| silence >= self.settings.suspicion);
+        now < health.avoid_until || (target.group.is_some() && is_silent)
+    }
+
+    /// Groups that have requests and send nothing, or could not be reached lately.
     pub fn silent_groups(&self, now: Timestamp) -> Vec<(TargetNumber, VmId)> {
         self.targets
             .values()
             .flatten()
             .filter(|target| target.group.is_some())
             .filter(|target| {
-                self.silence_of(target.number, now)
-                    .is_some_and(|silence| silence >= self.settings.silence)
+                self.health
+                    .get(&target.number)
+                    .is_some_and(|health| self.is_suspect(target, health, now))
             })
             .map(|target| (target.number, target.backend.clone()))
             .collect()
@@ -370,29 +371,30 @@
             .collect()
     }
 
-    /// Requests of this node and its peers at the groups of each model.
-    pub fn model_loads(&self, peers: &PeerTable) -> BTreeMap<ModelId, u32> {
-        let mut loads = BTreeMap::new();
-        for target in self.targets.values().flatten() {
-            if let Some(model) = &target.model {
-                let own = self
-                    .health
-                    .get(&target.number)
-                    .map_or(0, |health| health.in_flight);
-                *loads.entry(model.clone()).or_default() += own + peers.load_of(target.number.0);
-            }
-        }
-        loads
-    }
-
-    /// Requests refused for want of a target since the start, by model.
-    pub fn refused(&self) -> Vec<(ModelId, u64)> {
-        self.refused
+    /// Requests of callers since the start, by model.
+    pub fn arrivals(&self) -> Vec<(ModelId, u64)> {
+        self.arrivals
             .iter()
             .map(|(model, count)| (model.clone(), *count))
             .collect()
     }
 
+    /// Takes over the leaders whose groups this node's controller has closed.
+    pub fn set_closed(&mut self, leaders: &[VmId]) {
+        self.closed = self
+            .targets
+            .values()
+            .flatten()
+            .filter(|target| target.group.is_some() && leaders.contains(&target.backend))
+            .map(|target| target.number)
+            .collect();
+    }
+
+    /// Targets that this node's controller has closed.
+    pub fn closed(&self) -> Vec<u32> {
+        self.closed.iter().map(|number| number.0).collect()
+    }
+
     /// Average duration of the requests of a model, in milliseconds.
     pub fn duration_ms(&self, model: &ModelId) -> f64 {
         self.durations
@@ -410,8 +412,11 @@
     }
 
     /// Takes note of a caller's request for a service.
-    pub fn fresh(&mut self, service: &ServiceId) {
+    pub fn fresh(&mut self, service: &ServiceId, model: Option<&ModelId>) {
         self.budget(service).fresh();
+        if let Some(model) = model {
+            *self.arrivals.entry(model.clone()).or_default() += 1;
+        }
     }
 
     /// Takes one repeat out of the budget of a service, when there is one.
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -114,8 +114,6 @@
     pub avoid_until: Timestamp,
     /// Average part of requests that failed lately, 0 to 1.
     pub failure_rate: f64,
-    /// Average duration of a request in milliseconds; 0 before the first.
-    pub duration_ms: f64,
     /// Average pause between two pieces of data in milliseconds; 0 before the first.
     pub pause_ms: f64,
 }
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -42,9 +42,12 @@
     /// Numbers of the targets that send nothing.
     #[prost(uint32, repeated, tag = "12")]
     pub silent: Vec<u32>,
-    /// Requests refused for want of a target.
+    /// Requests of callers.
     #[prost(message, repeated, tag = "13")]
-    pub refused: Vec<RefusedMessage>,
+    pub arrivals: Vec<ArrivalMessage>,
+    /// Numbers of the targets that must get no new request.
+    #[prost(uint32, repeated, tag = "14")]
+    pub closed: Vec<u32>,
 }
 
 /// The lease as its holder sees it.
@@ -61,9 +64,9 @@
     pub remaining_ms: u64,
 }
 
-/// Requests refused for want of a target since the node's start.
+/// Requests of callers since the node's start.
 #[derive(Clone, PartialEq, Message)]
-pub struct RefusedMessage {
+pub struct ArrivalMessage {
     /// Model.
     #[prost(string, tag = "1")]
     pub model: String,
