--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -25,7 +25,6 @@
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::serving::ClientLimits;
-use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use tokio::time::timeout;
@@ -49,7 +48,6 @@
     pub model: Option<ModelId>,
     /// Number of the last event that the caller has.
     pub last_event: Option<u64>,
-    pub received: Timestamp,
     /// When the answer has to be complete.
     pub deadline: Timestamp,
 }
@@ -142,16 +140,10 @@
             route,
             model,
             last_event,
-            received,
             deadline: received + TimeSpan(limit.0.saturating_sub(ANSWER_MARGIN.0)),
         }
     }
 
-    /// Whether the answer is a stream of events.
-    pub fn is_stream(&self) -> bool {
-        matches!(self.route.rule.kind, RequestKind::Stream { .. })
-    }
-
     /// Time until the answer has to be complete.
     pub fn time_left(&self) -> TimeSpan {
         self.deadline.since(clock::now())
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -301,7 +301,7 @@
         started,
         address,
     };
-    let mut pooled = node.pool.take(&key, true).await?;
+    let mut pooled = node.pool.take(&key, true, u32::MAX).await?;
     let mut builder = Request::builder()
         .method(method)
         .uri(path)
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -44,6 +44,8 @@
 const MAX_SENDS: usize = 4;
 /// Time that must be left for another send to make sense.
 pub const LEAST_TIME_LEFT: TimeSpan = TimeSpan(60);
+/// Connections to a backend server that each node may open at least.
+const LEAST_CONNECTIONS: u32 = 2;
 /// Largest body of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Part of the time left that an idempotent request waits for its first backend server, in percent. Work takes
@@ -129,7 +131,7 @@
 
 /// Result of one send.
 enum SendResult {
-    Answered(LiveAttempt),
+    Answered(Box<LiveAttempt>),
     /// The backend server did not run the request.
     NotRun(String),
     /// The request may have run.
@@ -149,6 +151,17 @@
     own_silence >= limit && (target_silence >= limit || own_silence.0 >= limit.0 * 3)
 }
 
+/// This node's part of the connections that a backend server takes.
+fn connection_limit(node: &EntryNode, target: &RequestTarget) -> u32 {
+    let all = node
+        .config
+        .borrow()
+        .as_ref()
+        .and_then(|config| Some(config.service(&target.service)?.max_connections))
+        .unwrap_or(u32::MAX);
+    (all / node.gateway.borrow().node_count()).max(LEAST_CONNECTIONS)
+}
+
 /// Sends a request to one target and waits for the head of the answer.
 async fn send_once(
     node: &Rc<EntryNode>,
@@ -164,7 +177,8 @@
         address: target.address,
     };
     let must_be_fresh = !request.route.rule.kind.may_repeat();
-    let mut connection = match node.pool.take(&key, must_be_fresh).await {
+    let limit = connection_limit(node, &target);
+    let mut connection = match node.pool.take(&key, must_be_fresh, limit).await {
         Ok(connection) => connection,
         Err(error) => {
             node.gateway.borrow_mut().avoid(target.number, clock::now());
@@ -235,11 +249,11 @@
             return SendResult::Lost("the answer is not the backend server's own".to_owned());
         }
     }
-    SendResult::Answered(LiveAttempt {
+    SendResult::Answered(Box::new(LiveAttempt {
         guard,
         connection,
         response,
-    })
+    }))
 }
 
 async fn wait_for_head(
@@ -347,7 +361,7 @@
                     && log.runs < rule.max_attempts
                     && request.time_left() > LEAST_TIME_LEFT;
                 if !again {
-                    return Ok(live);
+                    return Ok(*live);
                 }
                 if !node.gateway.borrow_mut().try_repeat(&request.route.service) {
                     return Ok(live);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,7 +11,6 @@
 mod control;
 mod copies;
 mod directory;
-mod events;
 mod exchange;
 mod forward;
 mod log_writer;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use eyre::eyre;
 use jaysaddle_daemon::clock;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::units::TimeSpan;
@@ -90,19 +91,30 @@
 
 impl BackendPool {
     /// Connections that are open to a backend server, in use or not.
-    pub fn open_count(&self, id: &VmId) -> u32 {
+    fn open_count(&self, id: &VmId) -> u32 {
         self.open.borrow().get(id).copied().unwrap_or(0)
     }
 
-    /// Takes a kept connection or opens one. With `must_be_fresh`, a kept one must have been used lately.
+    /// Takes a kept connection or opens one, up to `limit`. With `must_be_fresh`, a kept one must have been used
+    /// lately.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the limit is reached or no connection can be opened.
     pub async fn take(
         &self,
         key: &BackendKey,
         must_be_fresh: bool,
+        limit: u32,
     ) -> Result<PooledConnection, ExchangeError> {
         if let Some(kept) = self.take_idle(key, must_be_fresh) {
             return Ok(kept);
         }
+        if self.open_count(&key.id) >= limit {
+            return Err(ExchangeError::not_run(eyre!(
+                "{limit} connections are open"
+            )));
+        }
         let count = OpenCount::new(&self.open, &key.id);
         let connection = connect(key.address).await?;
         metrics::counter!("jaysaddle_backend_connections_total").increment(1);
--- /dev/null
+++ b/crates/fleet/tests/all/lease.rs
@@ -0,0 +1,136 @@
+//! The lease of the controller.
+
+use jaysaddle_fleet::lease::LeaseClaim;
+use jaysaddle_fleet::lease::LeaseEffect;
+use jaysaddle_fleet::lease::LeaseEvent;
+use jaysaddle_fleet::lease::LeaseKeeper;
+use jaysaddle_fleet::lease::LeaseRecord;
+use jaysaddle_fleet::lease::LeaseTiming;
+use jaysaddle_fleet::lease::LeaseWrite;
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+fn keeper(name: &str) -> LeaseKeeper {
+    LeaseKeeper::new(NodeId::new(name), LeaseTiming::default())
+}
+
+fn record(holder: &str, term: u64) -> LeaseRecord {
+    LeaseRecord {
+        holder: Some(NodeId::new(holder)),
+        term: LeaseEpoch(term),
+        write_number: 1,
+    }
+}
+
+fn tick(keeper: &mut LeaseKeeper, now: u64) -> Vec<LeaseEffect> {
+    keeper.step(LeaseEvent::Tick { rank: 0 }, Timestamp(now))
+}
+
+fn take_first(keeper: &mut LeaseKeeper, now: u64) {
+    assert_eq!(tick(keeper, now), vec![LeaseEffect::Read]);
+    let effects = keeper.step(LeaseEvent::Read(None), Timestamp(now));
+    assert!(matches!(
+        effects[..],
+        [LeaseEffect::Write { version: None, .. }]
+    ));
+    let written = LeaseWrite::Done {
+        version: ObjectVersion(5),
+    };
+    let effects = keeper.step(LeaseEvent::Written(written), Timestamp(now + 5));
+    assert_eq!(effects, vec![LeaseEffect::Acquired(LeaseEpoch(1))]);
+}
+
+/// Guards against a holder that believes its lease after it was suspended.
+#[test]
+fn a_lease_ends_without_a_renewal() {
+    let mut keeper = keeper("a");
+    take_first(&mut keeper, 1000);
+    let end = 1000 + LeaseTiming::default().duration.0;
+    assert!(keeper.holds(Timestamp(end - 1)).is_some());
+    assert!(keeper.holds(Timestamp(end)).is_none());
+    let effects = tick(&mut keeper, end + 5000);
+    assert_eq!(effects[0], LeaseEffect::Lost);
+}
+
+/// Guards against a second wait of a whole lease when the holder's last message told how long its lease lasts.
+#[test]
+fn a_claim_that_ran_out_is_taken_over_at_once() {
+    let mut keeper = keeper("b");
+    let claim = LeaseClaim {
+        term: LeaseEpoch(3),
+        version: ObjectVersion(9),
+        remaining: TimeSpan(1200),
+    };
+    keeper.step(LeaseEvent::Claimed(claim), Timestamp(1000));
+    assert!(tick(&mut keeper, 2100).is_empty());
+    assert_eq!(tick(&mut keeper, 2200), vec![LeaseEffect::Read]);
+    let read = LeaseEvent::Read(Some((ObjectVersion(9), record("a", 3))));
+    let effects = keeper.step(read, Timestamp(2205));
+    let LeaseEffect::Write { version, record } = &effects[0] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(*version, Some(ObjectVersion(9)));
+    assert_eq!(record.term, LeaseEpoch(4));
+}
+
+/// Guards against two holders: a holder whose messages are lost has renewed its lease in the store.
+#[test]
+fn a_renewal_that_was_not_heard_of_is_respected() {
+    let mut keeper = keeper("b");
+    let claim = LeaseClaim {
+        term: LeaseEpoch(3),
+        version: ObjectVersion(9),
+        remaining: TimeSpan(1200),
+    };
+    keeper.step(LeaseEvent::Claimed(claim), Timestamp(1000));
+    assert_eq!(tick(&mut keeper, 2200), vec![LeaseEffect::Read]);
+    let read = LeaseEvent::Read(Some((ObjectVersion(12), record("a", 3))));
+    assert!(keeper.step(read, Timestamp(2205)).is_empty());
+    assert!(tick(&mut keeper, 2300).is_empty());
+}
+
+/// Guards against a write that is counted as made, or as not made, although its answer was lost.
+#[test]
+fn after_a_lost_answer_the_object_is_read() {
+    let mut keeper = keeper("a");
+    assert_eq!(tick(&mut keeper, 1000), vec![LeaseEffect::Read]);
+    keeper.step(LeaseEvent::Read(None), Timestamp(1000));
+    let effects = keeper.step(LeaseEvent::Written(LeaseWrite::Unknown), Timestamp(1700));
+    assert_eq!(effects, vec![LeaseEffect::Read]);
+    assert!(keeper.holds(Timestamp(1700)).is_none());
+}
+
+/// Guards against a pause in repairs after a planned stop.
+#[test]
+fn a_resigned_lease_is_taken_at_once() {
+    let mut holder = keeper("a");
+    take_first(&mut holder, 1000);
+    let effects = holder.step(LeaseEvent::Resign, Timestamp(1100));
+    let Some(LeaseEffect::Write { record, .. }) = effects.last() else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(record.holder, None);
+    let mut other = keeper("b");
+    assert_eq!(tick(&mut other, 1200), vec![LeaseEffect::Read]);
+    let read = LeaseEvent::Read(Some((ObjectVersion(6), record.clone())));
+    let effects = other.step(read, Timestamp(1205));
+    assert!(matches!(effects[..], [LeaseEffect::Write { .. }]));
+}
+
+/// Guards against a holder that goes on although another node has a later term.
+#[test]
+fn a_later_term_ends_the_lease() {
+    let mut keeper = keeper("a");
+    take_first(&mut keeper, 1000);
+    let claim = LeaseClaim {
+        term: LeaseEpoch(2),
+        version: ObjectVersion(9),
+        remaining: TimeSpan(1000),
+    };
+    let effects = keeper.step(LeaseEvent::Claimed(claim), Timestamp(1100));
+    assert_eq!(effects, vec![LeaseEffect::Lost]);
+    assert!(keeper.holds(Timestamp(1100)).is_none());
+}
--- /dev/null
+++ b/crates/fleet/tests/all/peers.rs
@@ -0,0 +1,60 @@
+//! What peers say.
+
+use jaysaddle_fleet::peers::PEER_TIMEOUT;
+use jaysaddle_fleet::peers::PeerBeat;
+use jaysaddle_fleet::peers::PeerPhase;
+use jaysaddle_fleet::peers::PeerTable;
+use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+fn beat(node: &str, incarnation: u64, loads: &[(u32, u32)]) -> PeerBeat {
+    PeerBeat {
+        node: NodeId::new(node),
+        incarnation: Incarnation(incarnation),
+        failure_domain: FailureDomainId::new("a"),
+        caller_address: "10.0.0.1:80".parse().expect("address"),
+        peer_address: "10.0.0.1:81".parse().expect("address"),
+        phase: PeerPhase::Serving,
+        config_version: 1,
+        table_age: TimeSpan(0),
+        claim: None,
+        loads: loads.to_vec(),
+        silent: vec![7],
+        arrivals: Vec::new(),
+        closed: vec![8],
+    }
+}
+
+#[test]
+fn loads_of_peers_add_up() {
+    let mut peers = PeerTable::default();
+    peers.heard(beat("a", 1, &[(1, 2), (3, 1)]), Timestamp(100));
+    peers.heard(beat("b", 1, &[(1, 5)]), Timestamp(100));
+    assert_eq!(peers.load_of(1), 7);
+    assert_eq!(peers.load_of(3), 1);
+    assert!(peers.is_silent(7) && peers.is_closed(8));
+}
+
+/// Guards against the load of a dead peer, which would keep requests away from free groups for good.
+#[test]
+fn a_silent_peer_counts_no_more() {
+    let mut peers = PeerTable::default();
+    peers.heard(beat("a", 1, &[(1, 2)]), Timestamp(100));
+    let later = Timestamp(100) + PEER_TIMEOUT;
+    peers.tick(later);
+    assert_eq!(peers.load_of(1), 0);
+    assert_eq!(peers.live(later).count(), 0);
+    assert!(!peers.is_closed(8));
+}
+
+/// Guards against a delayed datagram of a peer's former start.
+#[test]
+fn a_message_of_a_former_start_is_passed_over() {
+    let mut peers = PeerTable::default();
+    peers.heard(beat("a", 2, &[(1, 2)]), Timestamp(100));
+    peers.heard(beat("a", 1, &[(1, 9)]), Timestamp(200));
+    assert_eq!(peers.load_of(1), 2);
+}
--- /dev/null
+++ b/crates/fleet/tests/all/plan.rs
@@ -0,0 +1,125 @@
+//! Which groups are formed from free VMs.
+
+use jaysaddle_fleet::plan::DonorGroup;
+use jaysaddle_fleet::plan::FreeVm;
+use jaysaddle_fleet::plan::ModelNeed;
+use jaysaddle_fleet::plan::plan_exchange;
+use jaysaddle_fleet::plan::plan_groups;
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::units::TimeSpan;
+
+use crate::fake::LARGE;
+use crate::fake::SMALL;
+use crate::fake::model;
+use crate::fake::vm;
+
+fn free(id: usize, domain: &str, last: Option<&str>) -> FreeVm {
+    FreeVm {
+        id: vm(&format!("vm{id}")),
+        domain: FabricDomainId::new(domain),
+        last_model: last.map(model),
+        staged: Vec::new(),
+    }
+}
+
+fn need(name: &str, group_size: usize, capacity: f64, demand: f64) -> ModelNeed {
+    ModelNeed {
+        id: model(name),
+        group_size,
+        group_places: 17.0,
+        capacity,
+        demand,
+        memory_join_time: TimeSpan(200),
+        host_join_time: TimeSpan(1500),
+        load_time: TimeSpan(14_000),
+    }
+}
+
+/// Guards against groups across fabric domains, which would be slow.
+#[test]
+fn a_group_stays_in_one_domain() {
+    let free = vec![free(0, "d0", None), free(1, "d1", None)];
+    let mut needs = [need(SMALL, 2, 0.0, 50.0)];
+    assert!(plan_groups(free, &mut needs, 99).is_empty());
+}
+
+#[test]
+fn vms_that_hold_the_model_come_first() {
+    let free = vec![
+        free(0, "d0", None),
+        free(1, "d0", Some(SMALL)),
+        free(2, "d0", Some(SMALL)),
+    ];
+    let mut needs = [need(SMALL, 2, 0.0, 50.0)];
+    let groups = plan_groups(free, &mut needs, 99);
+    assert_eq!(groups[0].members, vec![vm("vm1"), vm("vm2")]);
+    assert_eq!(groups[0].loads, 0);
+}
+
+#[test]
+fn no_load_beyond_the_limit_is_planned() {
+    let free = (0..8).map(|id| free(id, "d0", None)).collect();
+    let mut needs = [need(SMALL, 2, 0.0, 50.0)];
+    let groups = plan_groups(free, &mut needs, 5);
+    assert_eq!(groups.len(), 2);
+}
+
+/// Guards against a fleet that serves one model well and starves the other: both follow their demand.
+#[test]
+fn capacity_follows_demand() {
+    let free = (0..60)
+        .map(|id| free(id, &format!("d{}", id / 10), None))
+        .collect();
+    let mut needs = [need(LARGE, 4, 0.0, 49.0), need(SMALL, 2, 0.0, 126.0)];
+    let groups = plan_groups(free, &mut needs, 99);
+    let large = groups
+        .iter()
+        .filter(|group| group.model == model(LARGE))
+        .count();
+    let small = groups.len() - large;
+    assert!((6..=8).contains(&large), "{large} large, {small} small");
+    assert_eq!(large * 4 + small * 2, 60);
+}
+
+fn donor(number: u64, first: usize) -> DonorGroup {
+    let mut members = vec![
+        free(first, "d0", Some(SMALL)),
+        free(first + 1, "d0", Some(SMALL)),
+    ];
+    for member in &mut members {
+        member.staged = vec![model(LARGE)];
+    }
+    DonorGroup {
+        key: GroupKey {
+            group: GroupId::new(format!("g{number}")),
+            generation: Generation(number),
+        },
+        model: model(SMALL),
+        domain: FabricDomainId::new("d0"),
+        members,
+    }
+}
+
+/// Guards against free VMs of a lost large group that wait although one small group could complete them.
+#[test]
+fn one_small_group_completes_a_large_one() {
+    let free: Vec<FreeVm> = (0..3).map(|id| free(id, "d0", Some(LARGE))).collect();
+    let donors = vec![donor(1, 10), donor(2, 20)];
+    let needs = [need(LARGE, 4, 51.0, 49.0), need(SMALL, 2, 272.0, 126.0)];
+    let domain = FabricDomainId::new("d0");
+    let exchange = plan_exchange(&domain, &free, &donors, &needs).expect("an exchange");
+    assert_eq!(exchange.donors.len(), 1);
+    assert_eq!(exchange.model, model(LARGE));
+}
+
+/// Guards against groups that change their model back and forth under balanced load.
+#[test]
+fn balanced_models_are_left_alone() {
+    let donors = vec![donor(1, 10), donor(2, 20)];
+    let needs = [need(LARGE, 4, 102.0, 49.0), need(SMALL, 2, 255.0, 126.0)];
+    let domain = FabricDomainId::new("d0");
+    assert!(plan_exchange(&domain, &[], &donors, &needs).is_none());
+}
--- a/crates/entry/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,8 +1,9 @@
 //! Cuts a stream into whole events.
 
+use std::fmt;
+
 use bytes::Bytes;
 use bytes::BytesMut;
-use jaysaddle_adapter::headers::parse_event_id;
 
 /// Longest event; a longer one is not from a model engine.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -32,8 +33,8 @@
     },
 }
 
-impl std::fmt::Display for EventError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for EventError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             EventError::TooLong => f.write_str("event_too_long"),
             EventError::Gap { last, found } => write!(f, "event_gap_{last}_to_{found}"),
@@ -102,6 +103,12 @@
     }
 }
 
+/// The number of a line `id: N`.
+fn parse_event_id(line: &[u8]) -> Option<u64> {
+    let rest = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(rest).ok()?.trim().parse().ok()
+}
+
 /// Position after the empty line that ends the first event.
 fn event_end(data: &[u8]) -> Option<usize> {
     let lf = data.windows(2).position(|pair| pair == b"\n\n");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Nodes among which limits are divided.
+    pub fn node_count(&self) -> u32 {
+        self.node_count
+    }
+
     /// Chooses a target. The caller reports the start, progress and end of the request there.
     ///
     /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here performs I/O or reads a clock. `jaysaddle-entry` calls it for each request and tells it what
 //! came of it.
 
+pub mod events;
 pub mod gateway;
 pub mod random;
 pub mod routes;
--- /dev/null
+++ b/crates/gateway/tests/all/events.rs
@@ -0,0 +1,68 @@
+//! Events of a stream.
+
+use jaysaddle_gateway::events::EventBuffer;
+use jaysaddle_gateway::events::EventError;
+use quickcheck::quickcheck;
+
+fn event(id: u64) -> Vec<u8> {
+    format!("id: {id}\ndata: token {id}\n\n").into_bytes()
+}
+
+/// Guards against part of an event reaching the caller when a backend server stops in the middle of it.
+#[test]
+fn only_whole_events_are_handed_out() {
+    let mut buffer = EventBuffer::default();
+    let one = event(1);
+    assert!(buffer.push(&one[..7]).expect("no error").is_empty());
+    assert!(buffer.has_partial());
+    assert_eq!(buffer.push(&one[7..]).expect("no error"), one);
+    assert_eq!(buffer.last_id(), Some(1));
+    assert!(!buffer.has_partial());
+}
+
+/// Guards against events that come twice when a stream goes on at another group.
+#[test]
+fn events_that_the_caller_has_are_left_out() {
+    let mut buffer = EventBuffer::after(Some(2));
+    let mut data = event(2);
+    data.extend(event(3));
+    assert_eq!(buffer.push(&data).expect("no error"), event(3));
+}
+
+/// Guards against a hole in the answer when the other group goes on too late.
+#[test]
+fn a_missing_event_is_an_error() {
+    let mut buffer = EventBuffer::after(Some(2));
+    let error = buffer.push(&event(5)).expect_err("a gap");
+    assert_eq!(error, EventError::Gap { last: 2, found: 5 });
+}
+
+#[test]
+fn both_line_ends_end_an_event() {
+    let mut buffer = EventBuffer::default();
+    let data = b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+    assert_eq!(buffer.push(data).expect("no error"), &data[..]);
+    assert_eq!(buffer.last_id(), Some(2));
+}
+
+quickcheck! {
+    /// Guards against bytes that are lost or doubled at the borders of packets.
+    fn any_cut_gives_the_same_bytes(count: u8, cuts: Vec<usize>) -> bool {
+        let data: Vec<u8> = (1..=u64::from(count)).flat_map(event).collect();
+        let mut positions: Vec<usize> = cuts
+            .into_iter()
+            .map(|cut| cut % (data.len() + 1))
+            .chain([0, data.len()])
+            .collect();
+        positions.sort_unstable();
+        let mut buffer = EventBuffer::default();
+        let mut out = Vec::new();
+        for pair in positions.windows(2) {
+            match buffer.push(&data[pair[0]..pair[1]]) {
+                Ok(ready) => out.extend_from_slice(&ready),
+                Err(_) => return false,
+            }
+        }
+        out == data && !buffer.has_partial()
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/all/overload.rs
@@ -0,0 +1,65 @@
+//! Bursts: what is taken, what is refused, and the budget for repeats.
+
+use jaysaddle_gateway::gateway::TargetQuery;
+use jaysaddle_gateway::gateway::TargetRefusal;
+use jaysaddle_types::ids::ServiceId;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::scene::PLAIN;
+use crate::scene::SLOTS;
+use crate::scene::Scene;
+
+/// Pattern: many users come at once. Guards against a queue in which every request becomes late: what would wait
+/// for longer than its latency target allows is refused at once, and what fits is taken.
+#[test]
+fn a_burst_is_cut_at_what_can_be_served_in_time() {
+    let mut scene = Scene::new(2);
+    let taken = (0..1000).filter(|_| scene.send(&[], 100).is_some()).count();
+    let places = 2 * SLOTS as usize;
+    assert!(taken >= places, "{taken} of {places} places");
+    assert!(taken <= places * 3 / 2, "{taken} for {places} places");
+}
+
+/// Pattern: as above, seen by a node whose peers have already filled the groups.
+#[test]
+fn groups_that_peers_have_filled_are_full() {
+    let mut scene = Scene::new(1);
+    let number = scene.send(&[], 100).expect("a target");
+    scene.hear(vec![(number.0, 100)], vec![], vec![], 100);
+    assert_eq!(scene.send(&[], 100), None);
+}
+
+/// Guards against refusals that are not told apart: without a group nothing can be served.
+#[test]
+fn no_group_is_not_full() {
+    let mut scene = Scene::new(0);
+    let query = TargetQuery {
+        service: &scene.service,
+        model: Some(&scene.model),
+        latency_target: TimeSpan(300),
+        tried: &[],
+        is_repeat: false,
+    };
+    let refusal = scene
+        .gateway
+        .choose(&query, &scene.peers, Timestamp(100))
+        .err();
+    assert_eq!(refusal, Some(TargetRefusal::NoTarget));
+}
+
+/// Pattern: a fifth of the groups is lost at once. Guards against repeats beyond the budget that all nodes share.
+#[test]
+fn repeats_stay_within_the_shared_budget() {
+    let mut scene = Scene::new(1);
+    scene.gateway.set_node_count(5);
+    let service = ServiceId::new(PLAIN);
+    let mut repeats = 0;
+    for _ in 0..1000 {
+        scene.gateway.fresh(&service, None);
+        repeats += u32::from(scene.gateway.try_repeat(&service));
+    }
+    // 0.2 for each request, and the slack of 100 divided by five nodes.
+    assert!(repeats <= 1000 / 5 + 100 / 5, "{repeats}");
+    assert!(repeats >= 150, "{repeats}");
+}
--- /dev/null
+++ b/crates/gateway/tests/all/routes.rs
@@ -0,0 +1,62 @@
+//! Routes and keys.
+
+use std::rc::Rc;
+
+use jaysaddle_gateway::routes::RouteIndex;
+use jaysaddle_gateway::routes::RouteRefusal;
+
+use crate::scene::ENGINES;
+use crate::scene::PLAIN;
+use crate::scene::config;
+
+fn index() -> RouteIndex {
+    RouteIndex::new(Rc::new(config()))
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let index = index();
+    let found = index.find("calls.example", "/a/b/c", Some("secret"), "r1");
+    assert_eq!(found.expect("a route").service.as_str(), PLAIN);
+    let found = index.find("Calls.Example:80", "/a/x?y=/a/b/", Some("secret"), "r1");
+    assert_eq!(found.expect("a route").service.as_str(), ENGINES);
+}
+
+/// Guards against a prefix that matches inside a path segment.
+#[test]
+fn a_prefix_matches_whole_segments() {
+    let refused = index().find("calls.example", "/ab/c", Some("secret"), "r1");
+    assert_eq!(refused.err(), Some(RouteRefusal::UnknownRoute));
+}
+
+#[test]
+fn keys_are_checked_but_for_public_routes() {
+    let index = index();
+    for key in [None, Some("wrong")] {
+        let refused = index.find("calls.example", "/a/x", key, "r1");
+        assert_eq!(refused.err(), Some(RouteRefusal::UnknownKey));
+        assert!(index.find("calls.example", "/open/x", key, "r1").is_ok());
+    }
+    let found = index
+        .find("calls.example", "/a/x", Some("secret"), "r1")
+        .expect("a route");
+    assert_eq!(found.account.expect("an account").as_str(), "lender");
+    assert_eq!(found.priority, 1);
+}
+
+#[test]
+fn weights_divide_a_route() {
+    let index = index();
+    let to_engines = (0..1000)
+        .filter(|number| {
+            let found = index.find(
+                "calls.example",
+                "/split/x",
+                Some("secret"),
+                &number.to_string(),
+            );
+            found.expect("a route").service.as_str() == ENGINES
+        })
+        .count();
+    assert!((850..=950).contains(&to_engines), "{to_engines}");
+}
--- /dev/null
+++ b/crates/gateway/tests/all/scene.rs
@@ -0,0 +1,208 @@
+//! A gateway with a few groups and backend servers.
+
+use std::rc::Rc;
+
+use jaysaddle_fleet::peers::PeerBeat;
+use jaysaddle_fleet::peers::PeerPhase;
+use jaysaddle_fleet::peers::PeerTable;
+use jaysaddle_fleet::table::BackendTable;
+use jaysaddle_gateway::gateway::GatewaySettings;
+use jaysaddle_gateway::gateway::RequestGateway;
+use jaysaddle_gateway::gateway::TargetQuery;
+use jaysaddle_gateway::target::TargetNumber;
+use jaysaddle_types::ids::AccountId;
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::FailureDomainId;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::ids::ServiceId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::AccountEntry;
+use jaysaddle_types::serving::BackendEntry;
+use jaysaddle_types::serving::EngineProfile;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::GroupMembership;
+use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::serving::ModelProfile;
+use jaysaddle_types::serving::RequestKind;
+use jaysaddle_types::serving::RouteRule;
+use jaysaddle_types::serving::ServiceRule;
+use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::SlotCount;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+pub const ENGINES: &str = "engines";
+pub const PLAIN: &str = "records";
+pub const MODEL: &str = "model";
+pub const SLOTS: u32 = 16;
+
+pub fn route(prefix: &str, targets: &[(&str, u32)]) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        host: "calls.example".into(),
+        path_prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout: TimeSpan(1000),
+        latency_target: TimeSpan(300),
+        priority: 2,
+        targets: targets
+            .iter()
+            .map(|(name, weight)| (ServiceId::new(*name), *weight))
+            .collect(),
+        max_attempts: 2,
+        is_public: false,
+    }
+}
+
+pub fn config() -> ServingConfig {
+    ServingConfig {
+        version: 1,
+        routes: vec![
+            route("/a/", &[(ENGINES, 1)]),
+            route("/a/b/", &[(PLAIN, 1)]),
+            RouteRule {
+                is_public: true,
+                ..route("/open/", &[(PLAIN, 1)])
+            },
+            route("/split/", &[(ENGINES, 90), (PLAIN, 10)]),
+        ],
+        services: vec![
+            ServiceRule {
+                id: ServiceId::new(ENGINES),
+                max_connections: 100,
+                engine: Some(EngineProfile {
+                    slots: SlotCount(SLOTS),
+                    models: vec![ModelProfile {
+                        id: ModelId::new(MODEL),
+                        group_size: 2,
+                        work_share: 1.0,
+                        load_time: TimeSpan(1000),
+                        staged_join_time: TimeSpan(100),
+                    }],
+                    loads_per_second: 5.0,
+                    concurrent_loads: 7,
+                    open_time: TimeSpan(300),
+                }),
+            },
+            ServiceRule {
+                id: ServiceId::new(PLAIN),
+                max_connections: 100,
+                engine: None,
+            },
+        ],
+        accounts: Some(vec![AccountEntry {
+            id: AccountId::new("lender"),
+            keys: vec!["secret".into()],
+            priority: Some(1),
+        }]),
+        ..ServingConfig::default()
+    }
+}
+
+pub fn entry(id: &str, service: &str) -> BackendEntry {
+    BackendEntry {
+        id: VmId::new(id),
+        started: 1,
+        service: ServiceId::new(service),
+        address: "10.0.0.1:80".parse().expect("address"),
+        failure_domain: FailureDomainId::new("a"),
+        fabric_domain: Some(FabricDomainId::new("a-0")),
+        slots: SlotCount(6),
+        is_draining: false,
+        model: None,
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+pub fn add_group(table: &mut BackendTable, number: u64) {
+    for rank in 0..2 {
+        let phase = if rank == 0 {
+            MemberPhase::Open
+        } else {
+            MemberPhase::Ready
+        };
+        let member = BackendEntry {
+            model: Some(ModelId::new(MODEL)),
+            membership: Some(GroupMembership {
+                key: GroupKey {
+                    group: GroupId::new(format!("g{number}")),
+                    generation: Generation(number),
+                },
+                rank,
+                phase,
+            }),
+            ..entry(&format!("vm{number}-{rank}"), ENGINES)
+        };
+        table.put(member, Timestamp(1));
+    }
+}
+
+/// A gateway with `groups` groups and one backend server of the plain service.
+pub struct Scene {
+    pub gateway: RequestGateway,
+    pub peers: PeerTable,
+    pub table: BackendTable,
+    pub service: ServiceId,
+    pub model: ModelId,
+}
+
+impl Scene {
+    pub fn new(groups: u64) -> Self {
+        let mut table = BackendTable::default();
+        for number in 0..groups {
+            add_group(&mut table, number);
+        }
+        table.put(entry("plain0", PLAIN), Timestamp(1));
+        let mut gateway = RequestGateway::new(GatewaySettings::default(), 1);
+        gateway.set_config(Rc::new(config()), &table);
+        Self {
+            gateway,
+            peers: PeerTable::default(),
+            table,
+            service: ServiceId::new(ENGINES),
+            model: ModelId::new(MODEL),
+        }
+    }
+
+    /// Sends a request; `None` when it is refused.
+    pub fn send(&mut self, tried: &[TargetNumber], now: u64) -> Option<TargetNumber> {
+        let query = TargetQuery {
+            service: &self.service,
+            model: Some(&self.model),
+            latency_target: TimeSpan(300),
+            tried,
+            is_repeat: false,
+        };
+        let target = self
+            .gateway
+            .choose(&query, &self.peers, Timestamp(now))
+            .ok()?;
+        self.gateway.started(target.number, Timestamp(now));
+        Some(target.number)
+    }
+
+    /// A peer's message.
+    pub fn hear(&mut self, loads: Vec<(u32, u32)>, silent: Vec<u32>, closed: Vec<u32>, now: u64) {
+        let beat = PeerBeat {
+            node: NodeId::new("peer"),
+            incarnation: Incarnation(1),
+            failure_domain: FailureDomainId::new("a"),
+            caller_address: "10.0.0.2:80".parse().expect("address"),
+            peer_address: "10.0.0.2:81".parse().expect("address"),
+            phase: PeerPhase::Serving,
+            config_version: 1,
+            table_age: TimeSpan(0),
+            claim: None,
+            loads,
+            silent,
+            arrivals: Vec::new(),
+            closed,
+        };
+        self.peers.heard(beat, Timestamp(now));
+    }
+}
