Hold VMs for the model that needs them; pace loads; late requests wait behind those on time

Requests that found all groups full were refused although a late answer is worth something to their callers. Ruled out: refusals for want of repeats (fixed by not resending requests that wait for their first event).

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -12,6 +12,7 @@
 use jaysaddle_fleet::lease::LeaseClaim;
 use jaysaddle_fleet::lease::LeaseEvent;
 use jaysaddle_fleet::peers::PeerBeat;
+use jaysaddle_fleet::peers::PeerLoad;
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::LeaseEpoch;
@@ -65,8 +66,9 @@
             version: claim.version.0,
             remaining_ms: claim.remaining.as_millis(),
         }),
-        load_targets: loads.iter().map(|(target, _)| *target).collect(),
-        load_counts: loads.iter().map(|(_, count)| *count).collect(),
+        load_targets: loads.iter().map(|load| load.target).collect(),
+        load_counts: loads.iter().map(|load| load.requests).collect(),
+        late_counts: loads.iter().map(|load| load.late).collect(),
         silent: gateway
             .silent_groups(now)
             .into_iter()
@@ -113,6 +115,12 @@
             .load_targets
             .into_iter()
             .zip(message.load_counts)
+            .zip(message.late_counts)
+            .map(|((target, requests), late)| PeerLoad {
+                target,
+                requests,
+                late,
+            })
             .collect(),
         silent: message.silent,
         arrivals,
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -25,6 +25,7 @@
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::serving::ClientLimits;
+use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use tokio::time::timeout;
@@ -34,6 +35,10 @@
 
 /// Time kept back for the way of the answer to the caller, so that it arrives before the caller gives up.
 const ANSWER_MARGIN: TimeSpan = TimeSpan(25);
+/// Part of a route's timeout, in percent, below which the time that a caller states shows an earlier attempt.
+const FULL_TIME_PERCENT: u64 = 97;
+/// Added to the urgency number of requests that will be late, so that others go first in the engine's queue.
+const LATE_URGENCY: u32 = 4;
 /// Highest urgency number that engines know.
 const LOWEST_URGENCY: u32 = 9;
 
@@ -50,6 +55,8 @@
     pub last_event: Option<u64>,
     /// When the answer has to be complete.
     pub deadline: Timestamp,
+    /// Whether the caller has used up part of its time, such as by an attempt that was refused.
+    pub is_returning: bool,
 }
 
 /// Headers that concern one connection only, or that this node sets itself.
@@ -124,7 +131,8 @@
         let stated = text(&parts.headers, &headers::TIME_LEFT)
             .and_then(|value| value.parse::<u64>().ok())
             .map(TimeSpan);
-        let limit = stated.map_or(route.rule.timeout, |stated| stated.min(route.rule.timeout));
+        let route_timeout = route.rule.timeout;
+        let limit = stated.map_or(route_timeout, |stated| stated.min(route_timeout));
         let model = text(&parts.headers, &headers::MODEL).and_then(|value| value.parse().ok());
         let last_event =
             text(&parts.headers, &headers::LAST_EVENT).and_then(|value| value.parse().ok());
@@ -140,10 +148,17 @@
             route,
             model,
             last_event,
+            is_returning: stated
+                .is_some_and(|stated| stated.0 * 100 < route_timeout.0 * FULL_TIME_PERCENT),
             deadline: received + TimeSpan(limit.0.saturating_sub(ANSWER_MARGIN.0)),
         }
     }
 
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(&self) -> bool {
+        matches!(self.route.rule.kind, RequestKind::Stream { .. })
+    }
+
     /// Time until the answer has to be complete.
     pub fn time_left(&self) -> TimeSpan {
         self.deadline.since(clock::now())
@@ -154,6 +169,7 @@
         &self,
         target: &RequestTarget,
         last_event: Option<u64>,
+        is_late: bool,
     ) -> eyre::Result<Request<RequestBody>> {
         let mut map = self.headers.clone();
         strip_connection_headers(&mut map);
@@ -169,7 +185,8 @@
             map.insert(headers::ACCOUNT, HeaderValue::from_str(account.as_str())?);
         }
         if target.model.is_some() {
-            let urgency = self.route.priority.min(LOWEST_URGENCY);
+            let added = if is_late { LATE_URGENCY } else { 0 };
+            let urgency = (self.route.priority + added).min(LOWEST_URGENCY);
             map.insert(headers::ENGINE_PRIORITY, number_value(u64::from(urgency))?);
         }
         if let Some(last_event) = last_event {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -59,7 +59,7 @@
 /// Time for an order. Answers come in milliseconds; a later one counts as unknown.
 const ORDER_LIMIT: Duration = Duration::from_millis(800);
 /// Time for a report. A member that needs longer delays its whole group.
-const REPORT_LIMIT: Duration = Duration::from_millis(250);
+const REPORT_LIMIT: Duration = Duration::from_millis(160);
 /// Name of the lease object.
 const LEASE_NAME: &str = "controller";
 
@@ -83,10 +83,11 @@
         }
         let rank = lease_rank(&node);
         lease_event(&node, LeaseEvent::Tick { rank });
+        // All nodes follow the demand, so that the next holder of the lease knows it.
+        fleet_event(&node, FleetEvent::Demand(traffic(&node)));
         if node.lease.borrow().holds(clock::now()).is_none() {
             continue;
         }
-        fleet_event(&node, FleetEvent::Demand(traffic(&node)));
         for id in silent_leaders(&node) {
             fleet_event(&node, FleetEvent::Silent { id });
         }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -20,7 +20,6 @@
 use jaysaddle_gateway::routes::RouteRefusal;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_gateway::target::TargetNumber;
-use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use jaysaddle_types::verdict::Verdict;
@@ -51,6 +50,11 @@
 /// Part of the time left that an idempotent request waits for its first backend server, in percent. Work takes
 /// a small part of the time budget; a backend server that needs more hangs.
 const FIRST_WAIT_PERCENT: u64 = 55;
+/// Silence of a stream that has begun, in limits of its target's silence, after which it goes on elsewhere
+/// although the target serves others.
+const STREAM_SILENCE_FACTOR: u64 = 3;
+/// The same for a request that waits for its first event: as long as callers wait at least.
+const FIRST_SILENCE_FACTOR: u64 = 5;
 /// Step at which a silent backend server is judged again.
 pub const SILENCE_STEP: TimeSpan = TimeSpan(150);
 
@@ -59,17 +63,39 @@
     node: Rc<EntryNode>,
     pub target: Rc<RequestTarget>,
     started: Timestamp,
+    /// Whether it waits behind requests that can still be on time.
+    is_waiting_late: bool,
+    /// Whether the answer has begun.
+    is_streaming: bool,
     is_finished: bool,
 }
 
 impl AttemptGuard {
-    fn new(node: &Rc<EntryNode>, target: Rc<RequestTarget>) -> Self {
+    /// Takes note of data from the target. `pause` is the time since the data before.
+    pub fn progressed(&mut self, pause: Option<TimeSpan>, now: Timestamp) {
+        let mut gateway = self.node.gateway.borrow_mut();
+        if self.is_waiting_late {
+            self.is_waiting_late = false;
+            gateway.stopped_waiting(self.target.number);
+        }
+        if !self.is_streaming {
+            self.is_streaming = true;
+            gateway.streams(self.target.number);
+        }
+        gateway.progressed(self.target.number, pause, now);
+    }
+
+    fn new(node: &Rc<EntryNode>, target: Rc<RequestTarget>, is_late: bool) -> Self {
         let now = clock::now();
-        node.gateway.borrow_mut().started(target.number, now);
+        node.gateway
+            .borrow_mut()
+            .started(target.number, is_late, now);
         Self {
             node: node.clone(),
             target,
             started: now,
+            is_waiting_late: is_late,
+            is_streaming: false,
             is_finished: false,
         }
     }
@@ -138,17 +164,25 @@
     Lost(String),
 }
 
-/// Whether a silent attempt is to be given up, given the silence of the whole target.
+/// Whether a silent attempt is to be given up, given the silence of the whole target. A request that waits for
+/// its first event, which may be long in a full queue, needs more silence than a stream that has begun.
 pub fn is_stalled(
     node: &EntryNode,
     target: &RequestTarget,
     own_silence: TimeSpan,
+    has_begun: bool,
     now: Timestamp,
 ) -> bool {
     let gateway = node.gateway.borrow();
     let limit = gateway.silence_limit();
     let target_silence = gateway.silence_of(target.number, now).unwrap_or_default();
-    own_silence >= limit && (target_silence >= limit || own_silence.0 >= limit.0 * 3)
+    let own_factor = if has_begun {
+        STREAM_SILENCE_FACTOR
+    } else {
+        FIRST_SILENCE_FACTOR
+    };
+    let is_target_silent = own_silence >= limit && target_silence >= limit;
+    is_target_silent || own_silence.0 >= limit.0 * own_factor
 }
 
 /// This node's part of the connections that a backend server takes.
@@ -162,15 +196,26 @@
     (all / node.gateway.borrow().node_count()).max(LEAST_CONNECTIONS)
 }
 
-/// Sends a request to one target and waits for the head of the answer.
-async fn send_once(
-    node: &Rc<EntryNode>,
-    request: &CallerRequest,
+/// How a request is sent.
+struct SendPlan {
     target: Rc<RequestTarget>,
+    /// Whether it lets requests go first that can still be on time.
+    is_late: bool,
+    /// Number of the last event that the caller has.
     last_event: Option<u64>,
+    /// Whether a silent target is given up for another one.
     may_give_up: bool,
-) -> SendResult {
-    let guard = AttemptGuard::new(node, target.clone());
+}
+
+/// Sends a request to one target and waits for the head of the answer.
+async fn send_once(node: &Rc<EntryNode>, request: &CallerRequest, plan: SendPlan) -> SendResult {
+    let SendPlan {
+        target,
+        is_late,
+        last_event,
+        may_give_up,
+    } = plan;
+    let guard = AttemptGuard::new(node, target.clone(), is_late);
     let key = BackendKey {
         id: target.backend.clone(),
         started: target.started,
@@ -186,7 +231,7 @@
             return SendResult::NotRun(format!("connect: {:#}", error.cause));
         }
     };
-    let outgoing = match request.for_target(&target, last_event) {
+    let outgoing = match request.for_target(&target, last_event, is_late) {
         Ok(outgoing) => outgoing,
         Err(error) => return SendResult::NotRun(format!("{error:#}")),
     };
@@ -211,9 +256,10 @@
             };
         }
     };
-    node.gateway
-        .borrow_mut()
-        .progressed(target.number, None, clock::now());
+    let mut guard = guard;
+    if !request.is_stream() {
+        guard.progressed(None, clock::now());
+    }
     judge_head(node, request, guard, connection, response)
 }
 
@@ -280,7 +326,7 @@
         let now = clock::now();
         let waited = now.since(sent);
         let is_hanging = if target.model.is_some() {
-            is_stalled(node, target, waited, now)
+            is_stalled(node, target, waited, false, now)
         } else {
             waited >= first_wait
         };
@@ -327,15 +373,17 @@
             latency_target: rule.latency_target,
             tried: &log.tried,
             is_repeat: has_run,
+            is_returning: request.is_returning,
         };
         let chosen = node
             .gateway
             .borrow_mut()
             .choose(&query, &node.peers.borrow(), clock::now());
-        let target = match chosen {
-            Ok(target) => target,
+        let choice = match chosen {
+            Ok(choice) => choice,
             Err(refusal) => return Err(refused(has_run, refusal, node)),
         };
+        let target = choice.target;
         let is_repeat = !log.tried.is_empty();
         if is_repeat && !node.gateway.borrow_mut().try_repeat(&request.route.service) {
             return Err(ended(
@@ -352,7 +400,13 @@
             request.id,
             target.backend
         );
-        match send_once(node, request, target.clone(), last_event, may_give_up).await {
+        let plan = SendPlan {
+            target: target.clone(),
+            is_late: choice.is_late,
+            last_event,
+            may_give_up,
+        };
+        match send_once(node, request, plan).await {
             SendResult::Answered(live) => {
                 log.runs += 1;
                 let failed = live.response.status().is_server_error();
@@ -364,7 +418,7 @@
                     return Ok(*live);
                 }
                 if !node.gateway.borrow_mut().try_repeat(&request.route.service) {
-                    return Ok(live);
+                    return Ok(*live);
                 }
                 live.guard.finish(TargetOutcome::Failed);
             }
@@ -399,7 +453,7 @@
     if has_run {
         NodeFailure::may_have_run(status, reason)
     } else {
-        let retry_after = node.gateway.borrow_mut().retry_after();
+        let retry_after = node.gateway.borrow_mut().retry_after(TargetRefusal::Full);
         NodeFailure::unavailable(reason, retry_after)
     }
 }
@@ -468,9 +522,7 @@
         .fresh(&request.route.service, request.model.as_ref());
     let mut log = AttemptLog::default();
     let live = attempt(node, &request, &mut log, request.last_event).await?;
-    let is_stream = matches!(request.route.rule.kind, RequestKind::Stream { .. })
-        && live.response.status().is_success();
-    if is_stream {
+    if request.is_stream() && live.response.status().is_success() {
         let relay = StreamRelay::new(node.clone(), request, log, live, open);
         return Ok(relay.into_answer());
     }
@@ -488,7 +540,7 @@
     NodeFailure,
 > {
     let mut gateway = node.gateway.borrow_mut();
-    let retry_after = gateway.retry_after();
+    let retry_after = gateway.retry_after(TargetRefusal::NoTarget);
     let Some(routes) = gateway.routes() else {
         return Err(NodeFailure::unavailable("no_configuration", retry_after));
     };
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -140,10 +140,7 @@
                     let pause = self.has_data.then(|| now.since(self.last_data));
                     self.last_data = now;
                     self.has_data = true;
-                    self.node
-                        .gateway
-                        .borrow_mut()
-                        .progressed(target.number, pause, now);
+                    live.guard.progressed(pause, now);
                     if let Ok(data) = frame.into_data() {
                         return Arrival::Data(data);
                     }
@@ -153,7 +150,7 @@
                 Err(_) => {
                     let now = clock::now();
                     let silence = now.since(self.last_data);
-                    if may_resume && is_stalled(&self.node, &target, silence, now) {
+                    if may_resume && is_stalled(&self.node, &target, silence, self.has_data, now) {
                         return Arrival::Broken(format!("no data for {silence}"));
                     }
                 }
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -42,8 +42,11 @@
 use crate::loads::LoadPacer;
 use crate::plan::DonorGroup;
 use crate::plan::FreeVm;
+use crate::plan::JoinSource;
+use crate::plan::LoadBudget;
 use crate::plan::ModelNeed;
 use crate::plan::PlannedGroup;
+use crate::plan::is_holding;
 use crate::plan::plan_exchange;
 use crate::plan::plan_groups;
 use crate::plan::plan_one;
@@ -55,11 +58,14 @@
 /// The weight store loads this many times as fast until the platform's first request.
 const EARLY_LOAD_FACTOR: u64 = 10;
 
+/// Interval of the summary in the log.
+const SUMMARY_INTERVAL: TimeSpan = TimeSpan(1000);
+
 /// Fabric domains in which groups are exchanged at a time.
 const MAX_EXCHANGES: usize = 2;
 
-/// Loads of a window that are kept for joins; one group of the largest size and one of the smallest.
-const RESERVED_LOADS: usize = 12;
+/// Loads that are kept for joins: a pair of new VMs may come at any time.
+const RESERVED_LOADS: usize = 3;
 
 /// Load times after which a host that does not show a staged model is asked again.
 const STAGING_PATIENCE: u64 = 3;
@@ -105,7 +111,7 @@
         Self {
             settle: TimeSpan(400),
             settle_limit: TimeSpan(4000),
-            repeat: TimeSpan(100),
+            repeat: TimeSpan(60),
             leader_repeat: TimeSpan(1000),
             lost_repeat: TimeSpan(1000),
             join_visible: TimeSpan(3000),
@@ -170,6 +176,8 @@
     next_order: Option<Timestamp>,
     /// Model that is being put on the host, and until when that is believed.
     staging: Option<(ModelId, Timestamp)>,
+    /// Until when a load that was just ordered may not show in the entry.
+    loading_until: Option<Timestamp>,
     probe_in_flight: bool,
     next_probe: Option<Timestamp>,
     failed_probes: u32,
@@ -281,6 +289,7 @@
     loads: LoadPacer,
     acquired: Timestamp,
     has_planned: bool,
+    summarised: Timestamp,
     effects: Vec<FleetEffect>,
 }
 
@@ -300,6 +309,7 @@
             loads: LoadPacer::default(),
             acquired: Timestamp(0),
             has_planned: false,
+            summarised: Timestamp(0),
             effects: Vec::new(),
         }
     }
@@ -319,6 +329,7 @@
             FleetEvent::Probed { id, order_count } => self.probed(&id, order_count, now),
             FleetEvent::Silent { id } => self.silent(&id, now),
             FleetEvent::Demand(demands) => {
+                self.expect_demand(view, now);
                 for traffic in demands {
                     self.demand
                         .observe(&traffic.model, traffic.arrivals, traffic.duration_ms, now);
@@ -347,6 +358,25 @@
         self.groups.len()
     }
 
+    /// Derives the demand at the start from the shares of the work that the configuration states.
+    fn expect_demand(&mut self, view: FleetView<'_>, now: Timestamp) {
+        for service in &view.config.services {
+            let Some(profile) = &service.engine else {
+                continue;
+            };
+            let vms = view
+                .table
+                .rows()
+                .filter(|row| row.entry.service == service.id)
+                .count();
+            for model in &profile.models {
+                let groups = model.work_share * vms as f64 / model.group_size as f64;
+                let places = groups * f64::from(profile.slots.0);
+                self.demand.expect(&model.id, places, now);
+            }
+        }
+    }
+
     fn acquire(&mut self, term: LeaseEpoch, now: Timestamp) {
         self.term = Some(term);
         self.next_counter = 0;
@@ -383,6 +413,36 @@
         if self.may_plan(view, now) {
             self.form_groups(view, &reported, now);
         }
+        if now.since(self.summarised) >= SUMMARY_INTERVAL {
+            self.summarised = now;
+            self.summarise(view, now);
+        }
+    }
+
+    /// Tells how many groups each model has in each stage.
+    fn summarise(&mut self, view: FleetView<'_>, now: Timestamp) {
+        let held: usize = self.groups.values().map(|group| group.members.len()).sum();
+        let lost = self.vms.keys().filter(|id| self.is_lost(id)).count();
+        let mut models: BTreeMap<&ModelId, [usize; 3]> = BTreeMap::new();
+        for group in self.groups.values() {
+            let stage = match group.stage {
+                GroupStage::Serving => 0,
+                GroupStage::Joining | GroupStage::Opening => 1,
+                GroupStage::Closing { .. } | GroupStage::Dissolving => 2,
+            };
+            models.entry(&group.model).or_default()[stage] += 1;
+        }
+        let mut text = format_compact!(
+            "decision=summary vms={} members={held} lost={lost}",
+            view.table.len()
+        );
+        for (model, [serving, forming, ending]) in models {
+            text.push_str(&format_compact!(
+                " model={model} serving={serving} forming={forming} ending={ending} demand={:.0}",
+                self.demand.places(model, now)
+            ));
+        }
+        self.effects.push(FleetEffect::Decided(text));
     }
 
     fn follow_entries(&mut self, view: FleetView<'_>) {
@@ -1020,11 +1080,6 @@
                 .map(|row| &row.entry)
                 .filter(|entry| entry.service == service.id)
                 .collect();
-            for model in &profile.models {
-                let groups = model.work_share * entries.len() as f64 / model.group_size as f64;
-                let places = groups * f64::from(profile.slots.0);
-                self.demand.expect(&model.id, places, now);
-            }
             let free: Vec<FreeVm> = entries
                 .iter()
                 .filter(|entry| self.free_vm(entry, reported, now))
@@ -1038,18 +1093,65 @@
                 .filter(|vm| !self.reserved.contains_key(&vm.domain))
                 .filter(|vm| self.holder_of(&vm.id).is_none())
                 .collect();
-            let available = if self.demand.has_traffic() {
-                self.loads.available(profile.loads_per_second, now)
-            } else {
-                usize::MAX
-            };
-            for group in plan_groups(open, &mut needs, available) {
+            let budget = self.load_budget(profile, view, now);
+            for group in plan_groups(open, &mut needs, budget) {
                 self.start_group(&service.id, group, now);
             }
-            self.stage_models(service, profile, view, now);
+            self.stage_models(service, profile, &needs, view, now);
+        }
+    }
+
+    /// Loads that may start. Beyond the number that run at full speed, each load would only slow down the others.
+    fn load_budget(
+        &mut self,
+        profile: &EngineProfile,
+        view: FleetView<'_>,
+        now: Timestamp,
+    ) -> LoadBudget {
+        if !self.demand.has_traffic() {
+            return LoadBudget {
+                available: usize::MAX,
+                weight: 0.0,
+            };
+        }
+        let running = view
+            .table
+            .rows()
+            .filter(|row| self.is_loading(&row.entry, now))
+            .count();
+        let by_rate = self.loads.available(profile.loads_per_second, now);
+        LoadBudget {
+            available: profile
+                .concurrent_loads
+                .saturating_sub(running)
+                .min(by_rate),
+            weight: 1.0,
         }
     }
 
+    /// Whether a VM is loading from the weight store, for a join or onto its host.
+    fn is_loading(&self, entry: &BackendEntry, now: Timestamp) -> bool {
+        let Some(vm) = self.vms.get(&entry.id) else {
+            return false;
+        };
+        let is_staging = vm
+            .staging
+            .as_ref()
+            .is_some_and(|(model, until)| now < *until && !entry.staged.contains(model));
+        let is_joining = entry
+            .membership
+            .as_ref()
+            .is_some_and(|membership| membership.phase == MemberPhase::Joining);
+        let is_told_to_load = vm.loading_until.is_some_and(|until| now < until);
+        is_staging
+            || (is_joining
+                && !entry
+                    .model
+                    .as_ref()
+                    .is_some_and(|model| entry.staged.contains(model)))
+            || is_told_to_load
+    }
+
     /// Forms the groups for which free VMs are reserved, once there are enough.
     fn form_reserved(
         &mut self,
@@ -1149,103 +1251,100 @@
         }
     }
 
-    /// Has the weights of a second model put on hosts, so that a VM can change its model without a load.
+    /// Has the weights of another model put on hosts, so that VMs can change their model without a load.
+    ///
+    /// The model that is needed most comes first, in the fabric domains that lack the fewest VMs for a group.
     fn stage_models(
         &mut self,
         service: &ServiceRule,
         profile: &EngineProfile,
+        needs: &[ModelNeed],
         view: FleetView<'_>,
         now: Timestamp,
     ) {
-        let has_traffic = self.demand.has_traffic();
-        let mut running = 0;
-        for vm in self.vms.values_mut() {
-            if vm.staging.as_ref().is_some_and(|(_, until)| now >= *until) {
-                vm.staging = None;
-            }
-            running += usize::from(vm.staging.is_some());
+        let mut allowed = self.load_budget(profile, view, now).available;
+        if self.demand.has_traffic() && !is_holding(needs) {
+            allowed = allowed.saturating_sub(RESERVED_LOADS);
         }
-        let joining = self
-            .groups
-            .values()
-            .filter(|group| group.stage == GroupStage::Joining)
-            .map(|group| group.members.len())
-            .sum::<usize>();
-        let mut allowed = if has_traffic {
-            let by_rate = self
-                .loads
-                .available(profile.loads_per_second, now)
-                .saturating_sub(RESERVED_LOADS);
-            let by_count = profile.concurrent_loads.saturating_sub(running + joining);
-            by_rate.min(by_count)
-        } else {
-            usize::MAX
-        };
-        // VMs of the model with small groups come first: they complete large groups.
-        let mut wanted: Vec<(usize, VmId, ModelId, TimeSpan)> = Vec::new();
-        for row in view.table.rows() {
-            let entry = &row.entry;
-            if entry.service != service.id || entry.is_draining {
-                continue;
+        if allowed == 0 {
+            return;
+        }
+        let mut by_need: Vec<&ModelNeed> = needs.iter().collect();
+        by_need.sort_by(|a, b| b.marginal_value().total_cmp(&a.marginal_value()));
+        let vms: Vec<FreeVm> = view
+            .table
+            .rows()
+            .filter(|row| row.entry.service == service.id && !row.entry.is_draining)
+            .filter_map(|row| as_free_vm(&row.entry))
+            .collect();
+        for need in by_need {
+            let mut quick: BTreeMap<&FabricDomainId, usize> = BTreeMap::new();
+            for vm in &vms {
+                if vm.source_of(&need.id) < JoinSource::WeightStore {
+                    *quick.entry(&vm.domain).or_default() += 1;
+                }
             }
-            let Some(present) = &entry.model else {
-                continue;
-            };
-            let is_loaded = entry.membership.as_ref().is_none_or(|membership| {
-                matches!(membership.phase, MemberPhase::Ready | MemberPhase::Open)
-            });
-            let other = profile
-                .models
+            let mut wanted: Vec<&FreeVm> = vms
                 .iter()
-                .filter(|model| model.id != *present)
-                .max_by_key(|model| model.group_size);
-            let Some(other) = other else {
-                continue;
-            };
-            let is_staged = entry.staged.iter().any(|staged| staged != present);
-            let vm = self.vms.get_mut(&entry.id);
-            if let Some(vm) = vm
-                && vm
-                    .staging
-                    .as_ref()
-                    .is_some_and(|(model, _)| entry.staged.contains(model))
-            {
-                vm.staging = None;
-            }
-            let may_stage = self.vms.get(&entry.id).is_some_and(|vm| {
-                vm.staging.is_none() && vm.in_flight.is_none() && vm.failed_probes == 0
+                .filter(|vm| vm.source_of(&need.id) == JoinSource::WeightStore)
+                .filter(|vm| self.may_stage(vm, view, now))
+                .collect();
+            wanted.sort_by_key(|vm| {
+                let missing = need
+                    .group_size
+                    .saturating_sub(quick.get(&vm.domain).copied().unwrap_or(0));
+                (missing == 0, missing, vm.domain.clone())
             });
-            if is_loaded && !is_staged && may_stage {
-                let present_size = profile
-                    .models
-                    .iter()
-                    .find(|model| model.id == *present)
-                    .map_or(usize::MAX, |model| model.group_size);
-                wanted.push((
-                    present_size,
-                    entry.id.clone(),
-                    other.id.clone(),
-                    other.load_time,
-                ));
+            for vm in wanted {
+                if allowed == 0 {
+                    return;
+                }
+                allowed -= usize::from(self.stage(&vm.id, &need.id, need.load_time, now));
             }
         }
-        wanted.sort();
-        for (_, id, model, load_time) in wanted {
-            if allowed == 0 {
-                return;
-            }
-            let order = BackendOrder::Stage {
-                model: model.clone(),
-            };
-            if self.send_order(&id, order, now) {
-                allowed -= 1;
-                self.loads.started(now);
-                let limit = TimeSpan(load_time.0 * STAGING_PATIENCE);
-                if let Some(vm) = self.vms.get_mut(&id) {
-                    vm.staging = Some((model, now + limit));
-                }
+    }
+
+    /// Whether a host has room for another model: what it holds now is not the only copy of a model that its VM
+    /// may go back to.
+    fn may_stage(&self, vm: &FreeVm, view: FleetView<'_>, now: Timestamp) -> bool {
+        let Some(row) = view.table.get(&vm.id) else {
+            return false;
+        };
+        let is_loaded = row.entry.membership.as_ref().is_none_or(|membership| {
+            matches!(
+                membership.phase,
+                MemberPhase::Ready | MemberPhase::Open | MemberPhase::Broken
+            )
+        });
+        let holds_another = vm
+            .staged
+            .iter()
+            .any(|staged| Some(staged) != vm.last_model.as_ref());
+        let is_idle = self.vms.get(&vm.id).is_some_and(|known| {
+            known.in_flight.is_none()
+                && known.failed_probes == 0
+                && known.loading_until.is_none_or(|until| now >= until)
+                && known
+                    .staging
+                    .as_ref()
+                    .is_none_or(|(_, until)| now >= *until)
+        });
+        is_loaded && !holds_another && is_idle
+    }
+
+    fn stage(&mut self, id: &VmId, model: &ModelId, load_time: TimeSpan, now: Timestamp) -> bool {
+        let order = BackendOrder::Stage {
+            model: model.clone(),
+        };
+        let sent = self.send_order(id, order, now);
+        if sent {
+            self.loads.started(now);
+            let limit = TimeSpan(load_time.0 * STAGING_PATIENCE);
+            if let Some(vm) = self.vms.get_mut(id) {
+                vm.staging = Some((model.clone(), now + limit));
             }
         }
+        sent
     }
 
     fn start_group(&mut self, service: &ServiceId, planned: PlannedGroup, now: Timestamp) {
@@ -1258,15 +1357,18 @@
             group: GroupId::new(format_compact!("g{}-{}", term, self.next_counter)),
             generation,
         };
-        for _ in 0..planned.loads {
+        for id in &planned.loading {
             self.loads.started(now);
+            if let Some(vm) = self.vms.get_mut(id) {
+                vm.loading_until = Some(now + self.timing.join_visible);
+            }
         }
         self.decided(format_compact!(
             "group={key} decision=form model={} domain={} members={} loads={} expected_ms={}",
             planned.model,
             planned.domain,
             planned.members.len(),
-            planned.loads,
+            planned.loading.len(),
             planned.join_time.as_millis()
         ));
         let group = ControlledGroup {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -25,6 +25,17 @@
     Stopping,
 }
 
+/// Requests of a node at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// Number of the target.
+    pub target: u32,
+    /// Requests in flight.
+    pub requests: u32,
+    /// Of these, requests that wait behind those that can still be on time.
+    pub late: u32,
+}
+
 /// What a node says about itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerBeat {
@@ -46,8 +57,8 @@
     pub table_age: TimeSpan,
     /// The lease, when it holds it.
     pub claim: Option<LeaseClaim>,
-    /// Requests in flight, by the number of the target.
-    pub loads: Vec<(u32, u32)>,
+    /// Requests in flight.
+    pub loads: Vec<PeerLoad>,
     /// Targets that send nothing although requests wait.
     pub silent: Vec<u32>,
     /// Requests of callers since its start, by model.
@@ -74,7 +85,8 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<NodeId, PeerRecord>,
-    loads: HashMap<u32, u32>,
+    /// Requests, and late ones of these, of all live peers.
+    loads: HashMap<u32, (u32, u32)>,
     silent: HashSet<u32>,
     closed: HashSet<u32>,
 }
@@ -107,8 +119,10 @@
         self.closed.clear();
         for record in self.peers.values() {
             if now.since(record.heard) < PEER_TIMEOUT {
-                for (target, count) in &record.beat.loads {
-                    *self.loads.entry(*target).or_default() += count;
+                for load in &record.beat.loads {
+                    let (requests, late) = self.loads.entry(load.target).or_default();
+                    *requests += load.requests;
+                    *late += load.late;
                 }
                 self.silent.extend(&record.beat.silent);
                 self.closed.extend(&record.beat.closed);
@@ -118,7 +132,12 @@
 
     /// Requests of live peers at a target.
     pub fn load_of(&self, target: u32) -> u32 {
-        self.loads.get(&target).copied().unwrap_or(0)
+        self.loads.get(&target).map_or(0, |(requests, _)| *requests)
+    }
+
+    /// Requests of live peers that wait at a target behind those that can still be on time.
+    pub fn late_load_of(&self, target: u32) -> u32 {
+        self.loads.get(&target).map_or(0, |(_, late)| *late)
     }
 
     /// Whether a live peer gets no data from a target.
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -25,6 +25,20 @@
 /// can be.
 const LEAST_DISCOUNT: f64 = 0.05;
 
+/// Ratio of marginal values from which free VMs are kept for the model that needs them more, although a group of
+/// another model could be formed at once.
+const HOLD_RATIO: f64 = 3.0;
+
+/// Loads from the weight store that may start, and how much they matter.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadBudget {
+    /// Loads that may start now.
+    pub available: usize,
+    /// Weight of one load against a group that needs none: with 1, a group with one load has to be worth twice
+    /// as much. 0 while loads are free.
+    pub weight: f64,
+}
+
 /// How a VM would come to hold a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum JoinSource {
@@ -113,8 +127,8 @@
     pub members: Vec<VmId>,
     /// Expected time until all members hold their parts.
     pub join_time: TimeSpan,
-    /// Loads from the weight store.
-    pub loads: usize,
+    /// Members that load from the weight store.
+    pub loading: Vec<VmId>,
 }
 
 struct Candidate {
@@ -138,7 +152,7 @@
     need: &ModelNeed,
     domain: &FabricDomainId,
     free: &[FreeVm],
-    loads_available: usize,
+    budget: LoadBudget,
 ) -> Option<Candidate> {
     if free.len() < need.group_size {
         return None;
@@ -154,13 +168,13 @@
         .iter()
         .filter(|(source, _)| *source == JoinSource::WeightStore)
         .count();
-    if loads > loads_available {
+    if loads > budget.available {
         return None;
     }
     let slowest = order.last().map(|(source, _)| *source)?;
     let join_time = need.join_time(slowest);
     Some(Candidate {
-        value: need.marginal_value() * discount(join_time),
+        value: need.marginal_value() * discount(join_time) / (1.0 + loads as f64 * budget.weight),
         need: need_index,
         domain: domain.clone(),
         members: order.into_iter().map(|(_, position)| position).collect(),
@@ -169,13 +183,32 @@
     })
 }
 
+fn highest_marginal_value(needs: &[ModelNeed]) -> f64 {
+    needs
+        .iter()
+        .map(ModelNeed::marginal_value)
+        .fold(0.0, f64::max)
+}
+
+/// Whether free VMs are kept for the model that needs them most.
+pub fn is_holding(needs: &[ModelNeed]) -> bool {
+    let highest = highest_marginal_value(needs);
+    needs
+        .iter()
+        .any(|need| need.marginal_value() * HOLD_RATIO < highest)
+}
+
 /// A group of one model from the free VMs of a fabric domain, without a load from the weight store.
 pub fn plan_one(
     domain: &FabricDomainId,
     free: &[FreeVm],
     need: &ModelNeed,
 ) -> Option<PlannedGroup> {
-    let candidate = candidate(0, need, domain, free, 0)?;
+    let no_loads = LoadBudget {
+        available: 0,
+        weight: 0.0,
+    };
+    let candidate = candidate(0, need, domain, free, no_loads)?;
     Some(PlannedGroup {
         model: need.id.clone(),
         domain: candidate.domain,
@@ -185,7 +218,7 @@
             .map(|position| free[*position].id.clone())
             .collect(),
         join_time: candidate.join_time,
-        loads: candidate.loads,
+        loading: Vec::new(),
     })
 }
 
@@ -193,7 +226,7 @@
 pub fn plan_groups(
     free: Vec<FreeVm>,
     needs: &mut [ModelNeed],
-    mut loads_available: usize,
+    mut budget: LoadBudget,
 ) -> Vec<PlannedGroup> {
     let mut domains: BTreeMap<FabricDomainId, Vec<FreeVm>> = BTreeMap::new();
     for vm in free {
@@ -202,9 +235,13 @@
     let mut planned = Vec::new();
     loop {
         let mut best: Option<Candidate> = None;
+        let highest = highest_marginal_value(needs);
         for (domain, free) in &domains {
             for (index, need) in needs.iter().enumerate() {
-                let Some(candidate) = candidate(index, need, domain, free, loads_available) else {
+                if need.marginal_value() * HOLD_RATIO < highest {
+                    continue;
+                }
+                let Some(candidate) = candidate(index, need, domain, free, budget) else {
                     continue;
                 };
                 // Of equal candidates, the domain with more free VMs goes first: it keeps room for large groups.
@@ -221,7 +258,7 @@
         let Some(best) = best else {
             return planned;
         };
-        loads_available -= best.loads;
+        budget.available -= best.loads;
         let need = &mut needs[best.need];
         need.capacity += need.group_places;
         let free = domains.entry(best.domain.clone()).or_default();
@@ -230,13 +267,19 @@
             .iter()
             .map(|position| free[*position].id.clone())
             .collect();
+        let loading = free
+            .iter()
+            .filter(|vm| members.contains(&vm.id))
+            .filter(|vm| vm.source_of(&need.id) == JoinSource::WeightStore)
+            .map(|vm| vm.id.clone())
+            .collect();
         free.retain(|vm| !members.contains(&vm.id));
         planned.push(PlannedGroup {
             model: need.id.clone(),
             domain: best.domain,
             members,
             join_time: best.join_time,
-            loads: best.loads,
+            loading,
         });
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use jaysaddle_admission::RetryBudget;
+use jaysaddle_fleet::peers::PeerLoad;
 use jaysaddle_fleet::peers::PeerTable;
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_types::ids::ModelId;
@@ -32,8 +33,15 @@
     pub wait_share: f64,
     /// Duration of a request before one was measured, in milliseconds.
     pub assumed_duration_ms: f64,
-    /// Silence of a busy group after which it is avoided and its members are probed. Events come every 50 ms.
+    /// Time for which a request may wait for a place when it will be late. Callers give a stream up after two
+    /// seconds without an event.
+    pub late_wait: TimeSpan,
+    /// Silence of a group that streams after which others are preferred. Events come every 50 ms.
+    pub hesitation: TimeSpan,
+    /// Silence of a group that streams after which its members are probed.
     pub suspicion: TimeSpan,
+    /// Silence of a group whose requests all wait for their first event, after which its members are probed.
+    pub first_suspicion: TimeSpan,
     /// Silence after which a request goes on elsewhere.
     pub silence: TimeSpan,
     /// Time for which a target without progress or with a refusal is avoided.
@@ -42,8 +50,11 @@
     pub repeat_permille: u32,
     /// Repeats that all nodes together may send beside that, in a window of the budget.
     pub repeat_burst: u32,
-    /// Bounds of the time after which a refused caller may come back.
-    pub retry_after: (TimeSpan, TimeSpan),
+    /// Bounds of the time after which a caller may come back that found all targets full.
+    pub retry_after_full: (TimeSpan, TimeSpan),
+    /// Bounds of the time after which a caller may come back that found no target; forming a group takes two
+    /// seconds.
+    pub retry_after_none: (TimeSpan, TimeSpan),
 }
 
 impl Default for GatewaySettings {
@@ -51,12 +62,16 @@
         Self {
             wait_share: 0.5,
             assumed_duration_ms: 800.0,
+            late_wait: TimeSpan(1300),
+            hesitation: TimeSpan(250),
             suspicion: TimeSpan(350),
+            first_suspicion: TimeSpan(800),
             silence: TimeSpan(600),
             avoid_time: TimeSpan(1500),
             repeat_permille: 180,
             repeat_burst: 90,
-            retry_after: (TimeSpan(250), TimeSpan(1000)),
+            retry_after_full: (TimeSpan(300), TimeSpan(1200)),
+            retry_after_none: (TimeSpan(900), TimeSpan(1900)),
         }
     }
 }
@@ -74,6 +89,17 @@
     pub tried: &'a [TargetNumber],
     /// Whether a long queue is no reason to refuse, because the request has been running.
     pub is_repeat: bool,
+    /// Whether the caller comes back after an attempt that was refused.
+    pub is_returning: bool,
+}
+
+/// A chosen target.
+#[derive(Clone, Debug)]
+pub struct TargetChoice {
+    /// The target.
+    pub target: Rc<RequestTarget>,
+    /// Whether the request will be late and lets others go first.
+    pub is_late: bool,
 }
 
 /// Why no target takes the request.
@@ -94,6 +120,18 @@
     }
 }
 
+/// Weight of a target's failures in its score: one that fails an eighth of its requests counts as twice as
+/// loaded.
+const FAILURE_WEIGHT: f64 = 8.0;
+
+/// Order of targets; the least is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct TargetScore {
+    is_avoided: bool,
+    is_late: bool,
+    load: f64,
+}
+
 /// How a request at a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetOutcome {
@@ -203,7 +241,7 @@
         query: &TargetQuery<'_>,
         peers: &PeerTable,
         now: Timestamp,
-    ) -> Result<Rc<RequestTarget>, TargetRefusal> {
+    ) -> Result<TargetChoice, TargetRefusal> {
         let class = (query.service.clone(), query.model.cloned());
         let targets = self.targets.get(&class).map_or(&[][..], Vec::as_slice);
         if targets.is_empty() {
@@ -221,8 +259,9 @@
             .map(|health| health.pause_ms)
             .filter(|pause| *pause > 0.0)
             .fold(f64::INFINITY, f64::min);
+        let late_wait = self.settings.late_wait.as_millis() as f64;
         let offset = self.random.below(targets.len());
-        let mut best: Option<(bool, f64, &Rc<RequestTarget>)> = None;
+        let mut best: Option<(TargetScore, &Rc<RequestTarget>)> = None;
         for step in 0..targets.len() {
             let target = &targets[(offset + step) % targets.len()];
             let is_closed =
@@ -231,51 +270,85 @@
                 continue;
             }
             let health = self.health.get(&target.number);
-            let own = health.map_or(0, |health| health.in_flight);
-            let load = f64::from(own + peers.load_of(target.number.0));
+            let (own, own_late) =
+                health.map_or((0, 0), |health| (health.in_flight, health.waiting_late));
+            let all = f64::from(own + peers.load_of(target.number.0));
+            let late = f64::from(own_late + peers.late_load_of(target.number.0));
+            let load = (all - late).max(0.0);
             let slots = f64::from(target.slots);
-            let limit = slots * (1.0 + wait / duration);
-            if load >= limit && !query.is_repeat {
+            let is_late = load >= slots * (1.0 + wait / duration);
+            if is_late && all >= slots * (1.0 + late_wait / duration) && !query.is_repeat {
                 continue;
             }
             let is_avoided = peers.is_silent(target.number.0)
-                || health.is_some_and(|health| self.is_suspect(target, health, now));
+                || health.is_some_and(|health| {
+                    self.is_suspect(target, health, self.settings.hesitation, now)
+                });
             let slowness = health.map_or(1.0, |health| {
                 let pause = if health.pause_ms > 0.0 && least_pause.is_finite() {
                     (health.pause_ms / least_pause).max(1.0)
                 } else {
                     1.0
                 };
-                pause * (1.0 + 8.0 * health.failure_rate)
+                pause * (1.0 + FAILURE_WEIGHT * health.failure_rate)
             });
-            let score = (load + 1.0) / slots * slowness;
-            let is_better = best
-                .as_ref()
-                .is_none_or(|(avoided, least, _)| (is_avoided, score) < (*avoided, *least));
-            if is_better {
-                best = Some((is_avoided, score, target));
+            let score = TargetScore {
+                is_avoided,
+                is_late,
+                load: (if is_late { all } else { load } + 1.0) / slots * slowness,
+            };
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                best = Some((score, target));
             }
         }
         match best {
-            Some((_, _, target)) => Ok(target.clone()),
+            Some((score, target)) => Ok(TargetChoice {
+                target: target.clone(),
+                is_late: score.is_late || query.is_returning,
+            }),
             None => Err(TargetRefusal::Full),
         }
     }
 
     /// When a refused caller may come back.
-    pub fn retry_after(&mut self) -> TimeSpan {
-        let (least, most) = self.settings.retry_after;
+    pub fn retry_after(&mut self, refusal: TargetRefusal) -> TimeSpan {
+        let (least, most) = match refusal {
+            TargetRefusal::Full => self.settings.retry_after_full,
+            TargetRefusal::NoTarget => self.settings.retry_after_none,
+        };
         let spread = usize::try_from(most.0.saturating_sub(least.0)).unwrap_or(0);
         TimeSpan(least.0 + self.random.below(spread + 1) as u64)
     }
 
     /// Takes note of a request sent to a target.
-    pub fn started(&mut self, number: TargetNumber, now: Timestamp) {
+    pub fn started(&mut self, number: TargetNumber, is_late: bool, now: Timestamp) {
         let health = self.health.entry(number).or_default();
         if health.in_flight == 0 {
             health.last_data = now;
         }
         health.in_flight += 1;
+        health.waiting_late += u32::from(is_late);
+    }
+
+    /// Takes note that the answer of a request has begun.
+    pub fn streams(&mut self, number: TargetNumber) {
+        if let Some(health) = self.health.get_mut(&number) {
+            health.streaming += 1;
+        }
+    }
+
+    /// Takes note that an answer that had begun has ended.
+    pub fn stopped_streaming(&mut self, number: TargetNumber) {
+        if let Some(health) = self.health.get_mut(&number) {
+            health.streaming = health.streaming.saturating_sub(1);
+        }
+    }
+
+    /// Takes note that a late request does not wait any more.
+    pub fn stopped_waiting(&mut self, number: TargetNumber) {
+        if let Some(health) = self.health.get_mut(&number) {
+            health.waiting_late = health.waiting_late.saturating_sub(1);
+        }
     }
 
     /// Takes note of data from a target. `pause` is the time since the data before in the same answer.
@@ -336,10 +409,14 @@
     }
 
     /// Whether other targets are preferred to this one.
-    fn is_suspect(&self, target: &RequestTarget, health: &TargetHealth, now: Timestamp) -> bool {
-        let is_silent = health
-            .silence(now)
-            .is_some_and(|silence| silence >= self.settings.suspicion);
+    fn is_suspect(
+        &self,
+        target: &RequestTarget,
+        health: &TargetHealth,
+        limit: TimeSpan,
+        now: Timestamp,
+    ) -> bool {
+        let is_silent = health.silence(now).is_some_and(|silence| silence >= limit);
         now < health.avoid_until || (target.group.is_some() && is_silent)
     }
 
@@ -350,9 +427,9 @@
             .flatten()
             .filter(|target| target.group.is_some())
             .filter(|target| {
-                self.health
-                    .get(&target.number)
-                    .is_some_and(|health| self.is_suspect(target, health, now))
+                self.health.get(&target.number).is_some_and(|health| {
+                    self.is_suspect(target, health, self.settings.suspicion, now)
+                })
             })
             .map(|target| (target.number, target.backend.clone()))
             .collect()
@@ -368,11 +445,15 @@
     }
 
     /// Requests of this node at each target.
-    pub fn loads(&self) -> Vec<(u32, u32)> {
+    pub fn loads(&self) -> Vec<PeerLoad> {
         self.health
             .iter()
             .filter(|(_, health)| health.in_flight > 0)
-            .map(|(number, health)| (number.0, health.in_flight))
+            .map(|(number, health)| PeerLoad {
+                target: number.0,
+                requests: health.in_flight,
+                late: health.waiting_late,
+            })
             .collect()
     }
 
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -108,6 +108,10 @@
 pub struct TargetHealth {
     /// Requests in flight.
     pub in_flight: u32,
+    /// Of these, requests that wait behind those that can still be on time.
+    pub waiting_late: u32,
+    /// Of these, requests whose answer has begun.
+    pub streaming: u32,
     /// When data came last, or when the first request of a busy spell was sent.
     pub last_data: Timestamp,
     /// Until when other targets are preferred.
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -39,6 +39,9 @@
     /// Number of requests, in the order of `load_targets`.
     #[prost(uint32, repeated, tag = "11")]
     pub load_counts: Vec<u32>,
+    /// Of these, requests that wait behind those that can still be on time.
+    #[prost(uint32, repeated, tag = "15")]
+    pub late_counts: Vec<u32>,
     /// Numbers of the targets that send nothing.
     #[prost(uint32, repeated, tag = "12")]
     pub silent: Vec<u32>,
