Measure demand as the work of the requests

Cause of the starved large model: demand was counted in concurrent requests, but its prompts are long: a group of it is fully busy with about eight requests a second where the places would allow seventeen. Free VMs that wait for a large group while nothing closes a small one (found by a_dark_member_is_replaced) came from a bound on exchanges that holding did not have. Ruled out: the mix at the start alone (18 and 6 groups against 15 and 7 now; the loss came after the first crash).

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -19,9 +19,9 @@
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ObjectVersion;
 use jaysaddle_types::units::TimeSpan;
-use jaysaddle_wire::beat::ArrivalMessage;
 use jaysaddle_wire::beat::BeatMessage;
 use jaysaddle_wire::beat::ClaimMessage;
+use jaysaddle_wire::beat::WorkMessage;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -74,12 +74,12 @@
             .into_iter()
             .map(|(number, _)| number.0)
             .collect(),
-        arrivals: gateway
-            .arrivals()
+        work: gateway
+            .work()
             .into_iter()
-            .map(|(model, count)| ArrivalMessage {
+            .map(|(model, work_ms)| WorkMessage {
                 model: model.to_string(),
-                count,
+                work_ms,
             })
             .collect(),
         closed: gateway.closed(),
@@ -88,10 +88,10 @@
 
 fn decode(data: &[u8]) -> eyre::Result<PeerBeat> {
     let message = BeatMessage::decode(data)?;
-    let arrivals = message
-        .arrivals
+    let work = message
+        .work
         .into_iter()
-        .map(|arrival| Ok((arrival.model.parse::<ModelId>()?, arrival.count)))
+        .map(|work| Ok((work.model.parse::<ModelId>()?, work.work_ms)))
         .collect::<eyre::Result<_>>()?;
     Ok(PeerBeat {
         node: message.node.parse()?,
@@ -123,7 +123,7 @@
             })
             .collect(),
         silent: message.silent,
-        arrivals,
+        work,
         closed: message.closed,
     })
 }
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -21,6 +21,7 @@
 use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
+use jaysaddle_gateway::gateway::RequestSize;
 use jaysaddle_gateway::routes::RouteMatch;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_types::ids::ModelId;
@@ -154,6 +155,20 @@
         }
     }
 
+    /// Size of the request, when it is for a model and says so.
+    pub fn size(&self) -> Option<RequestSize<'_>> {
+        let model = self.model.as_ref()?;
+        let counts = text(&self.headers, &headers::TOKEN_COUNTS)?;
+        let (prompt_tokens, most_answer) = headers::parse_token_counts(counts)?;
+        let estimate = text(&self.headers, &headers::ANSWER_ESTIMATE)
+            .and_then(|value| value.parse::<u32>().ok());
+        Some(RequestSize {
+            model,
+            prompt_tokens,
+            answer_tokens: estimate.map(|estimate| estimate.min(most_answer)),
+        })
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(&self) -> bool {
         matches!(self.route.rule.kind, RequestKind::Stream { .. })
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -142,22 +142,17 @@
     }
 }
 
-/// Requests of callers at this node and its live peers.
+/// Work of callers' requests at this node and its live peers.
 fn traffic(node: &EntryNode) -> Vec<ModelTraffic> {
     let gateway = node.gateway.borrow();
-    let mut arrivals: BTreeMap<ModelId, u64> = gateway.arrivals().into_iter().collect();
+    let mut work: BTreeMap<ModelId, u64> = gateway.work().into_iter().collect();
     for record in node.peers.borrow().live(clock::now()) {
-        for (model, count) in &record.beat.arrivals {
-            *arrivals.entry(model.clone()).or_default() += count;
+        for (model, work_ms) in &record.beat.work {
+            *work.entry(model.clone()).or_default() += work_ms;
         }
     }
-    arrivals
-        .into_iter()
-        .map(|(model, arrivals)| ModelTraffic {
-            duration_ms: gateway.duration_ms(&model),
-            model,
-            arrivals,
-        })
+    work.into_iter()
+        .map(|(model, work_ms)| ModelTraffic { model, work_ms })
         .collect()
 }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -519,7 +519,7 @@
     let request = CallerRequest::new(parts, body, route, received);
     node.gateway
         .borrow_mut()
-        .fresh(&request.route.service, request.model.as_ref());
+        .fresh(&request.route.service, request.size().as_ref());
     let mut log = AttemptLog::default();
     let live = attempt(node, &request, &mut log, request.last_event).await?;
     if request.is_stream() && live.response.status().is_success() {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -61,8 +61,8 @@
     pub loads: Vec<PeerLoad>,
     /// Targets that send nothing although requests wait.
     pub silent: Vec<u32>,
-    /// Requests of callers since its start, by model.
-    pub arrivals: Vec<(ModelId, u64)>,
+    /// Work of callers' requests since its start, in milliseconds of a fully used group, by model.
+    pub work: Vec<(ModelId, u64)>,
     /// Targets that must get no new request, as the controller says.
     pub closed: Vec<u32>,
 }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -83,11 +83,9 @@
     pub id: ModelId,
     /// VMs in a group.
     pub group_size: usize,
-    /// Concurrent requests of a group.
-    pub group_places: f64,
-    /// Concurrent requests of the groups that serve or are being formed.
+    /// Groups that serve or are being formed.
     pub capacity: f64,
-    /// Concurrent requests that are asked for.
+    /// Groups that the demand would keep fully busy.
     pub demand: f64,
     /// Time of a join from memory.
     pub memory_join_time: TimeSpan,
@@ -104,7 +102,7 @@
 
     /// Value of one more group. It does not count the group's size: capacity follows demand alike for all models.
     pub fn marginal_value(&self) -> f64 {
-        self.served(self.capacity + self.group_places) - self.served(self.capacity)
+        self.served(self.capacity + 1.0) - self.served(self.capacity)
     }
 
     fn join_time(&self, source: JoinSource) -> TimeSpan {
@@ -232,6 +230,7 @@
     for vm in free {
         domains.entry(vm.domain.clone()).or_default().push(vm);
     }
+    let largest = needs.iter().map(|need| need.group_size).max().unwrap_or(0);
     let mut planned = Vec::new();
     loop {
         let mut best: Option<Candidate> = None;
@@ -244,11 +243,16 @@
                 let Some(candidate) = candidate(index, need, domain, free, budget) else {
                     continue;
                 };
-                // Of equal candidates, the domain with more free VMs goes first: it keeps room for large groups.
+                // Large groups go where most VMs are free and small ones where fewest are, so that room for
+                // large groups stays.
                 let is_better = best.as_ref().is_none_or(|best| {
                     let room = domains[&best.domain].len();
-                    candidate.value > best.value
-                        || (candidate.value == best.value && free.len() > room)
+                    let fits_better = if need.group_size == largest {
+                        free.len() > room
+                    } else {
+                        free.len() < room
+                    };
+                    candidate.value > best.value || (candidate.value == best.value && fits_better)
                 });
                 if is_better {
                     best = Some(candidate);
@@ -260,7 +264,7 @@
         };
         budget.available -= best.loads;
         let need = &mut needs[best.need];
-        need.capacity += need.group_places;
+        need.capacity += 1.0;
         let free = domains.entry(best.domain.clone()).or_default();
         let members: Vec<VmId> = best
             .members
@@ -301,8 +305,8 @@
 /// forth when the demand varies.
 const EXCHANGE_MARGIN: f64 = 1.3;
 
-/// Least gain of an exchange, in concurrent requests; smaller ones are not worth the pause.
-const LEAST_EXCHANGE_GAIN: f64 = 0.8;
+/// Least gain of an exchange, in the demand of busy groups; smaller ones are not worth the pause.
+const LEAST_EXCHANGE_GAIN: f64 = 0.05;
 
 /// Groups to close in one fabric domain, for a group of another model.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -316,7 +320,7 @@
 }
 
 fn loss_of(need: &ModelNeed, groups: usize) -> f64 {
-    let rest = need.capacity - groups as f64 * need.group_places;
+    let rest = need.capacity - groups as f64;
     need.served(need.capacity) - need.served(rest.max(0.0))
 }
 
--- a/crates/fleet/tests/all/controller.rs
+++ b/crates/fleet/tests/all/controller.rs
@@ -190,8 +190,8 @@
     fleet.run(15_000);
     let group = fleet.serving(LARGE).pop().expect("a large group");
     for _ in 0..50 {
-        *fleet.arrivals.entry(model(LARGE)).or_default() += 3;
-        *fleet.arrivals.entry(model(SMALL)).or_default() += 1;
+        *fleet.work.entry(model(LARGE)).or_default() += 100;
+        *fleet.work.entry(model(SMALL)).or_default() += 40;
         fleet.run(100);
     }
     for id in &group[1..] {
@@ -199,8 +199,8 @@
     }
     for _ in 0..100 {
         fleet.silence(&group[0]);
-        *fleet.arrivals.entry(model(LARGE)).or_default() += 3;
-        *fleet.arrivals.entry(model(SMALL)).or_default() += 1;
+        *fleet.work.entry(model(LARGE)).or_default() += 100;
+        *fleet.work.entry(model(SMALL)).or_default() += 40;
         fleet.run(100);
     }
     assert!(!fleet.serving(LARGE).is_empty(), "{:#?}", fleet.decisions);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -76,6 +76,17 @@
     }
 }
 
+/// Size of a request to a model.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestSize<'a> {
+    /// Model.
+    pub model: &'a ModelId,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Expected tokens of the answer; `None` when the caller does not say.
+    pub answer_tokens: Option<u32>,
+}
+
 /// What a request needs of a target.
 #[derive(Clone, Debug)]
 pub struct TargetQuery<'a> {
@@ -157,7 +168,8 @@
     durations: HashMap<TargetClass, f64>,
     budgets: HashMap<ServiceId, RetryBudget>,
     node_count: u32,
-    arrivals: BTreeMap<ModelId, u64>,
+    /// Work of callers' requests since the start, in milliseconds of a fully used group.
+    work: BTreeMap<ModelId, f64>,
     closed: HashSet<TargetNumber>,
     random: SpreadRandom,
     table_change: Option<u64>,
@@ -174,7 +186,7 @@
             durations: HashMap::new(),
             budgets: HashMap::new(),
             node_count: 1,
-            arrivals: BTreeMap::new(),
+            work: BTreeMap::new(),
             closed: HashSet::new(),
             random: SpreadRandom::new(seed),
             table_change: None,
@@ -457,11 +469,11 @@
             .collect()
     }
 
-    /// Requests of callers since the start, by model.
-    pub fn arrivals(&self) -> Vec<(ModelId, u64)> {
-        self.arrivals
+    /// Work of callers' requests since the start, in milliseconds of a fully used group, by model.
+    pub fn work(&self) -> Vec<(ModelId, u64)> {
+        self.work
             .iter()
-            .map(|(model, count)| (model.clone(), *count))
+            .map(|(model, work_ms)| (model.clone(), *work_ms as u64))
             .collect()
     }
 
@@ -481,14 +493,6 @@
         self.closed.iter().map(|number| number.0).collect()
     }
 
-    /// Average duration of the requests of a model, in milliseconds.
-    pub fn duration_ms(&self, model: &ModelId) -> f64 {
-        self.durations
-            .iter()
-            .find(|((_, known), _)| known.as_ref() == Some(model))
-            .map_or(self.settings.assumed_duration_ms, |(_, duration)| *duration)
-    }
-
     fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
         let burst = self.settings.repeat_burst / self.node_count;
         let permille = self.settings.repeat_permille;
@@ -498,10 +502,21 @@
     }
 
     /// Takes note of a caller's request for a service.
-    pub fn fresh(&mut self, service: &ServiceId, model: Option<&ModelId>) {
+    pub fn fresh(&mut self, service: &ServiceId, size: Option<&RequestSize<'_>>) {
         self.budget(service).fresh();
-        if let Some(model) = model {
-            *self.arrivals.entry(model.clone()).or_default() += 1;
+        let Some(size) = size else {
+            return;
+        };
+        let engine = self
+            .index
+            .as_ref()
+            .and_then(|index| index.config().engine(service));
+        if let Some(engine) = engine
+            && engine.model(size.model).is_some()
+        {
+            let answer = size.answer_tokens.unwrap_or(engine.usual_answer);
+            let work_ms = engine.work_ms(size.model, size.prompt_tokens, answer);
+            *self.work.entry(size.model.clone()).or_default() += work_ms;
         }
     }
 
--- a/crates/types/src/serving.rs
+++ b/crates/types/src/serving.rs
@@ -154,6 +154,8 @@
     pub load_time: TimeSpan,
     /// Time to join with staged weights.
     pub staged_join_time: TimeSpan,
+    /// Factor on all times of the engine.
+    pub time_factor: f64,
 }
 
 /// Properties of a service's model engines.
@@ -169,6 +171,27 @@
     pub concurrent_loads: usize,
     /// Time from the order to open a group until it serves.
     pub open_time: TimeSpan,
+    /// Time of a fully used group for one token of a prompt, in milliseconds.
+    pub prompt_token_ms: f64,
+    /// Time of a fully used group for one token of an answer, in milliseconds.
+    pub answer_token_ms: f64,
+    /// Usual tokens of an answer.
+    pub usual_answer: u32,
+}
+
+impl EngineProfile {
+    /// The model `id`.
+    pub fn model(&self, id: &ModelId) -> Option<&ModelProfile> {
+        self.models.iter().find(|model| model.id == *id)
+    }
+
+    /// Work of a request, in milliseconds of a fully used group.
+    pub fn work_ms(&self, model: &ModelId, prompt_tokens: u32, answer_tokens: u32) -> f64 {
+        let factor = self.model(model).map_or(1.0, |model| model.time_factor);
+        let prompt = f64::from(prompt_tokens) * self.prompt_token_ms;
+        let answer = f64::from(answer_tokens) * self.answer_token_ms;
+        factor * (prompt + answer)
+    }
 }
 
 /// A service of the configuration.
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -45,9 +45,9 @@
     /// Numbers of the targets that send nothing.
     #[prost(uint32, repeated, tag = "12")]
     pub silent: Vec<u32>,
-    /// Requests of callers.
+    /// Work of the callers' requests.
     #[prost(message, repeated, tag = "13")]
-    pub arrivals: Vec<ArrivalMessage>,
+    pub work: Vec<WorkMessage>,
     /// Numbers of the targets that must get no new request.
     #[prost(uint32, repeated, tag = "14")]
     pub closed: Vec<u32>,
@@ -67,15 +67,15 @@
     pub remaining_ms: u64,
 }
 
-/// Requests of callers since the node's start.
+/// Work of the callers' requests since the node's start.
 #[derive(Clone, PartialEq, Message)]
-pub struct ArrivalMessage {
+pub struct WorkMessage {
     /// Model.
     #[prost(string, tag = "1")]
     pub model: String,
-    /// Requests.
+    /// Milliseconds of a fully used group.
     #[prost(uint64, tag = "2")]
-    pub count: u64,
+    pub work_ms: u64,
 }
 
 /// Request for what a peer has read from the store.
