Load onto free VMs before hosts that serve; tell peers of changed targets

Groups closed for another model waited up to nine seconds for their last stream. Ruled out: the bound on loads itself; raising it made each load slower (20 at a time took 34 s).

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -31,7 +31,7 @@
 use crate::control;
 use crate::node::EntryNode;
 
-/// Interval of beats. Peers count a node as down after five.
+/// Interval of beats. Peers count a node as down after four.
 const BEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Largest datagram; beats stay far below the usual limit of a link's packets.
 const MAX_BEAT_BYTES: usize = 16 << 10;
@@ -82,6 +82,7 @@
                 work_ms,
             })
             .collect(),
+        target_changes: gateway.target_changes(),
         closed: gateway.closed(),
     }
 }
@@ -124,6 +125,7 @@
             .collect(),
         silent: message.silent,
         work,
+        target_changes: message.target_changes,
         closed: message.closed,
     })
 }
@@ -193,6 +195,9 @@
                 addresses.borrow_mut().insert(beat.peer_address);
                 if let Some(claim) = beat.claim {
                     control::lease_event(&node, LeaseEvent::Claimed(claim));
+                    if node.holder_changes.replace(beat.target_changes) != beat.target_changes {
+                        node.table_news.notify_one();
+                    }
                 }
                 node.peers.borrow_mut().heard(beat, clock::now());
             }
--- a/crates/entry/src/copies.rs
+++ b/crates/entry/src/copies.rs
@@ -26,8 +26,8 @@
 
 /// Pause between two looks at what peers have.
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
-/// Age of the own reading from which a peer's is asked for; readings come every half second.
-const OLD_TABLE: TimeSpan = TimeSpan(1300);
+/// Age of the own reading from which a peer's is asked for; readings come every 1.2 seconds.
+const OLD_TABLE: TimeSpan = TimeSpan(1700);
 /// Time for one exchange with a peer.
 const COPY_LIMIT: Duration = Duration::from_millis(800);
 /// Largest frame: all entries of the fleet and a configuration.
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -33,7 +33,7 @@
 /// Addresses in one answer of the directory.
 const MAX_ADDRESSES: usize = 64;
 /// Time for which callers may keep an answer. Short, so that a node that stops or fails is left soon.
-const LIFETIME_SECS: u64 = 2;
+const LIFETIME_SECS: u64 = 1;
 /// Time for the header section and for idle connections of these small interfaces.
 const HEADER_TIME: Duration = Duration::from_secs(10);
 /// Pause after a failed accept.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -57,6 +57,10 @@
     pub phase: Cell<PeerPhase>,
     /// Requests of callers that are being handled.
     pub open_requests: Cell<u32>,
+    /// Changes of the targets that the holder of the lease last told of.
+    pub holder_changes: Cell<u64>,
+    /// Has the backend servers read at once.
+    pub table_news: Notify,
     /// Has a beat sent at once.
     pub news: Notify,
     /// Wakes the connections of callers when the node stops.
@@ -89,6 +93,8 @@
             store: StoreClient::new(settings.store),
             phase: Cell::new(PeerPhase::Starting),
             open_requests: Cell::new(0),
+            holder_changes: Cell::new(0),
+            table_news: Notify::new(),
             news: Notify::new(),
             stopping: Notify::new(),
             incarnation,
@@ -172,11 +178,15 @@
         }
     }
 
-    /// Makes changes of the table visible to the gateway.
+    /// Makes changes of the table visible to the gateway, and to peers when this node holds the lease.
     pub fn fleet_changed(&self) {
-        self.gateway
+        let has_changed = self
+            .gateway
             .borrow_mut()
             .fleet_changed(&self.table.borrow());
+        if has_changed && self.lease.borrow().holds(clock::now()).is_some() {
+            self.news.notify_one();
+        }
     }
 
     /// Age of the table's reading.
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -15,8 +15,9 @@
 use crate::control;
 use crate::node::EntryNode;
 
-/// Time for which the node still takes new connections of callers that have its address.
-const LINGER: TimeSpan = TimeSpan(2500);
+/// Time for which the node still takes new connections of callers that have its address. Some callers keep an
+/// answer of the directory for three times its lifetime.
+const LINGER: TimeSpan = TimeSpan(3300);
 /// Time kept back before the platform ends the process.
 const EXIT_MARGIN: TimeSpan = TimeSpan(400);
 /// Step at which the end of the open requests is looked for.
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -34,8 +34,13 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two readings of changed entries at the controller, which has to notice losses.
 const CONTROLLER_PAUSE: Duration = Duration::from_millis(200);
-/// Pause between two readings of changed entries at the other nodes.
-const FOLLOWER_PAUSE: Duration = Duration::from_millis(450);
+/// Pause between two readings of changed entries at the other nodes, while the holder of the lease tells them of
+/// changes. Short enough for a backend server that leaves to get no new work in time although a message is lost.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(1200);
+/// The same while no holder of the lease is heard.
+const ALONE_PAUSE: Duration = Duration::from_millis(400);
+/// Least pause between two readings, however many changes are told of.
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
 /// Pauses before the first readings of the list of nodes, while all nodes start.
 const NODE_LIST_STARTS: [Duration; 3] = [
     Duration::from_millis(300),
@@ -171,13 +176,29 @@
                 sleep(FAILURE_PAUSE).await;
             }
         }
-        let holds = node.lease.borrow().holds(clock::now()).is_some();
-        sleep(if holds {
-            CONTROLLER_PAUSE
-        } else {
-            FOLLOWER_PAUSE
-        })
-        .await;
+        sleep(LEAST_PAUSE).await;
+        let pause = backends_pause(&node).saturating_sub(LEAST_PAUSE);
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = node.table_news.notified() => {}
+        }
+    }
+}
+
+fn backends_pause(node: &EntryNode) -> Duration {
+    let now = clock::now();
+    if node.lease.borrow().holds(now).is_some() {
+        return CONTROLLER_PAUSE;
+    }
+    let hears_holder = node
+        .peers
+        .borrow()
+        .live(now)
+        .any(|record| record.beat.claim.is_some());
+    if hears_holder {
+        FOLLOWER_PAUSE
+    } else {
+        ALONE_PAUSE
     }
 }
 
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -97,8 +97,12 @@
     pub unknown_leader: TimeSpan,
     /// Failed probes in a row after which a member counts as lost.
     pub lost_probes: u32,
-    /// Time after which a group that is asked to close is made to leave.
+    /// Time for which a report shows that a VM lives, although its group is silent.
+    pub report_trust: TimeSpan,
+    /// Time after which a group with a leaving member is made to leave.
     pub close_limit: TimeSpan,
+    /// Time after which a group that is closed for another model is made to leave; its streams go on elsewhere.
+    pub exchange_close_limit: TimeSpan,
     /// Time for which free VMs are kept for a group that others are closed for.
     pub reservation: TimeSpan,
     /// Time between two exchanges in a fabric domain; an exchange takes about three seconds to show its effect.
@@ -122,7 +126,9 @@
             uncertain: TimeSpan::from_secs(13),
             unknown_leader: TimeSpan(2500),
             lost_probes: 2,
+            report_trust: TimeSpan(500),
             close_limit: TimeSpan(9000),
+            exchange_close_limit: TimeSpan(2000),
             reservation: TimeSpan(5000),
             exchange_pause: TimeSpan(4000),
             ended_memory: TimeSpan::from_secs(20),
@@ -141,7 +147,7 @@
     /// The leader serves.
     Serving,
     /// The leader finishes its requests because a member is leaving.
-    Closing { since: Timestamp },
+    Closing { since: Timestamp, limit: TimeSpan },
     /// The leader is told to leave because a member is lost.
     Dissolving,
 }
@@ -184,6 +190,8 @@
     probe_in_flight: bool,
     next_probe: Option<Timestamp>,
     failed_probes: u32,
+    /// When a report was last read.
+    reported: Option<Timestamp>,
 }
 
 /// Requests of callers for a model.
@@ -415,14 +423,43 @@
         }
         if now.since(self.summarised) >= SUMMARY_INTERVAL {
             self.summarised = now;
-            self.summarise(view, now);
+            self.summarise(view, &reported, now);
         }
     }
 
-    /// Tells how many groups each model has in each stage.
-    fn summarise(&mut self, view: FleetView<'_>, now: Timestamp) {
+    /// Tells how many groups each model has in each stage, and what the VMs without a group do.
+    fn summarise(
+        &mut self,
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
+        now: Timestamp,
+    ) {
         let held: usize = self.groups.values().map(|group| group.members.len()).sum();
         let lost = self.vms.keys().filter(|id| self.is_lost(id)).count();
+        let idle: Vec<&BackendEntry> = view
+            .table
+            .rows()
+            .map(|row| &row.entry)
+            .filter(|entry| view.config.engine(&entry.service).is_some())
+            .filter(|entry| self.holder_of(&entry.id).is_none())
+            .collect();
+        let free = idle
+            .iter()
+            .filter(|entry| self.free_vm(entry, reported, now))
+            .count();
+        let leaving = idle.iter().filter(|entry| entry.is_draining).count();
+        let joining = idle
+            .iter()
+            .filter(|entry| {
+                let membership = entry.membership.as_ref();
+                membership.is_some_and(|membership| membership.phase == MemberPhase::Joining)
+            })
+            .count();
+        let loading = view
+            .table
+            .rows()
+            .filter(|row| self.is_loading(&row.entry, now))
+            .count();
         let mut models: BTreeMap<&ModelId, [usize; 3]> = BTreeMap::new();
         for group in self.groups.values() {
             let stage = match group.stage {
@@ -433,8 +470,11 @@
             models.entry(&group.model).or_default()[stage] += 1;
         }
         let mut text = format_compact!(
-            "decision=summary vms={} members={held} lost={lost}",
-            view.table.len()
+            "decision=summary vms={} members={held} lost={lost} idle={} free={free} leaving={leaving} \
+             joining={joining} loading={loading} reserved={}",
+            view.table.len(),
+            idle.len(),
+            self.reserved.len()
         );
         for (model, [serving, forming, ending]) in models {
             text.push_str(&format_compact!(
@@ -490,7 +530,10 @@
                     _ => continue,
                 },
                 MemberPhase::Open if group.is_whole() && group.is_loaded => GroupStage::Serving,
-                MemberPhase::Closing => GroupStage::Closing { since: now },
+                MemberPhase::Closing => GroupStage::Closing {
+                    since: now,
+                    limit: self.timing.close_limit,
+                },
                 MemberPhase::Open => GroupStage::Dissolving,
                 MemberPhase::Joining | MemberPhase::Ready if group.is_whole() => {
                     GroupStage::Joining
@@ -567,7 +610,9 @@
             GroupStage::Opening | GroupStage::Serving => {
                 self.advance_serving(key, view, reported, now);
             }
-            GroupStage::Closing { since } => self.advance_closing(key, view, since, now),
+            GroupStage::Closing { since, limit } => {
+                self.advance_closing(key, view, since + limit, now);
+            }
             GroupStage::Dissolving => self.advance_dissolving(key, view, now),
         }
     }
@@ -672,7 +717,11 @@
             self.decided(format_compact!(
                 "group={key} decision=close reason=draining_member"
             ));
-            self.set_stage(key, GroupStage::Closing { since: now });
+            let stage = GroupStage::Closing {
+                since: now,
+                limit: self.timing.close_limit,
+            };
+            self.set_stage(key, stage);
             self.order_leader(key, BackendOrder::Close { key: key.clone() }, now);
             return;
         }
@@ -701,7 +750,7 @@
         &mut self,
         key: &GroupKey,
         view: FleetView<'_>,
-        since: Timestamp,
+        until: Timestamp,
         now: Timestamp,
     ) {
         let Some(group) = self.groups.get(key) else {
@@ -717,9 +766,7 @@
                 self.decided(format_compact!("group={key} decision=free reason=closed"));
                 self.end_group(key, now);
             }
-            Some(MemberPhase::Open | MemberPhase::Closing)
-                if now.since(since) < self.timing.close_limit =>
-            {
+            Some(MemberPhase::Open | MemberPhase::Closing) if now < until => {
                 let due = group
                     .last_order
                     .is_none_or(|sent| now.since(sent) >= self.timing.leader_repeat);
@@ -915,6 +962,7 @@
                     )));
                 }
                 vm.failed_probes = 0;
+                vm.reported = Some(now);
                 vm.order_count = vm.order_count.max(Some(count));
                 vm.next_probe = None;
             }
@@ -942,10 +990,12 @@
         let Some(group) = self.groups.get(&key) else {
             return;
         };
+        let trust = self.timing.report_trust;
         for member in &group.members {
             if let Some(vm) = self.vms.get_mut(member)
                 && vm.next_probe.is_none()
                 && !vm.probe_in_flight
+                && vm.reported.is_none_or(|time| now.since(time) >= trust)
             {
                 vm.next_probe = Some(now);
             }
@@ -1095,10 +1145,14 @@
                 .filter(|vm| self.holder_of(&vm.id).is_none())
                 .collect();
             let budget = self.load_budget(profile, view, now);
-            for group in plan_groups(open, &mut needs, budget) {
+            for group in plan_groups(open.clone(), &mut needs, budget) {
                 self.start_group(&service.id, group, now);
             }
-            self.stage_models(service, profile, &needs, view, now);
+            let left: Vec<FreeVm> = open
+                .into_iter()
+                .filter(|vm| self.holder_of(&vm.id).is_none())
+                .collect();
+            self.stage_models(profile, &left, &needs, view, now);
         }
     }
 
@@ -1245,7 +1299,11 @@
                     "group={key} decision=close reason=exchange for_model={} domain={domain}",
                     exchange.model
                 ));
-                self.set_stage(&key, GroupStage::Closing { since: now });
+                let stage = GroupStage::Closing {
+                    since: now,
+                    limit: self.timing.exchange_close_limit,
+                };
+                self.set_stage(&key, stage);
                 self.order_leader(&key, BackendOrder::Close { key: key.clone() }, now);
             }
             return;
@@ -1254,11 +1312,12 @@
 
     /// Has the weights of another model put on hosts, so that VMs can change their model without a load.
     ///
-    /// The model that is needed most comes first, in the fabric domains that lack the fewest VMs for a group.
+    /// The model that is needed most comes first, in the fabric domains that lack the fewest VMs for a group. VMs
+    /// that serve wait until every free one holds something it can use.
     fn stage_models(
         &mut self,
-        service: &ServiceRule,
         profile: &EngineProfile,
+        free: &[FreeVm],
         needs: &[ModelNeed],
         view: FleetView<'_>,
         now: Timestamp,
@@ -1272,15 +1331,22 @@
         }
         let mut by_need: Vec<&ModelNeed> = needs.iter().collect();
         by_need.sort_by(|a, b| b.marginal_value().total_cmp(&a.marginal_value()));
-        let vms: Vec<FreeVm> = view
-            .table
-            .rows()
-            .filter(|row| row.entry.service == service.id && !row.entry.is_draining)
-            .filter_map(|row| as_free_vm(&row.entry))
+        let serving: Vec<FreeVm> = self
+            .groups
+            .values()
+            .filter(|group| group.stage == GroupStage::Serving)
+            .flat_map(|group| &group.members)
+            .filter_map(|id| as_free_vm(&view.table.get(id)?.entry))
             .collect();
+        let has_cold = free.iter().any(|vm| {
+            needs
+                .iter()
+                .any(|need| vm.source_of(&need.id) == JoinSource::WeightStore)
+        });
+        let vms = if has_cold { free } else { &serving[..] };
         for need in by_need {
             let mut quick: BTreeMap<&FabricDomainId, usize> = BTreeMap::new();
-            for vm in &vms {
+            for vm in vms {
                 if vm.source_of(&need.id) < JoinSource::WeightStore {
                     *quick.entry(&vm.domain).or_default() += 1;
                 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -63,6 +63,8 @@
     pub silent: Vec<u32>,
     /// Work of callers' requests since its start, in milliseconds of a fully used group, by model.
     pub work: Vec<(ModelId, u64)>,
+    /// Counts changes of the targets; peers of the lease's holder read the backend servers when it rises.
+    pub target_changes: u64,
     /// Targets that must get no new request, as the controller says.
     pub closed: Vec<u32>,
 }
@@ -76,8 +78,8 @@
     pub heard: Timestamp,
 }
 
-/// Silence after which a peer counts as down: five beats of 200 ms, so that lost datagrams alone hardly do it.
-pub const PEER_TIMEOUT: TimeSpan = TimeSpan(1100);
+/// Silence after which a peer counts as down: four beats of 200 ms, so that lost datagrams alone hardly do it.
+pub const PEER_TIMEOUT: TimeSpan = TimeSpan(900);
 /// Silence after which a peer is forgotten.
 const PEER_FORGOTTEN: TimeSpan = TimeSpan::from_secs(60);
 
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -32,6 +32,7 @@
             .collect(),
         silent: vec![7],
         work: Vec::new(),
+        target_changes: 0,
         closed: vec![8],
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Choice of a target for each request, admission, and the budget for repeats.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::fmt;
@@ -173,6 +174,7 @@
     closed: HashSet<TargetNumber>,
     random: SpreadRandom,
     table_change: Option<u64>,
+    target_changes: u64,
 }
 
 impl RequestGateway {
@@ -190,6 +192,7 @@
             closed: HashSet::new(),
             random: SpreadRandom::new(seed),
             table_change: None,
+            target_changes: 0,
         }
     }
 
@@ -205,15 +208,16 @@
         self.index.as_ref()
     }
 
-    /// Takes over the registered backend servers.
-    pub fn fleet_changed(&mut self, table: &BackendTable) {
+    /// Takes over the registered backend servers. Returns whether the targets have changed.
+    pub fn fleet_changed(&mut self, table: &BackendTable) -> bool {
         if self.table_change == Some(table.change_count()) {
-            return;
+            return false;
         }
         let Some(index) = &self.index else {
-            return;
+            return false;
         };
         self.table_change = Some(table.change_count());
+        let before = self.target_numbers();
         self.targets.clear();
         for target in current_targets(table, index.config()) {
             let class = (target.service.clone(), target.model.clone());
@@ -227,6 +231,22 @@
                     .flatten()
                     .any(|target| target.number == *number)
         });
+        let has_changed = self.target_numbers() != before;
+        self.target_changes += u64::from(has_changed);
+        has_changed
+    }
+
+    /// Counts changes of the targets.
+    pub fn target_changes(&self) -> u64 {
+        self.target_changes
+    }
+
+    fn target_numbers(&self) -> BTreeSet<TargetNumber> {
+        self.targets
+            .values()
+            .flatten()
+            .map(|target| target.number)
+            .collect()
     }
 
     /// Takes over the number of nodes among which the budget for repeats is divided.
--- a/crates/gateway/tests/all/scene.rs
+++ b/crates/gateway/tests/all/scene.rs
@@ -240,6 +240,7 @@
                 .collect(),
             silent,
             work: Vec::new(),
+            target_changes: 0,
             closed,
         };
         self.peers.heard(beat, Timestamp(now));
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -48,6 +48,9 @@
     /// Work of the callers' requests.
     #[prost(message, repeated, tag = "13")]
     pub work: Vec<WorkMessage>,
+    /// Counts changes of the targets.
+    #[prost(uint64, tag = "16")]
+    pub target_changes: u64,
     /// Numbers of the targets that must get no new request.
     #[prost(uint32, repeated, tag = "14")]
     pub closed: Vec<u32>,
