Choose the best exchange of all fabric domains and count it as capacity

Cause: after a lost group of the large model, the first fabric domain in order gave up two small groups although another needed one VM only, and again in the next ticks, because a reserved exchange did not count as capacity.

--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -36,7 +36,7 @@
 const CONTROLLER_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two readings of changed entries at the other nodes, while the holder of the lease tells them of
 /// changes. Short enough for a backend server that leaves to get no new work in time although a message is lost.
-const FOLLOWER_PAUSE: Duration = Duration::from_millis(1200);
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(1000);
 /// The same while no holder of the lease is heard.
 const ALONE_PAUSE: Duration = Duration::from_millis(400);
 /// Least pause between two readings, however many changes are told of.
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -43,8 +43,10 @@
 use crate::loads::LoadPacer;
 use crate::plan::DonorGroup;
 use crate::plan::FreeVm;
+use crate::plan::JoinSource;
 use crate::plan::LoadBudget;
 use crate::plan::ModelNeed;
+use crate::plan::PlannedExchange;
 use crate::plan::PlannedGroup;
 use crate::plan::PlannedStaging;
 use crate::plan::plan_exchange;
@@ -463,10 +465,11 @@
             .filter(|entry| view.config.engine(&entry.service).is_some())
             .filter(|entry| self.holder_of(&entry.id).is_none())
             .collect();
-        let free = idle
+        let free: Vec<FreeVm> = idle
             .iter()
             .filter(|entry| self.free_vm(entry, view, reported, now))
-            .count();
+            .filter_map(|entry| as_free_vm(entry))
+            .collect();
         let leaving = idle.iter().filter(|entry| entry.is_draining).count();
         let joining = idle
             .iter()
@@ -490,15 +493,20 @@
             models.entry(&group.model).or_default()[stage] += 1;
         }
         let mut text = format_compact!(
-            "decision=summary vms={} members={held} lost={lost} idle={} free={free} leaving={leaving} \
+            "decision=summary vms={} members={held} lost={lost} idle={} free={} leaving={leaving} \
              joining={joining} loading={loading} reserved={}",
             view.table.len(),
             idle.len(),
+            free.len(),
             self.reserved.len()
         );
         for (model, [serving, forming, ending]) in models {
+            let quick = free
+                .iter()
+                .filter(|vm| vm.source_of(model) < JoinSource::WeightStore)
+                .count();
             text.push_str(&format_compact!(
-                " model={model} serving={serving} forming={forming} ending={ending} demand={:.1}",
+                " model={model} serving={serving} forming={forming} ending={ending} demand={:.1} quick={quick}",
                 self.demand.groups(model, now)
             ));
         }
@@ -1151,10 +1159,16 @@
                             GroupStage::Joining | GroupStage::Opening | GroupStage::Serving
                         )
                 });
+                // Groups that others are closed for will be formed.
+                let reserved = self
+                    .reserved
+                    .values()
+                    .filter(|(reserved, _)| *reserved == model.id)
+                    .count();
                 ModelNeed {
                     id: model.id.clone(),
                     group_size: model.group_size,
-                    capacity: groups.count() as f64,
+                    capacity: (groups.count() + reserved) as f64,
                     demand: self.demand.groups(&model.id, now),
                     memory_join_time: self.timing.memory_join_time,
                     host_join_time: model.staged_join_time,
@@ -1338,6 +1352,7 @@
         if self.reserved.len() >= MAX_EXCHANGES {
             return;
         }
+        let mut best: Option<PlannedExchange> = None;
         for (domain, donors) in donors {
             let is_recent = self
                 .exchanged
@@ -1352,26 +1367,38 @@
                 .cloned()
                 .collect();
             free.extend(soon_free.remove(&domain).unwrap_or_default());
-            let Some(exchange) = plan_exchange(&domain, &free, &donors, needs) else {
-                continue;
-            };
-            self.exchanged.insert(domain.clone(), now);
-            let until = now + self.timing.reservation;
-            self.reserved
-                .insert(domain.clone(), (exchange.model.clone(), until));
-            for key in exchange.donors {
-                self.decided(format_compact!(
-                    "group={key} decision=close reason=exchange for_model={} domain={domain}",
-                    exchange.model
-                ));
-                let stage = GroupStage::Closing {
-                    since: now,
-                    limit: self.timing.exchange_close_limit,
-                };
-                self.set_stage(&key, stage);
-                self.order_leader(&key, BackendOrder::Close { key: key.clone() }, now);
+            let planned = plan_exchange(&domain, &free, &donors, needs);
+            if let Some(planned) = planned
+                && best.as_ref().is_none_or(|best| planned.value > best.value)
+            {
+                best = Some(planned);
             }
-            return;
+        }
+        if let Some(exchange) = best {
+            self.start_exchange(exchange, now);
+        }
+    }
+
+    fn start_exchange(&mut self, exchange: PlannedExchange, now: Timestamp) {
+        let PlannedExchange {
+            donors,
+            model,
+            domain,
+            value,
+        } = exchange;
+        self.exchanged.insert(domain.clone(), now);
+        let until = now + self.timing.reservation;
+        self.reserved.insert(domain.clone(), (model.clone(), until));
+        for key in donors {
+            self.decided(format_compact!(
+                "group={key} decision=close reason=exchange for_model={model} domain={domain} value={value:.2}"
+            ));
+            let stage = GroupStage::Closing {
+                since: now,
+                limit: self.timing.exchange_close_limit,
+            };
+            self.set_stage(&key, stage);
+            self.order_leader(&key, BackendOrder::Close { key: key.clone() }, now);
         }
     }
 
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -301,7 +301,7 @@
 const LEAST_EXCHANGE_GAIN: f64 = 0.05;
 
 /// Groups to close in one fabric domain, for a group of another model.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PlannedExchange {
     /// Groups to close.
     pub donors: Vec<GroupKey>,
@@ -309,6 +309,8 @@
     pub model: ModelId,
     /// Fabric domain.
     pub domain: FabricDomainId,
+    /// Demand that is served more, in busy groups.
+    pub value: f64,
 }
 
 fn loss_of(need: &ModelNeed, groups: usize) -> f64 {
@@ -330,7 +332,7 @@
     donors: &[DonorGroup],
     needs: &[ModelNeed],
 ) -> Option<PlannedExchange> {
-    let mut best: Option<(f64, PlannedExchange)> = None;
+    let mut best: Option<PlannedExchange> = None;
     for need in needs {
         let gain = need.marginal_value() * discount(need.host_join_time);
         for giver in needs.iter().filter(|giver| giver.id != need.id) {
@@ -354,17 +356,17 @@
                 continue;
             }
             let value = gain - loss;
-            if best.as_ref().is_none_or(|(least, _)| value > *least) {
-                let exchange = PlannedExchange {
+            if best.as_ref().is_none_or(|best| value > best.value) {
+                best = Some(PlannedExchange {
                     donors: chosen.iter().map(|donor| donor.key.clone()).collect(),
                     model: need.id.clone(),
                     domain: domain.clone(),
-                };
-                best = Some((value, exchange));
+                    value,
+                });
             }
         }
     }
-    best.map(|(_, exchange)| exchange)
+    best
 }
 
 /// Weights to be put on a host.
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -40,9 +40,10 @@
     change_count: u64,
 }
 
-/// Silence of a backend server before the removal of its entry from which the entry has lapsed: the platform
-/// removes it after three intervals of 1.2 s, of which the last write is seen up to half a second late.
-const LAPSE_SILENCE: TimeSpan = TimeSpan(2900);
+/// Silence of a backend server before the removal of its entry from which the entry has lapsed. The platform removes
+/// it after three intervals of 1.2 s; one that takes its entry away has written within the last interval. Both are
+/// seen up to a second late.
+const LAPSE_SILENCE: TimeSpan = TimeSpan(2400);
 
 /// Removed ids that are remembered; more than any fleet loses within a store's history.
 const MAX_REMOVED: usize = 4096;
--- a/crates/fleet/tests/all/table.rs
+++ b/crates/fleet/tests/all/table.rs
@@ -49,7 +49,7 @@
 fn a_removal_right_after_a_write_is_no_lapse() {
     let mut table = BackendTable::default();
     table.put(entry("vm0", "d0"), Timestamp(1000));
-    table.put(entry("vm1", "d0"), Timestamp(3800));
+    table.put(entry("vm1", "d0"), Timestamp(2300));
     table.remove(&vm("vm0"), Timestamp(4500));
     table.remove(&vm("vm1"), Timestamp(4500));
     assert!(table.removed(&vm("vm0")).expect("a removed row").has_lapsed);
