Go on with repairs while the store is away for everyone

The holder now keeps the lease while most live peers get no answer from the store either, and brings entries up to date from reports, which peers copy. Test fails first: an_outage_for_all_does_not_end_the_lease.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -61,6 +61,7 @@
         },
         config_version: node.config_version(),
         table_age_ms: node.table_age(now).as_millis(),
+        is_store_lost: node.store.is_lost(now),
         claim: claim.map(|claim| ClaimMessage {
             term: claim.term.0,
             version: claim.version.0,
@@ -107,6 +108,7 @@
         },
         config_version: message.config_version,
         table_age: TimeSpan(message.table_age_ms),
+        is_store_lost: message.is_store_lost,
         claim: message.claim.map(|claim| LeaseClaim {
             term: LeaseEpoch(claim.term),
             version: ObjectVersion(claim.version),
@@ -195,7 +197,11 @@
                 addresses.borrow_mut().insert(beat.peer_address);
                 if let Some(claim) = beat.claim {
                     control::lease_event(&node, LeaseEvent::Claimed(claim));
-                    if node.holder_changes.replace(beat.target_changes) != beat.target_changes {
+                    let has_news =
+                        node.holder_changes.replace(beat.target_changes) != beat.target_changes;
+                    // The holder's outage is checked at once: it keeps the lease only if the store is lost to most.
+                    let asks_for_store = beat.is_store_lost && !node.store.is_lost(clock::now());
+                    if has_news || asks_for_store {
                         node.table_news.notify_one();
                     }
                 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -82,7 +82,15 @@
             continue;
         }
         let rank = lease_rank(&node);
-        lease_event(&node, LeaseEvent::Tick { rank });
+        let now = clock::now();
+        let is_store_lost = node.store.is_lost(now);
+        let is_lost_to_most = is_store_lost && node.peers.borrow().is_store_lost(now);
+        let tick = LeaseEvent::Tick {
+            rank,
+            is_store_lost: is_lost_to_most,
+        };
+        lease_event(&node, tick);
+        fleet_event(&node, FleetEvent::StoreLost(is_store_lost));
         // All nodes follow the demand, so that the next holder of the lease knows it.
         fleet_event(&node, FleetEvent::Demand(traffic(&node)));
         if node.lease.borrow().holds(clock::now()).is_none() {
@@ -370,9 +378,14 @@
     let exchange = call_backend(&node, &id, address, Method::GET, REPORT_PATH, Vec::new());
     let result = match timeout(REPORT_LIMIT, exchange).await {
         Ok(Ok((200, body))) => match parse_report(&body) {
-            Ok(report) => ProbeResult::Reported {
-                order_count: report.order_count,
-            },
+            Ok(report) => {
+                if node.store.is_lost(clock::now()) {
+                    node.apply_report(&id, &body);
+                }
+                ProbeResult::Reported {
+                    order_count: report.order_count,
+                }
+            }
             Err(error) => {
                 log::warn!("event=report_undecodable vm={id} error=\"{error:#}\"");
                 ProbeResult::Refused
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -517,9 +517,11 @@
     let (route, limits) = find_route(node, &parts)?;
     let body = read_body(body, &limits).await?;
     let request = CallerRequest::new(parts, body, route, received);
+    // A caller that comes back asks for the same work again; counting it twice would double the demand.
+    let size = request.size().filter(|_| !request.is_returning);
     node.gateway
         .borrow_mut()
-        .fresh(&request.route.service, request.size().as_ref());
+        .fresh(&request.route.service, size.as_ref());
     let mut log = AttemptLog::default();
     let live = attempt(node, &request, &mut log, request.last_event).await?;
     if request.is_stream() && live.response.status().is_success() {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use jaysaddle_adapter::backend::parse_entry;
 use jaysaddle_adapter::config::parse_config;
+use jaysaddle_adapter::orders::update_entry;
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::ControllerTiming;
 use jaysaddle_fleet::controller::FleetController;
@@ -19,6 +20,7 @@
 use jaysaddle_gateway::gateway::GatewaySettings;
 use jaysaddle_gateway::gateway::RequestGateway;
 use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::VmId;
 use jaysaddle_types::serving::BackendEntry;
 use jaysaddle_types::serving::ServingConfig;
 use jaysaddle_types::units::TimeSpan;
@@ -59,6 +61,8 @@
     pub open_requests: Cell<u32>,
     /// Changes of the targets that the holder of the lease last told of.
     pub holder_changes: Cell<u64>,
+    /// The same as of the last copy of the holder's table.
+    pub copied_changes: Cell<u64>,
     /// Has the backend servers read at once.
     pub table_news: Notify,
     /// Has a beat sent at once.
@@ -94,6 +98,7 @@
             phase: Cell::new(PeerPhase::Starting),
             open_requests: Cell::new(0),
             holder_changes: Cell::new(0),
+            copied_changes: Cell::new(0),
             table_news: Notify::new(),
             news: Notify::new(),
             stopping: Notify::new(),
@@ -170,6 +175,22 @@
         self.raw_entries.borrow_mut().insert(name.clone(), spec);
     }
 
+    /// Brings an entry up to date from a report while the store does not answer.
+    pub fn apply_report(&self, id: &VmId, report: &[u8]) {
+        let name: CompactString = id.as_str().into();
+        let Some(mut spec) = self.raw_entries.borrow().get(&name).cloned() else {
+            return;
+        };
+        match update_entry(&mut spec, report) {
+            Ok(()) => {
+                self.put_entry(&name, spec);
+                self.table_read.set(Some(clock::now()));
+                self.fleet_changed();
+            }
+            Err(error) => log::warn!("event=report_undecodable vm={id} error=\"{error:#}\""),
+        }
+    }
+
     /// Takes over the removal of an entry.
     pub fn remove_entry(&self, name: &CompactString) {
         self.raw_entries.borrow_mut().remove(name);
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -15,7 +15,9 @@
 use jaysaddle_adapter::store::StoreCall;
 use jaysaddle_adapter::store::encode_call;
 use jaysaddle_adapter::store::parse_answer;
+use jaysaddle_daemon::clock;
 use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
 use tokio::time::timeout;
 
 use crate::exchange::Connection;
@@ -31,19 +33,35 @@
 pub struct StoreClient {
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
-    /// Whether the last call was answered; for logging the changes only.
+    /// Whether the last call was answered.
     is_reachable: Cell<bool>,
+    /// Start of the oldest call that does not wait for changes and has no answer yet.
+    pending_since: Cell<Option<Timestamp>>,
 }
 
+/// Time without an answer from which the store counts as lost; it answers in milliseconds, and in a quarter of a
+/// second when it is slow.
+const SILENCE: TimeSpan = TimeSpan(450);
+
 impl StoreClient {
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
             idle: RefCell::default(),
             is_reachable: Cell::new(true),
+            pending_since: Cell::new(None),
         }
     }
 
+    /// Whether the store does not answer this node.
+    pub fn is_lost(&self, now: Timestamp) -> bool {
+        let is_silent = self
+            .pending_since
+            .get()
+            .is_some_and(|since| now.since(since) >= SILENCE);
+        !self.is_reachable.get() || is_silent
+    }
+
     /// Makes a call.
     ///
     /// # Errors
@@ -56,10 +74,17 @@
         limit: TimeSpan,
     ) -> Result<StoreAnswer, ExchangeError> {
         metrics::counter!("jaysaddle_store_calls_total", "call" => call.label()).increment(1);
+        let is_watch = matches!(call, StoreCall::Watch { .. });
+        if !is_watch && self.pending_since.get().is_none() {
+            self.pending_since.set(Some(clock::now()));
+        }
         let result = match timeout(limit.as_duration(), self.exchange(call)).await {
             Ok(result) => result,
             Err(_) => Err(ExchangeError::may_have_run(eyre!("no answer in {limit}"))),
         };
+        if !is_watch {
+            self.pending_since.set(None);
+        }
         self.note(call, &result);
         result
     }
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -253,6 +253,8 @@
         /// Result.
         result: ProbeResult,
     },
+    /// The store stopped to answer, or answers again. Meanwhile entries are kept up to date from reports.
+    StoreLost(bool),
     /// Requests at the leader `id` get no data.
     Silent {
         /// VM.
@@ -324,6 +326,7 @@
     acquired: Timestamp,
     has_planned: bool,
     summarised: Timestamp,
+    is_store_lost: bool,
     effects: Vec<FleetEffect>,
 }
 
@@ -344,6 +347,7 @@
             acquired: Timestamp(0),
             has_planned: false,
             summarised: Timestamp(0),
+            is_store_lost: false,
             effects: Vec::new(),
         }
     }
@@ -362,6 +366,7 @@
             FleetEvent::Ordered { id, order, result } => self.ordered(&id, order, result, now),
             FleetEvent::Probed { id, result } => self.probed(&id, result, now),
             FleetEvent::Silent { id } => self.silent(&id, now),
+            FleetEvent::StoreLost(is_lost) => self.is_store_lost = is_lost,
             FleetEvent::Demand(demands) => {
                 self.expect_demand(view);
                 self.demand.observe(demands, now);
@@ -439,6 +444,9 @@
         for key in keys {
             self.advance(&key, view, reported.get(&key), now);
         }
+        if self.is_store_lost {
+            self.ask_changing(now);
+        }
         self.probe_due(now);
         if self.may_plan(view, now) {
             self.form_groups(view, &reported, now);
@@ -1052,6 +1060,27 @@
         }
     }
 
+    /// Has the members of groups that change read their reports, because their entries do not change now.
+    fn ask_changing(&mut self, now: Timestamp) {
+        let pause = self.timing.leader_repeat;
+        let changing = self
+            .groups
+            .values()
+            .filter(|group| group.stage != GroupStage::Serving)
+            .flat_map(|group| &group.members);
+        for id in changing {
+            if let Some(vm) = self.vms.get_mut(id)
+                && vm.next_probe.is_none()
+                && !vm.probe_in_flight
+                && vm
+                    .reported
+                    .is_none_or(|time| now.since(time).0 >= pause.0 / 4)
+            {
+                vm.next_probe = Some(now);
+            }
+        }
+    }
+
     fn probe_due(&mut self, now: Timestamp) {
         for (id, vm) in &mut self.vms {
             let Some(address) = vm.address else {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -84,6 +84,9 @@
     Tick {
         /// Candidates before this node.
         rank: u32,
+        /// Whether the store answers neither this node nor most of its peers, so that no other node can take the
+        /// lease.
+        is_store_lost: bool,
     },
     /// A peer holds the lease.
     Claimed(LeaseClaim),
@@ -185,7 +188,15 @@
             effects.push(LeaseEffect::Lost);
         }
         match event {
-            LeaseEvent::Tick { rank } => self.tick(rank, now, &mut effects),
+            LeaseEvent::Tick {
+                rank,
+                is_store_lost,
+            } => {
+                if is_store_lost {
+                    self.extend(now);
+                }
+                self.tick(rank, now, &mut effects);
+            }
             LeaseEvent::Claimed(claim) => self.claimed(claim, now, &mut effects),
             LeaseEvent::Read(found) => self.read(found, now, &mut effects),
             LeaseEvent::ReadFailed => self.pending = PendingCall::None,
@@ -203,6 +214,14 @@
         effects
     }
 
+    /// Keeps the lease while nobody can take it, so that repairs go on. The next write after the outage shows whether
+    /// another node has taken it after all.
+    fn extend(&mut self, now: Timestamp) {
+        if let Some((_, until)) = &mut self.held {
+            *until = (*until).max(now + self.timing.duration);
+        }
+    }
+
     fn record(&mut self, holder: Option<NodeId>, term: LeaseEpoch) -> LeaseRecord {
         self.write_number += 1;
         LeaseRecord {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -55,6 +55,8 @@
     pub config_version: u64,
     /// Age of its reading of the backend servers.
     pub table_age: TimeSpan,
+    /// Whether the store does not answer it.
+    pub is_store_lost: bool,
     /// The lease, when it holds it.
     pub claim: Option<LeaseClaim>,
     /// Requests in flight.
@@ -159,6 +161,18 @@
             .filter(move |record| now.since(record.heard) < PEER_TIMEOUT)
     }
 
+    /// Whether the store answers too few nodes for another one to take the lease: most peers that are known live and
+    /// most of these get no answer.
+    pub fn is_store_lost(&self, now: Timestamp) -> bool {
+        let known = self.peers.len();
+        let live = self.live(now).count();
+        let lost = self
+            .live(now)
+            .filter(|record| record.beat.is_store_lost)
+            .count();
+        live * 2 > known && lost * 2 > live
+    }
+
     /// All peers that are not forgotten.
     pub fn all(&self) -> impl Iterator<Item = &PeerRecord> {
         self.peers.values()
--- a/crates/fleet/tests/all/lease.rs
+++ b/crates/fleet/tests/all/lease.rs
@@ -26,7 +26,11 @@
 }
 
 fn tick(keeper: &mut LeaseKeeper, now: u64) -> Vec<LeaseEffect> {
-    keeper.step(LeaseEvent::Tick { rank: 0 }, Timestamp(now))
+    let event = LeaseEvent::Tick {
+        rank: 0,
+        is_store_lost: false,
+    };
+    keeper.step(event, Timestamp(now))
 }
 
 fn take_first(keeper: &mut LeaseKeeper, now: u64) {
@@ -134,3 +138,22 @@
     assert_eq!(effects, vec![LeaseEffect::Lost]);
     assert!(keeper.holds(Timestamp(1100)).is_none());
 }
+
+/// Guards against a fleet that nobody repairs while the store is away for everyone, and against a holder that keeps
+/// the lease when the store shows another one afterwards.
+#[test]
+fn an_outage_for_all_does_not_end_the_lease() {
+    let mut keeper = keeper("a");
+    take_first(&mut keeper, 1000);
+    for now in (1100..9000).step_by(100) {
+        let event = LeaseEvent::Tick {
+            rank: 0,
+            is_store_lost: true,
+        };
+        keeper.step(event, Timestamp(now));
+        keeper.step(LeaseEvent::Written(LeaseWrite::NotDone), Timestamp(now + 5));
+        assert!(keeper.holds(Timestamp(now)).is_some());
+    }
+    let read = LeaseEvent::Read(Some((ObjectVersion(30), record("b", 2))));
+    assert_eq!(keeper.step(read, Timestamp(9100)), vec![LeaseEffect::Lost]);
+}
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -21,6 +21,7 @@
         phase: PeerPhase::Serving,
         config_version: 1,
         table_age: TimeSpan(0),
+        is_store_lost: false,
         claim: None,
         loads: loads
             .iter()
--- a/crates/gateway/tests/all/scene.rs
+++ b/crates/gateway/tests/all/scene.rs
@@ -229,6 +229,7 @@
             phase: PeerPhase::Serving,
             config_version: 1,
             table_age: TimeSpan(0),
+            is_store_lost: false,
             claim: None,
             loads: loads
                 .into_iter()
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -51,6 +51,9 @@
     /// Counts changes of the targets.
     #[prost(uint64, tag = "16")]
     pub target_changes: u64,
+    /// Whether the store does not answer the node.
+    #[prost(bool, tag = "17")]
+    pub is_store_lost: bool,
     /// Numbers of the targets that must get no new request.
     #[prost(uint32, repeated, tag = "14")]
     pub closed: Vec<u32>,
