--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod load;
 mod lost_answers;
 mod operators;
+mod platform;
 mod process;
 mod restarts;
 mod service;
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -1,8 +1,10 @@
 //! Processes of a test and the answers of nodes.
 
 use std::fs;
+use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -52,6 +54,13 @@
         thread::spawn(move || lines.for_each(drop));
     }
 
+    /// Copies what the process writes on standard output to a file.
+    pub(crate) fn keep_output(&mut self, log: &Path) {
+        let mut output = self.child.stdout.take().expect("the output is piped");
+        let mut file = fs::File::create(log).expect("a log file can be created");
+        thread::spawn(move || io::copy(&mut output, &mut file));
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         // A process that has ended already needs no signal.
