Do not act on entries from before an outage of the store

Ruled out: two holders at a time (terms and times of the lease lines), orders without a count. Entries that are no newer than what is known are passed over, control waits 2.3 s after an outage, and a closed group is formed anew instead of opened again. Each case has its test, which fails without the change.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -263,6 +263,7 @@
             let view = FleetView {
                 table: &table,
                 config: &empty,
+                is_settled: false,
             };
             node.controller.borrow_mut().step(event, view, clock::now());
         }
@@ -273,6 +274,7 @@
         let view = FleetView {
             table: &table,
             config: &config,
+            is_settled: clock::now() >= node.return_grace.get(),
         };
         node.controller.borrow_mut().step(event, view, clock::now())
     };
--- a/crates/entry/src/copies.rs
+++ b/crates/entry/src/copies.rs
@@ -175,7 +175,7 @@
             "event=table_copied peer={peer} age_ms={}",
             reply.table_age_ms
         );
-        node.replace_table(entries, read);
+        node.copy_table(entries, read);
     }
     Ok(())
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
+use jaysaddle_adapter::backend::is_newer_entry;
 use jaysaddle_adapter::backend::parse_entry;
 use jaysaddle_adapter::config::parse_config;
 use jaysaddle_adapter::orders::update_entry;
@@ -38,6 +39,12 @@
 /// Share of the platform's ratio of repeats that is used, for the same reason.
 const REPEAT_RATIO_SHARE: f64 = 0.9;
 
+/// Age of a reading from which the next one may follow an outage; readings come every second, and later while the
+/// store is slow.
+const OUTAGE: TimeSpan = TimeSpan(1700);
+/// Time within which entries that lapsed during an outage are back, and some more for their way.
+const RETURN_TIME: TimeSpan = TimeSpan(2300);
+
 /// State of an entry node.
 pub struct EntryNode {
     pub settings: EntrySettings,
@@ -47,6 +54,10 @@
     pub table: RefCell<BackendTable>,
     /// When the table was last known to be complete and current.
     pub table_read: Cell<Option<Timestamp>>,
+    /// When the store was last read, wholly or its changes.
+    pub store_read: Cell<Option<Timestamp>>,
+    /// Until when entries that an outage has removed may come back.
+    pub return_grace: Cell<Timestamp>,
     pub config: RefCell<Option<Rc<ServingConfig>>>,
     /// The configuration as read, for peers.
     pub raw_config: RefCell<Option<Value>>,
@@ -85,6 +96,8 @@
             peers: RefCell::default(),
             table: RefCell::default(),
             table_read: Cell::new(None),
+            store_read: Cell::new(None),
+            return_grace: Cell::new(Timestamp(0)),
             config: RefCell::default(),
             raw_config: RefCell::default(),
             raw_entries: RefCell::default(),
@@ -147,8 +160,42 @@
         }
     }
 
-    /// Replaces the table by a whole reading.
-    pub fn replace_table(&self, entries: BTreeMap<CompactString, Value>, read: Timestamp) {
+    /// Replaces the table by a whole reading of the store.
+    ///
+    /// An entry that was not written since what is known of its backend server is passed over. After an outage,
+    /// entries that are missing stay for a while: those of live backend servers come back.
+    pub fn replace_table(&self, mut entries: BTreeMap<CompactString, Value>, read: Timestamp) {
+        let now = clock::now();
+        let before = self.store_read.replace(Some(read));
+        // A node that has just started cannot tell whether there was an outage.
+        if before.is_none_or(|before| now.since(before) >= OUTAGE) {
+            self.return_grace.set(now + RETURN_TIME);
+        }
+        for (name, known) in &*self.raw_entries.borrow() {
+            match entries.get_mut(name) {
+                Some(entry) if !is_newer_entry(known, entry) => entry.clone_from(known),
+                None if now < self.return_grace.get() => {
+                    entries.insert(name.clone(), known.clone());
+                }
+                _ => {}
+            }
+        }
+        self.take_table(entries, read);
+    }
+
+    /// Replaces the table by a peer's, which may know more of a backend server than its entry.
+    pub fn copy_table(&self, mut entries: BTreeMap<CompactString, Value>, read: Timestamp) {
+        for (name, known) in &*self.raw_entries.borrow() {
+            if let Some(entry) = entries.get_mut(name)
+                && is_newer_entry(entry, known)
+            {
+                entry.clone_from(known);
+            }
+        }
+        self.take_table(entries, read);
+    }
+
+    fn take_table(&self, entries: BTreeMap<CompactString, Value>, read: Timestamp) {
         let decoded: Vec<BackendEntry> = entries
             .iter()
             .filter_map(|(name, spec)| decode_entry(name, spec))
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -15,6 +15,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_types::ids::StoreRevision;
 use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -137,6 +138,12 @@
     let mut since: Option<StoreRevision> = None;
     loop {
         let started = clock::now();
+        // After the grace of an outage, a whole reading shows which entries have not come back.
+        let grace = node.return_grace.get();
+        if grace != Timestamp(0) && started >= grace {
+            node.return_grace.set(Timestamp(0));
+            since = None;
+        }
         let Some(revision) = since else {
             match read_all(&node, ObjectKind::Backends, false).await {
                 Some((objects, revision)) => {
@@ -167,6 +174,7 @@
                     }
                 }
                 node.table_read.set(Some(started));
+                node.store_read.set(Some(started));
                 node.fleet_changed();
                 since = Some(revision);
             }
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -93,8 +93,6 @@
     pub join_visible: TimeSpan,
     /// Longest formation of a group; loads share the weight store, so this is several load times.
     pub join_limit: TimeSpan,
-    /// Time for which an order without an answer may still be carried out.
-    pub uncertain: TimeSpan,
     /// Longest time for which a leader that stopped listening finishes its requests; the platform's bound of 10 s and
     /// the age of the last report.
     pub finish_limit: TimeSpan,
@@ -129,7 +127,6 @@
             lost_repeat: TimeSpan(1000),
             join_visible: TimeSpan(3000),
             join_limit: TimeSpan::from_secs(60),
-            uncertain: TimeSpan::from_secs(13),
             finish_limit: TimeSpan(10_500),
             unknown_leader: TimeSpan(2000),
             lost_probes: 2,
@@ -187,8 +184,6 @@
     /// Accepted orders, from reports and answers; `None` until a report was read.
     order_count: Option<u64>,
     in_flight: Option<BackendOrder>,
-    /// Until when an order without an answer may still be carried out.
-    uncertain_until: Option<Timestamp>,
     next_order: Option<Timestamp>,
     /// Model that is being put on the host, and until when that is believed.
     staging: Option<(ModelId, Timestamp)>,
@@ -438,6 +433,10 @@
             return;
         }
         self.follow_entries(view);
+        if !view.is_settled {
+            self.probe_due(now);
+            return;
+        }
         let reported = reported_groups(view.table, view.config);
         self.adopt(&reported, now);
         let keys: Vec<GroupKey> = self.groups.keys().cloned().collect();
@@ -571,7 +570,12 @@
                     limit: self.timing.close_limit,
                 },
                 MemberPhase::Open => GroupStage::Dissolving,
-                MemberPhase::Joining | MemberPhase::Ready if group.is_whole() => {
+                // A whole group that is ready may have been closed, and an order to join another one that the earlier
+                // holder sent may still reach a member. It is not opened again: its VMs are free, and the next order
+                // to join makes earlier ones void.
+                MemberPhase::Joining | MemberPhase::Ready
+                    if group.is_whole() && !group.is_loaded =>
+                {
                     GroupStage::Joining
                 }
                 _ => continue,
@@ -936,7 +940,6 @@
 
     fn ordered(&mut self, id: &VmId, order: BackendOrder, result: OrderResult, now: Timestamp) {
         let repeat = self.timing.repeat;
-        let uncertain = self.timing.uncertain;
         let Some(vm) = self.vms.get_mut(id) else {
             return;
         };
@@ -959,9 +962,6 @@
                 vm.next_order = Some(now + repeat);
                 vm.order_count = None;
                 vm.next_probe = Some(now);
-                if result == OrderResult::Unknown {
-                    vm.uncertain_until = Some(now + uncertain);
-                }
             }
         }
         match order {
--- a/crates/fleet/tests/all/controller.rs
+++ b/crates/fleet/tests/all/controller.rs
@@ -1,6 +1,7 @@
 //! Formation, repair and adoption of groups.
 
 use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::MemberPhase;
 
 use crate::fake::FakeFleet;
 use crate::fake::LARGE;
@@ -184,6 +185,54 @@
     assert!(new.is_empty(), "{new:?}");
 }
 
+/// Guards against a VM in two groups: the earlier holder closed a group and sent its members an order to join another
+/// one, which arrives late. Seen on ebiere-collect, trouble-1, seed 676251764138.
+#[test]
+fn a_closed_group_is_not_opened_again_by_a_new_controller() {
+    let mut fleet = FakeFleet::new(2);
+    fleet.run(15_000);
+    let group = fleet.serving(SMALL).pop().expect("a small group");
+    fleet.close(&group[0]);
+    fleet.replace_controller(2);
+    let orders = fleet.orders.len();
+    fleet.run(3000);
+    assert_eq!(fleet.serving(SMALL), vec![group.clone()]);
+    for id in &group {
+        let is_joined = fleet.orders[orders..]
+            .iter()
+            .any(|(to, order)| to == id && matches!(order, BackendOrder::Join { .. }));
+        assert!(
+            is_joined,
+            "{id} keeps an order count that a late order may name"
+        );
+    }
+}
+
+/// Guards against a VM in two groups: after an outage of the store the entry of a leader may be from before it was
+/// opened. Seen on ebiere-collect, trouble-3, seed 206064952966.
+#[test]
+fn entries_from_before_an_outage_are_not_acted_on() {
+    let mut fleet = FakeFleet::new(2);
+    fleet.run(15_000);
+    let group = fleet.serving(SMALL).pop().expect("a small group");
+    fleet.is_store_behind = true;
+    fleet.is_settled = false;
+    let mut outdated = fleet.table.get(&group[0]).expect("a row").entry.clone();
+    if let Some(membership) = &mut outdated.membership {
+        membership.phase = MemberPhase::Ready;
+    }
+    fleet.table.put(outdated, fleet.now);
+    fleet.replace_controller(2);
+    let orders = fleet.orders.len();
+    fleet.run(2000);
+    assert_eq!(fleet.orders.len(), orders, "{:#?}", fleet.orders);
+    fleet.is_store_behind = false;
+    fleet.is_settled = true;
+    fleet.run(2000);
+    assert_eq!(fleet.serving(SMALL), vec![group]);
+    assert!(fleet.double_members.is_empty());
+}
+
 /// Guards against new requests at a group whose member announced that it stops.
 #[test]
 fn a_group_with_a_leaving_member_is_closed() {
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -117,6 +117,8 @@
     /// Orders in the order in which they were sent.
     pub orders: Vec<(VmId, BackendOrder)>,
     pub decisions: Vec<String>,
+    /// Whether the entries are known to be current.
+    pub is_settled: bool,
     /// Entries are not updated while this holds.
     pub is_store_behind: bool,
     /// VMs whose orders get no answer and are not carried out.
@@ -140,6 +142,7 @@
             vms: BTreeMap::new(),
             orders: Vec::new(),
             decisions: Vec::new(),
+            is_settled: true,
             is_store_behind: false,
             mute: BTreeSet::new(),
             refusing: BTreeSet::new(),
@@ -191,6 +194,16 @@
         self.table.put(entry, self.now);
     }
 
+    /// Closes the group of a leader, as an earlier controller did.
+    pub fn close(&mut self, id: &VmId) {
+        let fake = self.vms.get_mut(id).expect("VM");
+        if let Some(membership) = &mut fake.entry.membership {
+            membership.phase = MemberPhase::Ready;
+        }
+        let entry = fake.entry.clone();
+        self.table.put(entry, self.now);
+    }
+
     /// Reports silence of a group's leader, as routing does.
     pub fn silence(&mut self, id: &VmId) {
         self.event(FleetEvent::Silent { id: id.clone() });
@@ -200,6 +213,7 @@
         let view = FleetView {
             table: &self.table,
             config: &self.config,
+            is_settled: self.is_settled,
         };
         let effects = self.controller.step(event, view, self.now);
         for effect in effects {
