--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -291,6 +291,9 @@
     pub table: &'a BackendTable,
     /// Configuration.
     pub config: &'a ServingConfig,
+    /// Whether the entries show what the backend servers hold. Right after an outage of the store they may be from
+    /// before it.
+    pub is_settled: bool,
 }
 
 fn as_free_vm(entry: &BackendEntry) -> Option<FreeVm> {
