--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -564,7 +564,9 @@
                 .any(|id| self.holder_of(id).is_some());
             let stage = match phase {
                 _ if is_held => match phase {
-                    MemberPhase::Open | MemberPhase::Closing => GroupStage::Dissolving,
+                    MemberPhase::Open | MemberPhase::Closing | MemberPhase::Ready => {
+                        GroupStage::Dissolving
+                    }
                     _ => continue,
                 },
                 MemberPhase::Open if group.is_whole() && group.is_loaded => GroupStage::Serving,
@@ -573,14 +575,14 @@
                     limit: self.timing.close_limit,
                 },
                 MemberPhase::Open => GroupStage::Dissolving,
-                // A whole group that is ready may have been closed, and an order to join another one that the earlier
-                // holder sent may still reach a member. It is not opened again: its VMs are free, and the next order
-                // to join makes earlier ones void.
                 MemberPhase::Joining | MemberPhase::Ready
                     if group.is_whole() && !group.is_loaded =>
                 {
                     GroupStage::Joining
                 }
+                // The earlier holder's order to open it may be on its way, or an order to join another group to a
+                // member. After its leader has left neither has an effect.
+                MemberPhase::Ready => GroupStage::Dissolving,
                 _ => continue,
             };
             let members: Vec<VmId> = group.members.values().cloned().collect();
@@ -805,9 +807,10 @@
             (membership.key == *key).then_some(membership.phase)
         });
         match phase {
+            // An order to open that was not answered may still arrive; after the leader has left it has no effect.
             Some(MemberPhase::Ready | MemberPhase::Broken) => {
-                self.decided(format_compact!("group={key} decision=free reason=closed"));
-                self.end_group(key, now);
+                self.set_stage(key, GroupStage::Dissolving);
+                self.advance_dissolving(key, view, now);
             }
             Some(MemberPhase::Open | MemberPhase::Closing) if now < until => {
                 let due = group
--- a/crates/fleet/tests/all/controller.rs
+++ b/crates/fleet/tests/all/controller.rs
@@ -208,6 +208,25 @@
     }
 }
 
+/// Guards against a VM in two groups: an order to open that was not answered arrives after the group was given up.
+/// Seen on mrd-jaysaddle, incident inc-18af, after a change of the controller.
+#[test]
+fn the_leader_of_a_closed_group_leaves_before_its_members_join() {
+    let mut fleet = FakeFleet::new(2);
+    fleet.run(15_000);
+    let group = fleet.serving(SMALL).pop().expect("a small group");
+    fleet.close(&group[0]);
+    fleet.replace_controller(2);
+    let orders = fleet.orders.len();
+    fleet.run(3000);
+    let first = fleet.orders[orders..]
+        .iter()
+        .find(|(_, order)| !matches!(order, BackendOrder::Stage { .. }));
+    let (to, order) = first.expect("an order");
+    assert_eq!(*to, group[0]);
+    assert!(matches!(order, BackendOrder::Leave { .. }), "{order:?}");
+}
+
 /// Guards against a VM in two groups: after an outage of the store the entry of a leader may be from before it was
 /// opened. Seen on ebiere-collect, trouble-3, seed 206064952966.
 #[test]
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -12,6 +12,8 @@
 use std::time::Instant;
 
 use jaysaddle_platform_standin::PlatformStandin;
+use jaysaddle_platform_standin::request_headers;
+use jaysaddle_platform_standin::stream_config;
 use serde_json::Value;
 use serde_json::json;
 
@@ -20,6 +22,8 @@
 
 /// Events of each answer of the stand-in engines.
 const EVENTS: usize = 30;
+/// Key of the client account.
+const KEY: &str = "secret";
 /// Wait for one request, in seconds.
 const REQUEST_SECS: u64 = 20;
 
@@ -32,29 +36,6 @@
     addresses: Vec<IpAddr>,
 }
 
-/// A configuration with a route for each of `hosts`; callers name the address of a node as their host.
-fn config(version: u64, hosts: &[IpAddr]) -> Value {
-    let routes: Vec<Value> = hosts.iter().map(|host| route(*host)).collect();
-    json!({
-        "version": version,
-        "routes": routes,
-        "services": [{
-            "name": "engines", "healthPath": "/healthz", "maxConns": 100,
-            "engine": {"slots": 8, "models": [{"name": "m", "size": 2, "share": 1.0, "pace": 1.0, "loadS": 2.0,
-            "warmupS": 0.5}], "loadsPerS": 5.0, "loads_at_once": 7, "formMs": 100.0}
-        }],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-        "tenants": [{"name": "lender", "apiKeys": ["secret"]}]
-    })
-}
-
-fn route(host: IpAddr) -> Value {
-    json!({
-        "name": "drafts", "host": host, "pathPrefix": "/drafts/", "kind": "stream", "timeoutMs": 15000, "sloMs": 1000,
-        "priority": 1, "service": "engines", "maxAttempts": 2, "resumable": true, "gapTargetMs": 300
-    })
-}
-
 impl TestSite {
     fn start(engines: u16) -> Self {
         let number = SITES.fetch_add(1, Ordering::Relaxed);
@@ -64,7 +45,7 @@
         let y = u8::try_from((process / 250 + number * 16 + 8) % 250).expect("below 256");
         let ip = |z: u8| IpAddr::V4(Ipv4Addr::new(127, x, y, z));
         let standin =
-            PlatformStandin::start(ip(200), &config(1, &[ip(1), ip(2)]), "engines", engines);
+            PlatformStandin::start(ip(200), &stream_config(1, &[ip(1), ip(2)], KEY), engines);
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("site-{process}-{number}"));
         fs::create_dir_all(&folder).expect("a folder can be created");
@@ -114,12 +95,11 @@
 
     fn request(&self, node: usize, id: &str, path: &str, key: &str) -> minreq::Response {
         let url = format!("http://{}:7700{path}", self.addresses[node]);
-        minreq::post(url)
-            .with_header("X-Request-Id", id)
-            .with_header("X-Deadline-Ms", "15000")
-            .with_header("X-Model", "m")
-            .with_header("X-Token-Counts", "100,50")
-            .with_header("Api-Key", key)
+        let mut request = minreq::post(url);
+        for (name, value) in request_headers(id, key) {
+            request = request.with_header(name, value);
+        }
+        request
             .with_body("prompt")
             .with_timeout(REQUEST_SECS)
             .send()
@@ -142,10 +122,7 @@
             site.standin.serving_groups().len() == groups
                 && (0..2).all(|node| {
                     site.is_ready(node)
-                        && site
-                            .request(node, "probe", "/drafts/x", "secret")
-                            .status_code
-                            == 200
+                        && site.request(node, "probe", "/drafts/x", KEY).status_code == 200
                 })
         });
     }
@@ -170,16 +147,13 @@
     });
     for node in 0..2 {
         let id = format!("r{node}");
-        assert_whole(&site.request(node, &id, "/drafts/x", "secret"));
+        assert_whole(&site.request(node, &id, "/drafts/x", KEY));
         assert_eq!(site.standin.run_count(&id), 1);
         assert_eq!(
             site.request(node, "k", "/drafts/x", "wrong").status_code,
             401
         );
-        assert_eq!(
-            site.request(node, "n", "/other/", "secret").status_code,
-            404
-        );
+        assert_eq!(site.request(node, "n", "/other/", KEY).status_code, 404);
     }
 }
 
@@ -195,7 +169,7 @@
             .map(|number| {
                 let site = &site;
                 scope.spawn(move || {
-                    site.request(number % 2, &format!("s{number}"), "/drafts/x", "secret")
+                    site.request(number % 2, &format!("s{number}"), "/drafts/x", KEY)
                 })
             })
             .collect();
@@ -216,13 +190,12 @@
 fn a_new_configuration_comes_into_force() {
     let site = TestSite::start(2);
     site.wait_serving(1);
-    let mut next = config(2, &site.addresses);
-    next["tenants"][0]["apiKeys"] = json!(["other"]);
-    site.standin.configure(&next);
+    site.standin
+        .configure(&stream_config(2, &site.addresses, "other"));
     site.wait("the new key is in force", |site| {
         (0..2).all(|node| {
             site.request(node, "c", "/drafts/x", "other").status_code == 200
-                && site.request(node, "c", "/drafts/x", "secret").status_code == 401
+                && site.request(node, "c", "/drafts/x", KEY).status_code == 401
         })
     });
     site.standin.set_store_down(true);
@@ -238,7 +211,7 @@
     site.wait("node 2 names both", |site| site.resolved(1) == 2);
     thread::scope(|scope| {
         let shared = &site;
-        let running = scope.spawn(move || shared.request(0, "t", "/drafts/x", "secret"));
+        let running = scope.spawn(move || shared.request(0, "t", "/drafts/x", KEY));
         thread::sleep(Duration::from_millis(300));
         shared.nodes[0].terminate();
         shared.wait("node 1 is not ready", |site| !site.is_ready(0));
