--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,457 @@
+//! Sends a request to targets until one answers, and accounts for it.
+
+use std::rc::Rc;
+
+use compact_str::format_compact;
+use eyre::eyre;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+use jaysaddle_adapter::headers;
+use jaysaddle_daemon::clock;
+use jaysaddle_gateway::gateway::TargetOutcome;
+use jaysaddle_gateway::gateway::TargetQuery;
+use jaysaddle_gateway::gateway::TargetRefusal;
+use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_gateway::target::TargetNumber;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::Verdict;
+use tokio::time::timeout;
+
+use crate::answer::NodeFailure;
+use crate::caller_request::CallerRequest;
+use crate::caller_request::text;
+use crate::exchange::ExchangeError;
+use crate::exchange::send;
+use crate::node::EntryNode;
+use crate::pool::BackendKey;
+use crate::pool::PooledConnection;
+
+/// Sends of one request, refused ones included. Refusals use up the shared budget for repeats, too.
+const MAX_SENDS: usize = 4;
+/// Time that must be left for another send to make sense.
+pub const LEAST_TIME_LEFT: TimeSpan = TimeSpan(60);
+/// Connections to a backend server that each node may open at least.
+const LEAST_CONNECTIONS: u32 = 2;
+/// Part of the time left that an idempotent request waits for its first backend server, in percent. Work takes
+/// a small part of the time budget; a backend server that needs more hangs.
+const FIRST_WAIT_PERCENT: u64 = 55;
+/// Silence of a stream that has begun, in limits of its target's silence, after which it goes on elsewhere
+/// although the target serves others.
+const STREAM_SILENCE_FACTOR: u64 = 3;
+/// The same for a request that waits for its first event: as long as callers wait at least.
+const FIRST_SILENCE_FACTOR: u64 = 5;
+/// Step at which a silent backend server is judged again.
+pub const SILENCE_STEP: TimeSpan = TimeSpan(150);
+
+/// Accounts for a request at a target until its end.
+pub struct AttemptGuard {
+    node: Rc<EntryNode>,
+    pub target: Rc<RequestTarget>,
+    started: Timestamp,
+    /// Whether it waits behind requests that can still be on time.
+    is_waiting_late: bool,
+    /// Whether the answer has begun.
+    is_streaming: bool,
+    is_finished: bool,
+}
+
+impl AttemptGuard {
+    /// Takes note of data from the target. `pause` is the time since the data before.
+    pub fn progressed(&mut self, pause: Option<TimeSpan>, now: Timestamp) {
+        let mut gateway = self.node.gateway.borrow_mut();
+        if self.is_waiting_late {
+            self.is_waiting_late = false;
+            gateway.stopped_waiting(self.target.number);
+        }
+        if !self.is_streaming {
+            self.is_streaming = true;
+            gateway.streams(self.target.number);
+        }
+        gateway.progressed(self.target.number, pause, now);
+    }
+
+    fn new(node: &Rc<EntryNode>, target: Rc<RequestTarget>, is_late: bool) -> Self {
+        let now = clock::now();
+        node.gateway
+            .borrow_mut()
+            .started(target.number, is_late, now);
+        Self {
+            node: node.clone(),
+            target,
+            started: now,
+            is_waiting_late: is_late,
+            is_streaming: false,
+            is_finished: false,
+        }
+    }
+
+    /// Takes note of the end of the request at the target.
+    pub fn finish(mut self, outcome: TargetOutcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: TargetOutcome) {
+        if self.is_finished {
+            return;
+        }
+        self.is_finished = true;
+        let now = clock::now();
+        self.node
+            .gateway
+            .borrow_mut()
+            .ended(&self.target, outcome, now.since(self.started), now);
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.end(TargetOutcome::Abandoned);
+    }
+}
+
+/// What a request has used up so far.
+#[derive(Debug, Default)]
+pub struct AttemptLog {
+    /// Targets to which the request was sent.
+    pub tried: Vec<TargetNumber>,
+    /// Targets at which it may have run.
+    pub runs: u32,
+}
+
+/// An attempt whose answer has begun.
+pub struct LiveAttempt {
+    pub guard: AttemptGuard,
+    pub connection: PooledConnection,
+    pub response: Response<Incoming>,
+}
+
+impl LiveAttempt {
+    /// The backend server's limit on idle connections.
+    pub fn stated_idle(&self) -> Option<TimeSpan> {
+        stated_idle(&self.response)
+    }
+}
+
+fn stated_idle(response: &Response<Incoming>) -> Option<TimeSpan> {
+    let value = response.headers().get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    Some(TimeSpan::from_secs(seconds.parse().ok()?))
+}
+
+/// Result of one send.
+enum SendResult {
+    Answered(Box<LiveAttempt>),
+    /// The backend server did not run the request.
+    NotRun(String),
+    /// The request may have run.
+    Lost(String),
+}
+
+/// Whether a silent attempt is to be given up, given the silence of the whole target. A request that waits for
+/// its first event, which may be long in a full queue, needs more silence than a stream that has begun.
+pub fn is_stalled(
+    node: &EntryNode,
+    target: &RequestTarget,
+    own_silence: TimeSpan,
+    has_begun: bool,
+    now: Timestamp,
+) -> bool {
+    let gateway = node.gateway.borrow();
+    let limit = gateway.silence_limit();
+    let target_silence = gateway.silence_of(target.number, now).unwrap_or_default();
+    let own_factor = if has_begun {
+        STREAM_SILENCE_FACTOR
+    } else {
+        FIRST_SILENCE_FACTOR
+    };
+    let is_target_silent = own_silence >= limit && target_silence >= limit;
+    is_target_silent || own_silence.0 >= limit.0 * own_factor
+}
+
+/// This node's part of the connections that a backend server takes.
+fn connection_limit(node: &EntryNode, target: &RequestTarget) -> u32 {
+    let all = node
+        .config
+        .borrow()
+        .as_ref()
+        .and_then(|config| Some(config.service(&target.service)?.max_connections))
+        .unwrap_or(u32::MAX);
+    (all / node.gateway.borrow().node_count()).max(LEAST_CONNECTIONS)
+}
+
+/// How a request is sent.
+struct SendPlan {
+    target: Rc<RequestTarget>,
+    /// Whether it lets requests go first that can still be on time.
+    is_late: bool,
+    /// Number of the last event that the caller has.
+    last_event: Option<u64>,
+    /// Whether a silent target is given up for another one.
+    may_give_up: bool,
+}
+
+/// Sends a request to one target and waits for the head of the answer.
+async fn send_once(node: &Rc<EntryNode>, request: &CallerRequest, plan: SendPlan) -> SendResult {
+    let SendPlan {
+        target,
+        is_late,
+        last_event,
+        may_give_up,
+    } = plan;
+    let guard = AttemptGuard::new(node, target.clone(), is_late);
+    let key = BackendKey {
+        id: target.backend.clone(),
+        started: target.started,
+        address: target.address,
+    };
+    let must_be_fresh = !request.route.rule.kind.may_repeat();
+    let limit = connection_limit(node, &target);
+    let mut connection = match node.pool.take(&key, must_be_fresh, limit).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            node.gateway.borrow_mut().avoid(target.number, clock::now());
+            guard.finish(TargetOutcome::Failed);
+            return SendResult::NotRun(format!("connect: {:#}", error.cause));
+        }
+    };
+    let outgoing = match request.for_target(&target, last_event, is_late) {
+        Ok(outgoing) => outgoing,
+        Err(error) => return SendResult::NotRun(format!("{error:#}")),
+    };
+    let head = wait_for_head(
+        node,
+        request,
+        &target,
+        &mut connection,
+        outgoing,
+        may_give_up,
+    )
+    .await;
+    let response = match head {
+        Ok(response) => response,
+        Err(error) => {
+            node.gateway.borrow_mut().avoid(target.number, clock::now());
+            guard.finish(TargetOutcome::Failed);
+            let cause = format!("{:#}", error.cause);
+            return match error.verdict {
+                Verdict::NotRun => SendResult::NotRun(cause),
+                _ => SendResult::Lost(cause),
+            };
+        }
+    };
+    let mut guard = guard;
+    if !request.is_stream() {
+        guard.progressed(None, clock::now());
+    }
+    judge_head(node, request, guard, connection, response)
+}
+
+fn judge_head(
+    node: &Rc<EntryNode>,
+    request: &CallerRequest,
+    guard: AttemptGuard,
+    connection: PooledConnection,
+    response: Response<Incoming>,
+) -> SendResult {
+    let status = response.status();
+    let map = response.headers();
+    let echoed = text(map, &headers::REQUEST_ID);
+    let is_refusal =
+        map.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+    if is_refusal && echoed.is_none_or(|id| id == request.id) {
+        let blamed = text(map, &headers::FAULTY_BACKEND)
+            .unwrap_or("-")
+            .to_owned();
+        let number = guard.target.number;
+        guard.finish(TargetOutcome::Refused);
+        node.gateway.borrow_mut().avoid(number, clock::now());
+        return SendResult::NotRun(format!("status {} blamed={blamed}", status.as_u16()));
+    }
+    if echoed != Some(request.id.as_str()) {
+        guard.finish(TargetOutcome::Failed);
+        return SendResult::Lost("the answer belongs to another request".to_owned());
+    }
+    if map.contains_key(header::CONTENT_ENCODING) || !map.contains_key(headers::RECEIPT) {
+        let is_success = status.is_success();
+        if is_success {
+            guard.finish(TargetOutcome::Failed);
+            return SendResult::Lost("the answer is not the backend server's own".to_owned());
+        }
+    }
+    SendResult::Answered(Box::new(LiveAttempt {
+        guard,
+        connection,
+        response,
+    }))
+}
+
+async fn wait_for_head(
+    node: &Rc<EntryNode>,
+    request: &CallerRequest,
+    target: &RequestTarget,
+    connection: &mut PooledConnection,
+    outgoing: Request<crate::exchange::RequestBody>,
+    may_give_up: bool,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let sent = clock::now();
+    let first_wait = TimeSpan(request.time_left().0 * FIRST_WAIT_PERCENT / 100);
+    let exchange = send(&mut connection.connection, outgoing);
+    tokio::pin!(exchange);
+    loop {
+        let left = request.time_left();
+        if left.0 == 0 {
+            return Err(ExchangeError::may_have_run(eyre!("time is up")));
+        }
+        let wait = SILENCE_STEP.min(left).as_duration();
+        if let Ok(result) = timeout(wait, &mut exchange).await {
+            return result;
+        }
+        let now = clock::now();
+        let waited = now.since(sent);
+        let is_hanging = if target.model.is_some() {
+            is_stalled(node, target, waited, false, now)
+        } else {
+            waited >= first_wait
+        };
+        if may_give_up && is_hanging {
+            return Err(ExchangeError::may_have_run(eyre!("no data for {waited}")));
+        }
+    }
+}
+
+/// Sends a request to targets until one answers.
+///
+/// # Errors
+///
+/// Fails when no target takes the request, or it may have run and must not, or cannot, be sent again.
+pub async fn attempt(
+    node: &Rc<EntryNode>,
+    request: &CallerRequest,
+    log: &mut AttemptLog,
+    last_event: Option<u64>,
+) -> Result<LiveAttempt, NodeFailure> {
+    let rule = &request.route.rule;
+    let may_repeat = rule.kind.may_repeat();
+    loop {
+        let has_run = log.runs > 0;
+        if request.time_left() < LEAST_TIME_LEFT {
+            return Err(ended(
+                has_run,
+                StatusCode::GATEWAY_TIMEOUT,
+                "time_is_up",
+                node,
+            ));
+        }
+        if log.tried.len() >= MAX_SENDS {
+            return Err(ended(
+                has_run,
+                StatusCode::BAD_GATEWAY,
+                "no_more_sends",
+                node,
+            ));
+        }
+        let query = TargetQuery {
+            service: &request.route.service,
+            model: request.model.as_ref(),
+            latency_target: rule.latency_target,
+            tried: &log.tried,
+            is_repeat: has_run,
+            is_returning: request.is_returning,
+        };
+        let chosen = node
+            .gateway
+            .borrow_mut()
+            .choose(&query, &node.peers.borrow(), clock::now());
+        let choice = match chosen {
+            Ok(choice) => choice,
+            Err(refusal) => return Err(refused(has_run, refusal, node)),
+        };
+        let target = choice.target;
+        let is_repeat = !log.tried.is_empty();
+        if is_repeat && !node.gateway.borrow_mut().try_repeat(&request.route.service) {
+            return Err(ended(
+                has_run,
+                StatusCode::BAD_GATEWAY,
+                "no_repeat_budget",
+                node,
+            ));
+        }
+        log.tried.push(target.number);
+        let may_give_up = may_repeat && log.runs + 1 < rule.max_attempts;
+        log::debug!(
+            "event=send request={} backend={} repeat={is_repeat}",
+            request.id,
+            target.backend
+        );
+        let plan = SendPlan {
+            target: target.clone(),
+            is_late: choice.is_late,
+            last_event,
+            may_give_up,
+        };
+        match send_once(node, request, plan).await {
+            SendResult::Answered(live) => {
+                log.runs += 1;
+                let failed = live.response.status().is_server_error();
+                let again = failed
+                    && may_repeat
+                    && log.runs < rule.max_attempts
+                    && request.time_left() > LEAST_TIME_LEFT;
+                if !again {
+                    return Ok(*live);
+                }
+                if !node.gateway.borrow_mut().try_repeat(&request.route.service) {
+                    return Ok(*live);
+                }
+                live.guard.finish(TargetOutcome::Failed);
+            }
+            SendResult::NotRun(reason) => {
+                log::info!(
+                    "event=not_run request={} backend={} reason=\"{reason}\"",
+                    request.id,
+                    target.backend
+                );
+            }
+            SendResult::Lost(reason) => {
+                log.runs += 1;
+                log::info!(
+                    "event=may_have_run request={} backend={} reason=\"{reason}\"",
+                    request.id,
+                    target.backend
+                );
+                if !may_repeat || log.runs >= rule.max_attempts {
+                    let status = if request.time_left().0 == 0 {
+                        StatusCode::GATEWAY_TIMEOUT
+                    } else {
+                        StatusCode::BAD_GATEWAY
+                    };
+                    return Err(NodeFailure::may_have_run(status, "backend_failed"));
+                }
+            }
+        }
+    }
+}
+
+fn ended(has_run: bool, status: StatusCode, reason: &str, node: &EntryNode) -> NodeFailure {
+    if has_run {
+        NodeFailure::may_have_run(status, reason)
+    } else {
+        let retry_after = node.gateway.borrow_mut().retry_after(TargetRefusal::Full);
+        NodeFailure::unavailable(reason, retry_after)
+    }
+}
+
+fn refused(has_run: bool, refusal: TargetRefusal, node: &EntryNode) -> NodeFailure {
+    ended(
+        has_run,
+        StatusCode::BAD_GATEWAY,
+        &format_compact!("{refusal}"),
+        node,
+    )
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! the platform's names and formats are in `jaysaddle-adapter`. This crate connects them to sockets and time.
 
 mod answer;
+mod attempt;
 mod beats;
 mod caller_request;
 mod callers;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -19,15 +19,15 @@
 
 use crate::answer::Answer;
 use crate::answer::AnswerBody;
+use crate::attempt::AttemptLog;
+use crate::attempt::LEAST_TIME_LEFT;
+use crate::attempt::LiveAttempt;
+use crate::attempt::SILENCE_STEP;
+use crate::attempt::attempt;
+use crate::attempt::is_stalled;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::strip_connection_headers;
-use crate::forward::AttemptLog;
-use crate::forward::LEAST_TIME_LEFT;
-use crate::forward::LiveAttempt;
-use crate::forward::SILENCE_STEP;
 use crate::forward::StreamHold;
-use crate::forward::attempt;
-use crate::forward::is_stalled;
 use crate::node::EntryNode;
 
 /// Least time left for a stream to go on elsewhere: its prompt has to be read again.
--- /dev/null
+++ b/crates/fleet/src/controller/adoption.rs
@@ -0,0 +1,102 @@
+//! Takes over what the entries show, such as groups that an earlier holder of the lease has formed.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use compact_str::format_compact;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::units::Timestamp;
+
+use crate::controller::ControlledGroup;
+use crate::controller::ControlledVm;
+use crate::controller::FleetController;
+use crate::controller::FleetView;
+use crate::controller::GroupStage;
+use crate::groups::ReportedGroup;
+
+impl FleetController {
+    pub(super) fn follow_entries(&mut self, view: FleetView<'_>) {
+        for row in view.table.rows() {
+            let entry = &row.entry;
+            if view.config.engine(&entry.service).is_none() {
+                continue;
+            }
+            let vm = self.vms.entry(entry.id.clone()).or_default();
+            if vm.started != entry.started {
+                *vm = ControlledVm {
+                    started: entry.started,
+                    ..ControlledVm::default()
+                };
+            }
+            vm.address = Some(entry.address);
+        }
+        let held: BTreeSet<VmId> = self
+            .groups
+            .values()
+            .flat_map(|group| group.members.iter().cloned())
+            .collect();
+        self.vms
+            .retain(|id, _| view.table.get(id).is_some() || held.contains(id));
+    }
+
+    /// Takes over groups that an earlier holder of the lease has formed.
+    pub(super) fn adopt(&mut self, reported: &BTreeMap<GroupKey, ReportedGroup>, now: Timestamp) {
+        let memory = self.timing.ended_memory;
+        self.ended.retain(|_, ended| now.since(*ended) < memory);
+        for (key, group) in reported {
+            if self.groups.contains_key(key) || self.ended.contains_key(key) {
+                continue;
+            }
+            let Some(phase) = group.leader_phase else {
+                continue;
+            };
+            let is_held = group
+                .members
+                .values()
+                .any(|id| self.holder_of(id).is_some());
+            let stage = match phase {
+                _ if is_held => match phase {
+                    MemberPhase::Open | MemberPhase::Closing | MemberPhase::Ready => {
+                        GroupStage::Dissolving
+                    }
+                    _ => continue,
+                },
+                MemberPhase::Open if group.is_whole() && group.is_loaded => GroupStage::Serving,
+                MemberPhase::Closing => GroupStage::Closing {
+                    until: now + self.timing.close_limit,
+                },
+                MemberPhase::Open => GroupStage::Dissolving,
+                MemberPhase::Joining | MemberPhase::Ready
+                    if group.is_whole() && !group.is_loaded =>
+                {
+                    GroupStage::Joining
+                }
+                // The earlier holder's order to open it may be on its way, or an order to join another group to a
+                // member. After its leader has left neither has an effect.
+                MemberPhase::Ready => GroupStage::Dissolving,
+                _ => continue,
+            };
+            let members: Vec<VmId> = group.members.values().cloned().collect();
+            let joined = members.iter().map(|id| (id.clone(), now)).collect();
+            self.decided(format_compact!(
+                "group={key} decision=adopt model={} phase={phase:?} members={}",
+                group.model,
+                members.len()
+            ));
+            self.groups.insert(
+                key.clone(),
+                ControlledGroup {
+                    service: group.service.clone(),
+                    model: group.model.clone(),
+                    members,
+                    stage,
+                    since: now,
+                    joined,
+                    last_order: None,
+                },
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/controller/exchange.rs
@@ -0,0 +1,114 @@
+//! Closes groups of one model where another needs their VMs more.
+
+use std::collections::BTreeMap;
+
+use compact_str::format_compact;
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::ServiceRule;
+use jaysaddle_types::units::Timestamp;
+
+use crate::controller::FleetController;
+use crate::controller::FleetView;
+use crate::controller::GroupStage;
+use crate::controller::as_free_vm;
+use crate::plan::DonorGroup;
+use crate::plan::FreeVm;
+use crate::plan::ModelNeed;
+use crate::plan::PlannedExchange;
+use crate::plan::plan_exchange;
+
+/// Fabric domains in which groups are exchanged at a time.
+const MAX_EXCHANGES: usize = 2;
+
+impl FleetController {
+    /// Closes groups of one model where another needs their VMs more.
+    pub(super) fn exchange_groups(
+        &mut self,
+        service: &ServiceRule,
+        free: &[FreeVm],
+        needs: &[ModelNeed],
+        view: FleetView<'_>,
+        now: Timestamp,
+    ) {
+        let mut donors: BTreeMap<FabricDomainId, Vec<DonorGroup>> = BTreeMap::new();
+        let mut soon_free: BTreeMap<FabricDomainId, Vec<FreeVm>> = BTreeMap::new();
+        for (key, group) in &self.groups {
+            if group.service != service.id {
+                continue;
+            }
+            let members: Vec<FreeVm> = group
+                .members
+                .iter()
+                .filter_map(|id| as_free_vm(&view.table.get(id)?.entry))
+                .collect();
+            let Some(domain) = members.first().map(|vm| vm.domain.clone()) else {
+                continue;
+            };
+            if matches!(
+                group.stage,
+                GroupStage::Closing { .. } | GroupStage::Dissolving
+            ) {
+                let healthy = members.into_iter().filter(|vm| !self.is_lost(&vm.id));
+                soon_free.entry(domain).or_default().extend(healthy);
+            } else if group.stage == GroupStage::Serving {
+                donors.entry(domain.clone()).or_default().push(DonorGroup {
+                    key: key.clone(),
+                    model: group.model.clone(),
+                    domain,
+                    members,
+                });
+            }
+        }
+        if self.reserved.len() >= MAX_EXCHANGES {
+            return;
+        }
+        let mut best: Option<PlannedExchange> = None;
+        for (domain, donors) in donors {
+            let is_recent = self
+                .exchanged
+                .get(&domain)
+                .is_some_and(|time| now.since(*time) < self.timing.exchange_pause);
+            if is_recent || self.reserved.contains_key(&domain) {
+                continue;
+            }
+            let mut free: Vec<FreeVm> = free
+                .iter()
+                .filter(|vm| vm.domain == domain)
+                .cloned()
+                .collect();
+            free.extend(soon_free.remove(&domain).unwrap_or_default());
+            let planned = plan_exchange(&domain, &free, &donors, needs);
+            if let Some(planned) = planned
+                && best.as_ref().is_none_or(|best| planned.value > best.value)
+            {
+                best = Some(planned);
+            }
+        }
+        if let Some(exchange) = best {
+            self.start_exchange(exchange, now);
+        }
+    }
+
+    pub(super) fn start_exchange(&mut self, exchange: PlannedExchange, now: Timestamp) {
+        let PlannedExchange {
+            donors,
+            model,
+            domain,
+            value,
+        } = exchange;
+        self.exchanged.insert(domain.clone(), now);
+        let until = now + self.timing.reservation;
+        self.reserved.insert(domain.clone(), (model.clone(), until));
+        for key in donors {
+            self.decided(format_compact!(
+                "group={key} decision=close reason=exchange for_model={model} domain={domain} value={value:.2}"
+            ));
+            let stage = GroupStage::Closing {
+                until: now + self.timing.exchange_close_limit,
+            };
+            self.set_stage(&key, stage);
+            self.order_leader(&key, BackendOrder::Close { key: key.clone() }, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/controller/forming.rs
@@ -0,0 +1,276 @@
+//! Forms groups of VMs that are free.
+
+use std::collections::BTreeMap;
+
+use compact_str::format_compact;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::ServiceId;
+use jaysaddle_types::serving::BackendEntry;
+use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::EngineProfile;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::controller::ControlledGroup;
+use crate::controller::FleetController;
+use crate::controller::FleetView;
+use crate::controller::GroupStage;
+use crate::controller::as_free_vm;
+use crate::groups::ReportedGroup;
+use crate::plan::FreeVm;
+use crate::plan::LoadBudget;
+use crate::plan::ModelNeed;
+use crate::plan::PlannedGroup;
+use crate::plan::plan_groups;
+use crate::plan::plan_one;
+
+/// The weight store loads this many times as fast until the platform's first request.
+const EARLY_LOAD_FACTOR: u64 = 10;
+
+/// Bits of a generation below the controller's term; a term forms fewer groups than this holds.
+const COUNTER_BITS: u32 = 20;
+
+impl FleetController {
+    pub(super) fn may_plan(&mut self, view: FleetView<'_>, now: Timestamp) -> bool {
+        if self.has_planned {
+            return true;
+        }
+        let engines = view
+            .table
+            .rows()
+            .filter(|row| view.config.engine(&row.entry.service).is_some());
+        let (mut first, mut last) = (None, None);
+        for row in engines {
+            let appeared = row.appeared;
+            first = Some(first.map_or(appeared, |time: Timestamp| time.min(appeared)));
+            last = Some(last.map_or(appeared, |time: Timestamp| time.max(appeared)));
+        }
+        let (Some(first), Some(last)) = (first, last) else {
+            return false;
+        };
+        let has_settled =
+            now.since(last) >= self.timing.settle || now.since(first) >= self.timing.settle_limit;
+        self.has_planned = has_settled;
+        has_settled
+    }
+
+    pub(super) fn free_vm(
+        &self,
+        entry: &BackendEntry,
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
+        now: Timestamp,
+    ) -> bool {
+        if entry.is_draining || entry.fabric_domain.is_none() {
+            return false;
+        }
+        let Some(vm) = self.vms.get(&entry.id) else {
+            return false;
+        };
+        if vm.in_flight.is_some() || vm.failed_probes > 0 || self.holder_of(&entry.id).is_some() {
+            return false;
+        }
+        let Some(membership) = &entry.membership else {
+            return true;
+        };
+        match membership.phase {
+            MemberPhase::Broken => true,
+            MemberPhase::Ready if self.ended.contains_key(&membership.key) => true,
+            MemberPhase::Ready => match reported.get(&membership.key) {
+                // The leader reports, and it is not under control: it does not serve.
+                Some(group) if group.leader_phase.is_some() => !matches!(
+                    group.leader_phase,
+                    Some(MemberPhase::Open | MemberPhase::Closing)
+                ),
+                // The leader is unknown to this holder of the lease, and cannot be asked.
+                _ => {
+                    let removed = view.table.removed_leader(&membership.key);
+                    let has_lapsed = removed.is_some_and(|row| row.has_lapsed);
+                    let since = removed.map_or(self.acquired, |row| row.removed);
+                    let limit = if has_lapsed {
+                        self.timing.unknown_leader
+                    } else {
+                        self.timing.finish_limit
+                    };
+                    now.since(since) >= limit
+                }
+            },
+            MemberPhase::Joining
+            | MemberPhase::Open
+            | MemberPhase::Closing
+            | MemberPhase::Unknown => false,
+        }
+    }
+
+    pub(super) fn needs_of(
+        &self,
+        service: &ServiceId,
+        profile: &EngineProfile,
+        now: Timestamp,
+    ) -> Vec<ModelNeed> {
+        let has_traffic = self.demand.has_traffic();
+        profile
+            .models
+            .iter()
+            .map(|model| {
+                let groups = self.groups.values().filter(|group| {
+                    group.service == *service
+                        && group.model == model.id
+                        && matches!(
+                            group.stage,
+                            GroupStage::Joining | GroupStage::Opening | GroupStage::Serving
+                        )
+                });
+                // Groups that others are closed for will be formed.
+                let reserved = self
+                    .reserved
+                    .values()
+                    .filter(|(reserved, _)| *reserved == model.id)
+                    .count();
+                ModelNeed {
+                    id: model.id.clone(),
+                    group_size: model.group_size,
+                    capacity: (groups.count() + reserved) as f64,
+                    demand: self.demand.groups(&model.id, now),
+                    memory_join_time: self.timing.memory_join_time,
+                    host_join_time: model.staged_join_time,
+                    load_time: if has_traffic {
+                        model.load_time
+                    } else {
+                        TimeSpan(model.load_time.0 / EARLY_LOAD_FACTOR)
+                    },
+                }
+            })
+            .collect()
+    }
+
+    pub(super) fn form_groups(
+        &mut self,
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
+        now: Timestamp,
+    ) {
+        for service in &view.config.services {
+            let Some(profile) = &service.engine else {
+                continue;
+            };
+            let entries: Vec<&BackendEntry> = view
+                .table
+                .rows()
+                .map(|row| &row.entry)
+                .filter(|entry| entry.service == service.id)
+                .collect();
+            let free: Vec<FreeVm> = entries
+                .iter()
+                .filter(|entry| self.free_vm(entry, view, reported, now))
+                .filter_map(|entry| as_free_vm(entry))
+                .collect();
+            let mut needs = self.needs_of(&service.id, profile, now);
+            self.exchange_groups(service, &free, &needs, view, now);
+            self.form_reserved(&service.id, &free, &needs, now);
+            let open: Vec<FreeVm> = free
+                .into_iter()
+                .filter(|vm| !self.reserved.contains_key(&vm.domain))
+                .filter(|vm| self.holder_of(&vm.id).is_none())
+                .collect();
+            for group in plan_groups(open.clone(), &mut needs, self.join_loads()) {
+                self.start_group(&service.id, group, now);
+            }
+            let left: Vec<FreeVm> = open
+                .into_iter()
+                .filter(|vm| self.holder_of(&vm.id).is_none())
+                .collect();
+            self.stage_models(profile, &left, &needs, view, now);
+        }
+    }
+
+    /// Loads that joins may start. Before the first request loads are free; later, weights are put on hosts first,
+    /// so that the other members do not wait for a load.
+    pub(super) fn join_loads(&self) -> LoadBudget {
+        LoadBudget {
+            available: if self.demand.has_traffic() {
+                0
+            } else {
+                usize::MAX
+            },
+            weight: 0.0,
+        }
+    }
+
+    /// Forms the groups for which free VMs are reserved, once there are enough.
+    pub(super) fn form_reserved(
+        &mut self,
+        service: &ServiceId,
+        free: &[FreeVm],
+        needs: &[ModelNeed],
+        now: Timestamp,
+    ) {
+        self.reserved.retain(|_, (_, until)| now < *until);
+        for (domain, (model, _)) in self.reserved.clone() {
+            let Some(need) = needs.iter().find(|need| need.id == model) else {
+                continue;
+            };
+            let free: Vec<FreeVm> = free
+                .iter()
+                .filter(|vm| vm.domain == domain && self.holder_of(&vm.id).is_none())
+                .cloned()
+                .collect();
+            if let Some(group) = plan_one(&domain, &free, need) {
+                self.reserved.remove(&domain);
+                self.start_group(service, group, now);
+            }
+        }
+    }
+
+    pub(super) fn start_group(
+        &mut self,
+        service: &ServiceId,
+        planned: PlannedGroup,
+        now: Timestamp,
+    ) {
+        let Some(term) = self.term else {
+            return;
+        };
+        self.next_counter += 1;
+        let generation = Generation((term.0 << COUNTER_BITS) | self.next_counter);
+        let key = GroupKey {
+            group: GroupId::new(format_compact!("g{}-{}", term, self.next_counter)),
+            generation,
+        };
+        for id in &planned.loading {
+            self.loads.started(now);
+            if let Some(vm) = self.vms.get_mut(id) {
+                vm.loading_until = Some(now + self.timing.join_visible);
+            }
+        }
+        self.decided(format_compact!(
+            "group={key} decision=form model={} domain={} members={} loads={} expected_ms={}",
+            planned.model,
+            planned.domain,
+            planned.members.len(),
+            planned.loading.len(),
+            planned.join_time.as_millis()
+        ));
+        let group = ControlledGroup {
+            service: service.clone(),
+            model: planned.model.clone(),
+            members: planned.members.clone(),
+            stage: GroupStage::Joining,
+            since: now,
+            joined: BTreeMap::new(),
+            last_order: None,
+        };
+        self.groups.insert(key.clone(), group);
+        for id in &planned.members {
+            let order = BackendOrder::Join {
+                key: key.clone(),
+                model: planned.model.clone(),
+                members: planned.members.clone(),
+            };
+            self.send_order(id, order, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/controller/orders.rs
@@ -0,0 +1,132 @@
+//! Sends orders and takes in their results.
+
+use compact_str::format_compact;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::OrderResult;
+use jaysaddle_types::units::Timestamp;
+
+use crate::controller::FleetController;
+use crate::controller::FleetEffect;
+
+impl FleetController {
+    /// Sends an order to the leader of a group. Returns whether it was sent.
+    pub(super) fn order_leader(
+        &mut self,
+        key: &GroupKey,
+        order: BackendOrder,
+        now: Timestamp,
+    ) -> bool {
+        let Some(group) = self.groups.get(key) else {
+            return false;
+        };
+        let leader = group.leader().clone();
+        let sent = self.send_order(&leader, order, now);
+        if sent && let Some(group) = self.groups.get_mut(key) {
+            group.last_order = Some(now);
+        }
+        sent
+    }
+
+    pub(super) fn send_order(&mut self, id: &VmId, order: BackendOrder, now: Timestamp) -> bool {
+        let Some(vm) = self.vms.get_mut(id) else {
+            return false;
+        };
+        let Some(address) = vm.address else {
+            return false;
+        };
+        // An order to leave does not wait for the answer of another order.
+        let is_leave = matches!(order, BackendOrder::Leave { .. });
+        if vm.in_flight.is_some() && !is_leave {
+            return false;
+        }
+        if vm.next_order.is_some_and(|time| now < time) && !is_leave {
+            return false;
+        }
+        let is_join = matches!(order, BackendOrder::Join { .. });
+        if is_join && vm.order_count.is_none() {
+            if vm.next_probe.is_none() {
+                vm.next_probe = Some(now);
+            }
+            return false;
+        }
+        let order_count = vm.order_count.filter(|_| is_join);
+        vm.in_flight = Some(order.clone());
+        self.effects.push(FleetEffect::Order {
+            id: id.clone(),
+            address,
+            order,
+            order_count,
+        });
+        true
+    }
+
+    pub(super) fn ordered(
+        &mut self,
+        id: &VmId,
+        order: BackendOrder,
+        result: OrderResult,
+        now: Timestamp,
+    ) {
+        let repeat = self.timing.repeat;
+        let Some(vm) = self.vms.get_mut(id) else {
+            return;
+        };
+        if vm.in_flight.as_ref() == Some(&order) {
+            vm.in_flight = None;
+        }
+        match result {
+            OrderResult::Begun => {
+                vm.failed_probes = 0;
+                vm.order_count = vm.order_count.map(|count| count + 1);
+            }
+            OrderResult::Done => vm.failed_probes = 0,
+            OrderResult::Refused { .. } => {
+                vm.failed_probes = 0;
+                vm.next_order = Some(now + repeat);
+                vm.order_count = None;
+                vm.next_probe = Some(now + repeat);
+            }
+            OrderResult::Unreachable | OrderResult::Unknown => {
+                vm.next_order = Some(now + repeat);
+                vm.order_count = None;
+                vm.next_probe = Some(now);
+            }
+        }
+        match order {
+            BackendOrder::Join { key, .. } => {
+                if let Some(group) = self.groups.get_mut(&key) {
+                    match result {
+                        OrderResult::Begun | OrderResult::Done => {
+                            group.joined.insert(id.clone(), now);
+                        }
+                        OrderResult::Refused { status } => {
+                            self.decided(format_compact!(
+                                "group={key} decision=retry_join vm={id} status={status}"
+                            ));
+                        }
+                        OrderResult::Unreachable | OrderResult::Unknown => {}
+                    }
+                }
+            }
+            BackendOrder::Leave { key } => {
+                let is_leader = self
+                    .groups
+                    .get(&key)
+                    .is_some_and(|group| group.leader() == id);
+                let has_left = match result {
+                    OrderResult::Begun | OrderResult::Done => true,
+                    OrderResult::Refused { status } => status == 409,
+                    _ => false,
+                };
+                if is_leader && has_left {
+                    self.decided(format_compact!("group={key} decision=free reason=left"));
+                    self.end_group(&key, now);
+                }
+            }
+            BackendOrder::Open { .. } | BackendOrder::Close { .. } | BackendOrder::Stage { .. } => {
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/controller/probes.rs
@@ -0,0 +1,116 @@
+//! Probes VMs that are suspected, and judges what comes of it.
+
+use compact_str::format_compact;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::Timestamp;
+
+use crate::controller::FleetController;
+use crate::controller::FleetEffect;
+use crate::controller::GroupStage;
+use crate::controller::ProbeResult;
+
+impl FleetController {
+    pub(super) fn probed(&mut self, id: &VmId, result: ProbeResult, now: Timestamp) {
+        let is_held = self.holder_of(id).is_some();
+        let repeat = self.timing.repeat;
+        let lost_probes = self.timing.lost_probes;
+        let lost_repeat = self.timing.lost_repeat;
+        let Some(vm) = self.vms.get_mut(id) else {
+            return;
+        };
+        vm.probe_in_flight = false;
+        match result {
+            ProbeResult::Reported { order_count } => {
+                if vm.failed_probes >= lost_probes {
+                    self.effects.push(FleetEffect::Decided(format_compact!(
+                        "vm={id} decision=reachable_again"
+                    )));
+                }
+                vm.failed_probes = 0;
+                vm.unreachable_since = None;
+                vm.reported = Some(now);
+                vm.order_count = vm.order_count.max(Some(order_count));
+                vm.next_probe = None;
+            }
+            ProbeResult::Refused | ProbeResult::Silent => {
+                vm.failed_probes += 1;
+                vm.unreachable_since.get_or_insert(now);
+                vm.is_refusing = result == ProbeResult::Refused;
+                let pause = if vm.failed_probes >= lost_probes {
+                    lost_repeat
+                } else {
+                    repeat
+                };
+                vm.next_probe = Some(now + pause);
+                if vm.failed_probes == lost_probes {
+                    self.effects.push(FleetEffect::Decided(format_compact!(
+                        "vm={id} decision=unreachable failed_probes={lost_probes} is_member={is_held}"
+                    )));
+                }
+            }
+        }
+    }
+
+    pub(super) fn silent(&mut self, id: &VmId, now: Timestamp) {
+        let Some(key) = self.holder_of(id).cloned() else {
+            return;
+        };
+        let Some(group) = self.groups.get(&key) else {
+            return;
+        };
+        let trust = self.timing.report_trust;
+        for member in &group.members {
+            if let Some(vm) = self.vms.get_mut(member)
+                && vm.next_probe.is_none()
+                && !vm.probe_in_flight
+                && vm.reported.is_none_or(|time| now.since(time) >= trust)
+            {
+                vm.next_probe = Some(now);
+            }
+        }
+    }
+
+    /// Has the members of groups that change read their reports, because their entries do not change now.
+    pub(super) fn ask_changing(&mut self, now: Timestamp) {
+        let pause = self.timing.leader_repeat;
+        let changing = self
+            .groups
+            .values()
+            .filter(|group| group.stage != GroupStage::Serving)
+            .flat_map(|group| &group.members);
+        for id in changing {
+            if let Some(vm) = self.vms.get_mut(id)
+                && vm.next_probe.is_none()
+                && !vm.probe_in_flight
+                && vm
+                    .reported
+                    .is_none_or(|time| now.since(time).0 >= pause.0 / 4)
+            {
+                vm.next_probe = Some(now);
+            }
+        }
+    }
+
+    pub(super) fn probe_due(&mut self, now: Timestamp) {
+        for (id, vm) in &mut self.vms {
+            let Some(address) = vm.address else {
+                continue;
+            };
+            let is_due = vm.next_probe.is_some_and(|time| now >= time);
+            if is_due && !vm.probe_in_flight {
+                vm.probe_in_flight = true;
+                vm.next_probe = None;
+                self.effects.push(FleetEffect::Probe {
+                    id: id.clone(),
+                    address,
+                });
+            }
+        }
+    }
+
+    pub(super) fn is_lost(&self, id: &VmId) -> bool {
+        self.vms
+            .get(id)
+            .is_some_and(|vm| vm.failed_probes >= self.timing.lost_probes)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/controller/stages.rs
@@ -0,0 +1,301 @@
+//! Moves each group on from stage to stage.
+
+use compact_str::format_compact;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::units::Timestamp;
+
+use crate::controller::FleetController;
+use crate::controller::FleetView;
+use crate::controller::GroupStage;
+use crate::groups::ReportedGroup;
+use crate::table::BackendTable;
+
+impl FleetController {
+    /// Why a member cannot stay in its group; `None` when it can.
+    pub(super) fn member_fault(
+        &self,
+        key: &GroupKey,
+        id: &VmId,
+        view: FleetView<'_>,
+    ) -> Option<&'static str> {
+        let Some(row) = view.table.get(id) else {
+            return Some("gone");
+        };
+        if self.is_lost(id) {
+            return Some("unreachable");
+        }
+        let membership = row.entry.membership.as_ref();
+        match membership {
+            Some(membership) if membership.key == *key => match membership.phase {
+                MemberPhase::Broken => Some("broken"),
+                MemberPhase::Unknown => Some("unknown_phase"),
+                _ => None,
+            },
+            Some(_) => Some("in_another_group"),
+            None => Some("in_no_group"),
+        }
+    }
+
+    pub(super) fn advance(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        reported: Option<&ReportedGroup>,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key) else {
+            return;
+        };
+        match group.stage.clone() {
+            GroupStage::Joining => self.advance_joining(key, view, reported, now),
+            GroupStage::Opening | GroupStage::Serving => {
+                self.advance_serving(key, view, reported, now);
+            }
+            GroupStage::Closing { until } => self.advance_closing(key, view, until, now),
+            GroupStage::Dissolving => self.advance_dissolving(key, view, now),
+        }
+    }
+
+    pub(super) fn advance_joining(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        reported: Option<&ReportedGroup>,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key).cloned() else {
+            return;
+        };
+        let mut fault = None;
+        for id in &group.members {
+            let Some(row) = view.table.get(id) else {
+                fault = Some((id.clone(), "gone"));
+                break;
+            };
+            if row.entry.is_draining {
+                fault = Some((id.clone(), "draining"));
+            } else if self.is_lost(id) {
+                fault = Some((id.clone(), "unreachable"));
+            } else if let Some(accepted) = group.joined.get(id) {
+                let shown = row
+                    .entry
+                    .membership
+                    .as_ref()
+                    .is_some_and(|membership| membership.key == *key);
+                if !shown && now.since(*accepted) >= self.timing.join_visible {
+                    fault = Some((id.clone(), "join_not_shown"));
+                }
+            }
+        }
+        if fault.is_none() && now.since(group.since) >= self.timing.join_limit {
+            fault = Some((group.leader().clone(), "join_timeout"));
+        }
+        if let Some((id, reason)) = fault {
+            self.decided(format_compact!(
+                "group={key} decision=abandon vm={id} reason={reason}"
+            ));
+            self.end_group(key, now);
+            return;
+        }
+        let is_ready = reported.is_some_and(|group| {
+            group.is_whole()
+                && group.is_loaded
+                && matches!(
+                    group.leader_phase,
+                    Some(MemberPhase::Ready | MemberPhase::Open)
+                )
+        });
+        if is_ready {
+            if self.order_leader(key, BackendOrder::Open { key: key.clone() }, now) {
+                self.set_stage(key, GroupStage::Opening);
+            }
+            return;
+        }
+        let missing: Vec<VmId> = group
+            .members
+            .iter()
+            .filter(|id| !group.joined.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            let order = BackendOrder::Join {
+                key: key.clone(),
+                model: group.model.clone(),
+                members: group.members.clone(),
+            };
+            self.send_order(&id, order, now);
+        }
+    }
+
+    pub(super) fn advance_serving(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        reported: Option<&ReportedGroup>,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key).cloned() else {
+            return;
+        };
+        let fault = group
+            .members
+            .iter()
+            .find_map(|id| Some((id.clone(), self.member_fault(key, id, view)?)));
+        if let Some((id, reason)) = fault {
+            self.decided(format_compact!(
+                "group={key} decision=dissolve vm={id} reason={reason}"
+            ));
+            self.set_stage(key, GroupStage::Dissolving);
+            self.advance_dissolving(key, view, now);
+            return;
+        }
+        let Some(reported) = reported else {
+            return;
+        };
+        if reported.has_draining {
+            self.decided(format_compact!(
+                "group={key} decision=close reason=draining_member"
+            ));
+            let stage = GroupStage::Closing {
+                until: now + self.timing.close_limit,
+            };
+            self.set_stage(key, stage);
+            self.order_leader(key, BackendOrder::Close { key: key.clone() }, now);
+            return;
+        }
+        match reported.leader_phase {
+            Some(MemberPhase::Open) if group.stage == GroupStage::Opening => {
+                self.decided(format_compact!(
+                    "group={key} decision=serve model={} formed_ms={}",
+                    group.model,
+                    now.since(group.since).as_millis()
+                ));
+                self.set_stage(key, GroupStage::Serving);
+            }
+            Some(MemberPhase::Ready) => {
+                let due = group
+                    .last_order
+                    .is_none_or(|sent| now.since(sent) >= self.timing.leader_repeat);
+                if due {
+                    self.order_leader(key, BackendOrder::Open { key: key.clone() }, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn advance_closing(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        until: Timestamp,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key) else {
+            return;
+        };
+        let leader = group.leader().clone();
+        let phase = view.table.get(&leader).and_then(|row| {
+            let membership = row.entry.membership.as_ref()?;
+            (membership.key == *key).then_some(membership.phase)
+        });
+        match phase {
+            // An order to open that was not answered may still arrive; after the leader has left it has no effect.
+            Some(MemberPhase::Ready | MemberPhase::Broken) => {
+                self.set_stage(key, GroupStage::Dissolving);
+                self.advance_dissolving(key, view, now);
+            }
+            Some(MemberPhase::Open | MemberPhase::Closing) if now < until => {
+                let due = group
+                    .last_order
+                    .is_none_or(|sent| now.since(sent) >= self.timing.leader_repeat);
+                if phase == Some(MemberPhase::Open) && due {
+                    self.order_leader(key, BackendOrder::Close { key: key.clone() }, now);
+                }
+            }
+            _ => {
+                self.set_stage(key, GroupStage::Dissolving);
+                self.advance_dissolving(key, view, now);
+            }
+        }
+    }
+
+    pub(super) fn advance_dissolving(
+        &mut self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        now: Timestamp,
+    ) {
+        let Some(group) = self.groups.get(key) else {
+            return;
+        };
+        let leader = group.leader().clone();
+        let entry = view.table.get(&leader).map(|row| &row.entry);
+        let reason = match entry {
+            Some(entry) => match &entry.membership {
+                Some(membership) if membership.key == *key => match membership.phase {
+                    MemberPhase::Broken => Some("leader_broken"),
+                    _ => None,
+                },
+                _ => Some("leader_left"),
+            },
+            None => {
+                if let Some(vm) = self.vms.get_mut(&leader)
+                    && vm.next_probe.is_none()
+                    && !vm.probe_in_flight
+                {
+                    vm.next_probe = Some(now);
+                }
+                self.is_finished(&leader, view.table, now)
+                    .then_some("leader_gone")
+            }
+        };
+        if let Some(reason) = reason {
+            self.decided(format_compact!("group={key} decision=free reason={reason}"));
+            self.end_group(key, now);
+            return;
+        }
+        let due = group
+            .last_order
+            .is_none_or(|sent| now.since(sent) >= self.timing.repeat);
+        if due {
+            self.order_leader(key, BackendOrder::Leave { key: key.clone() }, now);
+        }
+    }
+
+    /// Whether a leader without an entry serves no more. One that stops listening may still finish its requests, and
+    /// its group is open until then; a silent one is treated as gone with its entry.
+    pub(super) fn is_finished(&self, leader: &VmId, table: &BackendTable, now: Timestamp) -> bool {
+        if !self.is_lost(leader) {
+            return false;
+        }
+        let has_lapsed = table.removed(leader).is_some_and(|row| row.has_lapsed);
+        let Some(vm) = self.vms.get(leader) else {
+            return true;
+        };
+        let may_finish = vm.is_refusing && !has_lapsed;
+        let limit = self.timing.finish_limit;
+        !may_finish
+            || vm
+                .unreachable_since
+                .is_some_and(|since| now.since(since) >= limit)
+    }
+
+    pub(super) fn end_group(&mut self, key: &GroupKey, now: Timestamp) {
+        self.groups.remove(key);
+        self.ended.insert(key.clone(), now);
+    }
+
+    pub(super) fn set_stage(&mut self, key: &GroupKey, stage: GroupStage) {
+        if let Some(group) = self.groups.get_mut(key) {
+            // The order to open has just been sent; a second one would be accepted without being counted.
+            if stage != GroupStage::Opening {
+                group.last_order = None;
+            }
+            group.stage = stage;
+        }
+    }
+}
