Remove what is unused, use one metrics recorder, log skipped objects

From reading the change as a newcomer: three settings that nothing read, a second MetricsText, a wrapper around the count of open requests, list items that were skipped without a line.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -227,8 +227,12 @@
         term: record.term,
         write_number: record.write_number,
     };
-    let Ok(spec) = serde_json::to_value(&body) else {
-        return;
+    let spec = match serde_json::to_value(&body) {
+        Ok(spec) => spec,
+        Err(error) => {
+            log::error!("event=lease_unencodable error=\"{error}\"");
+            return;
+        }
     };
     let kind = ObjectKind::Control;
     let name = CompactString::const_new(LEASE_NAME);
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -17,6 +17,7 @@
 use jaysaddle_adapter::directory::caller_failure_domain;
 use jaysaddle_adapter::directory::resolve_body;
 use jaysaddle_daemon::clock;
+use jaysaddle_daemon::telemetry::MetricsText;
 use jaysaddle_fleet::peers::PeerPhase;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -26,7 +27,6 @@
 use crate::answer::json;
 use crate::answer::whole_body;
 use crate::node::EntryNode;
-use crate::telemetry::MetricsText;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -35,7 +35,7 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Counts a request while it is handled.
-struct OpenRequest(Rc<EntryNode>);
+pub struct OpenRequest(Rc<EntryNode>);
 
 impl OpenRequest {
     fn new(node: &Rc<EntryNode>) -> Self {
@@ -176,20 +176,3 @@
         live = attempt(node, &request, &mut log, request.last_event).await?;
     }
 }
-
-/// Keeps the count of open requests until a stream has ended.
-pub struct StreamHold {
-    _open: OpenRequest,
-}
-
-impl StreamHold {
-    fn new(open: OpenRequest) -> Self {
-        Self { _open: open }
-    }
-}
-
-impl From<OpenRequest> for StreamHold {
-    fn from(open: OpenRequest) -> Self {
-        Self::new(open)
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,7 +21,6 @@
 mod stop;
 mod store_client;
 mod store_sync;
-mod telemetry;
 
 pub mod run;
 pub mod settings;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -27,7 +27,7 @@
 use crate::attempt::is_stalled;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::strip_connection_headers;
-use crate::forward::StreamHold;
+use crate::forward::OpenRequest;
 use crate::node::EntryNode;
 
 /// Least time left for a stream to go on elsewhere: its prompt has to be read again.
@@ -43,7 +43,8 @@
     /// When data came last, for the pause between events.
     last_data: Timestamp,
     has_data: bool,
-    _hold: StreamHold,
+    /// Counts the request as open until the stream has ended.
+    _open: OpenRequest,
 }
 
 /// What one wait for data gave.
@@ -60,7 +61,7 @@
         request: CallerRequest,
         log: AttemptLog,
         live: LiveAttempt,
-        hold: impl Into<StreamHold>,
+        open: OpenRequest,
     ) -> Self {
         let events = EventBuffer::after(request.last_event);
         Self {
@@ -71,7 +72,7 @@
             events,
             last_data: clock::now(),
             has_data: false,
-            _hold: hold.into(),
+            _open: open,
         }
     }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use jaysaddle_daemon::telemetry::MetricsText;
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -23,7 +24,6 @@
 use crate::settings::EntrySettings;
 use crate::stop;
 use crate::store_sync;
-use crate::telemetry::MetricsText;
 
 /// Time for the log writer to write the last lines.
 const LOG_FLUSH: Duration = Duration::from_millis(20);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -28,30 +28,21 @@
 pub struct PlatformBounds {
     /// Time between SIGTERM and SIGKILL.
     pub stop_grace: TimeSpan,
-    /// Interval at which backend servers write their entries.
-    pub heartbeat: TimeSpan,
     /// Repeats that a service may get for each request, over all nodes.
     pub repeat_ratio: f64,
     /// Repeats beside that in a window, over all nodes.
     pub repeat_slack: u32,
     /// Longest time for which callers may keep an answer of the directory, in seconds.
     pub directory_lifetime_secs: u64,
-    /// Time within which a change of the configuration is in force.
-    pub config_deadline: TimeSpan,
-    /// Time for which an address is not used by another service.
-    pub address_reuse: TimeSpan,
 }
 
 impl Default for PlatformBounds {
     fn default() -> Self {
         Self {
             stop_grace: TimeSpan::from_secs(8),
-            heartbeat: TimeSpan(1200),
             repeat_ratio: 0.2,
             repeat_slack: 100,
             directory_lifetime_secs: 2,
-            config_deadline: TimeSpan(2000),
-            address_reuse: TimeSpan(2000),
         }
     }
 }
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -69,9 +69,16 @@
         match node.store.call(&call, CALL_LIMIT).await {
             Ok(StoreAnswer::Page {
                 objects,
+                undecodable,
                 has_more,
                 revision,
             }) => {
+                if undecodable > 0 {
+                    log::warn!(
+                        "event=objects_undecodable kind={} count={undecodable}",
+                        kind.as_str()
+                    );
+                }
                 // Changes after the first page are read again by the watch.
                 let revision = *first_revision.get_or_insert(revision);
                 after = objects.last().map(|object| object.name.clone());
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -206,11 +206,6 @@
             .collect()
     }
 
-    /// Number of groups by stage, for metrics.
-    pub fn group_count(&self) -> usize {
-        self.groups.len()
-    }
-
     /// Derives the demand at the start from the shares of the work that the configuration states.
     fn expect_demand(&mut self, view: FleetView<'_>) {
         for service in &view.config.services {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -172,9 +172,4 @@
             .count();
         live * 2 > known && lost * 2 > live
     }
-
-    /// All peers that are not forgotten.
-    pub fn all(&self) -> impl Iterator<Item = &PeerRecord> {
-        self.peers.values()
-    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -544,9 +544,4 @@
     pub fn try_repeat(&mut self, service: &ServiceId) -> bool {
         self.budget(service).try_retry()
     }
-
-    /// Number of targets by model, for metrics.
-    pub fn target_count(&self) -> usize {
-        self.targets.values().map(Vec::len).sum()
-    }
 }
