Count only observed silence as the lapse of an entry

Likely cause, by its times: the entry of a leader that left right after the outage of the store counted as lapsed, since nothing had been written during the outage, and its members were free two seconds later. Test fails first: silence_during_an_outage_is_no_lapse.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -37,6 +37,9 @@
     rows: BTreeMap<VmId, TableRow>,
     /// Entries that are gone, for ids that have not come back.
     removed: BTreeMap<VmId, RemovedRow>,
+    /// Since when all writes have been followed. Silence before that, such as during an outage of the store, shows
+    /// nothing about a backend server.
+    followed_since: Timestamp,
     change_count: u64,
 }
 
@@ -78,10 +81,10 @@
 
     /// Takes note that an entry was removed, as seen while all writes were followed. Returns whether it was there.
     pub fn remove(&mut self, id: &VmId, now: Timestamp) -> bool {
-        let has_lapsed = self
-            .rows
-            .get(id)
-            .is_some_and(|row| now.since(row.written) >= LAPSE_SILENCE);
+        let has_lapsed = self.rows.get(id).is_some_and(|row| {
+            let last_sign = row.written.max(self.followed_since);
+            now.since(last_sign) >= LAPSE_SILENCE
+        });
         self.take_out(id, has_lapsed, now)
     }
 
@@ -107,6 +110,7 @@
     /// A listing carries no evidence of a fresh write: an entry that did not change keeps its time, and one that is
     /// missing may have been taken away by its backend server.
     pub fn replace(&mut self, entries: Vec<BackendEntry>, now: Timestamp) -> bool {
+        self.followed_since = now;
         let before = self.change_count;
         let present: std::collections::BTreeSet<_> =
             entries.iter().map(|entry| entry.id.clone()).collect();
--- a/crates/fleet/tests/all/table.rs
+++ b/crates/fleet/tests/all/table.rs
@@ -55,3 +55,17 @@
     assert!(table.removed(&vm("vm0")).expect("a removed row").has_lapsed);
     assert!(!table.removed(&vm("vm1")).expect("a removed row").has_lapsed);
 }
+
+/// Guards against a backend server that leaves right after an outage of the store being taken for a crashed one:
+/// that nothing was written during the outage shows nothing. Seen on ebiere-collect, trouble-3, seed 137864636460.
+#[test]
+fn silence_during_an_outage_is_no_lapse() {
+    let mut table = BackendTable::default();
+    let entries = vec![entry("vm0", "d0"), entry("vm1", "d0")];
+    table.replace(entries.clone(), Timestamp(1000));
+    table.replace(entries, Timestamp(9000));
+    table.remove(&vm("vm0"), Timestamp(9300));
+    table.remove(&vm("vm1"), Timestamp(12_000));
+    assert!(!table.removed(&vm("vm0")).expect("a removed row").has_lapsed);
+    assert!(table.removed(&vm("vm1")).expect("a removed row").has_lapsed);
+}
