Store whether a group drains to be rebuilt or to be dissolved

Cause: the planner chose both and stored one intent, drain. On its next pass it guessed from version, size and stragglers which one was meant, and took an outdated group that was given up for another model for one that is rebuilt: it counted as present, and the plan changed on its own output.

The intent now says which: drain (dissolved once idle) or rebuild (changed in place once idle); the guess goes. Ruled out: more facts for the guess, since none of those stored tells the two apart.

--- a/crates/placement/examples/measure/schedule.rs
+++ b/crates/placement/examples/measure/schedule.rs
@@ -199,7 +199,7 @@
                 state.state = GroupState::Incomplete;
                 state.running = 0;
                 self.loads.remove(&group.id);
-            } else if group.intent == GroupIntent::Drain {
+            } else if group.intent.is_draining() {
                 state.state = GroupState::Draining;
                 let since = *self.drains.entry(group.id.clone()).or_insert(now);
                 if now - since >= DRAIN_S {
--- a/crates/placement/src/build.rs
+++ b/crates/placement/src/build.rs
@@ -172,13 +172,8 @@
             demand.rule.version == record.version && demand.size == record.members.len()
         });
         let whole = members.iter().all(|member| member.loss.is_none());
-        let slow = members
-            .iter()
-            .filter_map(|member| member.vm)
-            .any(|vm| self.vms[vm].state == VmState::Straggler);
-        // A group in force that drains has been given up, and does not count until it is needed.
-        // Outdated groups and those with stragglers drain in order to be changed.
-        let given_up = whole && current && !slow && record.intent == GroupIntent::Drain;
+        // A group that has been given up does not count until it is needed.
+        let given_up = whole && record.intent == GroupIntent::Drain;
         let fate = match (whole, given_up) {
             (false, _) => GroupFate::Broken,
             (true, false) => GroupFate::Keep,
--- a/crates/placement/src/controller.rs
+++ b/crates/placement/src/controller.rs
@@ -18,7 +18,6 @@
 use jaysaddle_types::ids::ObjectVersion;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::node::NodeKey;
-use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::PlacementDocument;
 use jaysaddle_types::rules::RulesDocument;
 use jaysaddle_types::units::Timestamp;
@@ -228,7 +227,7 @@
         let mut drains = BTreeMap::new();
         for (_, document) in self.placements.values() {
             for group in &document.groups {
-                if group.intent == GroupIntent::Drain {
+                if group.intent.is_draining() {
                     let since = self.drains.get(&group.id).copied().unwrap_or(now);
                     drains.insert(group.id.clone(), since);
                 }
--- a/crates/placement/src/finish.rs
+++ b/crates/placement/src/finish.rs
@@ -113,7 +113,11 @@
                 reasons.insert(stored.id.clone(), entry.reason.clone());
                 return None;
             }
-            (GroupFate::Drain | GroupFate::Retire, Some(stored)) => (
+            (GroupFate::Drain, Some(stored)) => (
+                with_intent(stored, GroupIntent::Rebuild),
+                entry.reason.clone(),
+            ),
+            (GroupFate::Retire, Some(stored)) => (
                 with_intent(stored, GroupIntent::Drain),
                 entry.reason.clone(),
             ),
--- a/crates/placement/src/orders.rs
+++ b/crates/placement/src/orders.rs
@@ -12,7 +12,6 @@
 use jaysaddle_types::ids::GroupId;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::inventory::FencingSupport;
-use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -328,7 +327,7 @@
     }
     // A higher token than the stored one: the planner raises the group's generation first. A
     // draining group is not loaded any more.
-    if report.generation > record.generation || record.intent == GroupIntent::Drain {
+    if report.generation > record.generation || record.intent.is_draining() {
         return None;
     }
     Some(EngineOrder {
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -6,7 +6,6 @@
 use compact_str::format_compact;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
-use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
 use jaysaddle_types::placement::PlacementDocument;
 use jaysaddle_types::view::GroupState;
@@ -124,7 +123,7 @@
             .collect();
         for group in &document.groups {
             let changed = known.get(&group.id) != Some(&group.generation);
-            let drains = group.intent == GroupIntent::Drain;
+            let drains = group.intent.is_draining();
             if changed {
                 let loading = PlannerGroup {
                     state: GroupState::Loading,
--- a/crates/placement/src/work.rs
+++ b/crates/placement/src/work.rs
@@ -4,7 +4,6 @@
 use compact_str::format_compact;
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::FailureDomainId;
-use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
 use jaysaddle_types::view::GroupState;
 use jaysaddle_types::view::VmState;
@@ -101,7 +100,7 @@
     /// Whether the stored intent is to drain.
     pub fn draining(&self) -> bool {
         self.stored
-            .is_some_and(|record| record.intent == GroupIntent::Drain)
+            .is_some_and(|record| record.intent.is_draining())
     }
 }
 
--- a/crates/placement/tests/all/cluster.rs
+++ b/crates/placement/tests/all/cluster.rs
@@ -21,7 +21,6 @@
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::inventory::FencingSupport;
 use jaysaddle_types::node::NodeKey;
-use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
 use jaysaddle_types::rules::RulesDocument;
 use jaysaddle_types::store::StoreOutcome;
@@ -431,7 +430,7 @@
         let drains: BTreeSet<_> = self
             .records()
             .into_iter()
-            .filter(|group| group.intent == GroupIntent::Drain)
+            .filter(|group| group.intent.is_draining())
             .map(|group| group.id)
             .collect();
         let states = &self.states;
--- a/crates/placement/tests/all/fleet.rs
+++ b/crates/placement/tests/all/fleet.rs
@@ -13,7 +13,6 @@
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ModelVersion;
 use jaysaddle_types::ids::VmId;
-use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
 use jaysaddle_types::rules::AccountRule;
 use jaysaddle_types::rules::ModelRule;
@@ -183,7 +182,7 @@
             let mut state = known.remove(&group.id).unwrap_or(loading.clone());
             if changed {
                 state = loading;
-            } else if group.intent == GroupIntent::Drain {
+            } else if group.intent.is_draining() {
                 state.state = GroupState::Draining;
             }
             self.input.groups.insert(group.id.clone(), state);
@@ -200,7 +199,7 @@
             let Some(state) = self.input.groups.get_mut(&group.id) else {
                 continue;
             };
-            if group.intent == GroupIntent::Drain {
+            if group.intent.is_draining() {
                 state.state = GroupState::Draining;
                 state.running = if choice.chance(50) { 0 } else { state.running };
                 if state.running == 0 {
--- a/crates/placement/tests/all/node.rs
+++ b/crates/placement/tests/all/node.rs
@@ -71,7 +71,7 @@
     let confirmed =
         leader.is_some_and(|report| report.confirms(&group.id, group.generation, &group.members));
     let state = match group.intent {
-        GroupIntent::Drain => GroupState::Draining,
+        GroupIntent::Drain | GroupIntent::Rebuild => GroupState::Draining,
         GroupIntent::Serve if confirmed => GroupState::Ready,
         GroupIntent::Serve => GroupState::Loading,
     };
--- a/crates/placement/tests/all/planner.rs
+++ b/crates/placement/tests/all/planner.rs
@@ -243,7 +243,7 @@
     let drained = fleet.groups().next().expect("kept");
     assert_eq!(
         (drained.intent, drained.generation),
-        (GroupIntent::Drain, group.generation)
+        (GroupIntent::Rebuild, group.generation)
     );
     settle(&mut fleet);
     let repaired = fleet.groups().next().expect("kept");
--- a/crates/placement/tests/all/properties.rs
+++ b/crates/placement/tests/all/properties.rs
@@ -202,6 +202,13 @@
     check_runs("random_plans_keep_all_properties", 1500, planner_run);
 }
 
+/// Guards against a plan that undoes itself: an outdated group drained for another model, and the
+/// next plan counted it as present again.
+#[test]
+fn group_given_up_for_another_model_stays_given_up() {
+    planner_run(18_242_187_001_524_222_975).expect("all properties hold");
+}
+
 /// Guards against endless changes, and against healthy VMs left idle although a group of the wanted
 /// size fits into their fabric domain.
 fn convergence_run(seed: u64) -> Result<(), String> {
--- a/crates/reducer/src/control_view.rs
+++ b/crates/reducer/src/control_view.rs
@@ -16,7 +16,6 @@
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::node::NodeState;
-use jaysaddle_types::placement::GroupIntent;
 use jaysaddle_types::placement::GroupRecord;
 use jaysaddle_types::placement::PlacementDocument;
 use jaysaddle_types::units::SlotCount;
@@ -228,7 +227,7 @@
             let reason = format_compact!("member {vm} is {state:?}");
             return (GroupState::Incomplete, reason);
         }
-        if record.intent == GroupIntent::Drain {
+        if record.intent.is_draining() {
             return (GroupState::Draining, "the group is to be dissolved".into());
         }
         let report = record
--- a/crates/types/src/placement.rs
+++ b/crates/types/src/placement.rs
@@ -20,6 +20,16 @@
     Serve,
     /// The group takes no new request and is dissolved once its requests have ended.
     Drain,
+    /// The group takes no new request and is changed once its requests have ended: its model gets
+    /// another version, or a VM takes another's place.
+    Rebuild,
+}
+
+impl GroupIntent {
+    /// Whether the group takes no new request.
+    pub const fn is_draining(self) -> bool {
+        matches!(self, GroupIntent::Drain | GroupIntent::Rebuild)
+    }
 }
 
 /// One group as stored.
