Write one log line for each request, bounded by place in the code

Cause: the log told of failures only; where late answers and callers that leave come from could not be seen, nor the load, the candidates and the age of the table behind a choice. The line has them, with first data, longest pause and outcome; a report that is dropped counts as a caller that left. Histograms of request time, first token and longest pause come from the same place.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -16,7 +16,6 @@
 use jaysaddle_gateway::gateway::TargetQuery;
 use jaysaddle_gateway::gateway::TargetRefusal;
 use jaysaddle_gateway::target::RequestTarget;
-use jaysaddle_gateway::target::TargetNumber;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use jaysaddle_types::verdict::Verdict;
@@ -30,6 +29,7 @@
 use crate::node::EntryNode;
 use crate::pool::BackendKey;
 use crate::pool::PooledConnection;
+use crate::request_report::RequestReport;
 
 /// Sends of one request, refused ones included. Refusals use up the shared budget for repeats, too.
 const MAX_SENDS: usize = 4;
@@ -101,15 +101,6 @@
     }
 }
 
-/// What a request has used up so far.
-#[derive(Debug, Default)]
-pub struct AttemptLog {
-    /// Targets to which the request was sent.
-    pub tried: Vec<TargetNumber>,
-    /// Targets at which it may have run.
-    pub runs: u32,
-}
-
 /// An attempt whose answer has begun.
 pub struct LiveAttempt {
     pub guard: AttemptGuard,
@@ -321,13 +312,13 @@
 pub async fn attempt(
     node: &Rc<EntryNode>,
     request: &CallerRequest,
-    log: &mut AttemptLog,
+    report: &mut RequestReport,
     last_event: Option<u64>,
 ) -> Result<LiveAttempt, NodeFailure> {
     let rule = &request.route.rule;
     let may_repeat = rule.kind.may_repeat();
     loop {
-        let has_run = log.runs > 0;
+        let has_run = report.runs > 0;
         if request.time_left() < LEAST_TIME_LEFT {
             return Err(ended(
                 has_run,
@@ -336,7 +327,7 @@
                 node,
             ));
         }
-        if log.tried.len() >= MAX_SENDS {
+        if report.tried.len() >= MAX_SENDS {
             return Err(ended(
                 has_run,
                 StatusCode::BAD_GATEWAY,
@@ -348,7 +339,7 @@
             service: &request.route.service,
             model: request.model.as_ref(),
             latency_target: rule.latency_target,
-            tried: &log.tried,
+            tried: &report.tried,
             is_repeat: has_run,
             is_returning: request.is_returning,
         };
@@ -360,8 +351,7 @@
             Ok(choice) => choice,
             Err(refusal) => return Err(refused(has_run, refusal, node)),
         };
-        let target = choice.target;
-        let is_repeat = !log.tried.is_empty();
+        let is_repeat = !report.tried.is_empty();
         if is_repeat && !node.gateway.borrow_mut().try_repeat(&request.route.service) {
             return Err(ended(
                 has_run,
@@ -370,8 +360,9 @@
                 node,
             ));
         }
-        log.tried.push(target.number);
-        let may_give_up = may_repeat && log.runs + 1 < rule.max_attempts;
+        report.chosen(node, &choice);
+        let target = choice.target;
+        let may_give_up = may_repeat && report.runs + 1 < rule.max_attempts;
         log::debug!(
             "event=send request={} backend={} repeat={is_repeat}",
             request.id,
@@ -385,11 +376,11 @@
         };
         match send_once(node, request, plan).await {
             SendResult::Answered(live) => {
-                log.runs += 1;
+                report.runs += 1;
                 let failed = live.response.status().is_server_error();
                 let again = failed
                     && may_repeat
-                    && log.runs < rule.max_attempts
+                    && report.runs < rule.max_attempts
                     && request.time_left() > LEAST_TIME_LEFT;
                 if !again {
                     return Ok(*live);
@@ -407,13 +398,13 @@
                 );
             }
             SendResult::Lost(reason) => {
-                log.runs += 1;
+                report.runs += 1;
                 log::info!(
                     "event=may_have_run request={} backend={} reason=\"{reason}\"",
                     request.id,
                     target.backend
                 );
-                if !may_repeat || log.runs >= rule.max_attempts {
+                if !may_repeat || report.runs >= rule.max_attempts {
                     let status = if request.time_left().0 == 0 {
                         StatusCode::GATEWAY_TIMEOUT
                     } else {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -15,13 +15,11 @@
 use jaysaddle_gateway::gateway::TargetOutcome;
 use jaysaddle_gateway::gateway::TargetRefusal;
 use jaysaddle_gateway::routes::RouteRefusal;
-use jaysaddle_types::units::Timestamp;
 use tokio::time::timeout;
 
 use crate::answer::Answer;
 use crate::answer::NodeFailure;
 use crate::answer::whole_body;
-use crate::attempt::AttemptLog;
 use crate::attempt::LiveAttempt;
 use crate::attempt::attempt;
 use crate::caller_request::CallerRequest;
@@ -30,6 +28,7 @@
 use crate::caller_request::text;
 use crate::node::EntryNode;
 use crate::relay::StreamRelay;
+use crate::request_report::RequestReport;
 
 /// Largest body of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -56,19 +55,12 @@
     let received = clock::now();
     let id = text(incoming.headers(), &headers::REQUEST_ID)
         .unwrap_or("-")
-        .to_owned();
-    match handle_inner(&node, incoming, received, open).await {
+        .into();
+    let mut report = RequestReport::new(id, received);
+    match handle_inner(&node, incoming, &mut report, open).await {
         Ok(answer) => answer,
         Err(failure) => {
-            metrics::counter!("jaysaddle_failures_total", "reason" => failure.reason.to_string())
-                .increment(1);
-            log::info!(
-                "event=failure request={id} status={} verdict={} reason={} held_ms={}",
-                failure.status.as_u16(),
-                failure.verdict,
-                failure.reason,
-                clock::now().since(received).as_millis()
-            );
+            report.failed(&failure);
             failure.into_answer()
         }
     }
@@ -77,25 +69,25 @@
 async fn handle_inner(
     node: &Rc<EntryNode>,
     incoming: Request<Incoming>,
-    received: Timestamp,
+    report: &mut RequestReport,
     open: OpenRequest,
 ) -> Result<Answer, NodeFailure> {
     let (parts, body) = incoming.into_parts();
     let (route, limits) = find_route(node, &parts)?;
     let body = read_body(body, &limits).await?;
-    let request = CallerRequest::new(parts, body, route, received);
+    let request = CallerRequest::new(parts, body, route, report.received());
+    report.routed(node, &request);
     // A caller that comes back asks for the same work again; counting it twice would double the demand.
     let size = request.size().filter(|_| !request.is_returning);
     node.gateway
         .borrow_mut()
         .fresh(&request.route.service, size.as_ref());
-    let mut log = AttemptLog::default();
-    let live = attempt(node, &request, &mut log, request.last_event).await?;
+    let live = attempt(node, &request, report, request.last_event).await?;
     if request.is_stream() && live.response.status().is_success() {
-        let relay = StreamRelay::new(node.clone(), request, log, live, open);
+        let relay = StreamRelay::new(node.clone(), request, report.take(), live, open);
         return Ok(relay.into_answer());
     }
-    whole_answer(node, request, log, live).await
+    whole_answer(node, request, report, live).await
 }
 
 fn find_route(
@@ -135,7 +127,7 @@
 async fn whole_answer(
     node: &Rc<EntryNode>,
     request: CallerRequest,
-    mut log: AttemptLog,
+    report: &mut RequestReport,
     mut live: LiveAttempt,
 ) -> Result<Answer, NodeFailure> {
     let rule = request.route.rule.clone();
@@ -155,6 +147,7 @@
                 node.pool.put(connection, stated_idle);
                 strip_connection_headers(&mut parts.headers);
                 let body = whole_body(collected.to_bytes());
+                report.answered(parts.status.as_u16());
                 return Ok(Response::from_parts(parts, body));
             }
             Ok(Err(error)) => format!("{error}"),
@@ -166,13 +159,13 @@
             guard.target.backend
         );
         guard.finish(TargetOutcome::Failed);
-        let may_repeat = rule.kind.may_repeat() && log.runs < rule.max_attempts;
+        let may_repeat = rule.kind.may_repeat() && report.runs < rule.max_attempts;
         if !may_repeat {
             return Err(NodeFailure::may_have_run(
                 StatusCode::BAD_GATEWAY,
                 "answer_cut",
             ));
         }
-        live = attempt(node, &request, &mut log, request.last_event).await?;
+        live = attempt(node, &request, report, request.last_event).await?;
     }
 }
--- a/crates/entry/src/log_writer.rs
+++ b/crates/entry/src/log_writer.rs
@@ -1,15 +1,26 @@
 //! Log lines on standard output that never hold up the event loop.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::io;
 use std::io::Write;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use eyre::WrapErr;
+use jaysaddle_daemon::clock;
 use jaysaddle_types::ids::NodeId;
 use log::LevelFilter;
+use log::Log;
+use log::Metadata;
+use log::Record;
+
+use crate::line_limiter::LineDecision;
+use crate::line_limiter::LineLimiter;
 
 /// Lines that wait for the writer; at a few hundred lines a second this covers seconds of a full pipe.
 const QUEUED_LINES: usize = 2048;
@@ -17,21 +28,45 @@
 /// Lines that found the queue full.
 static LOST_LINES: AtomicU64 = AtomicU64::new(0);
 
-struct LineSender {
+/// Hands lines to the writer; a line that finds the queue full is lost.
+struct LineQueue {
     lines: flume::Sender<Vec<u8>>,
+    limiter: Mutex<LineLimiter>,
 }
 
-impl Write for LineSender {
-    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
-        if self.lines.try_send(buffer.to_vec()).is_err() {
+impl LineQueue {
+    fn push(&self, line: Vec<u8>) {
+        if self.lines.try_send(line).is_err() {
             LOST_LINES.fetch_add(1, Ordering::Relaxed);
         }
-        Ok(buffer.len())
+    }
+}
+
+impl Log for LineQueue {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
     }
 
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
+    fn log(&self, record: &Record<'_>) {
+        let mut hasher = DefaultHasher::new();
+        (record.file(), record.line()).hash(&mut hasher);
+        let decision = match self.limiter.lock() {
+            Ok(mut limiter) => limiter.decide(hasher.finish(), clock::now()),
+            Err(_) => LineDecision::Write { left_out: 0 },
+        };
+        let LineDecision::Write { left_out } = decision else {
+            metrics::counter!("jaysaddle_log_lines_left_out_total").increment(1);
+            return;
+        };
+        let mut line = record.args().to_string();
+        if left_out > 0 {
+            line.push_str(&format!(" left_out_before={left_out}"));
+        }
+        line.push('\n');
+        self.push(line.into_bytes());
     }
+
+    fn flush(&self) {}
 }
 
 fn write_lines(lines: &flume::Receiver<Vec<u8>>) {
@@ -69,7 +104,10 @@
         .spawn(move || write_lines(&receiver))
         .wrap_err("the log writer cannot be started")?;
     let node = node.clone();
-    let output: Box<dyn Write + Send> = Box::new(LineSender { lines: sender });
+    let output: Box<dyn Log> = Box::new(LineQueue {
+        lines: sender,
+        limiter: Mutex::default(),
+    });
     fern::Dispatch::new()
         .level(level)
         .format(move |out, message, record| {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -19,7 +19,6 @@
 
 use crate::answer::Answer;
 use crate::answer::AnswerBody;
-use crate::attempt::AttemptLog;
 use crate::attempt::LEAST_TIME_LEFT;
 use crate::attempt::LiveAttempt;
 use crate::attempt::SILENCE_STEP;
@@ -29,6 +28,7 @@
 use crate::caller_request::strip_connection_headers;
 use crate::forward::OpenRequest;
 use crate::node::EntryNode;
+use crate::request_report::RequestReport;
 
 /// Least time left for a stream to go on elsewhere: its prompt has to be read again.
 const LEAST_RESUME_TIME: TimeSpan = TimeSpan(400);
@@ -37,7 +37,7 @@
 pub struct StreamRelay {
     node: Rc<EntryNode>,
     request: CallerRequest,
-    log: AttemptLog,
+    report: RequestReport,
     live: Option<LiveAttempt>,
     events: EventBuffer,
     /// When data came last, for the pause between events.
@@ -59,7 +59,7 @@
     pub fn new(
         node: Rc<EntryNode>,
         request: CallerRequest,
-        log: AttemptLog,
+        report: RequestReport,
         live: LiveAttempt,
         open: OpenRequest,
     ) -> Self {
@@ -67,7 +67,7 @@
         Self {
             node,
             request,
-            log,
+            report,
             live: Some(live),
             events,
             last_data: clock::now(),
@@ -117,6 +117,7 @@
                     self.request.id,
                     self.events.last_id()
                 );
+                self.report.cut();
                 return Some(Err(io::Error::other(cause)));
             }
         }
@@ -139,6 +140,7 @@
                 Ok(Some(Ok(frame))) => {
                     let now = clock::now();
                     let pause = self.has_data.then(|| now.since(self.last_data));
+                    self.report.data(now);
                     self.last_data = now;
                     self.has_data = true;
                     live.guard.progressed(pause, now);
@@ -169,13 +171,14 @@
             }
         );
         is_resumable
-            && self.log.runs < rule.max_attempts
+            && self.report.runs < rule.max_attempts
             && self.request.time_left() >= LEAST_RESUME_TIME
     }
 
     fn complete(&mut self) {
         if let Some(live) = self.live.take() {
             let stated_idle = live.stated_idle();
+            self.report.answered(live.response.status().as_u16());
             live.guard.finish(TargetOutcome::Answered);
             self.node.pool.put(live.connection, stated_idle);
         }
@@ -193,7 +196,7 @@
         }
         self.events.drop_partial();
         let last = self.events.last_id();
-        let live = attempt(&self.node, &self.request, &mut self.log, last)
+        let live = attempt(&self.node, &self.request, &mut self.report, last)
             .await
             .map_err(|failure| format!("{cause}; resume: {}", failure.reason))?;
         if !live.response.status().is_success() {
@@ -207,6 +210,7 @@
             self.request.id,
             live.guard.target.backend
         );
+        self.report.resumes += 1;
         self.last_data = clock::now();
         self.has_data = false;
         self.live = Some(live);
--- /dev/null
+++ b/crates/entry/src/request_report.rs
@@ -0,0 +1,300 @@
+//! What a request went through: one log line at its end, and the latency metrics.
+
+use std::fmt;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_daemon::clock;
+use jaysaddle_gateway::gateway::ChoiceInputs;
+use jaysaddle_gateway::gateway::TargetChoice;
+use jaysaddle_gateway::target::TargetNumber;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::RequestKind;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::answer::NodeFailure;
+use crate::caller_request::CallerRequest;
+use crate::node::EntryNode;
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum RequestEnd {
+    /// A backend server's answer was passed on as a whole.
+    Answered { status: u16 },
+    /// This node answered with a failure of its own.
+    Failed(NodeFailure),
+    /// The stream was cut.
+    Cut,
+    /// The caller closed the connection.
+    CallerLeft,
+}
+
+impl fmt::Display for RequestEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RequestEnd::Answered { status } => write!(f, "answered status={status}"),
+            RequestEnd::Failed(failure) => write!(
+                f,
+                "failed status={} verdict={} reason={}",
+                failure.status.as_u16(),
+                failure.verdict,
+                failure.reason
+            ),
+            RequestEnd::Cut => f.write_str("cut"),
+            RequestEnd::CallerLeft => f.write_str("caller_left"),
+        }
+    }
+}
+
+/// Where the configuration sends a request.
+#[derive(Debug)]
+struct RouteFacts {
+    route: CompactString,
+    kind: &'static str,
+    priority: u32,
+    account: CompactString,
+    model: CompactString,
+    config_version: u64,
+}
+
+/// The last choice of a target, and what it was based on.
+#[derive(Debug)]
+struct ChoiceFacts {
+    backend: VmId,
+    group: Option<GroupKey>,
+    is_late: bool,
+    inputs: ChoiceInputs,
+    table_age: TimeSpan,
+}
+
+/// Collects what happens to a request and tells of it at the end.
+///
+/// # Invariants
+///
+/// - A request has exactly one line: a report that is dropped without an end was left by its caller.
+#[derive(Debug)]
+pub struct RequestReport {
+    id: CompactString,
+    received: Timestamp,
+    route: Option<RouteFacts>,
+    choice: Option<ChoiceFacts>,
+    /// Targets to which the request was sent.
+    pub tried: Vec<TargetNumber>,
+    /// Targets at which it may have run.
+    pub runs: u32,
+    /// Times that a stream went on at another target.
+    pub resumes: u32,
+    first_data: Option<TimeSpan>,
+    last_data: Timestamp,
+    longest_pause: TimeSpan,
+    is_told: bool,
+}
+
+fn kind_name(kind: &RequestKind) -> &'static str {
+    match kind {
+        RequestKind::Idempotent => "idempotent",
+        RequestKind::AtMostOnce => "at_most_once",
+        RequestKind::Stream { .. } => "stream",
+    }
+}
+
+impl RequestReport {
+    /// A report of a request that has just arrived.
+    pub fn new(id: CompactString, received: Timestamp) -> Self {
+        Self {
+            id,
+            received,
+            route: None,
+            choice: None,
+            tried: Vec::new(),
+            runs: 0,
+            resumes: 0,
+            first_data: None,
+            last_data: received,
+            longest_pause: TimeSpan(0),
+            is_told: false,
+        }
+    }
+
+    /// When the request arrived.
+    pub fn received(&self) -> Timestamp {
+        self.received
+    }
+
+    /// Hands the report over to what goes on with the request; nothing more is told here.
+    pub fn take(&mut self) -> Self {
+        let mut rest = Self::new(CompactString::default(), self.received);
+        rest.is_told = true;
+        std::mem::replace(self, rest)
+    }
+
+    /// Takes note of where the request goes.
+    pub fn routed(&mut self, node: &EntryNode, request: &CallerRequest) {
+        let text = |value: Option<&str>| CompactString::from(value.unwrap_or("-"));
+        self.route = Some(RouteFacts {
+            route: request.route.rule.name.clone(),
+            kind: kind_name(&request.route.rule.kind),
+            priority: request.route.priority,
+            account: text(request.route.account.as_ref().map(|id| id.as_str())),
+            model: text(request.model.as_ref().map(|id| id.as_str())),
+            config_version: node.config_version(),
+        });
+    }
+
+    /// Takes note of a choice.
+    pub fn chosen(&mut self, node: &EntryNode, choice: &TargetChoice) {
+        self.tried.push(choice.target.number);
+        self.choice = Some(ChoiceFacts {
+            backend: choice.target.backend.clone(),
+            group: choice.target.group.clone(),
+            is_late: choice.is_late,
+            inputs: choice.inputs,
+            table_age: node.table_age(clock::now()),
+        });
+    }
+
+    /// Takes note of data for the caller.
+    pub fn data(&mut self, now: Timestamp) {
+        let pause = now.since(self.last_data);
+        self.last_data = now;
+        if self.first_data.is_none() {
+            self.first_data = Some(pause);
+        } else {
+            self.longest_pause = self.longest_pause.max(pause);
+        }
+    }
+
+    /// The request was answered by a backend server.
+    pub fn answered(&mut self, status: u16) {
+        self.tell(&RequestEnd::Answered { status });
+    }
+
+    /// The request is answered with a failure of this node.
+    pub fn failed(&mut self, failure: &NodeFailure) {
+        self.tell(&RequestEnd::Failed(failure.clone()));
+    }
+
+    /// The stream is cut off.
+    pub fn cut(&mut self) {
+        self.tell(&RequestEnd::Cut);
+    }
+
+    fn tell(&mut self, end: &RequestEnd) {
+        if std::mem::replace(&mut self.is_told, true) {
+            return;
+        }
+        let took = clock::now().since(self.received);
+        self.count(end, took);
+        log::info!(
+            "event=request_ended request={} result={end}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}",
+            self.id,
+            OptionalFacts(self.route.as_ref()),
+            OptionalFacts(self.choice.as_ref()),
+            self.tried.len(),
+            self.runs,
+            self.resumes,
+            OptionalTime(self.first_data),
+            self.longest_pause.as_millis(),
+            took.as_millis()
+        );
+    }
+
+    fn count(&self, end: &RequestEnd, took: TimeSpan) {
+        let kind = self.route.as_ref().map_or("unknown", |route| route.kind);
+        let result = match end {
+            RequestEnd::Answered { .. } => "answered",
+            RequestEnd::Failed(_) => "failed",
+            RequestEnd::Cut => "cut",
+            RequestEnd::CallerLeft => "caller_left",
+        };
+        metrics::counter!("jaysaddle_requests_total", "kind" => kind, "result" => result)
+            .increment(1);
+        if let RequestEnd::Failed(failure) = end {
+            let priority = self
+                .route
+                .as_ref()
+                .map_or(CompactString::const_new("-"), |route| {
+                    format_compact!("{}", route.priority)
+                });
+            metrics::counter!(
+                "jaysaddle_failures_total",
+                "reason" => failure.reason.to_string(),
+                "verdict" => failure.verdict.to_string(),
+                "priority" => priority.to_string()
+            )
+            .increment(1);
+        }
+        metrics::histogram!("jaysaddle_request_seconds", "kind" => kind).record(seconds(took));
+        if kind == "stream" {
+            if let Some(first) = self.first_data {
+                metrics::histogram!("jaysaddle_first_token_seconds").record(seconds(first));
+            }
+            metrics::histogram!("jaysaddle_longest_pause_seconds")
+                .record(seconds(self.longest_pause));
+        }
+    }
+}
+
+impl Drop for RequestReport {
+    fn drop(&mut self) {
+        self.tell(&RequestEnd::CallerLeft);
+    }
+}
+
+fn seconds(time: TimeSpan) -> f64 {
+    time.as_duration().as_secs_f64()
+}
+
+struct OptionalFacts<'a, T>(Option<&'a T>);
+
+impl fmt::Display for OptionalFacts<'_, RouteFacts> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(facts) = self.0 else {
+            return Ok(());
+        };
+        write!(
+            f,
+            " route={} kind={} priority={} account={} model={} config={}",
+            facts.route,
+            facts.kind,
+            facts.priority,
+            facts.account,
+            facts.model,
+            facts.config_version
+        )
+    }
+}
+
+impl fmt::Display for OptionalFacts<'_, ChoiceFacts> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(facts) = self.0 else {
+            return Ok(());
+        };
+        write!(f, " backend={}", facts.backend)?;
+        if let Some(group) = &facts.group {
+            write!(f, " group={group}")?;
+        }
+        write!(
+            f,
+            " candidates={} load={} slots={} late={} table_age_ms={}",
+            facts.inputs.candidates,
+            facts.inputs.load,
+            facts.inputs.slots,
+            facts.is_late,
+            facts.table_age.as_millis()
+        )
+    }
+}
+
+struct OptionalTime(Option<TimeSpan>);
+
+impl fmt::Display for OptionalTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(time) => write!(f, "{}", time.as_millis()),
+            None => f.write_str("-"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the parts of the entry daemon that need no sockets.
+
+mod line_limiter;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -105,6 +105,17 @@
     pub is_returning: bool,
 }
 
+/// What a choice was based on, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ChoiceInputs {
+    /// Targets that could have taken the request.
+    pub candidates: u32,
+    /// Requests at the chosen target, as known from this node and its peers.
+    pub load: u32,
+    /// Concurrent requests of the chosen target.
+    pub slots: u32,
+}
+
 /// A chosen target.
 #[derive(Clone, Debug)]
 pub struct TargetChoice {
@@ -112,6 +123,8 @@
     pub target: Rc<RequestTarget>,
     /// Whether the request will be late and lets others go first.
     pub is_late: bool,
+    /// What the choice was based on.
+    pub inputs: ChoiceInputs,
 }
 
 /// Why no target takes the request.
@@ -304,7 +317,8 @@
             .fold(f64::INFINITY, f64::min);
         let late_wait = self.settings.late_wait.as_millis() as f64;
         let offset = self.random.below(targets.len());
-        let mut best: Option<(TargetScore, &Rc<RequestTarget>)> = None;
+        let mut best: Option<(TargetScore, &Rc<RequestTarget>, u32)> = None;
+        let mut candidates = 0;
         for step in 0..targets.len() {
             let target = &targets[(offset + step) % targets.len()];
             let is_closed =
@@ -315,7 +329,8 @@
             let health = self.health.get(&target.number);
             let (own, own_late) =
                 health.map_or((0, 0), |health| (health.in_flight, health.waiting_late));
-            let all = f64::from(own + peers.load_of(target.number.0));
+            let requests = own + peers.load_of(target.number.0);
+            let all = f64::from(requests);
             let late = f64::from(own_late + peers.late_load_of(target.number.0));
             let load = (all - late).max(0.0);
             let slots = f64::from(target.slots);
@@ -323,6 +338,7 @@
             if is_late && all >= slots * (1.0 + late_wait / duration) && !query.is_repeat {
                 continue;
             }
+            candidates += 1;
             let is_avoided = peers.is_silent(target.number.0)
                 || health.is_some_and(|health| {
                     self.is_suspect(target, health, self.settings.hesitation, now)
@@ -340,14 +356,19 @@
                 is_late,
                 load: (if is_late { all } else { load } + 1.0) / slots * slowness,
             };
-            if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                best = Some((score, target));
+            if best.as_ref().is_none_or(|(least, ..)| score < *least) {
+                best = Some((score, target, requests));
             }
         }
         match best {
-            Some((score, target)) => Ok(TargetChoice {
+            Some((score, target, load)) => Ok(TargetChoice {
                 target: target.clone(),
                 is_late: score.is_late || query.is_returning,
+                inputs: ChoiceInputs {
+                    candidates,
+                    load,
+                    slots: target.slots,
+                },
             }),
             None => Err(TargetRefusal::Full),
         }
