Plan loads one after the other, counting those under way

Cause: each load was valued as if no other one were under way, so all new VMs of a domain got the model that one of them would have completed a group with; VMs that hold a model without partners came last although one load would have paired them.

Ruled out: loads beyond the number that runs at full speed, since throughput stays the same.

--- a/crates/fleet/src/controller/staging.rs
+++ b/crates/fleet/src/controller/staging.rs
@@ -16,11 +16,12 @@
 use crate::plan::FreeVm;
 use crate::plan::LoadBudget;
 use crate::plan::ModelNeed;
-use crate::plan::PlannedStaging;
-use crate::plan::plan_staging;
+use crate::staging_plan::PlannedStaging;
+use crate::staging_plan::plan_staging;
 
-/// Loads that are kept for joins: a pair of new VMs may come at any time.
-const RESERVED_LOADS: usize = 3;
+/// Loads that are kept for VMs that can join nothing: a few new VMs may come at any time, and a load under way for
+/// VMs that serve would hold theirs up.
+const RESERVED_LOADS: usize = 5;
 
 /// Load times after which a host that does not show a staged model is asked again.
 const STAGING_PATIENCE: u64 = 3;
@@ -79,8 +80,8 @@
 
     /// Has weights put on hosts, so that VMs can join groups without a load.
     ///
-    /// Free VMs that can join nothing come first, then other free VMs. VMs that serve get a second model only
-    /// while the weight store has nothing else to do.
+    /// Free VMs come first. VMs that serve get a second model only while the weight store has nothing else to
+    /// do.
     pub(super) fn stage_models(
         &mut self,
         profile: &EngineProfile,
@@ -98,7 +99,8 @@
             .filter(|vm| self.may_stage(vm, view, now))
             .cloned()
             .collect();
-        let staged = self.stage_best(plan_staging(&stageable, free, needs), allowed, now);
+        let pool = self.with_staging(free, now);
+        let staged = self.stage_best(plan_staging(&stageable, &pool, needs, allowed), now);
         let mut allowed = allowed - staged;
         if self.demand.has_traffic() {
             allowed = allowed.saturating_sub(RESERVED_LOADS);
@@ -115,20 +117,31 @@
             .filter(|vm| self.may_stage(vm, view, now))
             .cloned()
             .collect();
-        self.stage_best(plan_staging(&stageable, &serving, needs), allowed, now);
+        let pool = self.with_staging(&serving, now);
+        self.stage_best(plan_staging(&stageable, &pool, needs, allowed), now);
     }
 
-    pub(super) fn stage_best(
-        &mut self,
-        planned: Vec<PlannedStaging>,
-        allowed: usize,
-        now: Timestamp,
-    ) -> usize {
+    /// The VMs as they will be once their hosts have what is being put on them.
+    fn with_staging(&self, vms: &[FreeVm], now: Timestamp) -> Vec<FreeVm> {
+        let mut vms = vms.to_vec();
+        for vm in &mut vms {
+            let staging = self
+                .vms
+                .get(&vm.id)
+                .and_then(|known| known.staging.as_ref());
+            if let Some((model, until)) = staging
+                && now < *until
+                && !vm.staged.contains(model)
+            {
+                vm.staged.push(model.clone());
+            }
+        }
+        vms
+    }
+
+    pub(super) fn stage_best(&mut self, planned: Vec<PlannedStaging>, now: Timestamp) -> usize {
         let mut sent = 0;
         for staging in planned {
-            if sent == allowed {
-                break;
-            }
             sent += usize::from(self.stage(&staging.vm, &staging.model, staging.load_time, now));
         }
         sent
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod loads;
 pub mod peers;
 pub mod plan;
+pub mod staging_plan;
 pub mod table;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -319,7 +319,7 @@
 }
 
 /// Number of VMs, out of all, that hold or have staged `model`.
-fn quick_count<'a>(vms: impl Iterator<Item = &'a FreeVm>, model: &ModelId) -> usize {
+pub(crate) fn quick_count<'a>(vms: impl Iterator<Item = &'a FreeVm>, model: &ModelId) -> usize {
     vms.filter(|vm| vm.source_of(model) < JoinSource::WeightStore)
         .count()
 }
@@ -368,63 +368,3 @@
     }
     best
 }
-
-/// Weights to be put on a host.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PlannedStaging {
-    /// VM.
-    pub vm: VmId,
-    /// Model.
-    pub model: ModelId,
-    /// Time of the load.
-    pub load_time: TimeSpan,
-}
-
-/// Chooses models for the hosts of `stageable`, the most useful first. `pool` holds all VMs that groups could be
-/// formed of together with them.
-///
-/// VMs that can join nothing come first. A load is worth the more, the fewer VMs its fabric domain then lacks for a
-/// group, and the shorter it takes.
-pub fn plan_staging(
-    stageable: &[FreeVm],
-    pool: &[FreeVm],
-    needs: &[ModelNeed],
-) -> Vec<PlannedStaging> {
-    let mut choices: Vec<(bool, f64, &FreeVm, &ModelNeed)> = Vec::new();
-    for vm in stageable {
-        let is_useless = needs
-            .iter()
-            .all(|need| vm.source_of(&need.id) == JoinSource::WeightStore);
-        let best = needs
-            .iter()
-            .filter(|need| vm.source_of(&need.id) == JoinSource::WeightStore)
-            .map(|need| (staging_value(vm, pool, need), need))
-            .max_by(|(a, _), (b, _)| a.total_cmp(b));
-        if let Some((value, need)) = best {
-            choices.push((!is_useless, value, vm, need));
-        }
-    }
-    choices.sort_by(|a, b| {
-        a.0.cmp(&b.0)
-            .then(b.1.total_cmp(&a.1))
-            .then(a.2.id.cmp(&b.2.id))
-    });
-    choices
-        .into_iter()
-        .map(|(_, _, vm, need)| PlannedStaging {
-            vm: vm.id.clone(),
-            model: need.id.clone(),
-            load_time: need.load_time,
-        })
-        .collect()
-}
-
-fn staging_value(vm: &FreeVm, pool: &[FreeVm], need: &ModelNeed) -> f64 {
-    let neighbours = pool.iter().filter(|other| other.domain == vm.domain);
-    let missing = need
-        .group_size
-        .saturating_sub(quick_count(neighbours, &need.id))
-        .max(1);
-    let load_time = need.load_time.as_millis().max(1) as f64;
-    need.marginal_value() / (missing as f64 * load_time)
-}
--- /dev/null
+++ b/crates/fleet/src/staging_plan.rs
@@ -0,0 +1,139 @@
+//! Which weights to put on which hosts ahead of time.
+//!
+//! The weight store is slow against the loss of VMs, so each load has to bring a group nearer. The planner goes
+//! load by load and counts the ones before, those under way included: a VM that is staged for a group is not missing
+//! any more, and a group that is complete adds to its model's capacity.
+
+use std::collections::BTreeMap;
+
+use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
+
+use crate::plan::FreeVm;
+use crate::plan::JoinSource;
+use crate::plan::ModelNeed;
+
+/// Weights to be put on a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedStaging {
+    /// VM.
+    pub vm: VmId,
+    /// Model.
+    pub model: ModelId,
+    /// Time of the load.
+    pub load_time: TimeSpan,
+}
+
+/// What the loads chosen so far lead to.
+struct StagingOutlook<'a> {
+    needs: &'a [ModelNeed],
+    /// VMs of each fabric domain that can join groups of each model without a load.
+    quick: BTreeMap<&'a FabricDomainId, Vec<usize>>,
+    /// Value of one more group of each model, after those that can be formed.
+    marginal_values: Vec<f64>,
+}
+
+impl<'a> StagingOutlook<'a> {
+    fn new(pool: &'a [FreeVm], needs: &'a [ModelNeed]) -> Self {
+        let mut quick: BTreeMap<&FabricDomainId, Vec<usize>> = BTreeMap::new();
+        for vm in pool {
+            let counts = quick
+                .entry(&vm.domain)
+                .or_insert_with(|| vec![0; needs.len()]);
+            for (count, need) in counts.iter_mut().zip(needs) {
+                *count += usize::from(vm.source_of(&need.id) < JoinSource::WeightStore);
+            }
+        }
+        let mut outlook = Self {
+            needs,
+            quick,
+            marginal_values: Vec::new(),
+        };
+        outlook.value_groups();
+        outlook
+    }
+
+    fn value_groups(&mut self) {
+        let values = self.needs.iter().enumerate().map(|(index, need)| {
+            let complete: usize = self
+                .quick
+                .values()
+                .map(|counts| counts[index] / need.group_size.max(1))
+                .sum();
+            let mut later = need.clone();
+            later.capacity += complete as f64;
+            later.marginal_value()
+        });
+        self.marginal_values = values.collect();
+    }
+
+    /// Value of a load for each millisecond of the weight store.
+    fn value(&self, vm: &FreeVm, index: usize) -> f64 {
+        let need = &self.needs[index];
+        let quick = self.quick.get(&vm.domain).map_or(0, |counts| counts[index]);
+        let size = need.group_size.max(1);
+        let missing = size - quick % size;
+        let load_time = need.load_time.as_millis().max(1) as f64;
+        self.marginal_values[index] / (missing as f64 * load_time)
+    }
+
+    fn stage(&mut self, vm: &'a FreeVm, index: usize) {
+        let counts = self
+            .quick
+            .entry(&vm.domain)
+            .or_insert_with(|| vec![0; self.needs.len()]);
+        counts[index] += 1;
+        if counts[index].is_multiple_of(self.needs[index].group_size.max(1)) {
+            self.value_groups();
+        }
+    }
+}
+
+/// Chooses up to `limit` loads, the most useful first. `pool` holds all VMs that groups could be formed of together
+/// with the stageable ones; models that are being put on their hosts count as staged.
+///
+/// Of loads that are worth the same, those for VMs that can join nothing come first.
+pub fn plan_staging(
+    stageable: &[FreeVm],
+    pool: &[FreeVm],
+    needs: &[ModelNeed],
+    limit: usize,
+) -> Vec<PlannedStaging> {
+    let mut outlook = StagingOutlook::new(pool, needs);
+    let mut left: Vec<&FreeVm> = stageable.iter().collect();
+    left.sort_by(|a, b| a.id.cmp(&b.id));
+    let mut planned = Vec::new();
+    while planned.len() < limit {
+        let mut best: Option<(f64, bool, usize, usize)> = None;
+        for (position, vm) in left.iter().enumerate() {
+            let is_useless = needs
+                .iter()
+                .all(|need| vm.source_of(&need.id) == JoinSource::WeightStore);
+            for (index, need) in needs.iter().enumerate() {
+                if vm.source_of(&need.id) < JoinSource::WeightStore {
+                    continue;
+                }
+                let value = outlook.value(vm, index);
+                let is_better = best.is_none_or(|(most, was_useless, ..)| {
+                    value > most || (value == most && is_useless && !was_useless)
+                });
+                if is_better {
+                    best = Some((value, is_useless, position, index));
+                }
+            }
+        }
+        let Some((_, _, position, index)) = best else {
+            break;
+        };
+        let vm = left.remove(position);
+        outlook.stage(vm, index);
+        planned.push(PlannedStaging {
+            vm: vm.id.clone(),
+            model: needs[index].id.clone(),
+            load_time: needs[index].load_time,
+        });
+    }
+    planned
+}
--- a/crates/fleet/tests/all/plan.rs
+++ b/crates/fleet/tests/all/plan.rs
@@ -6,7 +6,7 @@
 use jaysaddle_fleet::plan::ModelNeed;
 use jaysaddle_fleet::plan::plan_exchange;
 use jaysaddle_fleet::plan::plan_groups;
-use jaysaddle_fleet::plan::plan_staging;
+use jaysaddle_fleet::staging_plan::plan_staging;
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
@@ -165,8 +165,46 @@
         free(4, "d1", None),
     ];
     let needs = [need(LARGE, 4, 4.0, 4.0), need(SMALL, 2, 8.0, 8.0)];
-    let planned = plan_staging(&pool[3..], &pool, &needs);
+    let planned = plan_staging(&pool[3..], &pool, &needs, 7);
     assert_eq!(planned[0].vm, vm("vm3"));
     assert_eq!(planned[0].model, model(LARGE));
     assert_eq!(planned[1].model, model(SMALL));
 }
+
+/// Guards against loads that complete nothing: four new VMs in a domain that lacks one VM for a large group were all
+/// given the large model, and waited.
+#[test]
+fn a_load_under_way_counts_for_the_next_ones() {
+    let mut pool = vec![
+        free(0, "d0", Some(LARGE)),
+        free(1, "d0", Some(LARGE)),
+        free(2, "d0", Some(LARGE)),
+    ];
+    pool.extend((3..7).map(|id| free(id, "d0", None)));
+    let needs = [need(LARGE, 4, 3.0, 4.0), need(SMALL, 2, 8.0, 8.0)];
+    let models: Vec<_> = plan_staging(&pool[3..], &pool, &needs, 3)
+        .into_iter()
+        .map(|planned| planned.model)
+        .collect();
+    assert_eq!(models, [model(LARGE), model(SMALL), model(SMALL)]);
+    pool[3].staged.push(model(LARGE));
+    let next = plan_staging(&pool[4..], &pool, &needs, 1);
+    assert_eq!(next[0].model, model(SMALL));
+}
+
+/// Guards against VMs that hold a model nobody near them holds and wait for three new neighbours, while one load
+/// would make a small group of two of them.
+#[test]
+fn a_vm_without_partners_gets_the_model_of_a_new_neighbour() {
+    let pool = vec![free(0, "d0", Some(LARGE)), free(1, "d0", None)];
+    let needs = [need(LARGE, 4, 4.0, 4.0), need(SMALL, 2, 4.0, 8.0)];
+    let planned = plan_staging(&pool, &pool, &needs, 2);
+    assert_eq!(
+        (&planned[0].vm, &planned[0].model),
+        (&vm("vm1"), &model(SMALL))
+    );
+    assert_eq!(
+        (&planned[1].vm, &planned[1].model),
+        (&vm("vm0"), &model(SMALL))
+    );
+}
