Have idle members leave groups that have ended, and log why each VM is idle

Cause: a member names its last group until it joins another one. After a change of the controller its leader, which had left and gone, was unknown, and the new controller waited the 10.5 s for which a leader may finish its work. Members that stay idle half a second after their group's end now leave it; their entries then show every later controller that they are free.

Ruled out: telling peers which groups have ended, since a node that has restarted knows nothing of them.

The log has one line when the reason for which a VM is in no group changes.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -15,9 +15,11 @@
 mod adoption;
 mod exchange;
 mod forming;
+mod idle;
 mod messages;
 mod orders;
 mod probes;
+mod release;
 mod stages;
 mod staging;
 mod summary;
@@ -43,6 +45,7 @@
 use crate::loads::LoadPacer;
 use crate::plan::FreeVm;
 
+pub use crate::controller::idle::IdleReason;
 pub use crate::controller::messages::FleetEffect;
 pub use crate::controller::messages::FleetEvent;
 pub use crate::controller::messages::FleetView;
@@ -99,6 +102,8 @@
     /// Accepted orders, from reports and answers; `None` until a report was read.
     order_count: Option<u64>,
     in_flight: Option<BackendOrder>,
+    /// Ended group that it was last told to leave.
+    released: Option<GroupKey>,
     next_order: Option<Timestamp>,
     /// Model that is being put on the host, and until when that is believed.
     staging: Option<(ModelId, Timestamp)>,
@@ -143,6 +148,8 @@
     acquired: Timestamp,
     has_planned: bool,
     summarised: Timestamp,
+    /// Why each VM without a group was in none at the last summary.
+    idle_reasons: BTreeMap<VmId, IdleReason>,
     is_store_lost: bool,
     effects: Vec<FleetEffect>,
 }
@@ -164,6 +171,7 @@
             acquired: Timestamp(0),
             has_planned: false,
             summarised: Timestamp(0),
+            idle_reasons: BTreeMap::new(),
             is_store_lost: false,
             effects: Vec::new(),
         }
@@ -231,6 +239,7 @@
         self.vms.clear();
         self.ended.clear();
         self.reserved.clear();
+        self.idle_reasons.clear();
         self.acquired = now;
         self.has_planned = false;
     }
@@ -266,6 +275,7 @@
         self.probe_due(now);
         if self.may_plan(view, now) {
             self.form_groups(view, &reported, now);
+            self.release_members(view, now);
         }
         if now.since(self.summarised) >= SUMMARY_INTERVAL {
             self.summarised = now;
--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -10,7 +10,6 @@
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::EngineProfile;
 use jaysaddle_types::serving::GroupKey;
-use jaysaddle_types::serving::MemberPhase;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
@@ -57,54 +56,6 @@
         has_settled
     }
 
-    pub(super) fn free_vm(
-        &self,
-        entry: &BackendEntry,
-        view: FleetView<'_>,
-        reported: &BTreeMap<GroupKey, ReportedGroup>,
-        now: Timestamp,
-    ) -> bool {
-        if entry.is_draining || entry.fabric_domain.is_none() {
-            return false;
-        }
-        let Some(vm) = self.vms.get(&entry.id) else {
-            return false;
-        };
-        if vm.in_flight.is_some() || vm.failed_probes > 0 || self.holder_of(&entry.id).is_some() {
-            return false;
-        }
-        let Some(membership) = &entry.membership else {
-            return true;
-        };
-        match membership.phase {
-            MemberPhase::Broken => true,
-            MemberPhase::Ready if self.ended.contains_key(&membership.key) => true,
-            MemberPhase::Ready => match reported.get(&membership.key) {
-                // The leader reports, and it is not under control: it does not serve.
-                Some(group) if group.leader_phase.is_some() => !matches!(
-                    group.leader_phase,
-                    Some(MemberPhase::Open | MemberPhase::Closing)
-                ),
-                // The leader is unknown to this holder of the lease, and cannot be asked.
-                _ => {
-                    let removed = view.table.removed_leader(&membership.key);
-                    let has_lapsed = removed.is_some_and(|row| row.has_lapsed);
-                    let since = removed.map_or(self.acquired, |row| row.removed);
-                    let limit = if has_lapsed {
-                        self.timing.unknown_leader
-                    } else {
-                        self.timing.finish_limit
-                    };
-                    now.since(since) >= limit
-                }
-            },
-            MemberPhase::Joining
-            | MemberPhase::Open
-            | MemberPhase::Closing
-            | MemberPhase::Unknown => false,
-        }
-    }
-
     pub(super) fn needs_of(
         &self,
         service: &ServiceId,
@@ -165,7 +116,7 @@
                 .collect();
             let free: Vec<FreeVm> = entries
                 .iter()
-                .filter(|entry| self.free_vm(entry, view, reported, now))
+                .filter(|entry| self.obstacle(entry, view, reported, now).is_none())
                 .filter_map(|entry| as_free_vm(entry))
                 .collect();
             let mut needs = self.needs_of(&service.id, profile, now);
--- /dev/null
+++ b/crates/fleet/src/controller/release.rs
@@ -0,0 +1,50 @@
+//! Has idle members leave groups that have ended.
+//!
+//! A member keeps naming its last group until it joins another one or leaves. When that group's leader is gone, the
+//! next holder of the lease cannot tell whether it still serves, and has to wait for as long as it might.
+
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::units::Timestamp;
+
+use crate::controller::FleetController;
+use crate::controller::FleetView;
+
+impl FleetController {
+    /// Orders members that have stayed idle since their group ended to leave it, once each.
+    pub(super) fn release_members(&mut self, view: FleetView<'_>, now: Timestamp) {
+        let mut idle: Vec<(VmId, GroupKey)> = Vec::new();
+        for row in view.table.rows() {
+            let entry = &row.entry;
+            let Some(membership) = &entry.membership else {
+                continue;
+            };
+            let has_ended = self
+                .ended
+                .get(&membership.key)
+                .is_some_and(|ended| now.since(*ended) >= self.timing.release_delay);
+            let is_idle = self.vms.get(&entry.id).is_some_and(|vm| {
+                vm.in_flight.is_none()
+                    && vm.failed_probes == 0
+                    && vm.released.as_ref() != Some(&membership.key)
+            });
+            if has_ended
+                && is_idle
+                && membership.phase == MemberPhase::Ready
+                && self.holder_of(&entry.id).is_none()
+            {
+                idle.push((entry.id.clone(), membership.key.clone()));
+            }
+        }
+        for (id, key) in idle {
+            let order = BackendOrder::Leave { key: key.clone() };
+            if self.send_order(&id, order, now)
+                && let Some(vm) = self.vms.get_mut(&id)
+            {
+                vm.released = Some(key);
+            }
+        }
+    }
+}
--- a/crates/fleet/src/controller/summary.rs
+++ b/crates/fleet/src/controller/summary.rs
@@ -16,7 +16,6 @@
 use crate::controller::as_free_vm;
 use crate::groups::ReportedGroup;
 use crate::plan::FreeVm;
-use crate::plan::JoinSource;
 
 impl FleetController {
     /// Tells how many groups each model has in each stage, and what the VMs without a group do.
@@ -37,7 +36,7 @@
             .collect();
         let free: Vec<FreeVm> = idle
             .iter()
-            .filter(|entry| self.free_vm(entry, view, reported, now))
+            .filter(|entry| self.obstacle(entry, view, reported, now).is_none())
             .filter_map(|entry| as_free_vm(entry))
             .collect();
         let leaving = idle.iter().filter(|entry| entry.is_draining).count();
@@ -71,15 +70,13 @@
             self.reserved.len()
         );
         for (model, [serving, forming, ending]) in models {
-            let quick = free
-                .iter()
-                .filter(|vm| vm.source_of(model) < JoinSource::WeightStore)
-                .count();
+            let quick = free.iter().filter(|vm| vm.has_weights(model)).count();
             text.push_str(&format_compact!(
                 " model={model} serving={serving} forming={forming} ending={ending} demand={:.1} quick={quick}",
                 self.demand.groups(model, now)
             ));
         }
         self.effects.push(FleetEffect::Decided(text));
+        self.explain_idle(&idle, view, reported, now);
     }
 }
--- a/crates/fleet/src/controller/timing.rs
+++ b/crates/fleet/src/controller/timing.rs
@@ -39,6 +39,8 @@
     pub exchange_pause: TimeSpan,
     /// Time for which a group that was given up is remembered, against entries that are out of date.
     pub ended_memory: TimeSpan,
+    /// Time for which a member of an ended group may join another one before it is told to leave; most do at once.
+    pub release_delay: TimeSpan,
     /// Join with weights that are in memory.
     pub memory_join_time: TimeSpan,
 }
@@ -62,6 +64,7 @@
             reservation: TimeSpan(5000),
             exchange_pause: TimeSpan(4000),
             ended_memory: TimeSpan::from_secs(20),
+            release_delay: TimeSpan(500),
             memory_join_time: TimeSpan(200),
         }
     }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -64,6 +64,11 @@
 }
 
 impl FreeVm {
+    /// Whether this VM can join a group of `model` without a load.
+    pub fn has_weights(&self, model: &ModelId) -> bool {
+        self.source_of(model) < JoinSource::WeightStore
+    }
+
     /// How this VM would come to hold `model`.
     pub fn source_of(&self, model: &ModelId) -> JoinSource {
         if self.last_model.as_ref() == Some(model) {
@@ -266,7 +271,7 @@
         let loading = free
             .iter()
             .filter(|vm| members.contains(&vm.id))
-            .filter(|vm| vm.source_of(&need.id) == JoinSource::WeightStore)
+            .filter(|vm| !vm.has_weights(&need.id))
             .map(|vm| vm.id.clone())
             .collect();
         free.retain(|vm| !members.contains(&vm.id));
@@ -320,8 +325,7 @@
 
 /// Number of VMs, out of all, that hold or have staged `model`.
 pub(crate) fn quick_count<'a>(vms: impl Iterator<Item = &'a FreeVm>, model: &ModelId) -> usize {
-    vms.filter(|vm| vm.source_of(model) < JoinSource::WeightStore)
-        .count()
+    vms.filter(|vm| vm.has_weights(model)).count()
 }
 
 /// The best exchange in one fabric domain, if any is worth it. `donors` are the groups of the domain, the least
--- a/crates/fleet/src/staging_plan.rs
+++ b/crates/fleet/src/staging_plan.rs
@@ -12,7 +12,6 @@
 use jaysaddle_types::units::TimeSpan;
 
 use crate::plan::FreeVm;
-use crate::plan::JoinSource;
 use crate::plan::ModelNeed;
 
 /// Weights to be put on a host.
@@ -43,7 +42,7 @@
                 .entry(&vm.domain)
                 .or_insert_with(|| vec![0; needs.len()]);
             for (count, need) in counts.iter_mut().zip(needs) {
-                *count += usize::from(vm.source_of(&need.id) < JoinSource::WeightStore);
+                *count += usize::from(vm.has_weights(&need.id));
             }
         }
         let mut outlook = Self {
@@ -108,11 +107,9 @@
     while planned.len() < limit {
         let mut best: Option<(f64, bool, usize, usize)> = None;
         for (position, vm) in left.iter().enumerate() {
-            let is_useless = needs
-                .iter()
-                .all(|need| vm.source_of(&need.id) == JoinSource::WeightStore);
+            let is_useless = needs.iter().all(|need| !vm.has_weights(&need.id));
             for (index, need) in needs.iter().enumerate() {
-                if vm.source_of(&need.id) < JoinSource::WeightStore {
+                if vm.has_weights(&need.id) {
                     continue;
                 }
                 let value = outlook.value(vm, index);
--- a/crates/fleet/tests/all/controller.rs
+++ b/crates/fleet/tests/all/controller.rs
@@ -185,6 +185,32 @@
     assert!(new.is_empty(), "{new:?}");
 }
 
+/// Guards against idle VMs after a change of the controller: their entries named a group whose leader had left and gone,
+/// and the new controller waited ten seconds for that leader. Seen on ebiere-collect, scale-2: ten VMs for 10 s.
+#[test]
+fn members_of_an_ended_group_are_used_by_the_next_controller() {
+    let mut fleet = FakeFleet::new(4);
+    fleet.run(15_000);
+    let group = fleet
+        .serving(LARGE)
+        .pop()
+        .or(fleet.serving(SMALL).pop())
+        .expect("a group");
+    fleet.drain(&group[0]);
+    fleet.run(1500);
+    fleet.cut(&group[0]);
+    fleet.remove_entry(&group[0]);
+    fleet.run(1500);
+    fleet.replace_controller(2);
+    fleet.decisions.clear();
+    fleet.run(2000);
+    let waits = fleet
+        .decisions
+        .iter()
+        .any(|text| text.contains("leader_unknown"));
+    assert!(!waits, "{:#?}", fleet.decisions);
+}
+
 /// Guards against a VM in two groups: the earlier holder closed a group and sent its members an order to join another
 /// one, which arrives late. Seen on ebiere-collect, trouble-1, seed 676251764138.
 #[test]
