Hand the lease to a peer when its holder stops during an outage of the store

It now gives the lease up, names the live peer with the newest table in its beats, and that peer holds the lease on the same terms, under the same term, with the group numbers that follow. It reads all reports before it decides anything. No resignation is written, since it could arrive after the outage and free a lease that the successor holds. Found on the way: an answer to a renewal that came after the resignation brought the lease back to a node that stops; it is passed over now.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -11,6 +11,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::lease::LeaseClaim;
 use jaysaddle_fleet::lease::LeaseEvent;
+use jaysaddle_fleet::lease::LeaseHandover;
 use jaysaddle_fleet::peers::PeerBeat;
 use jaysaddle_fleet::peers::PeerLoad;
 use jaysaddle_fleet::peers::PeerPhase;
@@ -21,6 +22,7 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_wire::beat::BeatMessage;
 use jaysaddle_wire::beat::ClaimMessage;
+use jaysaddle_wire::beat::HandoverMessage;
 use jaysaddle_wire::beat::WorkMessage;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -67,6 +69,16 @@
             version: claim.version.0,
             remaining_ms: claim.remaining.as_millis(),
         }),
+        handover: node
+            .handover
+            .borrow()
+            .as_ref()
+            .map(|handover| HandoverMessage {
+                successor: handover.successor.to_string(),
+                term: handover.term.0,
+                version: handover.version.0,
+                groups_formed: handover.groups_formed,
+            }),
         load_targets: loads.iter().map(|load| load.target).collect(),
         load_counts: loads.iter().map(|load| load.requests).collect(),
         late_counts: loads.iter().map(|load| load.late).collect(),
@@ -114,6 +126,17 @@
             version: ObjectVersion(claim.version),
             remaining: TimeSpan(claim.remaining_ms),
         }),
+        handover: message
+            .handover
+            .map(|handover| {
+                Ok::<_, eyre::Report>(LeaseHandover {
+                    successor: handover.successor.parse()?,
+                    term: LeaseEpoch(handover.term),
+                    version: ObjectVersion(handover.version),
+                    groups_formed: handover.groups_formed,
+                })
+            })
+            .transpose()?,
         loads: message
             .load_targets
             .into_iter()
@@ -205,6 +228,7 @@
                         node.table_news.notify_one();
                     }
                 }
+                control::follow_handover(&node, &beat);
                 node.peers.borrow_mut().heard(beat, clock::now());
             }
             Ok(_) => {}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -32,6 +32,7 @@
 use jaysaddle_fleet::lease::LeaseEvent;
 use jaysaddle_fleet::lease::LeaseRecord;
 use jaysaddle_fleet::lease::LeaseWrite;
+use jaysaddle_fleet::peers::PeerBeat;
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_gateway::target::TargetNumber;
 use jaysaddle_types::ids::LeaseEpoch;
@@ -41,6 +42,7 @@
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::OrderResult;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::verdict::Verdict;
 use serde::Deserialize;
 use serde::Serialize;
@@ -60,6 +62,9 @@
 const ORDER_LIMIT: Duration = Duration::from_millis(800);
 /// Time for a report. A member that needs longer delays its whole group.
 const REPORT_LIMIT: Duration = Duration::from_millis(160);
+/// Time in which the reports of all engines are read: an order that is under way is carried out in milliseconds, and
+/// a report shows it after a fifth of a second.
+const REPORTS_TIME: TimeSpan = TimeSpan(500);
 /// Name of the lease object.
 const LEASE_NAME: &str = "controller";
 
@@ -84,10 +89,9 @@
         let rank = lease_rank(&node);
         let now = clock::now();
         let is_store_lost = node.store.is_lost(now);
-        let is_lost_to_most = is_store_lost && node.peers.borrow().is_store_lost(now);
         let tick = LeaseEvent::Tick {
             rank,
-            is_store_lost: is_lost_to_most,
+            is_store_lost: is_store_lost_to_most(&node),
         };
         lease_event(&node, tick);
         fleet_event(&node, FleetEvent::StoreLost(is_store_lost));
@@ -104,6 +108,86 @@
     }
 }
 
+/// Whether the store answers neither this node nor most of its peers.
+fn is_store_lost_to_most(node: &EntryNode) -> bool {
+    let now = clock::now();
+    node.store.is_lost(now) && node.peers.borrow().is_store_lost(now)
+}
+
+/// Gives up the lease at a planned stop. While the store is lost, no other node could take it: one is told to go on.
+pub fn resign(node: &Rc<EntryNode>) {
+    let now = clock::now();
+    let successor = is_store_lost_to_most(node)
+        .then(|| choose_successor(node))
+        .flatten();
+    let groups_formed = node.controller.borrow().groups_formed();
+    let handover =
+        successor.and_then(|successor| node.lease.borrow().handover(successor, groups_formed, now));
+    let Some(handover) = handover else {
+        lease_event(node, LeaseEvent::Resign);
+        return;
+    };
+    log::info!(
+        "event=lease_handed_over successor={} term={} groups_formed={groups_formed}",
+        handover.successor,
+        handover.term
+    );
+    lease_event(node, LeaseEvent::HandOver);
+    *node.handover.borrow_mut() = Some(handover);
+}
+
+/// The live node with the newest table.
+fn choose_successor(node: &EntryNode) -> Option<NodeId> {
+    node.peers
+        .borrow()
+        .live(clock::now())
+        .filter(|record| record.beat.phase == PeerPhase::Serving)
+        .min_by_key(|record| (record.beat.table_age, record.beat.node.clone()))
+        .map(|record| record.beat.node.clone())
+}
+
+/// Takes over the lease when a peer that stops has named this node as its successor.
+pub fn follow_handover(node: &Rc<EntryNode>, beat: &PeerBeat) {
+    let Some(handover) = &beat.handover else {
+        return;
+    };
+    if node.phase.get() != PeerPhase::Serving {
+        return;
+    }
+    let event = LeaseEvent::HandedOver {
+        from: NodeKey {
+            id: beat.node.clone(),
+            incarnation: beat.incarnation,
+        },
+        handover: handover.clone(),
+        is_store_lost: is_store_lost_to_most(node),
+    };
+    lease_event(node, event);
+}
+
+/// Reads the reports of all engines. Nothing is decided until then: the entries may be from before the last orders of
+/// the earlier holder.
+fn read_all_reports(node: &Rc<EntryNode>) {
+    let settled = clock::now() + REPORTS_TIME;
+    node.return_grace.set(node.return_grace.get().max(settled));
+    let config = node.config.borrow();
+    let engines: Vec<(VmId, SocketAddr)> = node
+        .table
+        .borrow()
+        .rows()
+        .filter(|row| {
+            let service = &row.entry.service;
+            config
+                .as_ref()
+                .is_some_and(|config| config.engine(service).is_some())
+        })
+        .map(|row| (row.entry.id.clone(), row.entry.address))
+        .collect();
+    for (id, address) in engines {
+        tokio::task::spawn_local(probe(node.clone(), id, address));
+    }
+}
+
 /// Number of live nodes that go before this one as the lease's next holder.
 fn lease_rank(node: &EntryNode) -> u32 {
     let now = clock::now();
@@ -185,6 +269,20 @@
                 log::info!("event=lease_acquired term={term}");
                 fleet_event(node, FleetEvent::Acquired(term));
             }
+            LeaseEffect::TakenOver {
+                term,
+                groups_formed,
+            } => {
+                log::info!("event=lease_taken_over term={term} groups_formed={groups_formed}");
+                fleet_event(
+                    node,
+                    FleetEvent::TakenOver {
+                        term,
+                        groups_formed,
+                    },
+                );
+                read_all_reports(node);
+            }
             LeaseEffect::Lost => {
                 log::info!("event=lease_lost");
                 node.gateway.borrow_mut().set_closed(&[]);
@@ -261,7 +359,7 @@
 pub fn fleet_event(node: &Rc<EntryNode>, event: FleetEvent) {
     let Some(config) = node.config.borrow().clone() else {
         // Without a configuration no model is known; the lease alone is kept.
-        if let FleetEvent::Acquired(_) | FleetEvent::Lost = event {
+        if let FleetEvent::Acquired(_) | FleetEvent::TakenOver { .. } | FleetEvent::Lost = event {
             let table = node.table.borrow();
             let empty = jaysaddle_types::serving::ServingConfig::default();
             let view = FleetView {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -13,6 +13,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::ControllerTiming;
 use jaysaddle_fleet::controller::FleetController;
+use jaysaddle_fleet::lease::LeaseHandover;
 use jaysaddle_fleet::lease::LeaseKeeper;
 use jaysaddle_fleet::lease::LeaseTiming;
 use jaysaddle_fleet::peers::PeerPhase;
@@ -65,6 +66,8 @@
     pub raw_entries: RefCell<BTreeMap<CompactString, Value>>,
     pub controller: RefCell<FleetController>,
     pub lease: RefCell<LeaseKeeper>,
+    /// What this node has passed on with its stop.
+    pub handover: RefCell<Option<LeaseHandover>>,
     pub pool: BackendPool,
     pub store: StoreClient,
     pub phase: Cell<PeerPhase>,
@@ -106,6 +109,7 @@
                 settings.node.clone(),
                 LeaseTiming::default(),
             )),
+            handover: RefCell::default(),
             pool: BackendPool::default(),
             store: StoreClient::new(settings.store),
             phase: Cell::new(PeerPhase::Starting),
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use jaysaddle_daemon::clock;
-use jaysaddle_fleet::lease::LeaseEvent;
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_types::units::TimeSpan;
 use tokio::net::UdpSocket;
@@ -30,7 +29,7 @@
     let started = clock::now();
     log::info!("event=stopping open_requests={}", node.open_requests.get());
     node.phase.set(PeerPhase::Stopping);
-    control::lease_event(&node, LeaseEvent::Resign);
+    control::resign(&node);
     beats::send_now(&node, &socket, &addresses).await;
     let limit = TimeSpan(
         node.settings
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -134,7 +134,8 @@
 pub struct FleetController {
     timing: ControllerTiming,
     term: Option<LeaseEpoch>,
-    next_counter: u64,
+    /// Groups that were formed in the term, by earlier holders of it, too.
+    groups_formed: u64,
     groups: BTreeMap<GroupKey, ControlledGroup>,
     vms: BTreeMap<VmId, ControlledVm>,
     /// Groups that were given up, and when; their entries may still show them for a while.
@@ -160,7 +161,7 @@
         Self {
             timing,
             term: None,
-            next_counter: 0,
+            groups_formed: 0,
             groups: BTreeMap::new(),
             vms: BTreeMap::new(),
             ended: BTreeMap::new(),
@@ -185,7 +186,11 @@
         now: Timestamp,
     ) -> Vec<FleetEffect> {
         match event {
-            FleetEvent::Acquired(term) => self.acquire(term, now),
+            FleetEvent::Acquired(term) => self.acquire(term, 0, now),
+            FleetEvent::TakenOver {
+                term,
+                groups_formed,
+            } => self.acquire(term, groups_formed, now),
             FleetEvent::Lost => self.release(),
             FleetEvent::Tick => self.tick(view, now),
             FleetEvent::Ordered { id, order, result } => self.ordered(&id, order, result, now),
@@ -200,6 +205,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Groups that were formed in the term.
+    pub fn groups_formed(&self) -> u64 {
+        self.groups_formed
+    }
+
     /// Leaders of the groups that must get no new request.
     pub fn closed_leaders(&self) -> Vec<VmId> {
         self.groups
@@ -232,9 +242,9 @@
         }
     }
 
-    fn acquire(&mut self, term: LeaseEpoch, now: Timestamp) {
+    fn acquire(&mut self, term: LeaseEpoch, groups_formed: u64, now: Timestamp) {
         self.term = Some(term);
-        self.next_counter = 0;
+        self.groups_formed = groups_formed;
         self.groups.clear();
         self.vms.clear();
         self.ended.clear();
--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -185,10 +185,10 @@
         let Some(term) = self.term else {
             return;
         };
-        self.next_counter += 1;
-        let generation = Generation((term.0 << COUNTER_BITS) | self.next_counter);
+        self.groups_formed += 1;
+        let generation = Generation((term.0 << COUNTER_BITS) | self.groups_formed);
         let key = GroupKey {
-            group: GroupId::new(format_compact!("g{}-{}", term, self.next_counter)),
+            group: GroupId::new(format_compact!("g{}-{}", term, self.groups_formed)),
             generation,
         };
         for id in &planned.loading {
--- a/crates/fleet/src/controller/messages.rs
+++ b/crates/fleet/src/controller/messages.rs
@@ -43,6 +43,13 @@
     Tick,
     /// This node took the lease.
     Acquired(LeaseEpoch),
+    /// This node took over the lease of a node that stops.
+    TakenOver {
+        /// Term.
+        term: LeaseEpoch,
+        /// Groups that were formed in the term.
+        groups_formed: u64,
+    },
     /// This node lost the lease.
     Lost,
     /// An order ended.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -4,14 +4,20 @@
 //! renews by conditional writes. Its messages to peers say how long the lease still lasts, so that another
 //! node can take over as soon as that time has passed, without asking the store in between.
 //!
+//! While the store answers nobody, a holder that stops hands the lease to a peer, which then holds it on the same
+//! terms: as long as the store is lost to most nodes, until its first write shows that no other node has taken it.
+//!
 //! # Invariants
 //!
+//! A holder gives up the lease before it hands it over, names one successor, and never names another one.
+//!
 //! A holder's lease counts from before its write was sent, on a clock that counts suspension. A follower
 //! counts from when it received the evidence. So the follower's time never ends before the holder's.
 
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
@@ -61,6 +67,19 @@
     pub remaining: TimeSpan,
 }
 
+/// A lease that its holder passes on while the store is lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseHandover {
+    /// The node that may hold it from now on.
+    pub successor: NodeId,
+    /// Term; the successor goes on under it.
+    pub term: LeaseEpoch,
+    /// Version of the lease object after the last renewal.
+    pub version: ObjectVersion,
+    /// Groups that were formed in the term; the successor's numbers follow.
+    pub groups_formed: u64,
+}
+
 /// Result of a write to the lease object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseWrite {
@@ -98,6 +117,17 @@
     Written(LeaseWrite),
     /// The node stops.
     Resign,
+    /// The node stops while the store is lost; [`LeaseKeeper::handover`] has told what it passes on.
+    HandOver,
+    /// A holder that stops has named this node as its successor.
+    HandedOver {
+        /// The node that stops, and its start.
+        from: NodeKey,
+        /// What it passed on.
+        handover: LeaseHandover,
+        /// Whether the store is lost to this node and most of its peers.
+        is_store_lost: bool,
+    },
 }
 
 /// What is to be done.
@@ -114,6 +144,13 @@
     },
     /// This node now holds the lease.
     Acquired(LeaseEpoch),
+    /// This node now holds the lease that another one has handed over.
+    TakenOver {
+        /// Term.
+        term: LeaseEpoch,
+        /// Groups that were formed in the term.
+        groups_formed: u64,
+    },
     /// This node does not hold the lease any more.
     Lost,
 }
@@ -142,6 +179,10 @@
     last_write: Timestamp,
     write_number: u64,
     is_resigning: bool,
+    /// Highest term that a claim or reading named.
+    latest_term: LeaseEpoch,
+    /// The node whose handover this node has followed; a node hands over once.
+    taken_over: Option<NodeKey>,
 }
 
 impl LeaseKeeper {
@@ -158,6 +199,8 @@
             last_write: Timestamp(0),
             write_number: 0,
             is_resigning: false,
+            latest_term: LeaseEpoch(0),
+            taken_over: None,
         }
     }
 
@@ -179,6 +222,23 @@
         })
     }
 
+    /// What a holder that stops passes on to `successor`.
+    pub fn handover(
+        &self,
+        successor: NodeId,
+        groups_formed: u64,
+        now: Timestamp,
+    ) -> Option<LeaseHandover> {
+        let term = self.holds(now)?;
+        let (version, _) = self.known.as_ref()?;
+        Some(LeaseHandover {
+            successor,
+            term,
+            version: *version,
+            groups_formed,
+        })
+    }
+
     /// Handles an event.
     pub fn step(&mut self, event: LeaseEvent, now: Timestamp) -> Vec<LeaseEffect> {
         let mut effects = Vec::new();
@@ -201,8 +261,27 @@
             LeaseEvent::Read(found) => self.read(found, now, &mut effects),
             LeaseEvent::ReadFailed => self.pending = PendingCall::None,
             LeaseEvent::Written(result) => self.written(result, now, &mut effects),
+            LeaseEvent::HandOver => {
+                // No resignation is written: it could arrive after the outage and free a lease that the successor
+                // holds.
+                self.is_resigning = true;
+                self.pending = PendingCall::None;
+                if self.held.take().is_some() {
+                    effects.push(LeaseEffect::Lost);
+                }
+            }
+            LeaseEvent::HandedOver {
+                from,
+                handover,
+                is_store_lost,
+            } => {
+                if is_store_lost {
+                    self.take_over(from, handover, now, &mut effects);
+                }
+            }
             LeaseEvent::Resign => {
                 self.is_resigning = true;
+                self.pending = PendingCall::None;
                 if let Some((term, _)) = self.held.take() {
                     effects.push(LeaseEffect::Lost);
                     let record = self.record(None, term);
@@ -222,6 +301,44 @@
         }
     }
 
+    fn take_over(
+        &mut self,
+        from: NodeKey,
+        handover: LeaseHandover,
+        now: Timestamp,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        let LeaseHandover {
+            successor,
+            term,
+            version,
+            groups_formed,
+        } = handover;
+        let is_for_others = successor != self.own || self.is_resigning;
+        let is_outdated = self.latest_term > term;
+        if is_for_others || is_outdated || self.held.is_some() {
+            return;
+        }
+        // Beats repeat the handover, and a lease that was lost since must not come back.
+        if self.taken_over.as_ref() == Some(&from) {
+            return;
+        }
+        self.taken_over = Some(from);
+        let record = LeaseRecord {
+            holder: None,
+            term,
+            write_number: 0,
+        };
+        self.known = Some((version, record));
+        self.claimed_version = Some(version);
+        self.pending = PendingCall::None;
+        self.held = Some((term, now + self.timing.duration));
+        effects.push(LeaseEffect::TakenOver {
+            term,
+            groups_formed,
+        });
+    }
+
     fn record(&mut self, holder: Option<NodeId>, term: LeaseEpoch) -> LeaseRecord {
         self.write_number += 1;
         LeaseRecord {
@@ -279,6 +396,7 @@
                 return;
             }
         }
+        self.latest_term = self.latest_term.max(claim.term);
         self.claimed_version = Some(claim.version);
         self.others_until = Some(now + claim.remaining);
     }
@@ -300,12 +418,18 @@
         let is_free = record.holder.is_none();
         let is_own = record.holder.as_ref() == Some(&self.own);
         let was_known = self.claimed_version == Some(version);
+        let is_unchanged = self
+            .known
+            .as_ref()
+            .is_some_and(|(known, _)| *known == version);
         let term = record.term;
+        self.latest_term = self.latest_term.max(term);
         self.known = Some((version, record));
         self.claimed_version = Some(version);
         if self.held.is_some() {
-            // A renewal whose answer was lost: the object decides, and the next renewal goes out at once.
-            if !is_own {
+            // A renewal whose answer was lost: the object decides, and the next renewal goes out at once. A lease that
+            // was handed over bears the earlier holder's name until the first renewal.
+            if !is_own && !is_unchanged {
                 self.held = None;
                 effects.push(LeaseEffect::Lost);
             } else {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -13,6 +13,7 @@
 use jaysaddle_types::units::Timestamp;
 
 use crate::lease::LeaseClaim;
+use crate::lease::LeaseHandover;
 
 /// Whether a node takes callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +60,8 @@
     pub is_store_lost: bool,
     /// The lease, when it holds it.
     pub claim: Option<LeaseClaim>,
+    /// The lease, when the node stops and has handed it over.
+    pub handover: Option<LeaseHandover>,
     /// Requests in flight.
     pub loads: Vec<PeerLoad>,
     /// Targets that send nothing although requests wait.
--- a/crates/fleet/tests/all/lease.rs
+++ b/crates/fleet/tests/all/lease.rs
@@ -3,13 +3,16 @@
 use jaysaddle_fleet::lease::LeaseClaim;
 use jaysaddle_fleet::lease::LeaseEffect;
 use jaysaddle_fleet::lease::LeaseEvent;
+use jaysaddle_fleet::lease::LeaseHandover;
 use jaysaddle_fleet::lease::LeaseKeeper;
 use jaysaddle_fleet::lease::LeaseRecord;
 use jaysaddle_fleet::lease::LeaseTiming;
 use jaysaddle_fleet::lease::LeaseWrite;
+use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
@@ -157,3 +160,134 @@
     let read = LeaseEvent::Read(Some((ObjectVersion(30), record("b", 2))));
     assert_eq!(keeper.step(read, Timestamp(9100)), vec![LeaseEffect::Lost]);
 }
+
+fn outage_tick(keeper: &mut LeaseKeeper, now: u64) -> Vec<LeaseEffect> {
+    let event = LeaseEvent::Tick {
+        rank: 0,
+        is_store_lost: true,
+    };
+    keeper.step(event, Timestamp(now))
+}
+
+fn handed_over(handover: &LeaseHandover) -> LeaseEvent {
+    LeaseEvent::HandedOver {
+        from: NodeKey {
+            id: NodeId::new("a"),
+            incarnation: Incarnation(1),
+        },
+        handover: handover.clone(),
+        is_store_lost: true,
+    }
+}
+
+/// Guards against a fleet that nobody repairs when the holder is stopped while the store is away for everyone. Seen
+/// on ebiere-collect, trouble-3: nobody in control for 7 s.
+#[test]
+fn a_holder_that_stops_in_an_outage_hands_over() {
+    let mut holder = keeper("a");
+    take_first(&mut holder, 1000);
+    outage_tick(&mut holder, 1500);
+    let handover = holder
+        .handover(NodeId::new("b"), 7, Timestamp(2000))
+        .expect("it holds the lease");
+    let effects = holder.step(LeaseEvent::HandOver, Timestamp(2000));
+    assert_eq!(
+        effects,
+        vec![LeaseEffect::Lost],
+        "no resignation that could arrive after the outage"
+    );
+    let mut successor = keeper("b");
+    let effects = successor.step(handed_over(&handover), Timestamp(2010));
+    assert_eq!(
+        effects,
+        vec![LeaseEffect::TakenOver {
+            term: LeaseEpoch(1),
+            groups_formed: 7
+        }]
+    );
+    for now in (2100..9000).step_by(100) {
+        outage_tick(&mut successor, now);
+        successor.step(LeaseEvent::Written(LeaseWrite::NotDone), Timestamp(now + 5));
+        assert!(successor.holds(Timestamp(now)).is_some());
+    }
+    let read = LeaseEvent::Read(Some((ObjectVersion(5), record("a", 1))));
+    assert!(
+        successor.step(read, Timestamp(9050)).is_empty(),
+        "nobody has written since the handover"
+    );
+    let written = LeaseWrite::Done {
+        version: ObjectVersion(6),
+    };
+    assert!(matches!(
+        tick(&mut successor, 9100)[..],
+        [LeaseEffect::Write {
+            version: Some(ObjectVersion(5)),
+            ..
+        }]
+    ));
+    assert!(
+        successor
+            .step(LeaseEvent::Written(written), Timestamp(9105))
+            .is_empty()
+    );
+    let mut other = keeper("c");
+    let effects = other.step(handed_over(&handover), Timestamp(2010));
+    assert!(effects.is_empty(), "another node is not the successor");
+}
+
+/// Guards against a node that takes the lease back while it stops: a renewal was on its way when it resigned.
+#[test]
+fn an_answer_after_a_resignation_changes_nothing() {
+    for event in [LeaseEvent::Resign, LeaseEvent::HandOver] {
+        let mut holder = keeper("a");
+        take_first(&mut holder, 1000);
+        assert!(matches!(
+            tick(&mut holder, 1600)[..],
+            [LeaseEffect::Write { .. }]
+        ));
+        holder.step(event, Timestamp(1610));
+        let written = LeaseWrite::Done {
+            version: ObjectVersion(6),
+        };
+        assert!(
+            holder
+                .step(LeaseEvent::Written(written), Timestamp(1620))
+                .is_empty()
+        );
+        assert!(holder.holds(Timestamp(1620)).is_none());
+    }
+}
+
+/// Guards against two holders: a handover that beats repeat must not bring a lease back that another node has taken
+/// since.
+#[test]
+fn a_lost_lease_is_not_taken_over_again() {
+    let mut holder = keeper("a");
+    take_first(&mut holder, 1000);
+    let handover = holder
+        .handover(NodeId::new("b"), 0, Timestamp(1100))
+        .expect("it holds the lease");
+    let mut successor = keeper("b");
+    successor.step(handed_over(&handover), Timestamp(1110));
+    let read = LeaseEvent::Read(Some((ObjectVersion(30), record("c", 2))));
+    assert_eq!(
+        successor.step(read, Timestamp(1200)),
+        vec![LeaseEffect::Lost]
+    );
+    assert!(
+        successor
+            .step(handed_over(&handover), Timestamp(1300))
+            .is_empty()
+    );
+    let mut late = keeper("b");
+    let claim = LeaseClaim {
+        term: LeaseEpoch(2),
+        version: ObjectVersion(30),
+        remaining: TimeSpan(1000),
+    };
+    late.step(LeaseEvent::Claimed(claim), Timestamp(1250));
+    assert!(
+        late.step(handed_over(&handover), Timestamp(1300))
+            .is_empty()
+    );
+}
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -23,6 +23,7 @@
         table_age: TimeSpan(0),
         is_store_lost: false,
         claim: None,
+        handover: None,
         loads: loads
             .iter()
             .map(|(target, requests)| PeerLoad {
--- a/crates/gateway/tests/all/scene.rs
+++ b/crates/gateway/tests/all/scene.rs
@@ -234,6 +234,7 @@
             table_age: TimeSpan(0),
             is_store_lost: false,
             claim: None,
+            handover: None,
             loads: loads
                 .into_iter()
                 .map(|(target, requests)| PeerLoad {
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -54,6 +54,9 @@
     /// Whether the store does not answer the node.
     #[prost(bool, tag = "17")]
     pub is_store_lost: bool,
+    /// The controller's lease, when the node stops and has handed it over.
+    #[prost(message, optional, tag = "18")]
+    pub handover: Option<HandoverMessage>,
     /// Numbers of the targets that must get no new request.
     #[prost(uint32, repeated, tag = "14")]
     pub closed: Vec<u32>,
@@ -73,6 +76,23 @@
     pub remaining_ms: u64,
 }
 
+/// The lease as a holder that stops passes it on.
+#[derive(Clone, PartialEq, Message)]
+pub struct HandoverMessage {
+    /// Name of the node that may hold it from now on.
+    #[prost(string, tag = "1")]
+    pub successor: String,
+    /// Term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Version of the lease object.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Groups that were formed in the term.
+    #[prost(uint64, tag = "4")]
+    pub groups_formed: u64,
+}
+
 /// Work of the callers' requests since the node's start.
 #[derive(Clone, PartialEq, Message)]
 pub struct WorkMessage {
