End a reservation when too few VMs are left for its group

A reservation now ends with the chance of its group and covers only VMs that could join it. The test fails without the change.

--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 
 use compact_str::format_compact;
+use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ServiceId;
 use jaysaddle_types::serving::BackendEntry;
 use jaysaddle_types::serving::BackendOrder;
@@ -120,11 +122,12 @@
                 .filter_map(|entry| as_free_vm(entry))
                 .collect();
             let mut needs = self.needs_of(&service.id, profile, now);
+            self.drop_reservations(view, now);
             self.exchange_groups(service, &free, &needs, view, now);
             self.form_reserved(&service.id, &free, &needs, now);
             let open: Vec<FreeVm> = free
                 .into_iter()
-                .filter(|vm| !self.reserved.contains_key(&vm.domain))
+                .filter(|vm| !self.is_reserved(vm))
                 .filter(|vm| self.holder_of(&vm.id).is_none())
                 .collect();
             for group in plan_groups(open.clone(), &mut needs, self.join_loads()) {
@@ -151,6 +154,65 @@
         }
     }
 
+    /// Whether a free VM is kept for a group that is to be formed in its fabric domain.
+    pub(super) fn is_reserved(&self, vm: &FreeVm) -> bool {
+        self.reserved
+            .get(&vm.domain)
+            .is_some_and(|(model, _)| vm.has_weights(model))
+    }
+
+    /// Drops the reservations that are too old, or for which too few VMs are left.
+    fn drop_reservations(&mut self, view: FleetView<'_>, now: Timestamp) {
+        let reserved = std::mem::take(&mut self.reserved);
+        for (domain, (model, until)) in reserved {
+            let candidates = view
+                .table
+                .rows()
+                .filter(|row| self.may_soon_join(&row.entry, &domain, &model))
+                .count();
+            let size = view
+                .config
+                .services
+                .iter()
+                .filter_map(|service| service.engine.as_ref()?.model(&model))
+                .map(|profile| profile.group_size)
+                .next();
+            let is_possible = size.is_some_and(|size| candidates >= size);
+            if now < until && is_possible {
+                self.reserved.insert(domain, (model, until));
+            } else {
+                self.decided(format_compact!(
+                    "domain={domain} decision=drop_reservation model={model} candidates={candidates}"
+                ));
+            }
+        }
+    }
+
+    /// Whether a VM of `domain` may join a group of `model` without a load once the groups that end have ended.
+    fn may_soon_join(
+        &self,
+        entry: &BackendEntry,
+        domain: &FabricDomainId,
+        model: &ModelId,
+    ) -> bool {
+        let is_ending = self.holder_of(&entry.id).is_none_or(|key| {
+            self.groups.get(key).is_some_and(|group| {
+                matches!(
+                    group.stage,
+                    GroupStage::Closing { .. } | GroupStage::Dissolving
+                )
+            })
+        });
+        let is_reachable = self
+            .vms
+            .get(&entry.id)
+            .is_some_and(|vm| vm.failed_probes == 0);
+        is_ending
+            && is_reachable
+            && !entry.is_draining
+            && as_free_vm(entry).is_some_and(|vm| vm.domain == *domain && vm.has_weights(model))
+    }
+
     /// Forms the groups for which free VMs are reserved, once there are enough.
     pub(super) fn form_reserved(
         &mut self,
@@ -159,7 +221,6 @@
         needs: &[ModelNeed],
         now: Timestamp,
     ) {
-        self.reserved.retain(|_, (_, until)| now < *until);
         for (domain, (model, _)) in self.reserved.clone() {
             let Some(need) = needs.iter().find(|need| need.id == model) else {
                 continue;
--- a/crates/fleet/src/controller/idle.rs
+++ b/crates/fleet/src/controller/idle.rs
@@ -122,8 +122,7 @@
         view: FleetView<'_>,
         now: Timestamp,
     ) -> IdleReason {
-        let domain = entry.fabric_domain.as_ref();
-        let is_reserved = domain.is_some_and(|domain| self.reserved.contains_key(domain));
+        let is_reserved = as_free_vm(entry).is_some_and(|vm| self.is_reserved(&vm));
         let is_staging = self.vms.get(&entry.id).is_some_and(|vm| {
             vm.staging
                 .as_ref()
--- a/crates/fleet/tests/all/controller.rs
+++ b/crates/fleet/tests/all/controller.rs
@@ -343,6 +343,49 @@
     assert!(fleet.double_members.is_empty());
 }
 
+/// Guards against VMs that are kept for a group which can no longer be formed: members of the groups that were closed
+/// for it died meanwhile. Seen on ebiere-collect, trouble-3: five VMs for 5 s.
+#[test]
+fn a_reservation_ends_when_too_few_vms_are_left() {
+    let mut fleet = FakeFleet::new(10);
+    fleet.run(15_000);
+    let group = fleet.serving(LARGE).pop().expect("a large group");
+    let live: Vec<_> = fleet
+        .table
+        .rows()
+        .map(|row| row.entry.id.clone())
+        .filter(|id| !group.contains(id))
+        .collect();
+    for id in &group[1..] {
+        fleet.cut(id);
+    }
+    // The closed groups take their time.
+    fleet.mute.extend(live.iter().cloned());
+    let mut steps = 0;
+    while !fleet
+        .decisions
+        .iter()
+        .any(|text| text.contains("reason=exchange"))
+    {
+        fleet.silence(&group[0]);
+        *fleet.work.entry(model(LARGE)).or_default() += 100;
+        *fleet.work.entry(model(SMALL)).or_default() += 40;
+        fleet.run(100);
+        steps += 1;
+        assert!(steps < 200, "{:#?}", fleet.decisions);
+    }
+    for id in &live[2..] {
+        fleet.cut(id);
+        fleet.remove_entry(id);
+    }
+    fleet.run(500);
+    let is_dropped = fleet
+        .decisions
+        .iter()
+        .any(|text| text.contains("decision=drop_reservation"));
+    assert!(is_dropped, "{:#?}", fleet.decisions);
+}
+
 /// Guards against orders of a node whose lease has ended.
 #[test]
 fn a_controller_without_the_lease_gives_no_orders() {
