Metrics of the platform mode, settings taken over while running, explain from saved logs

The holder of the lease publishes group downtime, stranded accelerators, groups and VMs by state; each node its connections, ages, lease and histograms. A test reads docs/metrics.md and finds every metric in a scrape.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -40,7 +40,14 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+                let node = node.clone();
+                tokio::task::spawn_local(async move {
+                    node.caller_connections
+                        .set(node.caller_connections.get() + 1);
+                    serve_connection(node.clone(), stream).await;
+                    node.caller_connections
+                        .set(node.caller_connections.get() - 1);
+                });
             }
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -52,6 +52,7 @@
 
 use crate::exchange::ExchangeError;
 use crate::exchange::send;
+use crate::gauges;
 use crate::node::EntryNode;
 use crate::pool::BackendKey;
 use crate::store_sync::CALL_LIMIT;
@@ -383,6 +384,10 @@
     for effect in effects {
         match effect {
             FleetEffect::Decided(text) => log::info!("event=placement {text}"),
+            FleetEffect::Measured(figures) => {
+                log::info!("event=placement decision=summary {figures}");
+                gauges::publish_fleet(&figures);
+            }
             FleetEffect::Order {
                 id,
                 address,
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -26,6 +26,7 @@
 use crate::answer::empty;
 use crate::answer::json;
 use crate::answer::whole_body;
+use crate::gauges;
 use crate::node::EntryNode;
 
 /// Path of the metrics.
@@ -75,6 +76,7 @@
         READY_PATH => empty(StatusCode::SERVICE_UNAVAILABLE),
         RESOLVE_PATH => resolve(node, request.uri().query().unwrap_or("")),
         METRICS_PATH => {
+            gauges::publish_node(node);
             let mut answer = empty(StatusCode::OK);
             *answer.body_mut() = whole_body(metrics.render());
             answer
@@ -88,7 +90,7 @@
     if addresses.is_empty() {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let lifetime = LIFETIME_SECS.min(node.settings.bounds.directory_lifetime_secs);
+    let lifetime = LIFETIME_SECS.min(node.bounds.get().directory_lifetime_secs);
     json(resolve_body(&addresses, lifetime))
 }
 
--- /dev/null
+++ b/crates/entry/src/gauges.rs
@@ -0,0 +1,135 @@
+//! Metrics of the node's state, and the description of all metrics; docs/metrics.md lists them.
+
+use jaysaddle_daemon::clock;
+use jaysaddle_fleet::controller::FleetFigures;
+use jaysaddle_fleet::peers::PeerPhase;
+
+use crate::log_writer;
+use crate::node::EntryNode;
+
+/// Describes the metrics and makes the counters visible before the first event.
+pub fn describe() {
+    let counters = [
+        (
+            "jaysaddle_backend_connections_total",
+            "Connections opened to backend servers",
+        ),
+        (
+            "jaysaddle_streams_resumed_total",
+            "Streams that went on at another group",
+        ),
+        ("jaysaddle_streams_broken_total", "Streams that were cut"),
+        (
+            "jaysaddle_repeats_total",
+            "Requests that were sent to a second target",
+        ),
+        (
+            "jaysaddle_repeats_withheld_total",
+            "Repeats for which the shared budget had no room",
+        ),
+        (
+            "jaysaddle_log_lines_left_out_total",
+            "Log lines left out by the limit for each place in the code",
+        ),
+        (
+            "jaysaddle_log_lines_lost_total",
+            "Log lines lost because standard output took none",
+        ),
+    ];
+    for (name, text) in counters {
+        metrics::describe_counter!(name, text);
+        metrics::counter!(name).increment(0);
+    }
+    let histograms = [
+        (
+            "jaysaddle_request_seconds",
+            "Time from the arrival of a request to the end of its answer",
+        ),
+        (
+            "jaysaddle_first_token_seconds",
+            "Time from the arrival of a stream's request to its first data",
+        ),
+        (
+            "jaysaddle_longest_pause_seconds",
+            "Longest pause between two pieces of data of a stream",
+        ),
+        (
+            "jaysaddle_store_call_seconds",
+            "Time of a call to the platform's store, without watches",
+        ),
+    ];
+    for (name, text) in histograms {
+        metrics::describe_histogram!(name, metrics::Unit::Seconds, text);
+    }
+    metrics::describe_counter!("jaysaddle_requests_total", "Requests, by kind and result");
+    metrics::describe_counter!(
+        "jaysaddle_failures_total",
+        "Failures made by this node, by reason, verdict and priority"
+    );
+    metrics::describe_counter!("jaysaddle_store_calls_total", "Calls to the store, by kind");
+    metrics::describe_counter!(
+        "jaysaddle_store_failures_total",
+        "Calls to the store that were refused or not answered, by kind"
+    );
+}
+
+/// Publishes the figures that the holder of the lease has put together.
+pub fn publish_fleet(figures: &FleetFigures) {
+    metrics::gauge!("jaysaddle_stranded_accelerators").set(figures.stranded() as f64);
+    let vms = [
+        ("member", figures.members),
+        ("free", figures.free),
+        ("loading", figures.loading),
+        ("leaving", figures.leaving),
+        ("lost", figures.lost),
+    ];
+    for (state, count) in vms {
+        metrics::gauge!("jaysaddle_vms", "state" => state).set(count as f64);
+    }
+    let interval = figures.interval.as_duration().as_secs_f64();
+    for model in &figures.models {
+        let name = model.model.to_string();
+        let groups = [
+            ("serving", model.serving),
+            ("forming", model.forming),
+            ("ending", model.ending),
+        ];
+        for (state, count) in groups {
+            metrics::gauge!("jaysaddle_groups", "model" => name.clone(), "state" => state)
+                .set(count as f64);
+        }
+        metrics::gauge!("jaysaddle_demand_groups", "model" => name.clone()).set(model.demand);
+        metrics::gauge!("jaysaddle_group_downtime_seconds_total", "model" => name)
+            .increment(model.missing() as f64 * interval);
+    }
+}
+
+/// Sets the gauges of the node's state before they are read.
+pub fn publish_node(node: &EntryNode) {
+    let now = clock::now();
+    let is_held = node.lease.borrow().holds(now).is_some();
+    let is_serving = node.phase.get() == PeerPhase::Serving;
+    let ages = [
+        ("table", node.table_read.get()),
+        ("store", node.store_read.get()),
+    ];
+    for (what, read) in ages {
+        let seconds = read.map_or(f64::NAN, |read| now.since(read).as_duration().as_secs_f64());
+        metrics::gauge!("jaysaddle_reading_age_seconds", "of" => what).set(seconds);
+    }
+    metrics::gauge!("jaysaddle_config_version").set(node.config_version() as f64);
+    metrics::gauge!("jaysaddle_lease_held").set(f64::from(u8::from(is_held)));
+    metrics::gauge!("jaysaddle_serving").set(f64::from(u8::from(is_serving)));
+    let is_reachable = !node.store.is_lost(now);
+    metrics::gauge!("jaysaddle_store_reachable").set(f64::from(u8::from(is_reachable)));
+    metrics::gauge!("jaysaddle_live_peers").set(node.peers.borrow().live(now).count() as f64);
+    metrics::gauge!("jaysaddle_open_requests").set(f64::from(node.open_requests.get()));
+    let connections = [
+        ("caller", node.caller_connections.get()),
+        ("backend", node.pool.open_connections()),
+    ];
+    for (kind, count) in connections {
+        metrics::gauge!("jaysaddle_connections", "kind" => kind).set(f64::from(count));
+    }
+    metrics::counter!("jaysaddle_log_lines_lost_total").absolute(log_writer::lost_lines());
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod directory;
 mod exchange;
 mod forward;
+mod gauges;
 pub mod line_limiter;
 mod log_writer;
 mod node;
@@ -24,6 +25,7 @@
 mod store_client;
 mod store_sync;
 
+pub mod reload;
 pub mod run;
 pub mod settings;
 
--- a/crates/entry/src/log_writer.rs
+++ b/crates/entry/src/log_writer.rs
@@ -28,6 +28,11 @@
 /// Lines that found the queue full.
 static LOST_LINES: AtomicU64 = AtomicU64::new(0);
 
+/// Lines lost so far because the writer did not keep up.
+pub fn lost_lines() -> u64 {
+    LOST_LINES.load(Ordering::Relaxed)
+}
+
 /// Hands lines to the writer; a line that finds the queue full is lost.
 struct LineQueue {
     lines: flume::Sender<Vec<u8>>,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -32,6 +32,7 @@
 
 use crate::pool::BackendPool;
 use crate::settings::EntrySettings;
+use crate::settings::PlatformBounds;
 use crate::store_client::StoreClient;
 
 /// Share of the platform's slack for repeats that is used; the rest covers requests that nodes count in
@@ -46,9 +47,19 @@
 /// Time within which entries that lapsed during an outage are back, and some more for their way.
 const RETURN_TIME: TimeSpan = TimeSpan(2300);
 
+/// Repeats that this system allows itself within the platform's bounds: thousandths of a service's requests, and a
+/// number in any window.
+pub fn repeat_limits(bounds: &PlatformBounds) -> (u32, u32) {
+    let permille = bounds.repeat_ratio * REPEAT_RATIO_SHARE * 1000.0;
+    let burst = f64::from(bounds.repeat_slack) * REPEAT_SLACK_SHARE;
+    (permille as u32, burst as u32)
+}
+
 /// State of an entry node.
 pub struct EntryNode {
     pub settings: EntrySettings,
+    /// Bounds in force; they may change while the node runs.
+    pub bounds: Cell<PlatformBounds>,
     pub incarnation: Incarnation,
     pub gateway: RefCell<RequestGateway>,
     pub peers: RefCell<PeerTable>,
@@ -71,6 +82,8 @@
     pub pool: BackendPool,
     pub store: StoreClient,
     pub phase: Cell<PeerPhase>,
+    /// Open connections of callers.
+    pub caller_connections: Cell<u32>,
     /// Requests of callers that are being handled.
     pub open_requests: Cell<u32>,
     /// Changes of the targets that the holder of the lease last told of.
@@ -88,9 +101,10 @@
 impl EntryNode {
     pub fn new(settings: EntrySettings) -> Self {
         let bounds = settings.bounds;
+        let (repeat_permille, repeat_burst) = repeat_limits(&bounds);
         let gateway_settings = GatewaySettings {
-            repeat_permille: (bounds.repeat_ratio * REPEAT_RATIO_SHARE * 1000.0) as u32,
-            repeat_burst: (f64::from(bounds.repeat_slack) * REPEAT_SLACK_SHARE) as u32,
+            repeat_permille,
+            repeat_burst,
             ..GatewaySettings::default()
         };
         let incarnation = clock::new_incarnation();
@@ -113,12 +127,14 @@
             pool: BackendPool::default(),
             store: StoreClient::new(settings.store),
             phase: Cell::new(PeerPhase::Starting),
+            caller_connections: Cell::new(0),
             open_requests: Cell::new(0),
             holder_changes: Cell::new(0),
             copied_changes: Cell::new(0),
             table_news: Notify::new(),
             news: Notify::new(),
             stopping: Notify::new(),
+            bounds: Cell::new(bounds),
             incarnation,
             settings,
         }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -90,6 +90,11 @@
 }
 
 impl BackendPool {
+    /// Connections that are open to all backend servers.
+    pub fn open_connections(&self) -> u32 {
+        self.open.borrow().values().sum()
+    }
+
     /// Connections that are open to a backend server, in use or not.
     fn open_count(&self, id: &VmId) -> u32 {
         self.open.borrow().get(id).copied().unwrap_or(0)
--- /dev/null
+++ b/crates/entry/src/reload.rs
@@ -0,0 +1,135 @@
+//! Takes over changed settings while the node runs.
+
+use std::fs;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use jaysaddle_settings::read::SettingsError;
+use jaysaddle_settings::read::parse_yaml;
+use log::LevelFilter;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::node::EntryNode;
+use crate::node::repeat_limits;
+use crate::settings::EntrySettings;
+
+/// Interval at which the file is looked at; a change may come without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// What became of changed settings.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SettingsChange {
+    /// Fields that are in force now, with their new values.
+    pub applied: Vec<CompactString>,
+    /// Fields that need a restart.
+    pub needs_restart: Vec<&'static str>,
+}
+
+/// Compares settings with those in force.
+pub fn compare(old: &EntrySettings, new: &EntrySettings) -> SettingsChange {
+    let mut change = SettingsChange::default();
+    if old.log_level != new.log_level {
+        change
+            .applied
+            .push(format_compact!("log_level={}", new.log_level));
+    }
+    if old.bounds != new.bounds {
+        change.applied.push(format_compact!(
+            "bounds.stop_grace={} bounds.repeat_ratio={} bounds.repeat_slack={} bounds.directory_lifetime_secs={}",
+            new.bounds.stop_grace,
+            new.bounds.repeat_ratio,
+            new.bounds.repeat_slack,
+            new.bounds.directory_lifetime_secs
+        ));
+    }
+    let fixed = [
+        ("node", old.node != new.node),
+        ("failure_domain", old.failure_domain != new.failure_domain),
+        ("address", old.address != new.address),
+        ("listen", old.listen != new.listen),
+        ("peer_ports", old.peer_ports != new.peer_ports),
+        ("store", old.store != new.store),
+    ];
+    change.needs_restart.extend(
+        fixed
+            .iter()
+            .filter(|(_, differs)| *differs)
+            .map(|(name, _)| name),
+    );
+    change
+}
+
+/// Reads settings and checks what the form does not show.
+///
+/// # Errors
+///
+/// Fails as [`parse_yaml`] does, and on a log level that does not exist.
+pub fn parse_settings(source_name: &str, text: &str) -> Result<EntrySettings, SettingsError> {
+    let settings: EntrySettings = parse_yaml(source_name, text)?;
+    if settings.log_level.parse::<LevelFilter>().is_err() {
+        return Err(SettingsError {
+            source_name: source_name.into(),
+            line: 0,
+            message: "log_level: must be one of error, warn, info, debug, trace".into(),
+        });
+    }
+    Ok(settings)
+}
+
+/// Follows the settings file until the process ends; `hangup` has it looked at once.
+pub async fn follow(node: Rc<EntryNode>, path: PathBuf, hangup: Rc<Notify>) {
+    let mut in_force = node.settings.clone();
+    let mut known = fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        let is_asked = timeout(LOOK_INTERVAL, hangup.notified()).await.is_ok();
+        let text = match fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(error) => {
+                if is_asked {
+                    log::warn!(
+                        "event=settings_unreadable file={} error=\"{error}\"",
+                        path.display()
+                    );
+                }
+                continue;
+            }
+        };
+        if text == known {
+            if is_asked {
+                log::info!("event=settings_unchanged file={}", path.display());
+            }
+            continue;
+        }
+        known.clone_from(&text);
+        match parse_settings(&path.display().to_string(), &text) {
+            Ok(new) => {
+                take_over(&node, &in_force, &new);
+                in_force = new;
+            }
+            Err(error) => {
+                log::error!("event=settings_refused effect=none error=\"{error}\"");
+            }
+        }
+    }
+}
+
+fn take_over(node: &EntryNode, old: &EntrySettings, new: &EntrySettings) {
+    let change = compare(old, new);
+    node.bounds.set(new.bounds);
+    let (permille, burst) = repeat_limits(&new.bounds);
+    if old.bounds != new.bounds {
+        node.gateway.borrow_mut().set_repeat_limits(permille, burst);
+    }
+    log::info!(
+        "event=settings_changed applied=\"{}\" needs_restart=\"{}\"",
+        change.applied.join(" "),
+        change.needs_restart.join(" ")
+    );
+    if let Ok(level) = new.log_level.parse() {
+        log::set_max_level(level);
+    }
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,6 +1,8 @@
 //! Starts the parts of the daemon.
 
+use std::fs;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +11,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Notify;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -19,8 +22,11 @@
 use crate::control;
 use crate::copies;
 use crate::directory;
+use crate::gauges;
 use crate::log_writer;
 use crate::node::EntryNode;
+use crate::reload;
+use crate::reload::parse_settings;
 use crate::settings::EntrySettings;
 use crate::stop;
 use crate::store_sync;
@@ -32,21 +38,26 @@
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be listened on or the event loop cannot be started.
-pub fn run_entry(settings: EntrySettings) -> eyre::Result<()> {
+/// Fails when the settings are not valid, an address cannot be listened on or the event loop cannot be started.
+pub fn run_entry(path: PathBuf) -> eyre::Result<()> {
+    let text = fs::read_to_string(&path)
+        .wrap_err_with(|| format!("{}: cannot be read", path.display()))?;
+    let settings = parse_settings(&path.display().to_string(), &text)?;
     log_writer::init(&settings.log_level, &settings.node)?;
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("the event loop cannot be started")?;
-    LocalSet::new().block_on(&runtime, run(settings))
+    LocalSet::new().block_on(&runtime, run(settings, path))
 }
 
-async fn run(settings: EntrySettings) -> eyre::Result<()> {
+async fn run(settings: EntrySettings, path: PathBuf) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM cannot be received")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT cannot be received")?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP cannot be received")?;
     let metrics = Rc::new(MetricsText::install()?);
+    gauges::describe();
+    let asked_to_reload = Rc::new(Notify::new());
     let node = Rc::new(EntryNode::new(settings));
     let settings = &node.settings;
     log::info!(
@@ -63,6 +74,15 @@
         let listener = callers::listen(address).await?;
         spawn_local(directory::serve(node.clone(), listener, metrics.clone()));
     }
+    if let Some(address) = settings.listen.metrics {
+        // The metrics are on the other two addresses as well, so callers are served without this one.
+        match callers::listen(address).await {
+            Ok(listener) => {
+                spawn_local(directory::serve(node.clone(), listener, metrics.clone()));
+            }
+            Err(error) => log::warn!("event=metrics_address_unusable error=\"{error:#}\""),
+        }
+    }
     let copy_listener = callers::listen(settings.peer_address()).await?;
     let socket = Rc::new(beats::open(settings.peer_address()).await?);
     let addresses = PeerAddresses::default();
@@ -84,12 +104,13 @@
     spawn_local(copies::serve(node.clone(), copy_listener));
     spawn_local(copies::follow_peers(node.clone()));
     spawn_local(control::run(node.clone()));
+    spawn_local(reload::follow(node.clone(), path, asked_to_reload.clone()));
     spawn_local(callers::serve(node.clone(), callers));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => log::info!("event=hangup effect=none"),
+            _ = hangup.recv() => asked_to_reload.notify_one(),
         }
     }
     stop::stop(node, socket, addresses).await;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -20,6 +20,9 @@
     pub readiness: SocketAddr,
     /// Callers' question for addresses.
     pub directory: SocketAddr,
+    /// Metrics; they are on the addresses of readiness and directory in any case.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Bounds that the platform sets.
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -31,13 +31,7 @@
     node.phase.set(PeerPhase::Stopping);
     control::resign(&node);
     beats::send_now(&node, &socket, &addresses).await;
-    let limit = TimeSpan(
-        node.settings
-            .bounds
-            .stop_grace
-            .0
-            .saturating_sub(EXIT_MARGIN.0),
-    );
+    let limit = TimeSpan(node.bounds.get().stop_grace.0.saturating_sub(EXIT_MARGIN.0));
     loop {
         let elapsed = clock::now().since(started);
         if elapsed >= LINGER {
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -78,11 +78,14 @@
         if !is_watch && self.pending_since.get().is_none() {
             self.pending_since.set(Some(clock::now()));
         }
+        let began = clock::now();
         let result = match timeout(limit.as_duration(), self.exchange(call)).await {
             Ok(result) => result,
             Err(_) => Err(ExchangeError::may_have_run(eyre!("no answer in {limit}"))),
         };
         if !is_watch {
+            let took = clock::now().since(began);
+            metrics::histogram!("jaysaddle_store_call_seconds").record(took.as_duration());
             self.pending_since.set(None);
         }
         self.note(call, &result);
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -14,6 +14,7 @@
 
 mod adoption;
 mod exchange;
+mod figures;
 mod forming;
 mod idle;
 mod messages;
@@ -45,6 +46,8 @@
 use crate::loads::LoadPacer;
 use crate::plan::FreeVm;
 
+pub use crate::controller::figures::FleetFigures;
+pub use crate::controller::figures::ModelFigures;
 pub use crate::controller::idle::IdleReason;
 pub use crate::controller::messages::FleetEffect;
 pub use crate::controller::messages::FleetEvent;
@@ -251,6 +254,7 @@
         self.reserved.clear();
         self.idle_reasons.clear();
         self.acquired = now;
+        self.summarised = now;
         self.has_planned = false;
     }
 
@@ -288,8 +292,8 @@
             self.release_members(view, now);
         }
         if now.since(self.summarised) >= SUMMARY_INTERVAL {
-            self.summarised = now;
             self.summarise(view, &reported, now);
+            self.summarised = now;
         }
     }
 
--- a/crates/fleet/src/controller/messages.rs
+++ b/crates/fleet/src/controller/messages.rs
@@ -11,6 +11,7 @@
 use jaysaddle_types::serving::OrderResult;
 use jaysaddle_types::serving::ServingConfig;
 
+use crate::controller::FleetFigures;
 use crate::table::BackendTable;
 
 /// Work of callers' requests at one node, refused ones included.
@@ -102,6 +103,8 @@
     },
     /// A decision, for the log.
     Decided(CompactString),
+    /// Figures of the fleet, for the log and the metrics.
+    Measured(FleetFigures),
 }
 
 /// What the controller reads.
--- a/crates/fleet/src/controller/summary.rs
+++ b/crates/fleet/src/controller/summary.rs
@@ -1,8 +1,7 @@
-//! The summary line of the log.
+//! Puts together the figures of the fleet.
 
 use std::collections::BTreeMap;
 
-use compact_str::format_compact;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::serving::BackendEntry;
 use jaysaddle_types::serving::GroupKey;
@@ -11,14 +10,16 @@
 
 use crate::controller::FleetController;
 use crate::controller::FleetEffect;
+use crate::controller::FleetFigures;
 use crate::controller::FleetView;
 use crate::controller::GroupStage;
+use crate::controller::ModelFigures;
 use crate::controller::as_free_vm;
 use crate::groups::ReportedGroup;
 use crate::plan::FreeVm;
 
 impl FleetController {
-    /// Tells how many groups each model has in each stage, and what the VMs without a group do.
+    /// Counts the groups of each model in each stage, and what the VMs without a group do.
     pub(super) fn summarise(
         &mut self,
         view: FleetView<'_>,
@@ -52,31 +53,46 @@
             .rows()
             .filter(|row| self.is_loading(&row.entry, now))
             .count();
-        let mut models: BTreeMap<&ModelId, [usize; 3]> = BTreeMap::new();
+        let mut stages: BTreeMap<ModelId, [usize; 3]> = BTreeMap::new();
+        let profiles = view.config.services.iter();
+        for profile in profiles.filter_map(|service| service.engine.as_ref()) {
+            for model in &profile.models {
+                stages.entry(model.id.clone()).or_default();
+            }
+        }
         for group in self.groups.values() {
             let stage = match group.stage {
                 GroupStage::Serving => 0,
                 GroupStage::Joining | GroupStage::Opening => 1,
                 GroupStage::Closing { .. } | GroupStage::Dissolving => 2,
             };
-            models.entry(&group.model).or_default()[stage] += 1;
-        }
-        let mut text = format_compact!(
-            "decision=summary vms={} members={held} lost={lost} idle={} free={} leaving={leaving} \
-             joining={joining} loading={loading} reserved={}",
-            view.table.len(),
-            idle.len(),
-            free.len(),
-            self.reserved.len()
-        );
-        for (model, [serving, forming, ending]) in models {
-            let quick = free.iter().filter(|vm| vm.has_weights(model)).count();
-            text.push_str(&format_compact!(
-                " model={model} serving={serving} forming={forming} ending={ending} demand={:.1} quick={quick}",
-                self.demand.groups(model, now)
-            ));
+            stages.entry(group.model.clone()).or_default()[stage] += 1;
         }
-        self.effects.push(FleetEffect::Decided(text));
+        let models = stages
+            .into_iter()
+            .map(|(model, [serving, forming, ending])| ModelFigures {
+                serving,
+                forming,
+                ending,
+                demand: self.demand.groups(&model, now),
+                quick: free.iter().filter(|vm| vm.has_weights(&model)).count(),
+                model,
+            })
+            .collect();
+        let figures = FleetFigures {
+            interval: now.since(self.summarised),
+            vms: view.table.len(),
+            members: held,
+            lost,
+            idle: idle.len(),
+            free: free.len(),
+            leaving,
+            joining,
+            loading,
+            reserved: self.reserved.len(),
+            models,
+        };
+        self.effects.push(FleetEffect::Measured(figures));
         self.explain_idle(&idle, view, reported, now);
     }
 }
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -7,6 +7,7 @@
 use jaysaddle_fleet::controller::FleetController;
 use jaysaddle_fleet::controller::FleetEffect;
 use jaysaddle_fleet::controller::FleetEvent;
+use jaysaddle_fleet::controller::FleetFigures;
 use jaysaddle_fleet::controller::FleetView;
 use jaysaddle_fleet::controller::NodeTraffic;
 use jaysaddle_fleet::controller::ProbeResult;
@@ -117,6 +118,7 @@
     /// Orders in the order in which they were sent.
     pub orders: Vec<(VmId, BackendOrder)>,
     pub decisions: Vec<String>,
+    pub figures: Vec<FleetFigures>,
     /// Whether the entries are known to be current.
     pub is_settled: bool,
     /// Entries are not updated while this holds.
@@ -142,6 +144,7 @@
             vms: BTreeMap::new(),
             orders: Vec::new(),
             decisions: Vec::new(),
+            figures: Vec::new(),
             is_settled: true,
             is_store_behind: false,
             mute: BTreeSet::new(),
@@ -219,6 +222,7 @@
         for effect in effects {
             match effect {
                 FleetEffect::Decided(text) => self.decisions.push(text.to_string()),
+                FleetEffect::Measured(figures) => self.figures.push(figures),
                 FleetEffect::Probe { id, .. } => {
                     let fake = &self.vms[&id];
                     let result = if fake.is_reachable {
--- a/src/bin/jaysaddled.rs
+++ b/src/bin/jaysaddled.rs
@@ -48,7 +48,7 @@
 fn run(options: &DaemonOptions) -> eyre::Result<()> {
     match &options.source {
         SettingsSource::Inventory { settings } => run_with_inventory(settings),
-        SettingsSource::Platform { entry_settings } => run_entry(read_yaml(entry_settings)?),
+        SettingsSource::Platform { entry_settings } => run_entry(entry_settings.clone()),
     }
 }
 
--- a/src/commands/settings.rs
+++ b/src/commands/settings.rs
@@ -1,8 +1,10 @@
 //! `jaysaddle settings`: checks settings and prints annotated defaults.
 
+use std::fs;
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
+use jaysaddle_entry::reload::parse_settings;
 use jaysaddle_settings::NodeSettings;
 use jaysaddle_settings::check::check_settings;
 use jaysaddle_settings::read::read_yaml;
@@ -24,6 +26,13 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Checks a settings file of an entry VM on the platform
+    #[bpaf(command("check-entry"))]
+    CheckEntry {
+        /// Settings file, YAML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Prints all settings with their defaults, units and effects
     #[bpaf(command("default"))]
     Default,
@@ -40,6 +49,15 @@
             print!("{DEFAULT_SETTINGS}");
             Ok(())
         }
+        SettingsAction::CheckEntry { file } => {
+            let invalid = |message: String| CommandFailure::new(FailureKind::Invalid, message);
+            let text = fs::read_to_string(file)
+                .map_err(|error| invalid(format!("{}: {error}", file.display())))?;
+            parse_settings(&file.display().to_string(), &text)
+                .map_err(|error| invalid(error.to_string()))?;
+            println!("{}: ok", file.display());
+            Ok(())
+        }
         SettingsAction::Check { file } => {
             let settings: NodeSettings = read_yaml(file)
                 .map_err(|error| CommandFailure::new(FailureKind::Invalid, error.to_string()))?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod client;
 pub mod commands;
 pub mod exit;
+pub mod saved_log;
 pub mod table;
 pub mod trace;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod platform;
 mod process;
 mod restarts;
+mod saved_log;
 mod service;
 mod serving;
 mod stop;
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -34,6 +34,10 @@
     standin: PlatformStandin,
     nodes: Vec<TestProcess>,
     addresses: Vec<IpAddr>,
+    /// Settings files.
+    settings: Vec<PathBuf>,
+    /// Log files.
+    logs: Vec<PathBuf>,
 }
 
 impl TestSite {
@@ -53,6 +57,8 @@
             standin,
             nodes: Vec::new(),
             addresses: Vec::new(),
+            settings: Vec::new(),
+            logs: Vec::new(),
         };
         for node in 1..=2 {
             let address = ip(node);
@@ -68,7 +74,10 @@
             command.arg("--entry-settings").arg(&file);
             let errors = folder.join(format!("entry-{node}.err"));
             let mut process = TestProcess::spawn(&format!("entry-{node}"), command, errors);
-            process.keep_output(&folder.join(format!("entry-{node}.log")));
+            let log = folder.join(format!("entry-{node}.log"));
+            process.keep_output(&log);
+            site.settings.push(file);
+            site.logs.push(log);
             site.nodes.push(process);
             site.addresses.push(address);
         }
@@ -80,6 +89,10 @@
         minreq::get(url).with_timeout(2).send().ok()
     }
 
+    fn log(&self, node: usize) -> String {
+        fs::read_to_string(&self.logs[node]).unwrap_or_default()
+    }
+
     fn is_ready(&self, node: usize) -> bool {
         self.get(node, 7701, "/readyz")
             .is_some_and(|answer| answer.status_code == 200)
@@ -203,6 +216,83 @@
     assert_whole(&site.request(0, "d", "/drafts/x", "other"));
 }
 
+/// Metrics that docs/metrics.md promises for nodes on the platform.
+fn documented_metrics() -> Vec<String> {
+    let page = include_str!("../../docs/metrics.md");
+    let section = page
+        .split("## Nodes on the platform")
+        .nth(1)
+        .expect("the section");
+    section
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `jaysaddle_"))
+        .filter_map(|line| Some(format!("jaysaddle_{}", line.split('`').next()?)))
+        .collect()
+}
+
+/// Guards against a page that names metrics which no node has.
+#[test]
+fn every_documented_metric_is_found() {
+    let site = TestSite::start(2);
+    site.wait_serving(1);
+    for node in 0..2 {
+        site.request(node, "n", "/other/", KEY);
+    }
+    let documented = documented_metrics();
+    assert!(documented.len() > 20, "{documented:?}");
+    site.standin.set_store_down(true);
+    let scrape = |site: &TestSite| -> String {
+        (0..2)
+            .filter_map(|node| site.get(node, 7701, "/metrics"))
+            .map(|answer| answer.as_str().unwrap_or_default().to_owned())
+            .collect()
+    };
+    let missing = |site: &TestSite| -> Vec<String> {
+        let text = scrape(site);
+        documented
+            .iter()
+            .filter(|name| !text.lines().any(|line| line.starts_with(name.as_str())))
+            .cloned()
+            .collect()
+    };
+    site.wait("all metrics are there", |site| missing(site).is_empty());
+}
+
+/// Guards against settings that need a restart to change, and against bad ones that stop a node.
+#[test]
+fn changed_settings_are_taken_over_and_bad_ones_refused() {
+    let site = TestSite::start(2);
+    site.wait_serving(1);
+    let file = &site.settings[0];
+    let good = fs::read_to_string(file).expect("settings");
+    fs::write(file, good.replace("\"node\"", "\"nodes\"")).expect("the settings can be written");
+    site.nodes[0].hang_up();
+    site.wait("the bad settings are refused", |site| {
+        site.log(0).contains("event=settings_refused")
+    });
+    let refused = site.log(0);
+    let line = refused
+        .lines()
+        .find(|line| line.contains("settings_refused"))
+        .expect("a line");
+    assert!(
+        line.contains("entry-1.yaml:1") && line.contains("nodes"),
+        "{line}"
+    );
+    let mut changed: Value = serde_json::from_str(&good).expect("settings");
+    changed["log_level"] = json!("warn");
+    fs::write(file, changed.to_string()).expect("the settings can be written");
+    site.nodes[0].hang_up();
+    site.wait("the new level is in force", |site| {
+        site.log(0)
+            .contains("event=settings_changed applied=\"log_level=warn\"")
+    });
+    site.request(0, "after-the-change", "/other/", KEY);
+    thread::sleep(Duration::from_millis(300));
+    assert!(!site.log(0).contains("after-the-change"));
+    assert!(site.is_ready(0));
+}
+
 /// Guards a planned stop: the node leaves the directory at once, finishes its streams and ends by itself.
 #[test]
 fn a_stopping_node_cuts_nothing_off() {
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -93,6 +93,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Says that the settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub fn wait_exit(&mut self) -> Option<i32> {
         let started = Instant::now();
