--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -21,7 +21,7 @@
 use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
-use jaysaddle_gateway::gateway::RequestSize;
+use jaysaddle_gateway::choice::RequestSize;
 use jaysaddle_gateway::routes::RouteMatch;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_types::ids::ModelId;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -12,8 +12,8 @@
 use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
-use jaysaddle_gateway::gateway::TargetOutcome;
-use jaysaddle_gateway::gateway::TargetRefusal;
+use jaysaddle_gateway::choice::TargetOutcome;
+use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_gateway::routes::RouteRefusal;
 use tokio::time::timeout;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::fmt;
 use std::rc::Rc;
 
 use jaysaddle_admission::RetryBudget;
@@ -18,134 +17,22 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::choice::ChoiceInputs;
+use crate::choice::RequestSize;
+use crate::choice::TargetChoice;
+use crate::choice::TargetOutcome;
+use crate::choice::TargetQuery;
+use crate::choice::TargetRefusal;
 use crate::late_queue::LateQueue;
 use crate::random::SpreadRandom;
 use crate::routes::RouteIndex;
+use crate::settings::GatewaySettings;
 use crate::target::RequestTarget;
 use crate::target::TargetHealth;
 use crate::target::TargetNumber;
 use crate::target::blend;
 use crate::target::current_targets;
 
-/// Settings of the gateway.
-#[derive(Clone, Debug, PartialEq)]
-pub struct GatewaySettings {
-    /// Part of the latency target that a request may wait for a place at a busy target; the rest is for reading
-    /// the prompt.
-    pub wait_share: f64,
-    /// Duration of a request before one was measured, in milliseconds.
-    pub assumed_duration_ms: f64,
-    /// Time for which a request may wait for a place when it will be late. Callers give a stream up after two
-    /// seconds without an event.
-    pub late_wait: TimeSpan,
-    /// Silence of a group that streams after which others are preferred. Events come every 50 ms.
-    pub hesitation: TimeSpan,
-    /// Silence of a group that streams after which its members are probed.
-    pub suspicion: TimeSpan,
-    /// Silence of a group whose requests all wait for their first event, after which its members are probed.
-    pub first_suspicion: TimeSpan,
-    /// Silence after which a request goes on elsewhere.
-    pub silence: TimeSpan,
-    /// Time for which a target without progress or with a refusal is avoided.
-    pub avoid_time: TimeSpan,
-    /// Repeats for each request, in thousandths.
-    pub repeat_permille: u32,
-    /// Repeats that all nodes together may send beside that, in a window of the budget.
-    pub repeat_burst: u32,
-    /// Bounds of the time after which a caller may come back that found all targets full.
-    pub retry_after_full: (TimeSpan, TimeSpan),
-    /// Bounds of the time after which a caller may come back that found no target; forming a group takes two
-    /// seconds.
-    pub retry_after_none: (TimeSpan, TimeSpan),
-}
-
-impl Default for GatewaySettings {
-    fn default() -> Self {
-        Self {
-            wait_share: 0.5,
-            assumed_duration_ms: 800.0,
-            late_wait: TimeSpan(1300),
-            hesitation: TimeSpan(250),
-            suspicion: TimeSpan(350),
-            first_suspicion: TimeSpan(800),
-            silence: TimeSpan(600),
-            avoid_time: TimeSpan(1500),
-            repeat_permille: 180,
-            repeat_burst: 90,
-            retry_after_full: (TimeSpan(300), TimeSpan(1200)),
-            retry_after_none: (TimeSpan(900), TimeSpan(1900)),
-        }
-    }
-}
-
-/// Size of a request to a model.
-#[derive(Clone, Copy, Debug)]
-pub struct RequestSize<'a> {
-    /// Model.
-    pub model: &'a ModelId,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Expected tokens of the answer; `None` when the caller does not say.
-    pub answer_tokens: Option<u32>,
-}
-
-/// What a request needs of a target.
-#[derive(Clone, Debug)]
-pub struct TargetQuery<'a> {
-    /// Service.
-    pub service: &'a ServiceId,
-    /// Model, for services of model engines.
-    pub model: Option<&'a ModelId>,
-    /// Time within which an answer is on time.
-    pub latency_target: TimeSpan,
-    /// Targets that this request was sent to already.
-    pub tried: &'a [TargetNumber],
-    /// Whether a long queue is no reason to refuse, because the request has been running.
-    pub is_repeat: bool,
-    /// Whether the caller comes back after an attempt that was refused.
-    pub is_returning: bool,
-}
-
-/// What a choice was based on, for the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ChoiceInputs {
-    /// Targets that could have taken the request.
-    pub candidates: u32,
-    /// Requests at the chosen target, as known from this node and its peers.
-    pub load: u32,
-    /// Concurrent requests of the chosen target.
-    pub slots: u32,
-}
-
-/// A chosen target.
-#[derive(Clone, Debug)]
-pub struct TargetChoice {
-    /// The target.
-    pub target: Rc<RequestTarget>,
-    /// Whether the request will be late and lets others go first.
-    pub is_late: bool,
-    /// What the choice was based on.
-    pub inputs: ChoiceInputs,
-}
-
-/// Why no target takes the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TargetRefusal {
-    /// No target serves the service or model.
-    NoTarget,
-    /// All targets are full.
-    Full,
-}
-
-impl fmt::Display for TargetRefusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.pad(match self {
-            TargetRefusal::NoTarget => "no_target",
-            TargetRefusal::Full => "full",
-        })
-    }
-}
-
 /// Weight of a target's failures in its score: one that fails an eighth of its requests counts as twice as
 /// loaded.
 const FAILURE_WEIGHT: f64 = 8.0;
@@ -158,19 +45,6 @@
     load: f64,
 }
 
-/// How a request at a target ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TargetOutcome {
-    /// It was answered.
-    Answered,
-    /// The target refused it without running it.
-    Refused,
-    /// It failed, or gave no data for too long.
-    Failed,
-    /// The caller left; this says nothing about the target.
-    Abandoned,
-}
-
 /// What a request in flight counts for at its target.
 #[derive(Debug)]
 pub struct AttemptAccount {
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,54 @@
+//! Settings of the decisions about requests.
+
+use jaysaddle_types::units::TimeSpan;
+
+/// Settings of the gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Part of the latency target that a request may wait for a place at a busy target; the rest is for reading
+    /// the prompt.
+    pub wait_share: f64,
+    /// Duration of a request before one was measured, in milliseconds.
+    pub assumed_duration_ms: f64,
+    /// Time for which a request may wait for a place when it will be late. Callers give a stream up after two
+    /// seconds without an event.
+    pub late_wait: TimeSpan,
+    /// Silence of a group that streams after which others are preferred. Events come every 50 ms.
+    pub hesitation: TimeSpan,
+    /// Silence of a group that streams after which its members are probed.
+    pub suspicion: TimeSpan,
+    /// Silence of a group whose requests all wait for their first event, after which its members are probed.
+    pub first_suspicion: TimeSpan,
+    /// Silence after which a request goes on elsewhere.
+    pub silence: TimeSpan,
+    /// Time for which a target without progress or with a refusal is avoided.
+    pub avoid_time: TimeSpan,
+    /// Repeats for each request, in thousandths.
+    pub repeat_permille: u32,
+    /// Repeats that all nodes together may send beside that, in a window of the budget.
+    pub repeat_burst: u32,
+    /// Bounds of the time after which a caller may come back that found all targets full.
+    pub retry_after_full: (TimeSpan, TimeSpan),
+    /// Bounds of the time after which a caller may come back that found no target; forming a group takes two
+    /// seconds.
+    pub retry_after_none: (TimeSpan, TimeSpan),
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        Self {
+            wait_share: 0.5,
+            assumed_duration_ms: 800.0,
+            late_wait: TimeSpan(1300),
+            hesitation: TimeSpan(250),
+            suspicion: TimeSpan(350),
+            first_suspicion: TimeSpan(800),
+            silence: TimeSpan(600),
+            avoid_time: TimeSpan(1500),
+            repeat_permille: 180,
+            repeat_burst: 90,
+            retry_after_full: (TimeSpan(300), TimeSpan(1200)),
+            retry_after_none: (TimeSpan(900), TimeSpan(1900)),
+        }
+    }
+}
--- a/crates/gateway/tests/all/overload.rs
+++ b/crates/gateway/tests/all/overload.rs
@@ -1,8 +1,8 @@
 //! Bursts: what is taken, what is refused, and the budget for repeats.
 
-use jaysaddle_gateway::gateway::TargetOutcome;
-use jaysaddle_gateway::gateway::TargetQuery;
-use jaysaddle_gateway::gateway::TargetRefusal;
+use jaysaddle_gateway::choice::TargetOutcome;
+use jaysaddle_gateway::choice::TargetQuery;
+use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_types::ids::ServiceId;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
