Test at most once on the platform; serve plain requests that name a model

The test sends requests that may run once to a plain service whose backend servers refuse one in four and lose the answers of one in four, and checks each status against the number of runs. It fails when repeats are allowed for such requests. It found that a request to a plain service which names a model was refused as if no backend server were there: targets of a service without engines have no model.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -183,7 +183,13 @@
         peers: &PeerTable,
         now: Timestamp,
     ) -> Result<TargetChoice, TargetRefusal> {
-        let class = (query.service.clone(), query.model.cloned());
+        // A plain service serves requests that name a model like all others.
+        let has_models = self
+            .index
+            .as_ref()
+            .is_some_and(|index| index.config().engine(query.service).is_some());
+        let model = query.model.filter(|_| has_models);
+        let class = (query.service.clone(), model.cloned());
         let targets = self.targets.get(&class).map_or(&[][..], Vec::as_slice);
         if targets.is_empty() {
             return Err(TargetRefusal::NoTarget);
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use jaysaddle_platform_standin::PlatformStandin;
+use jaysaddle_platform_standin::add_plain_routes;
 use jaysaddle_platform_standin::request_headers;
 use jaysaddle_platform_standin::stream_config;
 use serde_json::Value;
@@ -48,8 +49,9 @@
         let x = u8::try_from(1 + process % 250).expect("below 256");
         let y = u8::try_from((process / 250 + number * 16 + 8) % 250).expect("below 256");
         let ip = |z: u8| IpAddr::V4(Ipv4Addr::new(127, x, y, z));
-        let standin =
-            PlatformStandin::start(ip(200), &stream_config(1, &[ip(1), ip(2)], KEY), engines);
+        let mut config = stream_config(1, &[ip(1), ip(2)], KEY);
+        add_plain_routes(&mut config, &[ip(1), ip(2)]);
+        let standin = PlatformStandin::start(ip(200), &config, engines);
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("site-{process}-{number}"));
         fs::create_dir_all(&folder).expect("a folder can be created");
@@ -216,6 +218,36 @@
     assert_whole(&site.request(0, "d", "/drafts/x", "other"));
 }
 
+/// Guards requests that may run once at most, and the promise of a refusal, while backend servers refuse requests and
+/// lose answers of requests that they have run.
+#[test]
+fn requests_run_at_most_once_and_refusals_are_true() {
+    let site = TestSite::start(2);
+    site.wait_serving(1);
+    let mut statuses = Vec::new();
+    for number in 0..60 {
+        let id = format!("send{number}");
+        let status = site.request(number % 2, &id, "/sends/x", KEY).status_code;
+        let runs = site.standin.run_count(&id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        let expected = match status {
+            200 | 502 | 504 => 1,
+            _ => 0,
+        };
+        assert_eq!(runs, expected, "{id}: status {status}");
+        statuses.push(status);
+    }
+    assert!(
+        statuses.contains(&200) && statuses.contains(&502),
+        "{statuses:?}"
+    );
+    for number in 0..20 {
+        let id = format!("lookup{number}");
+        site.request(number % 2, &id, "/lookups/x", KEY);
+        assert!(site.standin.run_count(&id) <= 2, "{id}");
+    }
+}
+
 /// Metrics that docs/metrics.md promises for nodes on the platform.
 fn documented_metrics() -> Vec<String> {
     let page = include_str!("../../docs/metrics.md");
