Refuse what cannot be on time instead of queueing it behind what can

Cause: requests that could not be on time waited at the groups, behind those that could. Each place that came free without another request waiting went to one of them for two seconds, so the next one that could have been on time had to wait, too: of requests sent to a group with 18 or more, 40 to 50% were late. Now a new request is taken only where it can be on time, and one that comes back only up to one more than the places of a group.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,7 +23,6 @@
 use crate::choice::TargetOutcome;
 use crate::choice::TargetQuery;
 use crate::choice::TargetRefusal;
-use crate::late_queue::LateQueue;
 use crate::random::SpreadRandom;
 use crate::routes::RouteIndex;
 use crate::settings::GatewaySettings;
@@ -67,7 +66,6 @@
     targets: HashMap<TargetClass, Vec<Rc<RequestTarget>>>,
     health: HashMap<TargetNumber, TargetHealth>,
     durations: HashMap<TargetClass, f64>,
-    late_queues: HashMap<TargetClass, LateQueue>,
     budgets: HashMap<ServiceId, RetryBudget>,
     node_count: u32,
     /// Work of callers' requests since the start, in milliseconds of a fully used group.
@@ -87,7 +85,6 @@
             targets: HashMap::new(),
             health: HashMap::new(),
             durations: HashMap::new(),
-            late_queues: HashMap::new(),
             budgets: HashMap::new(),
             node_count: 1,
             work: BTreeMap::new(),
@@ -206,7 +203,6 @@
             .map(|health| health.pause_ms)
             .filter(|pause| *pause > 0.0)
             .fold(f64::INFINITY, f64::min);
-        let late_wait = self.settings.late_wait.as_millis() as f64;
         let offset = self.random.below(targets.len());
         let mut best: Option<(TargetScore, &Rc<RequestTarget>, u32)> = None;
         let mut candidates = 0;
@@ -226,7 +222,14 @@
             let load = (all - late).max(0.0);
             let slots = f64::from(target.slots);
             let is_late = load >= slots * (1.0 + wait / duration);
-            if is_late && all >= slots * (1.0 + late_wait / duration) && !query.is_repeat {
+            // Late requests that get places hold up those that can be on time. One may wait, so that a place which
+            // comes free is used at once.
+            let is_full = if query.is_returning {
+                all > slots
+            } else {
+                is_late
+            };
+            if is_full && !query.is_repeat {
                 continue;
             }
             candidates += 1;
@@ -251,13 +254,6 @@
                 best = Some((score, target, requests));
             }
         }
-        let best = best.filter(|(score, ..)| {
-            let has_chance = || {
-                let queue = self.late_queues.entry(class).or_default();
-                queue.admits(self.settings.late_wait, now)
-            };
-            !score.is_late || query.is_repeat || has_chance()
-        });
         match best {
             Some((score, target, load)) => Ok(TargetChoice {
                 target: target.clone(),
@@ -291,9 +287,6 @@
     ) -> AttemptAccount {
         let number = target.number;
         let class = (target.service.clone(), target.model.clone());
-        if is_late {
-            self.late_queues.entry(class.clone()).or_default().joined();
-        }
         let health = self.health.entry(number).or_default();
         if health.in_flight == 0 {
             health.last_data = now;
@@ -321,9 +314,6 @@
         };
         if std::mem::take(&mut account.is_waiting_late) {
             health.waiting_late = health.waiting_late.saturating_sub(1);
-            if let Some(queue) = self.late_queues.get_mut(&account.class) {
-                queue.begun(now);
-            }
         }
         if !std::mem::replace(&mut account.is_streaming, true) {
             health.streaming += 1;
@@ -338,16 +328,6 @@
     /// Takes note of the end of a request at a target.
     pub fn ended(&mut self, account: &AttemptAccount, outcome: TargetOutcome, now: Timestamp) {
         let avoid_time = self.settings.avoid_time;
-        if account.is_waiting_late
-            && let Some(queue) = self.late_queues.get_mut(&account.class)
-        {
-            let has_waited = now.since(account.started) >= self.settings.late_wait;
-            if has_waited || outcome == TargetOutcome::Refused {
-                queue.starved(now);
-            } else {
-                queue.left();
-            }
-        }
         let Some(health) = self.health.get_mut(&account.number) else {
             return;
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod choice;
 pub mod events;
 pub mod gateway;
-pub mod late_queue;
 pub mod random;
 pub mod routes;
 pub mod settings;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,9 +10,6 @@
     pub wait_share: f64,
     /// Duration of a request before one was measured, in milliseconds.
     pub assumed_duration_ms: f64,
-    /// Time for which a request may wait for a place when it will be late. Callers give a stream up after two
-    /// seconds without an event.
-    pub late_wait: TimeSpan,
     /// Silence of a group that streams after which others are preferred. Events come every 50 ms.
     pub hesitation: TimeSpan,
     /// Silence of a group that streams after which its members are probed.
@@ -39,7 +36,6 @@
         Self {
             wait_share: 0.5,
             assumed_duration_ms: 800.0,
-            late_wait: TimeSpan(1300),
             hesitation: TimeSpan(250),
             suspicion: TimeSpan(350),
             first_suspicion: TimeSpan(800),
