--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod explain;
 pub mod get;
 pub mod load;
+pub mod plan;
 pub mod replay;
 pub mod settings;
 pub mod watch;
@@ -45,6 +46,9 @@
     /// Puts load on a node and on an engine directly, and compares them
     #[bpaf(command)]
     Load(#[bpaf(external(load::load_options))] load::LoadOptions),
+    /// Shows which groups a controller on the platform would form, and why VMs stay idle
+    #[bpaf(command)]
+    Plan(#[bpaf(external(plan::plan_options))] plan::PlanOptions),
     /// Replays a recorded trace and checks its stated outcomes
     #[bpaf(command)]
     Replay(#[bpaf(external(replay::replay_options))] replay::ReplayOptions),
@@ -68,6 +72,7 @@
         ToolCommand::Drain(options) => drain::run(options, true),
         ToolCommand::Undrain(options) => drain::run(options, false),
         ToolCommand::Load(options) => load::run(options),
+        ToolCommand::Plan(options) => plan::run(options),
         ToolCommand::Replay(options) => replay::run(options),
         ToolCommand::Watch(options) => watch::run(options),
     }
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -248,6 +248,36 @@
     }
 }
 
+/// Guards `jaysaddle plan`: groups and idle VMs from what the store holds.
+#[test]
+fn the_plan_names_groups_and_idle_vms() {
+    let site = TestSite::start(5);
+    site.wait_serving(2);
+    let store = site.standin.store_address;
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = |kind: &str| {
+        let answer = minreq::get(format!("http://{store}/objects/{kind}"))
+            .with_timeout(5)
+            .send()
+            .expect("the store answers");
+        let path = folder.join(format!("plan-{kind}.json"));
+        fs::write(&path, answer.as_bytes()).expect("a file can be written");
+        path
+    };
+    let output = Command::new(env!("CARGO_BIN_EXE_jaysaddle"))
+        .arg("plan")
+        .arg("--config")
+        .arg(file("config"))
+        .arg("--backends")
+        .arg(file("servers"))
+        .output()
+        .expect("the tool runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{text}");
+    assert_eq!(text.matches("decision=adopt").count(), 2, "{text}");
+    assert_eq!(text.matches("decision=idle").count(), 1, "{text}");
+}
+
 /// Metrics that docs/metrics.md promises for nodes on the platform.
 fn documented_metrics() -> Vec<String> {
     let page = include_str!("../../docs/metrics.md");
