--- /dev/null
+++ b/crates/entry/src/backend_calls.rs
@@ -0,0 +1,183 @@
+//! The controller's calls to backend servers: orders and reports.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::eyre;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use jaysaddle_adapter::headers;
+use jaysaddle_adapter::orders::ORDER_PATH;
+use jaysaddle_adapter::orders::REPORT_PATH;
+use jaysaddle_adapter::orders::order_body;
+use jaysaddle_adapter::orders::order_result;
+use jaysaddle_adapter::orders::parse_report;
+use jaysaddle_daemon::clock;
+use jaysaddle_fleet::controller::FleetEvent;
+use jaysaddle_fleet::controller::ProbeResult;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::OrderResult;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::verdict::Verdict;
+use tokio::time::timeout;
+
+use crate::control::fleet_event;
+use crate::exchange::ExchangeError;
+use crate::exchange::send;
+use crate::node::EntryNode;
+use crate::pool::BackendKey;
+
+/// Time for an order. Answers come in milliseconds; a later one counts as unknown.
+const ORDER_LIMIT: Duration = Duration::from_millis(800);
+/// Time for a report. A member that needs longer delays its whole group.
+const REPORT_LIMIT: Duration = Duration::from_millis(160);
+/// Time in which the reports of all engines are read: an order that is under way is carried out in milliseconds, and
+/// a report shows it after a fifth of a second.
+const REPORTS_TIME: TimeSpan = TimeSpan(500);
+
+/// Reads the reports of all engines. Nothing is decided until then: the entries may be from before the last orders of
+/// the earlier holder.
+pub fn read_all_reports(node: &Rc<EntryNode>) {
+    let settled = clock::now() + REPORTS_TIME;
+    node.return_grace.set(node.return_grace.get().max(settled));
+    let config = node.config.borrow();
+    let engines: Vec<(VmId, SocketAddr)> = node
+        .table
+        .borrow()
+        .rows()
+        .filter(|row| {
+            let service = &row.entry.service;
+            config
+                .as_ref()
+                .is_some_and(|config| config.engine(service).is_some())
+        })
+        .map(|row| (row.entry.id.clone(), row.entry.address))
+        .collect();
+    for (id, address) in engines {
+        tokio::task::spawn_local(probe(node.clone(), id, address));
+    }
+}
+
+async fn call_backend(
+    node: &EntryNode,
+    id: &VmId,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<(u16, Bytes), ExchangeError> {
+    let started = {
+        let table = node.table.borrow();
+        table.get(id).map_or(0, |row| row.entry.started)
+    };
+    let key = BackendKey {
+        id: id.clone(),
+        started,
+        address,
+    };
+    let mut pooled = node.pool.take(&key, true, u32::MAX).await?;
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string());
+    if !body.is_empty() {
+        builder = builder.header(header::CONTENT_TYPE, "application/json");
+    }
+    let expected = HeaderValue::from_str(id.as_str()).map_err(ExchangeError::not_run)?;
+    let request = builder
+        .header(headers::EXPECTED_BACKEND, expected)
+        .body(Full::new(Bytes::from(body)))
+        .map_err(ExchangeError::not_run)?;
+    let response = send(&mut pooled.connection, request).await?;
+    let status = response.status().as_u16();
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map_err(ExchangeError::may_have_run)?
+        .to_bytes();
+    node.pool.put(pooled, None);
+    Ok((status, body))
+}
+
+pub async fn send_order(
+    node: Rc<EntryNode>,
+    id: VmId,
+    address: SocketAddr,
+    order: BackendOrder,
+    order_count: Option<u64>,
+) {
+    // The lease is checked again right before the send: the loop may have been held up since the decision.
+    if node.lease.borrow().holds(clock::now()).is_none() {
+        return;
+    }
+    let body = order_body(&order, order_count);
+    let exchange = call_backend(&node, &id, address, Method::POST, ORDER_PATH, body);
+    let outcome = match timeout(ORDER_LIMIT, exchange).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(ExchangeError::may_have_run(eyre!("no answer"))),
+    };
+    let result = match &outcome {
+        Ok((status, _)) => order_result(*status),
+        Err(error) if error.verdict == Verdict::NotRun => OrderResult::Unreachable,
+        Err(_) => OrderResult::Unknown,
+    };
+    let detail = match &outcome {
+        Ok((status, body)) if *status >= 300 => {
+            format!(
+                " status={status} answer={:?}",
+                String::from_utf8_lossy(body)
+            )
+        }
+        Ok((status, _)) => format!(" status={status}"),
+        Err(error) => format!(" error=\"{:#}\"", error.cause),
+    };
+    log::info!(
+        "event=order vm={id} order=\"{order}\" expected={order_count:?} result={result:?}{detail}"
+    );
+    fleet_event(&node, FleetEvent::Ordered { id, order, result });
+}
+
+pub async fn probe(node: Rc<EntryNode>, id: VmId, address: SocketAddr) {
+    let exchange = call_backend(&node, &id, address, Method::GET, REPORT_PATH, Vec::new());
+    let result = match timeout(REPORT_LIMIT, exchange).await {
+        Ok(Ok((200, body))) => match parse_report(&body) {
+            Ok(report) => {
+                if node.store.is_lost(clock::now()) {
+                    node.apply_report(&id, &body);
+                }
+                ProbeResult::Reported {
+                    order_count: report.order_count,
+                }
+            }
+            Err(error) => {
+                log::warn!("event=report_undecodable vm={id} error=\"{error:#}\"");
+                ProbeResult::Refused
+            }
+        },
+        Ok(Ok((status, _))) => {
+            log::info!("event=report_refused vm={id} status={status}");
+            ProbeResult::Refused
+        }
+        Ok(Err(error)) => {
+            log::info!("event=report_failed vm={id} error=\"{:#}\"", error.cause);
+            if error.is_timeout() {
+                ProbeResult::Silent
+            } else {
+                ProbeResult::Refused
+            }
+        }
+        Err(_) => {
+            log::info!("event=report_failed vm={id} error=timeout");
+            ProbeResult::Silent
+        }
+    };
+    fleet_event(&node, FleetEvent::Probed { id, result });
+}
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -30,7 +30,7 @@
 use tokio::time::interval;
 use tokio::time::sleep;
 
-use crate::control;
+use crate::lease;
 use crate::node::EntryNode;
 
 /// Interval of beats. Peers count a node as down after four.
@@ -219,7 +219,7 @@
             Ok(beat) if beat.node != node.settings.node => {
                 addresses.borrow_mut().insert(beat.peer_address);
                 if let Some(claim) = beat.claim {
-                    control::lease_event(&node, LeaseEvent::Claimed(claim));
+                    lease::lease_event(&node, LeaseEvent::Claimed(claim));
                     let has_news =
                         node.holder_changes.replace(beat.target_changes) != beat.target_changes;
                     // The holder's outage is checked at once: it keeps the lease only if the store is lost to most.
@@ -228,7 +228,7 @@
                         node.table_news.notify_one();
                     }
                 }
-                control::follow_handover(&node, &beat);
+                lease::follow_handover(&node, &beat);
                 node.peers.borrow_mut().heard(beat, clock::now());
             }
             Ok(_) => {}
--- /dev/null
+++ b/crates/entry/src/lease.rs
@@ -0,0 +1,212 @@
+//! Keeps the controller's lease: reads and writes its object, takes it over from a node that stops, and hands it over.
+
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use jaysaddle_adapter::store::ObjectKind;
+use jaysaddle_adapter::store::StoreAnswer;
+use jaysaddle_adapter::store::StoreCall;
+use jaysaddle_daemon::clock;
+use jaysaddle_fleet::controller::FleetEvent;
+use jaysaddle_fleet::lease::LeaseEffect;
+use jaysaddle_fleet::lease::LeaseEvent;
+use jaysaddle_fleet::lease::LeaseRecord;
+use jaysaddle_fleet::lease::LeaseWrite;
+use jaysaddle_fleet::peers::PeerBeat;
+use jaysaddle_fleet::peers::PeerPhase;
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::verdict::Verdict;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::backend_calls::read_all_reports;
+use crate::control::fleet_event;
+use crate::node::EntryNode;
+use crate::store_sync::CALL_LIMIT;
+
+/// Name of the lease object.
+const LEASE_NAME: &str = "controller";
+
+/// Content of the lease object.
+#[derive(Debug, Serialize, Deserialize)]
+struct LeaseBody {
+    holder: Option<NodeId>,
+    term: LeaseEpoch,
+    write_number: u64,
+}
+
+/// Whether the store answers neither this node nor most of its peers.
+pub fn is_store_lost_to_most(node: &EntryNode) -> bool {
+    let now = clock::now();
+    node.store.is_lost(now) && node.peers.borrow().is_store_lost(now)
+}
+
+/// Gives up the lease at a planned stop. While the store is lost, no other node could take it: one is told to go on.
+pub fn resign(node: &Rc<EntryNode>) {
+    let now = clock::now();
+    let successor = is_store_lost_to_most(node)
+        .then(|| choose_successor(node))
+        .flatten();
+    let groups_formed = node.controller.borrow().groups_formed();
+    let handover =
+        successor.and_then(|successor| node.lease.borrow().handover(successor, groups_formed, now));
+    let Some(handover) = handover else {
+        lease_event(node, LeaseEvent::Resign);
+        return;
+    };
+    log::info!(
+        "event=lease_handed_over successor={} term={} groups_formed={groups_formed}",
+        handover.successor,
+        handover.term
+    );
+    lease_event(node, LeaseEvent::HandOver);
+    *node.handover.borrow_mut() = Some(handover);
+}
+
+/// The live node with the newest table.
+fn choose_successor(node: &EntryNode) -> Option<NodeId> {
+    node.peers
+        .borrow()
+        .live(clock::now())
+        .filter(|record| record.beat.phase == PeerPhase::Serving)
+        .min_by_key(|record| (record.beat.table_age, record.beat.node.clone()))
+        .map(|record| record.beat.node.clone())
+}
+
+/// Takes over the lease when a peer that stops has named this node as its successor.
+pub fn follow_handover(node: &Rc<EntryNode>, beat: &PeerBeat) {
+    let Some(handover) = &beat.handover else {
+        return;
+    };
+    if node.phase.get() != PeerPhase::Serving {
+        return;
+    }
+    let event = LeaseEvent::HandedOver {
+        from: NodeKey {
+            id: beat.node.clone(),
+            incarnation: beat.incarnation,
+        },
+        handover: handover.clone(),
+        is_store_lost: is_store_lost_to_most(node),
+    };
+    lease_event(node, event);
+}
+
+/// Number of live nodes that go before this one as the lease's next holder.
+pub fn lease_rank(node: &EntryNode) -> u32 {
+    let now = clock::now();
+    let own_age = node.table_age(now);
+    let before = node
+        .peers
+        .borrow()
+        .live(now)
+        .filter(|record| record.beat.phase == PeerPhase::Serving)
+        .filter(|record| record.beat.table_age.0 <= own_age.0.saturating_add(2000))
+        .filter(|record| record.beat.node < node.settings.node)
+        .count();
+    u32::try_from(before).unwrap_or(u32::MAX)
+}
+
+/// Handles an event of the lease and carries out its effects.
+pub fn lease_event(node: &Rc<EntryNode>, event: LeaseEvent) {
+    let effects = node.lease.borrow_mut().step(event, clock::now());
+    for effect in effects {
+        match effect {
+            LeaseEffect::Read => {
+                tokio::task::spawn_local(read_lease(node.clone()));
+            }
+            LeaseEffect::Write { version, record } => {
+                tokio::task::spawn_local(write_lease(node.clone(), version, record));
+            }
+            LeaseEffect::Acquired(term) => {
+                log::info!("event=lease_acquired term={term}");
+                fleet_event(node, FleetEvent::Acquired(term));
+            }
+            LeaseEffect::TakenOver {
+                term,
+                groups_formed,
+            } => {
+                log::info!("event=lease_taken_over term={term} groups_formed={groups_formed}");
+                fleet_event(
+                    node,
+                    FleetEvent::TakenOver {
+                        term,
+                        groups_formed,
+                    },
+                );
+                read_all_reports(node);
+            }
+            LeaseEffect::Lost => {
+                log::info!("event=lease_lost");
+                node.gateway.borrow_mut().set_closed(&[]);
+                fleet_event(node, FleetEvent::Lost);
+            }
+        }
+    }
+}
+
+async fn read_lease(node: Rc<EntryNode>) {
+    let call = StoreCall::Read {
+        kind: ObjectKind::Control,
+        name: CompactString::const_new(LEASE_NAME),
+    };
+    let event = match node.store.call(&call, CALL_LIMIT).await {
+        Ok(StoreAnswer::Object(object)) => match LeaseBody::deserialize(&object.spec) {
+            Ok(body) => {
+                let record = LeaseRecord {
+                    holder: body.holder,
+                    term: body.term,
+                    write_number: body.write_number,
+                };
+                LeaseEvent::Read(Some((object.version, record)))
+            }
+            Err(error) => {
+                log::error!("event=lease_undecodable error=\"{error}\"");
+                LeaseEvent::ReadFailed
+            }
+        },
+        Ok(StoreAnswer::Missing) => LeaseEvent::Read(None),
+        _ => LeaseEvent::ReadFailed,
+    };
+    lease_event(&node, event);
+}
+
+/// Writes the lease object.
+async fn write_lease(node: Rc<EntryNode>, version: Option<ObjectVersion>, record: LeaseRecord) {
+    let body = LeaseBody {
+        holder: record.holder,
+        term: record.term,
+        write_number: record.write_number,
+    };
+    let spec = match serde_json::to_value(&body) {
+        Ok(spec) => spec,
+        Err(error) => {
+            log::error!("event=lease_unencodable error=\"{error}\"");
+            return;
+        }
+    };
+    let kind = ObjectKind::Control;
+    let name = CompactString::const_new(LEASE_NAME);
+    let call = match version {
+        Some(version) => StoreCall::Replace {
+            kind,
+            name,
+            version,
+            spec,
+        },
+        None => StoreCall::Create { kind, name, spec },
+    };
+    let result = match node.store.call(&call, CALL_LIMIT).await {
+        Ok(StoreAnswer::Object(object)) => LeaseWrite::Done {
+            version: object.version,
+        },
+        Ok(StoreAnswer::Conflict | StoreAnswer::Missing) => LeaseWrite::Conflict,
+        Ok(_) => LeaseWrite::NotDone,
+        Err(error) if error.verdict == Verdict::NotRun => LeaseWrite::NotDone,
+        Err(_) => LeaseWrite::Unknown,
+    };
+    lease_event(&node, LeaseEvent::Written(result));
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod backend_calls;
 mod beats;
 mod caller_request;
 mod callers;
@@ -15,6 +16,7 @@
 mod exchange;
 mod forward;
 mod gauges;
+mod lease;
 pub mod line_limiter;
 mod log_writer;
 mod node;
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -11,7 +11,7 @@
 
 use crate::beats;
 use crate::beats::PeerAddresses;
-use crate::control;
+use crate::lease;
 use crate::node::EntryNode;
 
 /// Time for which the node still takes new connections of callers that have its address. Some callers keep an
@@ -29,7 +29,7 @@
     let started = clock::now();
     log::info!("event=stopping open_requests={}", node.open_requests.get());
     node.phase.set(PeerPhase::Stopping);
-    control::resign(&node);
+    lease::resign(&node);
     beats::send_now(&node, &socket, &addresses).await;
     let limit = TimeSpan(node.bounds.get().stop_grace.0.saturating_sub(EXIT_MARGIN.0));
     loop {
