--- a/crates/reducer/tests/random/main.rs
+++ b/crates/reducer/tests/random/main.rs
@@ -16,3 +16,4 @@
 mod world_engines;
 mod world_faults;
 mod world_setup;
+mod world_store;
