--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -190,8 +190,8 @@
         log::info!(
             "event=request_ended request={} result={end}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}",
             self.id,
-            OptionalFacts(self.route.as_ref()),
-            OptionalFacts(self.choice.as_ref()),
+            FactFields(self.route.as_ref()),
+            FactFields(self.choice.as_ref()),
             self.tried.len(),
             self.runs,
             self.resumes,
@@ -247,9 +247,10 @@
     time.as_duration().as_secs_f64()
 }
 
-struct OptionalFacts<'a, T>(Option<&'a T>);
+/// The fields of a line that some facts give; none when they are not known.
+struct FactFields<'a, T>(Option<&'a T>);
 
-impl fmt::Display for OptionalFacts<'_, RouteFacts> {
+impl fmt::Display for FactFields<'_, RouteFacts> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Some(facts) = self.0 else {
             return Ok(());
@@ -267,7 +268,7 @@
     }
 }
 
-impl fmt::Display for OptionalFacts<'_, ChoiceFacts> {
+impl fmt::Display for FactFields<'_, ChoiceFacts> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Some(facts) = self.0 else {
             return Ok(());
--- a/crates/fleet/tests/all/controller.rs
+++ b/crates/fleet/tests/all/controller.rs
@@ -82,11 +82,7 @@
 fn members_of_a_leader_that_may_serve_are_not_used() {
     let mut fleet = FakeFleet::new(4);
     fleet.run(15_000);
-    let group = fleet
-        .serving(SMALL)
-        .pop()
-        .or(fleet.serving(LARGE).pop())
-        .expect("a group");
+    let group = fleet.any_group(SMALL, LARGE);
     let leader = group[0].clone();
     fleet.cut(&leader);
     for _ in 0..20 {
@@ -109,11 +105,7 @@
     for during_outage in [false, true] {
         let mut fleet = FakeFleet::new(4);
         fleet.run(15_000);
-        let group = fleet
-            .serving(SMALL)
-            .pop()
-            .or(fleet.serving(LARGE).pop())
-            .expect("a group");
+        let group = fleet.any_group(SMALL, LARGE);
         let leader = group[0].clone();
         fleet.cut(&leader);
         fleet.refusing.insert(leader.clone());
@@ -149,11 +141,7 @@
 fn an_outdated_entry_does_not_bring_a_group_back() {
     let mut fleet = FakeFleet::new(4);
     fleet.run(15_000);
-    let group = fleet
-        .serving(SMALL)
-        .pop()
-        .or(fleet.serving(LARGE).pop())
-        .expect("a group");
+    let group = fleet.any_group(SMALL, LARGE);
     fleet.cut(&group[1]);
     fleet.is_store_behind = true;
     for _ in 0..10 {
@@ -191,11 +179,7 @@
 fn members_of_an_ended_group_are_used_by_the_next_controller() {
     let mut fleet = FakeFleet::new(4);
     fleet.run(15_000);
-    let group = fleet
-        .serving(LARGE)
-        .pop()
-        .or(fleet.serving(SMALL).pop())
-        .expect("a group");
+    let group = fleet.any_group(LARGE, SMALL);
     fleet.drain(&group[0]);
     fleet.run(1500);
     fleet.cut(&group[0]);
@@ -283,11 +267,7 @@
 fn a_group_with_a_leaving_member_is_closed() {
     let mut fleet = FakeFleet::new(4);
     fleet.run(15_000);
-    let group = fleet
-        .serving(SMALL)
-        .pop()
-        .or(fleet.serving(LARGE).pop())
-        .expect("a group");
+    let group = fleet.any_group(SMALL, LARGE);
     fleet.drain(&group[1]);
     assert!(!fleet.serving(SMALL).contains(&group) && !fleet.serving(LARGE).contains(&group));
     fleet.run(100);
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -385,6 +385,14 @@
             .collect()
     }
 
+    /// Members of a group that serves `first`, or else `second`; the leader comes first.
+    pub fn any_group(&self, first: &str, second: &str) -> Vec<VmId> {
+        self.serving(first)
+            .pop()
+            .or(self.serving(second).pop())
+            .expect("a group")
+    }
+
     pub fn joins_of(&self, id: &VmId) -> usize {
         self.orders
             .iter()
