Log the size, work and stated time of requests and the age of peer loads

The log could not tell an estimate of work that is too low from requests that are not counted, nor a selection from outdated loads from one with wrong loads. request_ended now has prompt_tokens, output_tokens and work_ms of counted requests, the time that the caller stated and whether the request counts as a caller's retry, the node's own part of the target's load and the mean age of the peers' part. No decision depends on the new values.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -54,6 +54,8 @@
     pub model: Option<ModelId>,
     /// Number of the last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Time that the caller has stated to wait for the response.
+    pub stated_time: Option<TimeSpan>,
     /// Time by which the response must be complete.
     pub deadline: Timestamp,
     /// Whether the caller has already used up part of its time budget, for example in an attempt that was refused.
@@ -150,6 +152,7 @@
             route,
             model,
             last_event,
+            stated_time,
             is_caller_retry: stated_time
                 .is_some_and(|time| time.0 * 100 < route_timeout.0 * FULL_TIMEOUT_PERCENT),
             deadline: received + TimeSpan(limit.0.saturating_sub(RESPONSE_MARGIN.0)),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -79,9 +79,11 @@
     report.record_route(node, &request);
     // A caller's retry is for work that was already counted; counting it again would overestimate the demand.
     let size = request.size().filter(|_| !request.is_caller_retry);
-    node.gateway
+    let work = node
+        .gateway
         .borrow_mut()
         .record_request(&request.route.service, size.as_ref());
+    report.record_work(work);
     let attempt = send_with_retries(node, &request, report, request.last_event).await?;
     if request.is_stream() && attempt.response.status().is_success() {
         let relay = StreamRelay::new(node.clone(), request, report.take(), attempt, open);
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -6,6 +6,7 @@
 use compact_str::format_compact;
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::ChoiceInputs;
+use jaysaddle_gateway::choice::RequestWork;
 use jaysaddle_gateway::choice::TargetChoice;
 use jaysaddle_gateway::target::TargetNumber;
 use jaysaddle_types::ids::VmId;
@@ -55,6 +56,8 @@
     kind: &'static str,
     priority: u32,
     account: CompactString,
+    is_caller_retry: bool,
+    stated_time: Option<TimeSpan>,
     model: CompactString,
     config_version: u64,
 }
@@ -80,6 +83,8 @@
     id: CompactString,
     received: Timestamp,
     route: Option<RouteFields>,
+    /// Counted work; `None` for caller retries and for requests that state no size.
+    work: Option<RequestWork>,
     choice: Option<ChoiceFields>,
     /// Targets to which the request was sent, in order, with repetitions.
     pub tried: Vec<TargetNumber>,
@@ -108,6 +113,7 @@
             id,
             received,
             route: None,
+            work: None,
             choice: None,
             tried: Vec::new(),
             runs: 0,
@@ -138,6 +144,8 @@
             route: request.route.rule.name.clone(),
             kind: kind_name(&request.route.rule.kind),
             priority: request.route.priority,
+            is_caller_retry: request.is_caller_retry,
+            stated_time: request.stated_time,
             account: or_dash(request.route.account.as_ref().map(|id| id.as_str())),
             model: or_dash(request.model.as_ref().map(|id| id.as_str())),
             config_version: node.config_version(),
@@ -156,6 +164,11 @@
         });
     }
 
+    /// Records the work that was counted for the demand of the request's model.
+    pub fn record_work(&mut self, work: Option<RequestWork>) {
+        self.work = work;
+    }
+
     /// Records the arrival of data for the caller.
     pub fn record_data(&mut self, now: Timestamp) {
         let pause = now.since(self.last_data);
@@ -189,9 +202,10 @@
         let took = clock::now().since(self.received);
         self.record_metrics(end, took);
         log::info!(
-            "event=request_ended request={} result={end}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}",
+            "event=request_ended request={} result={end}{}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}",
             self.id,
             OptionalFields(self.route.as_ref()),
+            OptionalFields(self.work.as_ref()),
             OptionalFields(self.choice.as_ref()),
             self.tried.len(),
             self.runs,
@@ -258,13 +272,28 @@
         };
         write!(
             f,
-            " route={} kind={} priority={} account={} model={} config={}",
+            " route={} kind={} priority={} account={} model={} config={} stated_ms={} caller_retry={}",
             fields.route,
             fields.kind,
             fields.priority,
             fields.account,
             fields.model,
-            fields.config_version
+            fields.config_version,
+            OptionalMillis(fields.stated_time),
+            fields.is_caller_retry
+        )
+    }
+}
+
+impl fmt::Display for OptionalFields<'_, RequestWork> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(work) = self.0 else {
+            return Ok(());
+        };
+        write!(
+            f,
+            " prompt_tokens={} output_tokens={} work_ms={:.1}",
+            work.prompt_tokens, work.output_tokens, work.work_ms
         )
     }
 }
@@ -280,9 +309,11 @@
         }
         write!(
             f,
-            " candidates={} load={} slots={} late={} table_age_ms={}",
+            " candidates={} load={} own_load={} peer_age_ms={} slots={} late={} table_age_ms={}",
             fields.inputs.candidates,
             fields.inputs.load,
+            fields.inputs.own_load,
+            fields.inputs.peer_age.as_millis(),
             fields.inputs.slots,
             fields.is_late,
             fields.table_age.as_millis()
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -170,6 +170,15 @@
             .filter(move |record| now.since(record.received) < PEER_TIMEOUT)
     }
 
+    /// Mean age of the heartbeats of the live peers; zero without any.
+    pub fn mean_age(&self, now: Timestamp) -> TimeSpan {
+        let (count, total) = self
+            .live(now)
+            .map(|record| now.since(record.received).as_millis())
+            .fold((0, 0), |(count, total), age| (count + 1, total + age));
+        TimeSpan(total / u64::max(count, 1))
+    }
+
     /// Whether the store is unreachable for so many nodes that no other one can acquire the lease: a majority of the
     /// known peers is live, and a majority of the live ones cannot reach the store.
     pub fn is_store_unreachable(&self, now: Timestamp) -> bool {
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -21,6 +21,17 @@
     pub output_tokens: Option<u32>,
 }
 
+/// Work of a request as counted for the demand of its model.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestWork {
+    /// Number of tokens in the prompt.
+    pub prompt_tokens: u32,
+    /// Expected number of output tokens.
+    pub output_tokens: u32,
+    /// Estimated work, in milliseconds of a fully utilized group.
+    pub work_ms: f64,
+}
+
 /// Requirements of a request for its target.
 #[derive(Clone, Debug)]
 pub struct TargetQuery<'a> {
@@ -46,6 +57,10 @@
     pub candidates: u32,
     /// Requests in flight at the selected target, from this node's counts and its peers' heartbeats.
     pub load: u32,
+    /// Requests among `load` that this node has sent itself.
+    pub own_load: u32,
+    /// Mean age of the heartbeats from which the peers' part of `load` was taken.
+    pub peer_age: TimeSpan,
     /// Number of requests that the selected target runs concurrently.
     pub slots: u32,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 
 use crate::choice::ChoiceInputs;
 use crate::choice::RequestSize;
+use crate::choice::RequestWork;
 use crate::choice::TargetChoice;
 use crate::choice::TargetOutcome;
 use crate::choice::TargetQuery;
@@ -211,7 +212,7 @@
             .filter(|pause| *pause > 0.0)
             .fold(f64::INFINITY, f64::min);
         let offset = self.random.below(targets.len());
-        let mut best: Option<(TargetScore, &Rc<RequestTarget>, u32)> = None;
+        let mut best: Option<(TargetScore, &Rc<RequestTarget>, u32, u32)> = None;
         let mut candidates = 0;
         for step in 0..targets.len() {
             let target = &targets[(offset + step) % targets.len()];
@@ -261,16 +262,18 @@
                 .as_ref()
                 .is_none_or(|(best_score, ..)| score < *best_score)
             {
-                best = Some((score, target, requests));
+                best = Some((score, target, requests, local_requests));
             }
         }
         match best {
-            Some((score, target, load)) => Ok(TargetChoice {
+            Some((score, target, load, own_load)) => Ok(TargetChoice {
                 target: target.clone(),
                 is_late: score.is_late || query.is_caller_retry,
                 inputs: ChoiceInputs {
                     candidates,
                     load,
+                    own_load,
+                    peer_age: peers.mean_age(now),
                     slots: target.slots,
                 },
             }),
@@ -473,22 +476,24 @@
     }
 
     /// Records a new request for a service: adds to its retry budget, and adds the estimated work if `size` is known.
-    pub fn record_request(&mut self, service: &ServiceId, size: Option<&RequestSize<'_>>) {
+    /// Returns the work that was added.
+    pub fn record_request(
+        &mut self,
+        service: &ServiceId,
+        size: Option<&RequestSize<'_>>,
+    ) -> Option<RequestWork> {
         self.budget(service).record_request();
-        let Some(size) = size else {
-            return;
-        };
-        let engine = self
-            .index
-            .as_ref()
-            .and_then(|index| index.config().engine(service));
-        if let Some(engine) = engine
-            && engine.model(size.model).is_some()
-        {
-            let output_tokens = size.output_tokens.unwrap_or(engine.typical_output_tokens);
-            let work_ms = engine.work_ms(size.model, size.prompt_tokens, output_tokens);
-            *self.work.entry(size.model.clone()).or_default() += work_ms;
-        }
+        let size = size?;
+        let engine = self.index.as_ref()?.config().engine(service)?;
+        engine.model(size.model)?;
+        let output_tokens = size.output_tokens.unwrap_or(engine.typical_output_tokens);
+        let work_ms = engine.work_ms(size.model, size.prompt_tokens, output_tokens);
+        *self.work.entry(size.model.clone()).or_default() += work_ms;
+        Some(RequestWork {
+            prompt_tokens: size.prompt_tokens,
+            output_tokens,
+            work_ms,
+        })
     }
 
     /// Takes one retry from the budget of a service. Returns `false` if the budget is exhausted.
