Spread requests by the age of the peers' loads instead of taking the minimum

Callers saw: late responses and 502s although a third of the slots was free.

Cause: each of 82 nodes selects the target with the lowest load in a view that is 340 ms old on average and nearly the same at all nodes. Some 200 requests arrive in that time, and they go to the same few targets.

Class: many nodes take the same deterministic decision from one shared, delayed view. Plain services use the same selection and are covered.

Change: a node estimates by Little's law how many requests its peers have sent since their heartbeats, fills the lowest loads with them up to a common level, and selects a target with the probability with which one of these requests goes there. Without delay this is the minimum, as before; with more delay or more nodes more targets take part. No setting depends on the size of a deployment.

Weighed: the best of two or three random targets spreads the same on a small deployment with a fresh view as on a large one with an old view, so its number would have to be chosen for a size.

Simulation in the test, requests without a free slot at two thirds of the capacity: 82 nodes 18.6 % to 2.0 % (limit 5 %), 7 nodes 0.1 % to 0.0 %.

Open: at 320 nodes the simulation has 9 %, because a peer counts as down between two of its heartbeats there.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,8 @@
 use crate::random::XorshiftRng;
 use crate::routes::RouteIndex;
 use crate::settings::GatewaySettings;
+use crate::spread::TargetLoad;
+use crate::spread::select_target;
 use crate::target::RequestTarget;
 use crate::target::TargetHealth;
 use crate::target::TargetNumber;
@@ -37,12 +39,20 @@
 /// twice the load.
 const FAILURE_RATE_WEIGHT: f64 = 8.0;
 
-/// Sort key of a target; the target with the lowest score is selected. Fields are compared in order.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-struct TargetScore {
+/// Preference among the targets that accept a request. Targets with the lowest rank are eligible; fields are compared in
+/// order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TargetRank {
     is_avoided: bool,
     is_late: bool,
-    load: f64,
+}
+
+/// A target that accepts a request.
+struct TargetCandidate<'a> {
+    target: &'a Rc<RequestTarget>,
+    rank: TargetRank,
+    load: TargetLoad,
+    inputs: ChoiceInputs,
 }
 
 /// A request in flight, as counted in the health of its target.
@@ -211,22 +221,23 @@
             .map(|health| health.pause_ms)
             .filter(|pause| *pause > 0.0)
             .fold(f64::INFINITY, f64::min);
-        let offset = self.random.below(targets.len());
-        let mut best: Option<(TargetScore, &Rc<RequestTarget>, u32, u32)> = None;
-        let mut candidates = 0;
-        for step in 0..targets.len() {
-            let target = &targets[(offset + step) % targets.len()];
+        let peer_age = peers.mean_age(now);
+        let mut peer_requests = 0;
+        let mut candidates: Vec<TargetCandidate<'_>> = Vec::new();
+        for target in targets {
             let is_closed =
                 self.closed.contains(&target.number) || peers.is_closed(target.number.0);
             if is_closed || query.tried.contains(&target.number) {
                 continue;
             }
             let health = self.health.get(&target.number);
-            let (local_requests, local_late) =
+            let (own_requests, own_late) =
                 health.map_or((0, 0), |health| (health.in_flight, health.waiting_late));
-            let requests = local_requests + peers.load_of(target.number.0);
+            let target_peer_requests = peers.load_of(target.number.0);
+            peer_requests += target_peer_requests;
+            let requests = own_requests + target_peer_requests;
             let total_load = f64::from(requests);
-            let late_load = f64::from(local_late + peers.late_load_of(target.number.0));
+            let late_load = f64::from(own_late + peers.late_load_of(target.number.0));
             let on_time_load = (total_load - late_load).max(0.0);
             let slots = f64::from(target.slots);
             let is_late = on_time_load >= slots * (1.0 + max_wait / duration);
@@ -240,7 +251,6 @@
             if is_full && !query.has_started {
                 continue;
             }
-            candidates += 1;
             let is_avoided = peers.is_stalled(target.number.0)
                 || health.is_some_and(|health| {
                     self.is_suspect(target, health, self.settings.avoid_after, now)
@@ -253,32 +263,44 @@
                 };
                 pause * (1.0 + FAILURE_RATE_WEIGHT * health.failure_rate)
             });
-            let score = TargetScore {
-                is_avoided,
-                is_late,
-                load: (if is_late { total_load } else { on_time_load } + 1.0) / slots * slowdown,
-            };
-            if best
-                .as_ref()
-                .is_none_or(|(best_score, ..)| score < *best_score)
-            {
-                best = Some((score, target, requests, local_requests));
-            }
-        }
-        match best {
-            Some((score, target, load, own_load)) => Ok(TargetChoice {
-                target: target.clone(),
-                is_late: score.is_late || query.is_caller_retry,
+            let load = if is_late { total_load } else { on_time_load };
+            candidates.push(TargetCandidate {
+                target,
+                rank: TargetRank {
+                    is_avoided,
+                    is_late,
+                },
+                load: TargetLoad {
+                    // A slow target does not rank equally with others while it is idle.
+                    requests: load + 1.0 - 1.0 / slowdown,
+                    capacity: slots / slowdown,
+                },
                 inputs: ChoiceInputs {
-                    candidates,
-                    load,
-                    own_load,
-                    peer_age: peers.mean_age(now),
+                    candidates: 0,
+                    load: requests,
+                    own_load: own_requests,
+                    peer_age,
                     slots: target.slots,
                 },
-            }),
-            None => Err(TargetRefusal::Full),
+            });
         }
+        let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
+        let best_rank = candidates.iter().map(|candidate| candidate.rank).min();
+        candidates.retain(|candidate| Some(candidate.rank) == best_rank);
+        // By Little's law, peers with this many requests in flight send as many again in the time of one request.
+        let unseen = f64::from(peer_requests) * peer_age.as_millis() as f64 / duration;
+        let loads: Vec<TargetLoad> = candidates.iter().map(|candidate| candidate.load).collect();
+        let candidate = select_target(&loads, unseen, &mut self.random)
+            .and_then(|position| candidates.get(position))
+            .ok_or(TargetRefusal::Full)?;
+        Ok(TargetChoice {
+            target: candidate.target.clone(),
+            is_late: candidate.rank.is_late || query.is_caller_retry,
+            inputs: ChoiceInputs {
+                candidates: count,
+                ..candidate.inputs
+            },
+        })
     }
 
     /// Returns a randomized delay after which the caller of a refused request may retry.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod random;
 pub mod routes;
 pub mod settings;
+pub mod spread;
 pub mod target;
 pub mod unserved;
--- a/crates/gateway/src/random.rs
+++ b/crates/gateway/src/random.rs
@@ -10,14 +10,25 @@
         Self(seed | 1)
     }
 
-    /// Returns a number in `0..bound`, or 0 if `bound` is 0.
-    pub fn below(&mut self, bound: usize) -> usize {
+    fn next(&mut self) -> u64 {
         self.0 ^= self.0 << 13;
         self.0 ^= self.0 >> 7;
         self.0 ^= self.0 << 17;
+        self.0
+    }
+
+    /// Returns a number in `0..bound`, or 0 if `bound` is 0.
+    pub fn below(&mut self, bound: usize) -> usize {
+        let number = self.next();
         if bound == 0 {
             return 0;
         }
-        usize::try_from(self.0 % bound as u64).unwrap_or(0)
+        usize::try_from(number % bound as u64).unwrap_or(0)
+    }
+
+    /// Returns a number from 0 to below 1.
+    pub fn fraction(&mut self) -> f64 {
+        // The upper 53 bits, which is the precision of the type.
+        (self.next() >> 11) as f64 / (1u64 << 53) as f64
     }
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the gateway crate.
 
 mod choice;
+mod delayed_loads;
 mod events;
 mod fixture;
 mod overload;
