--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -14,6 +14,7 @@
 use jaysaddle_platform_standin::PlatformStandin;
 use jaysaddle_platform_standin::add_plain_routes;
 use jaysaddle_platform_standin::request_headers;
+use jaysaddle_platform_standin::request_headers_with_time;
 use jaysaddle_platform_standin::stream_config;
 use serde_json::Value;
 use serde_json::json;
@@ -211,9 +212,8 @@
     for (number, stated_ms) in [15_000, 14_400, 13_500, 12_750, 5_000].iter().enumerate() {
         let id = format!("budget{number}");
         let mut request = minreq::post(format!("http://{}:7700/drafts/{id}", pair.addresses[0]));
-        for (name, value) in request_headers(&id, KEY) {
-            let stated = (name == "X-Deadline-Ms").then(|| stated_ms.to_string());
-            request = request.with_header(name, stated.unwrap_or(value));
+        for (name, value) in request_headers_with_time(&id, KEY, *stated_ms) {
+            request = request.with_header(name, value);
         }
         let response = request
             .with_timeout(REQUEST_TIMEOUT_SECS)
