List the loads that are missing from the view of 320 nodes

Cause: heartbeats go to 24 peers a round of 200 ms, so the time between two heartbeats of a peer grows with the number of nodes, while the time after which a peer counts as down is 900 ms. From about 108 nodes on, peers count as down between their heartbeats, and their load is not seen. At 82 nodes the time between heartbeats is 600 to 800 ms, so one lost datagram suffices.

Not fixed here: a longer timeout alone keeps dead nodes in the directory for longer, and more heartbeats exceed the bytes planned for a node.

--- a/crates/gateway/tests/all/delayed_loads.rs
+++ b/crates/gateway/tests/all/delayed_loads.rs
@@ -125,19 +125,28 @@
     }
 }
 
+/// Fraction of the requests that find no free slot, which the users' target limits: 95 of 100 start in time.
+const MAX_UNLUCKY: f64 = 0.05;
+
+fn assert_free_slots(nodes: usize, groups: u64) {
+    let unlucky = Simulation::new(nodes, groups).run(6000);
+    assert!(
+        unlucky <= MAX_UNLUCKY,
+        "{nodes} nodes, {groups} groups: {unlucky:.3} of the requests found no free slot"
+    );
+}
+
 /// Guards against nodes that all select the same few targets from one outdated view of the load, which fills these
-/// targets while others have free slots. The bound is the users' target: 95 of 100 requests start in time.
+/// targets while others have free slots.
 #[test]
 fn nodes_with_outdated_loads_do_not_select_the_same_targets() {
     for (nodes, groups) in [(1, 24), (7, 24), (82, 40)] {
-        let unlucky = Simulation::new(nodes, groups).run(6000);
-        println!(
-            "{nodes} nodes, {groups} groups: {:.1} % without a free slot",
-            unlucky * 100.0
-        );
-        assert!(
-            unlucky <= 0.05,
-            "{nodes} nodes, {groups} groups: {unlucky:.3} of the requests found no free slot"
-        );
+        assert_free_slots(nodes, groups);
     }
 }
+
+/// Guards against loads that are missing from the view because a peer counts as down between two of its heartbeats.
+#[test]
+fn loads_of_all_peers_are_counted_in_a_large_deployment() {
+    assert_free_slots(320, 60);
+}
