Select the nodes of a directory response by the caller

Cause: all nodes sort the same list, same failure domain first and then by address, and truncate it at 64. The 18 nodes at its end are never listed for that failure domain.

Change: rendezvous hashing by the caller's address selects the nodes. A random selection per response was ruled out: callers close connections to nodes that the next response does not list.

Evidence: with the old order in the new function, the test all_nodes_are_listed_equally_often fails with 64 nodes listed instead of 82.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints for address resolution, readiness and metrics.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,8 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::address_list::ServingNode;
+use crate::address_list::select_addresses;
 use crate::gauges;
 use crate::node::EntryNode;
 use crate::response::CallerResponse;
@@ -44,8 +47,8 @@
 /// Serves the directory, readiness and metrics on one listener. Never returns.
 pub async fn serve(node: Rc<EntryNode>, listener: TcpListener, metrics: Rc<MetricsRenderer>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, caller) = match listener.accept().await {
+            Ok((stream, address)) => (stream, address.ip()),
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -56,7 +59,7 @@
         let metrics = metrics.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
-                let response = respond(&node, &metrics, &request);
+                let response = respond(&node, &metrics, caller, &request);
                 std::future::ready(Ok::<CallerResponse, Infallible>(response))
             });
             let served = http1::Builder::new()
@@ -74,12 +77,13 @@
 fn respond(
     node: &EntryNode,
     metrics: &MetricsRenderer,
+    caller: IpAddr,
     request: &Request<Incoming>,
 ) -> CallerResponse {
     match request.uri().path() {
         READY_PATH if node.phase.get() == PeerPhase::Serving => empty_response(StatusCode::OK),
         READY_PATH => empty_response(StatusCode::SERVICE_UNAVAILABLE),
-        RESOLVE_PATH => resolve(node, request.uri().query().unwrap_or("")),
+        RESOLVE_PATH => resolve(node, caller, request.uri().query().unwrap_or("")),
         METRICS_PATH => {
             gauges::publish_node(node);
             let mut response = empty_response(StatusCode::OK);
@@ -90,8 +94,8 @@
     }
 }
 
-fn resolve(node: &EntryNode, query: &str) -> CallerResponse {
-    let addresses = serving_addresses(node, caller_failure_domain(query));
+fn resolve(node: &EntryNode, caller: IpAddr, query: &str) -> CallerResponse {
+    let addresses = serving_addresses(node, caller, caller_failure_domain(query));
     if addresses.is_empty() {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -99,26 +103,27 @@
     json_response(resolve_body(&addresses, lifetime))
 }
 
-/// Addresses of the nodes that accept callers, those in the caller's failure domain first.
-///
-/// The list includes all nodes because callers pick an address at random: returning only those in the caller's
-/// failure domain would distribute load by the location of callers.
-fn serving_addresses(node: &EntryNode, caller_domain: Option<&str>) -> Vec<SocketAddr> {
+/// Addresses of the nodes that accept callers.
+fn serving_addresses(
+    node: &EntryNode,
+    caller: IpAddr,
+    caller_domain: Option<&str>,
+) -> Vec<SocketAddr> {
     let now = clock::now();
     let peers = node.peers.borrow();
-    let mut nodes: Vec<(bool, SocketAddr)> = peers
+    let mut nodes: Vec<ServingNode> = peers
         .live(now)
         .filter(|record| record.heartbeat.phase == PeerPhase::Serving)
-        .map(|record| {
-            let is_same_domain = Some(record.heartbeat.failure_domain.as_str()) == caller_domain;
-            (!is_same_domain, record.heartbeat.caller_address)
+        .map(|record| ServingNode {
+            is_same_domain: Some(record.heartbeat.failure_domain.as_str()) == caller_domain,
+            address: record.heartbeat.caller_address,
         })
         .collect();
     if node.phase.get() == PeerPhase::Serving {
-        let is_same_domain = Some(node.settings.failure_domain.as_str()) == caller_domain;
-        nodes.push((!is_same_domain, node.settings.listen.callers));
+        nodes.push(ServingNode {
+            is_same_domain: Some(node.settings.failure_domain.as_str()) == caller_domain,
+            address: node.settings.listen.callers,
+        });
     }
-    nodes.sort();
-    nodes.truncate(MAX_ADDRESSES);
-    nodes.into_iter().map(|(_, address)| address).collect()
+    select_addresses(nodes, MAX_ADDRESSES, caller)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! peers); the platform's names and formats are in `jaysaddle-adapter`. This crate connects them to sockets and
 //! timers.
 
+pub mod address_list;
 mod attempt;
 mod backend_calls;
 mod beats;
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the parts of the entry daemon that need no sockets.
 
+mod address_list;
 mod log_limiter;
