--- a/crates/entry/src/address_list.rs
+++ b/crates/entry/src/address_list.rs
@@ -3,7 +3,8 @@
 //! Callers connect to a random address of the response, cache it, and close connections to nodes that a later response
 //! does not list. If all responses were truncated at the same node, the nodes after it would receive no callers; if the
 //! selection were random, callers would reconnect after each response. The selection therefore depends on the caller:
-//! rendezvous hashing gives a caller the same nodes at every directory while they live, and different callers different ones.
+//! with rendezvous hashing, a caller gets the same nodes from every directory while they live, and different callers
+//! get different ones.
 
 use std::cmp::Reverse;
 use std::hash::DefaultHasher;
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -53,6 +53,7 @@
     pub model: Option<ModelId>,
     /// Number of the last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// When the request's headers arrived.
     pub received: Timestamp,
     /// Time that the caller has stated to wait for the response.
     pub stated_time: Option<TimeSpan>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -39,8 +39,8 @@
 /// twice the load.
 const FAILURE_RATE_WEIGHT: f64 = 8.0;
 
-/// Preference among the targets that accept a request. Targets with the lowest rank are eligible; fields are compared in
-/// order.
+/// Preference among the targets that accept a request. Targets with the lowest rank are eligible; fields are compared
+/// in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct TargetRank {
     is_avoided: bool,
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -1,11 +1,11 @@
 //! Spreads requests over targets whose loads are known with a delay.
 //!
-//! A node learns the requests of its peers from heartbeats. If all nodes selected the target with the lowest load, those
-//! that have the same heartbeats would select the same one until the next heartbeat. Each node therefore estimates how
-//! many requests its peers have sent since, assumes that these even out the loads, and selects a target with the
-//! probability with which one of these requests goes there: the lowest loads are filled up to a common level, as water
-//! fills a basin. Without delay, only the target with the lowest load is selected; the longer the delay, the more
-//! targets take part.
+//! A node learns the requests of its peers from heartbeats. If all nodes selected the target with the lowest load,
+//! those that have the same heartbeats would select the same one until the next heartbeat. Each node therefore
+//! estimates how many requests its peers have sent since, assumes that these fill the targets with the lowest loads up
+//! to a common level (water-filling), and selects a target with the probability with which one of these requests goes
+//! there. Without delay, only the target with the lowest load is selected; the longer the delay, the more targets take
+//! part.
 
 use crate::random::XorshiftRng;
 
--- a/crates/gateway/tests/all/overload.rs
+++ b/crates/gateway/tests/all/overload.rs
@@ -120,8 +120,8 @@
     assert!(retries >= 150, "{retries}");
 }
 
-/// Nodes restart, or their heartbeats are lost, so that the number of live nodes keeps changing. Guards against budgets that
-/// are refilled by each change: on ebiere-collect-grown scale-1, 1,936 retries were sent where 1,829 are allowed.
+/// Nodes restart, or their heartbeats are lost, so that the number of live nodes keeps changing. Guards against budgets
+/// that are refilled by each change: on ebiere-collect-grown scale-1, 1,936 retries were sent where 1,829 are allowed.
 #[test]
 fn changes_of_the_node_count_do_not_refill_the_budget() {
     let mut fixture = GatewayFixture::new(1);
