Split the selection of a target into shorter functions

The function had grown past a hundred lines. The rank and load of one target, the facts about all targets of a class and the slowdown of a target are functions of their own.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,10 +35,6 @@
 use crate::target::current_targets;
 use crate::target::update_average;
 
-/// Weight of a target's failure rate in its score: a target that fails an eighth of its requests scores as if it had
-/// twice the load.
-const FAILURE_RATE_WEIGHT: f64 = 8.0;
-
 /// Preference among the targets that accept a request. Targets with the lowest rank are eligible; fields are compared
 /// in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,6 +51,20 @@
     inputs: ChoiceInputs,
 }
 
+/// What the selection knows of all targets of a service and model.
+struct ClassFacts {
+    /// Mean duration of a request, in milliseconds.
+    duration: f64,
+    /// Time that the request may wait for a slot, in milliseconds.
+    max_wait: f64,
+    /// Shortest average pause between two chunks of a response, in milliseconds; infinite before the first sample.
+    min_pause: f64,
+    /// Mean age of the peers' heartbeats.
+    peer_age: TimeSpan,
+    /// Requests of the peers in flight at all targets that are not excluded.
+    peer_requests: f64,
+}
+
 /// A request in flight, as counted in the health of its target.
 #[derive(Debug)]
 pub struct AttemptRecord {
@@ -209,86 +219,16 @@
         if targets.is_empty() {
             return Err(TargetRefusal::NoTarget);
         }
-        let duration = self
-            .durations
-            .get(&class)
-            .copied()
-            .unwrap_or(self.settings.assumed_duration_ms);
-        let max_wait = query.latency_target.as_millis() as f64 * self.settings.wait_share;
-        let min_pause = targets
+        let facts = self.class_facts(&class, targets, query, peers, now);
+        let mut candidates: Vec<TargetCandidate<'_>> = targets
             .iter()
-            .filter_map(|target| self.health.get(&target.number))
-            .map(|health| health.pause_ms)
-            .filter(|pause| *pause > 0.0)
-            .fold(f64::INFINITY, f64::min);
-        let peer_age = peers.mean_age(now);
-        let mut peer_requests = 0;
-        let mut candidates: Vec<TargetCandidate<'_>> = Vec::new();
-        for target in targets {
-            let is_closed =
-                self.closed.contains(&target.number) || peers.is_closed(target.number.0);
-            if is_closed || query.tried.contains(&target.number) {
-                continue;
-            }
-            let health = self.health.get(&target.number);
-            let (own_requests, own_late) =
-                health.map_or((0, 0), |health| (health.in_flight, health.waiting_late));
-            let target_peer_requests = peers.load_of(target.number.0);
-            peer_requests += target_peer_requests;
-            let requests = own_requests + target_peer_requests;
-            let total_load = f64::from(requests);
-            let late_load = f64::from(own_late + peers.late_load_of(target.number.0));
-            let on_time_load = (total_load - late_load).max(0.0);
-            let slots = f64::from(target.slots);
-            let is_late = on_time_load >= slots * (1.0 + max_wait / duration);
-            // A late request in a slot delays requests that can still meet their latency target. One late request may
-            // be queued, so that a slot is reused as soon as it becomes free.
-            let is_full = if query.is_caller_retry {
-                total_load > slots
-            } else {
-                is_late
-            };
-            if is_full && !query.has_started {
-                continue;
-            }
-            let is_avoided = peers.is_stalled(target.number.0)
-                || health.is_some_and(|health| {
-                    self.is_suspect(target, health, self.settings.avoid_after, now)
-                });
-            let slowdown = health.map_or(1.0, |health| {
-                let pause = if health.pause_ms > 0.0 && min_pause.is_finite() {
-                    (health.pause_ms / min_pause).max(1.0)
-                } else {
-                    1.0
-                };
-                pause * (1.0 + FAILURE_RATE_WEIGHT * health.failure_rate)
-            });
-            let load = if is_late { total_load } else { on_time_load };
-            candidates.push(TargetCandidate {
-                target,
-                rank: TargetRank {
-                    is_avoided,
-                    is_late,
-                },
-                load: TargetLoad {
-                    // A slow target does not rank equally with others while it is idle.
-                    requests: load + 1.0 - 1.0 / slowdown,
-                    capacity: slots / slowdown,
-                },
-                inputs: ChoiceInputs {
-                    candidates: 0,
-                    load: requests,
-                    own_load: own_requests,
-                    peer_age,
-                    slots: target.slots,
-                },
-            });
-        }
+            .filter_map(|target| self.candidate(target, &facts, query, peers, now))
+            .collect();
         let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
         let best_rank = candidates.iter().map(|candidate| candidate.rank).min();
         candidates.retain(|candidate| Some(candidate.rank) == best_rank);
         // By Little's law, peers with this many requests in flight send as many again in the time of one request.
-        let unseen = f64::from(peer_requests) * peer_age.as_millis() as f64 / duration;
+        let unseen = facts.peer_requests * facts.peer_age.as_millis() as f64 / facts.duration;
         let loads: Vec<TargetLoad> = candidates.iter().map(|candidate| candidate.load).collect();
         let candidate = select_target(&loads, unseen, &mut self.random)
             .and_then(|position| candidates.get(position))
@@ -303,6 +243,107 @@
         })
     }
 
+    fn class_facts(
+        &self,
+        class: &TargetClass,
+        targets: &[Rc<RequestTarget>],
+        query: &TargetQuery<'_>,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> ClassFacts {
+        let peer_requests = targets
+            .iter()
+            .filter(|target| !self.is_excluded(target, query, peers))
+            .map(|target| peers.load_of(target.number.0))
+            .sum::<u32>();
+        ClassFacts {
+            duration: self
+                .durations
+                .get(class)
+                .copied()
+                .unwrap_or(self.settings.assumed_duration_ms),
+            max_wait: query.latency_target.as_millis() as f64 * self.settings.wait_share,
+            min_pause: targets
+                .iter()
+                .filter_map(|target| self.health.get(&target.number))
+                .map(|health| health.pause_ms)
+                .filter(|pause| *pause > 0.0)
+                .fold(f64::INFINITY, f64::min),
+            peer_age: peers.mean_age(now),
+            peer_requests: f64::from(peer_requests),
+        }
+    }
+
+    /// Whether a target must not receive the request: it is closed, or the request was already sent to it.
+    fn is_excluded(
+        &self,
+        target: &RequestTarget,
+        query: &TargetQuery<'_>,
+        peers: &PeerTable,
+    ) -> bool {
+        self.closed.contains(&target.number)
+            || peers.is_closed(target.number.0)
+            || query.tried.contains(&target.number)
+    }
+
+    /// The target with its rank and load; `None` if it is excluded or does not admit the request.
+    fn candidate<'a>(
+        &self,
+        target: &'a Rc<RequestTarget>,
+        facts: &ClassFacts,
+        query: &TargetQuery<'_>,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> Option<TargetCandidate<'a>> {
+        if self.is_excluded(target, query, peers) {
+            return None;
+        }
+        let health = self.health.get(&target.number);
+        let (own_requests, own_late) =
+            health.map_or((0, 0), |health| (health.in_flight, health.waiting_late));
+        let requests = own_requests + peers.load_of(target.number.0);
+        let total_load = f64::from(requests);
+        let late_load = f64::from(own_late + peers.late_load_of(target.number.0));
+        let on_time_load = (total_load - late_load).max(0.0);
+        let slots = f64::from(target.slots);
+        let is_late = on_time_load >= slots * (1.0 + facts.max_wait / facts.duration);
+        // A late request in a slot delays requests that can still meet their latency target. One late request may be
+        // queued, so that a slot is reused as soon as it becomes free.
+        let is_full = if query.is_caller_retry {
+            total_load > slots
+        } else {
+            is_late
+        };
+        if is_full && !query.has_started {
+            return None;
+        }
+        let is_avoided = peers.is_stalled(target.number.0)
+            || health.is_some_and(|health| {
+                self.is_suspect(target, health, self.settings.avoid_after, now)
+            });
+        let slowdown = health.map_or(1.0, |health| health.slowdown(facts.min_pause));
+        let load = if is_late { total_load } else { on_time_load };
+        Some(TargetCandidate {
+            target,
+            rank: TargetRank {
+                is_avoided,
+                is_late,
+            },
+            load: TargetLoad {
+                // A slow target does not rank equally with others while it is idle.
+                requests: load + 1.0 - 1.0 / slowdown,
+                capacity: slots / slowdown,
+            },
+            inputs: ChoiceInputs {
+                candidates: 0,
+                load: requests,
+                own_load: own_requests,
+                peer_age: facts.peer_age,
+                slots: target.slots,
+            },
+        })
+    }
+
     /// Returns a randomized delay after which the caller of a refused request may retry.
     pub fn retry_after(&mut self, refusal: TargetRefusal) -> TimeSpan {
         let (min, max) = match refusal {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -128,6 +128,10 @@
     pub pause_ms: f64,
 }
 
+/// Weight of a target's failure rate in its slowdown: a target that fails an eighth of its requests counts as twice as
+/// slow.
+const FAILURE_RATE_WEIGHT: f64 = 8.0;
+
 /// Weight of a new sample in the moving averages, so that about the last dozen samples dominate.
 const EWMA_WEIGHT: f64 = 0.15;
 
@@ -141,6 +145,17 @@
 }
 
 impl TargetHealth {
+    /// Factor by which the target is slower than the fastest one, whose average pause is `min_pause`. Failures count as
+    /// slowness.
+    pub fn slowdown(&self, min_pause: f64) -> f64 {
+        let pause = if self.pause_ms > 0.0 && min_pause.is_finite() {
+            (self.pause_ms / min_pause).max(1.0)
+        } else {
+            1.0
+        };
+        pause * (1.0 + FAILURE_RATE_WEIGHT * self.failure_rate)
+    }
+
     /// Time since the last data from the target; `None` if it has no request in flight.
     pub fn stall_time(&self, now: Timestamp) -> Option<TimeSpan> {
         (self.in_flight > 0).then(|| now.since(self.last_data))
