Keep the used part of retry budgets when their limits change

Cause: a reload of settings with other bounds discarded the retry budgets, so that full ones were created.

--- a/crates/admission/src/budget.rs
+++ b/crates/admission/src/budget.rs
@@ -28,10 +28,11 @@
         }
     }
 
-    /// Changes the capacity of the bucket. Retries beyond the new capacity are dropped, and none are added: a higher
-    /// capacity is filled by new requests only.
-    pub fn set_burst(&mut self, burst: u32) {
+    /// Changes the capacity and the refill of the bucket. Retries beyond the new capacity are dropped, and none are
+    /// added: a higher capacity is filled by new requests only.
+    pub fn set_limits(&mut self, burst: u32, refill_permille: u32) {
         self.burst = u64::from(burst) * MILLI_PER_RETRY;
+        self.refill_per_request = u64::from(refill_permille);
         self.milli_retries = self.milli_retries.min(self.burst);
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -177,18 +177,21 @@
     /// Sets the number of nodes among which the retry budget is divided.
     pub fn set_node_count(&mut self, count: u32) {
         self.node_count = count.max(1);
-        let burst = self.settings.retry_burst / self.node_count;
-        for budget in self.budgets.values_mut() {
-            budget.set_burst(burst);
-        }
+        self.update_budgets();
     }
 
-    /// Sets the limits of the retry budgets and resets them: retries per thousand requests, and the burst capacity
-    /// shared by all nodes.
+    /// Sets the limits of the retry budgets: retries per thousand requests, and the burst capacity shared by all nodes.
     pub fn set_retry_limits(&mut self, permille: u32, burst: u32) {
         self.settings.retry_permille = permille;
         self.settings.retry_burst = burst;
-        self.budgets.clear();
+        self.update_budgets();
+    }
+
+    fn update_budgets(&mut self) {
+        let burst = self.settings.retry_burst / self.node_count;
+        for budget in self.budgets.values_mut() {
+            budget.set_limits(burst, self.settings.retry_permille);
+        }
     }
 
     /// Number of nodes among which the retry budget and other shared limits are divided; at least 1.
--- a/crates/gateway/tests/all/overload.rs
+++ b/crates/gateway/tests/all/overload.rs
@@ -138,6 +138,26 @@
     assert!(retries >= 150, "{retries}");
 }
 
+/// Operators change the limits while the nodes run. Guards against budgets that are refilled by each change, and against
+/// limits that only apply to new budgets.
+#[test]
+fn changes_of_the_retry_limits_do_not_refill_the_budget() {
+    let mut fixture = GatewayFixture::new(1);
+    let service = ServiceId::new(PLAIN_SERVICE);
+    let mut retries = 0;
+    for step in 0..1000 {
+        fixture.gateway.set_retry_limits(200 - step % 2, 100);
+        fixture.gateway.record_request(&service, None);
+        while fixture.gateway.try_take_retry(&service) {
+            retries += 1;
+        }
+    }
+    assert!(retries <= 1000 / 5 + 100, "{retries}");
+    fixture.gateway.set_retry_limits(0, 0);
+    fixture.gateway.record_request(&service, None);
+    assert!(!fixture.gateway.try_take_retry(&service));
+}
+
 /// A model stays overloaded. Guards against queued requests that are overtaken by new ones until their callers time
 /// out: in one cluster run, 237 of 2,363 requests waited 2.4 s without being served.
 #[test]
