Do not signal test processes that have been reaped

Its log ends within a request, without a panic or the lines of a graceful stop, and its peers get connection refused from then on.

Cause: kill() and the drop after it, or after wait_exit(), signal the id of a child that has been reaped. Process ids end at 32,768 here, and the run used them up in seconds: its threads have the ids 12612 at the start, 3078 and then 17335 before the failure, so all ids were given out once more. An ended child's id then belonged to the daemon, which got the SIGKILL of the drop. That this id was the daemon's is inferred; the ids of children are not logged.

Change: a reaped process is not signalled. The test fails without the check.

--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -9,6 +9,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -25,6 +27,8 @@
     /// Name used in failure messages.
     pub name: String,
     child: Child,
+    /// Whether the process has been reaped. Its id may then belong to another process.
+    is_reaped: AtomicBool,
 }
 
 impl TestProcess {
@@ -39,6 +43,7 @@
         Self {
             name: name.to_owned(),
             child,
+            is_reaped: AtomicBool::new(false),
         }
     }
 
@@ -69,10 +74,15 @@
         thread::spawn(move || io::copy(&mut output, &mut file));
     }
 
-    pub(crate) fn signal(&self, signal: Signal) {
+    /// Sends a signal, unless the process has been reaped. Returns whether it was sent.
+    pub(crate) fn signal(&self, signal: Signal) -> bool {
+        if self.is_reaped.load(Ordering::SeqCst) {
+            return false;
+        }
         let pid = Pid::from_child(&self.child);
         // The process may have exited already, which is not an error here.
         let _ = kill_process(pid, signal);
+        true
     }
 
     /// Suspends the process (SIGSTOP), which simulates a paused VM.
@@ -89,6 +99,7 @@
     pub fn kill(&mut self) {
         self.signal(Signal::KILL);
         let _ = self.child.wait();
+        self.is_reaped.store(true, Ordering::SeqCst);
     }
 
     /// Sends SIGKILL without reaping the process, so a shared reference suffices.
@@ -111,6 +122,7 @@
         let started = Instant::now();
         while started.elapsed() < MAX_WAIT {
             if let Ok(Some(status)) = self.child.try_wait() {
+                self.is_reaped.store(true, Ordering::SeqCst);
                 return status.code();
             }
             thread::sleep(Duration::from_millis(20));
@@ -184,3 +196,15 @@
         self.json["error"]["reason"].as_str().unwrap_or_default()
     }
 }
+
+/// Guards against a second kill, such as the one on drop, that hits another process which has got the id of the reaped
+/// one: a run of CI lost a daemon of another test that way.
+#[test]
+fn reaped_process_is_not_signalled() {
+    let log = Path::new(env!("CARGO_TARGET_TMPDIR")).join("reaped.log");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddle"));
+    command.arg("--help");
+    let mut process = TestProcess::spawn("tool", command, log);
+    assert_eq!(process.wait_exit(), Some(0));
+    assert!(!process.signal(Signal::KILL));
+}
