Record the request limits that backend servers name

A backend server names in its responses how many requests a second it takes from all nodes together.

Statements are ordered by a Lamport clock, because the time of a statement is not comparable between nodes. A response to a request from before the statement in force may only lower the limit. The selection of targets is unchanged.

Signals: event=request_limit when a limit changes, with its source; limit, limit_source, limit_age_ms, limit_own_sent and limit_peer_sent on request_ended; jaysaddle_request_limits and jaysaddle_limited_sends_total.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -17,6 +17,7 @@
 use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_gateway::gateway::AttemptRecord;
 use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use jaysaddle_types::verdict::Verdict;
@@ -82,6 +83,19 @@
         }
     }
 
+    /// Records what the response states about the request limit of the backend server: a limit, or that there is none.
+    fn record_limit(&self, limit: Option<RequestLimit>) {
+        let Some(record) = &self.record else {
+            return;
+        };
+        let now = clock::now();
+        let mut gateway = self.node.gateway.borrow_mut();
+        if let Some(change) = gateway.record_limit(record, limit, now) {
+            let vm = &self.target.backend;
+            log::info!("event=request_limit vm={vm} {change} source=response");
+        }
+    }
+
     /// Records the end of the request at the target.
     pub fn finish(mut self, outcome: TargetOutcome) {
         self.end(outcome);
@@ -239,6 +253,32 @@
     check_response_head(node, request, guard, connection, response)
 }
 
+/// Records the request limit that a response states.
+///
+/// A refusal because of the expected backend server may come from another one at the same address. A response withdraws
+/// an earlier limit only if the backend server itself has produced it for this request.
+fn record_limit(request: &CallerRequest, guard: &AttemptGuard, response: &Response<Incoming>) {
+    let map = response.headers();
+    let echoed = header_text(map, &headers::REQUEST_ID);
+    let is_other_server = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if is_other_server || echoed.is_some_and(|id| id != request.id) {
+        return;
+    }
+    match header_text(map, &headers::REQUEST_LIMIT) {
+        Some(text) => match headers::parse_request_limit(text) {
+            Some(limit) => guard.record_limit(Some(limit)),
+            None => log::warn!(
+                "event=request_limit_undecodable vm={} text={text:?}",
+                guard.target.backend
+            ),
+        },
+        None if echoed.is_some() && map.contains_key(headers::RESPONSE_SEAL) => {
+            guard.record_limit(None);
+        }
+        None => {}
+    }
+}
+
 fn check_response_head(
     node: &Rc<EntryNode>,
     request: &CallerRequest,
@@ -251,6 +291,7 @@
     let echoed = header_text(map, &headers::REQUEST_ID);
     let is_refusal =
         map.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+    record_limit(request, &guard, &response);
     if is_refusal && echoed.is_none_or(|id| id == request.id) {
         let faulty_backend = header_text(map, &headers::FAULTY_BACKEND)
             .unwrap_or("-")
@@ -372,6 +413,9 @@
             ));
         }
         report.record_choice(node, &choice);
+        if choice.inputs.limit.is_some() {
+            metrics::counter!("jaysaddle_limited_sends_total").increment(1);
+        }
         let target = choice.target;
         let may_fail_over = may_retry && report.runs + 1 < rule.max_attempts;
         log::debug!(
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -13,6 +13,7 @@
 use jaysaddle_fleet::lease::LeaseEvent;
 use jaysaddle_fleet::lease::LeaseHandover;
 use jaysaddle_fleet::peers::PeerHeartbeat;
+use jaysaddle_fleet::peers::PeerLimit;
 use jaysaddle_fleet::peers::PeerLoad;
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_fleet::peers::PeerUnserved;
@@ -20,9 +21,12 @@
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_wire::heartbeat::LeaseHandoverMessage;
 use jaysaddle_wire::heartbeat::LeaseMessage;
+use jaysaddle_wire::heartbeat::LimitMessage;
 use jaysaddle_wire::heartbeat::NodeHeartbeat;
 use jaysaddle_wire::heartbeat::WorkMessage;
 use prost::Message;
@@ -104,6 +108,17 @@
             .iter()
             .map(|attempt| attempt.time_left.as_millis())
             .collect(),
+        limits: gateway
+            .announced_limits(now)
+            .into_iter()
+            .map(|limit| LimitMessage {
+                server: limit.server,
+                version: limit.version,
+                per_kilosecond: limit.limit.map(RequestLimit::per_kilosecond),
+                age_ms: limit.age.as_millis(),
+                sent: limit.sent,
+            })
+            .collect(),
     }
 }
 
@@ -168,6 +183,17 @@
                 time_left: TimeSpan(time_left_ms),
             })
             .collect(),
+        limits: message
+            .limits
+            .into_iter()
+            .map(|limit| PeerLimit {
+                server: limit.server,
+                version: limit.version,
+                limit: limit.per_kilosecond.map(RequestLimit::from_per_kilosecond),
+                age: TimeSpan(limit.age_ms),
+                sent: limit.sent,
+            })
+            .collect(),
     })
 }
 
@@ -207,9 +233,11 @@
         }
         node.peers.borrow_mut().tick(clock::now());
         let count = node.peers.borrow().live(clock::now()).count() + 1;
-        node.gateway
-            .borrow_mut()
-            .set_node_count(u32::try_from(count).unwrap_or(u32::MAX));
+        {
+            let mut gateway = node.gateway.borrow_mut();
+            gateway.set_node_count(u32::try_from(count).unwrap_or(u32::MAX));
+            gateway.expire_limits(clock::now());
+        }
         send_round(&node, &socket, &addresses, round).await;
     }
 }
@@ -219,6 +247,18 @@
     send_round(node, socket, addresses, 0).await;
 }
 
+fn merge_limits(node: &EntryNode, heartbeat: &PeerHeartbeat) {
+    let mut gateway = node.gateway.borrow_mut();
+    for (server, change) in gateway.merge_limits(&heartbeat.limits, clock::now()) {
+        let backend = gateway.backend_of_server(server);
+        log::info!(
+            "event=request_limit vm={} {change} source=peer peer={}",
+            backend.map_or("-", VmId::as_str),
+            heartbeat.node
+        );
+    }
+}
+
 /// Receives and processes heartbeats. Never returns.
 pub async fn receive_heartbeats(
     node: Rc<EntryNode>,
@@ -252,6 +292,7 @@
                     }
                 }
                 lease::accept_handover(&node, &heartbeat);
+                merge_limits(&node, &heartbeat);
                 node.peers
                     .borrow_mut()
                     .record_heartbeat(heartbeat, clock::now());
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -28,6 +28,10 @@
             "jaysaddle_repeats_withheld_total",
             "Repeats for which the shared budget had no room",
         ),
+        (
+            "jaysaddle_limited_sends_total",
+            "Requests that were sent to a backend server with a request limit",
+        ),
         (
             "jaysaddle_log_lines_left_out_total",
             "Log lines left out by the limit for each place in the code",
@@ -124,6 +128,8 @@
     let is_reachable = !node.store.is_unreachable(now);
     metrics::gauge!("jaysaddle_store_reachable").set(f64::from(u8::from(is_reachable)));
     metrics::gauge!("jaysaddle_live_peers").set(node.peers.borrow().live(now).count() as f64);
+    let limits = node.gateway.borrow().limits_in_force();
+    metrics::gauge!("jaysaddle_request_limits").set(limits as f64);
     metrics::gauge!("jaysaddle_open_requests").set(f64::from(node.open_requests.get()));
     let connections = [
         ("caller", node.caller_connections.get()),
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -338,7 +338,19 @@
             fields.inputs.slots,
             fields.is_late,
             fields.table_age.as_millis()
-        )
+        )?;
+        if let Some(inputs) = &fields.inputs.limit {
+            write!(
+                f,
+                " limit={} limit_source={} limit_age_ms={} limit_own_sent={} limit_peer_sent={}",
+                inputs.limit,
+                inputs.source,
+                inputs.age.as_millis(),
+                inputs.own_sent,
+                inputs.peer_sent
+            )?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -9,6 +9,7 @@
 use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
@@ -46,6 +47,21 @@
     pub time_left: TimeSpan,
 }
 
+/// What a node knows of the request limit of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerLimit {
+    /// Number of the backend server's process, which is the same at all nodes.
+    pub server: u32,
+    /// Orders the statements of the backend server; higher for later ones.
+    pub version: u64,
+    /// Limit on the requests of all nodes together; `None` if the backend server has withdrawn it.
+    pub limit: Option<RequestLimit>,
+    /// Time since a response last stated the limit.
+    pub age: TimeSpan,
+    /// Requests that the sending node has sent to the backend server in the last [`LIMIT_WINDOW`].
+    pub sent: u32,
+}
+
 /// State that a node sends to its peers at every heartbeat.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerHeartbeat {
@@ -83,6 +99,8 @@
     pub closed_targets: Vec<u32>,
     /// Recent attempts of callers that the node did not serve.
     pub unserved: Vec<PeerUnserved>,
+    /// Request limits of backend servers.
+    pub limits: Vec<PeerLimit>,
 }
 
 /// Last heartbeat of a peer.
@@ -97,6 +115,9 @@
 /// Time without a heartbeat after which a peer counts as down. Covers four heartbeats of 200 ms, so that the loss of
 /// single datagrams does not suffice.
 pub const PEER_TIMEOUT: TimeSpan = TimeSpan(900);
+/// Time over which the requests to a backend server with a request limit are counted. The platform counts over 4 s;
+/// the rest is a margin for delays between the nodes and the backend server.
+pub const LIMIT_WINDOW: TimeSpan = TimeSpan(4500);
 /// Time without a heartbeat after which a peer's record is removed.
 const PEER_RETENTION: TimeSpan = TimeSpan::from_secs(60);
 
@@ -110,6 +131,9 @@
     closed: HashSet<u32>,
     /// Deadlines of the attempts that live peers did not serve, by fingerprint.
     unserved: HashMap<u32, Vec<Timestamp>>,
+    /// Requests to backend servers with a request limit that peers have sent in the last [`LIMIT_WINDOW`], by server.
+    /// A peer that is down is included, because what it sent counts.
+    sent: HashMap<u32, u32>,
 }
 
 impl PeerTable {
@@ -144,7 +168,13 @@
         self.stalled.clear();
         self.closed.clear();
         self.unserved.clear();
+        self.sent.clear();
         for record in self.peers.values() {
+            if now.since(record.received) < LIMIT_WINDOW {
+                for limit in &record.heartbeat.limits {
+                    *self.sent.entry(limit.server).or_default() += limit.sent;
+                }
+            }
             if now.since(record.received) < PEER_TIMEOUT {
                 for load in &record.heartbeat.loads {
                     let (requests, late) = self.loads.entry(load.target).or_default();
@@ -188,6 +218,11 @@
         self.unserved.get(&fingerprint).map_or(&[], Vec::as_slice)
     }
 
+    /// Requests to a backend server with a request limit that peers have sent in the last [`LIMIT_WINDOW`].
+    pub fn sent_to(&self, server: u32) -> u32 {
+        self.sent.get(&server).copied().unwrap_or(0)
+    }
+
     /// Peers whose last heartbeat is younger than [`PEER_TIMEOUT`].
     pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
         self.peers
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -37,6 +37,7 @@
         target_changes: 0,
         closed_targets: vec![8],
         unserved: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -5,8 +5,10 @@
 
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ServiceId;
+use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 
+use crate::limits::LimitSource;
 use crate::target::RequestTarget;
 use crate::target::TargetNumber;
 
@@ -63,6 +65,25 @@
     pub peer_age: TimeSpan,
     /// Number of requests that the selected target runs concurrently.
     pub slots: u32,
+    /// Request limit of the selected target's backend server; `None` without a limit in force.
+    pub limit: Option<LimitInputs>,
+}
+
+/// What was known of the request limit of the selected target, recorded in the request log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitInputs {
+    /// Limit on the requests of all nodes together.
+    pub limit: RequestLimit,
+    /// How this node has learned of the limit.
+    pub source: LimitSource,
+    /// Time since a response last stated the limit.
+    pub age: TimeSpan,
+    /// Requests that this node has sent to the backend server in the last [`LIMIT_WINDOW`].
+    ///
+    /// [`LIMIT_WINDOW`]: jaysaddle_fleet::peers::LIMIT_WINDOW
+    pub own_sent: u32,
+    /// Requests that its peers have sent in that time, as far as known.
+    pub peer_sent: u32,
 }
 
 /// Result of a successful target selection.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use jaysaddle_admission::RetryBudget;
+use jaysaddle_fleet::peers::PeerLimit;
 use jaysaddle_fleet::peers::PeerLoad;
 use jaysaddle_fleet::peers::PeerTable;
 use jaysaddle_fleet::table::BackendTable;
@@ -14,22 +15,27 @@
 use jaysaddle_types::ids::ServiceId;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
 use crate::choice::ChoiceInputs;
+use crate::choice::LimitInputs;
 use crate::choice::RequestSize;
 use crate::choice::RequestWork;
 use crate::choice::TargetChoice;
 use crate::choice::TargetOutcome;
 use crate::choice::TargetQuery;
 use crate::choice::TargetRefusal;
+use crate::limits::LimitChange;
+use crate::limits::ServerLimits;
 use crate::random::XorshiftRng;
 use crate::routes::RouteIndex;
 use crate::settings::GatewaySettings;
 use crate::spread::TargetLoad;
 use crate::spread::select_target;
 use crate::target::RequestTarget;
+use crate::target::ServerNumber;
 use crate::target::TargetHealth;
 use crate::target::TargetNumber;
 use crate::target::current_targets;
@@ -69,6 +75,7 @@
 #[derive(Debug)]
 pub struct AttemptRecord {
     number: TargetNumber,
+    server: ServerNumber,
     class: TargetClass,
     started: Timestamp,
     /// Whether the request is counted in [`TargetHealth::waiting_late`].
@@ -94,6 +101,7 @@
     work: BTreeMap<ModelId, f64>,
     /// Targets of groups that this node's controller has closed.
     closed: HashSet<TargetNumber>,
+    limits: ServerLimits,
     random: XorshiftRng,
     /// Change count of the backend table from which `targets` was built.
     table_version: Option<u64>,
@@ -113,6 +121,7 @@
             node_count: 1,
             work: BTreeMap::new(),
             closed: HashSet::new(),
+            limits: ServerLimits::default(),
             random: XorshiftRng::new(seed),
             table_version: None,
             target_changes: 0,
@@ -343,10 +352,73 @@
                 own_load: own_requests,
                 peer_age: facts.peer_age,
                 slots: target.slots,
+                limit: self.limit_inputs(target, peers, now),
             },
         })
     }
 
+    fn limit_inputs(
+        &self,
+        target: &RequestTarget,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> Option<LimitInputs> {
+        let record = self.limits.get(target.server)?;
+        Some(LimitInputs {
+            limit: record.limit?,
+            source: record.source,
+            age: now.since(record.stated),
+            own_sent: self.limits.sent_to(target.server, now),
+            peer_sent: peers.sent_to(target.server.0),
+        })
+    }
+
+    /// Records what the response to a request states about the request limit of its backend server. Returns the change,
+    /// if any.
+    pub fn record_limit(
+        &mut self,
+        record: &AttemptRecord,
+        limit: Option<RequestLimit>,
+        now: Timestamp,
+    ) -> Option<LimitChange> {
+        self.limits
+            .record_response(record.server, limit, record.started, now)
+    }
+
+    /// Merges the request limits that a peer announces. Returns those that changed.
+    pub fn merge_limits(
+        &mut self,
+        limits: &[PeerLimit],
+        now: Timestamp,
+    ) -> Vec<(ServerNumber, LimitChange)> {
+        self.limits.merge(limits, now)
+    }
+
+    /// Request limits and recent requests to these backend servers, for heartbeats to peers.
+    pub fn announced_limits(&self, now: Timestamp) -> Vec<PeerLimit> {
+        self.limits.announced(now)
+    }
+
+    /// Removes the request limits of backend servers that are gone.
+    pub fn expire_limits(&mut self, now: Timestamp) {
+        let servers = self.targets.values().flatten().map(|target| target.server);
+        self.limits.retain(&servers.collect(), now);
+    }
+
+    /// Number of request limits in force.
+    pub fn limits_in_force(&self) -> usize {
+        self.limits.in_force()
+    }
+
+    /// Backend server whose process has a number; `None` if it leads no target of this node.
+    pub fn backend_of_server(&self, server: ServerNumber) -> Option<&VmId> {
+        self.targets
+            .values()
+            .flatten()
+            .find(|target| target.server == server)
+            .map(|target| &target.backend)
+    }
+
     /// Returns a randomized delay after which the caller of a refused request may retry.
     pub fn retry_after(&mut self, refusal: TargetRefusal) -> TimeSpan {
         let (min, max) = match refusal {
@@ -372,8 +444,10 @@
         }
         health.in_flight += 1;
         health.waiting_late += u32::from(is_late);
+        self.limits.record_send(target.server, now);
         AttemptRecord {
             number,
+            server: target.server,
             class,
             started: now,
             is_waiting_late: is_late,
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -25,11 +25,28 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetNumber(pub u32);
 
+/// Identifies one run of a backend server's process in heartbeats between nodes, whichever group it is in.
+///
+/// It is a hash of the backend server and its start, so all nodes compute the same number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerNumber(pub u32);
+
+impl ServerNumber {
+    /// Computes the number of a backend server's process that started at `started`.
+    pub fn of(backend: &VmId, started: u64) -> Self {
+        let mut hasher = DefaultHasher::new();
+        (backend, started).hash(&mut hasher);
+        Self((hasher.finish() >> 32) as u32)
+    }
+}
+
 /// Endpoint that requests can be sent to: the leader of a group or a backend server of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestTarget {
     /// Number under which nodes report load and stalls of this target.
     pub number: TargetNumber,
+    /// Number under which nodes report the request limit of the backend server.
+    pub server: ServerNumber,
     /// Backend server that receives the requests; for a group, its leader.
     pub backend: VmId,
     /// Start of the backend server's process; differs after a restart.
@@ -64,6 +81,7 @@
 ) -> RequestTarget {
     RequestTarget {
         number: target_number(entry, group.as_ref()),
+        server: ServerNumber::of(&entry.id, entry.started),
         backend: entry.id.clone(),
         started: entry.started,
         address: entry.address,
--- a/crates/gateway/tests/all/fixture.rs
+++ b/crates/gateway/tests/all/fixture.rs
@@ -170,6 +170,7 @@
         target_changes: 0,
         closed_targets: Vec::new(),
         unserved: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/types/src/units.rs
+++ b/crates/types/src/units.rs
@@ -119,6 +119,59 @@
     "a whole number followed by /s"
 );
 
+/// A limit on the number of requests a second, with a resolution of a thousandth; written as `1.4/s`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestLimit {
+    /// Requests in a thousand seconds.
+    per_kilosecond: u64,
+}
+
+impl RequestLimit {
+    /// Creates a limit from requests a second. `None` if the number is negative or not finite.
+    pub fn from_per_second(number: f64) -> Option<Self> {
+        // The conversion saturates, so that a number beyond the range stays a very high limit.
+        (number.is_finite() && number >= 0.0)
+            .then(|| Self::from_per_kilosecond((number * 1000.0) as u64))
+    }
+
+    /// Creates a limit from requests in a thousand seconds.
+    pub const fn from_per_kilosecond(number: u64) -> Self {
+        Self {
+            per_kilosecond: number,
+        }
+    }
+
+    /// The limit in requests a second.
+    pub fn per_second(self) -> f64 {
+        self.per_kilosecond as f64 / 1000.0
+    }
+
+    /// The limit in requests in a thousand seconds.
+    pub const fn per_kilosecond(self) -> u64 {
+        self.per_kilosecond
+    }
+}
+
+impl fmt::Display for RequestLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.per_second())
+    }
+}
+
+impl FromStr for RequestLimit {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        text.strip_suffix("/s")
+            .and_then(|number| number.parse().ok())
+            .and_then(Self::from_per_second)
+            .ok_or_else(|| UnitError {
+                text: text.into(),
+                expected: "a number that is not negative, followed by /s",
+            })
+    }
+}
+
 impl TimeSpan {
     /// Creates a span of whole seconds.
     pub const fn from_secs(secs: u64) -> Self {
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -69,6 +69,29 @@
     /// Time until the callers' deadlines, in milliseconds, in the order of `unserved_fingerprints`.
     #[prost(uint64, repeated, tag = "20")]
     pub unserved_times_left_ms: Vec<u64>,
+    /// Request limits of backend servers.
+    #[prost(message, repeated, tag = "21")]
+    pub limits: Vec<LimitMessage>,
+}
+
+/// What a node knows of the request limit of a backend server.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct LimitMessage {
+    /// Number of the backend server's process, which is the same at all nodes.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Orders the statements of the backend server; higher for later ones.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Limit on the requests of all nodes together, in requests in a thousand seconds; absent if it was withdrawn.
+    #[prost(uint64, optional, tag = "3")]
+    pub per_kilosecond: Option<u64>,
+    /// Time since a response last stated the limit, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+    /// Number of requests that the node has sent to the backend server lately.
+    #[prost(uint32, tag = "5")]
+    pub sent: u32,
 }
 
 /// The controller's lease as seen by its holder.
