--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod delayed_loads;
 mod events;
 mod fixture;
+mod limited_servers;
 mod limits;
 mod overload;
 mod routes;
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -1,150 +1,22 @@
 //! Nodes on the platform: daemon processes between callers, a stand-in store and stand-in engines.
 
 use std::fs;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::Command;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
-use jaysaddle_platform_standin::PlatformStandin;
-use jaysaddle_platform_standin::add_plain_routes;
-use jaysaddle_platform_standin::request_headers;
 use jaysaddle_platform_standin::request_headers_with_time;
 use jaysaddle_platform_standin::stream_config;
 use serde_json::Value;
 use serde_json::json;
 
-use crate::deployment::MAX_WAIT;
-use crate::process::TestProcess;
+use crate::platform_nodes::KEY;
+use crate::platform_nodes::PlatformNodes;
+use crate::platform_nodes::REQUEST_TIMEOUT_SECS;
 
 /// Number of events in each response of the stand-in engines.
 const EVENT_COUNT: usize = 30;
-/// API key of the client account.
-const KEY: &str = "secret";
-/// Timeout of one request, in seconds.
-const REQUEST_TIMEOUT_SECS: u64 = 20;
-
-static NODE_PAIRS: AtomicU32 = AtomicU32::new(0);
-
-/// Two nodes in front of stand-ins, on loopback addresses that no other test uses.
-struct NodePair {
-    standin: PlatformStandin,
-    nodes: Vec<TestProcess>,
-    addresses: Vec<IpAddr>,
-    /// Settings file of each node.
-    settings: Vec<PathBuf>,
-    /// Log file of each node.
-    logs: Vec<PathBuf>,
-}
-
-impl NodePair {
-    fn start(engines: u16) -> Self {
-        let number = NODE_PAIRS.fetch_add(1, Ordering::Relaxed);
-        let process = std::process::id();
-        // 127.x.y.z with x and y from the process id and the number of the pair. The offset of 8 keeps the
-        // addresses apart from those of `Deployment`.
-        let x = u8::try_from(1 + process % 250).expect("below 256");
-        let y = u8::try_from((process / 250 + number * 16 + 8) % 250).expect("below 256");
-        let ip = |z: u8| IpAddr::V4(Ipv4Addr::new(127, x, y, z));
-        let mut config = stream_config(1, &[ip(1), ip(2)], KEY);
-        add_plain_routes(&mut config, &[ip(1), ip(2)]);
-        let standin = PlatformStandin::start(ip(200), &config, engines);
-        let folder =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("pair-{process}-{number}"));
-        fs::create_dir_all(&folder).expect("the directory can be created");
-        let mut pair = Self {
-            standin,
-            nodes: Vec::new(),
-            addresses: Vec::new(),
-            settings: Vec::new(),
-            logs: Vec::new(),
-        };
-        for node in 1..=2 {
-            let address = ip(node);
-            let settings = json!({
-                "node": format!("entry-{node}"), "failure_domain": "a", "address": address,
-                "listen": {"callers": format!("{address}:7700"), "readiness": format!("{address}:7701"),
-                    "directory": format!("{address}:7702")},
-                "peer_ports": [7703, 7710], "store": pair.standin.store_address
-            });
-            let file = folder.join(format!("entry-{node}.yaml"));
-            fs::write(&file, settings.to_string()).expect("the settings can be written");
-            let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddled"));
-            command.arg("--entry-settings").arg(&file);
-            let errors = folder.join(format!("entry-{node}.err"));
-            let mut process = TestProcess::spawn(&format!("entry-{node}"), command, errors);
-            let log = folder.join(format!("entry-{node}.log"));
-            process.copy_output(&log);
-            pair.settings.push(file);
-            pair.logs.push(log);
-            pair.nodes.push(process);
-            pair.addresses.push(address);
-        }
-        pair
-    }
-
-    fn get(&self, node: usize, port: u16, target: &str) -> Option<minreq::Response> {
-        let url = format!("http://{}:{port}{target}", self.addresses[node]);
-        minreq::get(url).with_timeout(2).send().ok()
-    }
-
-    fn log(&self, node: usize) -> String {
-        fs::read_to_string(&self.logs[node]).unwrap_or_default()
-    }
-
-    fn is_ready(&self, node: usize) -> bool {
-        self.get(node, 7701, "/readyz")
-            .is_some_and(|response| response.status_code == 200)
-    }
-
-    fn resolved(&self, node: usize) -> usize {
-        let response = self.get(node, 7702, "/resolve?name=calls.example&zone=a");
-        let body =
-            response.and_then(|response| serde_json::from_slice::<Value>(response.as_bytes()).ok());
-        body.and_then(|body| Some(body["addresses"].as_array()?.len()))
-            .unwrap_or(0)
-    }
-
-    fn request(&self, node: usize, id: &str, path: &str, key: &str) -> minreq::Response {
-        let url = format!("http://{}:7700{path}", self.addresses[node]);
-        let mut request = minreq::post(url);
-        for (name, value) in request_headers(id, key) {
-            request = request.with_header(name, value);
-        }
-        request
-            .with_body("prompt")
-            .with_timeout(REQUEST_TIMEOUT_SECS)
-            .send()
-            .expect("the node responds")
-    }
-
-    fn wait(&self, what: &str, holds: impl Fn(&Self) -> bool) {
-        let started = Instant::now();
-        while started.elapsed() < MAX_WAIT {
-            if holds(self) {
-                return;
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        panic!("condition not met within {MAX_WAIT:?}: {what}");
-    }
-
-    fn wait_serving(&self, groups: usize) {
-        self.wait("the groups serve at both nodes", |pair| {
-            pair.standin.serving_groups().len() == groups
-                && (0..2).all(|node| {
-                    pair.is_ready(node)
-                        && pair.request(node, "probe", "/drafts/x", KEY).status_code == 200
-                })
-        });
-    }
-}
-
 fn assert_complete(response: &minreq::Response) {
     assert_eq!(response.status_code, 200);
     let text = String::from_utf8_lossy(response.as_bytes()).into_owned();
@@ -158,7 +30,7 @@
 /// completely, the directory lists both nodes, and unknown keys and routes are refused.
 #[test]
 fn requests_are_served_by_automatically_formed_groups() {
-    let pair = NodePair::start(4);
+    let pair = PlatformNodes::start(2, 4);
     pair.wait_serving(2);
     pair.wait("both directories list both nodes", |pair| {
         (0..2).all(|node| pair.resolved(node) == 2)
@@ -179,7 +51,7 @@
 /// not formed again from the remaining VMs.
 #[test]
 fn stream_resumes_at_another_group() {
-    let pair = NodePair::start(5);
+    let pair = PlatformNodes::start(2, 5);
     pair.wait_serving(2);
     let groups = pair.standin.serving_groups();
     thread::scope(|scope| {
@@ -207,7 +79,7 @@
 /// In the incident of December 2026, four of five requests were left out of the demand for that reason.
 #[test]
 fn first_attempt_with_short_time_budget_is_not_a_retry() {
-    let pair = NodePair::start(2);
+    let pair = PlatformNodes::start(2, 2);
     pair.wait_serving(1);
     for (number, stated_ms) in [15_000, 14_400, 13_500, 12_750, 5_000].iter().enumerate() {
         let id = format!("budget{number}");
@@ -240,7 +112,7 @@
 /// Guards against a configuration change that is not applied, or is lost while the store refuses calls.
 #[test]
 fn new_configuration_takes_effect() {
-    let pair = NodePair::start(2);
+    let pair = PlatformNodes::start(2, 2);
     pair.wait_serving(1);
     pair.standin
         .set_config(&stream_config(2, &pair.addresses, "other"));
@@ -259,7 +131,7 @@
 /// ran, while backend servers refuse requests and lose responses of requests that they have run.
 #[test]
 fn requests_run_at_most_once_and_refusals_are_accurate() {
-    let pair = NodePair::start(2);
+    let pair = PlatformNodes::start(2, 2);
     pair.wait_serving(1);
     let mut statuses = Vec::new();
     for number in 0..60 {
@@ -288,7 +160,7 @@
 /// Guards against a `jaysaddle plan` that does not find the groups and idle VMs in the contents of the store.
 #[test]
 fn plan_lists_groups_and_idle_vms() {
-    let pair = NodePair::start(5);
+    let pair = PlatformNodes::start(2, 5);
     pair.wait_serving(2);
     let store = pair.standin.store_address;
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -332,7 +204,7 @@
 /// Guards against documented metrics that no node exports.
 #[test]
 fn every_documented_metric_is_exported() {
-    let pair = NodePair::start(2);
+    let pair = PlatformNodes::start(2, 2);
     pair.wait_serving(1);
     for node in 0..2 {
         pair.request(node, "n", "/other/", KEY);
@@ -340,13 +212,13 @@
     let documented = documented_metrics();
     assert!(documented.len() > 20, "{documented:?}");
     pair.standin.set_store_down(true);
-    let scrape = |pair: &NodePair| -> String {
+    let scrape = |pair: &PlatformNodes| -> String {
         (0..2)
             .filter_map(|node| pair.get(node, 7701, "/metrics"))
             .map(|response| response.as_str().unwrap_or_default().to_owned())
             .collect()
     };
-    let missing = |pair: &NodePair| -> Vec<String> {
+    let missing = |pair: &PlatformNodes| -> Vec<String> {
         let text = scrape(pair);
         documented
             .iter()
@@ -360,7 +232,7 @@
 /// Guards against settings that only a restart applies, and against invalid settings that stop a node.
 #[test]
 fn changed_settings_are_applied_and_invalid_ones_refused() {
-    let pair = NodePair::start(2);
+    let pair = PlatformNodes::start(2, 2);
     pair.wait_serving(1);
     let file = &pair.settings[0];
     let good = fs::read_to_string(file).expect("settings");
@@ -396,7 +268,7 @@
 /// process.
 #[test]
 fn stopping_node_completes_open_streams() {
-    let mut pair = NodePair::start(2);
+    let mut pair = PlatformNodes::start(2, 2);
     pair.wait_serving(1);
     pair.wait("node 2 lists both", |pair| pair.resolved(1) == 2);
     thread::scope(|scope| {
--- /dev/null
+++ b/tests/all/platform_nodes.rs
@@ -0,0 +1,144 @@
+//! Daemons on the platform, as processes in front of a stand-in store and stand-in engines.
+
+use std::fs;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use jaysaddle_platform_standin::PlatformStandin;
+use jaysaddle_platform_standin::add_plain_routes;
+use jaysaddle_platform_standin::request_headers;
+use jaysaddle_platform_standin::stream_config;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployment::MAX_WAIT;
+use crate::process::TestProcess;
+
+/// API key of the client account.
+pub const KEY: &str = "secret";
+/// Timeout of one request, in seconds.
+pub const REQUEST_TIMEOUT_SECS: u64 = 20;
+
+static NODE_SETS: AtomicU32 = AtomicU32::new(0);
+
+/// Nodes in front of stand-ins, on loopback addresses that no other test uses.
+pub struct PlatformNodes {
+    pub standin: PlatformStandin,
+    pub nodes: Vec<TestProcess>,
+    pub addresses: Vec<IpAddr>,
+    /// Settings file of each node.
+    pub settings: Vec<PathBuf>,
+    /// Log file of each node.
+    pub logs: Vec<PathBuf>,
+}
+
+impl PlatformNodes {
+    /// Starts nodes, a store and engines.
+    pub fn start(count: u8, engines: u16) -> Self {
+        let number = NODE_SETS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        // 127.x.y.z with x and y from the process id and the number of the set. The offset of 8 keeps the
+        // addresses apart from those of `Deployment`.
+        let x = u8::try_from(1 + process % 250).expect("below 256");
+        let y = u8::try_from((process / 250 + number * 16 + 8) % 250).expect("below 256");
+        let ip = |z: u8| IpAddr::V4(Ipv4Addr::new(127, x, y, z));
+        let addresses: Vec<IpAddr> = (1..=count).map(ip).collect();
+        let mut config = stream_config(1, &addresses, KEY);
+        add_plain_routes(&mut config, &addresses);
+        let standin = PlatformStandin::start(ip(200), &config, engines);
+        let folder =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("nodes-{process}-{number}"));
+        fs::create_dir_all(&folder).expect("the directory can be created");
+        let mut set = Self {
+            standin,
+            nodes: Vec::new(),
+            addresses: Vec::new(),
+            settings: Vec::new(),
+            logs: Vec::new(),
+        };
+        for (node, address) in (1..).zip(addresses) {
+            let settings = json!({
+                "node": format!("entry-{node}"), "failure_domain": "a", "address": address,
+                "listen": {"callers": format!("{address}:7700"), "readiness": format!("{address}:7701"),
+                    "directory": format!("{address}:7702")},
+                "peer_ports": [7703, 7710], "store": set.standin.store_address
+            });
+            let file = folder.join(format!("entry-{node}.yaml"));
+            fs::write(&file, settings.to_string()).expect("the settings can be written");
+            let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddled"));
+            command.arg("--entry-settings").arg(&file);
+            let errors = folder.join(format!("entry-{node}.err"));
+            let mut process = TestProcess::spawn(&format!("entry-{node}"), command, errors);
+            let log = folder.join(format!("entry-{node}.log"));
+            process.copy_output(&log);
+            set.settings.push(file);
+            set.logs.push(log);
+            set.nodes.push(process);
+            set.addresses.push(address);
+        }
+        set
+    }
+
+    pub fn get(&self, node: usize, port: u16, target: &str) -> Option<minreq::Response> {
+        let url = format!("http://{}:{port}{target}", self.addresses[node]);
+        minreq::get(url).with_timeout(2).send().ok()
+    }
+
+    pub fn log(&self, node: usize) -> String {
+        fs::read_to_string(&self.logs[node]).unwrap_or_default()
+    }
+
+    pub fn is_ready(&self, node: usize) -> bool {
+        self.get(node, 7701, "/readyz")
+            .is_some_and(|response| response.status_code == 200)
+    }
+
+    pub fn resolved(&self, node: usize) -> usize {
+        let response = self.get(node, 7702, "/resolve?name=calls.example&zone=a");
+        let body =
+            response.and_then(|response| serde_json::from_slice::<Value>(response.as_bytes()).ok());
+        body.and_then(|body| Some(body["addresses"].as_array()?.len()))
+            .unwrap_or(0)
+    }
+
+    pub fn request(&self, node: usize, id: &str, path: &str, key: &str) -> minreq::Response {
+        let url = format!("http://{}:7700{path}", self.addresses[node]);
+        let mut request = minreq::post(url);
+        for (name, value) in request_headers(id, key) {
+            request = request.with_header(name, value);
+        }
+        request
+            .with_body("prompt")
+            .with_timeout(REQUEST_TIMEOUT_SECS)
+            .send()
+            .expect("the node responds")
+    }
+
+    pub fn wait(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let started = Instant::now();
+        while started.elapsed() < MAX_WAIT {
+            if holds(self) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        panic!("condition not met within {MAX_WAIT:?}: {what}");
+    }
+
+    pub fn wait_serving(&self, groups: usize) {
+        self.wait("the groups serve at all nodes", |set| {
+            set.standin.serving_groups().len() == groups
+                && (0..set.nodes.len()).all(|node| {
+                    set.is_ready(node)
+                        && set.request(node, "probe", "/drafts/x", KEY).status_code == 200
+                })
+        });
+    }
+}
--- /dev/null
+++ b/tests/all/request_limits.rs
@@ -0,0 +1,74 @@
+//! Request limits that backend servers name, in front of daemons as processes.
+
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::platform_nodes::KEY;
+use crate::platform_nodes::PlatformNodes;
+
+/// Interval at which each caller sends a request.
+const CALL_INTERVAL: Duration = Duration::from_millis(60);
+/// Time from a backend server's first response with a limit until the platform's rule holds, and its window.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests in any window that the platform's rule allows for a limit of `per_second`.
+fn allowed(per_second: f64) -> f64 {
+    1.5 * per_second * WINDOW.as_secs_f64() + 5.0
+}
+
+/// Highest number of requests in a window that ends after `from`.
+fn busiest_window(arrivals: &[Instant], from: Instant) -> usize {
+    let windows = arrivals.iter().enumerate().filter(|(_, end)| **end >= from);
+    windows
+        .map(|(last, end)| {
+            let start = arrivals.partition_point(|time| *end - *time >= WINDOW);
+            last + 1 - start
+        })
+        .max()
+        .unwrap_or(0)
+}
+
+/// Sends requests to all nodes in turn until `ends`. Returns the number of requests that were not answered with 200.
+fn call_all(nodes: &PlatformNodes, ends: Instant) -> u32 {
+    let failures = AtomicU32::new(0);
+    thread::scope(|scope| {
+        for number in 0.. {
+            if Instant::now() >= ends {
+                break;
+            }
+            let failures = &failures;
+            scope.spawn(move || {
+                let node = number % nodes.nodes.len();
+                let id = format!("limited{number}");
+                let response = nodes.request(node, &id, "/drafts/x", KEY);
+                failures.fetch_add(u32::from(response.status_code != 200), Ordering::Relaxed);
+            });
+            thread::sleep(CALL_INTERVAL);
+        }
+    });
+    failures.into_inner()
+}
+
+/// Guards against a request limit that is not decoded, not passed on between nodes or not kept, and against requests
+/// that fail although backend servers without a limit can serve them.
+#[test]
+fn limited_backend_server_receives_no_more_than_it_allows() {
+    const LIMIT: f64 = 1.0;
+    let nodes = PlatformNodes::start(7, 6);
+    nodes.wait_serving(3);
+    let leader = nodes.standin.serving_groups()[0][0].clone();
+    nodes.standin.set_limit(&leader, Some(LIMIT));
+    let named = Instant::now();
+    let failures = call_all(&nodes, named + Duration::from_secs(10));
+    let busiest = busiest_window(&nodes.standin.arrival_times(&leader), named + SETTLE_TIME);
+    assert!(
+        busiest as f64 <= allowed(LIMIT),
+        "{busiest} requests in 4 s, {} allowed",
+        allowed(LIMIT)
+    );
+    assert_eq!(failures, 0);
+}
