Keep the request limits of backend servers for the sum over all nodes

What callers saw: nothing at first. A backend server in need, which names how many requests a second it takes from all nodes together, received them at the rate of before (16 and 15 in 4 s at 1.4 a second, 13 allowed), and so could not recover, which is what the limit is for.

Cause: no decision used the limit. The class: a figure that one node receives and that binds all of them together. A limit at each node would not have helped, because each of the seven nodes sent less than the limit.

Evidence: the daemons in front of the stand-in all know the limit within 0.2 s, and the limited group still received 56 of 167 requests.

The fix: while a limit is in force, only its owners send to the backend server, selected by rendezvous hashing, each with a token bucket for its part. Nodes that disagree on the owners are bounded by the part of the known nodes that each hears, by empty buckets at the start, and by the known sum of all recent requests, including those from before the limit. Requests, retries, resumptions and the controller's calls count alike. A request for which all limits are used up is refused at once, with the time until the next one is allowed. An owner that has not heard a statement for 2 s prefers the backend server, and after a longer silence other nodes become the owners, so that the end of a limit is noticed.

Open: owners with few requests use less than the limit allows.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -32,6 +32,8 @@
 use crate::pool::PooledConnection;
 use crate::request_report::RequestReport;
 use crate::response::RequestFailure;
+use crate::stated_limit::StatedLimit;
+use crate::stated_limit::stated_limit;
 
 /// Maximum number of sends per request, refused ones included. A retry after a refusal also counts against the
 /// shared retry budget.
@@ -85,14 +87,10 @@
 
     /// Records what the response states about the request limit of the backend server: a limit, or that there is none.
     fn record_limit(&self, limit: Option<RequestLimit>) {
-        let Some(record) = &self.record else {
-            return;
-        };
-        let now = clock::now();
-        let mut gateway = self.node.gateway.borrow_mut();
-        if let Some(change) = gateway.record_limit(record, limit, now) {
-            let vm = &self.target.backend;
-            log::info!("event=request_limit vm={vm} {change} source=response");
+        if let Some(record) = &self.record {
+            let backend = &self.target.backend;
+            self.node
+                .record_limit(backend, record.server(), limit, record.started());
         }
     }
 
@@ -253,32 +251,6 @@
     check_response_head(node, request, guard, connection, response)
 }
 
-/// Records the request limit that a response states.
-///
-/// A refusal because of the expected backend server may come from another one at the same address. A response withdraws
-/// an earlier limit only if the backend server itself has produced it for this request.
-fn record_limit(request: &CallerRequest, guard: &AttemptGuard, response: &Response<Incoming>) {
-    let map = response.headers();
-    let echoed = header_text(map, &headers::REQUEST_ID);
-    let is_other_server = response.status() == StatusCode::MISDIRECTED_REQUEST;
-    if is_other_server || echoed.is_some_and(|id| id != request.id) {
-        return;
-    }
-    match header_text(map, &headers::REQUEST_LIMIT) {
-        Some(text) => match headers::parse_request_limit(text) {
-            Some(limit) => guard.record_limit(Some(limit)),
-            None => log::warn!(
-                "event=request_limit_undecodable vm={} text={text:?}",
-                guard.target.backend
-            ),
-        },
-        None if echoed.is_some() && map.contains_key(headers::RESPONSE_SEAL) => {
-            guard.record_limit(None);
-        }
-        None => {}
-    }
-}
-
 fn check_response_head(
     node: &Rc<EntryNode>,
     request: &CallerRequest,
@@ -291,7 +263,11 @@
     let echoed = header_text(map, &headers::REQUEST_ID);
     let is_refusal =
         map.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
-    record_limit(request, &guard, &response);
+    match stated_limit(&response, &request.id, &guard.target.backend) {
+        StatedLimit::Limited(limit) => guard.record_limit(Some(limit)),
+        StatedLimit::Unlimited => guard.record_limit(None),
+        StatedLimit::Unknown => {}
+    }
     if is_refusal && echoed.is_none_or(|id| id == request.id) {
         let faulty_backend = header_text(map, &headers::FAULTY_BACKEND)
             .unwrap_or("-")
@@ -416,6 +392,9 @@
         if choice.inputs.limit.is_some() {
             metrics::counter!("jaysaddle_limited_sends_total").increment(1);
         }
+        if choice.inputs.held > 0 {
+            metrics::counter!("jaysaddle_limit_diversions_total").increment(1);
+        }
         let target = choice.target;
         let may_fail_over = may_retry && report.runs + 1 < rule.max_attempts;
         log::debug!(
@@ -500,10 +479,11 @@
 }
 
 fn refusal_failure(may_have_run: bool, refusal: TargetRefusal, node: &EntryNode) -> RequestFailure {
-    terminal_failure(
-        may_have_run,
-        StatusCode::BAD_GATEWAY,
-        &format_compact!("{refusal}"),
-        node,
-    )
+    let reason = format_compact!("{refusal}");
+    let status = StatusCode::BAD_GATEWAY;
+    if may_have_run || !matches!(refusal, TargetRefusal::Limited { .. }) {
+        return terminal_failure(may_have_run, status, &reason, node);
+    }
+    let retry_after = node.gateway.borrow_mut().retry_after(refusal);
+    RequestFailure::unavailable(reason, retry_after)
 }
--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -21,6 +21,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::FleetEvent;
 use jaysaddle_fleet::controller::ProbeResult;
+use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::OrderResult;
@@ -33,6 +34,8 @@
 use crate::exchange::send;
 use crate::node::EntryNode;
 use crate::pool::BackendKey;
+use crate::stated_limit::StatedLimit;
+use crate::stated_limit::stated_limit;
 
 /// Timeout of an order. Backend servers respond within milliseconds; after the timeout the outcome counts as unknown.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -83,6 +86,10 @@
         started,
         address,
     };
+    let server = ServerNumber::of(id, started);
+    let sent = clock::now();
+    // Request limits count everything that a backend server receives.
+    node.gateway.borrow_mut().record_send(server, sent);
     let mut pooled = node.pool.take(&key, true, u32::MAX).await?;
     let mut builder = Request::builder()
         .method(method)
@@ -98,6 +105,10 @@
         .map_err(ExchangeError::not_run)?;
     let response = send(&mut pooled.connection, request).await?;
     let status = response.status().as_u16();
+    // Calls have no request id.
+    if let StatedLimit::Limited(limit) = stated_limit(&response, "", id) {
+        node.record_limit(id, server, Some(limit), sent);
+    }
     let body = response
         .into_body()
         .collect()
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -32,6 +32,10 @@
             "jaysaddle_limited_sends_total",
             "Requests that were sent to a backend server with a request limit",
         ),
+        (
+            "jaysaddle_limit_diversions_total",
+            "Requests that were sent elsewhere because a request limit was used up",
+        ),
         (
             "jaysaddle_log_lines_left_out_total",
             "Log lines left out by the limit for each place in the code",
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -21,11 +21,13 @@
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_gateway::gateway::RequestGateway;
 use jaysaddle_gateway::settings::GatewaySettings;
+use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_gateway::unserved::UnservedRequests;
 use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::serving::BackendEntry;
 use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use serde_json::Value;
@@ -113,7 +115,11 @@
         };
         let incarnation = clock::new_incarnation();
         Self {
-            gateway: RefCell::new(RequestGateway::new(gateway_settings, incarnation.0)),
+            gateway: RefCell::new(RequestGateway::new(
+                gateway_settings,
+                settings.node.clone(),
+                incarnation.0,
+            )),
             peers: RefCell::default(),
             unserved: RefCell::default(),
             table: RefCell::default(),
@@ -145,6 +151,24 @@
         }
     }
 
+    /// Records what a response to a request sent at `sent` states about the request limit of a backend server.
+    pub fn record_limit(
+        &self,
+        backend: &VmId,
+        server: ServerNumber,
+        limit: Option<RequestLimit>,
+        sent: Timestamp,
+    ) {
+        let mut gateway = self.gateway.borrow_mut();
+        let Some(change) = gateway.record_limit(server, limit, sent, clock::now()) else {
+            return;
+        };
+        log::info!("event=request_limit vm={backend} {change} source=response");
+        if change.is_urgent() {
+            self.heartbeat_now.notify_one();
+        }
+    }
+
     /// Version of the configuration in force, or 0 when there is none.
     pub fn config_version(&self) -> u64 {
         self.config
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -339,6 +339,9 @@
             fields.is_late,
             fields.table_age.as_millis()
         )?;
+        if fields.inputs.held > 0 {
+            write!(f, " held={}", fields.inputs.held)?;
+        }
         if let Some(inputs) = &fields.inputs.limit {
             write!(
                 f,
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -29,6 +29,7 @@
     let started = clock::now();
     log::info!("event=stopping open_requests={}", node.open_requests.get());
     node.phase.set(PeerPhase::Stopping);
+    node.gateway.borrow_mut().release_limits();
     lease::resign(&node);
     beats::send_heartbeat_now(&node, &socket, &addresses).await;
     let limit = TimeSpan(node.bounds.get().stop_grace.0.saturating_sub(KILL_MARGIN.0));
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod address_list;
 mod log_limiter;
+mod stated_limit;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -230,6 +230,26 @@
             .filter(move |record| now.since(record.received) < PEER_TIMEOUT)
     }
 
+    /// Serving peers that were heard within [`LIMIT_WINDOW`]. Unlike [`Self::live`], this does not depend on single
+    /// heartbeats where each peer sends one every few seconds.
+    pub fn recently_serving(&self, now: Timestamp) -> impl Iterator<Item = &NodeId> {
+        self.peers
+            .values()
+            .filter(move |record| {
+                record.heartbeat.phase == PeerPhase::Serving
+                    && now.since(record.received) < LIMIT_WINDOW
+            })
+            .map(|record| &record.heartbeat.node)
+    }
+
+    /// Number of known peers that have not announced their stop, whether they are reachable or not.
+    pub fn known_count(&self) -> usize {
+        self.peers
+            .values()
+            .filter(|record| record.heartbeat.phase != PeerPhase::Stopping)
+            .count()
+    }
+
     /// Mean age of the heartbeats of the live peers; zero without any.
     pub fn mean_age(&self, now: Timestamp) -> TimeSpan {
         let (count, total) = self
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -67,6 +67,8 @@
     pub slots: u32,
     /// Request limit of the selected target's backend server; `None` without a limit in force.
     pub limit: Option<LimitInputs>,
+    /// Number of targets that were left out because of the request limits of their backend servers.
+    pub held: u32,
 }
 
 /// What was known of the request limit of the selected target, recorded in the request log.
@@ -104,6 +106,11 @@
     NoTarget,
     /// Every target is at its admission limit, closed or already tried.
     Full,
+    /// Every target that is neither closed nor already tried has a request limit that is used up.
+    Limited {
+        /// Time until one of the limits allows another request.
+        wait: TimeSpan,
+    },
 }
 
 impl fmt::Display for TargetRefusal {
@@ -111,6 +118,7 @@
         f.pad(match self {
             TargetRefusal::NoTarget => "no_target",
             TargetRefusal::Full => "full",
+            TargetRefusal::Limited { .. } => "limited",
         })
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use jaysaddle_fleet::peers::PeerTable;
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ServiceId;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::serving::ServingConfig;
@@ -27,6 +28,8 @@
 use crate::choice::TargetOutcome;
 use crate::choice::TargetQuery;
 use crate::choice::TargetRefusal;
+use crate::limit_shares::LimitAdmission;
+use crate::limit_shares::LimitShares;
 use crate::limits::LimitChange;
 use crate::limits::ServerLimits;
 use crate::random::XorshiftRng;
@@ -41,12 +44,25 @@
 use crate::target::current_targets;
 use crate::target::update_average;
 
+/// Minimum capacity of a target by its request limit, because a capacity must be above zero.
+const MIN_CAPACITY: f64 = 0.05;
+
 /// Preference among the targets that accept a request. Targets with the lowest rank are eligible; fields are compared
 /// in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct TargetRank {
     is_avoided: bool,
     is_late: bool,
+    /// Whether there is no need to learn if a request limit is still in force.
+    is_routine: bool,
+}
+
+/// A target that is neither excluded nor held back by a request limit.
+#[derive(Clone, Copy)]
+struct UsableTarget<'a> {
+    target: &'a Rc<RequestTarget>,
+    /// Whether the target is preferred, to learn if its request limit is still in force.
+    is_recheck: bool,
 }
 
 /// A target that accepts a request.
@@ -84,6 +100,18 @@
     is_streaming: bool,
 }
 
+impl AttemptRecord {
+    /// Number of the backend server that receives the request.
+    pub fn server(&self) -> ServerNumber {
+        self.server
+    }
+
+    /// When the request was sent.
+    pub fn started(&self) -> Timestamp {
+        self.started
+    }
+}
+
 /// Key under which targets and durations are grouped: the service, and the model if the service has a model engine.
 type TargetClass = (ServiceId, Option<ModelId>);
 
@@ -102,6 +130,7 @@
     /// Targets of groups that this node's controller has closed.
     closed: HashSet<TargetNumber>,
     limits: ServerLimits,
+    shares: LimitShares,
     random: XorshiftRng,
     /// Change count of the backend table from which `targets` was built.
     table_version: Option<u64>,
@@ -110,7 +139,9 @@
 
 impl RequestGateway {
     /// Creates a gateway without a configuration; requests are refused until [`Self::set_config`] is called.
-    pub fn new(settings: GatewaySettings, seed: u64) -> Self {
+    ///
+    /// `node` is the id under which peers know this node.
+    pub fn new(settings: GatewaySettings, node: NodeId, seed: u64) -> Self {
         Self {
             settings,
             index: None,
@@ -122,6 +153,7 @@
             work: BTreeMap::new(),
             closed: HashSet::new(),
             limits: ServerLimits::default(),
+            shares: LimitShares::new(node),
             random: XorshiftRng::new(seed),
             table_version: None,
             target_changes: 0,
@@ -213,7 +245,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if no target serves the service and model, or if all targets are full, closed or already tried.
+    /// Fails if no target serves the service and model, or if all targets are full, limited, closed or already tried.
     pub fn choose(
         &mut self,
         query: &TargetQuery<'_>,
@@ -231,10 +263,16 @@
         if targets.is_empty() {
             return Err(TargetRefusal::NoTarget);
         }
-        let facts = self.class_facts(&class, targets, query, peers, now);
-        let mut candidates: Vec<TargetCandidate<'_>> = targets
-            .iter()
-            .filter_map(|target| self.candidate(target, &facts, query, peers, now))
+        self.shares.refresh(self.limits.iter(), peers, now);
+        let (usable, held) = self.usable_targets(targets, query, peers, now);
+        let held_count = u32::try_from(held.len()).unwrap_or(u32::MAX);
+        if let (true, Some(wait)) = (usable.is_empty(), held.into_iter().min()) {
+            return Err(TargetRefusal::Limited { wait });
+        }
+        let facts = self.class_facts(&class, &usable, query, peers, now);
+        let mut candidates: Vec<TargetCandidate<'_>> = usable
+            .into_iter()
+            .filter_map(|usable| self.candidate(usable, &facts, query, peers, now))
             .collect();
         let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
         let best_rank = candidates.iter().map(|candidate| candidate.rank).min();
@@ -250,23 +288,65 @@
             is_late: candidate.rank.is_late || query.is_caller_retry,
             inputs: ChoiceInputs {
                 candidates: count,
+                held: held_count,
                 ..candidate.inputs
             },
         })
     }
 
+    /// Targets that are neither excluded nor held back by a request limit, and the times until the limits of the latter
+    /// allow a request.
+    fn usable_targets<'a>(
+        &self,
+        targets: &'a [Rc<RequestTarget>],
+        query: &TargetQuery<'_>,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> (Vec<UsableTarget<'a>>, Vec<TimeSpan>) {
+        let (mut usable, mut held) = (Vec::new(), Vec::new());
+        for target in targets {
+            if self.is_excluded(target, query, peers) {
+                continue;
+            }
+            match self.limit_admission(target.server, peers, now) {
+                LimitAdmission::Admitted { is_recheck } => {
+                    usable.push(UsableTarget { target, is_recheck });
+                }
+                LimitAdmission::Held { wait } => held.push(wait),
+            }
+        }
+        (usable, held)
+    }
+
+    fn limit_admission(
+        &self,
+        server: ServerNumber,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> LimitAdmission {
+        let in_force = self
+            .limits
+            .get(server)
+            .and_then(|record| Some((record.limit?, record.stated)));
+        let Some((limit, stated)) = in_force else {
+            return LimitAdmission::Admitted { is_recheck: false };
+        };
+        let sent = self.limits.sent_to(server, now) + peers.sent_to(server.0);
+        self.shares.admission(server, limit, stated, sent, now)
+    }
+
+    /// `targets` are those that may receive the request.
     fn class_facts(
         &self,
         class: &TargetClass,
-        targets: &[Rc<RequestTarget>],
+        targets: &[UsableTarget<'_>],
         query: &TargetQuery<'_>,
         peers: &PeerTable,
         now: Timestamp,
     ) -> ClassFacts {
         let peer_requests = targets
             .iter()
-            .filter(|target| !self.is_excluded(target, query, peers))
-            .map(|target| peers.load_of(target.number.0))
+            .map(|usable| peers.load_of(usable.target.number.0))
             .sum::<u32>();
         ClassFacts {
             duration: self
@@ -277,7 +357,7 @@
             max_wait: query.latency_target.as_millis() as f64 * self.settings.wait_share,
             min_pause: targets
                 .iter()
-                .filter_map(|target| self.health.get(&target.number))
+                .filter_map(|usable| self.health.get(&usable.target.number))
                 .map(|health| health.pause_ms)
                 .filter(|pause| *pause > 0.0)
                 .fold(f64::INFINITY, f64::min),
@@ -298,18 +378,16 @@
             || query.tried.contains(&target.number)
     }
 
-    /// The target with its rank and load; `None` if it is excluded or does not admit the request.
+    /// The target with its rank and load; `None` if it does not admit the request.
     fn candidate<'a>(
         &self,
-        target: &'a Rc<RequestTarget>,
+        usable: UsableTarget<'a>,
         facts: &ClassFacts,
         query: &TargetQuery<'_>,
         peers: &PeerTable,
         now: Timestamp,
     ) -> Option<TargetCandidate<'a>> {
-        if self.is_excluded(target, query, peers) {
-            return None;
-        }
+        let UsableTarget { target, is_recheck } = usable;
         let health = self.health.get(&target.number);
         let (own_requests, own_late) =
             health.map_or((0, 0), |health| (health.in_flight, health.waiting_late));
@@ -335,16 +413,23 @@
             });
         let slowdown = health.map_or(1.0, |health| health.slowdown(facts.min_pause));
         let load = if is_late { total_load } else { on_time_load };
+        let limit = self.limit_inputs(target, peers, now);
+        // By Little's law, a limited rate keeps no more requests in flight than this.
+        let capacity = limit.map_or(slots, |inputs| {
+            let in_flight = inputs.limit.per_second() * facts.duration / 1000.0;
+            in_flight.clamp(MIN_CAPACITY, slots)
+        });
         Some(TargetCandidate {
             target,
             rank: TargetRank {
                 is_avoided,
                 is_late,
+                is_routine: !is_recheck,
             },
             load: TargetLoad {
                 // A slow target does not rank equally with others while it is idle.
                 requests: load + 1.0 - 1.0 / slowdown,
-                capacity: slots / slowdown,
+                capacity: capacity / slowdown,
             },
             inputs: ChoiceInputs {
                 candidates: 0,
@@ -352,7 +437,8 @@
                 own_load: own_requests,
                 peer_age: facts.peer_age,
                 slots: target.slots,
-                limit: self.limit_inputs(target, peers, now),
+                limit,
+                held: 0,
             },
         })
     }
@@ -373,16 +459,31 @@
         })
     }
 
-    /// Records what the response to a request states about the request limit of its backend server. Returns the change,
-    /// if any.
+    /// Records what a response to a request sent at `sent` states about the request limit of its backend server; `None`
+    /// if it states that there is none. Returns the change, if any.
     pub fn record_limit(
         &mut self,
-        record: &AttemptRecord,
+        server: ServerNumber,
         limit: Option<RequestLimit>,
+        sent: Timestamp,
         now: Timestamp,
     ) -> Option<LimitChange> {
-        self.limits
-            .record_response(record.server, limit, record.started, now)
+        let change = self.limits.record_response(server, limit, sent, now);
+        if change.is_some() {
+            self.shares.invalidate();
+        }
+        change
+    }
+
+    /// Records that a request or a call of the controller is sent to a backend server.
+    pub fn record_send(&mut self, server: ServerNumber, now: Timestamp) {
+        self.limits.record_send(server, now);
+        self.shares.record_send(server, now);
+    }
+
+    /// Gives up this node's shares of all request limits, because it stops.
+    pub fn release_limits(&mut self) {
+        self.shares.release();
     }
 
     /// Merges the request limits that a peer announces. Returns those that changed.
@@ -391,7 +492,11 @@
         limits: &[PeerLimit],
         now: Timestamp,
     ) -> Vec<(ServerNumber, LimitChange)> {
-        self.limits.merge(limits, now)
+        let changes = self.limits.merge(limits, now);
+        if !changes.is_empty() {
+            self.shares.invalidate();
+        }
+        changes
     }
 
     /// Request limits and recent requests to these backend servers, for heartbeats to peers.
@@ -424,6 +529,11 @@
         let (min, max) = match refusal {
             TargetRefusal::Full => self.settings.retry_after_full,
             TargetRefusal::NoTarget => self.settings.retry_after_no_target,
+            TargetRefusal::Limited { wait } => {
+                let (min, max) = self.settings.retry_after_limited;
+                // Callers that are refused at the same time return at different times.
+                (wait.clamp(min, max), TimeSpan(wait.0 * 2).clamp(min, max))
+            }
         };
         let spread = usize::try_from(max.0.saturating_sub(min.0)).unwrap_or(0);
         TimeSpan(min.0 + self.random.below(spread + 1) as u64)
@@ -444,7 +554,7 @@
         }
         health.in_flight += 1;
         health.waiting_late += u32::from(is_late);
-        self.limits.record_send(target.server, now);
+        self.record_send(target.server, now);
         AttemptRecord {
             number,
             server: target.server,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod choice;
 pub mod events;
 pub mod gateway;
+pub mod limit_shares;
 pub mod limits;
 pub mod random;
 pub mod routes;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -73,6 +73,22 @@
     pub after: Option<RequestLimit>,
 }
 
+/// Part of a limit, in percent, below which a new limit is announced without waiting for the next heartbeat.
+const URGENT_PERCENT: u64 = 80;
+
+impl LimitChange {
+    /// Whether peers that do not know the change soon would exceed the limit.
+    pub fn is_urgent(&self) -> bool {
+        match (self.before, self.after) {
+            (Some(before), Some(after)) => {
+                after.per_kilosecond().saturating_mul(100)
+                    < before.per_kilosecond().saturating_mul(URGENT_PERCENT)
+            }
+            (before, after) => before.is_none() && after.is_some(),
+        }
+    }
+}
+
 impl fmt::Display for LimitChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -110,6 +126,11 @@
         self.records.get(&server)
     }
 
+    /// Latest statements of all backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServerNumber, &LimitRecord)> {
+        self.records.iter()
+    }
+
     /// Number of limits in force.
     pub fn in_force(&self) -> usize {
         let records = self.records.values();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,9 @@
     /// Minimum and maximum of the retry delay sent to a caller when there is no target. A group takes
     /// two seconds to form.
     pub retry_after_no_target: (TimeSpan, TimeSpan),
+    /// Minimum and maximum of the retry delay sent to a caller when the request limits of all backend servers are used
+    /// up. Within these bounds it is the time until one of the limits allows another request.
+    pub retry_after_limited: (TimeSpan, TimeSpan),
 }
 
 impl Default for GatewaySettings {
@@ -46,6 +49,7 @@
             retry_burst: 90,
             retry_after_full: (TimeSpan(300), TimeSpan(1200)),
             retry_after_no_target: (TimeSpan(900), TimeSpan(1900)),
+            retry_after_limited: (TimeSpan(300), TimeSpan(5000)),
         }
     }
 }
--- a/crates/gateway/tests/all/fixture.rs
+++ b/crates/gateway/tests/all/fixture.rs
@@ -198,7 +198,8 @@
             add_group(&mut table, number);
         }
         table.put(entry("plain0", PLAIN_SERVICE), Timestamp(1));
-        let mut gateway = RequestGateway::new(GatewaySettings::default(), seed);
+        let node = NodeId::new(format!("node-{seed}"));
+        let mut gateway = RequestGateway::new(GatewaySettings::default(), node, seed);
         gateway.set_config(Rc::new(config()), &table);
         Self {
             gateway,
--- a/crates/gateway/tests/all/limited_servers.rs
+++ b/crates/gateway/tests/all/limited_servers.rs
@@ -1,474 +1,291 @@
-//! Simulation: many nodes send requests to backend servers that name a request limit for all nodes together.
-//!
-//! Pattern: a steady stream of requests, of which each node sees a few a second, and leaders of groups that name limits
-//! far below the rate at which they receive requests. A response states the limit of the time at which it begins.
+//! Requests to backend servers that name a request limit for all nodes together.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
-use std::collections::HashMap;
-use std::ops::Range;
-use std::rc::Rc;
-
-use jaysaddle_fleet::peers::PeerHeartbeat;
-use jaysaddle_fleet::peers::PeerTable;
-use jaysaddle_fleet::table::BackendTable;
-use jaysaddle_gateway::choice::TargetOutcome;
-use jaysaddle_gateway::choice::TargetQuery;
 use jaysaddle_gateway::choice::TargetRefusal;
-use jaysaddle_gateway::gateway::AttemptRecord;
-use jaysaddle_gateway::gateway::RequestGateway;
 use jaysaddle_gateway::random::XorshiftRng;
-use jaysaddle_gateway::settings::GatewaySettings;
-use jaysaddle_types::ids::Incarnation;
-use jaysaddle_types::ids::ModelId;
-use jaysaddle_types::ids::NodeId;
-use jaysaddle_types::ids::ServiceId;
-use jaysaddle_types::ids::VmId;
-use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
-use jaysaddle_types::units::Timestamp;
-
-use crate::fixture::ENGINE_SERVICE;
-use crate::fixture::MODEL;
-use crate::fixture::add_group;
-use crate::fixture::config;
-use crate::fixture::heartbeat;
 
-/// Interval of heartbeats and number of peers in each round, as in the entry daemon.
-const HEARTBEAT_MS: u64 = 200;
-const PEERS_PER_ROUND: usize = 24;
-/// Delay of a message between nodes.
-const MESSAGE_MS: u64 = 5;
-/// Time from sending a request to the first byte of its response, and to its end.
-const FIRST_BYTE_MS: u64 = 150;
-const SERVICE_MS: u64 = 1200;
-/// Time of the first limit. All nodes know each other's load by then.
-const NAMED_MS: u64 = 4000;
+use crate::fixture::GatewayFixture;
+use crate::limit_simulation::LimitScenario;
+use crate::limit_simulation::LimitSimulation;
+use crate::limit_simulation::NAMED_MS;
 
-/// The platform's rule: from `SETTLE_MS` after a backend server has first named a limit, it receives in no `WINDOW_MS`
-/// more than `RATE_FACTOR` times what the limit allows, plus `BURST` requests, from nodes that have received the limit
-/// at least `TOLD_MS` before.
-const SETTLE_MS: u64 = 3000;
-const WINDOW_MS: u64 = 4000;
-const RATE_FACTOR: f64 = 1.5;
-const BURST: f64 = 5.0;
-const TOLD_MS: u64 = 500;
+/// Deployments of the sizes that users have, and of the size that the design is for: nodes and groups.
+const SMALL: (usize, u64) = (7, 24);
+const GROWN: (usize, u64) = (82, 40);
+const LARGEST: (usize, u64) = (320, 24);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    FirstByte { request: u64 },
-    End { request: u64 },
-    Heartbeat { message: usize, receiver: usize },
-}
+/// Requests a second for each group that keep half of the slots busy, by the simulated duration.
+const NORMAL_RATE: u64 = 6;
+/// Requests a second for each group that exceed the slots, so that nodes send what the limits allow.
+const OVERLOAD_RATE: u64 = 14;
 
-struct SentRequest {
-    node: usize,
-    incarnation: u64,
-    server: String,
-    record: AttemptRecord,
+/// An overloaded deployment of which three groups name a limit.
+fn limited_deployment((nodes, groups): (usize, u64)) -> LimitScenario {
+    LimitScenario {
+        nodes,
+        groups,
+        rate: groups * OVERLOAD_RATE,
+        until: NAMED_MS + 8000,
+        limits: [1.0, 1.2, 2.5]
+            .iter()
+            .enumerate()
+            .map(|(group, limit)| (NAMED_MS, group as u64, Some(*limit)))
+            .collect(),
+        ..LimitScenario::default()
+    }
 }
 
-struct SimulatedNode {
-    gateway: RequestGateway,
-    peers: PeerTable,
-    round: usize,
-    incarnation: u64,
+/// Guards against nodes that each send to a backend server as if its request limit did not exist, or were theirs alone.
+/// In the incident of December 2026, one with a limit of 1 a second received 20 requests in 4 s.
+#[test]
+fn limit_holds_for_the_sum_of_few_nodes() {
+    let simulation = LimitSimulation::new(limited_deployment(SMALL)).run();
+    simulation.assert_limits_kept();
 }
 
-/// What happens besides the steady load. All times are in milliseconds.
-#[derive(Clone, Debug, Default)]
-struct LimitScenario {
-    nodes: usize,
-    groups: u64,
-    /// Requests a second, of all nodes.
-    rate: u64,
-    until: u64,
-    /// Limits named from a time on: time, group, limit or its withdrawal.
-    limits: Vec<(u64, u64, Option<f64>)>,
-    /// Times at which a node neither runs nor receives anything. Messages to it arrive afterwards.
-    frozen: Vec<(usize, Range<u64>)>,
-    /// Times at which nodes restart without any knowledge.
-    restarts: Vec<(usize, u64)>,
-    /// Time at which the first half of the nodes receives no heartbeats from the second half, and vice versa.
-    cut: Range<u64>,
-    /// Only this many nodes receive requests of callers; 0 for all.
-    callers_at: usize,
+/// The same where each node sees fewer requests than a limit allows.
+#[test]
+fn limit_holds_for_the_sum_of_many_nodes() {
+    let simulation = LimitSimulation::new(limited_deployment(GROWN)).run();
+    simulation.assert_limits_kept();
 }
 
-#[derive(Default)]
-struct LimitedServer {
-    /// Limits by the time from which they are named.
-    limits: BTreeMap<u64, Option<f64>>,
-    /// When the first response with a limit was sent.
-    first_named: Option<u64>,
-    /// When each node first received a limit.
-    told: HashMap<usize, u64>,
-    /// Arrivals in order: time and node.
-    arrivals: Vec<(u64, usize)>,
-    /// Highest ratio of the requests in a window to the allowed ones, with the time.
-    worst: (f64, u64),
+/// The same where a node hears each peer only every 2.7 s.
+#[test]
+fn limit_holds_for_the_sum_of_most_nodes() {
+    let simulation = LimitSimulation::new(limited_deployment(LARGEST)).run();
+    simulation.assert_limits_kept();
 }
 
-impl LimitedServer {
-    fn limit_at(&self, now: u64) -> Option<f64> {
-        let (_, limit) = self.limits.range(..=now).next_back()?;
-        *limit
-    }
-
-    /// Requests that the limits of a window allow; `None` if there was none in part of it.
-    fn allowed(&self, now: u64) -> Option<f64> {
-        const STEP_MS: u64 = 10;
-        let steps = (now - WINDOW_MS..now).step_by(STEP_MS as usize);
-        let first = self.first_named?;
-        let sum = steps
-            .map(|time| self.limit_at(time.max(first)))
-            .try_fold(0.0, |sum, limit| Some(sum + limit?))?;
-        Some(RATE_FACTOR * sum * STEP_MS as f64 / 1000.0 + BURST)
+/// Guards against a limit that is kept only while it is constant, and against a backend server whose limit is too low
+/// for any request in the platform's window.
+#[test]
+fn falling_limits_are_kept() {
+    for size in [SMALL, GROWN] {
+        let changes = [(0, 8.0, 1.0), (1, 3.0, 0.2), (2, 4.0, 0.0)];
+        let limits = changes
+            .into_iter()
+            .flat_map(|(group, first, second)| {
+                let change = NAMED_MS + 4000;
+                [
+                    (NAMED_MS, group, Some(first)),
+                    (change, group, Some(second)),
+                ]
+            })
+            .collect();
+        let scenario = LimitScenario {
+            until: NAMED_MS + 12_000,
+            limits,
+            ..limited_deployment(size)
+        };
+        LimitSimulation::new(scenario).run().assert_limits_kept();
     }
+}
 
-    fn record_arrival(&mut self, node: usize, now: u64, excused: &dyn Fn(usize) -> bool) {
-        self.arrivals.push((now, node));
-        let Some(first) = self.first_named else {
-            return;
-        };
-        if now < first + SETTLE_MS {
-            return;
-        }
-        let Some(allowed) = self.allowed(now) else {
-            return;
-        };
-        let is_counted = |node: usize| {
-            let told = self.told.get(&node);
-            told.is_some_and(|told| told + TOLD_MS <= now) && !excused(node)
+/// Guards against a backend server that receives nothing after its limit has ended, because only a response tells that.
+#[test]
+fn end_of_a_limit_is_noticed() {
+    const ENDED_MS: u64 = NAMED_MS + 12_000;
+    for (nodes, groups) in [SMALL, GROWN] {
+        let named = [1.0, 0.0].iter().enumerate();
+        let limits = named
+            .flat_map(|(group, limit)| {
+                let group = group as u64;
+                [(NAMED_MS, group, Some(*limit)), (ENDED_MS, group, None)]
+            })
+            .collect();
+        let scenario = LimitScenario {
+            rate: groups * NORMAL_RATE,
+            until: ENDED_MS + 30_000,
+            limits,
+            ..limited_deployment((nodes, groups))
         };
-        let count = self
-            .arrivals
-            .iter()
-            .rev()
-            .take_while(|(time, _)| now - time < WINDOW_MS)
-            .filter(|(_, node)| is_counted(*node))
-            .count();
-        let ratio = count as f64 / allowed;
-        if ratio > self.worst.0 {
-            self.worst = (ratio, now);
+        let simulation = LimitSimulation::new(scenario).run();
+        simulation.assert_limits_kept();
+        for (group, delay) in [(0, 5_000), (1, 20_000)] {
+            let rate = simulation.rate_of(group, ENDED_MS + delay..ENDED_MS + 30_000);
+            assert!(
+                rate > NORMAL_RATE as f64 / 2.0,
+                "{nodes} nodes: group {group} receives {rate:.1} requests a second after its limit"
+            );
         }
     }
 }
 
-struct LimitSimulation {
-    scenario: LimitScenario,
-    nodes: Vec<SimulatedNode>,
-    table: BackendTable,
-    random: XorshiftRng,
-    now: u64,
-    events: BinaryHeap<Reverse<(u64, Event)>>,
-    messages: Vec<PeerHeartbeat>,
-    requests: HashMap<u64, SentRequest>,
-    next_request: u64,
-    servers: HashMap<String, LimitedServer>,
-    sent: u32,
-    refused: Vec<TargetRefusal>,
-}
-
-fn server_name(group: u64) -> String {
-    format!("vm{group}-0")
-}
-
-fn new_node(number: usize, incarnation: u64, table: &BackendTable) -> SimulatedNode {
-    let seed = 1 + number as u64 * 7919 + incarnation * 104_729;
-    let mut gateway = RequestGateway::new(GatewaySettings::default(), seed);
-    gateway.set_config(Rc::new(config()), table);
-    SimulatedNode {
-        gateway,
-        peers: PeerTable::default(),
-        round: 0,
-        incarnation,
+/// Guards against limits that no node uses, and whose end is not noticed, because callers are at other nodes than those
+/// that may send.
+#[test]
+fn nodes_with_callers_come_to_use_a_limit() {
+    const ENDED_MS: u64 = NAMED_MS + 40_000;
+    const GROUPS: u64 = 6;
+    let limits =
+        (0..GROUPS).flat_map(|group| [(NAMED_MS, group, Some(0.5)), (ENDED_MS, group, None)]);
+    let scenario = LimitScenario {
+        rate: GROUPS * NORMAL_RATE,
+        groups: GROUPS,
+        until: ENDED_MS + 50_000,
+        limits: limits.collect(),
+        callers_at: 1,
+        ..limited_deployment(SMALL)
+    };
+    let simulation = LimitSimulation::new(scenario).run();
+    simulation.assert_limits_kept();
+    for group in 0..GROUPS {
+        assert!(simulation.rate_of(group, NAMED_MS + 3000..ENDED_MS) > 0.0);
+        let rate = simulation.rate_of(group, ENDED_MS + 40_000..ENDED_MS + 50_000);
+        assert!(
+            rate > NORMAL_RATE as f64 / 2.0,
+            "group {group}: {rate:.2} a second"
+        );
     }
 }
 
-impl LimitSimulation {
-    fn new(scenario: LimitScenario) -> Self {
-        let mut table = BackendTable::default();
-        for number in 0..scenario.groups {
-            add_group(&mut table, number);
-        }
-        let mut servers: HashMap<String, LimitedServer> = HashMap::new();
-        for (time, group, limit) in &scenario.limits {
-            let server = servers.entry(server_name(*group)).or_default();
-            server.limits.insert(*time, *limit);
-        }
-        Self {
-            nodes: (0..scenario.nodes)
-                .map(|number| new_node(number, 1, &table))
-                .collect(),
-            scenario,
-            table,
-            random: XorshiftRng::new(77),
-            now: 0,
-            events: BinaryHeap::new(),
-            messages: Vec::new(),
-            requests: HashMap::new(),
-            next_request: 0,
-            servers,
-            sent: 0,
-            refused: Vec::new(),
-        }
-    }
-
-    fn run(mut self) -> Self {
-        for now in 1..self.scenario.until {
-            self.now = now;
-            for (node, time) in self.scenario.restarts.clone() {
-                if time == now {
-                    let incarnation = self.nodes[node].incarnation + 1;
-                    self.nodes[node] = new_node(node, incarnation, &self.table);
-                }
-            }
-            while let Some(Reverse((time, event))) = self.events.peek().copied()
-                && time <= now
-            {
-                self.events.pop();
-                self.handle(event);
-            }
-            for _ in 0..4 {
-                if (self.random.below(4000) as u64) < self.scenario.rate {
-                    self.arrive();
-                }
-            }
-            for node in 0..self.nodes.len() {
-                // Nodes send at different times within the interval.
-                if (now + node as u64 * 37).is_multiple_of(HEARTBEAT_MS) && !self.is_frozen(node) {
-                    self.send_heartbeats(node);
-                }
+/// Guards against two halves of a divided deployment that each use the whole limit.
+#[test]
+fn limit_holds_for_a_divided_deployment() {
+    for size in [SMALL, GROWN] {
+        for cut in [
+            NAMED_MS - 500..NAMED_MS + 14_000,
+            NAMED_MS + 3000..NAMED_MS + 18_000,
+        ] {
+            let named = [1.0, 3.0, 6.0];
+            let settled = cut.start.max(NAMED_MS) + 5000..cut.end;
+            let scenario = LimitScenario {
+                until: NAMED_MS + 20_000,
+                limits: named
+                    .iter()
+                    .enumerate()
+                    .map(|(group, limit)| (NAMED_MS, group as u64, Some(*limit)))
+                    .collect(),
+                cut,
+                ..limited_deployment(size)
+            };
+            let simulation = LimitSimulation::new(scenario).run();
+            simulation.assert_limits_kept();
+            for (group, limit) in named.iter().enumerate() {
+                let rate = simulation.rate_of(group as u64, settled.clone());
+                assert!(rate <= limit * 1.25, "{rate:.2} a second, limit {limit}");
             }
         }
-        self
-    }
-
-    fn is_frozen(&self, node: usize) -> bool {
-        self.frozen_until(node).is_some()
-    }
-
-    fn frozen_until(&self, node: usize) -> Option<u64> {
-        let frozen = self.scenario.frozen.iter();
-        let mut current =
-            frozen.filter(|(frozen, times)| *frozen == node && times.contains(&self.now));
-        current.next().map(|(_, times)| times.end)
-    }
-
-    fn schedule(&mut self, delay: u64, event: Event) {
-        self.events.push(Reverse((self.now + delay, event)));
     }
+}
 
-    fn arrive(&mut self) {
-        let count = match self.scenario.callers_at {
-            0 => self.nodes.len(),
-            count => count,
-        };
-        let number = self.random.below(count);
-        if self.is_frozen(number) {
-            return;
-        }
-        let now = Timestamp(self.now);
-        let service = ServiceId::new(ENGINE_SERVICE);
-        let model = ModelId::new(MODEL);
-        let query = TargetQuery {
-            service: &service,
-            model: Some(&model),
-            latency_target: TimeSpan(300),
-            tried: &[],
-            has_started: false,
-            is_caller_retry: false,
-        };
-        let node = &mut self.nodes[number];
-        let choice = match node.gateway.choose(&query, &node.peers, now) {
-            Ok(choice) => choice,
-            Err(refusal) => {
-                self.refused.push(refusal);
-                return;
-            }
-        };
-        let record = node
-            .gateway
-            .record_start(&choice.target, choice.is_late, now);
-        self.sent += 1;
-        let incarnation = node.incarnation;
-        let backend: &VmId = &choice.target.backend;
-        let name = backend.as_str().to_owned();
-        let scenario = self.scenario.clone();
-        let excused = |node: usize| scenario.is_disturbed(node, self.now);
-        if let Some(server) = self.servers.get_mut(&name) {
-            server.record_arrival(number, self.now, &excused);
-        }
-        self.next_request += 1;
-        let request = self.next_request;
-        let sent = SentRequest {
-            node: number,
-            incarnation,
-            server: name,
-            record,
+/// Guards against nodes that exceed the limit because others are frozen, come back with an outdated view, or restart.
+#[test]
+fn limit_holds_while_other_nodes_freeze_and_restart() {
+    for size in [SMALL, GROWN] {
+        let nodes = size.0;
+        let frozen = (0..nodes / 3).map(|node| (node, NAMED_MS + 3000..NAMED_MS + 7000));
+        let restarts = (nodes / 3..nodes).map(|node| (node, NAMED_MS + 2000 + 300 * node as u64));
+        let scenario = LimitScenario {
+            until: NAMED_MS + 14_000,
+            frozen: frozen.collect(),
+            restarts: restarts.collect(),
+            ..limited_deployment(size)
         };
-        self.requests.insert(request, sent);
-        self.schedule(FIRST_BYTE_MS, Event::FirstByte { request });
-        let service_ms = SERVICE_MS / 2 + self.random.below(SERVICE_MS as usize) as u64;
-        self.schedule(FIRST_BYTE_MS + service_ms, Event::End { request });
-    }
-
-    fn handle(&mut self, event: Event) {
-        match event {
-            Event::FirstByte { request } => self.receive_first_byte(request),
-            Event::End { request } => {
-                if let Some(sent) = self.requests.remove(&request)
-                    && self.nodes[sent.node].incarnation == sent.incarnation
-                {
-                    self.nodes[sent.node].gateway.record_end(
-                        &sent.record,
-                        TargetOutcome::Answered,
-                        Timestamp(self.now),
-                    );
-                }
-            }
-            Event::Heartbeat { message, receiver } => {
-                if let Some(until) = self.frozen_until(receiver) {
-                    self.schedule(until - self.now, event);
-                    return;
-                }
-                let heartbeat = self.messages[message].clone();
-                let node = &mut self.nodes[receiver];
-                let now = Timestamp(self.now);
-                node.gateway.merge_limits(&heartbeat.limits, now);
-                node.peers.record_heartbeat(heartbeat, now);
-            }
-        }
+        LimitSimulation::new(scenario).run().assert_limits_kept();
     }
+}
 
-    fn receive_first_byte(&mut self, request: u64) {
-        let sent = &self.requests[&request];
-        let number = sent.node;
-        if let Some(until) = self.frozen_until(number) {
-            self.schedule(until - self.now, Event::FirstByte { request });
-            return;
-        }
-        let node = &mut self.nodes[number];
-        if node.incarnation != sent.incarnation {
-            return;
-        }
-        let mut limit = None;
-        if let Some(server) = self.servers.get_mut(&sent.server) {
-            limit = server.limit_at(self.now);
-            if limit.is_some() {
-                server.first_named.get_or_insert(self.now);
-                server.told.entry(number).or_insert(self.now);
-            }
+/// Guards against limits that are hardly used although no backend server without one is left, against requests that wait
+/// for a limit, and against a `Retry-After` that does not depend on the limit.
+#[test]
+fn requests_beyond_all_limits_are_refused_at_once() {
+    const LIMIT: f64 = 1.5;
+    for size in [SMALL, GROWN] {
+        let groups = 0..size.1;
+        let scenario = LimitScenario {
+            rate: size.1 * NORMAL_RATE,
+            until: NAMED_MS + 12_000,
+            limits: groups
+                .clone()
+                .map(|group| (NAMED_MS, group, Some(LIMIT)))
+                .collect(),
+            ..limited_deployment(size)
+        };
+        let simulation = LimitSimulation::new(scenario).run();
+        simulation.assert_limits_kept();
+        assert!(!simulation.refused.is_empty());
+        let mut gateway = GatewayFixture::new(1).gateway;
+        for refusal in &simulation.refused {
+            let TargetRefusal::Limited { wait } = refusal else {
+                panic!("refused as {refusal}");
+            };
+            let retry_after = gateway.retry_after(*refusal);
+            assert!(retry_after >= *wait || retry_after == TimeSpan(5000));
         }
-        let limit = limit.and_then(RequestLimit::from_per_second);
-        let now = Timestamp(self.now);
-        let change = node.gateway.record_limit(&sent.record, limit, now);
-        if change.is_some() {
-            self.send_heartbeats(number);
+        for group in groups {
+            let rate = simulation.rate_of(group, NAMED_MS + 3000..NAMED_MS + 12_000);
+            assert!(rate >= LIMIT / 2.0, "group {group}: {rate:.2} a second");
         }
     }
+}
 
-    fn send_heartbeats(&mut self, sender: usize) {
-        let now = Timestamp(self.now);
-        let node = &mut self.nodes[sender];
-        node.peers.tick(now);
-        let live = u32::try_from(node.peers.live(now).count()).unwrap_or(u32::MAX);
-        node.gateway.set_node_count(live + 1);
-        let message = PeerHeartbeat {
-            node: NodeId::new(format!("node-{sender}")),
-            incarnation: Incarnation(node.incarnation),
-            loads: node.gateway.loads(),
-            limits: node.gateway.announced_limits(now),
-            ..heartbeat()
+/// Guards against a limit above the load that keeps requests away.
+#[test]
+fn high_limit_does_not_restrict() {
+    for limit in [20.0, 1e9] {
+        let (nodes, groups) = SMALL;
+        let limits = (0..groups).map(|group| (NAMED_MS, group, Some(limit)));
+        let scenario = LimitScenario {
+            rate: groups * NORMAL_RATE,
+            limits: limits.collect(),
+            ..limited_deployment((nodes, groups))
         };
-        let round = node.round;
-        node.round += 1;
-        self.messages.push(message);
-        let message = self.messages.len() - 1;
-        let peers = self.nodes.len() - 1;
-        let half = self.nodes.len() / 2;
-        let is_cut = self.scenario.cut.contains(&self.now);
-        for offset in 0..peers.min(PEERS_PER_ROUND) {
-            let position = (round * PEERS_PER_ROUND + offset) % peers;
-            let receiver = (sender + 1 + position) % self.nodes.len();
-            if !(is_cut && (sender < half) != (receiver < half)) {
-                self.schedule(MESSAGE_MS, Event::Heartbeat { message, receiver });
-            }
-        }
-    }
-
-    fn assert_limits_kept(&self) {
-        let worst = self
-            .servers
-            .iter()
-            .max_by(|(_, a), (_, b)| a.worst.0.total_cmp(&b.worst.0));
-        let (name, server) = worst.expect("a backend server with a limit");
-        let (ratio, time) = server.worst;
-        assert!(
-            ratio <= 1.0,
-            "{} nodes: {name} received {ratio:.2} times the allowed requests at {time} ms",
-            self.nodes.len()
-        );
+        let simulation = LimitSimulation::new(scenario).run();
+        assert!(simulation.refused.is_empty(), "{limit}");
     }
 }
 
-impl LimitScenario {
-    /// Whether the rule excuses a node: it was restarted or frozen in the last seconds.
-    fn is_disturbed(&self, node: usize, now: u64) -> bool {
-        let recent = now.saturating_sub(WINDOW_MS)..=now;
-        let was_frozen = self.frozen.iter().any(|(frozen, times)| {
-            *frozen == node && times.start <= now && times.end >= *recent.start()
-        });
-        was_frozen
-            || self
-                .restarts
-                .iter()
-                .any(|(restarted, time)| *restarted == node && recent.contains(time))
+fn random_scenario(random: &mut XorshiftRng) -> LimitScenario {
+    let nodes = 2 + random.below(28);
+    let groups = 2 + random.below(12) as u64;
+    let until = NAMED_MS + 16_000;
+    let time = |random: &mut XorshiftRng| NAMED_MS + random.below(12_000) as u64;
+    let mut limits = Vec::new();
+    for group in 0..groups.div_ceil(2) {
+        let first = 0.2 + random.fraction() * 4.0;
+        limits.push((NAMED_MS, group, Some(first)));
+        for _ in 0..random.below(3) {
+            let limit = (random.below(4) > 0).then(|| random.fraction() * 4.0);
+            limits.push((time(random), group, limit));
+        }
     }
-}
-
-/// Deployments of the sizes that users have, and of the size that the design is for: nodes and groups.
-const SMALL: (usize, u64) = (7, 24);
-const GROWN: (usize, u64) = (82, 40);
-const LARGEST: (usize, u64) = (320, 24);
-
-/// A deployment whose groups use half of their slots, three of which name a limit. By Little's law each group receives
-/// about six requests a second.
-fn limited_deployment((nodes, groups): (usize, u64)) -> LimitScenario {
-    LimitScenario {
+    let mut scenario = LimitScenario {
         nodes,
         groups,
-        rate: groups * 6,
-        until: NAMED_MS + 8000,
-        limits: [1.0, 1.2, 2.5]
-            .iter()
-            .enumerate()
-            .map(|(group, limit)| (NAMED_MS, group as u64, Some(*limit)))
-            .collect(),
+        rate: groups * [NORMAL_RATE, OVERLOAD_RATE][random.below(2)],
+        until,
+        limits,
         ..LimitScenario::default()
+    };
+    for _ in 0..random.below(4) {
+        let (node, start) = (random.below(nodes), time(random));
+        let end = start + 300 + random.below(6000) as u64;
+        scenario.frozen.push((node, start..end));
     }
+    for _ in 0..random.below(4) {
+        scenario.restarts.push((random.below(nodes), time(random)));
+    }
+    if random.below(3) == 0 {
+        let start = time(random);
+        scenario.cut = start..start + random.below(8000) as u64;
+    }
+    scenario
 }
 
-/// Guards against nodes that each send to a backend server as if its request limit did not exist, or were theirs alone.
-/// In the incident of December 2026, one with a limit of 1 a second received 20 requests in 4 s.
-#[test]
-fn limit_holds_for_the_sum_of_few_nodes() {
-    let simulation = LimitSimulation::new(limited_deployment(SMALL)).run();
-    simulation.assert_limits_kept();
-}
-
-/// The same where each node sees fewer requests than a limit allows.
-#[test]
-fn limit_holds_for_the_sum_of_many_nodes() {
-    let simulation = LimitSimulation::new(limited_deployment(GROWN)).run();
-    simulation.assert_limits_kept();
-}
-
-/// The same where a node hears each peer only every 2.7 s.
+/// Guards against limits that are exceeded by a combination of changing limits, frozen and restarted nodes and cuts.
+/// `JAYSADDLE_SEED` and `JAYSADDLE_RUNS` override the first seed and the number of runs.
 #[test]
-fn limit_holds_for_the_sum_of_most_nodes() {
-    let simulation = LimitSimulation::new(limited_deployment(LARGEST)).run();
-    simulation.assert_limits_kept();
+fn limits_hold_under_random_disturbances() {
+    let number = |name: &str, default: u64| {
+        let text = std::env::var(name).ok();
+        text.map_or(default, |text| text.parse().expect("a number"))
+    };
+    let seed = number("JAYSADDLE_SEED", 20_261_204);
+    for seed in seed..seed + number("JAYSADDLE_RUNS", 20) {
+        println!("JAYSADDLE_SEED={seed}");
+        let scenario = random_scenario(&mut XorshiftRng::new(seed.wrapping_mul(0x9e37_79b9)));
+        LimitSimulation::new(scenario).run().assert_limits_kept();
+    }
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod delayed_loads;
 mod events;
 mod fixture;
+mod limit_simulation;
 mod limited_servers;
 mod limits;
 mod overload;
--- a/tests/all/request_limits.rs
+++ b/tests/all/request_limits.rs
@@ -72,3 +72,60 @@
     );
     assert_eq!(failures, 0);
 }
+
+/// Guards against requests that wait for a limit until their time is up, against refusals without `Retry-After`, and
+/// against limits whose end is not noticed.
+#[test]
+fn requests_beyond_all_limits_are_refused_at_once_until_the_limits_end() {
+    const LIMIT: f64 = 0.5;
+    let nodes = PlatformNodes::start(3, 4);
+    nodes.wait_serving(2);
+    let groups = nodes.standin.serving_groups();
+    let set_limits = |limit| {
+        for group in &groups {
+            nodes.standin.set_limit(&group[0], limit);
+        }
+    };
+    set_limits(Some(LIMIT));
+    let named = Instant::now();
+    call_all(&nodes, named + SETTLE_TIME);
+    for number in 0..12 {
+        let sent = Instant::now();
+        let response = nodes.request(number % 3, &format!("beyond{number}"), "/drafts/x", KEY);
+        if response.status_code == 200 {
+            continue;
+        }
+        assert_eq!(response.status_code, 503);
+        assert!(sent.elapsed() < Duration::from_millis(500));
+        let body = response.as_str().expect("text");
+        assert!(
+            body.contains("not_run") && body.contains("limited"),
+            "{body}"
+        );
+        let mut headers = response.headers.iter();
+        let (_, text) = headers
+            .find(|(name, _)| name == "retry-after")
+            .expect("the header");
+        let retry_after: f64 = text.parse().expect("a number");
+        assert!((0.3..=5.0).contains(&retry_after), "{retry_after}");
+    }
+    for group in &groups {
+        let busiest = busiest_window(&nodes.standin.arrival_times(&group[0]), named + SETTLE_TIME);
+        assert!(
+            busiest as f64 <= allowed(LIMIT),
+            "{busiest} requests in 4 s"
+        );
+    }
+    set_limits(None);
+    nodes.wait(
+        "both groups receive requests without a limit again",
+        |nodes| {
+            (0..10).all(|number| {
+                nodes
+                    .request(number % 3, &format!("again{number}"), "/drafts/x", KEY)
+                    .status_code
+                    == 200
+            })
+        },
+    );
+}
