--- /dev/null
+++ b/crates/gateway/src/gateway/request_limits.rs
@@ -0,0 +1,114 @@
+//! Request limits of backend servers in the gateway: what responses and peers state, and whether a request may be sent.
+
+use jaysaddle_fleet::peers::PeerLimit;
+use jaysaddle_fleet::peers::PeerTable;
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::RequestLimit;
+use jaysaddle_types::units::Timestamp;
+
+use super::RequestGateway;
+use crate::choice::LimitInputs;
+use crate::limit_shares::LimitAdmission;
+use crate::limits::LimitChange;
+use crate::target::RequestTarget;
+use crate::target::ServerNumber;
+
+impl RequestGateway {
+    pub(super) fn limit_admission(
+        &self,
+        server: ServerNumber,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> LimitAdmission {
+        let in_force = self
+            .limits
+            .get(server)
+            .and_then(|record| Some((record.limit?, record.stated)));
+        let Some((limit, stated)) = in_force else {
+            return LimitAdmission::Admitted { is_recheck: false };
+        };
+        let sent = self.limits.sent_to(server, now) + peers.sent_to(server.0);
+        self.shares.admission(server, limit, stated, sent, now)
+    }
+
+    pub(super) fn limit_inputs(
+        &self,
+        target: &RequestTarget,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> Option<LimitInputs> {
+        let record = self.limits.get(target.server)?;
+        Some(LimitInputs {
+            limit: record.limit?,
+            source: record.source,
+            age: now.since(record.stated),
+            own_sent: self.limits.sent_to(target.server, now),
+            peer_sent: peers.sent_to(target.server.0),
+        })
+    }
+
+    /// Records what a response to a request sent at `sent` states about the request limit of its backend server; `None`
+    /// if it states that there is none. Returns the change, if any.
+    pub fn record_limit(
+        &mut self,
+        server: ServerNumber,
+        limit: Option<RequestLimit>,
+        sent: Timestamp,
+        now: Timestamp,
+    ) -> Option<LimitChange> {
+        let change = self.limits.record_response(server, limit, sent, now);
+        if change.is_some() {
+            self.shares.invalidate();
+        }
+        change
+    }
+
+    /// Records that a request or a call of the controller is sent to a backend server.
+    pub fn record_send(&mut self, server: ServerNumber, now: Timestamp) {
+        self.limits.record_send(server, now);
+        self.shares.record_send(server, now);
+    }
+
+    /// Gives up this node's shares of all request limits, because it stops.
+    pub fn release_limits(&mut self) {
+        self.shares.release();
+    }
+
+    /// Merges the request limits that a peer announces. Returns those that changed.
+    pub fn merge_limits(
+        &mut self,
+        limits: &[PeerLimit],
+        now: Timestamp,
+    ) -> Vec<(ServerNumber, LimitChange)> {
+        let changes = self.limits.merge(limits, now);
+        if !changes.is_empty() {
+            self.shares.invalidate();
+        }
+        changes
+    }
+
+    /// Request limits and recent requests to these backend servers, for heartbeats to peers.
+    pub fn announced_limits(&self, now: Timestamp) -> Vec<PeerLimit> {
+        self.limits.announced(now)
+    }
+
+    /// Removes the request limits of backend servers that are gone.
+    pub fn expire_limits(&mut self, now: Timestamp) {
+        let servers = self.targets.values().flatten().map(|target| target.server);
+        self.limits.retain(&servers.collect(), now);
+    }
+
+    /// Number of request limits in force.
+    pub fn limits_in_force(&self) -> usize {
+        self.limits.in_force()
+    }
+
+    /// Backend server whose process has a number; `None` if it leads no target of this node.
+    pub fn backend_of_server(&self, server: ServerNumber) -> Option<&VmId> {
+        self.targets
+            .values()
+            .flatten()
+            .find(|target| target.server == server)
+            .map(|target| &target.backend)
+    }
+}
