Divide shared limits among all known nodes instead of the live ones

What callers may see: more retries than the platform allows, while links between nodes lose heartbeats.

A node that hears nobody took the whole.

Evidence: seven nodes that have not heard each other for 5 s.

The fix: the divisor is the number of known nodes that have not announced their stop. A node that dies for good keeps its part for the minute for which its record is kept, so the others use a seventh less at seven nodes.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -232,7 +232,7 @@
             () = node.heartbeat_now.notified() => {}
         }
         node.peers.borrow_mut().tick(clock::now());
-        let count = node.peers.borrow().live(clock::now()).count() + 1;
+        let count = node.peers.borrow().sharing_nodes();
         {
             let mut gateway = node.gateway.borrow_mut();
             gateway.set_node_count(u32::try_from(count).unwrap_or(u32::MAX));
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -242,12 +242,12 @@
             .map(|record| &record.heartbeat.node)
     }
 
-    /// Number of known peers that have not announced their stop, whether they are reachable or not.
-    pub fn known_count(&self) -> usize {
-        self.peers
-            .values()
-            .filter(|record| record.heartbeat.phase != PeerPhase::Stopping)
-            .count()
+    /// Number of nodes among which limits for all nodes together are divided: this node and all known peers that have not
+    /// announced their stop. It includes peers that are not heard, which may still use their part.
+    pub fn sharing_nodes(&self) -> usize {
+        let peers = self.peers.values();
+        let stays = |record: &&PeerRecord| record.heartbeat.phase != PeerPhase::Stopping;
+        peers.filter(stays).count() + 1
     }
 
     /// Mean age of the heartbeats of the live peers; zero without any.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -164,7 +164,7 @@
             .collect()
     }
 
-    /// Sets the number of nodes among which the retry budget is divided.
+    /// Sets the number of nodes among which the retry budget and other shared limits are divided.
     pub fn set_node_count(&mut self, count: u32) {
         self.node_count = count.max(1);
         self.update_budgets();
--- a/crates/gateway/src/limit_shares.rs
+++ b/crates/gateway/src/limit_shares.rs
@@ -159,7 +159,7 @@
         self.refreshed = Some(now);
         let members: Vec<&NodeId> = peers.recently_serving(now).collect();
         let nodes = members.len() + 1;
-        let part = nodes as f64 / (peers.known_count() + 1).max(nodes) as f64;
+        let part = nodes as f64 / peers.sharing_nodes().max(nodes) as f64;
         let mut buckets = HashMap::new();
         for (server, record) in records {
             let Some(limit) = record.limit else {
--- a/crates/gateway/tests/all/limit_simulation.rs
+++ b/crates/gateway/tests/all/limit_simulation.rs
@@ -390,8 +390,8 @@
         let now = Timestamp(self.now);
         let node = &mut self.nodes[sender];
         node.peers.tick(now);
-        let live = u32::try_from(node.peers.live(now).count()).unwrap_or(u32::MAX);
-        node.gateway.set_node_count(live + 1);
+        let count = u32::try_from(node.peers.sharing_nodes()).unwrap_or(u32::MAX);
+        node.gateway.set_node_count(count);
         let message = PeerHeartbeat {
             node: node_id(sender),
             incarnation: Incarnation(node.incarnation),
--- a/crates/gateway/tests/all/overload.rs
+++ b/crates/gateway/tests/all/overload.rs
@@ -1,9 +1,11 @@
 //! Overload: admission and refusal of requests, and the retry budget.
 
+use jaysaddle_fleet::peers::PeerHeartbeat;
 use jaysaddle_gateway::choice::TargetOutcome;
 use jaysaddle_gateway::choice::TargetQuery;
 use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_gateway::gateway::RequestGateway;
+use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ServiceId;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -11,6 +13,7 @@
 use crate::fixture::GatewayFixture;
 use crate::fixture::PLAIN_SERVICE;
 use crate::fixture::SLOTS;
+use crate::fixture::heartbeat;
 
 /// Guards against admitting a whole burst, so that every queued request misses its latency target. Requests that can
 /// meet the target are admitted; the rest is refused immediately.
@@ -151,6 +154,35 @@
     assert!(retries >= 150, "{retries}");
 }
 
+/// Heartbeats between the nodes are lost for some seconds, while callers and backend servers are reached. Guards against
+/// nodes that each use the whole burst of the retry budget because they take the others for dead.
+#[test]
+fn nodes_that_do_not_hear_each_other_keep_their_shares() {
+    const NODES: u32 = 7;
+    let service = ServiceId::new(PLAIN_SERVICE);
+    let mut retries = 0;
+    for own in 0..NODES {
+        let mut fixture = GatewayFixture::new(1);
+        for peer in (0..NODES).filter(|peer| *peer != own) {
+            let message = PeerHeartbeat {
+                node: NodeId::new(format!("node-{peer}")),
+                ..heartbeat()
+            };
+            fixture.peers.record_heartbeat(message, Timestamp(1000));
+        }
+        let later = Timestamp(6000);
+        fixture.peers.tick(later);
+        assert_eq!(fixture.peers.live(later).count(), 0);
+        let count = u32::try_from(fixture.peers.sharing_nodes()).expect("a small number");
+        fixture.gateway.set_node_count(count);
+        while fixture.gateway.try_take_retry(&service) {
+            retries += 1;
+        }
+    }
+    assert!(retries <= 100, "{retries}");
+    assert!(retries >= 50, "{retries}");
+}
+
 /// Operators change the limits while the nodes run. Guards against budgets that are refilled by each change, and against
 /// limits that only apply to new budgets.
 #[test]
