Divide the connections of a backend server without a minimum for each node

What callers may see: requests that fail because a backend server resets a connection beyond those it accepts from all nodes together.

Cause: each node took the total divided by the number of nodes, but two connections at least.

Evidence: with the minimum of two, the new test counts 102 connections of 51 nodes to a backend server that accepts 100.

The fix: each node has an equal share, one at least as long as there are as many connections as nodes; with fewer, only the first nodes of the same order that selects the owners of request limits connect. A node whose share is in use selects another target, where it used to send, fail and draw on the retry budget.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -40,8 +40,6 @@
 const MAX_SENDS: usize = 4;
 /// Minimum remaining time for another send; with less, no response would arrive before the deadline.
 pub const MIN_RETRY_TIME: TimeSpan = TimeSpan(60);
-/// Minimum number of connections that each node may open to a backend server, even if its share is smaller.
-const MIN_CONNECTIONS: u32 = 2;
 /// Percentage of the remaining time that an idempotent request waits for its first backend server. Normal work
 /// takes a small part of the time budget, so a backend server that needs more is assumed to hang.
 const FIRST_ATTEMPT_PERCENT: u64 = 55;
@@ -168,17 +166,6 @@
     is_target_stalled || stall_time.0 >= limit.0 * own_factor
 }
 
-/// Returns this node's share of the connections that a backend server accepts.
-fn connection_limit(node: &EntryNode, target: &RequestTarget) -> u32 {
-    let total = node
-        .config
-        .borrow()
-        .as_ref()
-        .and_then(|config| Some(config.service(&target.service)?.max_connections))
-        .unwrap_or(u32::MAX);
-    (total / node.gateway.borrow().node_count()).max(MIN_CONNECTIONS)
-}
-
 /// Parameters of a single send.
 struct SendOptions {
     target: Rc<RequestTarget>,
@@ -210,7 +197,7 @@
         address: target.address,
     };
     let needs_recent_use = !request.route.rule.kind.may_retry();
-    let limit = connection_limit(node, &target);
+    let limit = node.gateway.borrow().connection_limit(&target);
     let mut connection = match node.pool.take(&key, needs_recent_use, limit).await {
         Ok(connection) => connection,
         Err(error) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod request_limits;
 mod selection;
+mod shares;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -26,6 +27,7 @@
 use crate::choice::TargetRefusal;
 use crate::limit_shares::LimitShares;
 use crate::limits::ServerLimits;
+use crate::node_ranks::NodeRanks;
 use crate::random::XorshiftRng;
 use crate::routes::RouteIndex;
 use crate::settings::GatewaySettings;
@@ -80,6 +82,11 @@
     closed: HashSet<TargetNumber>,
     limits: ServerLimits,
     shares: LimitShares,
+    ranks: NodeRanks,
+    /// Backend servers that accept too few connections for all nodes, and leave none to this one.
+    unconnected: HashSet<ServerNumber>,
+    /// When the shares of this node were last computed; `None` if they have to be computed again.
+    shares_updated: Option<Timestamp>,
     random: XorshiftRng,
     /// Change count of the backend table from which `targets` was built.
     table_version: Option<u64>,
@@ -102,7 +109,10 @@
             work: BTreeMap::new(),
             closed: HashSet::new(),
             limits: ServerLimits::default(),
-            shares: LimitShares::new(node),
+            shares: LimitShares::default(),
+            ranks: NodeRanks::new(node),
+            unconnected: HashSet::new(),
+            shares_updated: None,
             random: XorshiftRng::new(seed),
             table_version: None,
             target_changes: 0,
--- a/crates/gateway/src/gateway/request_limits.rs
+++ b/crates/gateway/src/gateway/request_limits.rs
@@ -58,7 +58,7 @@
     ) -> Option<LimitChange> {
         let change = self.limits.record_response(server, limit, sent, now);
         if change.is_some() {
-            self.shares.invalidate();
+            self.shares_updated = None;
         }
         change
     }
@@ -82,7 +82,7 @@
     ) -> Vec<(ServerNumber, LimitChange)> {
         let changes = self.limits.merge(limits, now);
         if !changes.is_empty() {
-            self.shares.invalidate();
+            self.shares_updated = None;
         }
         changes
     }
--- a/crates/gateway/src/gateway/selection.rs
+++ b/crates/gateway/src/gateway/selection.rs
@@ -73,6 +73,7 @@
         peers: &PeerTable,
         now: Timestamp,
     ) -> Result<TargetChoice, TargetRefusal> {
+        self.update_shares(peers, now);
         // Plain services have no models; a model named by the caller is ignored.
         let has_models = self
             .index
@@ -84,7 +85,6 @@
         if targets.is_empty() {
             return Err(TargetRefusal::NoTarget);
         }
-        self.shares.refresh(self.limits.iter(), peers, now);
         let (usable, held) = self.usable_targets(targets, query, peers, now);
         let held_count = u32::try_from(held.len()).unwrap_or(u32::MAX);
         if let (true, Some(wait)) = (usable.is_empty(), held.into_iter().min()) {
@@ -170,7 +170,13 @@
         }
     }
 
-    /// Whether a target must not receive the request: it is closed, or the request was already sent to it.
+    fn in_flight(&self, target: &RequestTarget) -> u32 {
+        let health = self.health.get(&target.number);
+        health.map_or(0, |health| health.in_flight)
+    }
+
+    /// Whether a target must not receive the request: it is closed, this node uses its share of the connections, or the
+    /// request was already sent to it.
     fn is_excluded(
         &self,
         target: &RequestTarget,
@@ -178,6 +184,7 @@
         peers: &PeerTable,
     ) -> bool {
         self.closed.contains(&target.number)
+            || self.in_flight(target) >= self.connection_limit(target)
             || peers.is_closed(target.number.0)
             || query.tried.contains(&target.number)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gateway;
 pub mod limit_shares;
 pub mod limits;
+pub mod node_ranks;
 pub mod random;
 pub mod routes;
 pub mod settings;
--- a/crates/gateway/src/limit_shares.rs
+++ b/crates/gateway/src/limit_shares.rs
@@ -13,18 +13,14 @@
 //! - Owners count what all nodes have sent lately, as far as heartbeats tell, and wait while this exceeds the limit.
 
 use std::collections::HashMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 
 use jaysaddle_fleet::peers::LIMIT_WINDOW;
-use jaysaddle_fleet::peers::PeerTable;
-use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
 use crate::limits::LimitRecord;
+use crate::node_ranks::NodeRanks;
 use crate::target::ServerNumber;
 
 /// Rate at which requests are sent even if the limit is lower, in requests a second. Only a response tells that a
@@ -40,9 +36,6 @@
 /// Time without a statement of the backend server after which other nodes become the owners, in addition to the time in
 /// which an owner may send one request. The present owners may receive no requests that the backend server can serve.
 const TURN_MARGIN: TimeSpan = TimeSpan::from_secs(4);
-/// Interval at which the owners are computed.
-const REFRESH_INTERVAL: TimeSpan = TimeSpan(100);
-
 /// Whether a request may be sent to a backend server with a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitAdmission {
@@ -103,70 +96,57 @@
     requests.saturating_add(EXTRA_OWNERS).min(nodes)
 }
 
-/// Order of the nodes for a backend server; the first ones are its owners.
-fn owner_weight(node: &NodeId, server: ServerNumber) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (node, server).hash(&mut hasher);
-    hasher.finish()
+/// Whether the node at position `rank` of `nodes` owns a limit. `silence` is the time since the last statement of the
+/// backend server; after each turn without one, the next nodes become the owners.
+fn is_owner(
+    rank: usize,
+    nodes: usize,
+    limit: RequestLimit,
+    owners: usize,
+    silence: TimeSpan,
+) -> bool {
+    let request_time = owners as f64 / effective_rate(limit) * 1000.0;
+    let turn = request_time as u64 + TURN_MARGIN.0;
+    let turns = usize::try_from(silence.0 / turn).unwrap_or(usize::MAX);
+    let first = turns.wrapping_mul(owners) % nodes;
+    (rank + nodes - first) % nodes < owners
 }
 
 /// This node's parts of the limits that it owns.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct LimitShares {
-    node: NodeId,
     buckets: HashMap<ServerNumber, ShareBucket>,
-    /// When the owners were last computed; `None` if they have to be computed again.
-    refreshed: Option<Timestamp>,
-    /// Whether this node takes part in the ownership.
+    /// Whether this node has given up its shares for good.
     is_released: bool,
 }
 
 impl LimitShares {
-    /// Creates the shares of a node, without any.
-    pub fn new(node: NodeId) -> Self {
-        Self {
-            node,
-            buckets: HashMap::new(),
-            refreshed: None,
-            is_released: false,
-        }
-    }
-
     /// Gives up all shares, because the node stops and its peers no longer count it among the owners.
     pub fn release(&mut self) {
         self.is_released = true;
         self.buckets.clear();
     }
 
-    /// Makes the next [`Self::refresh`] compute the owners again.
-    pub fn invalidate(&mut self) {
-        self.refreshed = None;
-    }
-
-    /// Computes which limits this node owns, if that was not done lately.
-    pub fn refresh<'a>(
+    /// Computes which limits this node owns. `part` is the part of the known nodes that `ranks` includes.
+    pub fn update<'a>(
         &mut self,
         records: impl Iterator<Item = (&'a ServerNumber, &'a LimitRecord)>,
-        peers: &PeerTable,
+        ranks: &mut NodeRanks,
+        part: f64,
         now: Timestamp,
     ) {
-        let is_fresh = self
-            .refreshed
-            .is_some_and(|refreshed| now.since(refreshed) < REFRESH_INTERVAL);
-        if is_fresh || self.is_released {
+        if self.is_released {
             return;
         }
-        self.refreshed = Some(now);
-        let members: Vec<&NodeId> = peers.recently_serving(now).collect();
-        let nodes = members.len() + 1;
-        let part = nodes as f64 / peers.sharing_nodes().max(nodes) as f64;
+        let nodes = ranks.nodes();
         let mut buckets = HashMap::new();
         for (server, record) in records {
             let Some(limit) = record.limit else {
                 continue;
             };
             let owners = owner_count(limit, nodes);
-            if !self.is_owner(*server, limit, owners, &members, now.since(record.stated)) {
+            let silence = now.since(record.stated);
+            if !is_owner(ranks.rank(*server), nodes, limit, owners, silence) {
                 continue;
             }
             let rate = effective_rate(limit) * part / owners as f64;
@@ -181,29 +161,6 @@
         self.buckets = buckets;
     }
 
-    /// Whether this node is among the owners. `silence` is the time since the last statement of the backend server;
-    /// after each turn without one, the next nodes in the order become the owners.
-    fn is_owner(
-        &self,
-        server: ServerNumber,
-        limit: RequestLimit,
-        owners: usize,
-        members: &[&NodeId],
-        silence: TimeSpan,
-    ) -> bool {
-        let own_weight = owner_weight(&self.node, server);
-        let position = members
-            .iter()
-            .filter(|member| owner_weight(member, server) > own_weight)
-            .count();
-        let nodes = members.len() + 1;
-        let request_time = owners as f64 / effective_rate(limit) * 1000.0;
-        let turn = request_time as u64 + TURN_MARGIN.0;
-        let turns = usize::try_from(silence.0 / turn).unwrap_or(usize::MAX);
-        let first = turns.wrapping_mul(owners) % nodes;
-        (position + nodes - first) % nodes < owners
-    }
-
     /// Whether this node may send a request to a backend server with a limit that was last stated at `stated`. `sent` is
     /// the number of requests of all nodes in the last [`LIMIT_WINDOW`].
     pub fn admission(
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -9,4 +9,5 @@
 mod limits;
 mod overload;
 mod routes;
+mod shares;
 mod unserved;
