Plan groups with a request limit as the part of a group that they serve

What callers may see: refusals for one model while VMs are free, as long as leaders of its groups name a request limit.

Cause: the planner counts groups. One with a limit of 1 a second has the slots for some ten times as many requests, and counted as one.

Evidence: 8 VMs are added to 12, of which the groups of one model have a limit.

The fix: the holder of the lease learns the limits from its gateway, and a group counts for the part of its slots that the limit keeps busy (Little's law).

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -156,6 +156,8 @@
     /// Reason that was last logged for each idle VM.
     idle_reasons: BTreeMap<VmId, IdleReason>,
     is_store_unreachable: bool,
+    /// Parts of their slots that leaders with a request limit can use.
+    limited: BTreeMap<VmId, f64>,
     effects: Vec<FleetEffect>,
 }
 
@@ -178,6 +180,7 @@
             last_summary: Timestamp(0),
             idle_reasons: BTreeMap::new(),
             is_store_unreachable: false,
+            limited: BTreeMap::new(),
             effects: Vec::new(),
         }
     }
@@ -200,6 +203,7 @@
             FleetEvent::OrderDone { id, order, result } => self.order_done(&id, order, result, now),
             FleetEvent::ProbeDone { id, result } => self.probe_done(&id, result, now),
             FleetEvent::LeaderStalled { id } => self.handle_stalled_leader(&id, now),
+            FleetEvent::Limited(leaders) => self.limited = leaders.into_iter().collect(),
             FleetEvent::StoreUnreachable(value) => self.is_store_unreachable = value,
             FleetEvent::Traffic(traffic) => {
                 self.estimate_initial_demand(view);
--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -84,10 +84,17 @@
                     .values()
                     .filter(|(reserved, _)| *reserved == model.id)
                     .count();
+                // A group whose leader has named a request limit serves only that part of the demand.
+                let capacity: f64 = groups
+                    .map(|group| {
+                        let part = group.members.first().and_then(|id| self.limited.get(id));
+                        part.copied().unwrap_or(1.0)
+                    })
+                    .sum();
                 ModelNeed {
                     id: model.id.clone(),
                     group_size: model.group_size,
-                    capacity: (groups.count() + reserved) as f64,
+                    capacity: capacity + reserved as f64,
                     demand: self.demand.groups(&model.id, now),
                     memory_join_time: self.timing.memory_join_time,
                     host_join_time: model.staged_join_time,
--- a/crates/fleet/src/controller/messages.rs
+++ b/crates/fleet/src/controller/messages.rs
@@ -78,6 +78,9 @@
     },
     /// Work counters of all live nodes.
     Traffic(Vec<NodeTraffic>),
+    /// Leaders whose backend servers have named a request limit, with the part of their slots that the limit allows to
+    /// use, 0 to 1. Replaces the previous ones.
+    Limited(Vec<(VmId, f64)>),
 }
 
 /// Output of [`FleetController::step`](crate::controller::FleetController::step), to be carried out by the caller.
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -86,7 +86,7 @@
     pub id: ModelId,
     /// Number of VMs in a group of the model.
     pub group_size: usize,
-    /// Number of groups that serve, are being formed or have VMs reserved.
+    /// Number of groups that serve, are being formed or have VMs reserved; less for groups with a request limit.
     pub capacity: f64,
     /// Number of groups that the demand would keep fully utilized. Must be above zero.
     pub demand: f64,
--- a/crates/fleet/tests/all/controller.rs
+++ b/crates/fleet/tests/all/controller.rs
@@ -1,5 +1,6 @@
 //! Tests of the controller: forming, repairing, adopting and exchanging groups.
 
+use jaysaddle_fleet::controller::FleetEvent;
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::MemberPhase;
 
@@ -25,6 +26,36 @@
     assert!(large >= 1 && small >= 1);
 }
 
+/// Number of groups of the small and the large model after VMs have been added to a fleet in which the leaders of `limited`
+/// have named a request limit.
+fn groups_beside_limited_ones(limited: &str) -> (usize, usize) {
+    let mut fleet = FakeFleet::new(12);
+    fleet.advance(15_000);
+    let leaders = fleet.serving_groups(limited);
+    let leaders = leaders.iter().map(|group| (group[0].clone(), 0.1));
+    fleet.handle_event(FleetEvent::Limited(leaders.collect()));
+    for number in 0..8 {
+        fleet.add_vm(&format!("new{number}"), "d0");
+    }
+    fleet.advance(30_000);
+    let count = |name| fleet.serving_groups(name).len();
+    (count(SMALL), count(LARGE))
+}
+
+/// Guards against a model that lacks capacity although VMs are free, because groups with a request limit count as whole
+/// ones.
+#[test]
+fn groups_with_a_request_limit_count_in_part() {
+    let (small, large) = (
+        groups_beside_limited_ones(SMALL),
+        groups_beside_limited_ones(LARGE),
+    );
+    assert!(
+        small.0 > large.0 && small.1 < large.1,
+        "{small:?} {large:?}"
+    );
+}
+
 /// Guards against joins that a VM rejects because they carry an order count from the entry instead of the VM's report.
 /// A VM that has accepted orders before must still be able to join.
 #[test]
@@ -400,7 +431,7 @@
 #[test]
 fn no_orders_without_lease() {
     let mut fleet = FakeFleet::new(10);
-    fleet.handle_event(jaysaddle_fleet::controller::FleetEvent::Lost);
+    fleet.handle_event(FleetEvent::Lost);
     fleet.advance(10_000);
     assert!(fleet.orders.is_empty());
 }
--- a/crates/gateway/src/gateway/request_limits.rs
+++ b/crates/gateway/src/gateway/request_limits.rs
@@ -13,6 +13,11 @@
 use crate::target::RequestTarget;
 use crate::target::ServerNumber;
 
+/// Number of requests of `duration` milliseconds that a limit keeps in flight, by Little's law.
+pub(super) fn limited_requests(limit: RequestLimit, duration: f64) -> f64 {
+    limit.per_second() * duration / 1000.0
+}
+
 impl RequestGateway {
     pub(super) fn limit_admission(
         &self,
@@ -47,6 +52,23 @@
         })
     }
 
+    /// Leaders of groups whose backend servers have named a request limit, with the part of their slots that the limit
+    /// allows to use, 0 to 1.
+    pub fn limited_leaders(&self) -> Vec<(VmId, f64)> {
+        let mut leaders = Vec::new();
+        for (class, targets) in &self.targets {
+            for target in targets.iter().filter(|target| target.group.is_some()) {
+                let record = self.limits.get(target.server);
+                if let Some(limit) = record.and_then(|record| record.limit) {
+                    let requests = limited_requests(limit, self.duration(class));
+                    let part = (requests / f64::from(target.slots)).min(1.0);
+                    leaders.push((target.backend.clone(), part));
+                }
+            }
+        }
+        leaders
+    }
+
     /// Records what a response to a request sent at `sent` states about the request limit of its backend server; `None`
     /// if it states that there is none. Returns the change, if any.
     pub fn record_limit(
--- a/crates/gateway/src/gateway/selection.rs
+++ b/crates/gateway/src/gateway/selection.rs
@@ -8,6 +8,7 @@
 
 use super::RequestGateway;
 use super::TargetClass;
+use super::request_limits::limited_requests;
 use crate::choice::ChoiceInputs;
 use crate::choice::TargetChoice;
 use crate::choice::TargetQuery;
@@ -153,11 +154,7 @@
             .map(|usable| peers.load_of(usable.target.number.0))
             .sum::<u32>();
         ClassFacts {
-            duration: self
-                .durations
-                .get(class)
-                .copied()
-                .unwrap_or(self.settings.assumed_duration_ms),
+            duration: self.duration(class),
             max_wait: query.latency_target.as_millis() as f64 * self.settings.wait_share,
             min_pause: targets
                 .iter()
@@ -170,6 +167,12 @@
         }
     }
 
+    /// Mean duration of a request, in milliseconds.
+    pub(super) fn duration(&self, class: &TargetClass) -> f64 {
+        let duration = self.durations.get(class).copied();
+        duration.unwrap_or(self.settings.assumed_duration_ms)
+    }
+
     fn in_flight(&self, target: &RequestTarget) -> u32 {
         let health = self.health.get(&target.number);
         health.map_or(0, |health| health.in_flight)
@@ -225,10 +228,8 @@
         let slowdown = health.map_or(1.0, |health| health.slowdown(facts.min_pause));
         let load = if is_late { total_load } else { on_time_load };
         let limit = self.limit_inputs(target, peers, now);
-        // By Little's law, a limited rate keeps no more requests in flight than this.
         let capacity = limit.map_or(slots, |inputs| {
-            let in_flight = inputs.limit.per_second() * facts.duration / 1000.0;
-            in_flight.clamp(MIN_CAPACITY, slots)
+            limited_requests(inputs.limit, facts.duration).clamp(MIN_CAPACITY, slots)
         });
         Some(TargetCandidate {
             target,
