Reproduce what a store that comes back from an older copy breaks

The stand-in's store can go away for a moment and come back from a copy of some seconds ago, with revisions given out again, the history of that copy and a higher era in its responses. What the operator and the backend servers wrote is written again; what the nodes wrote is gone.

Three tests with daemons as processes fail on this code, each for a cause of its own: the term of the lease, which makes the generations of groups unique, is derived from the object in the store alone (terms 1, 2, 2); a watch goes on from a revision of the lost history; nodes register only once.

--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -158,5 +158,7 @@
     ObjectVersion);
 number_id!(/// Position in the store's history; raised by every write to any object.
     StoreRevision);
+number_id!(/// History of the store to which its revisions belong; raised when the store comes back from an older copy.
+    StoreEra);
 number_id!(/// Matches a response of the store to its call.
     CallId);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,4 +22,5 @@
 mod service;
 mod serving;
 mod store_faults;
+mod store_restores;
 mod traces;
--- /dev/null
+++ b/tests/all/store_restores.rs
@@ -0,0 +1,156 @@
+//! A store that comes back from an older copy, in front of daemons as processes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use jaysaddle_platform_standin::stream_config;
+
+use crate::platform_nodes::KEY;
+use crate::platform_nodes::PlatformNodes;
+
+/// Interval at which callers send requests.
+const CALL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time in which nodes settle after a restore: a lease, and the grace period for entries.
+const SETTLE_TIME: Duration = Duration::from_secs(7);
+
+/// Terms of the lease that the nodes have acquired, in no order.
+fn acquired_terms(nodes: &PlatformNodes) -> Vec<u64> {
+    let mut terms = Vec::new();
+    for node in 0..nodes.nodes.len() {
+        let log = nodes.log(node);
+        let lines = log
+            .lines()
+            .filter(|line| line.contains("event=lease_acquired"));
+        terms.extend(lines.filter_map(|line| {
+            let (_, term) = line.split_once(" term=")?;
+            term.trim().parse::<u64>().ok()
+        }));
+    }
+    terms
+}
+
+/// Node that holds the lease, by its metrics.
+fn holder(nodes: &PlatformNodes) -> Option<usize> {
+    (0..nodes.nodes.len()).find(|node| {
+        let metrics = nodes.get(*node, 7701, "/metrics");
+        metrics.is_some_and(|metrics| {
+            let text = metrics.as_str().unwrap_or_default();
+            text.lines().any(|line| line == "jaysaddle_lease_held 1")
+        })
+    })
+}
+
+fn assert_nothing_given_twice(nodes: &PlatformNodes) {
+    let terms = acquired_terms(nodes);
+    let distinct: BTreeSet<_> = terms.iter().collect();
+    assert_eq!(distinct.len(), terms.len(), "terms {terms:?}");
+    let mut groups = BTreeMap::new();
+    for (name, generation, members) in nodes.standin.joins() {
+        let first = groups
+            .entry((name.clone(), generation))
+            .or_insert_with(|| members.clone());
+        assert_eq!(*first, members, "group {name}, generation {generation}");
+    }
+}
+
+/// Calls all nodes but `without` while `change` runs. Returns the numbers of requests and of failed ones.
+fn call_during(nodes: &PlatformNodes, without: Option<usize>, change: impl FnOnce()) -> (u32, u32) {
+    let (requests, failures) = (AtomicU32::new(0), AtomicU32::new(0));
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::scope(|calls| {
+                for number in 0.. {
+                    if is_over.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let node = number % nodes.nodes.len();
+                    if Some(node) == without {
+                        continue;
+                    }
+                    let (requests, failures) = (&requests, &failures);
+                    calls.spawn(move || {
+                        let id = format!("during{number}");
+                        let status = nodes.request(node, &id, "/drafts/x", KEY).status_code;
+                        requests.fetch_add(1, Ordering::Relaxed);
+                        failures.fetch_add(u32::from(status != 200), Ordering::Relaxed);
+                    });
+                    thread::sleep(CALL_INTERVAL);
+                }
+            });
+        });
+        change();
+        is_over.store(true, Ordering::Relaxed);
+    });
+    (requests.into_inner(), failures.into_inner())
+}
+
+/// Guards against terms of the lease, and with them names and generations of groups, that are given out twice because
+/// the store has forgotten the last holder, and against requests that fail meanwhile.
+#[test]
+fn terms_are_not_reused_after_the_store_goes_back() {
+    for away in [Duration::ZERO, Duration::from_secs(1)] {
+        let mut nodes = PlatformNodes::start(3, 5);
+        nodes.wait_serving(2);
+        thread::sleep(Duration::from_secs(2));
+        let first = holder(&nodes).expect("a holder");
+        nodes.nodes[first].kill();
+        nodes.wait("another node holds the lease", |nodes| {
+            (0..3).any(|node| node != first && nodes.log(node).contains("event=lease_acquired"))
+        });
+        let (requests, failures) = call_during(&nodes, Some(first), || {
+            nodes
+                .standin
+                .restore_store(away, Duration::from_secs(4), None);
+            thread::sleep(SETTLE_TIME);
+        });
+        assert!(requests > 50);
+        assert_eq!(failures, 0, "of {requests} requests");
+        nodes.wait("a node holds the lease", |nodes| holder(nodes).is_some());
+        assert_nothing_given_twice(&nodes);
+    }
+}
+
+/// Guards against a configuration that is never applied, because a watch continues over another history from a revision
+/// that was given out again.
+#[test]
+fn configuration_is_applied_after_revisions_are_reused() {
+    let nodes = PlatformNodes::start(2, 2);
+    nodes.wait_serving(1);
+    // Changes after the copy, so that the configuration gets a revision that the nodes have passed.
+    for version in 2..6 {
+        nodes
+            .standin
+            .set_config(&stream_config(version, &nodes.addresses, KEY));
+    }
+    thread::sleep(Duration::from_millis(700));
+    let config = stream_config(6, &nodes.addresses, "new");
+    nodes
+        .standin
+        .restore_store(Duration::ZERO, Duration::from_millis(900), Some(&config));
+    nodes.wait("the new key is in effect", |nodes| {
+        (0..2).all(|node| nodes.request(node, "n", "/drafts/x", "new").status_code == 200)
+    });
+}
+
+/// Guards against nodes that a node started later does not find, because the store has forgotten them.
+#[test]
+fn nodes_register_again_after_the_store_goes_back() {
+    let nodes = PlatformNodes::start(3, 2);
+    nodes.wait_serving(1);
+    nodes.wait("all nodes are registered", |nodes| {
+        nodes.standin.registered_nodes().len() == 3
+    });
+    nodes
+        .standin
+        .restore_store(Duration::from_millis(300), Duration::from_secs(60), None);
+    assert_eq!(nodes.standin.registered_nodes().len(), 0);
+    nodes.wait("all nodes are registered again", |nodes| {
+        nodes.standin.registered_nodes().len() == 3
+    });
+}
