Continue under a new term when a renewal succeeds after the lease has expired

What callers may see: a request that runs in a group whose members do not belong together, as the names and generations of groups could be given out twice.

Cause: the response to a renewal may arrive after the lease has expired, while the write itself is recent enough for a valid lease. The node had ended its term by then, and began the same term again, in which the controller counts groups from 1.

The fix: a node does not acquire a term twice; it writes the next one over its own record first.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -184,6 +184,8 @@
     is_resigning: bool,
     /// Highest term named by a claim or read.
     latest_term: LeaseEpoch,
+    /// Term that this node has acquired last.
+    acquired_term: Option<LeaseEpoch>,
     /// The node whose handover was accepted. An incarnation hands over at most once.
     accepted_from: Option<NodeKey>,
 }
@@ -203,6 +205,7 @@
             write_number: 0,
             is_resigning: false,
             latest_term: LeaseEpoch(0),
+            acquired_term: None,
             accepted_from: None,
         }
     }
@@ -475,6 +478,13 @@
                 };
                 self.known_object = Some((version, record));
                 self.observed_version = Some(version);
+                if is_new && self.acquired_term == Some(term) {
+                    // The lease had expired before this response to its renewal arrived. What was done under the term
+                    // has ended, so the lease continues under a new one.
+                    self.send_write(term.next(), now, effects);
+                    return;
+                }
+                self.acquired_term = Some(term);
                 self.held = Some((term, until));
                 if is_new {
                     effects.push(LeaseEffect::Acquired(term));
--- a/crates/fleet/tests/all/lease.rs
+++ b/crates/fleet/tests/all/lease.rs
@@ -62,6 +62,31 @@
     assert_eq!(effects[0], LeaseEffect::Lost);
 }
 
+/// Guards against groups with the names of earlier ones: a term that has ended must not begin again when the response to
+/// its renewal arrives late, because the controller would count its groups from the start.
+#[test]
+fn late_renewal_does_not_restart_the_term() {
+    let mut lease = lease_state("a");
+    acquire_first_term(&mut lease, 1000);
+    let renewal = tick(&mut lease, 2300);
+    assert!(matches!(renewal[..], [LeaseEffect::Write { .. }]));
+    let end = 1000 + LeaseTiming::default().duration.0;
+    let done = |version| {
+        LeaseEvent::Written(LeaseWrite::Done {
+            version: ObjectVersion(version),
+        })
+    };
+    let effects = lease.step(done(6), Timestamp(end + 100));
+    assert_eq!(effects[0], LeaseEffect::Lost);
+    let [_, LeaseEffect::Write { record, .. }] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert!(record.term > LeaseEpoch(1));
+    let new_term = record.term;
+    let effects = lease.step(done(7), Timestamp(end + 110));
+    assert_eq!(effects, vec![LeaseEffect::Acquired(new_term)]);
+}
+
 /// Guards against waiting for a full lease duration although the holder's last heartbeat stated the remaining validity.
 #[test]
 fn expired_claim_is_acquired_without_delay() {
