Add a seeded run of restores with kills, pauses and configuration changes

Four daemons in front of the stand-in, three restores each, some of them twice in a row, together with kills of nodes or of the holder, a suspended node and a new configuration. Checked: terms, names and generations are distinct, no backend server joins a group while the leader of its present one serves, the configuration of a node does not go back, and all nodes register again.

--- a/tests/all/platform_nodes.rs
+++ b/tests/all/platform_nodes.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::AtomicU32;
@@ -35,8 +36,17 @@
     pub addresses: Vec<IpAddr>,
     /// Settings file of each node.
     pub settings: Vec<PathBuf>,
-    /// Log file of each node.
-    pub logs: Vec<PathBuf>,
+    /// Log files of each node, one for each start.
+    logs: Vec<Vec<PathBuf>>,
+}
+
+fn spawn_node(settings: &Path, log: &Path) -> TestProcess {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddled"));
+    command.arg("--entry-settings").arg(settings);
+    let name = settings.file_stem().unwrap_or_default().to_string_lossy();
+    let mut process = TestProcess::spawn(&name, command, log.with_extension("err"));
+    process.copy_output(log);
+    process
 }
 
 impl PlatformNodes {
@@ -73,27 +83,41 @@
             });
             let file = folder.join(format!("entry-{node}.yaml"));
             fs::write(&file, settings.to_string()).expect("the settings can be written");
-            let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddled"));
-            command.arg("--entry-settings").arg(&file);
-            let errors = folder.join(format!("entry-{node}.err"));
-            let mut process = TestProcess::spawn(&format!("entry-{node}"), command, errors);
-            let log = folder.join(format!("entry-{node}.log"));
-            process.copy_output(&log);
+            let log = file.with_extension("log");
+            set.nodes.push(spawn_node(&file, &log));
             set.settings.push(file);
-            set.logs.push(log);
-            set.nodes.push(process);
+            set.logs.push(vec![log]);
             set.addresses.push(address);
         }
         set
     }
 
+    /// Kills a node.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].kill();
+    }
+
+    /// Starts a killed node again.
+    pub fn restart(&mut self, node: usize) {
+        let file = &self.settings[node];
+        let text = fs::read_to_string(file).expect("settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings");
+        settings["is_first_start"] = json!(false);
+        fs::write(file, settings.to_string()).expect("the settings can be written");
+        let log = file.with_extension(format!("{}.log", self.logs[node].len()));
+        self.nodes[node] = spawn_node(file, &log);
+        self.logs[node].push(log);
+    }
+
     pub fn get(&self, node: usize, port: u16, target: &str) -> Option<minreq::Response> {
         let url = format!("http://{}:{port}{target}", self.addresses[node]);
         minreq::get(url).with_timeout(2).send().ok()
     }
 
     pub fn log(&self, node: usize) -> String {
-        fs::read_to_string(&self.logs[node]).unwrap_or_default()
+        let logs = self.logs[node].iter();
+        logs.map(|log| fs::read_to_string(log).unwrap_or_default())
+            .collect()
     }
 
     pub fn is_ready(&self, node: usize) -> bool {
--- a/tests/all/store_restores.rs
+++ b/tests/all/store_restores.rs
@@ -184,3 +184,99 @@
     }
     assert!(number > 20, "{number} requests");
 }
+
+/// Version of the configuration in force at a node; `None` if it does not respond.
+fn config_version(nodes: &PlatformNodes, node: usize) -> Option<f64> {
+    let metrics = nodes.get(node, 7701, "/metrics")?;
+    let text = metrics.as_str().ok()?;
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("jaysaddle_config_version "))?;
+    line.trim().parse().ok()
+}
+
+/// Restores the store several times, with kills of nodes, pauses and changes of the configuration around it.
+fn run_random_restores(seed: u64) {
+    const NODES: usize = 4;
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut below = move |bound: u64| {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        state % bound
+    };
+    let mut nodes = PlatformNodes::start(4, 6);
+    nodes.wait_serving(3);
+    let mut version = 1;
+    let mut in_force = [0.0; NODES];
+    for _ in 0..3 {
+        thread::sleep(Duration::from_millis(1500 + below(3000)));
+        let victim = match below(3) {
+            0 => Some(usize::try_from(below(NODES as u64)).expect("a node")),
+            1 => holder(&nodes),
+            _ => None,
+        };
+        let paused = usize::try_from(below(NODES as u64)).expect("a node");
+        let is_paused = Some(paused) != victim && below(2) == 0;
+        if is_paused {
+            nodes.nodes[paused].pause();
+        }
+        if below(2) == 0 {
+            version += 1;
+            let config = stream_config(version, &nodes.addresses, KEY);
+            nodes.standin.set_config(&config);
+        }
+        if let Some(victim) = victim {
+            nodes.kill(victim);
+            in_force[victim] = 0.0;
+        }
+        for _ in 0..=below(2) {
+            let away = Duration::from_millis(below(2) * below(3000));
+            let age = Duration::from_millis(200 + below(9800));
+            version += 1;
+            let config = stream_config(version, &nodes.addresses, KEY);
+            nodes.standin.restore_store(away, age, Some(&config));
+            thread::sleep(Duration::from_millis(below(1500)));
+        }
+        if is_paused {
+            nodes.nodes[paused].resume();
+        }
+        if let Some(victim) = victim {
+            nodes.restart(victim);
+        }
+        thread::sleep(Duration::from_secs(2));
+        for (node, known) in in_force.iter_mut().enumerate() {
+            if let Some(current) = config_version(&nodes, node) {
+                assert!(current >= *known, "node {node}: {current} after {known}");
+                *known = current;
+            }
+        }
+    }
+    nodes.wait(
+        "all nodes are registered and have the configuration",
+        |nodes| {
+            nodes.standin.registered_nodes().len() == NODES
+                && (0..NODES).all(|node| config_version(nodes, node) == Some(version as f64))
+        },
+    );
+    nodes.wait("one node holds the lease", |nodes| holder(nodes).is_some());
+    nodes.wait_serving(3);
+    assert_nothing_given_twice(&nodes);
+    let overlapping = nodes.standin.overlapping_joins();
+    assert!(overlapping.is_empty(), "{overlapping:?}");
+}
+
+/// Guards against combinations of what the other tests have alone. `JAYSADDLE_SEED` and `JAYSADDLE_RUNS` override the
+/// first seed and the number of runs.
+#[test]
+fn nothing_is_given_out_twice_under_random_restores() {
+    let number = |name: &str, default: u64| {
+        let text = std::env::var(name).ok();
+        text.map_or(default, |text| text.parse().expect("a number"))
+    };
+    let first = number("JAYSADDLE_SEED", 20_261_204);
+    for seed in first..first + number("JAYSADDLE_RUNS", 1) {
+        println!("JAYSADDLE_SEED={seed}");
+        run_random_restores(seed);
+    }
+}
