Use the store although its era is not decodable or was wrong once

What callers would see: nothing at once, but a node whose table and configuration grow old.

Cause: a response without a decodable era counted as failed, and all responses below an era that the store had named once, even by mistake, were refused for good.

The fix: an undecodable era is logged and the response used; a lower era is believed once all responses have had it for 5 s, longer than any late response can take. The era is followed by a type of its own, without sockets, with tests (lower_era_is_believed_only_if_it_stays).

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod stated_limit;
 mod stop;
 mod store_client;
+pub mod store_era;
 mod store_sync;
 
 pub mod reload;
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -30,6 +30,8 @@
 use crate::exchange::ExchangeError;
 use crate::exchange::connect;
 use crate::exchange::send;
+use crate::store_era::EraOutcome;
+use crate::store_era::EraTracker;
 
 /// Maximum number of idle connections; a watch and a few calls run concurrently.
 const MAX_IDLE_CONNECTIONS: usize = 3;
@@ -43,13 +45,8 @@
     is_reachable: Cell<bool>,
     /// Start of a call in flight that is not a watch. Reset when any such call ends.
     pending_since: Cell<Option<Timestamp>>,
-    /// Era of the last response; `None` before the first that names one.
-    era: Cell<Option<StoreEra>>,
-    /// Highest era that a peer has announced before this node has seen it.
-    announced_era: Cell<Option<StoreEra>>,
-    /// Number of times that the store is known to have come back from an older copy.
-    restores: Cell<u64>,
-    /// Notified when `restores` rises.
+    era: RefCell<EraTracker>,
+    /// Notified when the store is known to have come back from an older copy.
     restored: Notify,
 }
 
@@ -64,22 +61,20 @@
             idle: RefCell::default(),
             is_reachable: Cell::new(true),
             pending_since: Cell::new(None),
-            era: Cell::new(None),
-            announced_era: Cell::new(None),
-            restores: Cell::new(0),
+            era: RefCell::default(),
             restored: Notify::new(),
         }
     }
 
     /// Era of the store's last response; `None` before the first that names one.
     pub fn era(&self) -> Option<StoreEra> {
-        self.era.get()
+        self.era.borrow().era()
     }
 
     /// Number of times that the store is known to have come back from an older copy. Revisions and versions that were
     /// received before the last time are void.
     pub fn restores(&self) -> u64 {
-        self.restores.get()
+        self.era.borrow().restores()
     }
 
     /// Completes when the store has come back from an older copy after the call of this method.
@@ -87,45 +82,36 @@
         self.restored.notified()
     }
 
-    /// Records the era that a peer announces. A peer only tells that there was a restore; the era in force comes from the
-    /// store itself, so that a wrong announcement does not make this node refuse the store's responses.
+    /// Records the era that a peer announces.
     pub fn record_announced_era(&self, era: StoreEra) {
-        let known = self.era.get().max(self.announced_era.get());
-        if self.era.get().is_some() && Some(era) > known {
-            self.announced_era.set(Some(era));
-            self.record_restore(era, "peer");
+        let before = self.era();
+        if self.era.borrow_mut().announce(era) {
+            self.report_restore(era, before, "peer");
         }
     }
 
-    fn record_restore(&self, era: StoreEra, source: &str) {
-        self.restores.set(self.restores.get() + 1);
+    fn report_restore(&self, era: StoreEra, before: Option<StoreEra>, source: &str) {
         metrics::counter!("jaysaddle_store_restores_total").increment(1);
-        log::warn!(
-            "event=store_restored era={era} before={} source={source}",
-            self.era.get().unwrap_or_default()
-        );
+        let before = before.unwrap_or_default();
+        log::warn!("event=store_restored era={era} before={before} source={source}");
         self.restored.notify_waiters();
     }
 
-    /// Checks the era of a response.
+    /// Checks the era of a response. One without a decodable era is used.
     fn check_era(&self, response: &Response<Incoming>) -> eyre::Result<()> {
         let Some(value) = response.headers().get(headers::STORE_ERA) else {
             return Ok(());
         };
-        let era = value.to_str().ok().and_then(headers::parse_store_era);
-        let era = era.ok_or_else(|| eyre!("undecodable era {value:?}"))?;
-        let Some(known) = self.era.get() else {
-            self.era.set(Some(era));
+        let Some(era) = value.to_str().ok().and_then(headers::parse_store_era) else {
+            log::warn!("event=store_era_undecodable value={value:?}");
             return Ok(());
         };
-        if era < known {
-            return Err(eyre!("response of era {era}, which has ended"));
-        }
-        if era > known {
-            if self.announced_era.get() < Some(era) {
-                self.record_restore(era, "store");
-            }
-            self.era.set(Some(era));
+        let before = self.era();
+        let outcome = self.era.borrow_mut().observe(era, clock::now());
+        match outcome {
+            EraOutcome::Current => {}
+            EraOutcome::Restored => self.report_restore(era, before, "store"),
+            EraOutcome::Outdated => return Err(eyre!("response of era {era}, which has ended")),
         }
         Ok(())
     }
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod address_list;
 mod log_limiter;
 mod stated_limit;
+mod store_era;
--- a/crates/gateway/src/limit_shares.rs
+++ b/crates/gateway/src/limit_shares.rs
@@ -36,6 +36,7 @@
 /// Time without a statement of the backend server after which other nodes become the owners, in addition to the time in
 /// which an owner may send one request. The present owners may receive no requests that the backend server can serve.
 const TURN_MARGIN: TimeSpan = TimeSpan::from_secs(4);
+
 /// Whether a request may be sent to a backend server with a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitAdmission {
