Take terms of the lease only from groups that this system has formed

What callers would see: no group is formed any more, after a single entry of another writer names a very high generation.

Cause: the highest generation that any entry reports counted as a term in use, and a new term above it does not fit into a generation.

Evidence: the new test gets the term of the foreign entry (2^44 - 1) without the check.

The fix: the name of a group must be the one that its term and number give.

--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -21,6 +21,7 @@
 use crate::controller::to_free_vm;
 use crate::groups::ReportedGroup;
 use crate::groups::group_generation;
+use crate::groups::group_name;
 use crate::plan::FreeVm;
 use crate::plan::LoadBudget;
 use crate::plan::ModelNeed;
@@ -253,7 +254,7 @@
         self.groups_formed += 1;
         let generation = group_generation(term, self.groups_formed);
         let key = GroupKey {
-            group: GroupId::new(format_compact!("g{}-{}", term, self.groups_formed)),
+            group: GroupId::new(group_name(term, self.groups_formed)),
             generation,
         };
         for id in &planned.loading {
--- a/crates/fleet/src/groups.rs
+++ b/crates/fleet/src/groups.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use compact_str::CompactString;
+use compact_str::format_compact;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::ModelId;
@@ -22,12 +24,23 @@
     Generation((term.0 << GENERATION_COUNTER_BITS) | number)
 }
 
+/// Name of the group number `number` of a term of the lease.
+pub fn group_name(term: LeaseEpoch, number: u64) -> CompactString {
+    format_compact!("g{term}-{number}")
+}
+
+/// Term of the lease under which a group was formed; `None` if its name and generation are not those of such a group.
+fn formation_term(key: &GroupKey) -> Option<LeaseEpoch> {
+    let term = LeaseEpoch(key.generation.0 >> GENERATION_COUNTER_BITS);
+    let number = key.generation.0 & ((1 << GENERATION_COUNTER_BITS) - 1);
+    (key.group.as_str() == group_name(term, number)).then_some(term)
+}
+
 /// Highest term of the lease under which a group was formed that a backend server reports.
 pub fn latest_reported_term(table: &BackendTable) -> LeaseEpoch {
     let memberships = table.rows().filter_map(|row| row.entry.membership.as_ref());
-    let terms =
-        memberships.map(|membership| membership.key.generation.0 >> GENERATION_COUNTER_BITS);
-    LeaseEpoch(terms.max().unwrap_or(0))
+    let terms = memberships.filter_map(|membership| formation_term(&membership.key));
+    terms.max().unwrap_or_default()
 }
 
 /// A group as its members report it.
--- a/crates/fleet/tests/all/groups.rs
+++ b/crates/fleet/tests/all/groups.rs
@@ -1,10 +1,14 @@
 //! Tests of the groups reconstructed from entries.
 
 use jaysaddle_fleet::groups::ReportedGroup;
+use jaysaddle_fleet::groups::group_generation;
+use jaysaddle_fleet::groups::group_name;
+use jaysaddle_fleet::groups::latest_reported_term;
 use jaysaddle_fleet::groups::reported_groups;
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::serving::BackendEntry;
 use jaysaddle_types::serving::GroupKey;
 use jaysaddle_types::serving::GroupMembership;
@@ -89,3 +93,23 @@
     let groups = groups_of(vec![member("vm0", 1, 0, MemberPhase::Open), leaving]);
     assert!(!groups[0].accepts_requests());
 }
+
+/// Guards against terms that are taken from entries of another writer, whose generations would exhaust the terms.
+#[test]
+fn reported_terms_are_those_of_own_groups() {
+    let report = |name: &str, generation: u64| {
+        let mut entry = member(&format!("vm-{name}"), generation, 0, MemberPhase::Open);
+        if let Some(membership) = &mut entry.membership {
+            membership.key.group = GroupId::new(name);
+        }
+        entry
+    };
+    let term = LeaseEpoch((3 << 16) | 7);
+    let own = report(&group_name(term, 5), group_generation(term, 5).0);
+    let mut table = BackendTable::default();
+    table.replace(
+        vec![own, report("other", u64::MAX), report("g9-1", u64::MAX)],
+        Timestamp(1),
+    );
+    assert_eq!(latest_reported_term(&table), term);
+}
