Split the lease, gather what reacts to a restore, and share the tests' seeds

No behaviour, bound, seed or assertion changes.

- What a node remembers and does for a restored store stood in the node, in the lease and in the synchronization; it is entry/src/store_restore.rs, with one state instead of four fields of the node.
- gateway/src/limits.rs is server_limits.rs, beside limit_shares.rs and gateway/request_limits.rs.
- Each tick formatted the name of a group for every entry of the table; now only for a term above the highest one found.
- The reading of JAYSADDLE_SEED and JAYSADDLE_RUNS stood in ten places and the property check in three: crates/test-support.
Waiting for a condition stood in two test fixtures.
The simulation of limits cloned its scenario for each request.

--- a/crates/admission/tests/all/support.rs
+++ b/crates/admission/tests/all/support.rs
@@ -4,6 +4,7 @@
 
 use jaysaddle_admission::AdmitOutcome;
 use jaysaddle_admission::AdmitQuery;
+use jaysaddle_test_support::check_property;
 use jaysaddle_types::ids::AccountId;
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::FailureDomainId;
@@ -25,30 +26,12 @@
 use jaysaddle_types::view::GroupState;
 use jaysaddle_types::view::GroupView;
 use jaysaddle_types::view::VmState;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
 use quickcheck::Testable;
 
 /// Checks a property with random inputs and prints the seed. `JAYSADDLE_SEED` and `JAYSADDLE_RUNS`
 /// override the seed and the number of runs; `divisor` reduces the runs of slow properties.
 pub fn check<P: Testable>(name: &str, size: usize, divisor: u64, property: P) {
-    const SEED: u64 = 20_261_203;
-    const RUNS: u64 = 2_000;
-    let number = |variable: &str, fallback: u64| {
-        std::env::var(variable)
-            .ok()
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(fallback)
-    };
-    let seed = number("JAYSADDLE_SEED", SEED);
-    let runs = (number("JAYSADDLE_RUNS", RUNS) / divisor).max(1);
-    println!("{name}: seed {seed}, {runs} runs");
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(size, seed))
-        .tests(runs)
-        // The default maximum would end longer runs after 10,000 tests.
-        .max_tests(runs)
-        .quickcheck(property);
+    check_property(name, size, 2_000, divisor, property);
 }
 
 /// Creates a view with one ready group per model and the shares `(account, floor, ceiling)`.
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -38,6 +38,7 @@
 
 use crate::lease;
 use crate::node::EntryNode;
+use crate::store_restore::handle_restores;
 
 /// Interval of heartbeats. Peers consider a node down after four missed ones.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
@@ -284,7 +285,7 @@
             Ok(heartbeat) if heartbeat.node != node.settings.node => {
                 addresses.borrow_mut().insert(heartbeat.peer_address);
                 node.store.record_announced_era(heartbeat.store_era);
-                lease::handle_restores(&node);
+                handle_restores(&node);
                 lease::handle_lease_event(&node, LeaseEvent::TermSeen(heartbeat.latest_term));
                 if let Some(claim) = heartbeat.claim {
                     lease::handle_lease_event(&node, LeaseEvent::Claimed(claim));
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -27,6 +27,7 @@
 use crate::backend_calls::request_all_reports;
 use crate::control::handle_fleet_event;
 use crate::node::EntryNode;
+use crate::store_restore::handle_restores;
 use crate::store_sync::CALL_TIMEOUT;
 
 /// Name of the lease object in the store.
@@ -151,32 +152,6 @@
     }
 }
 
-/// Reacts to a restore of the store: drops what depends on versions of the lost history, and waits for the entries that
-/// backend servers write again.
-pub fn handle_restores(node: &Rc<EntryNode>) {
-    let restores = node.store.restores();
-    if node.handled_restores.replace(restores) == restores {
-        return;
-    }
-    let now = clock::now();
-    node.restored_at.set(Some(now));
-    node.begin_outage_grace(now);
-    let is_held = node.lease.borrow().held_term(now).is_some();
-    node.lease_rewrite_pending.set(is_held);
-    handle_lease_event(node, LeaseEvent::StoreRestored);
-    // The peers learn of the restore from this node's heartbeat.
-    node.heartbeat_now.notify_one();
-}
-
-/// Reacts to restores of the store. Never returns.
-pub async fn watch_restores(node: Rc<EntryNode>) {
-    loop {
-        let restored = node.store.restored();
-        handle_restores(&node);
-        restored.await;
-    }
-}
-
 /// Passes on the terms of the lease that the reported groups show.
 pub fn observe_reported_terms(node: &Rc<EntryNode>) {
     let term = latest_reported_term(&node.table.borrow());
@@ -254,9 +229,9 @@
         return;
     }
     let is_rewritten =
-        node.lease_rewrite_pending.take() && matches!(result, LeaseWrite::Done { .. });
+        node.restore.lease_pending.take() && matches!(result, LeaseWrite::Done { .. });
     handle_lease_event(&node, LeaseEvent::Written(result));
     if is_rewritten {
-        node.record_rewrite("lease");
+        node.restore.record_rewrite("lease");
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod stop;
 mod store_client;
 pub mod store_era;
+mod store_restore;
 mod store_sync;
 
 pub mod reload;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -38,6 +38,7 @@
 use crate::settings::EntrySettings;
 use crate::settings::PlatformBounds;
 use crate::store_client::StoreClient;
+use crate::store_restore::RestoreState;
 
 /// Fraction of the platform's retry slack that this system uses. The rest allows for requests that nodes
 /// count in different windows.
@@ -52,11 +53,6 @@
 /// the outage again within it, with a margin for propagation.
 const OUTAGE_GRACE: TimeSpan = TimeSpan(2300);
 
-/// Time for which removed entries are remembered. A copy of the store is some seconds old.
-const REMOVED_RETENTION: TimeSpan = TimeSpan::from_secs(60);
-/// Maximum number of removed entries that are remembered.
-const MAX_REMOVED: usize = 4096;
-
 /// Retries that this system allows itself within the platform's bounds: the number per thousand requests of a
 /// service, and the burst in any window.
 pub fn retry_limits(bounds: &PlatformBounds) -> (u32, u32) {
@@ -87,13 +83,8 @@
     pub raw_config: RefCell<Option<Value>>,
     /// The backend entries as read, kept to serve copies to peers.
     pub raw_entries: RefCell<BTreeMap<CompactString, Value>>,
-    /// Entries that were removed, with the time. A store that comes back from an older copy lists them again.
-    removed_entries: RefCell<BTreeMap<CompactString, (Value, Timestamp)>>,
-    /// Number of restores of the store that this node has dealt with, and the time of the last.
-    pub handled_restores: Cell<u64>,
-    pub restored_at: Cell<Option<Timestamp>>,
-    /// Whether this node holds the lease and has not written it since the last restore of the store.
-    pub lease_rewrite_pending: Cell<bool>,
+    /// What is remembered to deal with a restore of the store.
+    pub restore: RestoreState,
     pub controller: RefCell<FleetController>,
     pub lease: RefCell<LeaseState>,
     /// Lease handover that this node announces while it stops.
@@ -150,10 +141,7 @@
             config: RefCell::default(),
             raw_config: RefCell::default(),
             raw_entries: RefCell::default(),
-            removed_entries: RefCell::default(),
-            handled_restores: Cell::new(0),
-            restored_at: Cell::new(None),
-            lease_rewrite_pending: Cell::new(false),
+            restore: RestoreState::default(),
             controller: RefCell::new(FleetController::new(ControllerTiming::default())),
             lease: RefCell::new(lease),
             handover: RefCell::default(),
@@ -191,17 +179,6 @@
         }
     }
 
-    /// Records that something that the store had lost was written again.
-    pub fn record_rewrite(&self, kind: &str) {
-        metrics::counter!("jaysaddle_store_rewrites_total", "kind" => kind.to_owned()).increment(1);
-        let since = self.restored_at.get();
-        let after = since.map_or(TimeSpan(0), |since| clock::now().since(since));
-        log::info!(
-            "event=store_rewritten kind={kind} after_ms={}",
-            after.as_millis()
-        );
-    }
-
     /// Version of the configuration in force, or 0 when there is none.
     pub fn config_version(&self) -> u64 {
         self.config
@@ -253,7 +230,7 @@
         if before.is_none_or(|before| now.since(before) >= OUTAGE_READ_AGE) {
             self.begin_outage_grace(now);
         }
-        self.leave_out_removed(&mut entries, now);
+        self.restore.leave_out_removed(&mut entries, now);
         for (name, current) in &*self.raw_entries.borrow() {
             match entries.get_mut(name) {
                 Some(entry) if !is_newer_entry(current, entry) => entry.clone_from(current),
@@ -271,20 +248,6 @@
         self.outage_grace_until.set(now + OUTAGE_GRACE);
     }
 
-    /// Leaves out the entries that an older copy of the store lists although they were removed. A live backend server
-    /// writes a newer one.
-    fn leave_out_removed(&self, entries: &mut BTreeMap<CompactString, Value>, now: Timestamp) {
-        let mut removed = self.removed_entries.borrow_mut();
-        removed.retain(|_, (_, time)| now.since(*time) < REMOVED_RETENTION);
-        if self.restored_at.get().is_none() {
-            return;
-        }
-        entries.retain(|name, entry| {
-            let known = removed.get(name);
-            known.is_none_or(|(removed, _)| is_newer_entry(removed, entry))
-        });
-    }
-
     /// Replaces the table by a copy from a peer. Entries that are newer at this node are kept, because reports may
     /// have updated them.
     pub fn copy_table(&self, mut entries: BTreeMap<CompactString, Value>, read_at: Timestamp) {
@@ -306,7 +269,7 @@
         let before = std::mem::replace(&mut *self.raw_entries.borrow_mut(), entries);
         for (name, spec) in before {
             if !self.raw_entries.borrow().contains_key(&name) {
-                self.remember_removed(name, spec);
+                self.restore.remember_removed(name, spec);
             }
         }
         self.table.borrow_mut().replace(decoded, clock::now());
@@ -350,21 +313,13 @@
     pub fn remove_entry(&self, name: &CompactString) {
         let removed = self.raw_entries.borrow_mut().remove(name);
         if let Some(spec) = removed {
-            self.remember_removed(name.clone(), spec);
+            self.restore.remember_removed(name.clone(), spec);
         }
         if let Ok(id) = name.parse() {
             self.table.borrow_mut().remove(&id, clock::now());
         }
     }
 
-    fn remember_removed(&self, name: CompactString, spec: Value) {
-        let mut removed = self.removed_entries.borrow_mut();
-        if removed.len() >= MAX_REMOVED {
-            removed.pop_first();
-        }
-        removed.insert(name, (spec, clock::now()));
-    }
-
     /// Updates the gateway's targets from the table, and notifies peers of changed targets
     /// when this node holds the lease.
     pub fn publish_table(&self) {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -23,13 +23,13 @@
 use crate::copies;
 use crate::directory;
 use crate::gauges;
-use crate::lease;
 use crate::log_writer;
 use crate::node::EntryNode;
 use crate::reload;
 use crate::reload::parse_settings;
 use crate::settings::EntrySettings;
 use crate::stop;
+use crate::store_restore;
 use crate::store_sync;
 
 /// Time for the log writer to write the last lines before the process exits.
@@ -95,7 +95,7 @@
     spawn_local(store_sync::watch_config(node.clone()));
     spawn_local(store_sync::watch_backends(node.clone()));
     spawn_local(store_sync::sync_nodes(node.clone(), address_sender));
-    spawn_local(lease::watch_restores(node.clone()));
+    spawn_local(store_restore::watch_restores(node.clone()));
     spawn_local(beats::collect_addresses(
         address_receiver,
         addresses.clone(),
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -270,7 +270,7 @@
             && register(&node).await
             && registered_at.replace(restores).is_some()
         {
-            node.record_rewrite("node");
+            node.restore.record_rewrite("node");
         }
         let delay = delays.next();
         let may_be_stale = delay.is_none();
--- a/crates/fleet/src/groups.rs
+++ b/crates/fleet/src/groups.rs
@@ -24,6 +24,10 @@
     Generation((term.0 << GENERATION_COUNTER_BITS) | number)
 }
 
+fn term_bits(generation: Generation) -> LeaseEpoch {
+    LeaseEpoch(generation.0 >> GENERATION_COUNTER_BITS)
+}
+
 /// Name of the group number `number` of a term of the lease.
 pub fn group_name(term: LeaseEpoch, number: u64) -> CompactString {
     format_compact!("g{term}-{number}")
@@ -31,16 +35,22 @@
 
 /// Term of the lease under which a group was formed; `None` if its name and generation are not those of such a group.
 fn formation_term(key: &GroupKey) -> Option<LeaseEpoch> {
-    let term = LeaseEpoch(key.generation.0 >> GENERATION_COUNTER_BITS);
+    let term = term_bits(key.generation);
     let number = key.generation.0 & ((1 << GENERATION_COUNTER_BITS) - 1);
     (key.group.as_str() == group_name(term, number)).then_some(term)
 }
 
 /// Highest term of the lease under which a group was formed that a backend server reports.
 pub fn latest_reported_term(table: &BackendTable) -> LeaseEpoch {
-    let memberships = table.rows().filter_map(|row| row.entry.membership.as_ref());
-    let terms = memberships.filter_map(|membership| formation_term(&membership.key));
-    terms.max().unwrap_or_default()
+    let mut latest = LeaseEpoch(0);
+    for membership in table.rows().filter_map(|row| row.entry.membership.as_ref()) {
+        if term_bits(membership.key.generation) > latest
+            && let Some(term) = formation_term(&membership.key)
+        {
+            latest = term;
+        }
+    }
+    latest
 }
 
 /// A group as its members report it.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -21,11 +21,9 @@
 //! counts from the receipt of a heartbeat or read. The follower's deadline is therefore never earlier than the
 //! holder's.
 
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
+mod messages;
+mod term;
 
-use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ObjectVersion;
@@ -33,28 +31,13 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
-/// Number of low bits of a term that identify the node that acquired it. Two nodes that know the same latest term, because
-/// the store and the peers have forgotten a later one, do not acquire the same term.
-const TERM_NODE_BITS: u32 = 16;
-
-/// Identifies the start of a node in the terms that it acquires.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct TermNode(pub u16);
-
-impl TermNode {
-    /// Computes the number of a node's start.
-    pub fn of(node: &NodeId, incarnation: Incarnation) -> Self {
-        let mut hasher = DefaultHasher::new();
-        (node, incarnation).hash(&mut hasher);
-        Self((hasher.finish() >> (64 - TERM_NODE_BITS)) as u16)
-    }
-
-    /// The term that this start of a node acquires after `latest`.
-    pub fn term_after(self, latest: LeaseEpoch) -> LeaseEpoch {
-        let round = (latest.0 >> TERM_NODE_BITS) + 1;
-        LeaseEpoch((round << TERM_NODE_BITS) | u64::from(self.0))
-    }
-}
+pub use crate::lease::messages::LeaseClaim;
+pub use crate::lease::messages::LeaseEffect;
+pub use crate::lease::messages::LeaseEvent;
+pub use crate::lease::messages::LeaseHandover;
+pub use crate::lease::messages::LeaseRecord;
+pub use crate::lease::messages::LeaseWrite;
+pub use crate::lease::term::TermNode;
 
 /// Durations and intervals of the lease protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,121 +63,6 @@
     }
 }
 
-/// Content of the lease object in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseRecord {
-    /// The holding node; `None` after a resignation.
-    pub holder: Option<NodeId>,
-    /// Raised at every acquisition.
-    pub term: LeaseEpoch,
-    /// Number of the write at its node. It makes contents unique, so that a write can be recognized even if its
-    /// response was lost.
-    pub write_number: u64,
-}
-
-/// The lease as its holder announces it in heartbeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseClaim {
-    /// Term under which the peer holds the lease.
-    pub term: LeaseEpoch,
-    /// Version of the lease object after the last renewal.
-    pub version: ObjectVersion,
-    /// Remaining validity without a further renewal.
-    pub remaining: TimeSpan,
-}
-
-/// Handover of the lease from its holder to a successor while the store is unreachable.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseHandover {
-    /// The only node that may accept the lease.
-    pub successor: NodeId,
-    /// Current term, under which the successor continues.
-    pub term: LeaseEpoch,
-    /// Version of the lease object after the last renewal.
-    pub version: ObjectVersion,
-    /// Number of groups formed in this term. The successor continues the numbering from here.
-    pub groups_formed: u64,
-}
-
-/// Result of a write to the lease object.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LeaseWrite {
-    /// The write was applied.
-    Done {
-        /// Version of the object after the write.
-        version: ObjectVersion,
-    },
-    /// The object does not have the expected version.
-    Conflict,
-    /// The write was rejected or could not be sent; the object is unchanged.
-    NotWritten,
-    /// No response; the write may have been applied, or may still be.
-    Unknown,
-}
-
-/// Input of [`LeaseState::step`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseEvent {
-    /// Periodic tick, which drives renewals and acquisition attempts.
-    Tick {
-        /// Number of live candidates that precede this node as the next holder.
-        rank: u32,
-        /// Whether the store is unreachable for this node and most of its peers. No other node can acquire the
-        /// lease in that case.
-        is_store_unreachable: bool,
-    },
-    /// A peer's heartbeat claims the lease.
-    Claimed(LeaseClaim),
-    /// The lease object was read; `None` if it does not exist.
-    Read(Option<(ObjectVersion, LeaseRecord)>),
-    /// The read failed or its response could not be decoded.
-    ReadFailed,
-    /// A write completed.
-    Written(LeaseWrite),
-    /// A term was seen outside of the lease object.
-    TermSeen(LeaseEpoch),
-    /// The store has come back from an older copy. All versions and calls in flight are void.
-    StoreRestored,
-    /// This node shuts down and releases the lease in the store.
-    Resign,
-    /// This node shuts down while the store is unreachable, and announces the result of [`LeaseState::handover`].
-    HandOver,
-    /// A holder that shuts down has announced its successor.
-    HandoverReceived {
-        /// The node that hands the lease over, with its incarnation.
-        from: NodeKey,
-        /// The announced handover; ignored unless it names this node.
-        handover: LeaseHandover,
-        /// Whether the store is unreachable for this node and most of its peers; if not, the handover is ignored.
-        is_store_unreachable: bool,
-    },
-}
-
-/// Output of [`LeaseState::step`], to be carried out by the caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseEffect {
-    /// Read the lease object.
-    Read,
-    /// Write the lease object conditionally.
-    Write {
-        /// Version that the object must have; `None` creates it.
-        version: Option<ObjectVersion>,
-        /// New content of the object.
-        record: LeaseRecord,
-    },
-    /// This node has acquired the lease through the store.
-    Acquired(LeaseEpoch),
-    /// This node has accepted a lease that another node handed over.
-    HandoverAccepted {
-        /// Term of the previous holder, which continues.
-        term: LeaseEpoch,
-        /// Number of groups that the previous holder has formed in the term.
-        groups_formed: u64,
-    },
-    /// This node no longer holds the lease.
-    Lost,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PendingCall {
     None,
--- /dev/null
+++ b/crates/fleet/src/lease/messages.rs
@@ -0,0 +1,122 @@
+//! Inputs and outputs of the lease.
+
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::node::NodeKey;
+use jaysaddle_types::units::TimeSpan;
+
+/// Content of the lease object in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseRecord {
+    /// The holding node; `None` after a resignation.
+    pub holder: Option<NodeId>,
+    /// Raised at every acquisition.
+    pub term: LeaseEpoch,
+    /// Number of the write at its node. It makes contents unique, so that a write can be recognized even if its
+    /// response was lost.
+    pub write_number: u64,
+}
+
+/// The lease as its holder announces it in heartbeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseClaim {
+    /// Term under which the peer holds the lease.
+    pub term: LeaseEpoch,
+    /// Version of the lease object after the last renewal.
+    pub version: ObjectVersion,
+    /// Remaining validity without a further renewal.
+    pub remaining: TimeSpan,
+}
+
+/// Handover of the lease from its holder to a successor while the store is unreachable.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseHandover {
+    /// The only node that may accept the lease.
+    pub successor: NodeId,
+    /// Current term, under which the successor continues.
+    pub term: LeaseEpoch,
+    /// Version of the lease object after the last renewal.
+    pub version: ObjectVersion,
+    /// Number of groups formed in this term. The successor continues the numbering from here.
+    pub groups_formed: u64,
+}
+
+/// Result of a write to the lease object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseWrite {
+    /// The write was applied.
+    Done {
+        /// Version of the object after the write.
+        version: ObjectVersion,
+    },
+    /// The object does not have the expected version.
+    Conflict,
+    /// The write was rejected or could not be sent; the object is unchanged.
+    NotWritten,
+    /// No response; the write may have been applied, or may still be.
+    Unknown,
+}
+
+/// Input of [`LeaseState::step`](crate::lease::LeaseState::step).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseEvent {
+    /// Periodic tick, which drives renewals and acquisition attempts.
+    Tick {
+        /// Number of live candidates that precede this node as the next holder.
+        rank: u32,
+        /// Whether the store is unreachable for this node and most of its peers. No other node can acquire the
+        /// lease in that case.
+        is_store_unreachable: bool,
+    },
+    /// A peer's heartbeat claims the lease.
+    Claimed(LeaseClaim),
+    /// The lease object was read; `None` if it does not exist.
+    Read(Option<(ObjectVersion, LeaseRecord)>),
+    /// The read failed or its response could not be decoded.
+    ReadFailed,
+    /// A write completed.
+    Written(LeaseWrite),
+    /// A term was seen outside of the lease object.
+    TermSeen(LeaseEpoch),
+    /// The store has come back from an older copy. All versions and calls in flight are void.
+    StoreRestored,
+    /// This node shuts down and releases the lease in the store.
+    Resign,
+    /// This node shuts down while the store is unreachable, and announces the result of [`LeaseState::handover`](crate::lease::LeaseState::handover).
+    HandOver,
+    /// A holder that shuts down has announced its successor.
+    HandoverReceived {
+        /// The node that hands the lease over, with its incarnation.
+        from: NodeKey,
+        /// The announced handover; ignored unless it names this node.
+        handover: LeaseHandover,
+        /// Whether the store is unreachable for this node and most of its peers; if not, the handover is ignored.
+        is_store_unreachable: bool,
+    },
+}
+
+/// Output of [`LeaseState::step`](crate::lease::LeaseState::step), to be carried out by the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseEffect {
+    /// Read the lease object.
+    Read,
+    /// Write the lease object conditionally.
+    Write {
+        /// Version that the object must have; `None` creates it.
+        version: Option<ObjectVersion>,
+        /// New content of the object.
+        record: LeaseRecord,
+    },
+    /// This node has acquired the lease through the store.
+    Acquired(LeaseEpoch),
+    /// This node has accepted a lease that another node handed over.
+    HandoverAccepted {
+        /// Term of the previous holder, which continues.
+        term: LeaseEpoch,
+        /// Number of groups that the previous holder has formed in the term.
+        groups_formed: u64,
+    },
+    /// This node no longer holds the lease.
+    Lost,
+}
--- /dev/null
+++ b/crates/fleet/src/lease/term.rs
@@ -0,0 +1,32 @@
+//! Terms of the lease, which no two starts of nodes share.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::NodeId;
+
+/// Number of low bits of a term that identify the node that acquired it. Two nodes that know the same latest term, because
+/// the store and the peers have forgotten a later one, do not acquire the same term.
+const TERM_NODE_BITS: u32 = 16;
+
+/// Identifies the start of a node in the terms that it acquires.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TermNode(pub u16);
+
+impl TermNode {
+    /// Computes the number of a node's start.
+    pub fn of(node: &NodeId, incarnation: Incarnation) -> Self {
+        let mut hasher = DefaultHasher::new();
+        (node, incarnation).hash(&mut hasher);
+        Self((hasher.finish() >> (64 - TERM_NODE_BITS)) as u16)
+    }
+
+    /// The term that this start of a node acquires after `latest`.
+    pub fn term_after(self, latest: LeaseEpoch) -> LeaseEpoch {
+        let round = (latest.0 >> TERM_NODE_BITS) + 1;
+        LeaseEpoch((round << TERM_NODE_BITS) | u64::from(self.0))
+    }
+}
--- a/crates/fleet/tests/all/lease_restores.rs
+++ b/crates/fleet/tests/all/lease_restores.rs
@@ -12,6 +12,8 @@
 use jaysaddle_fleet::lease::LeaseTiming;
 use jaysaddle_fleet::lease::LeaseWrite;
 use jaysaddle_fleet::lease::TermNode;
+use jaysaddle_test_support::TestRandom;
+use jaysaddle_test_support::seeds;
 use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::NodeId;
@@ -25,18 +27,6 @@
 /// Time after which nothing is disturbed.
 const QUIET_MS: u64 = UNTIL_MS - 15_000;
 
-/// Xorshift generator.
-struct TestRandom(u64);
-
-impl TestRandom {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % bound
-    }
-}
-
 type StoredLease = Option<(u64, LeaseRecord)>;
 
 /// The store: the lease object, with its states in the past.
@@ -126,7 +116,7 @@
                 past: Vec::new(),
             },
             now: 0,
-            random: TestRandom(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1),
+            random: TestRandom::new(seed),
             messages: BinaryHeap::new(),
             contents: BTreeMap::new(),
             next_message: 0,
@@ -428,12 +418,7 @@
 /// the first seed and the number of runs.
 #[test]
 fn one_holder_and_distinct_terms_across_restores() {
-    let number = |name: &str, default: u64| {
-        let text = std::env::var(name).ok();
-        text.map_or(default, |text| text.parse().expect("a number"))
-    };
-    let first = number("JAYSADDLE_SEED", 20_261_204);
-    for seed in first..first + number("JAYSADDLE_RUNS", 30) {
+    for seed in seeds(20_261_204, 30) {
         println!("JAYSADDLE_SEED={seed}");
         let mut cluster = LeaseCluster::new(seed);
         cluster.run();
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -8,7 +8,7 @@
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 
-use crate::limits::LimitSource;
+use crate::server_limits::LimitSource;
 use crate::target::RequestTarget;
 use crate::target::TargetNumber;
 
--- a/crates/gateway/src/gateway/request_limits.rs
+++ b/crates/gateway/src/gateway/request_limits.rs
@@ -9,7 +9,7 @@
 use super::RequestGateway;
 use crate::choice::LimitInputs;
 use crate::limit_shares::LimitAdmission;
-use crate::limits::LimitChange;
+use crate::server_limits::LimitChange;
 use crate::target::RequestTarget;
 use crate::target::ServerNumber;
 
--- a/crates/gateway/src/limit_shares.rs
+++ b/crates/gateway/src/limit_shares.rs
@@ -19,8 +19,8 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
-use crate::limits::LimitRecord;
 use crate::node_ranks::NodeRanks;
+use crate::server_limits::LimitRecord;
 use crate::target::ServerNumber;
 
 /// Rate at which requests are sent even if the limit is lower, in requests a second. Only a response tells that a
--- a/crates/gateway/tests/all/limit_simulation.rs
+++ b/crates/gateway/tests/all/limit_simulation.rs
@@ -225,10 +225,10 @@
     pub fn run(mut self) -> Self {
         for now in 1..self.scenario.until {
             self.now = now;
-            for (node, time) in self.scenario.restarts.clone() {
-                if time == now {
-                    let incarnation = self.nodes[node].incarnation + 1;
-                    self.nodes[node] = new_node(node, incarnation, &self.table);
+            for (node, time) in &self.scenario.restarts {
+                if *time == now {
+                    let incarnation = self.nodes[*node].incarnation + 1;
+                    self.nodes[*node] = new_node(*node, incarnation, &self.table);
                 }
             }
             while let Some(Reverse((time, event))) = self.events.peek().copied()
@@ -302,10 +302,9 @@
         let incarnation = node.incarnation;
         let backend: &VmId = &choice.target.backend;
         let name = backend.as_str().to_owned();
-        let scenario = self.scenario.clone();
-        let excused = |node: usize| scenario.is_disturbed(node, self.now);
+        let (scenario, now) = (&self.scenario, self.now);
         if let Some(server) = self.servers.get_mut(&name) {
-            server.record_arrival(number, self.now, &excused);
+            server.record_arrival(number, now, &|node| scenario.is_disturbed(node, now));
         }
         self.next_request += 1;
         let request = self.next_request;
--- a/crates/gateway/tests/all/limited_servers.rs
+++ b/crates/gateway/tests/all/limited_servers.rs
@@ -2,6 +2,7 @@
 
 use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_gateway::random::XorshiftRng;
+use jaysaddle_test_support::seeds;
 use jaysaddle_types::units::TimeSpan;
 
 use crate::fixture::GatewayFixture;
@@ -278,12 +279,7 @@
 /// `JAYSADDLE_SEED` and `JAYSADDLE_RUNS` override the first seed and the number of runs.
 #[test]
 fn limits_hold_under_random_disturbances() {
-    let number = |name: &str, default: u64| {
-        let text = std::env::var(name).ok();
-        text.map_or(default, |text| text.parse().expect("a number"))
-    };
-    let seed = number("JAYSADDLE_SEED", 20_261_204);
-    for seed in seed..seed + number("JAYSADDLE_RUNS", 20) {
+    for seed in seeds(20_261_204, 20) {
         println!("JAYSADDLE_SEED={seed}");
         let scenario = random_scenario(&mut XorshiftRng::new(seed.wrapping_mul(0x9e37_79b9)));
         LimitSimulation::new(scenario).run().assert_limits_kept();
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/server_limits.rs
@@ -3,8 +3,8 @@
 use std::collections::HashSet;
 
 use jaysaddle_fleet::peers::LIMIT_WINDOW;
-use jaysaddle_gateway::limits::LimitSource;
-use jaysaddle_gateway::limits::ServerLimits;
+use jaysaddle_gateway::server_limits::LimitSource;
+use jaysaddle_gateway::server_limits::ServerLimits;
 use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::Timestamp;
--- a/crates/health/tests/all/events.rs
+++ b/crates/health/tests/all/events.rs
@@ -4,6 +4,7 @@
 use jaysaddle_health::HealthEffect;
 use jaysaddle_health::HealthEvent;
 use jaysaddle_health::ProbeFailure;
+use jaysaddle_test_support::env_number;
 use jaysaddle_types::evidence::ListedState;
 use jaysaddle_types::evidence::ListedVm;
 use jaysaddle_types::evidence::ProbeFinding;
@@ -17,7 +18,6 @@
 
 use crate::support::DEFAULT_SEED;
 use crate::support::TestRng;
-use crate::support::env_number;
 use crate::support::harness::TrackerHarness;
 use crate::support::node_key;
 use crate::support::report;
--- a/crates/health/tests/all/runs.rs
+++ b/crates/health/tests/all/runs.rs
@@ -5,6 +5,7 @@
 use jaysaddle_health::AttemptFinding;
 use jaysaddle_health::HealthEvent;
 use jaysaddle_health::HealthSettings;
+use jaysaddle_test_support::env_number;
 use jaysaddle_types::evidence::ListedState;
 use jaysaddle_types::evidence::ListedVm;
 use jaysaddle_types::view::VmState;
@@ -14,7 +15,6 @@
 use quickcheck::TestResult;
 
 use crate::support::DEFAULT_SEED;
-use crate::support::env_number;
 use crate::support::fleet::FakeFleet;
 use crate::support::fleet::NODES;
 use crate::support::fleet::PARTITION_BOUNDARY;
--- a/crates/health/tests/all/support/mod.rs
+++ b/crates/health/tests/all/support/mod.rs
@@ -19,14 +19,6 @@
 /// Number of failure domains in the tests.
 pub const DOMAINS: usize = 3;
 
-/// Reads a number from the environment, or returns the default.
-pub fn env_number(name: &str, default: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
-}
-
 /// Returns the key of the node with this index.
 pub fn node_key(index: usize) -> NodeKey {
     NodeKey {
--- a/crates/lease/tests/all/cluster.rs
+++ b/crates/lease/tests/all/cluster.rs
@@ -34,14 +34,6 @@
 /// Default seed of random simulations, which `JAYSADDLE_SEED` overrides.
 pub const DEFAULT_SEED: u64 = 20_261_203;
 
-/// Returns the number in an environment variable, or `default` when it is absent or invalid.
-pub fn env_number(name: &str, default: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
-}
-
 /// Returns the key of node `index`.
 pub fn node_key(index: usize) -> NodeKey {
     NodeKey {
--- a/crates/lease/tests/all/runs.rs
+++ b/crates/lease/tests/all/runs.rs
@@ -4,6 +4,7 @@
 //! `JAYSADDLE_SEED` and `JAYSADDLE_RUNS` override the seed and the number of runs.
 
 use jaysaddle_lease::LeaseEvent;
+use jaysaddle_test_support::env_number;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -12,7 +13,6 @@
 use crate::cluster::DEFAULT_SEED;
 use crate::cluster::SimulatedCluster;
 use crate::cluster::candidates;
-use crate::cluster::env_number;
 use crate::cluster::shard_id;
 
 const NODES: usize = 4;
--- a/crates/ledger/tests/all/support.rs
+++ b/crates/ledger/tests/all/support.rs
@@ -7,6 +7,7 @@
 use jaysaddle_ledger::LedgerSettings;
 use jaysaddle_ledger::RequestLedger;
 use jaysaddle_ledger::StoredResponse;
+use jaysaddle_test_support::check_property;
 use jaysaddle_types::ids::AccountId;
 use jaysaddle_types::ids::IdempotencyKey;
 use jaysaddle_types::ids::Incarnation;
@@ -17,30 +18,12 @@
 use jaysaddle_types::request::HomeToken;
 use jaysaddle_types::units::Timestamp;
 use jaysaddle_types::verdict::RequestRefusal;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
 use quickcheck::Testable;
 
 /// Checks a property with a printed seed. `JAYSADDLE_SEED` and `JAYSADDLE_RUNS` override the seed
 /// and the number of runs.
 pub fn check<P: Testable>(name: &str, size: usize, property: P) {
-    const SEED: u64 = 20_261_203;
-    const RUNS: u64 = 4_000;
-    let number = |variable: &str, fallback: u64| {
-        std::env::var(variable)
-            .ok()
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(fallback)
-    };
-    let seed = number("JAYSADDLE_SEED", SEED);
-    let runs = number("JAYSADDLE_RUNS", RUNS);
-    println!("{name}: seed {seed}, {runs} runs");
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(size, seed))
-        .tests(runs)
-        // Without it, quickcheck stops after 10,000 runs.
-        .max_tests(runs)
-        .quickcheck(property);
+    check_property(name, size, 4_000, 1, property);
 }
 
 pub fn node(number: usize, incarnation: u64) -> NodeKey {
--- a/crates/placement/tests/all/random.rs
+++ b/crates/placement/tests/all/random.rs
@@ -1,5 +1,6 @@
 //! Seeded random numbers and random runs of a property.
 
+use jaysaddle_test_support::env_number;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -38,10 +39,6 @@
     }
 }
 
-fn env_number(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
 /// Seed of one run. It is not shrunk, because runs of similar seeds are unrelated.
 #[derive(Clone, Debug)]
 struct RunSeed(u64);
@@ -57,8 +54,8 @@
 /// `JAYSADDLE_RUNS` sets the number of runs. `JAYSADDLE_SEED` is the seed that the seeds of the
 /// runs are derived from, or the seed of the only run when `JAYSADDLE_RUNS` is 1.
 pub fn check_runs(name: &str, runs: u64, property: fn(u64) -> Result<(), String>) {
-    let seed = env_number("JAYSADDLE_SEED").unwrap_or(20_261_203);
-    let runs = env_number("JAYSADDLE_RUNS").unwrap_or(runs);
+    let seed = env_number("JAYSADDLE_SEED", 20_261_203);
+    let runs = env_number("JAYSADDLE_RUNS", runs);
     println!("{name}: JAYSADDLE_SEED={seed} JAYSADDLE_RUNS={runs}");
     let run = move |seed: u64| match property(seed) {
         Ok(()) => TestResult::passed(),
--- a/crates/reducer/tests/random/runs.rs
+++ b/crates/reducer/tests/random/runs.rs
@@ -1,7 +1,6 @@
 //! Runs the simulation with consecutive seeds on several threads.
 
-use std::env;
-
+use jaysaddle_test_support::env_number;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 
@@ -15,19 +14,12 @@
 /// Default number of runs.
 const RUNS: u64 = 1_000;
 
-fn read_env(name: &str, default: u64) -> u64 {
-    env::var(name)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
-}
-
 /// Guards against combinations of faults that violate an invariant or prevent the cluster from
 /// recovering after the last fault.
 #[test]
 fn invariants_hold_under_faults() {
-    let first = read_env("JAYSADDLE_SEED", FIRST_SEED);
-    let runs = read_env("JAYSADDLE_RUNS", RUNS);
+    let first = env_number("JAYSADDLE_SEED", FIRST_SEED);
+    let runs = env_number("JAYSADDLE_RUNS", RUNS);
     println!("seeds {first} to {}", first + runs - 1);
     let threads = u64::try_from(std::thread::available_parallelism().map_or(4, usize::from))
         .unwrap_or(4)
--- a/crates/routing/tests/all/support.rs
+++ b/crates/routing/tests/all/support.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use jaysaddle_routing::RouteQuery;
+use jaysaddle_test_support::check_property;
 use jaysaddle_types::engine::EngineReport;
 use jaysaddle_types::engine::EngineRole;
 use jaysaddle_types::ids::AccountId;
@@ -28,30 +29,12 @@
 use jaysaddle_types::view::GroupState;
 use jaysaddle_types::view::GroupView;
 use jaysaddle_types::view::VmState;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
 use quickcheck::Testable;
 
 /// Checks a property with a fixed seed, which is printed; `JAYSADDLE_SEED` and `JAYSADDLE_RUNS`
 /// override the seed and the number of runs.
 pub fn check<P: Testable>(name: &str, size: usize, property: P) {
-    const SEED: u64 = 20_261_203;
-    const RUNS: u64 = 2_000;
-    let number = |variable: &str, fallback: u64| {
-        std::env::var(variable)
-            .ok()
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(fallback)
-    };
-    let seed = number("JAYSADDLE_SEED", SEED);
-    let runs = number("JAYSADDLE_RUNS", RUNS);
-    println!("{name}: seed {seed}, {runs} runs");
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(size, seed))
-        .tests(runs)
-        // The default maximum would end the check after 10,000 runs.
-        .max_tests(runs)
-        .quickcheck(property);
+    check_property(name, size, 2_000, 1, property);
 }
 
 pub fn model(name: &str, accounts: &[&str]) -> ModelRule {
--- a/tests/all/deployment.rs
+++ b/tests/all/deployment.rs
@@ -10,13 +10,13 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
 
 use crate::process::TestProcess;
 use crate::process::TestResponse;
+use crate::process::wait_for;
 
 /// Time limit for any expected condition; far above the time needed on a busy machine.
 pub const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -530,12 +530,8 @@
     /// Waits until `condition` holds; after `MAX_WAIT` prints the last log lines of all nodes and
     /// fails the test.
     pub fn wait_until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
-        let started = Instant::now();
-        while started.elapsed() < MAX_WAIT {
-            if condition(self) {
-                return;
-            }
-            thread::sleep(Duration::from_millis(100));
+        if wait_for(Duration::from_millis(100), || condition(self)) {
+            return;
         }
         for node in 0..self.settings.nodes {
             let log = self.node_log(node);
--- a/tests/all/platform_nodes.rs
+++ b/tests/all/platform_nodes.rs
@@ -8,9 +8,7 @@
 use std::process::Command;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use jaysaddle_platform_standin::PlatformStandin;
 use jaysaddle_platform_standin::add_plain_routes;
@@ -21,6 +19,7 @@
 
 use crate::deployment::MAX_WAIT;
 use crate::process::TestProcess;
+use crate::process::wait_for;
 
 /// API key of the client account.
 pub const KEY: &str = "secret";
@@ -147,14 +146,8 @@
     }
 
     pub fn wait(&self, what: &str, holds: impl Fn(&Self) -> bool) {
-        let started = Instant::now();
-        while started.elapsed() < MAX_WAIT {
-            if holds(self) {
-                return;
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        panic!("condition not met within {MAX_WAIT:?}: {what}");
+        let is_met = wait_for(Duration::from_millis(50), || holds(self));
+        assert!(is_met, "condition not met within {MAX_WAIT:?}: {what}");
     }
 
     pub fn wait_serving(&self, groups: usize) {
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -208,3 +208,15 @@
     assert_eq!(process.wait_exit(), Some(0));
     assert!(!process.signal(Signal::KILL));
 }
+
+/// Checks `condition` every `interval` until it holds. Returns whether it did within [`MAX_WAIT`].
+pub fn wait_for(interval: Duration, condition: impl Fn() -> bool) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < MAX_WAIT {
+        if condition() {
+            return true;
+        }
+        thread::sleep(interval);
+    }
+    false
+}
--- a/tests/all/store_restores.rs
+++ b/tests/all/store_restores.rs
@@ -10,6 +10,8 @@
 use std::time::Instant;
 
 use jaysaddle_platform_standin::stream_config;
+use jaysaddle_test_support::TestRandom;
+use jaysaddle_test_support::seeds;
 
 use crate::platform_nodes::KEY;
 use crate::platform_nodes::PlatformNodes;
@@ -100,7 +102,7 @@
         nodes.wait_serving(2);
         thread::sleep(Duration::from_secs(2));
         let first = holder(&nodes).expect("a holder");
-        nodes.nodes[first].kill();
+        nodes.kill(first);
         nodes.wait("another node holds the lease", |nodes| {
             (0..3).any(|node| node != first && nodes.log(node).contains("event=lease_acquired"))
         });
@@ -198,13 +200,8 @@
 /// Restores the store several times, with kills of nodes, pauses and changes of the configuration around it.
 fn run_random_restores(seed: u64) {
     const NODES: usize = 4;
-    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
-    let mut below = move |bound: u64| {
-        state ^= state << 13;
-        state ^= state >> 7;
-        state ^= state << 17;
-        state % bound
-    };
+    let mut random = TestRandom::new(seed);
+    let mut below = |bound| random.below(bound);
     let mut nodes = PlatformNodes::start(4, 6);
     nodes.wait_serving(3);
     let mut version = 1;
@@ -270,12 +267,7 @@
 /// first seed and the number of runs.
 #[test]
 fn nothing_is_given_out_twice_under_random_restores() {
-    let number = |name: &str, default: u64| {
-        let text = std::env::var(name).ok();
-        text.map_or(default, |text| text.parse().expect("a number"))
-    };
-    let first = number("JAYSADDLE_SEED", 20_261_204);
-    for seed in first..first + number("JAYSADDLE_RUNS", 1) {
+    for seed in seeds(20_261_204, 1) {
         println!("JAYSADDLE_SEED={seed}");
         run_random_restores(seed);
     }
