--- a/crates/fleet/tests/all/lease_restores.rs
+++ b/crates/fleet/tests/all/lease_restores.rs
@@ -82,7 +82,7 @@
     /// A node that receives no heartbeats, and until when.
     cut: (usize, u64),
     /// A node that is to be killed, and when.
-    doomed: Option<(usize, u64)>,
+    pending_kill: Option<(usize, u64)>,
     acquired: Vec<LeaseEpoch>,
     /// Time for which the lease was held in the last five seconds.
     held_ms: u64,
@@ -121,7 +121,7 @@
             contents: BTreeMap::new(),
             next_message: 0,
             cut: (0, 0),
-            doomed: None,
+            pending_kill: None,
             acquired: Vec::new(),
             held_ms: 0,
         }
@@ -142,7 +142,7 @@
                     self.acquired.push(term);
                     // One holder in four is killed before most peers hear of it.
                     if self.random.below(4) == 0 && self.now < QUIET_MS {
-                        self.doomed = Some((node, self.now + self.random.below(150)));
+                        self.pending_kill = Some((node, self.now + self.random.below(150)));
                     }
                 }
                 LeaseEffect::Read | LeaseEffect::Write { .. } => {
