Log the requests that a stopping node cuts as its own

Connections that are still open at the exit are now closed before it, and their requests are logged as result=cut_by_shutdown. A request that arrived while the node stops has after_stop_ms. event=stopped says how many connections and requests have arrived since SIGTERM, how many connections were open and how many requests were cut, with a counter for each. The log writer is flushed before the exit instead of waiting for a fixed time. Which requests are accepted, passed on or cut is as before.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -22,6 +22,7 @@
 use crate::forward;
 use crate::node::EntryNode;
 use crate::response::CallerResponse;
+use crate::shutdown::ShutdownStage;
 
 /// Delay before the next accept after an error, such as running out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -44,7 +45,11 @@
                 tokio::task::spawn_local(async move {
                     node.caller_connections
                         .set(node.caller_connections.get() + 1);
-                    serve_connection(node.clone(), stream).await;
+                    node.shutdown.record_connection();
+                    tokio::select! {
+                        () = serve_connection(node.clone(), stream) => {}
+                        () = node.shutdown.entered(ShutdownStage::Ended) => {}
+                    }
                     node.caller_connections
                         .set(node.caller_connections.get() - 1);
                 });
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -56,7 +56,8 @@
     let id = header_text(incoming.headers(), &headers::REQUEST_ID)
         .unwrap_or("-")
         .into();
-    let mut report = RequestReport::new(id, received);
+    node.shutdown.record_request();
+    let mut report = RequestReport::new(node.clone(), id, received);
     match try_handle(&node, incoming, &mut report, open).await {
         Ok(response) => response,
         Err(failure) => {
@@ -77,7 +78,7 @@
     let body = read_body(body, &limits).await?;
     let mut request = CallerRequest::new(parts, body, route, report.received());
     request.is_caller_retry |= is_known_unserved(node, &request);
-    report.record_route(node, &request);
+    report.record_route(&request);
     // A caller's retry is for work that was already counted; counting it again would overestimate the demand.
     let size = request.size().filter(|_| !request.is_caller_retry);
     let work = node
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -15,6 +15,14 @@
             "jaysaddle_backend_connections_total",
             "Connections opened to backend servers",
         ),
+        (
+            "jaysaddle_stopping_connections_total",
+            "Connections of callers accepted while this node stops",
+        ),
+        (
+            "jaysaddle_stopping_requests_total",
+            "Requests of callers received while this node stops",
+        ),
         (
             "jaysaddle_streams_resumed_total",
             "Streams that went on at another group",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod request_report;
 mod response;
+mod shutdown;
 pub mod stated_limit;
 mod stop;
 mod store_client;
--- a/crates/entry/src/log_writer.rs
+++ b/crates/entry/src/log_writer.rs
@@ -5,9 +5,11 @@
 use std::hash::Hasher;
 use std::io;
 use std::io::Write;
+use std::iter;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -34,15 +36,25 @@
     LOST_LINES.load(Ordering::Relaxed)
 }
 
+/// Time for which a flush waits for the writer thread, so that a full pipe does not keep the process from exiting.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Item for the writer thread.
+enum LogItem {
+    Line(Vec<u8>),
+    /// Notified when all lines before it have been written.
+    Flush(flume::Sender<()>),
+}
+
 /// Queues lines for the writer thread; drops a line when the queue is full.
 struct LogQueue {
-    lines: flume::Sender<Vec<u8>>,
+    items: flume::Sender<LogItem>,
     limiter: Mutex<LogLimiter>,
 }
 
 impl LogQueue {
     fn push(&self, line: Vec<u8>) {
-        if self.lines.try_send(line).is_err() {
+        if self.items.try_send(LogItem::Line(line)).is_err() {
             LOST_LINES.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -72,16 +84,28 @@
         self.push(line.into_bytes());
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (sender, receiver) = flume::bounded(1);
+        let is_written = self.items.try_send(LogItem::Flush(sender)).is_ok()
+            && receiver.recv_timeout(FLUSH_TIMEOUT).is_ok();
+        if !is_written {
+            // The log itself cannot take this line.
+            eprintln!("the log could not be flushed within {FLUSH_TIMEOUT:?}");
+        }
+    }
 }
 
-fn write_lines(lines: &flume::Receiver<Vec<u8>>) {
+fn write_lines(items: &flume::Receiver<LogItem>) {
     let mut output = io::stdout();
     let mut reported = 0;
-    while let Ok(first) = lines.recv() {
-        let mut batch = first;
-        while let Ok(line) = lines.try_recv() {
-            batch.extend_from_slice(&line);
+    while let Ok(first) = items.recv() {
+        let mut batch = Vec::new();
+        let mut flushes = Vec::new();
+        for item in iter::once(first).chain(items.try_iter()) {
+            match item {
+                LogItem::Line(line) => batch.extend_from_slice(&line),
+                LogItem::Flush(sender) => flushes.push(sender),
+            }
         }
         let lost = LOST_LINES.load(Ordering::Relaxed);
         if lost != reported {
@@ -92,6 +116,10 @@
         if output.write_all(&batch).is_err() {
             LOST_LINES.fetch_add(1, Ordering::Relaxed);
         }
+        for sender in flushes {
+            // The other side has given up if it no longer receives.
+            let _ = sender.send(());
+        }
     }
 }
 
@@ -111,7 +139,7 @@
         .wrap_err("cannot start the log writer thread")?;
     let node = node.clone();
     let output: Box<dyn Log> = Box::new(LogQueue {
-        lines: sender,
+        items: sender,
         limiter: Mutex::default(),
     });
     fern::Dispatch::new()
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -37,6 +37,7 @@
 use crate::pool::BackendPool;
 use crate::settings::EntrySettings;
 use crate::settings::PlatformBounds;
+use crate::shutdown::ShutdownState;
 use crate::store_client::StoreClient;
 use crate::store_restore::RestoreState;
 
@@ -92,6 +93,7 @@
     pub pool: BackendPool,
     pub store: StoreClient,
     pub phase: Cell<PeerPhase>,
+    pub shutdown: ShutdownState,
     /// Number of open connections of callers.
     pub caller_connections: Cell<u32>,
     /// Number of callers' requests in flight.
@@ -148,6 +150,7 @@
             pool: BackendPool::default(),
             store: StoreClient::new(settings.store),
             phase: Cell::new(PeerPhase::Starting),
+            shutdown: ShutdownState::default(),
             caller_connections: Cell::new(0),
             open_requests: Cell::new(0),
             holder_target_changes: Cell::new(0),
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -20,6 +20,7 @@
 use crate::caller_request::CallerRequest;
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
+use crate::shutdown::ShutdownStage;
 
 /// Final result of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +33,8 @@
     Cut,
     /// The caller closed the connection.
     CallerLeft,
+    /// This node closed the connection because its process ended.
+    CutByShutdown,
 }
 
 impl fmt::Display for RequestEnd {
@@ -47,6 +50,7 @@
             ),
             RequestEnd::Cut => f.write_str("cut"),
             RequestEnd::CallerLeft => f.write_str("caller_left"),
+            RequestEnd::CutByShutdown => f.write_str("cut_by_shutdown"),
         }
     }
 }
@@ -66,7 +70,6 @@
 
 /// What is remembered of the request if it is not served, to recognize the caller's retry.
 struct CallerAttempt {
-    node: Rc<EntryNode>,
     fingerprint: RequestFingerprint,
     deadline: Timestamp,
 }
@@ -85,11 +88,14 @@
 ///
 /// # Invariants
 ///
-/// - Exactly one line is logged per request. A report that is dropped without a result means that the caller has
-///   closed the connection.
+/// - Exactly one line is logged per request. A report that is dropped without a result means that the connection was
+///   closed: by the caller, or by this node at the end of its process.
 pub struct RequestReport {
+    node: Rc<EntryNode>,
     id: CompactString,
     received: Timestamp,
+    /// Time from the start of a planned stop to the arrival; `None` for a request that arrived before.
+    after_stop: Option<TimeSpan>,
     route: Option<RouteFields>,
     attempt: Option<CallerAttempt>,
     /// Counted work; `None` for caller retries and for requests that state no size.
@@ -117,10 +123,13 @@
 
 impl RequestReport {
     /// Creates a report for a request that arrived at `received`.
-    pub fn new(id: CompactString, received: Timestamp) -> Self {
+    pub fn new(node: Rc<EntryNode>, id: CompactString, received: Timestamp) -> Self {
+        let after_stop = node.shutdown.elapsed();
         Self {
+            node,
             id,
             received,
+            after_stop,
             route: None,
             attempt: None,
             work: None,
@@ -142,15 +151,14 @@
 
     /// Moves the report out, to the task that continues with the request. Leaves an empty one that logs nothing.
     pub fn take(&mut self) -> Self {
-        let mut empty = Self::new(CompactString::default(), self.received);
+        let mut empty = Self::new(self.node.clone(), CompactString::default(), self.received);
         empty.is_finished = true;
         std::mem::replace(self, empty)
     }
 
     /// Records the route of the request.
-    pub fn record_route(&mut self, node: &Rc<EntryNode>, request: &CallerRequest) {
+    pub fn record_route(&mut self, request: &CallerRequest) {
         self.attempt = request.caller_deadline().map(|deadline| CallerAttempt {
-            node: node.clone(),
             fingerprint: request.fingerprint,
             deadline,
         });
@@ -163,7 +171,7 @@
             stated_time: request.stated_time,
             account: or_dash(request.route.account.as_ref().map(|id| id.as_str())),
             model: or_dash(request.model.as_ref().map(|id| id.as_str())),
-            config_version: node.config_version(),
+            config_version: self.node.config_version(),
         });
     }
 
@@ -217,13 +225,13 @@
         let now = clock::now();
         let is_served = matches!(end, RequestEnd::Answered { .. });
         if let Some(attempt) = self.attempt.take().filter(|_| !is_served) {
-            let mut unserved = attempt.node.unserved.borrow_mut();
+            let mut unserved = self.node.unserved.borrow_mut();
             unserved.record(attempt.fingerprint, attempt.deadline, now);
         }
         let took = now.since(self.received);
         self.record_metrics(end, took);
         log::info!(
-            "event=request_ended request={} result={end}{}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}",
+            "event=request_ended request={} result={end}{}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}{}",
             self.id,
             OptionalFields(self.route.as_ref()),
             OptionalFields(self.work.as_ref()),
@@ -233,7 +241,8 @@
             self.resumes,
             OptionalMillis(self.first_data),
             self.longest_pause.as_millis(),
-            took.as_millis()
+            took.as_millis(),
+            AfterStop(self.after_stop)
         );
     }
 
@@ -244,6 +253,7 @@
             RequestEnd::Failed(_) => "failed",
             RequestEnd::Cut => "cut",
             RequestEnd::CallerLeft => "caller_left",
+            RequestEnd::CutByShutdown => "cut_by_shutdown",
         };
         metrics::counter!("jaysaddle_requests_total", "kind" => kind, "result" => result)
             .increment(1);
@@ -275,7 +285,12 @@
 
 impl Drop for RequestReport {
     fn drop(&mut self) {
-        self.finish(&RequestEnd::CallerLeft);
+        if self.node.shutdown.stage() < ShutdownStage::Ended {
+            self.finish(&RequestEnd::CallerLeft);
+        } else if !self.is_finished {
+            self.node.shutdown.record_cut();
+            self.finish(&RequestEnd::CutByShutdown);
+        }
     }
 }
 
@@ -357,6 +372,18 @@
     }
 }
 
+/// Formats the time from the start of a planned stop to the arrival of a request, or nothing.
+struct AfterStop(Option<TimeSpan>);
+
+impl fmt::Display for AfterStop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(time) => write!(f, " after_stop_ms={}", time.as_millis()),
+            None => Ok(()),
+        }
+    }
+}
+
 struct OptionalMillis(Option<TimeSpan>);
 
 impl fmt::Display for OptionalMillis {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
 
 use eyre::WrapErr;
 use jaysaddle_daemon::telemetry::MetricsRenderer;
@@ -14,7 +13,6 @@
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 use crate::beats;
 use crate::beats::PeerAddresses;
@@ -32,9 +30,6 @@
 use crate::store_restore;
 use crate::store_sync;
 
-/// Time for the log writer to write the last lines before the process exits.
-const LOG_FLUSH_TIME: Duration = Duration::from_millis(20);
-
 /// Runs the daemon until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -127,6 +122,6 @@
         }
     }
     stop::stop(node, socket, addresses).await;
-    sleep(LOG_FLUSH_TIME).await;
+    log::logger().flush();
     Ok(())
 }
--- /dev/null
+++ b/crates/entry/src/shutdown.rs
@@ -0,0 +1,116 @@
+//! State of a planned stop that requests and connections consult.
+
+use std::cell::Cell;
+
+use jaysaddle_daemon::clock;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use tokio::sync::watch;
+
+/// Stage of a planned stop, in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ShutdownStage {
+    /// No stop has been requested.
+    Serving,
+    /// The node has left the directory and still serves callers that have its address.
+    Withdrawn,
+    /// The process is about to exit: connections that are still open are closed.
+    Ended,
+}
+
+/// Progress of a planned stop, and counts of what has arrived since it began.
+#[derive(Debug)]
+pub struct ShutdownState {
+    stage: watch::Sender<ShutdownStage>,
+    /// When the stop was requested; `None` before.
+    started: Cell<Option<Timestamp>>,
+    /// Connections accepted since the stop was requested.
+    connections: Cell<u64>,
+    /// Requests received since the stop was requested.
+    requests: Cell<u64>,
+    /// Requests that this node cut because its process ended.
+    cut_requests: Cell<u64>,
+}
+
+impl Default for ShutdownState {
+    fn default() -> Self {
+        Self {
+            stage: watch::Sender::new(ShutdownStage::Serving),
+            started: Cell::default(),
+            connections: Cell::default(),
+            requests: Cell::default(),
+            cut_requests: Cell::default(),
+        }
+    }
+}
+
+fn increment(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
+
+impl ShutdownState {
+    /// Begins the stop.
+    pub fn begin(&self, now: Timestamp) {
+        self.started.set(Some(now));
+        self.enter(ShutdownStage::Withdrawn);
+    }
+
+    /// Enters a later stage.
+    pub fn enter(&self, stage: ShutdownStage) {
+        self.stage
+            .send_if_modified(|current| std::mem::replace(current, stage.max(*current)) < stage);
+    }
+
+    /// Current stage.
+    pub fn stage(&self) -> ShutdownStage {
+        *self.stage.borrow()
+    }
+
+    /// Completes when `stage` or a later one has been entered.
+    pub async fn entered(&self, stage: ShutdownStage) {
+        let mut receiver = self.stage.subscribe();
+        // The sender lives as long as `self`, so waiting cannot fail.
+        let _ = receiver.wait_for(|current| *current >= stage).await;
+    }
+
+    /// Time since the stop was requested; `None` before.
+    pub fn elapsed(&self) -> Option<TimeSpan> {
+        Some(clock::now().since(self.started.get()?))
+    }
+
+    /// Counts an accepted connection.
+    pub fn record_connection(&self) {
+        if self.started.get().is_some() {
+            increment(&self.connections);
+            metrics::counter!("jaysaddle_stopping_connections_total").increment(1);
+        }
+    }
+
+    /// Counts a received request.
+    pub fn record_request(&self) {
+        if self.started.get().is_some() {
+            increment(&self.requests);
+            metrics::counter!("jaysaddle_stopping_requests_total").increment(1);
+        }
+    }
+
+    /// Counts a request that was cut by the end of the process.
+    pub fn record_cut(&self) {
+        increment(&self.cut_requests);
+    }
+
+    /// Number of connections accepted since the stop was requested.
+    pub fn connections(&self) -> u64 {
+        self.connections.get()
+    }
+
+    /// Number of requests received since the stop was requested.
+    pub fn requests(&self) -> u64 {
+        self.requests.get()
+    }
+
+    /// Number of requests cut by the end of the process.
+    pub fn cut_requests(&self) -> u64 {
+        self.cut_requests.get()
+    }
+}
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -7,12 +7,14 @@
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_types::units::TimeSpan;
 use tokio::net::UdpSocket;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::beats;
 use crate::beats::PeerAddresses;
 use crate::lease;
 use crate::node::EntryNode;
+use crate::shutdown::ShutdownStage;
 
 /// Time for which the node still accepts connections from callers that have its address. Some callers cache a
 /// directory response for three times its lifetime.
@@ -29,6 +31,7 @@
     let started = clock::now();
     log::info!("event=stopping open_requests={}", node.open_requests.get());
     node.phase.set(PeerPhase::Stopping);
+    node.shutdown.begin(started);
     node.gateway.borrow_mut().release_limits();
     lease::resign(&node);
     beats::send_heartbeat_now(&node, &socket, &addresses).await;
@@ -44,9 +47,20 @@
         sleep(CHECK_INTERVAL).await;
     }
     sleep(RESPONSE_FLUSH_TIME).await;
+    let open_requests = node.open_requests.get();
+    let open_connections = node.caller_connections.get();
+    node.shutdown.enter(ShutdownStage::Ended);
+    // The tasks of the connections end with their next poll, and log the requests that are cut.
+    while node.caller_connections.get() > 0 {
+        yield_now().await;
+    }
+    let shutdown = &node.shutdown;
     log::info!(
-        "event=stopped open_requests={} after_ms={}",
-        node.open_requests.get(),
+        "event=stopped open_requests={open_requests} open_connections={open_connections} \
+         connections_while_stopping={} requests_while_stopping={} cut_requests={} after_ms={}",
+        shutdown.connections(),
+        shutdown.requests(),
+        shutdown.cut_requests(),
         clock::now().since(started).as_millis()
     );
 }
