Accept a request at a stopping node only if it can end before the process

Cause: a stopping node passed on whatever arrived until its process ended. Nothing compared the time left with the time that a request needs, and one busy caller keeps a node from being idle, so that it runs into the limit.

Ruled out as their cause: groups and controller (whole in the record), requests from before SIGTERM (none among them).

What cannot is refused at once (503, not_run, reason=stopping), with a Retry-After that sends it to another node. The deadlines of accepted requests end with the stop, so that a buffered answer that comes too late is a 504 instead of a closed connection.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -1,5 +1,6 @@
 //! A caller's request with its whole body in memory, so that it can be sent any number of times.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,6 +34,7 @@
 use tokio::time::timeout;
 
 use crate::exchange::RequestBody;
+use crate::node::EntryNode;
 use crate::response::RequestFailure;
 
 /// Subtracted from the caller's deadline, so that the response arrives before the caller times out.
@@ -44,6 +46,7 @@
 
 /// Request of a caller with its resolved route.
 pub struct CallerRequest {
+    node: Rc<EntryNode>,
     pub id: CompactString,
     pub method: Method,
     pub uri: Uri,
@@ -57,8 +60,8 @@
     pub received: Timestamp,
     /// Time that the caller has stated to wait for the response.
     pub stated_time: Option<TimeSpan>,
-    /// Time by which the response must be complete.
-    pub deadline: Timestamp,
+    /// Time by which the response must be complete, unless a planned stop ends earlier.
+    deadline: Timestamp,
     /// Hash of the content, which is the same for all attempts of the caller.
     pub fingerprint: RequestFingerprint,
     /// Whether the caller has made an earlier attempt that was not served.
@@ -134,19 +137,30 @@
     }
 }
 
+/// Time that the caller states to wait for the response; `None` if it states none.
+fn stated_time(map: &HeaderMap) -> Option<TimeSpan> {
+    let millis = header_text(map, &headers::DEADLINE_MS)?.parse().ok()?;
+    Some(TimeSpan(millis))
+}
+
+/// Time from the arrival of a request after which it ends in any case.
+pub fn time_limit(map: &HeaderMap, route: &RouteMatch) -> TimeSpan {
+    let limit = route.rule.timeout;
+    let limit = stated_time(map).map_or(limit, |stated| stated.min(limit));
+    TimeSpan(limit.0.saturating_sub(RESPONSE_MARGIN.0))
+}
+
 impl CallerRequest {
     /// Builds a request from its parsed headers, body and route.
     pub fn new(
+        node: Rc<EntryNode>,
         parts: http::request::Parts,
         body: Bytes,
         route: RouteMatch,
         received: Timestamp,
     ) -> Self {
-        let stated_time = header_text(&parts.headers, &headers::DEADLINE_MS)
-            .and_then(|value| value.parse::<u64>().ok())
-            .map(TimeSpan);
-        let route_timeout = route.rule.timeout;
-        let limit = stated_time.map_or(route_timeout, |time| time.min(route_timeout));
+        let stated_time = stated_time(&parts.headers);
+        let limit = time_limit(&parts.headers, &route);
         let model =
             header_text(&parts.headers, &headers::MODEL).and_then(|value| value.parse().ok());
         let last_event = header_text(&parts.headers, &headers::LAST_EVENT_ID)
@@ -163,6 +177,7 @@
         );
         let fingerprint = RequestFingerprint::of(&content);
         Self {
+            node,
             id,
             method: parts.method,
             uri: parts.uri,
@@ -175,7 +190,7 @@
             stated_time,
             fingerprint,
             is_caller_retry: last_event.is_some(),
-            deadline: received + TimeSpan(limit.0.saturating_sub(RESPONSE_MARGIN.0)),
+            deadline: received + limit,
         }
     }
 
@@ -203,9 +218,10 @@
         matches!(self.route.rule.kind, RequestKind::Stream { .. })
     }
 
-    /// Time until the deadline; zero when it has passed.
+    /// Time until the deadline, or until the end of a planned stop if that is earlier; zero when it has passed.
     pub fn time_left(&self) -> TimeSpan {
-        self.deadline.since(clock::now())
+        let deadline = self.deadline.min(self.node.shutdown.request_deadline());
+        deadline.since(clock::now())
     }
 
     /// Builds the request to send to `target`. With `last_event`, the stream resumes after that event.
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,7 +1,6 @@
 //! Handles a caller's request: route lookup, target selection, attempts and response.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -12,9 +11,15 @@
 use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
+use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_gateway::choice::TargetOutcome;
 use jaysaddle_gateway::choice::TargetRefusal;
+use jaysaddle_gateway::routes::RouteMatch;
 use jaysaddle_gateway::routes::RouteRefusal;
+use jaysaddle_types::serving::ClientLimits;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::Verdict;
 use tokio::time::timeout;
 
 use crate::attempt::ActiveAttempt;
@@ -23,6 +28,7 @@
 use crate::caller_request::header_text;
 use crate::caller_request::read_body;
 use crate::caller_request::strip_connection_headers;
+use crate::caller_request::time_limit;
 use crate::node::EntryNode;
 use crate::relay::StreamRelay;
 use crate::request_report::RequestReport;
@@ -32,6 +38,14 @@
 
 /// Maximum body size of a response that is not streamed.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Interval at which a wait checks whether a planned stop has brought the deadline forward.
+const DEADLINE_CHECK_INTERVAL: TimeSpan = TimeSpan(100);
+/// Reason code of requests that are refused or cut because the node stops.
+const STOPPING_REASON: &str = "stopping";
+/// `Retry-After` of a stopping node while other nodes serve.
+const OTHER_NODE_RETRY_AFTER: TimeSpan = TimeSpan(50);
+/// `Retry-After` of a stopping node when no other node serves; a process restarts within seconds.
+const RESTART_RETRY_AFTER: TimeSpan = TimeSpan(1000);
 
 /// Counts a request as open until dropped.
 pub struct OpenRequest(Rc<EntryNode>);
@@ -60,7 +74,11 @@
     let mut report = RequestReport::new(node.clone(), id, received);
     match try_handle(&node, incoming, &mut report, open).await {
         Ok(response) => response,
-        Err(failure) => {
+        Err(mut failure) => {
+            if failure.verdict != Verdict::NotRun && node.shutdown.cuts_requests(clock::now()) {
+                failure.reason = STOPPING_REASON.into();
+                node.shutdown.record_cut();
+            }
             report.finish_failed(&failure);
             failure.into_response()
         }
@@ -75,8 +93,11 @@
 ) -> Result<CallerResponse, RequestFailure> {
     let (parts, body) = incoming.into_parts();
     let (route, limits) = find_route(node, &parts)?;
+    let ends_by = report.received() + time_limit(&parts.headers, &route);
+    check_shutdown(node, &route, ends_by)?;
     let body = read_body(body, &limits).await?;
-    let mut request = CallerRequest::new(parts, body, route, report.received());
+    check_shutdown(node, &route, ends_by)?;
+    let mut request = CallerRequest::new(node.clone(), parts, body, route, report.received());
     request.is_caller_retry |= is_known_unserved(node, &request);
     report.record_route(&request);
     // A caller's retry is for work that was already counted; counting it again would overestimate the demand.
@@ -97,13 +118,7 @@
 fn find_route(
     node: &EntryNode,
     parts: &http::request::Parts,
-) -> Result<
-    (
-        jaysaddle_gateway::routes::RouteMatch,
-        jaysaddle_types::serving::ClientLimits,
-    ),
-    RequestFailure,
-> {
+) -> Result<(RouteMatch, ClientLimits), RequestFailure> {
     let mut gateway = node.gateway.borrow_mut();
     let retry_after = gateway.retry_after(TargetRefusal::NoTarget);
     let Some(routes) = gateway.routes() else {
@@ -127,6 +142,34 @@
     Ok((route, routes.config().limits))
 }
 
+/// Refuses a request that would not end before the process of a stopping node. `ends_by` is the time by which the
+/// request ends in any case.
+fn check_shutdown(
+    node: &EntryNode,
+    route: &RouteMatch,
+    ends_by: Timestamp,
+) -> Result<(), RequestFailure> {
+    let Some(plan) = node.shutdown.plan() else {
+        return Ok(());
+    };
+    let now = clock::now();
+    let expected = node.service_times.borrow().expected(&route.rule.name, now);
+    if plan.admits(ends_by.since(now), expected, now) {
+        return Ok(());
+    }
+    let has_other_node = node
+        .peers
+        .borrow()
+        .live(now)
+        .any(|record| record.heartbeat.phase == PeerPhase::Serving);
+    let retry_after = if has_other_node {
+        OTHER_NODE_RETRY_AFTER
+    } else {
+        RESTART_RETRY_AFTER
+    };
+    Err(RequestFailure::unavailable(STOPPING_REASON, retry_after))
+}
+
 /// Whether an earlier attempt of the request is known that was not served, at this node or at a peer.
 fn is_known_unserved(node: &EntryNode, request: &CallerRequest) -> bool {
     request.caller_deadline().is_some_and(|deadline| {
@@ -139,6 +182,22 @@
     })
 }
 
+/// Completes with the output of `future`, or with `None` when the time of the request is up, which a planned stop may
+/// bring forward.
+async fn within_time<F: Future>(request: &CallerRequest, future: F) -> Option<F::Output> {
+    tokio::pin!(future);
+    loop {
+        let remaining = request.time_left();
+        if remaining.0 == 0 {
+            return None;
+        }
+        let wait = DEADLINE_CHECK_INTERVAL.min(remaining).as_duration();
+        if let Ok(output) = timeout(wait, &mut future).await {
+            return Some(output);
+        }
+    }
+}
+
 /// Reads the complete response before forwarding it, so that a truncated one is detected and can be retried.
 async fn buffered_response(
     node: &Rc<EntryNode>,
@@ -155,10 +214,9 @@
             response,
         } = attempt;
         let (mut parts, body) = response.into_parts();
-        let remaining = Duration::from_millis(request.time_left().as_millis());
         let limited = Limited::new(body, MAX_RESPONSE_BYTES);
-        let cause = match timeout(remaining, limited.collect()).await {
-            Ok(Ok(collected)) => {
+        let cause = match within_time(&request, limited.collect()).await {
+            Some(Ok(collected)) => {
                 guard.finish(TargetOutcome::Answered);
                 node.pool.put(connection, keep_alive_timeout);
                 strip_connection_headers(&mut parts.headers);
@@ -166,8 +224,8 @@
                 report.finish_answered(parts.status.as_u16());
                 return Ok(Response::from_parts(parts, body));
             }
-            Ok(Err(error)) => format!("{error}"),
-            Err(_) => "time is up".to_owned(),
+            Some(Err(error)) => format!("{error}"),
+            None => "time is up".to_owned(),
         };
         log::info!(
             "event=answer_cut request={} backend={} cause=\"{cause}\"",
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -21,6 +21,7 @@
 use jaysaddle_fleet::peers::PeerTable;
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_gateway::gateway::RequestGateway;
+use jaysaddle_gateway::service_times::ServiceTimes;
 use jaysaddle_gateway::settings::GatewaySettings;
 use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_gateway::unserved::UnservedRequests;
@@ -72,6 +73,8 @@
     pub peers: RefCell<PeerTable>,
     /// Attempts of callers that this node did not serve.
     pub unserved: RefCell<UnservedRequests>,
+    /// Service times by route, to tell which requests a planned stop leaves enough time for.
+    pub service_times: RefCell<ServiceTimes>,
     pub table: RefCell<BackendTable>,
     /// Time as of which the table is known to be complete and current; `None` before the first read.
     pub table_read_at: Cell<Option<Timestamp>>,
@@ -136,6 +139,7 @@
             )),
             peers: RefCell::default(),
             unserved: RefCell::default(),
+            service_times: RefCell::default(),
             table: RefCell::default(),
             table_read_at: Cell::new(None),
             store_read_at: Cell::new(None),
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -9,6 +9,7 @@
 use jaysaddle_gateway::choice::ChoiceInputs;
 use jaysaddle_gateway::choice::RequestWork;
 use jaysaddle_gateway::choice::TargetChoice;
+use jaysaddle_gateway::service_times::OpenRecord;
 use jaysaddle_gateway::target::TargetNumber;
 use jaysaddle_gateway::unserved::RequestFingerprint;
 use jaysaddle_types::ids::VmId;
@@ -97,6 +98,8 @@
     /// Time from the start of a planned stop to the arrival; `None` for a request that arrived before.
     after_stop: Option<TimeSpan>,
     route: Option<RouteFields>,
+    /// The request in the service times of its route; `None` before the route is known.
+    times: Option<OpenRecord>,
     attempt: Option<CallerAttempt>,
     /// Counted work; `None` for caller retries and for requests that state no size.
     work: Option<RequestWork>,
@@ -131,6 +134,7 @@
             received,
             after_stop,
             route: None,
+            times: None,
             attempt: None,
             work: None,
             choice: None,
@@ -158,6 +162,12 @@
 
     /// Records the route of the request.
     pub fn record_route(&mut self, request: &CallerRequest) {
+        self.times = Some(
+            self.node
+                .service_times
+                .borrow_mut()
+                .begin(&request.route.rule.name, self.received),
+        );
         self.attempt = request.caller_deadline().map(|deadline| CallerAttempt {
             fingerprint: request.fingerprint,
             deadline,
@@ -215,7 +225,12 @@
 
     /// Ends the report of a stream that was truncated.
     pub fn finish_cut(&mut self) {
-        self.finish(&RequestEnd::Cut);
+        if self.node.shutdown.cuts_requests(clock::now()) {
+            self.node.shutdown.record_cut();
+            self.finish(&RequestEnd::CutByShutdown);
+        } else {
+            self.finish(&RequestEnd::Cut);
+        }
     }
 
     fn finish(&mut self, end: &RequestEnd) {
@@ -228,6 +243,10 @@
             let mut unserved = self.node.unserved.borrow_mut();
             unserved.record(attempt.fingerprint, attempt.deadline, now);
         }
+        if let Some(record) = self.times.take() {
+            let mut times = self.node.service_times.borrow_mut();
+            times.end(&record, is_served, now);
+        }
         let took = now.since(self.received);
         self.record_metrics(end, took);
         log::info!(
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 
 use jaysaddle_daemon::clock;
+use jaysaddle_gateway::shutdown::ShutdownPlan;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use tokio::sync::watch;
@@ -24,6 +25,8 @@
     stage: watch::Sender<ShutdownStage>,
     /// When the stop was requested; `None` before.
     started: Cell<Option<Timestamp>>,
+    /// Schedule of the stop; `None` before.
+    plan: Cell<Option<ShutdownPlan>>,
     /// Connections accepted since the stop was requested.
     connections: Cell<u64>,
     /// Requests received since the stop was requested.
@@ -37,6 +40,7 @@
         Self {
             stage: watch::Sender::new(ShutdownStage::Serving),
             started: Cell::default(),
+            plan: Cell::default(),
             connections: Cell::default(),
             requests: Cell::default(),
             cut_requests: Cell::default(),
@@ -50,8 +54,9 @@
 
 impl ShutdownState {
     /// Begins the stop.
-    pub fn begin(&self, now: Timestamp) {
+    pub fn begin(&self, plan: ShutdownPlan, now: Timestamp) {
         self.started.set(Some(now));
+        self.plan.set(Some(plan));
         self.enter(ShutdownStage::Withdrawn);
     }
 
@@ -73,6 +78,23 @@
         let _ = receiver.wait_for(|current| *current >= stage).await;
     }
 
+    /// Schedule of the stop; `None` before it was requested.
+    pub fn plan(&self) -> Option<ShutdownPlan> {
+        self.plan.get()
+    }
+
+    /// Time by which every request must have ended; the maximum if no stop was requested.
+    pub fn request_deadline(&self) -> Timestamp {
+        self.plan
+            .get()
+            .map_or(Timestamp(u64::MAX), |plan| plan.request_deadline)
+    }
+
+    /// Whether requests that have not ended yet are cut because the process is about to end.
+    pub fn cuts_requests(&self, now: Timestamp) -> bool {
+        now >= self.request_deadline()
+    }
+
     /// Time since the stop was requested; `None` before.
     pub fn elapsed(&self) -> Option<TimeSpan> {
         Some(clock::now().since(self.started.get()?))
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -5,7 +5,8 @@
 
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::peers::PeerPhase;
-use jaysaddle_types::units::TimeSpan;
+use jaysaddle_gateway::shutdown::ShutdownPlan;
+use jaysaddle_gateway::shutdown::ShutdownSettings;
 use tokio::net::UdpSocket;
 use tokio::task::yield_now;
 use tokio::time::sleep;
@@ -16,11 +17,6 @@
 use crate::node::EntryNode;
 use crate::shutdown::ShutdownStage;
 
-/// Time for which the node still accepts connections from callers that have its address. Some callers cache a
-/// directory response for three times its lifetime.
-const ACCEPT_PERIOD: TimeSpan = TimeSpan(3300);
-/// Margin before the platform kills the process.
-const KILL_MARGIN: TimeSpan = TimeSpan(400);
 /// Interval at which the number of open requests is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for the last responses to be written to their sockets.
@@ -31,16 +27,17 @@
     let started = clock::now();
     log::info!("event=stopping open_requests={}", node.open_requests.get());
     node.phase.set(PeerPhase::Stopping);
-    node.shutdown.begin(started);
+    let settings = ShutdownSettings::default();
+    let plan = ShutdownPlan::new(settings, started, node.bounds.get().stop_grace);
+    node.shutdown.begin(plan, started);
     node.gateway.borrow_mut().release_limits();
     lease::resign(&node);
     beats::send_heartbeat_now(&node, &socket, &addresses).await;
-    let limit = TimeSpan(node.bounds.get().stop_grace.0.saturating_sub(KILL_MARGIN.0));
     loop {
-        let elapsed = clock::now().since(started);
-        if elapsed >= ACCEPT_PERIOD {
+        let now = clock::now();
+        if now >= plan.withdrawn_until {
             node.stopping.notify_waiters();
-            if node.open_requests.get() == 0 || elapsed >= limit {
+            if node.open_requests.get() == 0 || now >= plan.exit_by {
                 break;
             }
         }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -10,4 +10,5 @@
 mod routes;
 mod server_limits;
 mod shares;
+mod shutdown;
 mod unserved;
--- a/tests/all/planned_stop.rs
+++ b/tests/all/planned_stop.rs
@@ -25,6 +25,8 @@
     work: StandinWork,
     path: &'static str,
     styles: Vec<CallerStyle>,
+    /// Times after SIGTERM at which further callers send one request each.
+    single_calls: Vec<Duration>,
     /// Time that the callers state to wait.
     stated_ms: u64,
 }
@@ -38,6 +40,7 @@
             },
             path: "/drafts/x",
             styles: vec![CallerStyle::Busy],
+            single_calls: Vec::new(),
             stated_ms: 8000,
         }
     }
@@ -138,22 +141,27 @@
     let mut stopped = Instant::now();
     let mut exit_after = Duration::ZERO;
     let requests = thread::scope(|scope| {
-        let callers: Vec<_> = scenario
-            .styles
-            .iter()
-            .map(|style| {
-                let caller = RawCaller {
-                    address,
-                    style: *style,
-                    path: scenario.path,
-                    stated_ms: scenario.stated_ms,
-                };
-                scope.spawn(move || caller.call_until_gone())
-            })
-            .collect();
+        let caller = |style| RawCaller {
+            address,
+            style,
+            path: scenario.path,
+            stated_ms: scenario.stated_ms,
+        };
+        let mut callers = Vec::new();
+        for style in &scenario.styles {
+            let caller = caller(*style);
+            callers.push(scope.spawn(move || caller.call_until_gone()));
+        }
         thread::sleep(TIME_BEFORE_STOP);
         stopped = Instant::now();
         nodes.nodes[0].terminate();
+        for delay in &scenario.single_calls {
+            let caller = caller(CallerStyle::Fresh);
+            callers.push(scope.spawn(move || {
+                thread::sleep(*delay);
+                caller.call_once()
+            }));
+        }
         let code = nodes.nodes[0].wait_exit();
         exit_after = stopped.elapsed();
         assert_eq!(code, Some(0), "{}", nodes.log(0));
@@ -242,6 +250,7 @@
         path: "/lookups/x",
         styles: slow.into_iter().cycle().take(6).collect(),
         stated_ms: 5000,
+        ..StopScenario::default()
     });
     report.assert_nothing_lost();
 }
@@ -275,6 +284,7 @@
         path: "/sends/x",
         styles: mixed_styles(9),
         stated_ms: 1500,
+        ..StopScenario::default()
     });
     report.assert_nothing_lost();
 }
@@ -289,3 +299,16 @@
     });
     report.assert_nothing_lost();
 }
+
+/// Guards against requests that are cut because they arrive between the last check for open requests and the exit.
+#[test]
+fn requests_sent_as_an_idle_node_exits_are_answered() {
+    let times = (3360..3600).step_by(12);
+    let report = stop_under_callers(&StopScenario {
+        work: stream_work(3, 60),
+        styles: Vec::new(),
+        single_calls: times.map(Duration::from_millis).collect(),
+        ..StopScenario::default()
+    });
+    report.assert_nothing_lost();
+}
--- a/tests/all/raw_callers.rs
+++ b/tests/all/raw_callers.rs
@@ -28,8 +28,11 @@
 const SLOW_READ_BYTES: usize = 256 * 1024;
 /// Delay of a caller before it uses another connection after a refusal.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
-/// Pause of an idle caller between two requests on one connection.
-const IDLE_PAUSE: Duration = Duration::from_millis(400);
+/// Shortest pause of an idle caller between two requests on one connection.
+const IDLE_PAUSE: Duration = Duration::from_millis(200);
+/// Step and number of the different pauses, which keep callers from sending at the same moments.
+const IDLE_STEP: Duration = Duration::from_millis(47);
+const IDLE_STEPS: u64 = 9;
 
 /// How a caller uses its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,6 +109,7 @@
 }
 
 static REQUESTS: AtomicU64 = AtomicU64::new(0);
+static PAUSES: AtomicU64 = AtomicU64::new(0);
 
 /// A caller of one node.
 #[derive(Clone, Debug)]
@@ -130,6 +134,16 @@
         requests
     }
 
+    /// Sends requests on one new connection; none if the connection is refused.
+    pub fn call_once(&self) -> Vec<RawRequest> {
+        let mut requests = Vec::new();
+        let address = SocketAddr::new(self.address, CALLERS_PORT);
+        if let Ok(stream) = TcpStream::connect_timeout(&address, READ_TIMEOUT) {
+            self.use_connection(&mut RawConnection::new(stream), &mut requests);
+        }
+        requests
+    }
+
     /// Sends the next requests on a connection. Returns whether the connection can be used again.
     fn use_connection(
         &self,
@@ -137,7 +151,8 @@
         requests: &mut Vec<RawRequest>,
     ) -> bool {
         if self.style == CallerStyle::Idle {
-            thread::sleep(IDLE_PAUSE);
+            let step = PAUSES.fetch_add(1, Ordering::Relaxed) % IDLE_STEPS;
+            thread::sleep(IDLE_PAUSE + IDLE_STEP * u32::try_from(step).expect("below 9"));
         }
         let count = if self.style.is_pipelined() { 2 } else { 1 };
         let mut pending = Vec::new();
