Refuse what arrives as a stopping node exits, and wait for its connections

What callers saw: requests cut within 100 ms of being sent, with seconds of the grace period left; answers whose end is missing although the log says result=answered; connections reset that were still in the accept queue.

Cause: the exit was not atomic with the check for open requests. The node waited 100 ms after it, while the listener still accepted, and exited. A request counted as ended when its response was handed to the HTTP library, so 100 ms had to do for the bytes of any answer. The listeners of the directory and readiness endpoints were never closed at all.

The stop now has stages. A draining node closes idle connections and still serves what can end in time. When no request is open, or nothing can be accepted any more, it closes: from that moment, in the same turn of the event loop, every request is refused (not_run), also one whose body is still on its way; the accept queue is emptied into connections that get an answer, then the listeners are closed. The process exits when all connections have ended, and at the end of the grace period at the latest. One listener module serves callers, directory, readiness and metrics.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -1,6 +1,6 @@
 //! HTTP endpoints for address resolution, readiness and metrics.
 
-use std::convert::Infallible;
+use std::future::ready;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,10 +9,6 @@
 use http::Request;
 use http::StatusCode;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use jaysaddle_adapter::directory::READY_PATH;
 use jaysaddle_adapter::directory::RESOLVE_PATH;
 use jaysaddle_adapter::directory::caller_failure_domain;
@@ -20,12 +16,13 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_daemon::telemetry::MetricsRenderer;
 use jaysaddle_fleet::peers::PeerPhase;
-use tokio::net::TcpListener;
-use tokio::time::sleep;
 
 use crate::address_list::ServingNode;
 use crate::address_list::select_addresses;
 use crate::gauges;
+use crate::listener::HeadLimits;
+use crate::listener::RequestHandler;
+use crate::listener::ResponseFuture;
 use crate::node::EntryNode;
 use crate::response::CallerResponse;
 use crate::response::empty_response;
@@ -41,36 +38,42 @@
 const ADDRESS_LIFETIME_SECS: u64 = 1;
 /// Timeout for reading the request headers, including the idle time between requests.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Delay before the next accept after an error.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Maximum size of the request headers, in bytes.
+const MAX_HEADER_BYTES: usize = 64 * 1024;
 
-/// Serves the directory, readiness and metrics on one listener. Never returns.
-pub async fn serve(node: Rc<EntryNode>, listener: TcpListener, metrics: Rc<MetricsRenderer>) {
-    loop {
-        let (stream, caller) = match listener.accept().await {
-            Ok((stream, address)) => (stream, address.ip()),
-            Err(error) => {
-                log::warn!("event=accept_failed error=\"{error}\"");
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let node = node.clone();
-        let metrics = metrics.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|request| {
-                let response = respond(&node, &metrics, caller, &request);
-                std::future::ready(Ok::<CallerResponse, Infallible>(response))
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!("event=directory_connection_ended error=\"{error}\"");
-            }
-        });
+/// Serves the directory, readiness and metrics.
+pub struct InfoHandler {
+    node: Rc<EntryNode>,
+    metrics: Rc<MetricsRenderer>,
+}
+
+impl InfoHandler {
+    pub fn new(node: Rc<EntryNode>, metrics: Rc<MetricsRenderer>) -> Self {
+        Self { node, metrics }
+    }
+}
+
+impl RequestHandler for InfoHandler {
+    fn head_limits(&self) -> HeadLimits {
+        HeadLimits {
+            read_time: HEADER_TIMEOUT,
+            bytes: MAX_HEADER_BYTES,
+        }
+    }
+
+    fn connection_opened(&self) {
+        let count = &self.node.info_connections;
+        count.set(count.get() + 1);
+    }
+
+    fn connection_closed(&self) {
+        let count = &self.node.info_connections;
+        count.set(count.get() - 1);
+    }
+
+    fn serve(&self, request: Request<Incoming>, caller: IpAddr) -> ResponseFuture {
+        let response = respond(&self.node, &self.metrics, caller, &request);
+        Box::pin(ready(response))
     }
 }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -35,6 +35,7 @@
 use crate::response::CallerResponse;
 use crate::response::RequestFailure;
 use crate::response::full_body;
+use crate::shutdown::ShutdownStage;
 
 /// Maximum body size of a response that is not streamed.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -95,7 +96,12 @@
     let (route, limits) = find_route(node, &parts)?;
     let ends_by = report.received() + time_limit(&parts.headers, &route);
     check_shutdown(node, &route, ends_by)?;
-    let body = read_body(body, &limits).await?;
+    let body = tokio::select! {
+        body = read_body(body, &limits) => body?,
+        () = node.shutdown.entered(ShutdownStage::Closing) => {
+            return Err(stopping_refusal(node));
+        }
+    };
     check_shutdown(node, &route, ends_by)?;
     let mut request = CallerRequest::new(node.clone(), parts, body, route, report.received());
     request.is_caller_retry |= is_known_unserved(node, &request);
@@ -155,19 +161,25 @@
     let now = clock::now();
     let expected = node.service_times.borrow().expected(&route.rule.name, now);
     if plan.admits(ends_by.since(now), expected, now) {
-        return Ok(());
+        Ok(())
+    } else {
+        Err(stopping_refusal(node))
     }
+}
+
+/// Refusal of a stopping node, with the time after which another node or the next process can serve the request.
+fn stopping_refusal(node: &EntryNode) -> RequestFailure {
     let has_other_node = node
         .peers
         .borrow()
-        .live(now)
+        .live(clock::now())
         .any(|record| record.heartbeat.phase == PeerPhase::Serving);
     let retry_after = if has_other_node {
         OTHER_NODE_RETRY_AFTER
     } else {
         RESTART_RETRY_AFTER
     };
-    Err(RequestFailure::unavailable(STOPPING_REASON, retry_after))
+    RequestFailure::unavailable(STOPPING_REASON, retry_after)
 }
 
 /// Whether an earlier attempt of the request is known that was not served, at this node or at a peer.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod forward;
 mod gauges;
 mod lease;
+mod listener;
 pub mod log_limiter;
 mod log_writer;
 mod node;
--- /dev/null
+++ b/crates/entry/src/listener.rs
@@ -0,0 +1,202 @@
+//! Accepts HTTP connections and serves them until a planned stop ends them.
+//!
+//! A stop closes connections without losing a request or a response:
+//!
+//! - Idle connections are closed when the node drains, others after their next response.
+//! - The listening socket is closed after the connections in its accept queue have been accepted.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use http::HeaderValue;
+use http::Request;
+use http::header;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use crate::node::EntryNode;
+use crate::response::CallerResponse;
+use crate::shutdown::ShutdownStage;
+
+/// Delay before the next accept after an error, such as running out of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time without a new connection after which the accept queue of a closing listener counts as empty.
+const ACCEPT_QUEUE_IDLE: Duration = Duration::from_millis(10);
+/// Maximum time for which a closing listener accepts the connections in its queue.
+const ACCEPT_QUEUE_TIME: Duration = Duration::from_millis(100);
+/// Time for which a draining node waits for the first request of a new connection.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+/// Future of a response.
+pub type ResponseFuture = Pin<Box<dyn Future<Output = CallerResponse>>>;
+
+/// Limits on the request heads of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// Time for reading a head, including the idle time before it.
+    pub read_time: Duration,
+    /// Size of a head, in bytes.
+    pub bytes: usize,
+}
+
+/// Serves the requests of a listener.
+pub trait RequestHandler {
+    /// Limits for a new connection.
+    fn head_limits(&self) -> HeadLimits;
+
+    /// Records a new connection.
+    fn connection_opened(&self);
+
+    /// Records the end of a connection.
+    fn connection_closed(&self);
+
+    /// Serves a request of a caller.
+    fn serve(&self, request: Request<Incoming>, caller: IpAddr) -> ResponseFuture;
+}
+
+/// Binds a TCP listener to `address`.
+pub async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {address}"))
+}
+
+/// Accepts and serves connections until the node closes.
+pub async fn serve(node: Rc<EntryNode>, listener: TcpListener, handler: Rc<dyn RequestHandler>) {
+    node.shutdown.listener_opened();
+    tokio::select! {
+        () = accept_all(&node, &listener, &handler) => {}
+        () = node.shutdown.entered(ShutdownStage::Closing) => {}
+    }
+    let accept_queue = async {
+        while let Ok(Ok((stream, caller))) = timeout(ACCEPT_QUEUE_IDLE, listener.accept()).await {
+            spawn_connection(&node, stream, caller.ip(), &handler);
+        }
+    };
+    // A queue that is still not empty belongs to callers that connect again and again.
+    let _ = timeout(ACCEPT_QUEUE_TIME, accept_queue).await;
+    drop(listener);
+    node.shutdown.listener_closed();
+}
+
+async fn accept_all(
+    node: &Rc<EntryNode>,
+    listener: &TcpListener,
+    handler: &Rc<dyn RequestHandler>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, caller)) => spawn_connection(node, stream, caller.ip(), handler),
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+fn spawn_connection(
+    node: &Rc<EntryNode>,
+    stream: TcpStream,
+    caller: IpAddr,
+    handler: &Rc<dyn RequestHandler>,
+) {
+    // Recorded before the task runs, so that a closing node waits for it.
+    handler.connection_opened();
+    let (node, handler) = (node.clone(), handler.clone());
+    spawn_local(async move {
+        tokio::select! {
+            () = serve_connection(&node, stream, caller, &handler) => {}
+            () = node.shutdown.entered(ShutdownStage::Ended) => {}
+        }
+        handler.connection_closed();
+    });
+}
+
+async fn serve_connection(
+    node: &Rc<EntryNode>,
+    stream: TcpStream,
+    caller: IpAddr,
+    handler: &Rc<dyn RequestHandler>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=nodelay_failed error=\"{error}\"");
+    }
+    let accepted = Instant::now();
+    serve_requests(node, stream, caller, handler, accepted).await;
+}
+
+/// Serves the requests of a connection until its last response.
+async fn serve_requests(
+    node: &Rc<EntryNode>,
+    stream: TcpStream,
+    caller: IpAddr,
+    handler: &Rc<dyn RequestHandler>,
+    accepted: Instant,
+) {
+    let has_request = Rc::new(Cell::new(false));
+    let service = {
+        let (node, handler) = (node.clone(), handler.clone());
+        let has_request = has_request.clone();
+        service_fn(move |request| {
+            has_request.set(true);
+            let response = handler.serve(request, caller);
+            Box::pin(finish_response(node.clone(), response))
+        })
+    };
+    let limits = handler.head_limits();
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.read_time)
+        .max_buf_size(limits.bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    // Reading comes first, so that a request that has arrived is not taken for the end of an idle connection.
+    let result = tokio::select! {
+        biased;
+        result = &mut connection => result,
+        () = drains(node, accepted, &has_request) => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    if let Err(error) = &result {
+        log::debug!("event=caller_connection_ended error=\"{error}\"");
+    }
+}
+
+/// Completes when the node drains. A new connection has some time for its first request.
+async fn drains(node: &EntryNode, accepted: Instant, has_request: &Cell<bool>) {
+    node.shutdown.entered(ShutdownStage::Draining).await;
+    if !has_request.get() {
+        sleep_until(accepted + FIRST_REQUEST_TIME).await;
+    }
+}
+
+/// Completes a response, and announces the end of the connection when the node stops.
+async fn finish_response(
+    node: Rc<EntryNode>,
+    response: ResponseFuture,
+) -> Result<CallerResponse, Infallible> {
+    let mut response = response.await;
+    if node.shutdown.stage() > ShutdownStage::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -99,6 +99,8 @@
     pub shutdown: ShutdownState,
     /// Number of open connections of callers.
     pub caller_connections: Cell<u32>,
+    /// Number of open connections to the directory, readiness and metrics endpoints.
+    pub info_connections: Cell<u32>,
     /// Number of callers' requests in flight.
     pub open_requests: Cell<u32>,
     /// Target change counter in the lease holder's last heartbeat.
@@ -109,8 +111,6 @@
     pub table_refresh: Notify,
     /// Triggers an immediate heartbeat.
     pub heartbeat_now: Notify,
-    /// Triggers the graceful shutdown of callers' connections when the node stops.
-    pub stopping: Notify,
 }
 
 impl EntryNode {
@@ -156,12 +156,12 @@
             phase: Cell::new(PeerPhase::Starting),
             shutdown: ShutdownState::default(),
             caller_connections: Cell::new(0),
+            info_connections: Cell::new(0),
             open_requests: Cell::new(0),
             holder_target_changes: Cell::new(0),
             copied_target_changes: Cell::new(0),
             table_refresh: Notify::new(),
             heartbeat_now: Notify::new(),
-            stopping: Notify::new(),
             bounds: Cell::new(bounds),
             incarnation,
             settings,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -16,11 +16,13 @@
 
 use crate::beats;
 use crate::beats::PeerAddresses;
-use crate::callers;
+use crate::callers::CallerHandler;
 use crate::control;
 use crate::copies;
-use crate::directory;
+use crate::directory::InfoHandler;
 use crate::gauges;
+use crate::listener;
+use crate::listener::RequestHandler;
 use crate::log_writer;
 use crate::node::EntryNode;
 use crate::reload;
@@ -65,25 +67,26 @@
         settings.peer_address(),
         settings.store
     );
-    let callers = callers::listen(settings.listen.callers).await?;
+    let callers = listener::listen(settings.listen.callers).await?;
+    let info: Rc<dyn RequestHandler> = Rc::new(InfoHandler::new(node.clone(), metrics));
     let mut info_addresses: Vec<SocketAddr> =
         vec![settings.listen.readiness, settings.listen.directory];
     info_addresses.dedup();
     for address in info_addresses {
-        let listener = callers::listen(address).await?;
-        spawn_local(directory::serve(node.clone(), listener, metrics.clone()));
+        let listener = listener::listen(address).await?;
+        spawn_local(listener::serve(node.clone(), listener, info.clone()));
     }
     if let Some(address) = settings.listen.metrics {
         // The readiness and directory addresses serve the metrics as well, so the node starts even when
         // this address is unusable.
-        match callers::listen(address).await {
+        match listener::listen(address).await {
             Ok(listener) => {
-                spawn_local(directory::serve(node.clone(), listener, metrics.clone()));
+                spawn_local(listener::serve(node.clone(), listener, info.clone()));
             }
             Err(error) => log::warn!("event=metrics_address_unusable error=\"{error:#}\""),
         }
     }
-    let copy_listener = callers::listen(settings.peer_address()).await?;
+    let copy_listener = listener::listen(settings.peer_address()).await?;
     let socket = Rc::new(beats::bind_socket(settings.peer_address()).await?);
     let addresses = PeerAddresses::default();
     let (address_sender, address_receiver) = flume::unbounded();
@@ -113,7 +116,8 @@
         path,
         reload_signal.clone(),
     ));
-    spawn_local(callers::serve(node.clone(), callers));
+    let handler: Rc<dyn RequestHandler> = Rc::new(CallerHandler::new(node.clone()));
+    spawn_local(listener::serve(node.clone(), callers, handler));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -15,6 +15,10 @@
     Serving,
     /// The node has left the directory and still serves callers that have its address.
     Withdrawn,
+    /// Idle connections are closed. Requests that can still end in time are served.
+    Draining,
+    /// The listeners are closed, and requests of open connections are refused.
+    Closing,
     /// The process is about to exit: connections that are still open are closed.
     Ended,
 }
@@ -27,6 +31,8 @@
     started: Cell<Option<Timestamp>>,
     /// Schedule of the stop; `None` before.
     plan: Cell<Option<ShutdownPlan>>,
+    /// Number of listeners that accept connections.
+    listeners: Cell<u32>,
     /// Connections accepted since the stop was requested.
     connections: Cell<u64>,
     /// Requests received since the stop was requested.
@@ -41,6 +47,7 @@
             stage: watch::Sender::new(ShutdownStage::Serving),
             started: Cell::default(),
             plan: Cell::default(),
+            listeners: Cell::default(),
             connections: Cell::default(),
             requests: Cell::default(),
             cut_requests: Cell::default(),
@@ -100,6 +107,21 @@
         Some(clock::now().since(self.started.get()?))
     }
 
+    /// Records a listener that accepts connections.
+    pub fn listener_opened(&self) {
+        self.listeners.set(self.listeners.get() + 1);
+    }
+
+    /// Records the end of a listener.
+    pub fn listener_closed(&self) {
+        self.listeners.set(self.listeners.get() - 1);
+    }
+
+    /// Number of listeners that accept connections.
+    pub fn listeners(&self) -> u32 {
+        self.listeners.get()
+    }
+
     /// Counts an accepted connection.
     pub fn record_connection(&self) {
         if self.started.get().is_some() {
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -7,6 +7,7 @@
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_gateway::shutdown::ShutdownPlan;
 use jaysaddle_gateway::shutdown::ShutdownSettings;
+use jaysaddle_types::units::Timestamp;
 use tokio::net::UdpSocket;
 use tokio::task::yield_now;
 use tokio::time::sleep;
@@ -17,12 +18,11 @@
 use crate::node::EntryNode;
 use crate::shutdown::ShutdownStage;
 
-/// Interval at which the number of open requests is checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for the last responses to be written to their sockets.
-const RESPONSE_FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Interval at which a stop checks its progress.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Withdraws from the directory, releases or hands over the lease, and waits for the open requests to finish.
+/// Withdraws from the directory, releases or hands over the lease, and ends all connections after the open requests
+/// have finished, before the platform kills the process.
 pub async fn stop(node: Rc<EntryNode>, socket: Rc<UdpSocket>, addresses: PeerAddresses) {
     let started = clock::now();
     log::info!("event=stopping open_requests={}", node.open_requests.get());
@@ -33,17 +33,12 @@
     node.gateway.borrow_mut().release_limits();
     lease::resign(&node);
     beats::send_heartbeat_now(&node, &socket, &addresses).await;
-    loop {
-        let now = clock::now();
-        if now >= plan.withdrawn_until {
-            node.stopping.notify_waiters();
-            if node.open_requests.get() == 0 || now >= plan.exit_by {
-                break;
-            }
-        }
-        sleep(CHECK_INTERVAL).await;
-    }
-    sleep(RESPONSE_FLUSH_TIME).await;
+    wait_until(plan.withdrawn_until, || false).await;
+    node.shutdown.enter(ShutdownStage::Draining);
+    wait_until(plan.closing_from, || node.open_requests.get() == 0).await;
+    // Without a wait in between, no request can have arrived that is not refused.
+    node.shutdown.enter(ShutdownStage::Closing);
+    wait_until(plan.exit_by, || has_closed(&node)).await;
     let open_requests = node.open_requests.get();
     let open_connections = node.caller_connections.get();
     node.shutdown.enter(ShutdownStage::Ended);
@@ -61,3 +56,17 @@
         clock::now().since(started).as_millis()
     );
 }
+
+/// Whether all listeners and connections have ended.
+fn has_closed(node: &EntryNode) -> bool {
+    node.shutdown.listeners() == 0
+        && node.caller_connections.get() == 0
+        && node.info_connections.get() == 0
+}
+
+/// Waits until `limit`, or until `is_done` holds.
+async fn wait_until(limit: Timestamp, is_done: impl Fn() -> bool) {
+    while clock::now() < limit && !is_done() {
+        sleep(CHECK_INTERVAL).await;
+    }
+}
--- a/tests/all/raw_callers.rs
+++ b/tests/all/raw_callers.rs
@@ -49,16 +49,18 @@
     SlowBody,
     /// Reads responses slowly.
     SlowReader,
-    /// Two requests at once on a connection, whose responses are read slowly.
+    /// Three requests shortly after each other on a connection, whose responses are read slowly.
     PipelinedSlowReader,
 }
 
 impl CallerStyle {
-    fn is_pipelined(self) -> bool {
-        matches!(
-            self,
-            CallerStyle::Pipelined | CallerStyle::PipelinedSlowReader
-        )
+    /// Number of requests that are sent before the first response.
+    fn requests_at_once(self) -> usize {
+        match self {
+            CallerStyle::Pipelined => 2,
+            CallerStyle::PipelinedSlowReader => 3,
+            _ => 1,
+        }
     }
 
     fn reads_slowly(self) -> bool {
@@ -154,19 +156,20 @@
             let step = PAUSES.fetch_add(1, Ordering::Relaxed) % IDLE_STEPS;
             thread::sleep(IDLE_PAUSE + IDLE_STEP * u32::try_from(step).expect("below 9"));
         }
-        let count = if self.style.is_pipelined() { 2 } else { 1 };
         let mut pending = Vec::new();
-        let mut text = Vec::new();
-        for _ in 0..count {
+        let mut is_usable = self.style != CallerStyle::Fresh;
+        for position in 0..self.style.requests_at_once() {
+            if position > 0 && self.style.reads_slowly() {
+                thread::sleep(PART_PAUSE);
+            }
             let number = REQUESTS.fetch_add(1, Ordering::Relaxed);
             let id = format!("raw-{}-{number}", std::process::id());
-            text.extend_from_slice(&self.request_text(&id));
-            pending.push(id);
+            let text = self.request_text(&id);
+            let is_sent = connection.send(&text, self.style == CallerStyle::SlowBody);
+            is_usable &= is_sent.is_ok();
+            pending.push((id, Instant::now()));
         }
-        let is_sent = connection.send(&text, self.style == CallerStyle::SlowBody);
-        let sent = Instant::now();
-        let mut is_usable = is_sent.is_ok() && self.style != CallerStyle::Fresh;
-        for id in pending {
+        for (id, sent) in pending {
             let (outcome, may_continue) = connection.read_response(self.style.reads_slowly());
             is_usable &= may_continue;
             let request = RawRequest {
