Close callers' connections without resetting them

What callers saw: answers that end early although the node has written all of them. The log says result=answered.

Cause: a connection was closed as soon as its last response had been written. A socket that is closed while unread bytes wait in it is reset, and a reset discards what the caller has not read yet. Callers that send another request meanwhile lose the answer to the one before. It is not tied to a stop: any response that closes its connection, such as a 413 to a body that is still being sent, is hit.

The node now closes its sending side after the last response, reads and discards until the caller has closed the connection too, for 2 s and 256 KiB at most, and only then closes the socket. A stopping node waits for it, since the end of the connection is what tells that the answer has arrived.

--- /dev/null
+++ b/crates/entry/src/caller_stream.rs
@@ -0,0 +1,102 @@
+//! Stream of a caller's connection, closed without destroying the responses that are on their way.
+
+use std::io;
+use std::net::IpAddr;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Number of bytes that a closed connection discards before it is reset.
+const MAX_DISCARDED_BYTES: usize = 256 * 1024;
+/// Number of bytes read at once.
+const READ_BYTES: usize = 4096;
+
+/// TCP stream that is closed only after its connection has been served.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    caller: IpAddr,
+}
+
+impl CallerStream {
+    pub fn new(stream: TcpStream, caller: IpAddr) -> Self {
+        Self { stream, caller }
+    }
+
+    /// Address of the caller.
+    pub fn caller(&self) -> IpAddr {
+        self.caller
+    }
+
+    /// Closes the sending side, and waits until the caller has closed the connection too, at most for `limit`. What the
+    /// caller sends meanwhile is discarded.
+    pub async fn linger(mut self, limit: Duration) {
+        let closed = async {
+            self.stream.shutdown().await?;
+            let mut buffer = [0; READ_BYTES];
+            let mut discarded = 0;
+            while discarded < MAX_DISCARDED_BYTES {
+                match self.stream.read(&mut buffer).await? {
+                    0 => break,
+                    count => discarded += count,
+                }
+            }
+            io::Result::Ok(())
+        };
+        match timeout(limit, closed).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::debug!("event=linger_failed error=\"{error}\""),
+            Err(_) => log::debug!("event=linger_timed_out"),
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    /// Leaves the connection open until [`Self::linger`].
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod backend_calls;
 mod beats;
 mod caller_request;
+mod caller_stream;
 mod callers;
 mod control;
 mod copies;
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -4,6 +4,8 @@
 //!
 //! - Idle connections are closed when the node drains, others after their next response.
 //! - The listening socket is closed after the connections in its accept queue have been accepted.
+//! - A connection ends when its caller has closed it too: a socket that is closed with unread bytes is reset, and a
+//!   reset destroys responses that are on their way.
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -31,6 +33,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use crate::caller_stream::CallerStream;
 use crate::node::EntryNode;
 use crate::response::CallerResponse;
 use crate::shutdown::ShutdownStage;
@@ -43,6 +46,9 @@
 const ACCEPT_QUEUE_TIME: Duration = Duration::from_millis(100);
 /// Time for which a draining node waits for the first request of a new connection.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+/// Maximum time for which a closed connection waits for its caller to close it too.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
 /// Future of a response.
 pub type ResponseFuture = Pin<Box<dyn Future<Output = CallerResponse>>>;
 
@@ -139,17 +145,19 @@
         log::debug!("event=nodelay_failed error=\"{error}\"");
     }
     let accepted = Instant::now();
-    serve_requests(node, stream, caller, handler, accepted).await;
+    let stream = CallerStream::new(stream, caller);
+    let stream = serve_requests(node, stream, handler, accepted).await;
+    stream.linger(LINGER_TIME).await;
 }
 
 /// Serves the requests of a connection until its last response.
 async fn serve_requests(
     node: &Rc<EntryNode>,
-    stream: TcpStream,
-    caller: IpAddr,
+    stream: CallerStream,
     handler: &Rc<dyn RequestHandler>,
     accepted: Instant,
-) {
+) -> CallerStream {
+    let caller = stream.caller();
     let has_request = Rc::new(Cell::new(false));
     let service = {
         let (node, handler) = (node.clone(), handler.clone());
@@ -178,6 +186,7 @@
     if let Err(error) = &result {
         log::debug!("event=caller_connection_ended error=\"{error}\"");
     }
+    connection.into_parts().io.into_inner()
 }
 
 /// Completes when the node drains. A new connection has some time for its first request.
