Refuse pipelined requests that a stopping node cannot answer on their connection

What callers saw: a request sent together with an earlier one gets no answer. The connection ends after the first response, long after the second request was read.

Cause: a stopping node announces the end of the connection with each response. The HTTP library has already read what the caller sent behind that request, and drops it.

The bytes that the library has read, and those that wait in the socket, go to another pass over the connection that refuses each request with not_run. None of them is run: a caller that stops reading after the announced end would lose the answer.

--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -7,6 +7,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Buf;
+use bytes::Bytes;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
@@ -20,16 +22,22 @@
 /// Number of bytes read at once.
 const READ_BYTES: usize = 4096;
 
-/// TCP stream that is closed only after its connection has been served.
+/// TCP stream whose received bytes can be given back, to be read again.
 #[derive(Debug)]
 pub struct CallerStream {
     stream: TcpStream,
     caller: IpAddr,
+    /// Bytes to read before those of the stream.
+    unread: Bytes,
 }
 
 impl CallerStream {
     pub fn new(stream: TcpStream, caller: IpAddr) -> Self {
-        Self { stream, caller }
+        Self {
+            stream,
+            caller,
+            unread: Bytes::new(),
+        }
     }
 
     /// Address of the caller.
@@ -37,6 +45,23 @@
         self.caller
     }
 
+    /// Gives back bytes that were read and not used.
+    pub fn push_back(&mut self, bytes: Bytes) {
+        self.unread = bytes;
+    }
+
+    /// Whether bytes have been received that were not read, or were given back.
+    pub fn has_unread(&mut self) -> bool {
+        if self.unread.is_empty() {
+            let mut buffer = [0; READ_BYTES];
+            // An error or the end of the stream shows when the connection is closed.
+            if let Ok(count) = self.stream.try_read(&mut buffer) {
+                self.unread = Bytes::copy_from_slice(&buffer[..count]);
+            }
+        }
+        !self.unread.is_empty()
+    }
+
     /// Closes the sending side, and waits until the caller has closed the connection too, at most for `limit`. What the
     /// caller sends meanwhile is discarded.
     pub async fn linger(mut self, limit: Duration) {
@@ -66,7 +91,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(context, buffer)
+        let this = self.get_mut();
+        if this.unread.is_empty() {
+            return Pin::new(&mut this.stream).poll_read(context, buffer);
+        }
+        let count = this.unread.len().min(buffer.remaining());
+        buffer.put_slice(&this.unread[..count]);
+        this.unread.advance(count);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -83,7 +115,7 @@
         Pin::new(&mut self.get_mut().stream).poll_flush(context)
     }
 
-    /// Leaves the connection open until [`Self::linger`].
+    /// Leaves the connection open: what is still unread decides how it is closed.
     fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -57,4 +57,8 @@
     fn serve(&self, request: Request<Incoming>, _caller: IpAddr) -> ResponseFuture {
         Box::pin(forward::handle(self.node.clone(), request))
     }
+
+    fn refuse(&self, request: Request<Incoming>) -> ResponseFuture {
+        Box::pin(forward::refuse(self.node.clone(), request))
+    }
 }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -75,6 +75,10 @@
         let response = respond(&self.node, &self.metrics, caller, &request);
         Box::pin(ready(response))
     }
+
+    fn refuse(&self, _request: Request<Incoming>) -> ResponseFuture {
+        Box::pin(ready(empty_response(StatusCode::SERVICE_UNAVAILABLE)))
+    }
 }
 
 fn respond(
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -86,6 +86,17 @@
     }
 }
 
+/// Refuses a request that arrived together with an earlier one, after whose response the connection was to be closed.
+pub async fn refuse(node: Rc<EntryNode>, incoming: Request<Incoming>) -> CallerResponse {
+    node.shutdown.record_request();
+    let id = header_text(incoming.headers(), &headers::REQUEST_ID)
+        .unwrap_or("-")
+        .into();
+    let failure = stopping_refusal(&node);
+    RequestReport::new(node, id, clock::now()).finish_failed(&failure);
+    failure.into_response()
+}
+
 async fn try_handle(
     node: &Rc<EntryNode>,
     incoming: Request<Incoming>,
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -4,6 +4,7 @@
 //!
 //! - Idle connections are closed when the node drains, others after their next response.
 //! - The listening socket is closed after the connections in its accept queue have been accepted.
+//! - Requests that were received together with an earlier one are refused, not dropped.
 //! - A connection ends when its caller has closed it too: a socket that is closed with unread bytes is reset, and a
 //!   reset destroys responses that are on their way.
 
@@ -74,6 +75,9 @@
 
     /// Serves a request of a caller.
     fn serve(&self, request: Request<Incoming>, caller: IpAddr) -> ResponseFuture;
+
+    /// Refuses a request that arrived together with an earlier one whose response has closed the connection.
+    fn refuse(&self, request: Request<Incoming>) -> ResponseFuture;
 }
 
 /// Binds a TCP listener to `address`.
@@ -135,6 +139,13 @@
     });
 }
 
+/// Stream of a connection after its last response.
+struct ConnectionEnd {
+    stream: CallerStream,
+    /// Whether the last response is complete, so that another one may follow.
+    is_complete: bool,
+}
+
 async fn serve_connection(
     node: &Rc<EntryNode>,
     stream: TcpStream,
@@ -146,17 +157,24 @@
     }
     let accepted = Instant::now();
     let stream = CallerStream::new(stream, caller);
-    let stream = serve_requests(node, stream, handler, accepted).await;
-    stream.linger(LINGER_TIME).await;
+    let mut end = serve_requests(node, stream, handler, accepted, false).await;
+    while node.shutdown.stage() > ShutdownStage::Serving
+        && end.is_complete
+        && end.stream.has_unread()
+    {
+        end = serve_requests(node, end.stream, handler, accepted, true).await;
+    }
+    end.stream.linger(LINGER_TIME).await;
 }
 
-/// Serves the requests of a connection until its last response.
+/// Serves the requests of a connection until its last response, or refuses them with `refuses`.
 async fn serve_requests(
     node: &Rc<EntryNode>,
     stream: CallerStream,
     handler: &Rc<dyn RequestHandler>,
     accepted: Instant,
-) -> CallerStream {
+    refuses: bool,
+) -> ConnectionEnd {
     let caller = stream.caller();
     let has_request = Rc::new(Cell::new(false));
     let service = {
@@ -164,7 +182,11 @@
         let has_request = has_request.clone();
         service_fn(move |request| {
             has_request.set(true);
-            let response = handler.serve(request, caller);
+            let response = if refuses {
+                handler.refuse(request)
+            } else {
+                handler.serve(request, caller)
+            };
             Box::pin(finish_response(node.clone(), response))
         })
     };
@@ -186,7 +208,13 @@
     if let Err(error) = &result {
         log::debug!("event=caller_connection_ended error=\"{error}\"");
     }
-    connection.into_parts().io.into_inner()
+    let parts = connection.into_parts();
+    let mut stream = parts.io.into_inner();
+    stream.push_back(parts.read_buf);
+    ConnectionEnd {
+        stream,
+        is_complete: result.is_ok(),
+    }
 }
 
 /// Completes when the node drains. A new connection has some time for its first request.
