Wait for responses that callers have not received before the exit

A node with an inventory that stops on SIGTERM waits until its handlers have returned. A handler returns when its response is with the system, not with the caller. The process then exits after two delays of 300 ms. A slow caller that sends its next request on the connection after that gets a reset, and the rest of the response is lost, although a backend server ran the request. When the VM or its network goes with the process, the rest is lost in any case.

The new test keeps callers at the node until a connection is refused: kept, idle, new and pipelined connections, and slow readers of 900 kB that send the next request meanwhile; completions of 2 to 100 tokens, streamed or not, service calls, and keyed ones. It compares each outcome with the runs that the stand-ins recorded.

The node now reads from the system's tables how many bytes of each connection are not acknowledged, and exits when none of those that it found at the end of the last request is left. A caller that accepts nothing for `idle_time` is not waited for and is logged.

--- a/crates/daemon/src/abandon.rs
+++ b/crates/daemon/src/abandon.rs
@@ -6,21 +6,18 @@
 //! descriptor, while the descriptor and the thread that reads the rest of the body remain until
 //! the process ends.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::os::fd::RawFd;
 
 use compact_str::format_compact;
 use jaysaddle_types::units::ByteCount;
 use jaysaddle_types::verdict::ReasonCode;
 use jaysaddle_types::verdict::RequestRefusal;
 use rustix::net::Shutdown;
-use rustix::process::PidfdFlags;
-use rustix::process::PidfdGetfdFlags;
 use tiny_http::Request;
 use tiny_http::Response;
 
+use crate::connections;
 use crate::reply;
 
 /// Declared body length above which a request is abandoned. Buffers up to this length are allocated
@@ -36,26 +33,13 @@
 
 /// Duplicates all socket descriptors of this process that are connected to `peer`.
 fn sockets_of(peer: SocketAddr) -> Vec<OwnedFd> {
-    let own = rustix::process::getpid();
-    let Ok(pidfd) = rustix::process::pidfd_open(own, PidfdFlags::empty()) else {
-        return Vec::new();
-    };
-    let Ok(entries) = fs::read_dir("/proc/self/fd") else {
-        return Vec::new();
-    };
-    entries
-        .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse::<RawFd>().ok())
-        .filter_map(|number| {
-            rustix::process::pidfd_getfd(&pidfd, number, PidfdGetfdFlags::empty()).ok()
-        })
-        .filter(|socket| {
-            rustix::net::getpeername(socket)
-                .ok()
-                .flatten()
-                .and_then(|address| SocketAddr::try_from(address).ok())
-                == Some(peer)
-        })
-        .collect()
+    connections::duplicate_descriptors(|socket| {
+        rustix::net::getpeername(socket)
+            .ok()
+            .flatten()
+            .and_then(|address| SocketAddr::try_from(address).ok())
+            == Some(peer)
+    })
 }
 
 /// Refuses a request as too large and shuts down its connection without dropping the request.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use eyre::WrapErr;
 use jaysaddle_engine::EngineClient;
@@ -28,11 +29,13 @@
 
 use crate::callers::CallerRoutes;
 use crate::clock;
+use crate::connections::UndeliveredResponses;
 use crate::control_lane::ControlPlane;
 use crate::control_lane::ControlPools;
 use crate::control_lane::report_violation;
 use crate::data_plane::DataPlane;
 use crate::listener::HttpListener;
+use crate::listener::ListenerHandle;
 use crate::operators::OperatorRoutes;
 use crate::shared_state::ControlPlaneInput;
 use crate::shared_state::DataPlaneInput;
@@ -59,6 +62,7 @@
     transport: flume::Sender<TransportCommand>,
     handover: flume::Receiver<bool>,
     peers: PeerTransport,
+    callers: ListenerHandle,
 }
 
 /// Passes messages from peers to the control plane or to the data plane.
@@ -150,7 +154,7 @@
             .spawn(move || route_peer_messages(&peer_shared, &received))
             .wrap_err("cannot start the peer message thread")?;
         store_watch::start(&shared).wrap_err("cannot start the platform watch threads")?;
-        Self::listen(&shared)?;
+        let callers = Self::listen(&shared)?;
         log::info!(
             "started incarnation={} callers={} operators={} peers={}",
             shared.own_node.key.incarnation,
@@ -163,10 +167,11 @@
             transport,
             handover,
             peers,
+            callers,
         })
     }
 
-    fn listen(shared: &Arc<SharedState>) -> eyre::Result<()> {
+    fn listen(shared: &Arc<SharedState>) -> eyre::Result<ListenerHandle> {
         let limits = &shared.settings.limits;
         let operators = Arc::new(OperatorRoutes::new(shared.clone()));
         HttpListener::bind(
@@ -216,6 +221,7 @@
         while shared.open_requests.load(Ordering::Relaxed) > 0 {
             thread::sleep(STOP_POLL_INTERVAL);
         }
+        self.wait_delivered();
         let open = shared
             .query_data_plane(|state, _| state.open_requests())
             .unwrap_or(0);
@@ -235,4 +241,23 @@
         self.peers.join();
         log::info!("stopped");
     }
+
+    /// Waits until callers have the responses that the system still holds. If the process exited before, a request that
+    /// such a caller sends would reset its connection, and the rest of the response would be lost.
+    fn wait_delivered(&self) {
+        let idle_time = self.shared.settings.limits.idle_time.as_duration();
+        let mut responses = UndeliveredResponses::new(idle_time);
+        loop {
+            match self.callers.connections() {
+                Ok(connections) if responses.update(&connections, Instant::now()) == 0 => return,
+                Ok(_) => thread::sleep(STOP_POLL_INTERVAL),
+                Err(error) => {
+                    log::warn!(
+                        "stopping: the connections are unknown, not waiting for callers: {error}"
+                    );
+                    return;
+                }
+            }
+        }
+    }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod clock;
 pub mod completion;
+pub mod connections;
 pub mod control_lane;
 pub mod daemon;
 pub mod data_plane;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -24,6 +24,8 @@
 use tiny_http::Server;
 
 use crate::abandon;
+use crate::connections;
+use crate::connections::OpenConnection;
 
 /// Stack size of a thread that serves one request.
 const REQUEST_STACK_BYTES: usize = 256 * 1024;
@@ -51,6 +53,28 @@
     open: Arc<AtomicUsize>,
 }
 
+/// Running listener.
+pub struct ListenerHandle {
+    address: SocketAddr,
+    open: Arc<AtomicUsize>,
+}
+
+impl ListenerHandle {
+    /// Returns the number of requests that are being served.
+    pub fn open_requests(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Returns the connections of the listener.
+    ///
+    /// # Errors
+    ///
+    /// Fails when `/proc` cannot be read.
+    pub fn connections(&self) -> std::io::Result<Vec<OpenConnection>> {
+        connections::open_connections(self.address)
+    }
+}
+
 /// Decrements the number of open requests when dropped.
 struct OpenRequestGuard(Arc<AtomicUsize>);
 
@@ -101,13 +125,17 @@
     /// # Errors
     ///
     /// Fails when the server or its thread cannot be started.
-    pub fn start(self, name: &'static str) -> eyre::Result<()> {
+    pub fn start(self, name: &'static str) -> eyre::Result<ListenerHandle> {
         let first = self.new_server()?;
+        let handle = ListenerHandle {
+            address: self.address()?,
+            open: self.open.clone(),
+        };
         thread::Builder::new()
             .name(name.into())
             .spawn(move || self.run(first))
             .wrap_err("cannot start the accept thread")?;
-        Ok(())
+        Ok(handle)
     }
 
     fn new_server(&self) -> eyre::Result<Server> {
--- /dev/null
+++ b/tests/all/stop_with_inventory.rs
@@ -0,0 +1,182 @@
+//! Planned stop of a node with an inventory whose callers do not leave it.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+
+use crate::cluster_state::runs;
+use crate::deployment::Deployment;
+use crate::deployment::DeploymentSettings;
+use crate::inventory_callers::CallOutcome;
+use crate::inventory_callers::ConnectionStyle;
+use crate::inventory_callers::InventoryCaller;
+use crate::inventory_callers::RequestKind;
+use crate::inventory_callers::SentRequest;
+
+/// Time for which the callers use the node before it is stopped.
+const LOAD_TIME: Duration = Duration::from_secs(1);
+/// Time for which the node lets callers keep a discovery response, and for which it takes requests while it stops.
+const DISCOVERY_TTL: Duration = Duration::from_secs(2);
+
+/// Number of runs of each body, by the record of the plain service.
+fn service_runs(deployment: &Deployment) -> BTreeMap<String, u64> {
+    let url = format!("http://{}/control/runs", deployment.service_address());
+    let response = minreq::get(url)
+        .with_timeout(20)
+        .send()
+        .expect("the service responds");
+    let list: Value = serde_json::from_slice(response.as_bytes()).expect("the list is JSON");
+    assert_eq!(list["dropped"], 0);
+    let mut starts = BTreeMap::new();
+    for run in list["runs"].as_array().into_iter().flatten() {
+        let body = run["body"].as_str().unwrap_or_default().to_owned();
+        *starts.entry(body).or_default() += run["starts"].as_u64().unwrap_or(0);
+    }
+    starts
+}
+
+/// One caller of every style for every kind of request that the style is used with.
+fn callers(deployment: &Deployment, home: &str) -> Vec<InventoryCaller> {
+    let address = deployment.caller_address(0);
+    let mut callers = Vec::new();
+    for style in [
+        ConnectionStyle::Busy,
+        ConnectionStyle::Idle,
+        ConnectionStyle::Fresh,
+        ConnectionStyle::Pipelined,
+    ] {
+        let completion = |tokens, stream| RequestKind::Completion { tokens, stream };
+        let keyed = RequestKind::KeyedCall {
+            home: home.to_owned(),
+        };
+        for kind in [
+            completion(2, false),
+            completion(40, true),
+            completion(100, false),
+            completion(100, true),
+            RequestKind::Call,
+            keyed,
+        ] {
+            callers.push(InventoryCaller {
+                address,
+                style,
+                kind,
+            });
+        }
+    }
+    for _ in 0..3 {
+        callers.push(InventoryCaller {
+            address,
+            style: ConnectionStyle::SlowReader,
+            kind: RequestKind::Call,
+        });
+    }
+    callers
+}
+
+/// Milliseconds from `start` to `time`, negative before it.
+fn offset_ms(start: Instant, time: Instant) -> i128 {
+    let after = time.saturating_duration_since(start).as_millis();
+    let before = start.saturating_duration_since(time).as_millis();
+    i128::try_from(after).unwrap_or(0) - i128::try_from(before).unwrap_or(0)
+}
+
+/// Stops the node that all callers use, and returns descriptions of the requests that were treated wrongly.
+fn stop_under_load(token_time: &'static str) -> Vec<String> {
+    let mut deployment = Deployment::start_ready(DeploymentSettings {
+        token_time,
+        discovery_ttl: "2s",
+        slots: 32,
+        service: true,
+        ..DeploymentSettings::default()
+    });
+    let headers = [
+        ("Authorization", "Bearer lender-a-key"),
+        ("Jaysaddle-Idempotent", "true"),
+    ];
+    deployment.wait_until("the node can call the service", |this| {
+        this.post(0, "/v1/services/promises/record", &headers, "probe")
+            .is_ok_and(|response| response.status == 200)
+    });
+    let home = deployment.home_token(0);
+    let threads: Vec<_> = callers(&deployment, &home)
+        .into_iter()
+        .map(|caller| thread::spawn(move || caller.call_until_gone()))
+        .collect();
+    thread::sleep(LOAD_TIME);
+    let stopped = Instant::now();
+    deployment.nodes[0].terminate();
+    let code = deployment.nodes[0].wait_exit();
+    let exited = Instant::now();
+    let requests: Vec<SentRequest> = threads
+        .into_iter()
+        .flat_map(|thread| thread.join().expect("no caller panics"))
+        .collect();
+    let mut starts = runs(&deployment);
+    starts.extend(service_runs(&deployment));
+    let mut faults = Vec::new();
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for request in &requests {
+        let runs = starts.get(&request.text).copied().unwrap_or(0);
+        let is_early = request.ended < stopped + DISCOVERY_TTL;
+        let (name, is_right) = match &request.outcome {
+            CallOutcome::Served => ("served".to_owned(), runs == 1),
+            CallOutcome::Refused(verdict, reason) => (
+                format!("refused {verdict} {reason}"),
+                verdict == "not_run" && runs == 0 && !(is_early && reason == "stopping"),
+            ),
+            CallOutcome::NoAnswer => ("no answer".to_owned(), runs == 0),
+            CallOutcome::Cut(_) => ("cut".to_owned(), false),
+            CallOutcome::Wrong(_) => ("wrong".to_owned(), false),
+        };
+        let period = if request.sent < stopped {
+            "before"
+        } else {
+            "after"
+        };
+        *counts
+            .entry(format!("{name}, sent {period} SIGTERM, runs {runs}"))
+            .or_default() += 1;
+        let line = format!(
+            "{:?} {:?}: {name}, runs {runs}, sent {} ms and ended {} ms after SIGTERM, sent {} ms before the exit",
+            request.style,
+            request.kind,
+            offset_ms(stopped, request.sent),
+            offset_ms(stopped, request.ended),
+            offset_ms(request.sent, exited),
+        );
+        if !is_right {
+            faults.push(line);
+        } else if request.outcome == CallOutcome::NoAnswer {
+            println!("{line}");
+        }
+    }
+    println!(
+        "{token_time} a token: {} requests, exit after {} ms: {counts:#?}",
+        requests.len(),
+        offset_ms(stopped, exited)
+    );
+    let log = deployment.node_log(0);
+    for line in log.lines().filter(|line| line.contains("stop")) {
+        println!("{line}");
+    }
+    assert_eq!(code, Some(0), "{log}");
+    faults
+}
+
+/// Guards against a stop that cuts responses of short requests, or takes requests and does not answer them.
+#[test]
+fn stop_serves_callers_that_stay_with_fast_tokens() {
+    let faults = stop_under_load("5ms");
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against a stop that cuts requests which run for longer than callers may keep a discovery response.
+#[test]
+fn stop_serves_callers_that_stay_with_slow_tokens() {
+    let faults = stop_under_load("40ms");
+    assert!(faults.is_empty(), "{faults:#?}");
+}
