Stop listening and close the connections before the exit

A node with an inventory accepted connections and requests until its process was gone. In the two delays of 300 ms at the end of a stop, and while it waited for slow callers, it refused all requests but told nobody to leave. Requests that it had read at the exit got no answer, so their callers could not know that they had not run. Callers that go on with the node also prolonged the stop: it waited for an instant without an open request, and refused requests counted. Calls of operators were not waited for at all.

When the last request that was taken has ended and the ledger is handed over, the node now closes its two listeners, sends `Connection: close` with each refusal, waits for the open requests of callers and operators and for their responses, and ends reading on all connections. `tiny_http` then closes each connection after the responses to the requests that have arrived on it. The header is not sent earlier, since a later request on the same connection may have been taken then.

A connection that is in the accept queue when the listener closes is still reset. Nothing of it was read, so its requests have not run.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -82,6 +82,14 @@
         Self { shared }
     }
 
+    fn refuse(&self, request: Request, refusal: &RequestRefusal) {
+        reply::respond_refusal(request, refusal, self.shared.after_refusal());
+    }
+
+    fn refuse_invalid(&self, request: Request, message: impl Into<CompactString>) {
+        reply::respond_invalid(request, message, self.shared.after_refusal());
+    }
+
     fn discovery(&self, request: Request, query: &str) {
         let view = self.shared.view();
         if !view.configured {
@@ -90,7 +98,7 @@
                 "this node has no configuration yet; ask another address",
                 OVERLOAD_RETRY_AFTER,
             );
-            reply::respond_refusal(request, &refusal);
+            self.refuse(request, &refusal);
             return;
         }
         let domain = query
@@ -209,20 +217,20 @@
         let arrived = clock::now();
         let headers = match self.read_headers(&request) {
             Ok(headers) => headers,
-            Err(refusal) => return reply::respond_refusal(request, &refusal),
+            Err(refusal) => return self.refuse(request, &refusal),
         };
         let raw = match reply::read_body(&mut request, self.shared.settings.limits.body.0) {
             Ok(raw) => raw,
-            Err(refusal) => return reply::respond_refusal(request, &refusal),
+            Err(refusal) => return self.refuse(request, &refusal),
         };
         let body: CompletionBody = match serde_json::from_slice(&raw) {
             Ok(body) => body,
             Err(error) => {
-                return reply::respond_invalid(request, format_compact!("the body: {error}"));
+                return self.refuse_invalid(request, format_compact!("the body: {error}"));
             }
         };
         if let Err(message) = completion::check_body(&body) {
-            return reply::respond_invalid(request, message);
+            return self.refuse_invalid(request, message);
         }
         let id = self.shared.new_request_id();
         let spec = RequestSpec {
@@ -257,15 +265,15 @@
     fn service(&self, mut request: Request, path: &str) {
         let headers = match self.read_headers(&request) {
             Ok(headers) => headers,
-            Err(refusal) => return reply::respond_refusal(request, &refusal),
+            Err(refusal) => return self.refuse(request, &refusal),
         };
         let (name, rest) = path.split_once('/').unwrap_or((path, ""));
         let Ok(service) = name.parse::<ServiceId>() else {
-            return reply::respond_invalid(request, "the service's name is not valid");
+            return self.refuse_invalid(request, "the service's name is not valid");
         };
         let body = match reply::read_body(&mut request, self.shared.settings.limits.body.0) {
             Ok(body) => body,
-            Err(refusal) => return reply::respond_refusal(request, &refusal),
+            Err(refusal) => return self.refuse(request, &refusal),
         };
         let view = self.shared.view();
         let declared = view
@@ -320,9 +328,11 @@
         if u64::try_from(Self::headers_size(&request)).unwrap_or(u64::MAX) > limit {
             let message = format_compact!("the headers exceed {limit} bytes");
             let refusal = RequestRefusal::not_run(ReasonCode::TooLarge, message);
-            return reply::respond_refusal(request, &refusal);
+            return self.refuse(request, &refusal);
+        }
+        if self.shared.stopping.load(Ordering::Relaxed) {
+            self.shared.received_in_stop.fetch_add(1, Ordering::Relaxed);
         }
-        self.shared.open_requests.fetch_add(1, Ordering::Relaxed);
         metrics::gauge!("jaysaddle_open_requests").increment(1.0);
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
@@ -341,7 +351,6 @@
             ),
         }
         metrics::gauge!("jaysaddle_open_requests").decrement(1.0);
-        self.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 
     fn refuse_overload(&self, request: Request) {
@@ -350,6 +359,6 @@
             "this node serves as many requests as it may; ask another address",
             OVERLOAD_RETRY_AFTER,
         );
-        reply::respond_refusal(request, &refusal);
+        self.refuse(request, &refusal);
     }
 }
--- a/crates/daemon/src/completion.rs
+++ b/crates/daemon/src/completion.rs
@@ -398,7 +398,9 @@
                     log::debug!("request={} caller disconnected: {error}", self.id);
                 }
             }
-            (None, Some(request)) => reply::respond_refusal(request, refusal),
+            (None, Some(request)) => {
+                reply::respond_refusal(request, refusal, self.shared.after_refusal())
+            }
             (None, None) => {}
         }
     }
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -17,6 +17,7 @@
 use std::time::Instant;
 
 use jaysaddle_types::units::ByteCount;
+use rustix::net::Shutdown;
 use rustix::process::PidfdFlags;
 use rustix::process::PidfdGetfdFlags;
 
@@ -58,7 +59,8 @@
 
 fn has_address(listener: SocketAddr, local: SocketAddr) -> bool {
     local.port() == listener.port()
-        && (listener.ip().is_unspecified() || local.ip() == listener.ip().to_canonical())
+        && (listener.ip().is_unspecified()
+            || local.ip().to_canonical() == listener.ip().to_canonical())
 }
 
 /// Parses the connections to `listener` in a table of sockets. Sockets of other processes are left out by their inode.
@@ -140,6 +142,22 @@
         .collect()
 }
 
+/// Ends reading on the connections to a listener of this process, so that each is closed after the responses to the requests
+/// that have arrived on it.
+pub fn end_reading(listener: SocketAddr) {
+    let is_connection = |socket: &OwnedFd| {
+        let local = rustix::net::getsockname(socket)
+            .ok()
+            .and_then(|address| SocketAddr::try_from(address).ok());
+        let is_connected = rustix::net::getpeername(socket).is_ok_and(|peer| peer.is_some());
+        is_connected && local.is_some_and(|local| has_address(listener, local))
+    };
+    for socket in duplicate_descriptors(is_connection) {
+        // A failure is ignored: the caller has closed the connection meanwhile.
+        let _ = rustix::net::shutdown(&socket, Shutdown::Read);
+    }
+}
+
 /// Responses that are written, but not yet with their callers.
 ///
 /// # Invariants
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -52,6 +52,12 @@
 /// Delay before each of the last two steps of a stop, in which the last messages to peers are sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(300);
 
+/// Time for which callers that go on with their connections are told to close them.
+const CLOSE_DELAY: Duration = Duration::from_millis(300);
+
+/// Maximum wait for the end of connections on which nothing more is read.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Maximum wait for the result of the ledger handover. It exceeds the timeout of the handover
 /// itself, which is 10 s.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -62,7 +68,7 @@
     transport: flume::Sender<TransportCommand>,
     handover: flume::Receiver<bool>,
     peers: PeerTransport,
-    callers: ListenerHandle,
+    listeners: [ListenerHandle; 2],
 }
 
 /// Passes messages from peers to the control plane or to the data plane.
@@ -154,7 +160,7 @@
             .spawn(move || route_peer_messages(&peer_shared, &received))
             .wrap_err("cannot start the peer message thread")?;
         store_watch::start(&shared).wrap_err("cannot start the platform watch threads")?;
-        let callers = Self::listen(&shared)?;
+        let listeners = Self::listen(&shared)?;
         log::info!(
             "started incarnation={} callers={} operators={} peers={}",
             shared.own_node.key.incarnation,
@@ -167,14 +173,14 @@
             transport,
             handover,
             peers,
-            callers,
+            listeners,
         })
     }
 
-    fn listen(shared: &Arc<SharedState>) -> eyre::Result<ListenerHandle> {
+    fn listen(shared: &Arc<SharedState>) -> eyre::Result<[ListenerHandle; 2]> {
         let limits = &shared.settings.limits;
         let operators = Arc::new(OperatorRoutes::new(shared.clone()));
-        HttpListener::bind(
+        let operators = HttpListener::bind(
             shared.settings.listen.operators,
             limits.idle_time,
             MAX_OPERATOR_REQUESTS,
@@ -182,18 +188,19 @@
         )?
         .start("operators")?;
         let callers = Arc::new(CallerRoutes::new(shared.clone()));
-        HttpListener::bind(
+        let callers = HttpListener::bind(
             shared.settings.listen.callers,
             limits.idle_time,
             limits.requests,
             callers,
         )?
-        .start("callers")
+        .start("callers")?;
+        Ok([callers, operators])
     }
 
     /// Stops gracefully without interrupting a request: announces the stop to peers and in
-    /// discovery, keeps serving for the discovery TTL, waits for the open requests, and hands
-    /// over the ledger.
+    /// discovery, keeps serving for the discovery TTL, waits for the open requests, hands
+    /// over the ledger, and closes the listeners and their connections.
     pub fn stop(self) {
         let shared = &self.shared;
         log::info!("stopping: removed from discovery, still serving requests");
@@ -216,12 +223,7 @@
                 "stopping: no node accepted the ledger; caller retries of keyed requests are refused with may_have_run"
             ),
         }
-        // Request threads may still be writing responses of requests that have ended in
-        // the data plane.
-        while shared.open_requests.load(Ordering::Relaxed) > 0 {
-            thread::sleep(STOP_POLL_INTERVAL);
-        }
-        self.wait_delivered();
+        self.close_listeners();
         let open = shared
             .query_data_plane(|state, _| state.open_requests())
             .unwrap_or(0);
@@ -242,13 +244,63 @@
         log::info!("stopped");
     }
 
+    /// Stops listening, and closes the connections of callers and operators after their responses.
+    fn close_listeners(&self) {
+        // No request of a caller runs any more; some responses may still be being written.
+        self.shared.closing.store(true, Ordering::SeqCst);
+        for listener in &self.listeners {
+            listener.close();
+        }
+        // Callers that go on with their connections are told to close them.
+        thread::sleep(CLOSE_DELAY);
+        self.wait_until(|| self.open_requests() == 0);
+        for listener in &self.listeners {
+            self.wait_delivered(listener);
+            listener.end_reading();
+        }
+        let started = Instant::now();
+        self.wait_until(|| self.held_connections() == 0 || started.elapsed() >= CLOSE_TIMEOUT);
+        log::info!(
+            "stopping: listeners closed; requests since the stop began: received={} refused={} open={} connections={}",
+            self.shared.received_in_stop.load(Ordering::Relaxed),
+            self.shared.refused_in_stop.load(Ordering::Relaxed),
+            self.open_requests(),
+            self.held_connections(),
+        );
+    }
+
+    fn wait_until(&self, condition: impl Fn() -> bool) {
+        while !condition() {
+            thread::sleep(STOP_POLL_INTERVAL);
+        }
+    }
+
+    fn open_requests(&self) -> usize {
+        self.listeners
+            .iter()
+            .map(ListenerHandle::open_requests)
+            .sum()
+    }
+
+    /// Number of connections that are open in this process; 0 when it is unknown.
+    fn held_connections(&self) -> usize {
+        let count = |listener: &ListenerHandle| match listener.connections() {
+            Ok(connections) => connections.iter().filter(|one| one.is_held).count(),
+            Err(error) => {
+                log::warn!("stopping: the connections are unknown: {error}");
+                0
+            }
+        };
+        self.listeners.iter().map(count).sum()
+    }
+
     /// Waits until callers have the responses that the system still holds. If the process exited before, a request that
     /// such a caller sends would reset its connection, and the rest of the response would be lost.
-    fn wait_delivered(&self) {
+    fn wait_delivered(&self, listener: &ListenerHandle) {
         let idle_time = self.shared.settings.limits.idle_time.as_duration();
         let mut responses = UndeliveredResponses::new(idle_time);
         loop {
-            match self.callers.connections() {
+            match listener.connections() {
                 Ok(connections) if responses.update(&connections, Instant::now()) == 0 => return,
                 Ok(_) => thread::sleep(STOP_POLL_INTERVAL),
                 Err(error) => {
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -18,6 +19,7 @@
 use eyre::WrapErr;
 use eyre::eyre;
 use jaysaddle_types::units::TimeSpan;
+use rustix::net::Shutdown;
 use rustix::net::sockopt::Timeout;
 use rustix::net::sockopt::set_socket_timeout;
 use tiny_http::Request;
@@ -51,12 +53,15 @@
     idle_timeout: TimeSpan,
     max_requests: usize,
     open: Arc<AtomicUsize>,
+    closed: Arc<AtomicBool>,
 }
 
 /// Running listener.
 pub struct ListenerHandle {
     address: SocketAddr,
+    socket: TcpListener,
     open: Arc<AtomicUsize>,
+    closed: Arc<AtomicBool>,
 }
 
 impl ListenerHandle {
@@ -73,6 +78,19 @@
     pub fn connections(&self) -> std::io::Result<Vec<OpenConnection>> {
         connections::open_connections(self.address)
     }
+
+    /// Stops accepting connections; further ones are refused by the system. Requests on open connections are still served.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        if let Err(error) = rustix::net::shutdown(&self.socket, Shutdown::Read) {
+            log::error!("cannot close the listener on {}: {error}", self.address);
+        }
+    }
+
+    /// Ends reading on all connections, so that each is closed after the responses to the requests that have arrived on it.
+    pub fn end_reading(&self) {
+        connections::end_reading(self.address);
+    }
 }
 
 /// Decrements the number of open requests when dropped.
@@ -108,6 +126,7 @@
             idle_timeout,
             max_requests,
             open: Arc::new(AtomicUsize::new(0)),
+            closed: Arc::new(AtomicBool::new(false)),
         })
     }
 
@@ -120,7 +139,7 @@
         self.socket.local_addr()
     }
 
-    /// Accepts connections on separate threads until the process ends.
+    /// Accepts connections on separate threads until the listener is closed.
     ///
     /// # Errors
     ///
@@ -129,6 +148,8 @@
         let first = self.new_server()?;
         let handle = ListenerHandle {
             address: self.address()?,
+            socket: self.socket.try_clone()?,
+            closed: self.closed.clone(),
             open: self.open.clone(),
         };
         thread::Builder::new()
@@ -153,6 +174,7 @@
             loop {
                 match server.recv() {
                     Ok(request) => self.dispatch(request),
+                    Err(_) if self.closed.load(Ordering::SeqCst) => return self.drain(server),
                     Err(error) => {
                         let timed_out = matches!(
                             error.kind(),
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -11,6 +11,7 @@
 use tiny_http::Header;
 use tiny_http::Request;
 use tiny_http::Response;
+use tiny_http::StatusCode;
 
 /// Content type of JSON responses.
 pub const JSON: &str = "application/json";
@@ -18,6 +19,15 @@
 /// Content type of streamed responses.
 pub const EVENT_STREAM: &str = "text/event-stream";
 
+/// What becomes of a connection after a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterResponse {
+    /// The caller may send further requests.
+    Keep,
+    /// The caller is told to close the connection.
+    Close,
+}
+
 fn header(name: &str, value: &str) -> Option<Header> {
     Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
 }
@@ -56,6 +66,33 @@
     }
 }
 
+/// Sends a response that tells the caller to close the connection. `tiny_http` does not send the header for that, so the
+/// response is written to the raw connection.
+fn respond_and_close(
+    request: Request,
+    status: u16,
+    content_type: &str,
+    body: &[u8],
+    headers: &[(&str, &str)],
+) {
+    let phrase = StatusCode(status).default_reason_phrase();
+    let mut response = format!(
+        "HTTP/1.1 {status} {phrase}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\nConnection: close\r\n",
+        body.len()
+    )
+    .into_bytes();
+    for (name, value) in headers {
+        response.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+    }
+    response.extend_from_slice(b"\r\n");
+    response.extend_from_slice(body);
+    let mut writer = request.into_writer();
+    let written = writer.write_all(&response).and_then(|()| writer.flush());
+    if let Err(error) = written {
+        log::debug!("caller disconnected before its response: {error}");
+    }
+}
+
 /// Sends a JSON response; status 500 when `value` cannot be serialized.
 pub fn respond_json<T: Serialize>(request: Request, status: u16, value: &T) {
     match serde_json::to_vec(value) {
@@ -98,25 +135,28 @@
 }
 
 /// Sends a refusal and counts it.
-pub fn respond_refusal(request: Request, refusal: &RequestRefusal) {
+pub fn respond_refusal(request: Request, refusal: &RequestRefusal, after: AfterResponse) {
     count_refusal(refusal);
     let body = refusal_json(refusal);
     let status = refusal.reason.http_status();
-    match refusal.retry_after_ms {
-        // The header has a resolution of seconds; the body carries the exact time.
-        Some(span) => {
-            let seconds = span.0.div_ceil(1000).to_string();
-            let headers = [("Retry-After", seconds.as_str())];
-            respond_with(request, status, JSON, body.as_bytes(), &headers);
-        }
-        None => respond(request, status, JSON, body.as_bytes()),
+    // The header has a resolution of seconds; the body carries the exact time.
+    let seconds = refusal
+        .retry_after_ms
+        .map(|span| span.0.div_ceil(1000).to_string());
+    let headers: Vec<_> = seconds
+        .iter()
+        .map(|seconds| ("Retry-After", seconds.as_str()))
+        .collect();
+    match after {
+        AfterResponse::Keep => respond_with(request, status, JSON, body.as_bytes(), &headers),
+        AfterResponse::Close => respond_and_close(request, status, JSON, body.as_bytes(), &headers),
     }
 }
 
 /// Refuses a malformed request with the reason `invalid_request`.
-pub fn respond_invalid(request: Request, message: impl Into<CompactString>) {
+pub fn respond_invalid(request: Request, message: impl Into<CompactString>, after: AfterResponse) {
     let refusal = RequestRefusal::not_run(ReasonCode::InvalidRequest, message);
-    respond_refusal(request, &refusal);
+    respond_refusal(request, &refusal, after);
 }
 
 /// Reads a body of at most `limit` bytes.
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -1,6 +1,7 @@
 //! Thread of a caller's request, which executes the data plane's decisions about it.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 
 use jaysaddle_ledger::StoredResponse;
 use jaysaddle_reducer::TrafficEffect;
@@ -120,6 +121,9 @@
             }
             Ok(TrafficEffect::Refuse { refusal, .. }) => {
                 count_result("refused");
+                if refusal.reason == ReasonCode::Stopping {
+                    shared.refused_in_stop.fetch_add(1, Ordering::Relaxed);
+                }
                 runner.refuse(&refusal);
                 return;
             }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -98,7 +98,7 @@
 
     fn refuse(mut self: Box<Self>, refusal: &RequestRefusal) {
         if let Some(request) = self.request.take() {
-            reply::respond_refusal(request, refusal);
+            reply::respond_refusal(request, refusal, self.shared.after_refusal());
         }
     }
 }
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -7,7 +7,6 @@
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use compact_str::format_compact;
@@ -29,6 +28,7 @@
 
 use crate::clock;
 use crate::journal::DecisionJournal;
+use crate::reply::AfterResponse;
 use crate::telemetry::MetricsRenderer;
 
 /// Read access to the control plane's state, executed on its thread.
@@ -91,8 +91,12 @@
     pub metrics: MetricsRenderer,
     /// Set when a graceful stop has begun.
     pub stopping: AtomicBool,
-    /// Number of caller requests being served, each on its own thread.
-    pub open_requests: AtomicUsize,
+    /// Set during a stop when every request of a caller that was taken has ended, so that each further one is refused.
+    pub closing: AtomicBool,
+    /// Number of caller requests that arrived during a stop.
+    pub received_in_stop: AtomicU64,
+    /// Number of caller requests refused because of a stop.
+    pub refused_in_stop: AtomicU64,
     view: RwLock<Arc<FleetView>>,
     held: Mutex<HeldShards>,
     next_request: AtomicU64,
@@ -119,13 +123,25 @@
             metrics,
             journal: DecisionJournal::default(),
             stopping: AtomicBool::new(false),
-            open_requests: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
+            received_in_stop: AtomicU64::new(0),
+            refused_in_stop: AtomicU64::new(0),
             view: RwLock::default(),
             held: Mutex::default(),
             next_request: AtomicU64::new(1),
         }
     }
 
+    /// Whether a caller's connection is closed after a refusal that is sent now. Before the last request that was taken has
+    /// ended, it stays open: a later request on the same connection may have been taken.
+    pub fn after_refusal(&self) -> AfterResponse {
+        if self.closing.load(Ordering::SeqCst) {
+            AfterResponse::Close
+        } else {
+            AfterResponse::Keep
+        }
+    }
+
     /// Current fleet view; empty until the control plane publishes one.
     pub fn view(&self) -> Arc<FleetView> {
         self.view
--- a/tests/all/inventory_callers.rs
+++ b/tests/all/inventory_callers.rs
@@ -73,6 +73,8 @@
     Refused(String, String),
     /// The connection ended before the first byte of a response.
     NoAnswer,
+    /// Sent before a response arrived that closes the connection, so the caller no longer expects a response.
+    Dropped,
     /// The connection ended inside the response.
     Cut(usize),
     /// A response that violates the API contract.
@@ -117,12 +119,17 @@
                 stream,
                 received: Vec::new(),
                 is_slow: self.style == ConnectionStyle::SlowReader,
+                is_closing: false,
             };
             let mut pending = VecDeque::new();
             while self.use_connection(&mut connection, &mut pending, &mut requests) {}
-            // The connection ended before these were answered.
+            let outcome = if connection.is_closing {
+                CallOutcome::Dropped
+            } else {
+                CallOutcome::NoAnswer
+            };
             for (text, sent) in pending {
-                self.record(text, sent, CallOutcome::NoAnswer, &mut requests);
+                self.record(text, sent, outcome.clone(), &mut requests);
             }
         }
         requests
@@ -157,7 +164,7 @@
             return false;
         };
         let (outcome, may_continue) = match connection.read_response() {
-            Ok((response, closes)) => (self.classify(&text, response), !closes),
+            Ok(response) => (self.classify(&text, response), !connection.is_closing),
             Err(0) => (CallOutcome::NoAnswer, false),
             Err(received) => (CallOutcome::Cut(received), false),
         };
@@ -254,6 +261,8 @@
     stream: TcpStream,
     received: Vec<u8>,
     is_slow: bool,
+    /// Whether a response told the caller to close the connection.
+    is_closing: bool,
 }
 
 impl CallerConnection {
@@ -279,8 +288,8 @@
         }
     }
 
-    /// Reads a response and whether the connection ends with it. Fails with the number of bytes that were received.
-    fn read_response(&mut self) -> Result<(TestResponse, bool), usize> {
+    /// Reads a response. Fails with the number of bytes that were received.
+    fn read_response(&mut self) -> Result<TestResponse, usize> {
         let head = match self.read_until(b"\r\n\r\n") {
             Ok(head) => String::from_utf8_lossy(&head).into_owned(),
             Err(_) => return Err(self.received.len()),
@@ -307,8 +316,9 @@
             retry_after: header("Retry-After").map(str::to_owned),
             text,
         };
-        let closes = header("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
-        Ok((response, closes))
+        self.is_closing =
+            header("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+        Ok(response)
     }
 
     fn read_until(&mut self, mark: &[u8]) -> io::Result<Vec<u8>> {
--- a/tests/all/stop_with_inventory.rs
+++ b/tests/all/stop_with_inventory.rs
@@ -1,6 +1,7 @@
 //! Planned stop of a node with an inventory whose callers do not leave it.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,6 +22,9 @@
 /// Time for which the node lets callers keep a discovery response, and for which it takes requests while it stops.
 const DISCOVERY_TTL: Duration = Duration::from_secs(2);
 
+/// Time from an operator's call to the stop.
+const OPERATOR_TIME: Duration = Duration::from_millis(300);
+
 /// Number of runs of each body, by the record of the plain service.
 fn service_runs(deployment: &Deployment) -> BTreeMap<String, u64> {
     let url = format!("http://{}/control/runs", deployment.service_address());
@@ -129,6 +133,7 @@
                 verdict == "not_run" && runs == 0 && !(is_early && reason == "stopping"),
             ),
             CallOutcome::NoAnswer => ("no answer".to_owned(), runs == 0),
+            CallOutcome::Dropped => ("dropped".to_owned(), runs == 0),
             CallOutcome::Cut(_) => ("cut".to_owned(), false),
             CallOutcome::Wrong(_) => ("wrong".to_owned(), false),
         };
@@ -164,6 +169,9 @@
         println!("{line}");
     }
     assert_eq!(code, Some(0), "{log}");
+    let is_closed =
+        |line: &str| line.contains("listeners closed") && line.contains("open=0 connections=0");
+    assert!(log.lines().any(is_closed), "{log}");
     faults
 }
 
@@ -180,3 +188,27 @@
     let faults = stop_under_load("40ms");
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against a stop that cuts an operator's call whose change waits for the store.
+#[test]
+fn stop_answers_operators_call_that_waits_for_the_store() {
+    let mut deployment = Deployment::start_ready(DeploymentSettings::default());
+    let mut stopping = deployment.nodes.remove(0);
+    let deployment = Arc::new(deployment);
+    if let Some(platform) = &deployment.platform {
+        platform.pause();
+    }
+    let operator = {
+        let deployment = Arc::clone(&deployment);
+        thread::spawn(move || deployment.operator_post(0, "/v1/drain/vm-phc-a-1"))
+    };
+    thread::sleep(OPERATOR_TIME);
+    stopping.terminate();
+    assert_eq!(stopping.wait_exit(), Some(0), "{}", deployment.node_log(0));
+    let response = operator.join().expect("the operator gets a response");
+    println!("the operator got {} {}", response.status, response.text);
+    assert!(
+        response.json["error"]["message"].is_string(),
+        "{response:?}"
+    );
+}
