Bound a planned stop by the setting timing.stop_limit

A stop of a node with an inventory waited without a limit for open requests and handlers. The deadline bounds the run of a request, but not the time in which its body arrives, where only the pause between two bytes is limited to `idle_time`, nor the time in which its response is read. A caller that sent a byte of its body every 100 ms kept the node from exiting until something else killed it, without a line in the log about what was lost.

The new setting, 15 min by default, bounds all waits of a stop. The last 5 s are reserved for the ledger handover and for closing connections. What is cut when the limit is reached is logged at level error with its number. The invariant of a graceful stop is reported only for requests that are open though all had ended. The setting must exceed `discovery_ttl`.

`stop_with_inventory::stop_ends_at_its_limit` stops a node with a limit of 8 s whose caller sends a body of 2000 bytes, one each 100 ms.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -62,6 +62,9 @@
 /// itself, which is 10 s.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time reserved at the end of a stop for the ledger handover and for closing connections.
+const LAST_STEPS_TIME: Duration = Duration::from_secs(5);
+
 /// Handle of a running daemon, whose threads run until the process ends.
 pub struct Daemon {
     shared: Arc<SharedState>,
@@ -91,6 +94,19 @@
     }
 }
 
+/// Waits until `condition` holds. Returns false if it does not before `end`.
+fn wait_until(end: Instant, mut condition: impl FnMut() -> bool) -> bool {
+    loop {
+        if condition() {
+            return true;
+        }
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(STOP_POLL_INTERVAL);
+    }
+}
+
 impl Daemon {
     /// Starts all threads and listens for callers, operators and peers.
     ///
@@ -201,33 +217,40 @@
     /// Stops gracefully without interrupting a request: announces the stop to peers and in
     /// discovery, keeps serving for the discovery TTL, waits for the open requests, hands
     /// over the ledger, and closes the listeners and their connections.
+    /// After `stop_limit`, it cuts the requests that are still open.
     pub fn stop(self) {
         let shared = &self.shared;
+        let timing = &shared.settings.timing;
+        let end = Instant::now() + timing.stop_limit.as_duration();
         log::info!("stopping: removed from discovery, still serving requests");
         shared.stopping.store(true, Ordering::Relaxed);
         shared.send_control_event(ControlEvent::StopRequested);
-        thread::sleep(shared.settings.timing.discovery_ttl.as_duration());
+        thread::sleep(timing.discovery_ttl.as_duration());
         shared.send_data_event(TrafficEvent::RefuseNew);
-        while shared
-            .query_data_plane(|state, _| state.open_requests())
-            .unwrap_or(0)
-            > 0
-        {
-            thread::sleep(STOP_POLL_INTERVAL);
+        let requests_end = end.checked_sub(LAST_STEPS_TIME).unwrap_or(end);
+        let all_ended = wait_until(requests_end, || self.running_requests() == 0);
+        if all_ended {
+            log::info!("stopping: no open requests, handing over the ledger");
+        } else {
+            log::error!(
+                "stopping: {} requests run at the limit of {} and are cut, handing over the ledger",
+                self.running_requests(),
+                timing.stop_limit
+            );
         }
-        log::info!("stopping: no open requests, handing over the ledger");
         shared.send_data_event(TrafficEvent::HandOverLedger);
-        match self.handover.recv_timeout(HANDOVER_TIMEOUT) {
+        let handover_timeout = end
+            .saturating_duration_since(Instant::now())
+            .min(HANDOVER_TIMEOUT);
+        match self.handover.recv_timeout(handover_timeout) {
             Ok(true) => log::info!("stopping: ledger handed over to a successor"),
             _ => log::warn!(
                 "stopping: no node accepted the ledger; caller retries of keyed requests are refused with may_have_run"
             ),
         }
-        self.close_listeners();
-        let open = shared
-            .query_data_plane(|state, _| state.open_requests())
-            .unwrap_or(0);
-        if open > 0 {
+        self.close_listeners(end);
+        let open = self.running_requests();
+        if open > 0 && all_ended {
             report_violation(&InvariantViolation {
                 kind: InvariantKind::GracefulStop,
                 subject: self.shared.own_node.key.id.as_str().into(),
@@ -245,7 +268,7 @@
     }
 
     /// Stops listening, and closes the connections of callers and operators after their responses.
-    fn close_listeners(&self) {
+    fn close_listeners(&self, end: Instant) {
         // No request of a caller runs any more; some responses may still be being written.
         self.shared.closing.store(true, Ordering::SeqCst);
         for listener in &self.listeners {
@@ -253,13 +276,20 @@
         }
         // Callers that go on with their connections are told to close them.
         thread::sleep(CLOSE_DELAY);
-        self.wait_until(|| self.open_requests() == 0);
+        if !wait_until(end, || self.open_requests() == 0) {
+            log::error!(
+                "stopping: {} requests of callers and operators have no response at the limit of {} and are cut",
+                self.open_requests(),
+                self.shared.settings.timing.stop_limit
+            );
+        }
         for listener in &self.listeners {
-            self.wait_delivered(listener);
+            self.wait_delivered(listener, end);
             listener.end_reading();
         }
-        let started = Instant::now();
-        self.wait_until(|| self.held_connections() == 0 || started.elapsed() >= CLOSE_TIMEOUT);
+        let closed_by = end.min(Instant::now() + CLOSE_TIMEOUT);
+        // The next line of the log has the connections that are left.
+        wait_until(closed_by, || self.held_connections() == 0);
         log::info!(
             "stopping: listeners closed; requests since the stop began: received={} refused={} open={} connections={}",
             self.shared.received_in_stop.load(Ordering::Relaxed),
@@ -269,10 +299,14 @@
         );
     }
 
-    fn wait_until(&self, condition: impl Fn() -> bool) {
-        while !condition() {
-            thread::sleep(STOP_POLL_INTERVAL);
-        }
+    /// Number of requests that the data plane has taken and that have not ended.
+    fn running_requests(&self) -> usize {
+        self.shared
+            .query_data_plane(|state, _| state.open_requests())
+            .unwrap_or_else(|| {
+                log::error!("stopping: the data plane has ended, its requests are unknown");
+                0
+            })
     }
 
     fn open_requests(&self) -> usize {
@@ -296,20 +330,20 @@
 
     /// Waits until callers have the responses that the system still holds. If the process exited before, a request that
     /// such a caller sends would reset its connection, and the rest of the response would be lost.
-    fn wait_delivered(&self, listener: &ListenerHandle) {
+    fn wait_delivered(&self, listener: &ListenerHandle, end: Instant) {
         let idle_time = self.shared.settings.limits.idle_time.as_duration();
         let mut responses = UndeliveredResponses::new(idle_time);
-        loop {
-            match listener.connections() {
-                Ok(connections) if responses.update(&connections, Instant::now()) == 0 => return,
-                Ok(_) => thread::sleep(STOP_POLL_INTERVAL),
-                Err(error) => {
-                    log::warn!(
-                        "stopping: the connections are unknown, not waiting for callers: {error}"
-                    );
-                    return;
-                }
+        let is_delivered = || match listener.connections() {
+            Ok(connections) => responses.update(&connections, Instant::now()) == 0,
+            Err(error) => {
+                log::warn!(
+                    "stopping: the connections are unknown, not waiting for callers: {error}"
+                );
+                true
             }
+        };
+        if !wait_until(end, is_delivered) {
+            log::error!("stopping: responses are not delivered at the limit and are cut");
         }
     }
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -68,6 +68,15 @@
             ),
         ));
     }
+    if settings.timing.stop_limit <= settings.timing.discovery_ttl {
+        problems.push(problem(
+            "timing.stop_limit",
+            format_compact!(
+                "must exceed timing.discovery_ttl ({})",
+                settings.timing.discovery_ttl
+            ),
+        ));
+    }
     problems
 }
 
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -68,6 +68,9 @@
     /// Time without a first token after which a stream is resumed on a new connection; default 5 s.
     /// A shorter time repeatedly resumes streams whose prompts are still in the engine's queue.
     pub first_token_timeout: TimeSpan,
+    /// Maximum duration of a stop, at whose end open requests are cut; default 15 min. Below the sum of `discovery_ttl`,
+    /// `max_deadline` and the time to hand over the ledger, it can cut requests that are within their deadline.
+    pub stop_limit: TimeSpan,
     /// Maximum duration of one watch call to the store; default 20 s.
     pub watch_wait: TimeSpan,
 }
@@ -78,6 +81,7 @@
             discovery_ttl: TimeSpan::from_secs(10),
             token_timeout: TimeSpan::from_secs(2),
             first_token_timeout: TimeSpan::from_secs(5),
+            stop_limit: TimeSpan::from_secs(900),
             watch_wait: TimeSpan::from_secs(20),
         }
     }
--- a/tests/all/deployment.rs
+++ b/tests/all/deployment.rs
@@ -58,6 +58,8 @@
     pub token_time: &'static str,
     /// Time for which callers may cache a discovery response, as a duration with unit.
     pub discovery_ttl: &'static str,
+    /// Maximum duration of a planned stop of a node, as a duration with unit.
+    pub stop_limit: &'static str,
     /// Whether engines check fencing tokens: `enforced` or `ignored`.
     pub fencing: &'static str,
     /// Whether the deployment includes the plain service.
@@ -75,6 +77,7 @@
             load_ms: 100,
             token_time: "2ms",
             discovery_ttl: "1s",
+            stop_limit: "15min",
             fencing: "enforced",
             service: false,
         }
@@ -294,7 +297,10 @@
             "platform": self.platform_address(),
             "cluster_key": CLUSTER_KEY,
             "operator_key": OPERATOR_KEY,
-            "timing": { "discovery_ttl": self.settings.discovery_ttl },
+            "timing": {
+                "discovery_ttl": self.settings.discovery_ttl,
+                "stop_limit": self.settings.stop_limit,
+            },
         })
     }
 
--- a/tests/all/stop_with_inventory.rs
+++ b/tests/all/stop_with_inventory.rs
@@ -1,6 +1,8 @@
 //! Planned stop of a node with an inventory whose callers do not leave it.
 
 use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -22,8 +24,14 @@
 /// Time for which the node lets callers keep a discovery response, and for which it takes requests while it stops.
 const DISCOVERY_TTL: Duration = Duration::from_secs(2);
 
-/// Time from an operator's call to the stop.
-const OPERATOR_TIME: Duration = Duration::from_millis(300);
+/// Time from a call to the stop.
+const CALL_TIME: Duration = Duration::from_millis(300);
+
+/// Size of the body of a slow caller; above the size of bodies that are read with the headers.
+const SLOW_BODY_BYTES: usize = 2000;
+
+/// Pause of a slow caller after each byte.
+const SLOW_BODY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Number of runs of each body, by the record of the plain service.
 fn service_runs(deployment: &Deployment) -> BTreeMap<String, u64> {
@@ -202,7 +210,7 @@
         let deployment = Arc::clone(&deployment);
         thread::spawn(move || deployment.operator_post(0, "/v1/drain/vm-phc-a-1"))
     };
-    thread::sleep(OPERATOR_TIME);
+    thread::sleep(CALL_TIME);
     stopping.terminate();
     assert_eq!(stopping.wait_exit(), Some(0), "{}", deployment.node_log(0));
     let response = operator.join().expect("the operator gets a response");
@@ -212,3 +220,41 @@
         "{response:?}"
     );
 }
+
+/// Guards against a stop that waits without a limit for a caller that sends the body of its request slowly.
+#[test]
+fn stop_ends_at_its_limit() {
+    let mut deployment = Deployment::start_ready(DeploymentSettings {
+        nodes: 1,
+        stop_limit: "8s",
+        ..DeploymentSettings::default()
+    });
+    let address = deployment.caller_address(0);
+    let mut stream = TcpStream::connect(address).expect("the node accepts");
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: {address}\r\nAuthorization: Bearer lender-a-key\r\n\
+         Content-Length: {SLOW_BODY_BYTES}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("the node reads");
+    let caller = thread::spawn(move || {
+        let mut sent = 0;
+        while sent < SLOW_BODY_BYTES && stream.write_all(b" ").is_ok() {
+            sent += 1;
+            thread::sleep(SLOW_BODY_PAUSE);
+        }
+        sent
+    });
+    thread::sleep(CALL_TIME);
+    let started = Instant::now();
+    deployment.nodes[0].terminate();
+    let code = deployment.nodes[0].wait_exit();
+    let log = deployment.node_log(0);
+    println!("exit after {:?}", started.elapsed());
+    let sent = caller.join().expect("the caller does not panic");
+    assert!(sent < SLOW_BODY_BYTES, "the body was complete at the exit");
+    assert_eq!(code, Some(0), "{log}");
+    assert!(
+        log.contains("1 requests of callers and operators have no response at the limit"),
+        "{log}"
+    );
+}
