Ignore SIGHUP on a node with an inventory

A node with an inventory had no handler for SIGHUP, whose default is to end the process at once: all open requests were cut, nothing was handed over and no line was logged. On the platform the same program reads its settings again on SIGHUP, so operators have a reason to send it; the end of a terminal session sends it too. The node now logs that the signal is ignored. Further SIGTERM, SIGINT and SIGHUP during a stop change nothing; for the first two that was so before.

`stop_with_inventory::signals_cut_no_request` sends SIGHUP during a stream, then SIGTERM, and all three during the stop.

--- a/src/bin/jaysaddled.rs
+++ b/src/bin/jaysaddled.rs
@@ -16,6 +16,7 @@
 use jaysaddle_settings::NodeSettings;
 use jaysaddle_settings::check::check_settings;
 use jaysaddle_settings::yaml::read_yaml;
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -59,10 +60,16 @@
     }
     logging::init(&settings.log, &settings.node)?;
     let mut signals =
-        Signals::new([SIGTERM, SIGINT]).wrap_err("failed to install signal handlers")?;
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).wrap_err("failed to install signal handlers")?;
     let store = Arc::new(HttpStore::new(settings.platform));
     let daemon = Daemon::start(settings, Arc::new(HttpEngine), store)?;
-    signals.forever().next();
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            break;
+        }
+        log::warn!("SIGHUP is ignored: settings are read only at the start");
+    }
+    // The handlers stay installed, so that further signals do not end the process during the stop.
     daemon.stop();
     Ok(())
 }
--- a/tests/all/stop_with_inventory.rs
+++ b/tests/all/stop_with_inventory.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::process::Signal;
 use serde_json::Value;
 
 use crate::cluster_state::runs;
@@ -18,6 +19,8 @@
 use crate::inventory_callers::InventoryCaller;
 use crate::inventory_callers::RequestKind;
 use crate::inventory_callers::SentRequest;
+use crate::load::CallerOutcome;
+use crate::load::request_completion;
 
 /// Time for which the callers use the node before it is stopped.
 const LOAD_TIME: Duration = Duration::from_secs(1);
@@ -258,3 +261,34 @@
         "{log}"
     );
 }
+
+/// Guards against signals that end a node, or its stop, with a request open.
+#[test]
+fn signals_cut_no_request() {
+    let mut deployment = Deployment::start_ready(DeploymentSettings {
+        token_time: "40ms",
+        ..DeploymentSettings::default()
+    });
+    let mut signalled = deployment.nodes.remove(0);
+    let deployment = Arc::new(deployment);
+    let caller = {
+        let deployment = Arc::clone(&deployment);
+        thread::spawn(move || request_completion(&deployment, 0, "signals", 100, true, &[]))
+    };
+    deployment.wait_until("the stream runs", |this| runs(this).contains_key("signals"));
+    signalled.send_hangup();
+    deployment.wait_until("the signal is logged", |this| {
+        this.node_log(0).contains("SIGHUP is ignored")
+    });
+    signalled.terminate();
+    deployment.wait_until("the stop has begun", |this| {
+        this.node_log(0)
+            .contains("stopping: removed from discovery")
+    });
+    for signal in [Signal::HUP, Signal::TERM, Signal::INT] {
+        signalled.signal(signal);
+    }
+    let outcome = caller.join().expect("the caller does not panic");
+    assert_eq!(outcome, CallerOutcome::Complete);
+    assert_eq!(signalled.wait_exit(), Some(0), "{}", deployment.node_log(0));
+}
