Test the stop of a node without a configuration

The test starts a node while the store does not answer and no peer exists, so that it refuses requests with `not_configured`, and stops it. Nothing had to be changed.

--- a/tests/all/stop_with_inventory.rs
+++ b/tests/all/stop_with_inventory.rs
@@ -292,3 +292,25 @@
     assert_eq!(outcome, CallerOutcome::Complete);
     assert_eq!(signalled.wait_exit(), Some(0), "{}", deployment.node_log(0));
 }
+
+/// Guards against a stop that does not end, or that cuts a request, when the node has no configuration.
+#[test]
+fn node_without_configuration_stops() {
+    let mut deployment = Deployment::start(DeploymentSettings {
+        nodes: 1,
+        ..DeploymentSettings::default()
+    });
+    deployment.nodes[0].kill();
+    if let Some(platform) = &deployment.platform {
+        platform.pause();
+    }
+    let mut node = deployment.start_node(0);
+    deployment.wait_until("the node refuses a request", |this| {
+        this.post_completion(0, "early", 1, &[])
+            .is_ok_and(|response| response.reason() == "not_configured")
+    });
+    node.terminate();
+    assert_eq!(node.wait_exit(), Some(0), "{}", deployment.node_log(0));
+    let log = deployment.node_log(0);
+    assert!(log.contains("open=0 connections=0"), "{log}");
+}
