Refuse completions that exceed the limit of a stop instead of cutting them

When a stop reached its limit, completions that were still running were cut, and their callers saw a stream without its end or a closed connection. Nothing compared the time left with the deadline of a request. A stop now sets a deadline 6 s before its limit. Requests that arrive during the stop get it if theirs is later, and a completion that was running compares it at each chunk. The caller gets `deadline_exceeded` with its verdict, in a stream as its last event, and the run is cancelled at the engine. Calls of plain services that were sent before the stop keep their deadline and can still be cut at the limit.

`stop_with_inventory::stop_refuses_completions_that_exceed_its_limit` stops a node with a limit of 10 s and four completions of 1000 tokens at 40 ms, streamed or not, two of them sent during the stop.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -208,7 +208,8 @@
             account,
             idempotent,
             key: key.map(|key| (key, home)),
-            deadline: clock::now() + span.min(limits.max_deadline),
+            deadline: (clock::now() + span.min(limits.max_deadline))
+                .min(self.shared.stop_deadline()),
             priority,
         })
     }
--- a/crates/daemon/src/completion.rs
+++ b/crates/daemon/src/completion.rs
@@ -280,6 +280,11 @@
         }
     }
 
+    /// The deadline of the request, or the end of the node's stop if that is earlier.
+    fn current_deadline(&self) -> Timestamp {
+        self.deadline.min(self.shared.stop_deadline())
+    }
+
     /// Timeout for the next chunk: the token timeout, limited by the deadline.
     fn next_chunk_timeout(&self, now: Timestamp) -> TimeSpan {
         let timing = &self.shared.settings.timing;
@@ -288,7 +293,7 @@
         } else {
             timing.first_token_timeout
         };
-        timeout.min(self.deadline.since(now))
+        timeout.min(self.current_deadline().since(now))
     }
 
     fn read_stream(&mut self, items: &flume::Receiver<StreamItem>) -> AttemptOutcome {
@@ -306,7 +311,7 @@
                     return self.broken(true);
                 }
                 Err(flume::RecvTimeoutError::Timeout) => {
-                    return if clock::now() >= self.deadline {
+                    return if clock::now() >= self.current_deadline() {
                         AttemptOutcome::DeadlineExceeded
                     } else {
                         self.broken(true)
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,6 +24,7 @@
 use jaysaddle_transport::TransportSettings;
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::node::NodeRecord;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_wire::ClusterKey;
 use jaysaddle_wire::messages::PeerBody;
 
@@ -63,7 +64,10 @@
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Time reserved at the end of a stop for the ledger handover and for closing connections.
-const LAST_STEPS_TIME: Duration = Duration::from_secs(5);
+const LAST_STEPS_TIME: TimeSpan = TimeSpan::from_secs(5);
+
+/// Time from the deadline that a stop sets for completions to the end of its wait for them, in which they are refused.
+const REFUSAL_TIME: TimeSpan = TimeSpan::from_secs(1);
 
 /// Handle of a running daemon, whose threads run until the process ends.
 pub struct Daemon {
@@ -217,17 +221,21 @@
     /// Stops gracefully without interrupting a request: announces the stop to peers and in
     /// discovery, keeps serving for the discovery TTL, waits for the open requests, hands
     /// over the ledger, and closes the listeners and their connections.
-    /// After `stop_limit`, it cuts the requests that are still open.
+    /// Shortly before `stop_limit`, it refuses the completions that are still running; at the limit it cuts all other
+    /// requests.
     pub fn stop(self) {
         let shared = &self.shared;
         let timing = &shared.settings.timing;
         let end = Instant::now() + timing.stop_limit.as_duration();
+        shared.set_stop_deadline(clock::now() + timing.stop_limit - LAST_STEPS_TIME - REFUSAL_TIME);
         log::info!("stopping: removed from discovery, still serving requests");
         shared.stopping.store(true, Ordering::Relaxed);
         shared.send_control_event(ControlEvent::StopRequested);
         thread::sleep(timing.discovery_ttl.as_duration());
         shared.send_data_event(TrafficEvent::RefuseNew);
-        let requests_end = end.checked_sub(LAST_STEPS_TIME).unwrap_or(end);
+        let requests_end = end
+            .checked_sub(LAST_STEPS_TIME.as_duration())
+            .unwrap_or(end);
         let all_ended = wait_until(requests_end, || self.running_requests() == 0);
         if all_ended {
             log::info!("stopping: no open requests, handing over the ledger");
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -97,6 +97,7 @@
     pub received_in_stop: AtomicU64,
     /// Number of caller requests refused because of a stop.
     pub refused_in_stop: AtomicU64,
+    stop_deadline_ms: AtomicU64,
     view: RwLock<Arc<FleetView>>,
     held: Mutex<HeldShards>,
     next_request: AtomicU64,
@@ -126,12 +127,23 @@
             closing: AtomicBool::new(false),
             received_in_stop: AtomicU64::new(0),
             refused_in_stop: AtomicU64::new(0),
+            stop_deadline_ms: AtomicU64::new(u64::MAX),
             view: RwLock::default(),
             held: Mutex::default(),
             next_request: AtomicU64::new(1),
         }
     }
 
+    /// Time by which each request must have ended because of a stop; far in the future before a stop.
+    pub fn stop_deadline(&self) -> Timestamp {
+        Timestamp(self.stop_deadline_ms.load(Ordering::SeqCst))
+    }
+
+    /// Sets the time by which each request must have ended.
+    pub fn set_stop_deadline(&self, deadline: Timestamp) {
+        self.stop_deadline_ms.store(deadline.0, Ordering::SeqCst);
+    }
+
     /// Whether a caller's connection is closed after a refusal that is sent now. Before the last request that was taken has
     /// ended, it stays open: a later request on the same connection may have been taken.
     pub fn after_refusal(&self) -> AfterResponse {
--- a/tests/all/stop_with_inventory.rs
+++ b/tests/all/stop_with_inventory.rs
@@ -30,6 +30,9 @@
 /// Time from a call to the stop.
 const CALL_TIME: Duration = Duration::from_millis(300);
 
+/// Length in tokens of a completion that takes longer than a stop at 40 ms a token.
+const LONG_TOKENS: u32 = 1000;
+
 /// Size of the body of a slow caller; above the size of bodies that are read with the headers.
 const SLOW_BODY_BYTES: usize = 2000;
 
@@ -314,3 +317,35 @@
     let log = deployment.node_log(0);
     assert!(log.contains("open=0 connections=0"), "{log}");
 }
+
+/// Guards against completions that a stop cuts at its limit instead of refusing them.
+#[test]
+fn stop_refuses_completions_that_exceed_its_limit() {
+    let mut deployment = Deployment::start_ready(DeploymentSettings {
+        token_time: "40ms",
+        stop_limit: "10s",
+        ..DeploymentSettings::default()
+    });
+    let mut stopping = deployment.nodes.remove(0);
+    let deployment = Arc::new(deployment);
+    let request = |prompt: &'static str, stream: bool| {
+        let deployment = Arc::clone(&deployment);
+        thread::spawn(move || request_completion(&deployment, 0, prompt, LONG_TOKENS, stream, &[]))
+    };
+    let early = [request("early stream", true), request("early", false)];
+    deployment.wait_until("the completions run", |this| runs(this).len() == 2);
+    stopping.terminate();
+    deployment.wait_until("the stop has begun", |this| {
+        this.node_log(0)
+            .contains("stopping: removed from discovery")
+    });
+    let late = [request("late stream", true), request("late", false)];
+    let expected = CallerOutcome::Refused("may_have_run".into(), "deadline_exceeded".into());
+    for caller in early.into_iter().chain(late) {
+        let outcome = caller.join().expect("the caller does not panic");
+        assert_eq!(outcome, expected, "{}", deployment.node_log(0));
+    }
+    assert_eq!(stopping.wait_exit(), Some(0), "{}", deployment.node_log(0));
+    let log = deployment.node_log(0);
+    assert!(log.contains("open=0 connections=0"), "{log}");
+}
