Log why descriptors cannot be duplicated

The shutdown of a refused request's connection and the end of a stop duplicate descriptors of this process. When the system forbids that, as a container can, nothing happened and no line was logged. Each failure is now logged, except that of a descriptor that another thread has closed meanwhile. No test makes the system refuse; `invalid_input::huge_content_length_does_not_abort_process` and the tests of `stop_with_inventory` passed twice with the change.

--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -17,6 +17,7 @@
 use std::time::Instant;
 
 use jaysaddle_types::units::ByteCount;
+use rustix::io::Errno;
 use rustix::net::Shutdown;
 use rustix::process::PidfdFlags;
 use rustix::process::PidfdGetfdFlags;
@@ -127,17 +128,33 @@
 /// Duplicates the descriptors of this process that `is_wanted` selects.
 pub fn duplicate_descriptors(is_wanted: impl Fn(&OwnedFd) -> bool) -> Vec<OwnedFd> {
     let own = rustix::process::getpid();
-    let Ok(pidfd) = rustix::process::pidfd_open(own, PidfdFlags::empty()) else {
-        return Vec::new();
+    let pidfd = match rustix::process::pidfd_open(own, PidfdFlags::empty()) {
+        Ok(pidfd) => pidfd,
+        Err(error) => {
+            log::warn!("cannot duplicate descriptors of this process: {error}");
+            return Vec::new();
+        }
     };
-    let Ok(entries) = fs::read_dir("/proc/self/fd") else {
-        return Vec::new();
+    let entries = match fs::read_dir("/proc/self/fd") {
+        Ok(entries) => entries,
+        Err(error) => {
+            log::warn!("cannot list the descriptors of this process: {error}");
+            return Vec::new();
+        }
+    };
+    let duplicate = |number: RawFd| {
+        rustix::process::pidfd_getfd(&pidfd, number, PidfdGetfdFlags::empty())
+            .inspect_err(|error| {
+                // Another thread may have closed the descriptor.
+                if *error != Errno::BADF {
+                    log::warn!("cannot duplicate descriptor {number}: {error}");
+                }
+            })
+            .ok()
     };
     entries
         .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse::<RawFd>().ok())
-        .filter_map(|number| {
-            rustix::process::pidfd_getfd(&pidfd, number, PidfdGetfdFlags::empty()).ok()
-        })
+        .filter_map(duplicate)
         .filter(is_wanted)
         .collect()
 }
