Test that a stop closes connections without a request

A caller keeps a connection on which no request is open. The end of a stop must close it in order, as it waits for connections that the process still holds.

--- a/tests/all/stop_with_inventory.rs
+++ b/tests/all/stop_with_inventory.rs
@@ -1,6 +1,7 @@
 //! Planned stop of a node with an inventory whose callers do not leave it.
 
 use std::collections::BTreeMap;
+use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -349,3 +350,30 @@
     let log = deployment.node_log(0);
     assert!(log.contains("open=0 connections=0"), "{log}");
 }
+
+/// Guards against a stop that leaves connections without a request open until the process is gone.
+#[test]
+fn stop_closes_connections_without_a_request() {
+    let mut deployment = Deployment::start_ready(DeploymentSettings {
+        nodes: 1,
+        ..DeploymentSettings::default()
+    });
+    let address = deployment.caller_address(0);
+    let mut stream = TcpStream::connect(address).expect("the node accepts");
+    let request = format!("GET /healthz HTTP/1.1\r\nHost: {address}\r\n\r\n");
+    stream
+        .write_all(request.as_bytes())
+        .expect("the node reads");
+    let mut buffer = [0; 1024];
+    let count = stream.read(&mut buffer).expect("the node responds");
+    assert!(buffer[..count].starts_with(b"HTTP/1.1 200"));
+    deployment.nodes[0].terminate();
+    let code = deployment.nodes[0].wait_exit();
+    let rest = stream
+        .read(&mut buffer)
+        .expect("the connection is not reset");
+    assert_eq!(rest, 0);
+    let log = deployment.node_log(0);
+    assert_eq!(code, Some(0), "{log}");
+    assert!(log.contains("open=0 connections=0"), "{log}");
+}
