--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -18,12 +19,15 @@
 use eyre::WrapErr;
 use eyre::eyre;
 use jaysaddle_types::units::TimeSpan;
+use rustix::net::Shutdown;
 use rustix::net::sockopt::Timeout;
 use rustix::net::sockopt::set_socket_timeout;
 use tiny_http::Request;
 use tiny_http::Server;
 
 use crate::abandon;
+use crate::connections;
+use crate::connections::OpenConnection;
 
 /// Stack size of a thread that serves one request.
 const REQUEST_STACK_BYTES: usize = 256 * 1024;
@@ -49,6 +53,44 @@
     idle_timeout: TimeSpan,
     max_requests: usize,
     open: Arc<AtomicUsize>,
+    closed: Arc<AtomicBool>,
+}
+
+/// Running listener.
+pub struct ListenerHandle {
+    address: SocketAddr,
+    socket: TcpListener,
+    open: Arc<AtomicUsize>,
+    closed: Arc<AtomicBool>,
+}
+
+impl ListenerHandle {
+    /// Returns the number of requests that are being served.
+    pub fn open_requests(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Returns the connections of the listener.
+    ///
+    /// # Errors
+    ///
+    /// Fails when `/proc` cannot be read.
+    pub fn connections(&self) -> std::io::Result<Vec<OpenConnection>> {
+        connections::open_connections(self.address)
+    }
+
+    /// Stops accepting connections; further ones are refused by the system. Requests on open connections are still served.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        if let Err(error) = rustix::net::shutdown(&self.socket, Shutdown::Read) {
+            log::error!("cannot close the listener on {}: {error}", self.address);
+        }
+    }
+
+    /// Ends reading on all connections, so that each is closed after the responses to the requests that have arrived on it.
+    pub fn end_reading(&self) {
+        connections::end_reading(self.address);
+    }
 }
 
 /// Decrements the number of open requests when dropped.
@@ -84,6 +126,7 @@
             idle_timeout,
             max_requests,
             open: Arc::new(AtomicUsize::new(0)),
+            closed: Arc::new(AtomicBool::new(false)),
         })
     }
 
@@ -96,18 +139,24 @@
         self.socket.local_addr()
     }
 
-    /// Accepts connections on separate threads until the process ends.
+    /// Accepts connections on separate threads until the listener is closed.
     ///
     /// # Errors
     ///
     /// Fails when the server or its thread cannot be started.
-    pub fn start(self, name: &'static str) -> eyre::Result<()> {
+    pub fn start(self, name: &'static str) -> eyre::Result<ListenerHandle> {
         let first = self.new_server()?;
+        let handle = ListenerHandle {
+            address: self.address()?,
+            socket: self.socket.try_clone()?,
+            closed: self.closed.clone(),
+            open: self.open.clone(),
+        };
         thread::Builder::new()
             .name(name.into())
             .spawn(move || self.run(first))
             .wrap_err("cannot start the accept thread")?;
-        Ok(())
+        Ok(handle)
     }
 
     fn new_server(&self) -> eyre::Result<Server> {
@@ -125,6 +174,7 @@
             loop {
                 match server.recv() {
                     Ok(request) => self.dispatch(request),
+                    Err(_) if self.closed.load(Ordering::SeqCst) => return self.drain(server),
                     Err(error) => {
                         let timed_out = matches!(
                             error.kind(),
