Form groups again after a change of their configured size

After operators had changed the group size of a model, every request for it was refused with 503 until the lease moved to another node: its groups counted as incomplete, so no node sent requests to them, while the controller saw no faulty member and left them as they were, with their VMs.

The controller now closes a serving group whose number of members differs from the configured one (`decision=close reason=group_size_changed`). Its leader completes its requests, and the members form groups of the new size. Such a group receives no requests anyway, so closing it takes no capacity away. Groups of a model that the configuration no longer contains still keep their VMs until the lease moves; they serve again when the model is written back.

Test on the fake fleet of 12 VMs, run without the fix: 40 s after the size of the large model was set from 4 to 3, no group of it served, and the log had no decision since the start. With the fix groups of 3 and of 5 serve, no leader is ordered to leave before it is closed, and no VM joins while its leader serves. All 62 tests of the crate pass.

--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -155,9 +155,15 @@
         let Some(reported) = reported else {
             return;
         };
-        if reported.has_draining_member {
+        let has_other_size = reported.size > 0 && reported.size != group.members.len();
+        let close_reason = if reported.has_draining_member {
+            Some("draining_member")
+        } else {
+            has_other_size.then_some("group_size_changed")
+        };
+        if let Some(reason) = close_reason {
             self.log_decision(format_compact!(
-                "group={key} decision=close reason=draining_member"
+                "group={key} decision=close reason={reason}"
             ));
             let stage = GroupStage::Closing {
                 until: now + self.timing.close_timeout,
--- a/crates/fleet/tests/all/config_changes.rs
+++ b/crates/fleet/tests/all/config_changes.rs
@@ -81,3 +81,22 @@
         fleet.decisions
     );
 }
+
+/// Guards against groups that hold their VMs without serving after the group size of their model has changed.
+#[test]
+fn groups_are_formed_again_after_a_change_of_their_size() {
+    for size in [3, 5] {
+        let mut fleet = FakeFleet::new(12);
+        fleet.advance(15_000);
+        assert!(!fleet.serving_groups(LARGE).is_empty());
+        let leaders = leaders(&fleet);
+        set_group_size(&mut fleet, LARGE, size);
+        let from = fleet.orders.len();
+        fleet.advance(40_000);
+        let groups = fleet.serving_groups(LARGE);
+        assert!(!groups.is_empty(), "size {size}: {:#?}", fleet.decisions);
+        let cut = cut_leaders(&fleet, &leaders, from);
+        assert!(cut.is_empty(), "size {size}: {cut:?}");
+        assert!(fleet.overlapping_joins.is_empty());
+    }
+}
