Test reloads and configuration changes under load

A stopping node cuts requests that it has accepted. Every request that a backend server has run must have its whole answer; every other one must be told that it was not run, or its connection closed unread.

--- /dev/null
+++ b/tests/all/changes_under_load.rs
@@ -0,0 +1,236 @@
+//! Reloads and configuration changes at nodes on the platform, while callers use them.
+
+use std::fs;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use jaysaddle_platform_standin::StandinWork;
+use jaysaddle_platform_standin::add_plain_routes;
+use jaysaddle_platform_standin::stream_config;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::change_callers::ALL_CALLERS;
+use crate::change_callers::CHANGE_INTERVAL;
+use crate::change_callers::ChangeReport;
+use crate::change_callers::TIME_BEFORE_CHANGE;
+use crate::change_callers::call_during;
+use crate::change_callers::long_work;
+use crate::change_callers::short_work;
+use crate::change_callers::start_nodes;
+use crate::change_callers::unpipelined_callers;
+use crate::change_callers::write_settings;
+use crate::platform_nodes::KEY;
+use crate::platform_nodes::PlatformNodes;
+use crate::raw_callers::CallerStyle;
+
+/// Time from the last byte of a request until the node has accepted it.
+const ACCEPT_TIME: Duration = Duration::from_millis(200);
+
+/// The configuration of [`PlatformNodes`] in another version.
+fn config_version(nodes: &PlatformNodes, version: u64) -> Value {
+    let mut config = stream_config(version, &nodes.addresses, KEY);
+    add_plain_routes(&mut config, &nodes.addresses);
+    config
+}
+
+/// Waits until the first node applies a configuration.
+fn wait_version(nodes: &PlatformNodes, version: u64) {
+    let line = format!("event=config_in_force version={version} ");
+    nodes.wait("the configuration is in force", |nodes| {
+        nodes.log(0).contains(&line)
+    });
+}
+
+/// Sets a field of every route.
+fn set_routes(config: &mut Value, field: &str, value: &Value) {
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route[field] = value.clone();
+    }
+}
+
+/// Starts a node whose backend servers of the plain service do `work`, and waits for these only.
+fn start_plain(work: StandinWork) -> PlatformNodes {
+    let nodes = PlatformNodes::start(1, 2);
+    nodes.standin.set_work(work);
+    nodes.wait("the plain service responds", |nodes| {
+        nodes.is_ready(0) && nodes.request(0, "probe", "/lookups/x", KEY).status_code == 200
+    });
+    nodes
+}
+
+/// Guards against requests that a reload cuts or refuses, whether the settings are changed, the same, invalid or gone.
+#[test]
+fn reloads_cut_no_request() {
+    let nodes = start_nodes(2, short_work());
+    let file = &nodes.settings[0];
+    let good = fs::read_to_string(file).expect("settings");
+    let requests = call_during(&nodes, 0, &ALL_CALLERS, || {
+        for round in 0..3 {
+            let steps: [&dyn Fn(); 7] = [
+                &|| {},
+                &|| write_settings(file, &good, &json!({"repeat_slack": 0}), "debug"),
+                &|| write_settings(file, &good, &json!({"stop_grace": "1s"}), "info"),
+                &|| fs::write(file, "node: [").expect("the settings can be written"),
+                &|| fs::write(file, "").expect("the settings can be written"),
+                &|| fs::remove_file(file).expect("the settings can be removed"),
+                &|| fs::write(file, &good).expect("the settings can be written"),
+            ];
+            for step in steps {
+                step();
+                for _ in 0..=round {
+                    nodes.nodes[0].send_hangup();
+                }
+                thread::sleep(CHANGE_INTERVAL);
+            }
+        }
+    });
+    let report = ChangeReport::of(&nodes, &short_work(), requests);
+    report.assert_nothing_lost("reloads");
+    assert_eq!(report.count(200), report.requests.len(), "of all requests");
+    let log = nodes.log(0);
+    for event in ["refused", "changed", "unchanged", "unreadable"] {
+        assert!(log.contains(&format!("event=settings_{event} ")), "{event}");
+    }
+    assert!(nodes.is_ready(0));
+}
+
+/// Guards against accepted requests that a change of the configuration cuts, and against requests that are read and not
+/// answered, while routes, services, keys, time-outs, connections and slots change in quick succession.
+#[test]
+fn configuration_changes_cut_no_request() {
+    let nodes = start_nodes(2, short_work());
+    let changes: [fn(&mut Value); 10] = [
+        |config| config["routes"] = json!([]),
+        |_| {},
+        |config| config["tenants"][0]["apiKeys"] = json!(["other"]),
+        |config| set_routes(config, "timeoutMs", &json!(3000)),
+        |config| set_routes(config, "timeoutMs", &json!(60_000)),
+        |config| config["services"][1]["maxConns"] = json!(1),
+        |config| config["services"][0]["maxConns"] = json!(2),
+        |config| config["services"][0]["engine"]["slots"] = json!(1),
+        |config| {
+            let routes = config["routes"].as_array_mut().expect("routes");
+            let lookups = routes.iter_mut().filter(|route| route["name"] == "lookups");
+            lookups.for_each(|route| route["service"] = json!("engines"));
+        },
+        |config| {
+            let services = config["services"].as_array_mut().expect("services");
+            services.retain(|service| service["name"] != "ledger");
+        },
+    ];
+    let requests = call_during(&nodes, 0, &ALL_CALLERS, || {
+        let mut version = 1;
+        for _ in 0..3 {
+            for change in changes {
+                version += 1;
+                let mut config = config_version(&nodes, version);
+                change(&mut config);
+                nodes.standin.set_config(&config);
+                thread::sleep(CHANGE_INTERVAL);
+            }
+        }
+        nodes.standin.set_config(&config_version(&nodes, 100));
+        thread::sleep(TIME_BEFORE_CHANGE);
+    });
+    let report = ChangeReport::of(&nodes, &short_work(), requests);
+    report.assert_nothing_lost("configuration changes");
+    assert!(report.count(404) > 0 && report.count(401) > 0);
+}
+
+/// Guards against limits of callers that, when they are lowered, cut requests that were accepted before, or refuse
+/// later ones without an answer.
+#[test]
+fn lowered_caller_limits_cut_no_request() {
+    let nodes = start_nodes(2, short_work());
+    let limits = [
+        json!({"maxHeaderBytes": 16384, "maxBodyBytes": 50, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}),
+        json!({"maxHeaderBytes": 100, "maxBodyBytes": 4096, "headerTimeoutMs": 100, "idleTimeoutMs": 150}),
+        json!({"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 20}),
+        json!({"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}),
+    ];
+    let requests = call_during(&nodes, 0, &ALL_CALLERS, || {
+        let mut version = 1;
+        for limits in limits.iter().cycle().take(8) {
+            version += 1;
+            let mut config = config_version(&nodes, version);
+            config["limits"] = limits.clone();
+            nodes.standin.set_config(&config);
+            thread::sleep(2 * CHANGE_INTERVAL);
+        }
+    });
+    let report = ChangeReport::of(&nodes, &short_work(), requests);
+    report.assert_nothing_lost("limits of callers");
+    assert!(report.count(413) > 0 && report.count(408) > 0);
+}
+
+/// Guards against answers that are cut because their caller reads them for longer than a connection may be idle.
+#[test]
+fn slow_readers_get_whole_answers_under_a_short_idle_time() {
+    let work = StandinWork {
+        answer_bytes: Some(15 << 20),
+        ..short_work()
+    };
+    let nodes = start_plain(work);
+    let mut config = config_version(&nodes, 2);
+    config["limits"]["headerTimeoutMs"] = json!(100);
+    config["limits"]["idleTimeoutMs"] = json!(100);
+    nodes.standin.set_config(&config);
+    wait_version(&nodes, 2);
+    let readers = [(CallerStyle::SlowReader, "/lookups/x"); 4];
+    let requests = call_during(&nodes, 0, &readers, || thread::sleep(TIME_BEFORE_CHANGE));
+    ChangeReport::of(&nodes, &work, requests).assert_nothing_lost("slow readers");
+}
+
+/// Guards against a configuration that acts on requests accepted before it: all that are open when everything is taken
+/// away get their whole answers.
+#[test]
+fn open_requests_end_under_the_configuration_that_accepted_them() {
+    let work = long_work();
+    let nodes = start_nodes(2, work);
+    let mut config = config_version(&nodes, 2);
+    set_routes(&mut config, "timeoutMs", &json!(100));
+    config["routes"].as_array_mut().expect("routes").remove(0);
+    config["tenants"][0]["apiKeys"] = json!(["other"]);
+    config["services"][0]["maxConns"] = json!(1);
+    config["services"][1]["maxConns"] = json!(1);
+    config["services"][0]["engine"]["slots"] = json!(1);
+    config["limits"] =
+        json!({"maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1, "idleTimeoutMs": 1});
+    let mut changed = Instant::now();
+    // The second request of a pipelined pair is accepted when the first has ended, so there are none.
+    let requests = call_during(&nodes, 0, &unpipelined_callers(), || {
+        changed = Instant::now();
+        nodes.standin.set_config(&config);
+        thread::sleep(TIME_BEFORE_CHANGE);
+    });
+    let log = nodes.log(0);
+    assert!(log.contains("event=config_in_force version=2"), "{log}");
+    let report = ChangeReport::of(&nodes, &work, requests);
+    report.assert_nothing_lost("everything taken away");
+    let requests = report.requests.iter();
+    let accepted = requests.filter(|request| request.sent + ACCEPT_TIME < changed);
+    let refused: Vec<_> = accepted.filter(|request| !request.is_served()).collect();
+    assert!(refused.is_empty(), "sent before the change: {refused:#?}");
+}
+
+/// Guards against streams that a change of the group size cuts, and against groups that do not serve after it.
+#[test]
+fn changed_group_size_cuts_no_stream() {
+    let nodes = start_nodes(2, short_work());
+    let mut config = config_version(&nodes, 2);
+    config["services"][0]["engine"]["models"][0]["size"] = json!(4);
+    let callers = [CallerStyle::Busy, CallerStyle::Idle, CallerStyle::Fresh];
+    let callers = callers.map(|style| (style, "/drafts/x"));
+    let requests = call_during(&nodes, 0, &callers, || {
+        nodes.standin.set_config(&config);
+        wait_version(&nodes, 2);
+        nodes.wait("groups of the new size serve", |nodes| {
+            let groups = nodes.standin.serving_groups();
+            groups.iter().any(|group| group.len() == 4)
+                && nodes.request(0, "probe", "/drafts/x", KEY).status_code == 200
+        });
+    });
+    ChangeReport::of(&nodes, &short_work(), requests).assert_nothing_lost("group size");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,8 @@
 //! Waits have generous time limits, so no result depends on the speed of the machine.
 
 mod at_most_once;
+mod change_callers;
+mod changes_under_load;
 mod cluster_state;
 mod config_validation;
 mod deployment;
@@ -23,6 +25,7 @@
 mod saved_log;
 mod service;
 mod serving;
+mod signals_under_load;
 mod store_faults;
 mod store_restores;
 mod traces;
--- a/tests/all/raw_callers.rs
+++ b/tests/all/raw_callers.rs
@@ -8,6 +8,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -121,11 +122,20 @@
 impl RawCaller {
     /// Sends requests until a connection is refused, and returns them in order.
     pub fn call_until_gone(&self) -> Vec<RawRequest> {
+        self.call_until(&AtomicBool::new(false))
+    }
+
+    /// The same, also until `is_over`.
+    pub fn call_until(&self, is_over: &AtomicBool) -> Vec<RawRequest> {
         let mut requests = Vec::new();
         let address = SocketAddr::new(self.address, CALLERS_PORT);
-        while let Ok(stream) = TcpStream::connect_timeout(&address, READ_TIMEOUT) {
+        while !is_over.load(Ordering::Relaxed)
+            && let Ok(stream) = TcpStream::connect_timeout(&address, READ_TIMEOUT)
+        {
             let mut connection = RawConnection::new(stream);
-            while self.use_connection(&mut connection, &mut requests) {}
+            while self.use_connection(&mut connection, &mut requests)
+                && !is_over.load(Ordering::Relaxed)
+            {}
         }
         requests
     }
