Reproduce a raised header limit that open connections do not get

Operators who raise `maxHeaderBytes` see callers on connections that they have kept open go on getting 431 for requests that the configuration in force allows, with an empty body that names no verdict, and a closed connection.

Cause: `serve_connection` (entry/callers.rs) reads the limits when it accepts a connection, and gives the header limit to the HTTP library as its buffer size for as long as the connection lives.

`raised_header_limit_holds_on_open_connections` fails: after a change from 8192 to 32768 bytes, a request with 20,000 bytes of headers on an open connection gets "HTTP/1.1 431 Request Header Fields Too Large, 0 bytes".

--- a/tests/all/changes_under_load.rs
+++ b/tests/all/changes_under_load.rs
@@ -1,6 +1,11 @@
 //! Reloads and configuration changes at nodes on the platform, while callers use them.
 
 use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -183,6 +188,45 @@
     ChangeReport::of(&nodes, &work, requests).assert_nothing_lost("slow readers");
 }
 
+/// Guards against raised limits that do not hold on connections that are already open.
+#[test]
+fn raised_header_limit_holds_on_open_connections() {
+    let nodes = start_plain(short_work());
+    let mut config = config_version(&nodes, 2);
+    config["limits"]["maxHeaderBytes"] = json!(8192);
+    nodes.standin.set_config(&config);
+    wait_version(&nodes, 2);
+    let address = nodes.addresses[0];
+    let mut stream = TcpStream::connect((address, 7700)).expect("the node listens");
+    let mut status_of = |id: &str, padding: usize| {
+        let padding = "a".repeat(padding);
+        let text = format!(
+            "GET /lookups/{id} HTTP/1.1\r\nHost: {address}\r\nX-Request-Id: {id}\r\nApi-Key: {KEY}\r\nX-Padding: {padding}\r\n\r\n"
+        );
+        stream
+            .write_all(text.as_bytes())
+            .expect("the request can be sent");
+        let mut reader = BufReader::new(&mut stream);
+        let mut lines = reader.by_ref().lines().map_while(Result::ok);
+        let status = lines.next().unwrap_or_default();
+        let rest: Vec<String> = lines.take_while(|line| !line.is_empty()).collect();
+        let length = rest
+            .iter()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        let length = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+        let body = reader.take(length).bytes().count();
+        println!("{id}: {status}, {body} bytes");
+        status
+    };
+    assert!(status_of("before", 0).contains(" 200 "));
+    let mut config = config_version(&nodes, 3);
+    config["limits"]["maxHeaderBytes"] = json!(32768);
+    nodes.standin.set_config(&config);
+    wait_version(&nodes, 3);
+    let status = status_of("after", 20_000);
+    assert!(status.contains(" 200 "), "{status}");
+}
+
 /// Guards against a configuration that acts on requests accepted before it: all that are open when everything is taken
 /// away get their whole answers.
 #[test]
