Reproduce the requests that a stop with repeated signals cuts

`signals_and_reloads_do_not_change_a_stop` stops the holder of the lease with SIGINT while the store is down, and sends it SIGTERM, SIGINT, SIGHUPs and other values of `stop_grace` meanwhile. None of these changes the stop: it hands over the lease once and exits with 0 after its usual time.

--- a/tests/all/signals_under_load.rs
+++ b/tests/all/signals_under_load.rs
@@ -1,13 +1,60 @@
 //! Signals and reloads around planned stops of nodes on the platform, while callers use them.
 
+use std::fs;
 use std::thread;
 use std::time::Duration;
 
+use rustix::process::Signal;
+use serde_json::json;
+
 use crate::change_callers::ALL_CALLERS;
+use crate::change_callers::CHANGE_INTERVAL;
+use crate::change_callers::ChangeReport;
 use crate::change_callers::call_during;
 use crate::change_callers::is_told;
+use crate::change_callers::short_work;
+use crate::change_callers::start_nodes;
+use crate::change_callers::write_settings;
 use crate::platform_nodes::PlatformNodes;
 
+/// Time after which all nodes have told each other that the store is down.
+const OUTAGE_DETECTION_TIME: Duration = Duration::from_millis(1500);
+
+/// Guards against signals and changed settings that shorten a stop or cut requests in it, also while the store is down
+/// and the node holds the lease.
+#[test]
+fn signals_and_reloads_do_not_change_a_stop() {
+    let mut nodes = start_nodes(3, short_work());
+    let holder = (0..3).find(|node| nodes.log(*node).contains("event=lease_acquired"));
+    let holder = holder.expect("a node that holds the lease");
+    let mut process = nodes.nodes.remove(holder);
+    let file = &nodes.settings[holder];
+    let good = fs::read_to_string(file).expect("settings");
+    let requests = call_during(&nodes, holder, &ALL_CALLERS, || {
+        nodes.standin.set_store_down(true);
+        thread::sleep(OUTAGE_DETECTION_TIME);
+        process.signal(Signal::INT);
+        let settings = ["1s", "8s", "0s"];
+        for (signal, grace) in [Signal::TERM, Signal::HUP, Signal::INT]
+            .into_iter()
+            .zip(settings)
+        {
+            thread::sleep(CHANGE_INTERVAL);
+            write_settings(file, &good, &json!({"stop_grace": grace}), "info");
+            process.signal(Signal::HUP);
+            process.signal(Signal::HUP);
+            process.signal(signal);
+        }
+        assert_eq!(process.wait_exit(), Some(0), "{}", nodes.log(holder));
+    });
+    let log = nodes.log(holder);
+    assert!(log.contains("event=stopped"), "{log}");
+    assert!(log.contains("event=lease_handed_over"), "{log}");
+    assert_eq!(log.matches("event=stopping ").count(), 1, "{log}");
+    let report = ChangeReport::of(&nodes, &short_work(), requests);
+    report.assert_nothing_lost("signals in a stop");
+}
+
 /// Guards against a stop before the first configuration that hangs, or that leaves requests unanswered, and against a
 /// process that a signal in its first milliseconds keeps from ending.
 #[test]
