Reproduce a stop that outlasts a short grace period

With a `stop_grace` of 1 s or 0 s the platform would kill a stopping node before it has ended its connections and named the requests that it cuts.

Cause: the loop of `stop` (entry/stop.rs) compares the time with the limit only after `ACCEPT_PERIOD` (3.3 s), so that every stop lasts at least 3.4 s.

--- a/tests/all/signals_under_load.rs
+++ b/tests/all/signals_under_load.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rustix::process::Signal;
 use serde_json::json;
@@ -12,10 +13,13 @@
 use crate::change_callers::ChangeReport;
 use crate::change_callers::call_during;
 use crate::change_callers::is_told;
+use crate::change_callers::long_work;
 use crate::change_callers::short_work;
 use crate::change_callers::start_nodes;
+use crate::change_callers::unpipelined_callers;
 use crate::change_callers::write_settings;
 use crate::platform_nodes::PlatformNodes;
+use crate::raw_callers::RawRequest;
 
 /// Time after which all nodes have told each other that the store is down.
 const OUTAGE_DETECTION_TIME: Duration = Duration::from_millis(1500);
@@ -55,6 +59,60 @@
     report.assert_nothing_lost("signals in a stop");
 }
 
+/// Guards against a process that outlives a short time between SIGTERM and SIGKILL, which cuts its requests without a
+/// line in the log.
+#[test]
+fn short_grace_ends_the_process_in_time_and_names_what_it_cuts() {
+    let mut nodes = start_nodes(3, long_work());
+    let mut processes: Vec<_> = nodes.nodes.drain(..2).collect();
+    let nodes = &nodes;
+    let reports: Vec<_> = thread::scope(|scope| {
+        let stops = processes.iter_mut().zip(["0s", "1s"]).enumerate();
+        let stops: Vec<_> = stops
+            .map(|(node, (process, grace))| {
+                scope.spawn(move || {
+                    let file = &nodes.settings[node];
+                    let good = fs::read_to_string(file).expect("settings");
+                    write_settings(file, &good, &json!({"stop_grace": grace}), "info");
+                    process.send_hangup();
+                    let mut exit_after = Duration::ZERO;
+                    let requests = call_during(nodes, node, &unpipelined_callers(), || {
+                        let stopped = Instant::now();
+                        process.terminate();
+                        assert_eq!(process.wait_exit(), Some(0));
+                        exit_after = stopped.elapsed();
+                    });
+                    (exit_after, ChangeReport::of(nodes, &long_work(), requests))
+                })
+            })
+            .collect();
+        let stops = stops.into_iter();
+        stops
+            .map(|stop| stop.join().expect("no stop panics"))
+            .collect()
+    });
+    for (node, (exit_after, report)) in reports.iter().enumerate() {
+        let log = nodes.log(node);
+        let is_named = |request: &RawRequest| {
+            log.contains(&format!("request={} result=cut_by_shutdown", request.id))
+        };
+        let unnamed = report.lost.iter().filter(|request| !is_named(request));
+        let unnamed: Vec<_> = unnamed.collect();
+        println!(
+            "node {node}: exit after {exit_after:?}, {} cut, {} of them not named, {} unclear",
+            report.lost.len(),
+            unnamed.len(),
+            report.unclear.len()
+        );
+        assert!(log.contains("event=settings_changed"), "{log}");
+        assert!(unnamed.is_empty(), "{unnamed:#?}\n{log}");
+        assert!(report.unclear.is_empty(), "{:#?}", report.unclear);
+    }
+    let exits: Vec<_> = reports.iter().map(|(exit_after, _)| exit_after).collect();
+    let is_late = |exit: &&&Duration| ***exit > Duration::from_secs(1);
+    assert_eq!(exits.iter().filter(is_late).count(), 0, "{exits:?}");
+}
+
 /// Guards against a stop before the first configuration that hangs, or that leaves requests unanswered, and against a
 /// process that a signal in its first milliseconds keeps from ending.
 #[test]
