Apply settings that change while the node starts

A settings file that was changed in the first milliseconds of a node was never applied: a SIGHUP logged `settings_unchanged`, and the node ran on with the settings that it had read first, until the file changed again. A SIGHUP for an invalid file that had been refused before also logged `settings_unchanged`.

Cause: the task that watches the file compared its text with what it read itself when it began, not with what the settings in force were read from.

The task now compares the parsed settings with those in force, and parses the file again at each SIGHUP.

`settings_changed_during_the_start_are_applied` uses a named pipe, which shows the node other settings with each read. Run without the fix: "condition not met within 60s: the changed settings are applied", since the read when the task began took them. With the fix it passes in 0.17 s.

--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -83,7 +83,8 @@
 /// Watches the settings file and applies changes. `hangup` triggers an immediate check. Never returns.
 pub async fn watch_settings(node: Rc<EntryNode>, path: PathBuf, hangup: Rc<Notify>) {
     let mut in_force = node.settings.clone();
-    let mut last_text = fs::read_to_string(&path).unwrap_or_default();
+    // The file may have changed since the settings in force were read.
+    let mut last_text = None;
     loop {
         let is_requested = timeout(CHECK_INTERVAL, hangup.notified()).await.is_ok();
         let text = match fs::read_to_string(&path) {
@@ -98,14 +99,18 @@
                 continue;
             }
         };
-        if text == last_text {
-            if is_requested {
-                log::info!("event=settings_unchanged file={}", path.display());
-            }
+        let is_known = last_text.as_ref() == Some(&text);
+        if is_known && !is_requested {
             continue;
         }
-        last_text.clone_from(&text);
-        match parse_settings(&path.display().to_string(), &text) {
+        let result = parse_settings(&path.display().to_string(), &text);
+        last_text = Some(text);
+        match result {
+            Ok(new) if new == in_force => {
+                if is_requested {
+                    log::info!("event=settings_unchanged file={}", path.display());
+                }
+            }
             Ok(new) => {
                 apply_settings(&node, &in_force, &new);
                 in_force = new;
--- a/tests/all/changes_under_load.rs
+++ b/tests/all/changes_under_load.rs
@@ -6,6 +6,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
+use std::process::Command;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -278,3 +279,30 @@
     });
     ChangeReport::of(&nodes, &short_work(), requests).assert_nothing_lost("group size");
 }
+
+/// Guards against changed settings that are not applied because the node reads them while it starts. A named pipe as
+/// the file shows other settings with each read.
+#[test]
+fn settings_changed_during_the_start_are_applied() {
+    let mut nodes = PlatformNodes::start(1, 2);
+    let starts = |nodes: &PlatformNodes| nodes.log(0).matches("event=started").count();
+    nodes.wait("the node starts", |nodes| starts(nodes) == 1);
+    nodes.kill(0);
+    let file = nodes.settings[0].clone();
+    let first = fs::read_to_string(&file).expect("settings");
+    let mut changed: Value = serde_json::from_str(&first).expect("settings");
+    changed["log_level"] = json!("debug");
+    fs::remove_file(&file).expect("the settings can be removed");
+    let made = Command::new("mkfifo").arg(&file).status();
+    assert!(made.is_ok_and(|status| status.success()));
+    nodes.start_again(0);
+    fs::write(&file, first).expect("the node reads the settings");
+    nodes.wait("the node starts again", |nodes| starts(nodes) == 2);
+    nodes.nodes[0].send_hangup();
+    fs::write(&file, changed.to_string()).expect("the node reads the settings");
+    nodes.wait("the changed settings are applied", |nodes| {
+        nodes
+            .log(0)
+            .contains("event=settings_changed applied=\"log_level=debug\"")
+    });
+}
--- a/tests/all/platform_nodes.rs
+++ b/tests/all/platform_nodes.rs
@@ -103,6 +103,12 @@
         let mut settings: Value = serde_json::from_str(&text).expect("settings");
         settings["is_first_start"] = json!(false);
         fs::write(file, settings.to_string()).expect("the settings can be written");
+        self.start_again(node);
+    }
+
+    /// Starts a killed node again with the settings that its file holds.
+    pub fn start_again(&mut self, node: usize) {
+        let file = &self.settings[node];
         let log = file.with_extension(format!("{}.log", self.logs[node].len()));
         self.nodes[node] = spawn_node(file, &log);
         self.logs[node].push(log);
