Keep the names of the wire out of the tests of configuration changes

The stand-in now offers the changes as `ConfigEdit`, and the tests name these.

The tests check the same as before.

--- a/tests/all/changes_under_load.rs
+++ b/tests/all/changes_under_load.rs
@@ -11,8 +11,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jaysaddle_platform_standin::ConfigEdit;
 use jaysaddle_platform_standin::StandinWork;
 use jaysaddle_platform_standin::add_plain_routes;
+use jaysaddle_platform_standin::request_headers;
 use jaysaddle_platform_standin::stream_config;
 use serde_json::Value;
 use serde_json::json;
@@ -34,11 +36,14 @@
 /// Time from the last byte of a request until the node has accepted it.
 const ACCEPT_TIME: Duration = Duration::from_millis(200);
 
-/// The configuration of [`PlatformNodes`] in another version.
-fn config_version(nodes: &PlatformNodes, version: u64) -> Value {
+/// Changes the configuration of [`PlatformNodes`].
+fn set_config(nodes: &PlatformNodes, version: u64, edits: &[ConfigEdit]) {
     let mut config = stream_config(version, &nodes.addresses, KEY);
     add_plain_routes(&mut config, &nodes.addresses);
-    config
+    for edit in edits {
+        edit.apply(&mut config);
+    }
+    nodes.standin.set_config(&config);
 }
 
 /// Waits until the first node applies a configuration.
@@ -49,13 +54,6 @@
     });
 }
 
-/// Sets a field of every route.
-fn set_routes(config: &mut Value, field: &str, value: &Value) {
-    for route in config["routes"].as_array_mut().expect("routes") {
-        route[field] = value.clone();
-    }
-}
-
 /// Starts a node whose backend servers of the plain service do `work`, and waits for these only.
 fn start_plain(work: StandinWork) -> PlatformNodes {
     let nodes = PlatformNodes::start(1, 2);
@@ -107,37 +105,24 @@
 #[test]
 fn configuration_changes_cut_no_request() {
     let nodes = start_nodes(2, short_work());
-    let changes: [fn(&mut Value); 10] = [
-        |config| config["routes"] = json!([]),
-        |_| {},
-        |config| config["tenants"][0]["apiKeys"] = json!(["other"]),
-        |config| set_routes(config, "timeoutMs", &json!(3000)),
-        |config| set_routes(config, "timeoutMs", &json!(60_000)),
-        |config| config["services"][1]["maxConns"] = json!(1),
-        |config| config["services"][0]["maxConns"] = json!(2),
-        |config| config["services"][0]["engine"]["slots"] = json!(1),
-        |config| {
-            let routes = config["routes"].as_array_mut().expect("routes");
-            let lookups = routes.iter_mut().filter(|route| route["name"] == "lookups");
-            lookups.for_each(|route| route["service"] = json!("engines"));
-        },
-        |config| {
-            let services = config["services"].as_array_mut().expect("services");
-            services.retain(|service| service["name"] != "ledger");
-        },
+    let changes: [&[ConfigEdit]; 10] = [
+        &[ConfigEdit::RemoveRoutes],
+        &[],
+        &[ConfigEdit::Key("other")],
+        &[ConfigEdit::RouteTimeout(Duration::from_secs(3))],
+        &[ConfigEdit::RouteTimeout(Duration::from_secs(60))],
+        &[ConfigEdit::PlainConnections(1)],
+        &[ConfigEdit::EngineConnections(2)],
+        &[ConfigEdit::Slots(1)],
+        &[ConfigEdit::MoveLookups],
+        &[ConfigEdit::RemovePlainService],
     ];
     let requests = call_during(&nodes, 0, &ALL_CALLERS, || {
-        let mut version = 1;
-        for _ in 0..3 {
-            for change in changes {
-                version += 1;
-                let mut config = config_version(&nodes, version);
-                change(&mut config);
-                nodes.standin.set_config(&config);
-                thread::sleep(CHANGE_INTERVAL);
-            }
+        for (version, edits) in (2..).zip(changes.iter().cycle().take(3 * changes.len())) {
+            set_config(&nodes, version, edits);
+            thread::sleep(CHANGE_INTERVAL);
         }
-        nodes.standin.set_config(&config_version(&nodes, 100));
+        set_config(&nodes, 100, &[]);
         thread::sleep(TIME_BEFORE_CHANGE);
     });
     let report = ChangeReport::of(&nodes, &short_work(), requests);
@@ -150,19 +135,19 @@
 #[test]
 fn lowered_caller_limits_cut_no_request() {
     let nodes = start_nodes(2, short_work());
-    let limits = [
-        json!({"maxHeaderBytes": 16384, "maxBodyBytes": 50, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}),
-        json!({"maxHeaderBytes": 100, "maxBodyBytes": 4096, "headerTimeoutMs": 100, "idleTimeoutMs": 150}),
-        json!({"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 20}),
-        json!({"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}),
+    let changes: [&[ConfigEdit]; 4] = [
+        &[ConfigEdit::BodyBytes(50)],
+        &[
+            ConfigEdit::HeaderBytes(100),
+            ConfigEdit::HeaderTime(Duration::from_millis(100)),
+            ConfigEdit::IdleTime(Duration::from_millis(150)),
+        ],
+        &[ConfigEdit::IdleTime(Duration::from_millis(20))],
+        &[],
     ];
     let requests = call_during(&nodes, 0, &ALL_CALLERS, || {
-        let mut version = 1;
-        for limits in limits.iter().cycle().take(8) {
-            version += 1;
-            let mut config = config_version(&nodes, version);
-            config["limits"] = limits.clone();
-            nodes.standin.set_config(&config);
+        for (version, edits) in (2..).zip(changes.iter().cycle().take(2 * changes.len())) {
+            set_config(&nodes, version, edits);
             thread::sleep(2 * CHANGE_INTERVAL);
         }
     });
@@ -179,10 +164,9 @@
         ..short_work()
     };
     let nodes = start_plain(work);
-    let mut config = config_version(&nodes, 2);
-    config["limits"]["headerTimeoutMs"] = json!(100);
-    config["limits"]["idleTimeoutMs"] = json!(100);
-    nodes.standin.set_config(&config);
+    let short = Duration::from_millis(100);
+    let edits = [ConfigEdit::HeaderTime(short), ConfigEdit::IdleTime(short)];
+    set_config(&nodes, 2, &edits);
     wait_version(&nodes, 2);
     let readers = [(CallerStyle::SlowReader, "/lookups/x"); 4];
     let requests = call_during(&nodes, 0, &readers, || thread::sleep(TIME_BEFORE_CHANGE));
@@ -193,16 +177,18 @@
 #[test]
 fn raised_header_limit_holds_on_open_connections() {
     let nodes = start_plain(short_work());
-    let mut config = config_version(&nodes, 2);
-    config["limits"]["maxHeaderBytes"] = json!(8192);
-    nodes.standin.set_config(&config);
+    set_config(&nodes, 2, &[ConfigEdit::HeaderBytes(8192)]);
     wait_version(&nodes, 2);
     let address = nodes.addresses[0];
     let mut stream = TcpStream::connect((address, 7700)).expect("the node listens");
     let mut status_of = |id: &str, padding: usize| {
         let padding = "a".repeat(padding);
+        let headers: String = request_headers(id, KEY)
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"))
+            .collect();
         let text = format!(
-            "GET /lookups/{id} HTTP/1.1\r\nHost: {address}\r\nX-Request-Id: {id}\r\nApi-Key: {KEY}\r\nX-Padding: {padding}\r\n\r\n"
+            "GET /lookups/x HTTP/1.1\r\nHost: {address}\r\n{headers}Padding: {padding}\r\n\r\n"
         );
         stream
             .write_all(text.as_bytes())
@@ -220,9 +206,7 @@
         status
     };
     assert!(status_of("before", 0).contains(" 200 "));
-    let mut config = config_version(&nodes, 3);
-    config["limits"]["maxHeaderBytes"] = json!(32768);
-    nodes.standin.set_config(&config);
+    set_config(&nodes, 3, &[ConfigEdit::HeaderBytes(32768)]);
     wait_version(&nodes, 3);
     let status = status_of("after", 20_000);
     assert!(status.contains(" 200 "), "{status}");
@@ -234,20 +218,23 @@
 fn open_requests_end_under_the_configuration_that_accepted_them() {
     let work = long_work();
     let nodes = start_nodes(2, work);
-    let mut config = config_version(&nodes, 2);
-    set_routes(&mut config, "timeoutMs", &json!(100));
-    config["routes"].as_array_mut().expect("routes").remove(0);
-    config["tenants"][0]["apiKeys"] = json!(["other"]);
-    config["services"][0]["maxConns"] = json!(1);
-    config["services"][1]["maxConns"] = json!(1);
-    config["services"][0]["engine"]["slots"] = json!(1);
-    config["limits"] =
-        json!({"maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1, "idleTimeoutMs": 1});
+    let edits = [
+        ConfigEdit::RouteTimeout(Duration::from_millis(100)),
+        ConfigEdit::RemoveFirstRoute,
+        ConfigEdit::Key("other"),
+        ConfigEdit::EngineConnections(1),
+        ConfigEdit::PlainConnections(1),
+        ConfigEdit::Slots(1),
+        ConfigEdit::HeaderBytes(1),
+        ConfigEdit::BodyBytes(1),
+        ConfigEdit::HeaderTime(Duration::from_millis(1)),
+        ConfigEdit::IdleTime(Duration::from_millis(1)),
+    ];
     let mut changed = Instant::now();
     // The second request of a pipelined pair is accepted when the first has ended, so there are none.
     let requests = call_during(&nodes, 0, &unpipelined_callers(), || {
         changed = Instant::now();
-        nodes.standin.set_config(&config);
+        set_config(&nodes, 2, &edits);
         thread::sleep(TIME_BEFORE_CHANGE);
     });
     let log = nodes.log(0);
@@ -264,12 +251,10 @@
 #[test]
 fn changed_group_size_cuts_no_stream() {
     let nodes = start_nodes(2, short_work());
-    let mut config = config_version(&nodes, 2);
-    config["services"][0]["engine"]["models"][0]["size"] = json!(4);
     let callers = [CallerStyle::Busy, CallerStyle::Idle, CallerStyle::Fresh];
     let callers = callers.map(|style| (style, "/drafts/x"));
     let requests = call_during(&nodes, 0, &callers, || {
-        nodes.standin.set_config(&config);
+        set_config(&nodes, 2, &[ConfigEdit::GroupSize(4)]);
         wait_version(&nodes, 2);
         nodes.wait("groups of the new size serve", |nodes| {
             let groups = nodes.standin.serving_groups();
