Apply a raised header limit to open connections

What callers saw: after the operator has raised the header limit, requests with long headers on connections that were open before get 431 with an empty body, no verdict and a closed connection, although the configuration in force allows them.

Cause: the HTTP library takes the limit as the size of its buffer when a connection is accepted, and keeps it.

The buffer now has room for 64 KiB at least, and the node compares each request's head with the limit of the configuration that it is handled under. A head above it is refused with 431, headers_too_large, not_run. raised_header_limit_holds_on_open_connections fails before (431 after the change) and passes now.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -116,6 +116,23 @@
     map.get(name)?.to_str().ok()
 }
 
+/// Number of bytes of a request head: the request line, the header lines and the empty line.
+pub fn head_bytes(parts: &http::request::Parts) -> usize {
+    const REQUEST_LINE_EXTRA: usize = "  HTTP/1.1\r\n".len();
+    const HEADER_LINE_EXTRA: usize = ": \r\n".len();
+    const EMPTY_LINE: usize = "\r\n".len();
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
+    let request_line = parts.method.as_str().len() + target + REQUEST_LINE_EXTRA;
+    let header_lines = parts.headers.iter();
+    let header_lines: usize = header_lines
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_EXTRA)
+        .sum();
+    request_line + header_lines + EMPTY_LINE
+}
+
 /// Reads the whole body of a request within the configured size and time limits.
 pub async fn read_body(body: Incoming, limits: &ClientLimits) -> Result<Bytes, RequestFailure> {
     let limited = Limited::new(body, limits.body_bytes);
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -12,8 +12,9 @@
 use crate::listener::ResponseFuture;
 use crate::node::EntryNode;
 
-/// Minimum header buffer size that the HTTP library accepts.
-const MIN_HEADER_BYTES: usize = 8192;
+/// Minimum size of the buffer for a request head, in bytes. It cannot grow while a connection is open, so it leaves room
+/// for a configuration that raises the limit.
+const MIN_HEAD_BUFFER: usize = 64 * 1024;
 
 /// Serves callers' requests by forwarding them to backend servers.
 pub struct CallerHandler {
@@ -39,7 +40,7 @@
             // The library's timeout also covers the idle time before the headers, so it must not be shorter than the
             // time for which callers keep idle connections.
             read_time: limits.idle_time.as_duration() + limits.header_time.as_duration(),
-            bytes: limits.header_bytes.max(MIN_HEADER_BYTES),
+            bytes: limits.header_bytes.max(MIN_HEAD_BUFFER),
         }
     }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -25,6 +25,7 @@
 use crate::attempt::ActiveAttempt;
 use crate::attempt::send_with_retries;
 use crate::caller_request::CallerRequest;
+use crate::caller_request::head_bytes;
 use crate::caller_request::header_text;
 use crate::caller_request::read_body;
 use crate::caller_request::strip_connection_headers;
@@ -105,6 +106,12 @@
 ) -> Result<CallerResponse, RequestFailure> {
     let (parts, body) = incoming.into_parts();
     let (route, limits) = find_route(node, &parts)?;
+    if head_bytes(&parts) > limits.header_bytes {
+        return Err(RequestFailure::not_run(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "headers_too_large",
+        ));
+    }
     let ends_by = report.received() + time_limit(&parts.headers, &route);
     check_shutdown(node, &route, ends_by)?;
     let body = tokio::select! {
