Keep the boundaries of requests when a connection is served again

A 413 to a request with a large body was followed by a 431 to the rest of that body. Text in a body that reads like a request would have been refused and logged as one, never run.

Cause: what an earlier pass over the connection had not read was replaced by what the later one gave back, so bytes were lost. And the next pass took whatever was unread for a request, also the body of a request that was answered before its body was read.

Bytes that are given back go before those that are still unread. The body of a request tells whether it was read to its end, and only then is what follows a request. Refusing one reads its body, up to 64 KiB and 100 ms. A closed connection discards up to 16 MiB within its 2 s, so that a caller who is still sending a large body gets the refusal.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -19,7 +19,6 @@
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::RequestSize;
@@ -33,6 +32,7 @@
 use jaysaddle_types::units::Timestamp;
 use tokio::time::timeout;
 
+use crate::caller_body::CallerBody;
 use crate::exchange::RequestBody;
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
@@ -134,7 +134,7 @@
 }
 
 /// Reads the whole body of a request within the configured size and time limits.
-pub async fn read_body(body: Incoming, limits: &ClientLimits) -> Result<Bytes, RequestFailure> {
+pub async fn read_body(body: CallerBody, limits: &ClientLimits) -> Result<Bytes, RequestFailure> {
     let limited = Limited::new(body, limits.body_bytes);
     let wait = Duration::from_millis(limits.idle_time.as_millis());
     match timeout(wait, limited.collect()).await {
--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -17,10 +17,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Number of bytes that a closed connection discards before it is reset.
-const MAX_DISCARDED_BYTES: usize = 256 * 1024;
+/// Number of bytes that a closed connection discards before it is reset; more than the body of a request that was refused
+/// without being read.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
 /// Number of bytes read at once.
-const READ_BYTES: usize = 4096;
+const READ_BYTES: usize = 16 * 1024;
 
 /// TCP stream whose received bytes can be given back, to be read again.
 #[derive(Debug)]
@@ -46,17 +47,20 @@
     }
 
     /// Gives back bytes that were read and not used.
-    pub fn push_back(&mut self, bytes: Bytes) {
-        self.unread = bytes;
+    pub fn push_back(&mut self, bytes: &[u8]) {
+        if !bytes.is_empty() {
+            self.unread = [bytes, &self.unread].concat().into();
+        }
     }
 
     /// Whether bytes have been received that were not read, or were given back.
     pub fn has_unread(&mut self) -> bool {
         if self.unread.is_empty() {
-            let mut buffer = [0; READ_BYTES];
+            let mut buffer = vec![0; READ_BYTES];
             // An error or the end of the stream shows when the connection is closed.
             if let Ok(count) = self.stream.try_read(&mut buffer) {
-                self.unread = Bytes::copy_from_slice(&buffer[..count]);
+                buffer.truncate(count);
+                self.unread = buffer.into();
             }
         }
         !self.unread.is_empty()
@@ -67,7 +71,7 @@
     pub async fn linger(mut self, limit: Duration) {
         let closed = async {
             self.stream.shutdown().await?;
-            let mut buffer = [0; READ_BYTES];
+            let mut buffer = vec![0; READ_BYTES];
             let mut discarded = 0;
             while discarded < MAX_DISCARDED_BYTES {
                 match self.stream.read(&mut buffer).await? {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use http::Request;
-use hyper::body::Incoming;
 
+use crate::caller_body::CallerBody;
 use crate::forward;
 use crate::listener::HeadLimits;
 use crate::listener::RequestHandler;
@@ -55,11 +55,11 @@
         count.set(count.get() - 1);
     }
 
-    fn serve(&self, request: Request<Incoming>, _caller: IpAddr) -> ResponseFuture {
+    fn serve(&self, request: Request<CallerBody>, _caller: IpAddr) -> ResponseFuture {
         Box::pin(forward::handle(self.node.clone(), request))
     }
 
-    fn refuse(&self, request: Request<Incoming>) -> ResponseFuture {
+    fn refuse(&self, request: Request<CallerBody>) -> ResponseFuture {
         Box::pin(forward::refuse(self.node.clone(), request))
     }
 }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -8,7 +8,6 @@
 
 use http::Request;
 use http::StatusCode;
-use hyper::body::Incoming;
 use jaysaddle_adapter::directory::READY_PATH;
 use jaysaddle_adapter::directory::RESOLVE_PATH;
 use jaysaddle_adapter::directory::caller_failure_domain;
@@ -19,6 +18,7 @@
 
 use crate::address_list::ServingNode;
 use crate::address_list::select_addresses;
+use crate::caller_body::CallerBody;
 use crate::gauges;
 use crate::listener::HeadLimits;
 use crate::listener::RequestHandler;
@@ -71,12 +71,12 @@
         count.set(count.get() - 1);
     }
 
-    fn serve(&self, request: Request<Incoming>, caller: IpAddr) -> ResponseFuture {
+    fn serve(&self, request: Request<CallerBody>, caller: IpAddr) -> ResponseFuture {
         let response = respond(&self.node, &self.metrics, caller, &request);
         Box::pin(ready(response))
     }
 
-    fn refuse(&self, _request: Request<Incoming>) -> ResponseFuture {
+    fn refuse(&self, _request: Request<CallerBody>) -> ResponseFuture {
         Box::pin(ready(empty_response(StatusCode::SERVICE_UNAVAILABLE)))
     }
 }
@@ -85,7 +85,7 @@
     node: &EntryNode,
     metrics: &MetricsRenderer,
     caller: IpAddr,
-    request: &Request<Incoming>,
+    request: &Request<CallerBody>,
 ) -> CallerResponse {
     match request.uri().path() {
         READY_PATH if node.phase.get() == PeerPhase::Serving => empty_response(StatusCode::OK),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,6 +1,7 @@
 //! Handles a caller's request: route lookup, target selection, attempts and response.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -8,7 +9,6 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::peers::PeerPhase;
@@ -24,6 +24,7 @@
 
 use crate::attempt::ActiveAttempt;
 use crate::attempt::send_with_retries;
+use crate::caller_body::CallerBody;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::head_bytes;
 use crate::caller_request::header_text;
@@ -42,6 +43,10 @@
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Interval at which a wait checks whether a planned stop has brought the deadline forward.
 const DEADLINE_CHECK_INTERVAL: TimeSpan = TimeSpan(100);
+/// Maximum size of the body of a refused request that is read, in bytes.
+const MAX_REFUSED_BODY_BYTES: usize = 64 * 1024;
+/// Maximum time for reading the body of a refused request.
+const REFUSED_BODY_TIME: Duration = Duration::from_millis(100);
 /// Reason code of requests that are refused or cut because the node stops.
 const STOPPING_REASON: &str = "stopping";
 /// `Retry-After` of a stopping node while other nodes serve.
@@ -66,7 +71,7 @@
 }
 
 /// Handles a caller's request, including its logging.
-pub async fn handle(node: Rc<EntryNode>, incoming: Request<Incoming>) -> CallerResponse {
+pub async fn handle(node: Rc<EntryNode>, incoming: Request<CallerBody>) -> CallerResponse {
     let open = OpenRequest::new(&node);
     let received = clock::now();
     let id = header_text(incoming.headers(), &headers::REQUEST_ID)
@@ -88,9 +93,15 @@
 }
 
 /// Refuses a request that arrived together with an earlier one, after whose response the connection was to be closed.
-pub async fn refuse(node: Rc<EntryNode>, incoming: Request<Incoming>) -> CallerResponse {
+pub async fn refuse(node: Rc<EntryNode>, incoming: Request<CallerBody>) -> CallerResponse {
     node.shutdown.record_request();
-    let id = header_text(incoming.headers(), &headers::REQUEST_ID)
+    let (parts, body) = incoming.into_parts();
+    // The next request on the connection begins after the body. Without its end, the connection ends after this one.
+    let body = Limited::new(body, MAX_REFUSED_BODY_BYTES);
+    if timeout(REFUSED_BODY_TIME, body.collect()).await.is_err() {
+        log::debug!("event=refused_body_incomplete");
+    }
+    let id = header_text(&parts.headers, &headers::REQUEST_ID)
         .unwrap_or("-")
         .into();
     let failure = stopping_refusal(&node);
@@ -100,7 +111,7 @@
 
 async fn try_handle(
     node: &Rc<EntryNode>,
-    incoming: Request<Incoming>,
+    incoming: Request<CallerBody>,
     report: &mut RequestReport,
     open: OpenRequest,
 ) -> Result<CallerResponse, RequestFailure> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod backend_calls;
 mod beats;
+mod caller_body;
 mod caller_request;
 mod caller_stream;
 mod callers;
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -34,6 +34,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use crate::caller_body::CallerBody;
 use crate::caller_stream::CallerStream;
 use crate::node::EntryNode;
 use crate::response::CallerResponse;
@@ -74,10 +75,10 @@
     fn connection_closed(&self);
 
     /// Serves a request of a caller.
-    fn serve(&self, request: Request<Incoming>, caller: IpAddr) -> ResponseFuture;
+    fn serve(&self, request: Request<CallerBody>, caller: IpAddr) -> ResponseFuture;
 
     /// Refuses a request that arrived together with an earlier one whose response has closed the connection.
-    fn refuse(&self, request: Request<Incoming>) -> ResponseFuture;
+    fn refuse(&self, request: Request<CallerBody>) -> ResponseFuture;
 }
 
 /// Binds a TCP listener to `address`.
@@ -142,10 +143,26 @@
 /// Stream of a connection after its last response.
 struct ConnectionEnd {
     stream: CallerStream,
-    /// Whether the last response is complete, so that another one may follow.
+    state: Rc<ConnectionState>,
+    /// Whether the last response is complete.
     is_complete: bool,
 }
 
+impl ConnectionEnd {
+    /// Whether further requests have been received, which can be answered on the connection.
+    fn has_request(&mut self) -> bool {
+        self.is_complete && self.state.is_body_read.get() && self.stream.has_unread()
+    }
+}
+
+/// What is known of the last request of a connection.
+#[derive(Debug, Default)]
+struct ConnectionState {
+    has_request: Cell<bool>,
+    /// Whether the body was read to its end, so that what follows it is another request.
+    is_body_read: Rc<Cell<bool>>,
+}
+
 async fn serve_connection(
     node: &Rc<EntryNode>,
     stream: TcpStream,
@@ -158,10 +175,7 @@
     let accepted = Instant::now();
     let stream = CallerStream::new(stream, caller);
     let mut end = serve_requests(node, stream, handler, accepted, false).await;
-    while node.shutdown.stage() > ShutdownStage::Serving
-        && end.is_complete
-        && end.stream.has_unread()
-    {
+    while node.shutdown.stage() > ShutdownStage::Serving && end.has_request() {
         end = serve_requests(node, end.stream, handler, accepted, true).await;
     }
     end.stream.linger(LINGER_TIME).await;
@@ -176,12 +190,12 @@
     refuses: bool,
 ) -> ConnectionEnd {
     let caller = stream.caller();
-    let has_request = Rc::new(Cell::new(false));
+    let state = Rc::new(ConnectionState::default());
     let service = {
-        let (node, handler) = (node.clone(), handler.clone());
-        let has_request = has_request.clone();
-        service_fn(move |request| {
-            has_request.set(true);
+        let (node, handler, state) = (node.clone(), handler.clone(), state.clone());
+        service_fn(move |request: Request<Incoming>| {
+            state.has_request.set(true);
+            let request = request.map(|body| CallerBody::new(body, state.is_body_read.clone()));
             let response = if refuses {
                 handler.refuse(request)
             } else {
@@ -191,16 +205,21 @@
         })
     };
     let limits = handler.head_limits();
+    let read_time = if refuses {
+        LINGER_TIME
+    } else {
+        limits.read_time
+    };
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.read_time)
+        .header_read_timeout(read_time)
         .max_buf_size(limits.bytes)
         .serve_connection(TokioIo::new(stream), service);
     // Reading comes first, so that a request that has arrived is not taken for the end of an idle connection.
     let result = tokio::select! {
         biased;
         result = &mut connection => result,
-        () = drains(node, accepted, &has_request) => {
+        () = drains(node, accepted, &state) => {
             Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
         }
@@ -210,17 +229,18 @@
     }
     let parts = connection.into_parts();
     let mut stream = parts.io.into_inner();
-    stream.push_back(parts.read_buf);
+    stream.push_back(&parts.read_buf);
     ConnectionEnd {
         stream,
+        state,
         is_complete: result.is_ok(),
     }
 }
 
 /// Completes when the node drains. A new connection has some time for its first request.
-async fn drains(node: &EntryNode, accepted: Instant, has_request: &Cell<bool>) {
+async fn drains(node: &EntryNode, accepted: Instant, state: &ConnectionState) {
     node.shutdown.entered(ShutdownStage::Draining).await;
-    if !has_request.get() {
+    if !state.has_request.get() {
         sleep_until(accepted + FIRST_REQUEST_TIME).await;
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod changes_under_load;
 mod cluster_state;
 mod config_validation;
+mod connection_ends;
 mod deployment;
 mod faults;
 mod graceful_stop;
