Reset a connection whose end would complete a truncated response

What callers saw: a stream that is cut, by a stop or at any other time, looks complete to a caller that speaks HTTP/1.0.

Cause: such a response has neither a length nor chunks, so the end of its connection is its end, and a truncated one ended the same way.

Evidence: truncated_response_without_chunks_ends_with_a_reset fails on the commit before (the connection ends without an error) and passes now.

The connection is reset instead when a response to HTTP/1.0 is not complete.

--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -66,6 +66,13 @@
         !self.unread.is_empty()
     }
 
+    /// Resets the connection, which tells the caller that the response is not complete.
+    pub fn reset(self) {
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!("event=reset_failed error=\"{error}\"");
+        }
+    }
+
     /// Closes the sending side, and waits until the caller has closed the connection too, at most for `limit`. What the
     /// caller sends meanwhile is discarded.
     pub async fn linger(mut self, limit: Duration) {
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -20,6 +20,7 @@
 use eyre::WrapErr;
 use http::HeaderValue;
 use http::Request;
+use http::Version;
 use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -161,6 +162,8 @@
     has_request: Cell<bool>,
     /// Whether the body was read to its end, so that what follows it is another request.
     is_body_read: Rc<Cell<bool>>,
+    /// Whether the end of the connection ends the response, because the caller does not know chunks.
+    ends_by_close: Cell<bool>,
 }
 
 async fn serve_connection(
@@ -178,7 +181,12 @@
     while node.shutdown.stage() > ShutdownStage::Serving && end.has_request() {
         end = serve_requests(node, end.stream, handler, accepted, true).await;
     }
-    end.stream.linger(LINGER_TIME).await;
+    if !end.is_complete && end.state.ends_by_close.get() {
+        // The end of the connection would make a truncated response look complete.
+        end.stream.reset();
+    } else {
+        end.stream.linger(LINGER_TIME).await;
+    }
 }
 
 /// Serves the requests of a connection until its last response, or refuses them with `refuses`.
@@ -195,6 +203,9 @@
         let (node, handler, state) = (node.clone(), handler.clone(), state.clone());
         service_fn(move |request: Request<Incoming>| {
             state.has_request.set(true);
+            state
+                .ends_by_close
+                .set(request.version() < Version::HTTP_11);
             let request = request.map(|body| CallerBody::new(body, state.is_body_read.clone()));
             let response = if refuses {
                 handler.refuse(request)
--- a/tests/all/connection_ends.rs
+++ b/tests/all/connection_ends.rs
@@ -133,3 +133,17 @@
         }
     }
 }
+
+/// Guards against a truncated response that looks complete, because its caller does not know chunks and the end of the
+/// connection ends the response.
+#[test]
+fn truncated_response_without_chunks_ends_with_a_reset() {
+    let nodes = start_nodes(stream_work(50, 60));
+    let mut stream = connect(&nodes);
+    let request = request_text(&nodes, "1.0", "/drafts/x", 100, 900);
+    stream.write_all(&request).expect("the node reads");
+    let (received, error) = read_to_end(&mut stream);
+    let events = received.matches("data: token").count();
+    assert!(events < 50, "{events} events");
+    assert_eq!(error, Some(ErrorKind::ConnectionReset));
+}
