Accept late in a stop only requests that are sure to end

Cause: past service times do not bound the next one. A stop refuses the long requests of a route, so that only short ones remain in the sample; the work of a route changes; the 90th percentile held until 3.3 s although the platform excuses nothing after 3 s. In a sample of up to ten, the percentile was the longest, so that one open request of 15 s had its whole route refused.

After 3 s a request is accepted only if its own time limit ends in time. Until then it is accepted unless its route usually takes longer than what is left, with a percentile that one request does not move, from whole, successful runs of the last minute, and always if nothing is known. A request whose body arrives slowly is checked again while it does. Requests on open connections are now refused by time and not by stage, so that a node that closes early does not refuse what it could serve.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -37,12 +37,13 @@
 use crate::response::CallerResponse;
 use crate::response::RequestFailure;
 use crate::response::full_body;
-use crate::shutdown::ShutdownStage;
 
 /// Maximum body size of a response that is not streamed.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Interval at which a wait checks whether a planned stop has brought the deadline forward.
 const DEADLINE_CHECK_INTERVAL: TimeSpan = TimeSpan(100);
+/// Interval at which a request whose body arrives slowly is checked for a planned stop that it does not fit into.
+const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum size of the body of a refused request that is read, in bytes.
 const MAX_REFUSED_BODY_BYTES: usize = 64 * 1024;
 /// Maximum time for reading the body of a refused request.
@@ -125,13 +126,15 @@
     }
     let ends_by = report.received() + time_limit(&parts.headers, &route);
     check_shutdown(node, &route, ends_by)?;
-    let body = tokio::select! {
-        body = read_body(body, &limits) => body?,
-        () = node.shutdown.entered(ShutdownStage::Closing) => {
-            return Err(stopping_refusal(node));
+    let body = read_body(body, &limits);
+    tokio::pin!(body);
+    let body = loop {
+        let is_read = timeout(SHUTDOWN_CHECK_INTERVAL, &mut body).await;
+        check_shutdown(node, &route, ends_by)?;
+        if let Ok(body) = is_read {
+            break body?;
         }
     };
-    check_shutdown(node, &route, ends_by)?;
     let mut request = CallerRequest::new(node.clone(), parts, body, route, report.received());
     request.is_caller_retry |= is_known_unserved(node, &request);
     report.record_route(&request);
@@ -188,8 +191,8 @@
         return Ok(());
     };
     let now = clock::now();
-    let expected = node.service_times.borrow().expected(&route.rule.name, now);
-    if plan.admits(ends_by.since(now), expected, now) {
+    let usual = node.service_times.borrow().usual(&route.rule.name, now);
+    if plan.admits(ends_by.since(now), usual, now) {
         Ok(())
     } else {
         Err(stopping_refusal(node))
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -110,6 +110,8 @@
     pub runs: u32,
     /// Number of times that the stream was resumed at another target.
     pub resumes: u32,
+    /// Whether the caller has received the beginning of the stream with an earlier request.
+    is_resumed: bool,
     first_data: Option<TimeSpan>,
     last_data: Timestamp,
     longest_pause: TimeSpan,
@@ -141,6 +143,7 @@
             tried: Vec::new(),
             runs: 0,
             resumes: 0,
+            is_resumed: false,
             first_data: None,
             last_data: received,
             longest_pause: TimeSpan(0),
@@ -162,6 +165,7 @@
 
     /// Records the route of the request.
     pub fn record_route(&mut self, request: &CallerRequest) {
+        self.is_resumed = request.last_event.is_some();
         self.times = Some(
             self.node
                 .service_times
@@ -245,7 +249,7 @@
         }
         if let Some(record) = self.times.take() {
             let mut times = self.node.service_times.borrow_mut();
-            times.end(&record, is_served, now);
+            times.end(&record, self.is_whole_run(end), now);
         }
         let took = now.since(self.received);
         self.record_metrics(end, took);
@@ -265,6 +269,13 @@
         );
     }
 
+    /// Whether a backend server has served the request from its beginning to its end.
+    fn is_whole_run(&self, end: &RequestEnd) -> bool {
+        let is_success =
+            matches!(end, RequestEnd::Answered { status } if (200..300).contains(status));
+        is_success && !self.is_resumed
+    }
+
     fn record_metrics(&self, end: &RequestEnd, took: TimeSpan) {
         let kind = self.route.as_ref().map_or("unknown", |route| route.kind);
         let result = match end {
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -17,7 +17,7 @@
     Withdrawn,
     /// Idle connections are closed. Requests that can still end in time are served.
     Draining,
-    /// The listeners are closed, and requests of open connections are refused.
+    /// The listeners are closed. Requests of open connections are still served if they can end in time.
     Closing,
     /// The process is about to exit: connections that are still open are closed.
     Ended,
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -36,7 +36,6 @@
     wait_until(plan.withdrawn_until, || false).await;
     node.shutdown.enter(ShutdownStage::Draining);
     wait_until(plan.closing_from, || node.open_requests.get() == 0).await;
-    // Without a wait in between, no request can have arrived that is not refused.
     node.shutdown.enter(ShutdownStage::Closing);
     wait_until(plan.exit_by, || has_closed(&node)).await;
     let open_requests = node.open_requests.get();
--- a/crates/gateway/src/service_times.rs
+++ b/crates/gateway/src/service_times.rs
@@ -1,4 +1,4 @@
-//! Recent service times of requests by route, from which the time that a new request needs is estimated.
+//! Recent service times of requests by route, from which the time that a new request usually needs is estimated.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -8,28 +8,29 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
-/// Number of completed requests that are remembered for each route.
+/// Maximum number of completed requests that are remembered for each route.
 const REMEMBERED_REQUESTS: usize = 64;
+/// Time for which a completed request is remembered.
+const RETENTION: TimeSpan = TimeSpan::from_secs(60);
 /// Percentile of the recent service times within which a request usually ends.
 const USUAL_PERCENT: usize = 90;
 
-/// Time that a request of a route needs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ExpectedTime {
-    /// Time within which most of the recent requests ended.
-    pub usual: TimeSpan,
-    /// Longest time of the recent requests.
-    pub longest: TimeSpan,
-}
-
 /// Identifies an open request in [`ServiceTimes`].
 #[derive(Debug, PartialEq, Eq)]
 pub struct OpenRecord(u64);
 
+/// Service time of a completed request.
+#[derive(Clone, Copy, Debug)]
+struct CompletedRequest {
+    ended: Timestamp,
+    took: TimeSpan,
+}
+
 /// Service times of completed requests, and the requests that are still open.
 #[derive(Debug, Default)]
 pub struct ServiceTimes {
-    completed: HashMap<CompactString, VecDeque<TimeSpan>>,
+    /// In order of their ends.
+    completed: HashMap<CompactString, VecDeque<CompletedRequest>>,
     /// Route and arrival of each open request.
     open: BTreeMap<u64, (CompactString, Timestamp)>,
     next_number: u64,
@@ -44,32 +45,39 @@
         OpenRecord(number)
     }
 
-    /// Records the end of a request. Only the time of a served one tells how long the next will take.
-    pub fn end(&mut self, record: &OpenRecord, is_served: bool, now: Timestamp) {
+    /// Records the end of a request. `is_whole` says whether it was served from its beginning to its end, so that its time
+    /// tells how long others take.
+    pub fn end(&mut self, record: &OpenRecord, is_whole: bool, now: Timestamp) {
         let Some((route, arrived)) = self.open.remove(&record.0) else {
             return;
         };
-        if !is_served {
+        if !is_whole {
             return;
         }
-        let times = self.completed.entry(route).or_default();
-        if times.len() >= REMEMBERED_REQUESTS {
-            times.pop_front();
+        if !self.completed.contains_key(&route) {
+            // Routes that a configuration has removed are forgotten.
+            self.completed
+                .retain(|_, requests| requests.back().is_some_and(|last| is_recent(last, now)));
         }
-        times.push_back(now.since(arrived));
+        let requests = self.completed.entry(route).or_default();
+        if requests.len() >= REMEMBERED_REQUESTS {
+            requests.pop_front();
+        }
+        requests.push_back(CompletedRequest {
+            ended: now,
+            took: now.since(arrived),
+        });
     }
 
-    /// Time that a request of `route` is expected to need; `None` if nothing is known.
+    /// Time within which requests of `route` usually end; `None` if nothing is known.
     ///
     /// An open request that already takes longer than half of the completed ones counts with its present age, because
     /// it takes at least as long.
-    pub fn expected(&self, route: &str, now: Timestamp) -> Option<ExpectedTime> {
-        let mut times: Vec<TimeSpan> = self
-            .completed
-            .get(route)
-            .into_iter()
-            .flatten()
-            .copied()
+    pub fn usual(&self, route: &str, now: Timestamp) -> Option<TimeSpan> {
+        let completed = self.completed.get(route).into_iter().flatten();
+        let mut times: Vec<TimeSpan> = completed
+            .filter(|request| is_recent(request, now))
+            .map(|request| request.took)
             .collect();
         times.sort_unstable();
         let median = times.get(times.len() / 2).copied().unwrap_or_default();
@@ -81,8 +89,11 @@
             .filter(|age| *age > median);
         times.extend(open);
         times.sort_unstable();
-        let longest = *times.last()?;
-        let usual = times[(times.len() * USUAL_PERCENT / 100).min(times.len() - 1)];
-        Some(ExpectedTime { usual, longest })
+        let last = times.len().checked_sub(1)?;
+        Some(times[last * USUAL_PERCENT / 100])
     }
 }
+
+fn is_recent(request: &CompletedRequest, now: Timestamp) -> bool {
+    now.since(request.ended) < RETENTION
+}
