Keep the end of a stop out of the time that a first attempt gets

What callers saw: 504 with may_have_run, 7.45 s after the SIGTERM of a node, for idempotent requests that their backend server would have answered in time.

Cause: an idempotent request gives up its first backend server after 55 % of the time that it has left.

The first attempt gets its share of the request's own time again.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -294,7 +294,8 @@
     may_fail_over: bool,
 ) -> Result<Response<Incoming>, ExchangeError> {
     let sent = clock::now();
-    let first_wait = TimeSpan(request.time_left().0 * FIRST_ATTEMPT_PERCENT / 100);
+    // The end of a planned stop makes no backend server slower.
+    let first_wait = TimeSpan(request.own_time_left().0 * FIRST_ATTEMPT_PERCENT / 100);
     let exchange = send(&mut connection.connection, outgoing);
     tokio::pin!(exchange);
     loop {
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -241,6 +241,11 @@
         deadline.since(clock::now())
     }
 
+    /// Time until the deadline of the request itself; zero when it has passed.
+    pub fn own_time_left(&self) -> TimeSpan {
+        self.deadline.since(clock::now())
+    }
+
     /// Builds the request to send to `target`. With `last_event`, the stream resumes after that event.
     pub fn for_target(
         &self,
--- a/tests/all/planned_stop.rs
+++ b/tests/all/planned_stop.rs
@@ -354,3 +354,27 @@
     });
     report.assert_nothing_lost();
 }
+
+/// Guards against a retry of a request whose backend server works on it as usual, only because the stop leaves less time
+/// than the request has.
+#[test]
+fn request_is_not_sent_again_because_the_node_stops() {
+    // Longer than the first attempt gets of the time until the end of the stop, and shorter than it gets of the request's
+    // own time.
+    let work_time = Duration::from_millis(2620);
+    let times = (2800..2990).step_by(30);
+    let report = stop_under_callers(&StopScenario {
+        work: StandinWork {
+            answer_time: work_time,
+            is_plain_reliable: true,
+            ..StandinWork::default()
+        },
+        path: "/lookups/x",
+        styles: Vec::new(),
+        single_calls: times.map(Duration::from_millis).collect(),
+        stated_ms: 5000,
+        ..StopScenario::default()
+    });
+    report.assert_nothing_lost();
+    report.assert_first_requests_served();
+}
