Resume a stream after the last event that was returned

When a part of a stream held complete events and then a gap, the error took the place of these events, but they counted as returned. The stream was resumed after them, and the caller got a stream without them.

An error now takes the last id back to that of the last event that was returned, so that the resumed stream brings the others again.

events_before_a_gap_are_not_lost (jaysaddle-gateway, events 3, 4 and 6 in one part after event 2) without the change: last_id is Some(4), Some(2) expected. With it, the 6 tests of events pass.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -73,6 +73,16 @@
     /// Returns [`EventError::Gap`] if an event id was skipped and [`EventError::TooLong`] if an incomplete event
     /// exceeds the size limit.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
+        let returned = self.last_id;
+        let result = self.split(data);
+        if result.is_err() {
+            // The events that precede the error are not returned either.
+            self.last_id = returned;
+        }
+        result
+    }
+
+    fn split(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         self.pending.extend_from_slice(data);
         let mut ready = BytesMut::new();
         while let Some(end) = event_end(&self.pending) {
--- a/crates/gateway/tests/all/events.rs
+++ b/crates/gateway/tests/all/events.rs
@@ -20,6 +20,22 @@
     assert!(!buffer.has_partial());
 }
 
+/// Guards against events that are lost because they arrived together with the gap at which the stream is resumed.
+#[test]
+fn events_before_a_gap_are_not_lost() {
+    let mut buffer = EventBuffer::resume_after(Some(2));
+    let data: Vec<u8> = [3, 4, 6].into_iter().flat_map(event).collect();
+    let error = buffer.push(&data).expect_err("a gap");
+    assert_eq!(
+        error,
+        EventError::Gap {
+            last: 4,
+            received: 6
+        }
+    );
+    assert_eq!(buffer.last_id(), Some(2));
+}
+
 /// Guards against duplicate events when a stream is resumed at another group.
 #[test]
 fn already_delivered_events_are_skipped() {
