Bound incomplete and repeated events, and search each byte once

A backend server that sends an event without its end made the node hold 1 MiB for each stream, and each read searched all of it again, for two kinds of end. One that sends events that the caller already has was read until the caller's time was up, and the stream was cut instead of resumed.

An incomplete event may now have 256 KiB, and events that the caller already has 4 MiB before the stream fails and is resumed elsewhere where it may be. The search continues where the last one stopped, and looks for both kinds of end at once.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -6,7 +6,10 @@
 use bytes::BytesMut;
 
 /// Maximum size of an event. Events of model engines are always shorter.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Maximum size of the events of a stream that were already returned. A server that ignores where a stream is to
+/// continue sends all of them again.
+const MAX_REPEATED_BYTES: usize = 4 << 20;
 
 /// Buffers stream data until events are complete.
 ///
@@ -16,6 +19,10 @@
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     pending: BytesMut,
+    /// Number of bytes of `pending` that are known to be before the end of its first event.
+    searched: usize,
+    /// Size of the events that were already returned and arrived again.
+    repeated: usize,
     last_id: Option<u64>,
 }
 
@@ -23,7 +30,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EventError {
     /// An event exceeds the maximum event size.
-    TooLong,
+    TooLong {
+        /// Size of the incomplete event in bytes.
+        bytes: usize,
+    },
+    /// Events that were already returned exceed the maximum size.
+    Repeated {
+        /// Size of these events in bytes.
+        bytes: usize,
+    },
     /// One or more event ids were skipped.
     Gap {
         /// Id of the last event that was returned.
@@ -36,7 +51,8 @@
 impl fmt::Display for EventError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            EventError::TooLong => f.write_str("event_too_long"),
+            EventError::TooLong { .. } => f.write_str("event_too_long"),
+            EventError::Repeated { .. } => f.write_str("events_repeated"),
             EventError::Gap { last, received } => write!(f, "event_gap_{last}_to_{received}"),
         }
     }
@@ -46,8 +62,8 @@
     /// Creates a buffer for a stream whose receiver already has all events up to `last_id`.
     pub fn resume_after(last_id: Option<u64>) -> Self {
         Self {
-            pending: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -61,17 +77,24 @@
         !self.pending.is_empty()
     }
 
+    /// Memory that the incomplete event takes, in bytes.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Discards an incomplete event after its stream has ended.
     pub fn discard_partial(&mut self) {
-        self.pending.clear();
+        self.pending = BytesMut::new();
+        self.searched = 0;
+        self.repeated = 0;
     }
 
     /// Appends data and returns all complete events, except those that were already returned.
     ///
     /// # Errors
     ///
-    /// Returns [`EventError::Gap`] if an event id was skipped and [`EventError::TooLong`] if an incomplete event
-    /// exceeds the size limit.
+    /// Returns [`EventError::Gap`] if an event id was skipped, [`EventError::TooLong`] if an incomplete event exceeds
+    /// the size limit, and [`EventError::Repeated`] if events that were already returned do.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         let returned = self.last_id;
         let result = self.split(data);
@@ -85,13 +108,19 @@
     fn split(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         self.pending.extend_from_slice(data);
         let mut ready = BytesMut::new();
-        while let Some(end) = event_end(&self.pending) {
+        while let Some(end) = event_end(&self.pending, self.searched) {
             let event = self.pending.split_to(end);
+            self.searched = 0;
             let id = event[..]
                 .split(|byte| *byte == b'\n')
                 .find_map(parse_event_id);
             if let (Some(id), Some(last)) = (id, self.last_id) {
                 if id <= last {
+                    self.repeated += event.len();
+                    if self.repeated > MAX_REPEATED_BYTES {
+                        let bytes = self.repeated;
+                        return Err(EventError::Repeated { bytes });
+                    }
                     continue;
                 }
                 if id > last + 1 {
@@ -107,8 +136,11 @@
                 ready.extend_from_slice(&event);
             }
         }
+        // The last two bytes may belong to an end that is not complete yet.
+        self.searched = self.pending.len().saturating_sub(2);
         if self.pending.len() > MAX_EVENT_BYTES {
-            return Err(EventError::TooLong);
+            let bytes = self.pending.len();
+            return Err(EventError::TooLong { bytes });
         }
         Ok(ready.freeze())
     }
@@ -120,14 +152,18 @@
     std::str::from_utf8(rest).ok()?.trim().parse().ok()
 }
 
-/// Returns the position after the blank line that terminates the first event.
-fn event_end(data: &[u8]) -> Option<usize> {
-    let lf = data.windows(2).position(|pair| pair == b"\n\n");
-    let crlf = data.windows(4).position(|four| four == b"\r\n\r\n");
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) if crlf < lf => Some(crlf + 4),
-        (Some(lf), _) => Some(lf + 2),
-        (None, Some(crlf)) => Some(crlf + 4),
-        (None, None) => None,
+/// Returns the position after the blank line that terminates the first event. No line before `from` ends the event.
+fn event_end(data: &[u8], from: usize) -> Option<usize> {
+    let mut searched = from;
+    loop {
+        let line_end = searched + data[searched..].iter().position(|byte| *byte == b'\n')?;
+        let rest = &data[line_end + 1..];
+        if rest.starts_with(b"\n") {
+            return Some(line_end + 2);
+        }
+        if rest.starts_with(b"\r\n") && data[..line_end].ends_with(b"\r") {
+            return Some(line_end + 3);
+        }
+        searched = line_end + 1;
     }
 }
--- a/crates/gateway/tests/all/events.rs
+++ b/crates/gateway/tests/all/events.rs
@@ -36,6 +36,59 @@
     assert_eq!(buffer.last_id(), Some(2));
 }
 
+/// Guards against an event without end that takes memory until its stream ends.
+#[test]
+fn event_without_end_is_an_error() {
+    const MAX_BYTES: usize = 512 << 10;
+    let mut buffer = EventBuffer::default();
+    let piece = [b'a'; 1000];
+    let mut pieces = 0..MAX_BYTES / piece.len();
+    let error = pieces.find_map(|_| buffer.push(&piece).err());
+    assert!(
+        matches!(error, Some(EventError::TooLong { .. })),
+        "{error:?}"
+    );
+    assert!(buffer.pending_bytes() <= 2 * MAX_BYTES);
+    buffer.discard_partial();
+    assert_eq!(buffer.pending_bytes(), 0);
+    assert_eq!(buffer.push(&event(1)).expect("no error"), event(1));
+}
+
+/// Guards against a stream that never ends because its events were all returned before.
+#[test]
+fn same_event_without_end_is_an_error() {
+    const MAX_BYTES: usize = 8 << 20;
+    let mut buffer = EventBuffer::default();
+    let count = MAX_BYTES / event(1).len();
+    let error = (0..count).find_map(|_| buffer.push(&event(1)).err());
+    assert!(
+        matches!(error, Some(EventError::Repeated { .. })),
+        "{error:?}"
+    );
+    buffer.discard_partial();
+    assert_eq!(buffer.push(&event(2)).expect("no error"), event(2));
+}
+
+/// Guards against an end that is missed where the parts of a stream meet.
+#[test]
+fn end_is_found_across_parts() {
+    for end in ["\n\n", "\r\n\r\n"] {
+        let data = format!("id: 1\ndata: a\r\ndata: b{end}");
+        for first in 0..data.len() {
+            for second in first..data.len() {
+                let mut buffer = EventBuffer::default();
+                let parts = [&data[..first], &data[first..second], &data[second..]];
+                let returned: Vec<u8> = parts
+                    .iter()
+                    .flat_map(|part| buffer.push(part.as_bytes()).expect("no error"))
+                    .collect();
+                assert_eq!(returned, data.as_bytes(), "{first} {second}");
+                assert!(!buffer.has_partial());
+            }
+        }
+    }
+}
+
 /// Guards against duplicate events when a stream is resumed at another group.
 #[test]
 fn already_delivered_events_are_skipped() {
