Close connections that receive bytes but no part of a response

The HTTP library reads informational heads one after the other, and the leading zeros and the blanks of a chunk's size, without end, and passes nothing on. A node read them until the time of the request or call was up, at the speed of the link and in its only thread.

A wrapper of the outgoing TCP connection counts the bytes received since the request was sent or the last head or part of a body was passed on, and fails above 512 KiB, which is more than the library reads ahead. The request may have run then, the backend server is avoided, and the request is sent elsewhere where it may be. The library's read buffer, and with it the longest head, is 64 KiB instead of 408 KiB. A log line (event=response_bound) and a metric name the sender, the kind and the bytes.

bytes_without_a_part_of_a_response_are_an_error (jaysaddle-entry) without the bound: 8 MiB of informational heads are followed by a response that is taken (None instead of Some(MayHaveRun)). With it, the tests of the crate pass. long_answer_to_a_slow_reader_is_whole guards against a bound that is too low: it passes with and without the bound, and fails with 64 KiB.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -6,10 +6,8 @@
 use compact_str::format_compact;
 use eyre::eyre;
 use http::Request;
-use http::Response;
 use http::StatusCode;
 use http::header;
-use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::TargetOutcome;
@@ -26,6 +24,7 @@
 use crate::caller_request::CallerRequest;
 use crate::caller_request::header_text;
 use crate::exchange::ExchangeError;
+use crate::exchange::ReceivedResponse;
 use crate::exchange::send;
 use crate::node::EntryNode;
 use crate::pool::BackendKey;
@@ -117,7 +116,7 @@
 pub struct ActiveAttempt {
     pub guard: AttemptGuard,
     pub connection: PooledConnection,
-    pub response: Response<Incoming>,
+    pub response: ReceivedResponse,
 }
 
 impl ActiveAttempt {
@@ -127,7 +126,7 @@
     }
 }
 
-fn keep_alive_timeout(response: &Response<Incoming>) -> Option<TimeSpan> {
+fn keep_alive_timeout(response: &ReceivedResponse) -> Option<TimeSpan> {
     let value = response.headers().get("keep-alive")?.to_str().ok()?;
     let seconds = value
         .split(',')
@@ -243,7 +242,7 @@
     request: &CallerRequest,
     guard: AttemptGuard,
     connection: PooledConnection,
-    response: Response<Incoming>,
+    response: ReceivedResponse,
 ) -> SendResult {
     let status = response.status();
     let map = response.headers();
@@ -292,7 +291,7 @@
     connection: &mut PooledConnection,
     outgoing: Request<crate::exchange::RequestBody>,
     may_fail_over: bool,
-) -> Result<Response<Incoming>, ExchangeError> {
+) -> Result<ReceivedResponse, ExchangeError> {
     let sent = clock::now();
     let first_wait = TimeSpan(request.time_left().0 * FIRST_ATTEMPT_PERCENT / 100);
     let exchange = send(&mut connection.connection, outgoing);
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,13 +1,13 @@
 //! A single HTTP request and response over an outgoing connection.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -16,10 +16,36 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use crate::metered_stream::MeteredBody;
+use crate::metered_stream::MeteredStream;
+use crate::metered_stream::ReadMeter;
+
 /// Body type of outgoing requests.
 pub type RequestBody = Full<Bytes>;
+/// Response whose body is read as it arrives.
+pub type ReceivedResponse = Response<MeteredBody>;
+
+/// Size of the read buffer of a connection, which is also the limit of a response head, in bytes.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Client side of an HTTP/1.1 connection.
-pub type Connection = SendRequest<RequestBody>;
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<RequestBody>,
+    meter: Rc<ReadMeter>,
+}
+
+impl Connection {
+    /// Whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Whether the connection can carry a request now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+}
 
 /// Connect timeout. A connection between failure domains takes a few milliseconds. A lost packet is retransmitted
 /// only after a second, by which time another target has been tried.
@@ -57,14 +83,22 @@
     }
 }
 
-/// Opens a connection and spawns the task that drives it.
-pub async fn connect(address: SocketAddr) -> Result<Connection, ExchangeError> {
+/// Opens a connection to the server `name` and spawns the task that drives it.
+///
+/// # Errors
+///
+/// Fails when the connection cannot be opened in time.
+pub async fn connect(address: SocketAddr, name: &str) -> Result<Connection, ExchangeError> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(ExchangeError::not_run)?
         .map_err(ExchangeError::not_run)?;
     stream.set_nodelay(true).map_err(ExchangeError::not_run)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let meter = ReadMeter::new(name);
+    let stream = MeteredStream::new(stream, meter.clone());
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(ExchangeError::not_run)?;
     tokio::task::spawn_local(async move {
@@ -73,17 +107,25 @@
             log::trace!("event=connection_ended address={address} error=\"{error}\"");
         }
     });
-    Ok(sender)
+    Ok(Connection { sender, meter })
 }
 
 /// Sends a request and waits for the response headers.
+///
+/// # Errors
+///
+/// Fails when the connection fails or its server sends something else; the verdict says whether the request may have run.
 pub async fn send(
     connection: &mut Connection,
     request: Request<RequestBody>,
-) -> Result<Response<Incoming>, ExchangeError> {
-    connection.ready().await.map_err(ExchangeError::not_run)?;
-    match connection.try_send_request(request).await {
-        Ok(response) => Ok(response),
+) -> Result<ReceivedResponse, ExchangeError> {
+    let Connection { sender, meter } = connection;
+    sender.ready().await.map_err(ExchangeError::not_run)?;
+    match sender.try_send_request(request).await {
+        Ok(response) => {
+            meter.record_delivery();
+            Ok(response.map(|body| MeteredBody::new(body, meter.clone())))
+        }
         Err(mut error) => {
             let was_sent = error.take_message().is_none();
             let cause = error.into_error();
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -6,6 +6,7 @@
 
 use crate::log_writer;
 use crate::node::EntryNode;
+use crate::response_bounds::BoundKind;
 
 /// Registers the descriptions of the metrics and initializes counters, so that they are exported
 /// before their first event.
@@ -79,6 +80,14 @@
     for kind in ["node", "lease"] {
         metrics::counter!(rewrites, "kind" => kind).increment(0);
     }
+    let bounds = "jaysaddle_response_bounds_total";
+    metrics::describe_counter!(
+        bounds,
+        "Responses cut because they reached a bound, by kind"
+    );
+    for kind in BoundKind::ALL {
+        metrics::counter!(bounds, "kind" => kind.label()).increment(0);
+    }
     metrics::describe_counter!("jaysaddle_requests_total", "Requests, by kind and result");
     metrics::describe_counter!(
         "jaysaddle_failures_total",
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -121,7 +121,7 @@
             )));
         }
         let count = ConnectionCount::new(&self.open, &key.id);
-        let connection = connect(key.address).await?;
+        let connection = connect(key.address, key.id.as_str()).await?;
         metrics::counter!("jaysaddle_backend_connections_total").increment(1);
         Ok(PooledConnection {
             connection,
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -8,11 +8,9 @@
 use eyre::WrapErr;
 use eyre::eyre;
 use http::Request;
-use http::Response;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_adapter::store::StoreCall;
 use jaysaddle_adapter::store::StoreResponse;
@@ -28,6 +26,7 @@
 
 use crate::exchange::Connection;
 use crate::exchange::ExchangeError;
+use crate::exchange::ReceivedResponse;
 use crate::exchange::connect;
 use crate::exchange::send;
 use crate::store_era::EraOutcome;
@@ -35,6 +34,8 @@
 
 /// Maximum number of idle connections; a watch and a few calls run concurrently.
 const MAX_IDLE_CONNECTIONS: usize = 3;
+/// Name of the store in logs.
+const STORE_NAME: &str = "store";
 
 /// HTTP client for the platform's store that reuses connections and tracks whether the store is reachable.
 #[derive(Debug)]
@@ -98,7 +99,7 @@
     }
 
     /// Checks the era of a response. One without a decodable era is used.
-    fn check_era(&self, response: &Response<Incoming>) -> eyre::Result<()> {
+    fn check_era(&self, response: &ReceivedResponse) -> eyre::Result<()> {
         let Some(value) = response.headers().get(headers::STORE_ERA) else {
             return Ok(());
         };
@@ -192,7 +193,7 @@
         let encoded = encode_call(call);
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
-            None => connect(self.address).await?,
+            None => connect(self.address, STORE_NAME).await?,
         };
         let mut builder = Request::builder()
             .method(encoded.method)
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod address_list;
 mod log_limiter;
+mod responses;
 mod stated_limit;
 mod store_era;
--- /dev/null
+++ b/crates/entry/tests/all/responses.rs
@@ -0,0 +1,104 @@
+//! Responses over real connections, and the bounds on their bytes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use jaysaddle_entry::exchange::ReceivedResponse;
+use jaysaddle_entry::exchange::connect;
+use jaysaddle_entry::exchange::send;
+use jaysaddle_types::verdict::Verdict;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime can be started");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Starts a server that answers one request with `bytes` and closes the connection.
+async fn serve(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request).await;
+        // The error is the end of the connection.
+        let _ = stream.write_all(&bytes).await;
+    });
+    address
+}
+
+async fn response_to(bytes: Vec<u8>) -> Result<ReceivedResponse, Verdict> {
+    let address = serve(bytes).await;
+    let mut connection = connect(address, "server").await.expect("a connection");
+    let request = Request::get("/").body(Full::new(Bytes::new()));
+    send(&mut connection, request.expect("a request"))
+        .await
+        .map_err(|error| error.verdict)
+}
+
+fn chunked(sizes: impl Iterator<Item = usize>) -> (Vec<u8>, usize) {
+    let mut bytes = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+    let mut total = 0;
+    for size in sizes {
+        bytes.extend(format!("{size:x}\r\n").as_bytes());
+        bytes.extend(std::iter::repeat_n(b'a', size));
+        bytes.extend(b"\r\n");
+        total += size;
+    }
+    bytes.extend(b"0\r\n\r\n");
+    (bytes, total)
+}
+
+/// Guards against a long answer that is cut because its reader is slow, or because its chunks are small.
+#[test]
+fn long_answer_to_a_slow_reader_is_whole() {
+    run(async {
+        for size in [1, 100, 10_000, 100_000] {
+            let (bytes, total) = chunked(std::iter::repeat_n(size, 2_000_000 / (size + 6)));
+            let response = response_to(bytes).await.expect("a response");
+            let mut body = response.into_body();
+            let mut received = 0;
+            let mut frames = 0;
+            while let Some(frame) = body.frame().await {
+                let data = frame.expect("no error").into_data().expect("data");
+                received += data.len();
+                frames += 1;
+                if frames % 1000 == 1 {
+                    sleep(Duration::from_millis(2)).await;
+                }
+            }
+            assert_eq!(received, total, "chunks of {size}");
+        }
+    });
+}
+
+/// Guards against informational heads and sizes of chunks that are read without end.
+#[test]
+fn bytes_without_a_part_of_a_response_are_an_error() {
+    const COUNT: usize = 8 << 20;
+    run(async {
+        let head = b"HTTP/1.1 103 Early Hints\r\n\r\n";
+        let mut bytes = head.repeat(COUNT / head.len());
+        bytes.extend(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+        let verdict = response_to(bytes).await.err();
+        assert_eq!(verdict, Some(Verdict::MayHaveRun));
+        let mut bytes = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+        bytes.extend(std::iter::repeat_n(b'0', COUNT));
+        bytes.extend(b"1\r\na\r\n0\r\n\r\n");
+        let response = response_to(bytes).await.expect("a response");
+        let result = response.into_body().collect().await;
+        assert!(result.is_err());
+    });
+}
