Bound the memory of all responses together

A buffered response could have 16 MiB, and reports, answers to orders and responses of the store had no limit but their time. Many at once took more memory than a machine of 160 MB has, and the collected parts of a body took more memory than their bytes when they were small. Callers would have seen the node fail with all their requests.

One reader (entry/bounded_body.rs) now copies a body into one buffer, up to a limit: 16 MiB for callers' responses, 64 KiB for reports and answers to orders, 8 MiB for the store. A stated length above it fails at once. Budgets (entry/byte_budget.rs) limit the sum: 32 MiB for responses to callers and the incomplete events of their streams, 4 MiB for calls to backend servers, 16 MiB for the store. A response may grow while it takes no more than what is left, so one takes at most half, and many large ones leave room for small ones. The bytes count until the caller has received them. At a bound the connection is closed, the backend server is avoided, and the request may have run: it is sent elsewhere where it may be, else the caller gets 502 or 504.

tests/all/endless_bytes.rs, two or more nodes, debug build; each kind of endless answer to 40 requests at once, or to all reports, orders or calls to the store.

The tests allow 80 MiB, half of the smallest machine, and 32 MiB handed over for each connection.

--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -10,7 +10,6 @@
 use http::Method;
 use http::Request;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use jaysaddle_adapter::headers;
 use jaysaddle_adapter::orders::ORDER_PATH;
@@ -25,10 +24,13 @@
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::OrderResult;
+use jaysaddle_types::units::ByteCount;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::verdict::Verdict;
 use tokio::time::timeout;
 
+use crate::bounded_body::BodyBounds;
+use crate::bounded_body::read_bounded;
 use crate::control::handle_fleet_event;
 use crate::exchange::ExchangeError;
 use crate::exchange::send;
@@ -41,6 +43,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout of a report. A member that takes longer delays its whole group.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(160);
+/// Limit of a report and of an answer to an order.
+const MAX_RESPONSE: ByteCount = ByteCount(64 << 10);
 /// Time in which the reports of all engines are collected. An order in flight is carried out within milliseconds
 /// and shows up in reports 200 ms later.
 const REPORT_COLLECTION_TIME: TimeSpan = TimeSpan(500);
@@ -109,12 +113,14 @@
     if let StatedLimit::Limited(limit) = stated_limit(&response, "", id) {
         node.record_limit(id, server, Some(limit), sent);
     }
-    let body = response
-        .into_body()
-        .collect()
+    let bounds = BodyBounds {
+        limit: MAX_RESPONSE,
+        budget: &node.budgets.calls,
+        sender: id.as_str(),
+    };
+    let body = read_bounded(response.into_body(), bounds)
         .await
-        .map_err(ExchangeError::may_have_run)?
-        .to_bytes();
+        .map_err(ExchangeError::may_have_run)?;
     node.pool.put(pooled, None);
     Ok((status, body))
 }
--- /dev/null
+++ b/crates/entry/src/bounded_body.rs
@@ -0,0 +1,150 @@
+//! Reads the body of a response into memory, up to a limit for the body and one for all bodies at a time.
+
+use std::error::Error;
+use std::fmt;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body::Body;
+use http_body_util::BodyExt;
+use jaysaddle_types::units::ByteCount;
+
+use crate::byte_budget::BudgetExceeded;
+use crate::byte_budget::ByteBudget;
+use crate::byte_budget::HeldBytes;
+use crate::response_bounds::BoundKind;
+use crate::response_bounds::report_bound;
+
+/// Smallest buffer of a body, in bytes.
+const MIN_BUFFER_BYTES: usize = 1 << 10;
+
+/// Limits of a body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyBounds<'a> {
+    /// Limit of this body.
+    pub limit: ByteCount,
+    /// Limit of all bodies at a time.
+    pub budget: &'a Arc<ByteBudget>,
+    /// Name of the server that sends the body, for logs.
+    pub sender: &'a str,
+}
+
+/// Reason why a body was not read to its end.
+#[derive(Debug)]
+pub enum BodyError {
+    /// The connection failed or the body is malformed.
+    Broken(CompactString),
+    /// The body exceeds its limit.
+    TooLong(ByteCount),
+    /// All bodies together take too much memory.
+    NoMemory(BudgetExceeded),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyError::Broken(cause) => f.write_str(cause),
+            BodyError::TooLong(limit) => write!(f, "the body exceeds {limit}"),
+            BodyError::NoMemory(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl Error for BodyError {}
+
+/// Body in memory that gives its bytes back to the budget on drop.
+struct HeldBody {
+    data: Vec<u8>,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+/// Buffer of a body while it arrives.
+struct BodyBuffer {
+    data: Vec<u8>,
+    held: HeldBytes,
+    limit: usize,
+}
+
+impl BodyBuffer {
+    /// Appends data.
+    fn push(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        let length = self.data.len() + data.len();
+        if length > self.limit {
+            return Err(BodyError::TooLong(ByteCount(self.limit as u64)));
+        }
+        let capacity = self.data.capacity();
+        if length > capacity {
+            let doubled = (capacity * 2).min(self.limit);
+            let needed = length.max(doubled).max(MIN_BUFFER_BYTES);
+            self.held.resize(needed).map_err(BodyError::NoMemory)?;
+            self.data.reserve_exact(needed - self.data.len());
+        }
+        self.data.extend_from_slice(data);
+        Ok(())
+    }
+}
+
+/// Reads a body to its end. The bytes count against the budget until the last reference to them is dropped.
+///
+/// # Errors
+///
+/// Fails when the connection fails or a bound is reached, which drops the body and thereby closes its connection.
+pub async fn read_bounded<B>(mut body: B, bounds: BodyBounds<'_>) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Error,
+{
+    let mut buffer = BodyBuffer {
+        data: Vec::new(),
+        held: bounds.budget.holder(),
+        limit: usize::try_from(bounds.limit.0).unwrap_or(usize::MAX),
+    };
+    let result = fill(&mut buffer, &mut body).await;
+    let kind = match &result {
+        Err(BodyError::TooLong(_)) => Some(BoundKind::Body),
+        Err(BodyError::NoMemory(_)) => Some(BoundKind::Memory),
+        Ok(()) | Err(BodyError::Broken(_)) => None,
+    };
+    if let Some(kind) = kind {
+        report_bound(bounds.sender, kind, buffer.data.len());
+    }
+    result?;
+    let BodyBuffer { data, held, .. } = buffer;
+    Ok(Bytes::from_owner(HeldBody { data, _held: held }))
+}
+
+async fn fill<B>(buffer: &mut BodyBuffer, body: &mut B) -> Result<(), BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Error,
+{
+    if body.size_hint().lower() > buffer.limit as u64 {
+        return Err(BodyError::TooLong(ByteCount(buffer.limit as u64)));
+    }
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Broken(error_text(&error)))?;
+        if let Ok(data) = frame.into_data() {
+            buffer.push(&data)?;
+        }
+    }
+    Ok(())
+}
+
+/// Text of an error with its sources.
+fn error_text(error: &dyn Error) -> CompactString {
+    let mut text = CompactString::from(error.to_string());
+    let mut source = error.source();
+    while let Some(error) = source {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        source = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/entry/src/byte_budget.rs
@@ -0,0 +1,152 @@
+//! Limits on the memory that responses of backend servers and of the store take, each over all responses at a time.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use jaysaddle_types::units::ByteCount;
+
+/// Memory of the buffered responses to callers' requests and of the incomplete events of their streams.
+const REQUEST_BYTES: ByteCount = ByteCount(32 << 20);
+/// Memory of the reports of backend servers and of their answers to orders.
+const CALL_BYTES: ByteCount = ByteCount(4 << 20);
+/// Memory of the store's responses.
+const STORE_BYTES: ByteCount = ByteCount(16 << 20);
+
+/// Limit on the bytes that all its holders take together.
+///
+/// A holder may grow while it takes no more than what remains free, so that many large holders leave room for small ones
+/// and none takes more than half of the limit.
+///
+/// # Invariants
+///
+/// `held` is the sum of the bytes of all holders, and does not exceed `limit`.
+#[derive(Debug)]
+pub struct ByteBudget {
+    limit: ByteCount,
+    held: AtomicU64,
+}
+
+/// Error for bytes that the budget has no room for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetExceeded {
+    /// Bytes that the holder would take.
+    pub wanted: ByteCount,
+    /// Bytes that the other holders take.
+    pub held_by_others: ByteCount,
+}
+
+impl fmt::Display for BudgetExceeded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "no memory for {}, other responses hold {}",
+            self.wanted, self.held_by_others
+        )
+    }
+}
+
+impl std::error::Error for BudgetExceeded {}
+
+impl ByteBudget {
+    /// Creates a budget without holders.
+    pub fn new(limit: ByteCount) -> Arc<Self> {
+        Arc::new(Self {
+            limit,
+            held: AtomicU64::new(0),
+        })
+    }
+
+    /// Bytes that all holders take.
+    pub fn held(&self) -> ByteCount {
+        ByteCount(self.held.load(Ordering::Relaxed))
+    }
+
+    /// Returns a holder that takes no bytes yet.
+    pub fn holder(self: &Arc<Self>) -> HeldBytes {
+        HeldBytes {
+            budget: self.clone(),
+            bytes: 0,
+        }
+    }
+}
+
+/// Bytes taken from a budget, which are given back on drop.
+#[derive(Debug)]
+pub struct HeldBytes {
+    budget: Arc<ByteBudget>,
+    bytes: u64,
+}
+
+impl HeldBytes {
+    /// Changes the number of bytes taken.
+    ///
+    /// # Errors
+    ///
+    /// Fails, without a change, when the number rises and would exceed what remains free.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), BudgetExceeded> {
+        let wanted = bytes as u64;
+        let held_by_others = self.budget.held().0.saturating_sub(self.bytes);
+        let available = self.budget.limit.0.saturating_sub(held_by_others);
+        if wanted > self.bytes && wanted > available.saturating_sub(wanted) {
+            return Err(BudgetExceeded {
+                wanted: ByteCount(wanted),
+                held_by_others: ByteCount(held_by_others),
+            });
+        }
+        if wanted >= self.bytes {
+            let added = wanted - self.bytes;
+            self.budget.held.fetch_add(added, Ordering::Relaxed);
+        } else {
+            let removed = self.bytes - wanted;
+            self.budget.held.fetch_sub(removed, Ordering::Relaxed);
+        }
+        self.bytes = wanted;
+        Ok(())
+    }
+
+    /// Gives all bytes back.
+    pub fn release(&mut self) {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.budget.held.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
+/// Budgets of a node. Callers' responses, calls to backend servers and the store do not take each other's memory.
+#[derive(Debug)]
+pub struct ResponseBudgets {
+    /// Buffered responses to callers' requests, and incomplete events of their streams.
+    pub requests: Arc<ByteBudget>,
+    /// Reports of backend servers and their answers to orders.
+    pub calls: Arc<ByteBudget>,
+    /// Responses of the store.
+    pub store: Arc<ByteBudget>,
+}
+
+impl Default for ResponseBudgets {
+    fn default() -> Self {
+        Self {
+            requests: ByteBudget::new(REQUEST_BYTES),
+            calls: ByteBudget::new(CALL_BYTES),
+            store: ByteBudget::new(STORE_BYTES),
+        }
+    }
+}
+
+impl ResponseBudgets {
+    /// Bytes held by each kind of response.
+    pub fn held(&self) -> [(&'static str, ByteCount); 3] {
+        [
+            ("request", self.requests.held()),
+            ("call", self.calls.held()),
+            ("store", self.store.held()),
+        ]
+    }
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -7,18 +7,19 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::TargetOutcome;
 use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_gateway::routes::RouteRefusal;
+use jaysaddle_types::units::ByteCount;
 use tokio::time::timeout;
 
 use crate::attempt::ActiveAttempt;
 use crate::attempt::send_with_retries;
+use crate::bounded_body::BodyBounds;
+use crate::bounded_body::read_bounded;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::header_text;
 use crate::caller_request::read_body;
@@ -31,7 +32,7 @@
 use crate::response::full_body;
 
 /// Maximum body size of a response that is not streamed.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+const MAX_RESPONSE: ByteCount = ByteCount(16 << 20);
 
 /// Counts a request as open until dropped.
 pub struct OpenRequest(Rc<EntryNode>);
@@ -155,13 +156,17 @@
         } = attempt;
         let (mut parts, body) = response.into_parts();
         let remaining = Duration::from_millis(request.time_left().as_millis());
-        let limited = Limited::new(body, MAX_RESPONSE_BYTES);
-        let cause = match timeout(remaining, limited.collect()).await {
-            Ok(Ok(collected)) => {
+        let bounds = BodyBounds {
+            limit: MAX_RESPONSE,
+            budget: &node.budgets.requests,
+            sender: guard.target.backend.as_str(),
+        };
+        let cause = match timeout(remaining, read_bounded(body, bounds)).await {
+            Ok(Ok(body)) => {
                 guard.finish(TargetOutcome::Answered);
                 node.pool.put(connection, keep_alive_timeout);
                 strip_connection_headers(&mut parts.headers);
-                let body = full_body(collected.to_bytes());
+                let body = full_body(body);
                 report.finish_answered(parts.status.as_u16());
                 return Ok(Response::from_parts(parts, body));
             }
@@ -173,7 +178,10 @@
             request.id,
             guard.target.backend
         );
+        let number = guard.target.number;
+        node.gateway.borrow_mut().avoid(number, clock::now());
         guard.finish(TargetOutcome::Failed);
+        drop(connection);
         let may_retry = rule.kind.may_retry() && report.runs < rule.max_attempts;
         if !may_retry {
             return Err(RequestFailure::may_have_run(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,8 @@
 mod attempt;
 mod backend_calls;
 mod beats;
+pub mod bounded_body;
+pub mod byte_budget;
 mod caller_request;
 mod callers;
 mod control;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -34,6 +34,7 @@
 use serde_json::Value;
 use tokio::sync::Notify;
 
+use crate::byte_budget::ResponseBudgets;
 use crate::pool::BackendPool;
 use crate::settings::EntrySettings;
 use crate::settings::PlatformBounds;
@@ -89,6 +90,8 @@
     pub lease: RefCell<LeaseState>,
     /// Lease handover that this node announces while it stops.
     pub handover: RefCell<Option<LeaseHandover>>,
+    /// Limits on the memory of responses.
+    pub budgets: ResponseBudgets,
     pub pool: BackendPool,
     pub store: StoreClient,
     pub phase: Cell<PeerPhase>,
@@ -118,6 +121,7 @@
             ..GatewaySettings::default()
         };
         let incarnation = clock::new_incarnation();
+        let budgets = ResponseBudgets::default();
         let mut lease = LeaseState::new(
             settings.node.clone(),
             TermNode::of(&settings.node, incarnation),
@@ -146,7 +150,8 @@
             lease: RefCell::new(lease),
             handover: RefCell::default(),
             pool: BackendPool::default(),
-            store: StoreClient::new(settings.store),
+            store: StoreClient::new(settings.store, budgets.store.clone()),
+            budgets,
             phase: Cell::new(PeerPhase::Starting),
             caller_connections: Cell::new(0),
             open_requests: Cell::new(0),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -12,6 +12,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::TargetOutcome;
 use jaysaddle_gateway::events::EventBuffer;
+use jaysaddle_gateway::events::EventError;
 use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -22,6 +23,7 @@
 use crate::attempt::STALL_CHECK_INTERVAL;
 use crate::attempt::is_stalled;
 use crate::attempt::send_with_retries;
+use crate::byte_budget::HeldBytes;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::strip_connection_headers;
 use crate::forward::OpenRequest;
@@ -29,6 +31,8 @@
 use crate::request_report::RequestReport;
 use crate::response::CallerResponse;
 use crate::response::ResponseBody;
+use crate::response_bounds::BoundKind;
+use crate::response_bounds::report_bound;
 
 /// Minimum remaining time for a stream to resume at another group, which has to process the prompt again.
 const MIN_RESUME_TIME: TimeSpan = TimeSpan(400);
@@ -40,6 +44,8 @@
     report: RequestReport,
     attempt: Option<ActiveAttempt>,
     events: EventBuffer,
+    /// Memory of the incomplete event.
+    held: HeldBytes,
     /// When the last data arrived, to measure the pauses between events.
     last_data: Timestamp,
     has_data: bool,
@@ -64,12 +70,14 @@
         open: OpenRequest,
     ) -> Self {
         let events = EventBuffer::resume_after(request.last_event);
+        let held = node.budgets.requests.holder();
         Self {
             node,
             request,
             report,
             attempt: Some(attempt),
             events,
+            held,
             last_data: clock::now(),
             has_data: false,
             _open: open,
@@ -98,10 +106,10 @@
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
         loop {
             let cause = match self.read_data().await {
-                StreamRead::Data(data) => match self.events.push(&data) {
+                StreamRead::Data(data) => match self.push(&data) {
                     Ok(ready) if ready.is_empty() => continue,
                     Ok(ready) => return Some(Ok(ready)),
-                    Err(error) => error.to_string(),
+                    Err(cause) => cause,
                 },
                 StreamRead::End if !self.events.has_partial() => {
                     self.complete();
@@ -123,6 +131,29 @@
         }
     }
 
+    /// Appends data and returns the complete events.
+    fn push(&mut self, data: &[u8]) -> Result<Bytes, String> {
+        let result = self.events.push(data);
+        let pending = self.events.pending_bytes();
+        let (kind, received, cause) = match (result, self.held.resize(pending)) {
+            (Ok(ready), Ok(())) => return Ok(ready),
+            // Events that were returned by the buffer would be missing in a resumed stream.
+            (Ok(ready), Err(_)) if !ready.is_empty() => return Ok(ready),
+            (Ok(_), Err(error)) => (BoundKind::Memory, pending, error.to_string()),
+            (Err(error), _) => match error {
+                EventError::Gap { .. } => return Err(error.to_string()),
+                EventError::TooLong { bytes } | EventError::Repeated { bytes } => {
+                    (BoundKind::Event, bytes, error.to_string())
+                }
+            },
+        };
+        if let Some(attempt) = &self.attempt {
+            let sender = attempt.guard.target.backend.as_str();
+            report_bound(sender, kind, received);
+        }
+        Err(cause)
+    }
+
     /// Waits until data arrives, the stream ends, or the backend server is considered failed.
     async fn read_data(&mut self) -> StreamRead {
         loop {
@@ -197,6 +228,7 @@
             return Err(cause.to_owned());
         }
         self.events.discard_partial();
+        self.held.release();
         let last = self.events.last_id();
         let attempt = send_with_retries(&self.node, &self.request, &mut self.report, last)
             .await
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -3,13 +3,13 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use eyre::WrapErr;
 use eyre::eyre;
 use http::Request;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use jaysaddle_adapter::headers;
 use jaysaddle_adapter::store::StoreCall;
@@ -18,12 +18,16 @@
 use jaysaddle_adapter::store::parse_response;
 use jaysaddle_daemon::clock;
 use jaysaddle_types::ids::StoreEra;
+use jaysaddle_types::units::ByteCount;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use tokio::time::timeout;
 
+use crate::bounded_body::BodyBounds;
+use crate::bounded_body::read_bounded;
+use crate::byte_budget::ByteBudget;
 use crate::exchange::Connection;
 use crate::exchange::ExchangeError;
 use crate::exchange::ReceivedResponse;
@@ -34,6 +38,8 @@
 
 /// Maximum number of idle connections; a watch and a few calls run concurrently.
 const MAX_IDLE_CONNECTIONS: usize = 3;
+/// Limit of a response, which may list the entries of the whole fleet.
+const MAX_RESPONSE: ByteCount = ByteCount(8 << 20);
 /// Name of the store in logs.
 const STORE_NAME: &str = "store";
 
@@ -41,6 +47,8 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
+    /// Limit on the memory of all responses.
+    budget: Arc<ByteBudget>,
     idle: RefCell<Vec<Connection>>,
     /// Whether the last call got a response that was not a refusal.
     is_reachable: Cell<bool>,
@@ -56,9 +64,10 @@
 const UNREACHABLE_TIMEOUT: TimeSpan = TimeSpan(450);
 
 impl StoreClient {
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, budget: Arc<ByteBudget>) -> Self {
         Self {
             address,
+            budget,
             idle: RefCell::default(),
             is_reachable: Cell::new(true),
             pending_since: Cell::new(None),
@@ -209,12 +218,14 @@
         self.check_era(&response)
             .map_err(ExchangeError::may_have_run)?;
         let status = response.status().as_u16();
-        let body = response
-            .into_body()
-            .collect()
+        let bounds = BodyBounds {
+            limit: MAX_RESPONSE,
+            budget: &self.budget,
+            sender: STORE_NAME,
+        };
+        let body = read_bounded(response.into_body(), bounds)
             .await
-            .map_err(ExchangeError::may_have_run)?
-            .to_bytes();
+            .map_err(ExchangeError::may_have_run)?;
         let response = parse_response(call, status, &body)
             .wrap_err_with(|| format!("response to {}", call.label()))
             .map_err(ExchangeError::may_have_run)?;
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the parts of the entry daemon that need no sockets.
 
 mod address_list;
+mod byte_budget;
 mod log_limiter;
 mod responses;
 mod stated_limit;
--- a/crates/entry/tests/all/responses.rs
+++ b/crates/entry/tests/all/responses.rs
@@ -7,9 +7,14 @@
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use jaysaddle_entry::bounded_body::BodyBounds;
+use jaysaddle_entry::bounded_body::BodyError;
+use jaysaddle_entry::bounded_body::read_bounded;
+use jaysaddle_entry::byte_budget::ByteBudget;
 use jaysaddle_entry::exchange::ReceivedResponse;
 use jaysaddle_entry::exchange::connect;
 use jaysaddle_entry::exchange::send;
+use jaysaddle_types::units::ByteCount;
 use jaysaddle_types::verdict::Verdict;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -19,6 +24,8 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+const LIMIT: ByteCount = ByteCount(1 << 20);
+
 fn run(test: impl Future<Output = ()>) {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("a runtime can be started");
@@ -102,3 +109,39 @@
         assert!(result.is_err());
     });
 }
+
+/// Guards against a body within its limit that is cut, one above it that is read, and bytes that are not given back.
+#[test]
+fn body_is_read_up_to_its_limit() {
+    run(async {
+        let limit = usize::try_from(LIMIT.0).expect("fits in usize");
+        let budget = ByteBudget::new(ByteCount(4 * LIMIT.0));
+        let bounds = BodyBounds {
+            limit: LIMIT,
+            budget: &budget,
+            sender: "server",
+        };
+        let (whole, _) = chunked([limit / 2, limit / 2].into_iter());
+        let response = response_to(whole).await.expect("a response");
+        let body = read_bounded(response.into_body(), bounds).await;
+        let body = body.expect("the body is within its limit");
+        assert_eq!(body.len(), limit);
+        assert_eq!(budget.held(), LIMIT);
+        drop(body);
+        let (longer, _) = chunked([limit / 2, limit / 2, 1].into_iter());
+        let response = response_to(longer).await.expect("a response");
+        let result = read_bounded(response.into_body(), bounds).await;
+        assert!(matches!(result, Err(BodyError::TooLong(_))), "{result:?}");
+        assert_eq!(budget.held(), ByteCount(0));
+        // Others hold so much that the body does not fit.
+        let mut other = budget.holder();
+        assert_eq!(other.resize(2 * limit), Ok(()));
+        let mut another = budget.holder();
+        assert_eq!(another.resize(limit), Ok(()));
+        let (whole, _) = chunked([limit / 2, limit / 2].into_iter());
+        let response = response_to(whole).await.expect("a response");
+        let result = read_bounded(response.into_body(), bounds).await;
+        assert!(matches!(result, Err(BodyError::NoMemory(_))), "{result:?}");
+        assert_eq!(budget.held(), ByteCount(3 * LIMIT.0));
+    });
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod cluster_state;
 mod config_validation;
 mod deployment;
+mod endless_bytes;
 mod faults;
 mod graceful_stop;
 mod invalid_input;
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -144,6 +144,13 @@
         kib.map_or(0, |kib: u64| kib * 1024)
     }
 
+    /// Highest resident memory since the start in bytes; 0 when it cannot be read.
+    pub fn peak_resident_bytes(&self) -> u64 {
+        let field = self.proc_status_field("VmHWM:").unwrap_or_default();
+        let kib = field.strip_suffix(" kB").and_then(|kib| kib.parse().ok());
+        kib.map_or(0, |kib: u64| kib * 1024)
+    }
+
     /// Number of threads; 0 when it cannot be read.
     pub fn threads(&self) -> u64 {
         let field = self.proc_status_field("Threads:").unwrap_or_default();
