Log at most 200 characters of a refused order's answer

The answer of a backend server to an order that it refuses was logged whole: up to 64 KiB on one line, and without end before bodies were bounded.

No test covers the line: the stand-ins refuse orders with an empty body.

--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -45,6 +45,8 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(160);
 /// Limit of a report and of an answer to an order.
 const MAX_RESPONSE: ByteCount = ByteCount(64 << 10);
+/// Maximum number of characters of an order's answer that are logged.
+const MAX_LOGGED_CHARS: usize = 200;
 /// Time in which the reports of all engines are collected. An order in flight is carried out within milliseconds
 /// and shows up in reports 200 ms later.
 const REPORT_COLLECTION_TIME: TimeSpan = TimeSpan(500);
@@ -149,10 +151,9 @@
     };
     let detail = match &outcome {
         Ok((status, body)) if *status >= 300 => {
-            format!(
-                " status={status} answer={:?}",
-                String::from_utf8_lossy(body)
-            )
+            let text = String::from_utf8_lossy(body);
+            let text: String = text.chars().take(MAX_LOGGED_CHARS).collect();
+            format!(" status={status} answer={text:?}")
         }
         Ok((status, _)) => format!(" status={status}"),
         Err(error) => format!(" error=\"{:#}\"", error.cause),
