--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -17,6 +17,7 @@
 use jaysaddle_gateway::routes::RouteMatch;
 use jaysaddle_gateway::routes::RouteRefusal;
 use jaysaddle_types::serving::ClientLimits;
+use jaysaddle_types::units::ByteCount;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use jaysaddle_types::verdict::Verdict;
@@ -24,6 +25,8 @@
 
 use crate::attempt::ActiveAttempt;
 use crate::attempt::send_with_retries;
+use crate::bounded_body::BodyBounds;
+use crate::bounded_body::read_bounded;
 use crate::caller_body::CallerBody;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::head_bytes;
@@ -39,7 +42,7 @@
 use crate::response::full_body;
 
 /// Maximum body size of a response that is not streamed.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+const MAX_RESPONSE: ByteCount = ByteCount(16 << 20);
 /// Interval at which a wait checks whether a planned stop has brought the deadline forward.
 const DEADLINE_CHECK_INTERVAL: TimeSpan = TimeSpan(100);
 /// Interval at which a request whose body arrives slowly is checked for a planned stop that it does not fit into.
@@ -258,13 +261,17 @@
             response,
         } = attempt;
         let (mut parts, body) = response.into_parts();
-        let limited = Limited::new(body, MAX_RESPONSE_BYTES);
-        let cause = match within_time(&request, limited.collect()).await {
-            Some(Ok(collected)) => {
+        let bounds = BodyBounds {
+            limit: MAX_RESPONSE,
+            budget: &node.budgets.requests,
+            sender: guard.target.backend.as_str(),
+        };
+        let cause = match within_time(&request, read_bounded(body, bounds)).await {
+            Some(Ok(body)) => {
                 guard.finish(TargetOutcome::Answered);
                 node.pool.put(connection, keep_alive_timeout);
                 strip_connection_headers(&mut parts.headers);
-                let body = full_body(collected.to_bytes());
+                let body = full_body(body);
                 report.finish_answered(parts.status.as_u16());
                 return Ok(Response::from_parts(parts, body));
             }
@@ -276,7 +283,10 @@
             request.id,
             guard.target.backend
         );
+        let number = guard.target.number;
+        node.gateway.borrow_mut().avoid(number, clock::now());
         guard.finish(TargetOutcome::Failed);
+        drop(connection);
         let may_retry = rule.kind.may_retry() && report.runs < rule.max_attempts;
         if !may_retry {
             return Err(RequestFailure::may_have_run(
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the parts of the entry daemon that need no sockets.
 
 mod address_list;
+mod byte_budget;
 mod log_limiter;
+mod responses;
 mod stated_limit;
 mod store_era;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod config_validation;
 mod connection_ends;
 mod deployment;
+mod endless_bytes;
 mod faults;
 mod graceful_stop;
 mod invalid_input;
