--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,9 @@
 
 use crate::deployment::MAX_WAIT;
 
+/// Interval at which a watched process is checked.
+const EXIT_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A child process that is killed on drop.
 pub struct TestProcess {
     /// Name used in failure messages.
@@ -117,6 +121,29 @@
         self.signal(Signal::HUP);
     }
 
+    /// Starts a thread that returns when the process has exited, without reaping it.
+    pub fn watch_exit(&self) -> JoinHandle<Instant> {
+        let path = format!("/proc/{}/status", self.child.id());
+        thread::spawn(move || {
+            loop {
+                let status = fs::read_to_string(&path).unwrap_or_default();
+                let state = status.lines().find_map(|line| line.strip_prefix("State:"));
+                // A process that has exited is a zombie until it is reaped.
+                if state.is_none_or(|state| state.trim_start().starts_with('Z')) {
+                    return Instant::now();
+                }
+                thread::sleep(EXIT_INTERVAL);
+            }
+        })
+    }
+
+    /// Whether the process has exited.
+    pub fn has_exited(&mut self) -> bool {
+        let has_exited = matches!(self.child.try_wait(), Ok(Some(_)));
+        self.is_reaped.fetch_or(has_exited, Ordering::SeqCst);
+        has_exited
+    }
+
     /// Waits until the process exits and returns its exit code; `None` after a fatal signal.
     pub fn wait_exit(&mut self) -> Option<i32> {
         let started = Instant::now();
--- a/tests/all/raw_callers.rs
+++ b/tests/all/raw_callers.rs
@@ -19,17 +19,17 @@
 use crate::platform_nodes::KEY;
 
 /// Port on which the nodes of [`crate::platform_nodes`] accept callers.
-const CALLERS_PORT: u16 = 7700;
+pub const CALLERS_PORT: u16 = 7700;
 /// Time until which a caller waits for a connection or for the next bytes of a response.
-const READ_TIMEOUT: Duration = Duration::from_secs(20);
+pub const READ_TIMEOUT: Duration = Duration::from_secs(20);
 /// Pause between the parts of a request or response that a slow caller sends or reads.
-const PART_PAUSE: Duration = Duration::from_millis(20);
+pub const PART_PAUSE: Duration = Duration::from_millis(20);
 /// Number of bytes that a slow reader reads at a time.
 const SLOW_READ_BYTES: usize = 256 * 1024;
 /// Delay of a caller before it uses another connection after a refusal.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
+pub const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
 /// Shortest pause of an idle caller between two requests on one connection.
-const IDLE_PAUSE: Duration = Duration::from_millis(200);
+pub const IDLE_PAUSE: Duration = Duration::from_millis(200);
 /// Step and number of the different pauses, which keep callers from sending at the same moments.
 const IDLE_STEP: Duration = Duration::from_millis(47);
 const IDLE_STEPS: u64 = 9;
@@ -55,7 +55,7 @@
 
 impl CallerStyle {
     /// Number of requests that are sent before the first response.
-    fn requests_at_once(self) -> usize {
+    pub fn requests_at_once(self) -> usize {
         match self {
             CallerStyle::Pipelined => 2,
             CallerStyle::PipelinedSlowReader => 3,
@@ -63,7 +63,7 @@
         }
     }
 
-    fn reads_slowly(self) -> bool {
+    pub fn reads_slowly(self) -> bool {
         matches!(
             self,
             CallerStyle::SlowReader | CallerStyle::PipelinedSlowReader
@@ -164,7 +164,7 @@
             }
             let number = REQUESTS.fetch_add(1, Ordering::Relaxed);
             let id = format!("raw-{}-{number}", std::process::id());
-            let text = self.request_text(&id);
+            let text = request_text(self.address, self.path, &id, self.stated_ms);
             let is_sent = connection.send(&text, self.style == CallerStyle::SlowBody);
             is_usable &= is_sent.is_ok();
             pending.push((id, Instant::now()));
@@ -186,26 +186,25 @@
         }
         is_usable
     }
+}
 
-    fn request_text(&self, id: &str) -> Vec<u8> {
-        let body = "prompt ".repeat(20);
-        let mut text = format!(
-            "POST {} HTTP/1.1\r\nHost: {}:{CALLERS_PORT}\r\nContent-Length: {}\r\n",
-            self.path,
-            self.address,
-            body.len()
-        );
-        for (name, value) in request_headers_with_time(id, KEY, self.stated_ms) {
-            text.push_str(&format!("{name}: {value}\r\n"));
-        }
-        text.push_str("\r\n");
-        text.push_str(&body);
-        text.into_bytes()
+/// Text of a request to a node.
+pub fn request_text(address: IpAddr, target: &str, id: &str, stated_ms: u64) -> Vec<u8> {
+    let body = "prompt ".repeat(20);
+    let mut text = format!(
+        "POST {target} HTTP/1.1\r\nHost: {address}:{CALLERS_PORT}\r\nContent-Length: {}\r\n",
+        body.len()
+    );
+    for (name, value) in request_headers_with_time(id, KEY, stated_ms) {
+        text.push_str(&format!("{name}: {value}\r\n"));
     }
+    text.push_str("\r\n");
+    text.push_str(&body);
+    text.into_bytes()
 }
 
 /// A connection with the bytes that were received and not yet used.
-struct RawConnection {
+pub struct RawConnection {
     stream: TcpStream,
     received: Vec<u8>,
     /// Number of bytes received for the present response.
@@ -221,7 +220,7 @@
 }
 
 impl RawConnection {
-    fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream) -> Self {
         stream
             .set_read_timeout(Some(READ_TIMEOUT))
             .expect("a valid timeout");
@@ -233,7 +232,7 @@
         }
     }
 
-    fn send(&mut self, text: &[u8], is_slow: bool) -> io::Result<()> {
+    pub fn send(&mut self, text: &[u8], is_slow: bool) -> io::Result<()> {
         let part_bytes = if is_slow { 100 } else { text.len() };
         for part in text.chunks(part_bytes) {
             self.stream.write_all(part)?;
@@ -261,7 +260,7 @@
     }
 
     /// Reads a response. Also returns whether the connection may be used for another request.
-    fn read_response(&mut self, is_slow: bool) -> (RawOutcome, bool) {
+    pub fn read_response(&mut self, is_slow: bool) -> (RawOutcome, bool) {
         self.response_bytes = self.received.len();
         let head_end = loop {
             let end = self
