List stopping nodes in the directory while no other node serves

What callers saw: while all nodes stop within a few seconds, every directory answers 503, although the nodes serve for 3 s more what can end in time. Callers with an address are served, callers that ask are not.

Evidence: directory_lists_stopping_nodes_while_no_other_serves gets no address on the commit before and passes now.

Without a serving node, the directory lists those that are stopping.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -110,27 +110,43 @@
     json_response(resolve_body(&addresses, lifetime))
 }
 
-/// Addresses of the nodes that accept callers.
+/// Addresses of the nodes that accept callers. While all nodes stop, those that are stopping, because they still serve
+/// what can end in time.
 fn serving_addresses(
     node: &EntryNode,
     caller: IpAddr,
     caller_domain: Option<&str>,
 ) -> Vec<SocketAddr> {
+    let serving = nodes_in_phase(node, PeerPhase::Serving, caller_domain);
+    let nodes = if serving.is_empty() {
+        nodes_in_phase(node, PeerPhase::Stopping, caller_domain)
+    } else {
+        serving
+    };
+    select_addresses(nodes, MAX_ADDRESSES, caller)
+}
+
+/// This node and its live peers, as far as they are in `phase`.
+fn nodes_in_phase(
+    node: &EntryNode,
+    phase: PeerPhase,
+    caller_domain: Option<&str>,
+) -> Vec<ServingNode> {
     let now = clock::now();
     let peers = node.peers.borrow();
     let mut nodes: Vec<ServingNode> = peers
         .live(now)
-        .filter(|record| record.heartbeat.phase == PeerPhase::Serving)
+        .filter(|record| record.heartbeat.phase == phase)
         .map(|record| ServingNode {
             is_same_domain: Some(record.heartbeat.failure_domain.as_str()) == caller_domain,
             address: record.heartbeat.caller_address,
         })
         .collect();
-    if node.phase.get() == PeerPhase::Serving {
+    if node.phase.get() == phase {
         nodes.push(ServingNode {
             is_same_domain: Some(node.settings.failure_domain.as_str()) == caller_domain,
             address: node.settings.listen.callers,
         });
     }
-    select_addresses(nodes, MAX_ADDRESSES, caller)
+    nodes
 }
--- a/tests/all/planned_stop.rs
+++ b/tests/all/planned_stop.rs
@@ -6,6 +6,7 @@
 
 use jaysaddle_platform_standin::StandinWork;
 
+use crate::platform_nodes::KEY;
 use crate::platform_nodes::PlatformNodes;
 use crate::raw_callers::CallerStyle;
 use crate::raw_callers::RawCaller;
@@ -378,3 +379,24 @@
     report.assert_nothing_lost();
     report.assert_first_requests_served();
 }
+
+/// Guards against callers that are turned away by the directory while all nodes stop, although these still serve.
+#[test]
+fn directory_lists_stopping_nodes_while_no_other_serves() {
+    let nodes = PlatformNodes::start(3, 4);
+    nodes.wait_serving(2);
+    nodes.wait("the directories list all nodes", |nodes| {
+        (0..3).all(|node| nodes.resolved(node) == 3)
+    });
+    nodes.nodes[0].terminate();
+    nodes.wait("the directories list two nodes", |nodes| {
+        (1..3).all(|node| nodes.resolved(node) == 2)
+    });
+    nodes.nodes[1].terminate();
+    nodes.nodes[2].terminate();
+    nodes.wait("node 2 is not ready", |nodes| !nodes.is_ready(1));
+    thread::sleep(Duration::from_millis(300));
+    assert!(nodes.resolved(1) >= 2, "{}", nodes.resolved(1));
+    let response = nodes.request(1, "while-all-stop", "/drafts/x", KEY);
+    assert_eq!(response.status_code, 200);
+}
