Log the requests that a stop cuts at level warn

With log_level: warn, nothing said what a stop had cut, and beside more than 200 other ends of requests in a second the limit on log lines could leave out the lines of the cut ones. They now have a level and a place of their own, and event=stopped is a warning when requests were cut.

--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -253,7 +253,7 @@
         }
         let took = now.since(self.received);
         self.record_metrics(end, took);
-        log::info!(
+        let line = format_args!(
             "event=request_ended request={} result={end}{}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}{}",
             self.id,
             OptionalFields(self.route.as_ref()),
@@ -267,6 +267,12 @@
             took.as_millis(),
             AfterStop(self.after_stop)
         );
+        // A place of its own in the code, and with it in the limit on log lines.
+        if *end == RequestEnd::CutByShutdown {
+            log::warn!("{line}");
+        } else {
+            log::info!("{line}");
+        }
     }
 
     /// Whether a backend server has served the request from its beginning to its end.
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -8,6 +8,7 @@
 use jaysaddle_gateway::shutdown::ShutdownPlan;
 use jaysaddle_gateway::shutdown::ShutdownSettings;
 use jaysaddle_types::units::Timestamp;
+use log::Level;
 use tokio::net::UdpSocket;
 use tokio::task::yield_now;
 use tokio::time::sleep;
@@ -46,7 +47,13 @@
         yield_now().await;
     }
     let shutdown = &node.shutdown;
-    log::info!(
+    let level = if shutdown.cut_requests() > 0 {
+        Level::Warn
+    } else {
+        Level::Info
+    };
+    log::log!(
+        level,
         "event=stopped open_requests={open_requests} open_connections={open_connections} \
          connections_while_stopping={} requests_while_stopping={} cut_requests={} after_ms={}",
         shutdown.connections(),
