Divide the memory of responses by the memory of the VM

Cause: the bound on the memory of all responses was 32 MiB on every VM. That fits one of 160 MB and refuses without need on one of 512 MB.

The setting memory, filled in by the platform, gives the memory of the VM; responses to requests take 20 % of it at most, reports and orders 3 %, the store 10 %. Without it, 512 MiB.

--- a/crates/entry/src/byte_budget.rs
+++ b/crates/entry/src/byte_budget.rs
@@ -7,12 +7,12 @@
 
 use jaysaddle_types::units::ByteCount;
 
-/// Memory of the buffered responses to callers' requests and of the incomplete events of their streams.
-const REQUEST_BYTES: ByteCount = ByteCount(32 << 20);
-/// Memory of the reports of backend servers and of their answers to orders.
-const CALL_BYTES: ByteCount = ByteCount(4 << 20);
-/// Memory of the store's responses.
-const STORE_BYTES: ByteCount = ByteCount(16 << 20);
+/// Percentage of the VM's memory for the buffered responses to callers' requests and the incomplete events of their streams.
+const REQUEST_PERCENT: u64 = 20;
+/// Percentage for the reports of backend servers and their answers to orders.
+const CALL_PERCENT: u64 = 3;
+/// Percentage for the store's responses.
+const STORE_PERCENT: u64 = 10;
 
 /// Limit on the bytes that all its holders take together.
 ///
@@ -130,17 +130,17 @@
     pub store: Arc<ByteBudget>,
 }
 
-impl Default for ResponseBudgets {
-    fn default() -> Self {
+impl ResponseBudgets {
+    /// Divides the memory that responses may take on a VM with `memory`.
+    pub fn of(memory: ByteCount) -> Self {
+        let share = |percent: u64| ByteBudget::new(ByteCount(memory.0 / 100 * percent));
         Self {
-            requests: ByteBudget::new(REQUEST_BYTES),
-            calls: ByteBudget::new(CALL_BYTES),
-            store: ByteBudget::new(STORE_BYTES),
+            requests: share(REQUEST_PERCENT),
+            calls: share(CALL_PERCENT),
+            store: share(STORE_PERCENT),
         }
     }
-}
 
-impl ResponseBudgets {
     /// Bytes held by each kind of response.
     pub fn held(&self) -> [(&'static str, ByteCount); 3] {
         [
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -126,7 +126,7 @@
             ..GatewaySettings::default()
         };
         let incarnation = clock::new_incarnation();
-        let budgets = ResponseBudgets::default();
+        let budgets = ResponseBudgets::of(settings.memory);
         let mut lease = LeaseState::new(
             settings.node.clone(),
             TermNode::of(&settings.node, incarnation),
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -53,6 +53,7 @@
         ("listen", old.listen != new.listen),
         ("peer_ports", old.peer_ports != new.peer_ports),
         ("store", old.store != new.store),
+        ("memory", old.memory != new.memory),
     ];
     change.needs_restart.extend(
         restart_fields
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use jaysaddle_types::ids::FailureDomainId;
 use jaysaddle_types::ids::NodeId;
+use jaysaddle_types::units::ByteCount;
 use jaysaddle_types::units::TimeSpan;
 use serde::Deserialize;
 use serde::Serialize;
@@ -66,6 +67,9 @@
     pub peer_ports: (u16, u16),
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Memory of the VM, of which responses take a part at most.
+    #[serde(default = "default_memory")]
+    pub memory: ByteCount,
     /// Whether all nodes start for the first time, so that no node can hold the lease yet.
     #[serde(default)]
     pub is_first_start: bool,
@@ -77,6 +81,10 @@
     pub log_level: CompactString,
 }
 
+fn default_memory() -> ByteCount {
+    ByteCount(512 << 20)
+}
+
 fn default_log_level() -> CompactString {
     "info".into()
 }
--- a/tests/all/endless_bytes.rs
+++ b/tests/all/endless_bytes.rs
@@ -9,6 +9,7 @@
 use jaysaddle_platform_standin::STORE_NAME;
 use jaysaddle_platform_standin::request_headers;
 use jaysaddle_platform_standin::stream_config;
+use serde_json::json;
 
 use crate::platform_nodes::KEY;
 use crate::platform_nodes::PlatformNodes;
@@ -17,7 +18,9 @@
 
 /// Requests that are sent at once for each kind of endless answer.
 const REQUEST_COUNT: usize = 40;
-/// Memory that a node may take at any time: half of the smallest machine, which has 160 MB.
+/// Memory of the smallest VM, in the form of the settings.
+const VM_MEMORY: &str = "160MB";
+/// Memory that a node may take at any time: half of that VM.
 const MAX_RESIDENT_BYTES: u64 = 80 << 20;
 /// Bytes that an endless answer may hand over: the longest answer of 16 MiB, and as much in buffers of the operating
 /// system.
@@ -157,10 +160,15 @@
     violations
 }
 
+/// Starts two nodes on VMs of [`VM_MEMORY`].
+fn start_nodes(engines: u16) -> PlatformNodes {
+    PlatformNodes::start_with(2, engines, json!({"memory": VM_MEMORY}))
+}
+
 /// Guards against answers without end that take a node's memory or time, and against untrue verdicts on them.
 #[test]
 fn endless_answers_are_closed_and_may_have_run() {
-    let nodes = PlatformNodes::start(2, 4);
+    let nodes = start_nodes(4);
     nodes.wait_serving(2);
     let mut violations_seen = Vec::new();
     for kind in REQUEST_KINDS {
@@ -203,7 +211,7 @@
 /// Guards against requests that may run twice and are not sent to another backend server when one answers without end.
 #[test]
 fn retry_after_an_endless_answer_gets_a_whole_one() {
-    let nodes = PlatformNodes::start(2, 4);
+    let nodes = start_nodes(4);
     nodes.wait_serving(2);
     let server = nodes.standin.plain_servers().swap_remove(0);
     let mut violations_seen = Vec::new();
@@ -241,7 +249,7 @@
 /// Guards against bytes after a complete answer that are taken for a part of the next one.
 #[test]
 fn bytes_after_an_answer_close_the_connection() {
-    let nodes = PlatformNodes::start(2, 4);
+    let nodes = start_nodes(4);
     nodes.wait_serving(2);
     for server in nodes.standin.plain_servers() {
         nodes.standin.set_endless(
@@ -274,7 +282,7 @@
 /// or time, and against streams that are not resumed at another group.
 #[test]
 fn endless_streams_are_resumed_elsewhere() {
-    let nodes = PlatformNodes::start(2, 8);
+    let nodes = start_nodes(8);
     nodes.wait_serving(4);
     let mut violations_seen = Vec::new();
     let kinds = [
@@ -324,7 +332,7 @@
 /// Guards against reports without end that take a node's memory, and against groups that are not served after them.
 #[test]
 fn endless_reports_are_closed() {
-    let mut nodes = PlatformNodes::start(2, 12);
+    let mut nodes = start_nodes(12);
     nodes.wait_serving(6);
     let mut violations_seen = Vec::new();
     for kind in REPORT_KINDS {
@@ -369,7 +377,7 @@
 /// again after them.
 #[test]
 fn endless_answers_to_orders_are_closed() {
-    let nodes = PlatformNodes::start(2, 12);
+    let nodes = start_nodes(12);
     nodes.wait_serving(6);
     let mut violations_seen = Vec::new();
     for kind in CALL_KINDS {
@@ -413,7 +421,7 @@
 /// store again after them.
 #[test]
 fn endless_answers_of_the_store_are_closed() {
-    let nodes = PlatformNodes::start(2, 4);
+    let nodes = start_nodes(4);
     nodes.wait_serving(2);
     let mut violations_seen = Vec::new();
     for (version, kind) in (2..).zip(CALL_KINDS) {
--- a/tests/all/platform_nodes.rs
+++ b/tests/all/platform_nodes.rs
@@ -51,6 +51,11 @@
 impl PlatformNodes {
     /// Starts nodes, a store and engines.
     pub fn start(count: u8, engines: u16) -> Self {
+        Self::start_with(count, engines, json!({}))
+    }
+
+    /// The same, with further settings of the nodes.
+    pub fn start_with(count: u8, engines: u16, further: Value) -> Self {
         let number = NODE_SETS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
         // 127.x.y.z with x and y from the process id and the number of the set. The offset of 8 keeps the
@@ -73,13 +78,16 @@
             logs: Vec::new(),
         };
         for (node, address) in (1..).zip(addresses) {
-            let settings = json!({
+            let mut settings = json!({
                 "node": format!("entry-{node}"), "failure_domain": "a", "address": address,
                 "listen": {"callers": format!("{address}:7700"), "readiness": format!("{address}:7701"),
                     "directory": format!("{address}:7702")},
                 "peer_ports": [7703, 7710], "store": set.standin.store_address,
                 "is_first_start": true
             });
+            for (field, value) in further.as_object().into_iter().flatten() {
+                settings[field] = value.clone();
+            }
             let file = folder.join(format!("entry-{node}.yaml"));
             fs::write(&file, settings.to_string()).expect("the settings can be written");
             let log = file.with_extension("log");
