Let a response take no more memory than its length

What callers would see (found by the review): 502 for a healthy answer of 8 to 16 MiB as soon as any other response holds memory, with the work done.

Cause: the buffer of a body only doubled, so a body took up to twice its length, and the room for the doubled buffer decided whether it was read.

Evidence: body_takes_no_more_memory_than_it_needs fails without this change (no memory for the buffer of 1 MiB of a body of 700 KiB) and passes with it.

A stated length caps the buffer, a buffer that has no room to double grows by what has arrived, and what is left over is given back at the end.

--- a/crates/entry/src/bounded_body.rs
+++ b/crates/entry/src/bounded_body.rs
@@ -70,6 +70,8 @@
     data: Vec<u8>,
     held: HeldBytes,
     limit: usize,
+    /// Length of the body if it is stated, else its limit.
+    expected: usize,
 }
 
 impl BodyBuffer {
@@ -81,14 +83,25 @@
         }
         let capacity = self.data.capacity();
         if length > capacity {
-            let doubled = (capacity * 2).min(self.limit);
-            let needed = length.max(doubled).max(MIN_BUFFER_BYTES);
-            self.held.resize(needed).map_err(BodyError::NoMemory)?;
-            self.data.reserve_exact(needed - self.data.len());
+            let doubled = (capacity * 2).max(MIN_BUFFER_BYTES).min(self.expected);
+            let mut wanted = length.max(doubled);
+            if self.held.resize(wanted).is_err() {
+                // Without room for growth, the body may still fit.
+                wanted = length;
+                self.held.resize(wanted).map_err(BodyError::NoMemory)?;
+            }
+            self.data.reserve_exact(wanted - self.data.len());
         }
         self.data.extend_from_slice(data);
         Ok(())
     }
+
+    /// Gives back what the body does not need.
+    fn shrink(&mut self) {
+        self.data.shrink_to_fit();
+        // Taking fewer bytes cannot fail.
+        let _ = self.held.resize(self.data.len());
+    }
 }
 
 /// Reads a body to its end. The bytes count against the budget until the last reference to them is dropped.
@@ -101,10 +114,15 @@
     B: Body<Data = Bytes> + Unpin,
     B::Error: Error,
 {
+    let limit = usize::try_from(bounds.limit.0).unwrap_or(usize::MAX);
+    let stated = body.size_hint().exact();
     let mut buffer = BodyBuffer {
         data: Vec::new(),
         held: bounds.budget.holder(),
-        limit: usize::try_from(bounds.limit.0).unwrap_or(usize::MAX),
+        limit,
+        expected: stated
+            .and_then(|length| usize::try_from(length).ok())
+            .map_or(limit, |length| length.min(limit)),
     };
     let result = fill(&mut buffer, &mut body).await;
     let kind = match &result {
@@ -116,6 +134,7 @@
         report_bound(bounds.sender, kind, buffer.data.len());
     }
     result?;
+    buffer.shrink();
     let BodyBuffer { data, held, .. } = buffer;
     Ok(Bytes::from_owner(HeldBody { data, _held: held }))
 }
--- a/crates/entry/tests/all/responses.rs
+++ b/crates/entry/tests/all/responses.rs
@@ -145,3 +145,34 @@
         assert_eq!(budget.held(), ByteCount(3 * LIMIT.0));
     });
 }
+
+/// Guards against a body that is refused because its buffer would take more than the body.
+#[test]
+fn body_takes_no_more_memory_than_it_needs() {
+    const LENGTH: usize = 700 * 1024;
+    run(async {
+        for is_chunked in [false, true] {
+            let bytes = if is_chunked {
+                chunked(std::iter::repeat_n(LENGTH / 70, 70)).0
+            } else {
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LENGTH}\r\n\r\n");
+                [head.into_bytes(), vec![b'a'; LENGTH]].concat()
+            };
+            let budget = ByteBudget::new(ByteCount(3 << 20));
+            let mut other = budget.holder();
+            // The rest leaves room for twice the length of the body, but not for twice the next power of two.
+            other.resize(3 << 19).expect("memory");
+            let others = budget.held();
+            let response = response_to(bytes).await.expect("a response");
+            let bounds = BodyBounds {
+                limit: LIMIT,
+                budget: &budget,
+                sender: "server",
+            };
+            let body = read_bounded(response.into_body(), bounds).await;
+            let body = body.expect("the body fits");
+            assert_eq!(body.len(), LENGTH, "chunked {is_chunked}");
+            assert_eq!(budget.held().0 - others.0, LENGTH as u64);
+        }
+    });
+}
