Do not blame a backend server for the node's lack of memory

Cause: a response that found no memory ended like one that its backend server had broken off.

Such a request now ends with 502, no_memory, may_have_run, without a retry, and the backend server is not avoided. No test of our own.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::attempt::ActiveAttempt;
 use crate::attempt::send_with_retries;
 use crate::bounded_body::BodyBounds;
+use crate::bounded_body::BodyError;
 use crate::bounded_body::read_bounded;
 use crate::caller_body::CallerBody;
 use crate::caller_request::CallerRequest;
@@ -275,6 +276,19 @@
                 report.finish_answered(parts.status.as_u16());
                 return Ok(Response::from_parts(parts, body));
             }
+            Some(Err(error @ BodyError::NoMemory(_))) => {
+                // The backend server is not at fault, and another one's answer would need as much memory.
+                log::warn!(
+                    "event=answer_cut request={} backend={} cause=\"{error}\"",
+                    request.id,
+                    guard.target.backend
+                );
+                guard.finish(TargetOutcome::Abandoned);
+                return Err(RequestFailure::may_have_run(
+                    StatusCode::BAD_GATEWAY,
+                    "no_memory",
+                ));
+            }
             Some(Err(error)) => format!("{error}"),
             None => "time is up".to_owned(),
         };
