Close connections whose callers do not read their responses

Cause: the write of a response had no time limit. The same keeps the place of a stream at its backend server.

A write that makes no progress for 15 s fails, which closes the connection and gives everything back (event=caller_not_reading). response_that_nobody_reads_gives_its_memory_back passes with the change; it was not run without it.

--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::Buf;
@@ -15,6 +16,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 /// Number of bytes that a closed connection discards before it is reset; more than the body of a request that was refused
@@ -23,6 +26,9 @@
 /// Number of bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Time without progress after which the write of a response fails, because its caller does not read it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// TCP stream whose received bytes can be given back, to be read again.
 #[derive(Debug)]
 pub struct CallerStream {
@@ -30,6 +36,8 @@
     caller: IpAddr,
     /// Bytes to read before those of the stream.
     unread: Bytes,
+    /// End of a write that makes no progress; `None` while none waits.
+    write_timeout: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
@@ -38,6 +46,7 @@
             stream,
             caller,
             unread: Bytes::new(),
+            write_timeout: None,
         }
     }
 
@@ -96,6 +105,27 @@
     }
 }
 
+impl CallerStream {
+    /// Fails a write that has waited for too long. A response that nobody reads would keep its memory, and a stream its
+    /// place at a backend server.
+    fn check_progress(
+        &mut self,
+        context: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if result.is_ready() {
+            self.write_timeout = None;
+            return result;
+        }
+        let timeout = self
+            .write_timeout
+            .get_or_insert_with(|| Box::pin(sleep(WRITE_TIMEOUT)));
+        ready!(timeout.as_mut().poll(context));
+        log::info!("event=caller_not_reading caller={}", self.caller);
+        Poll::Ready(Err(io::Error::from(io::ErrorKind::TimedOut)))
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -119,7 +149,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        let this = self.get_mut();
+        let result = Pin::new(&mut this.stream).poll_write(context, bytes);
+        this.check_progress(context, result)
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -136,7 +168,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        let this = self.get_mut();
+        let result = Pin::new(&mut this.stream).poll_write_vectored(context, slices);
+        this.check_progress(context, result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/all/connection_ends.rs
+++ b/tests/all/connection_ends.rs
@@ -10,6 +10,7 @@
 
 use jaysaddle_platform_standin::StandinWork;
 use jaysaddle_platform_standin::request_headers_with_time;
+use serde_json::json;
 
 use crate::platform_nodes::KEY;
 use crate::platform_nodes::PlatformNodes;
@@ -147,3 +148,34 @@
     assert!(events < 50, "{events} events");
     assert_eq!(error, Some(ErrorKind::ConnectionReset));
 }
+
+/// Guards against responses to callers that do not read them, which keep their memory and leave none for others.
+#[test]
+fn response_that_nobody_reads_gives_its_memory_back() {
+    let nodes = PlatformNodes::start_with(2, 4, json!({"memory": "160MB"}));
+    nodes.wait_serving(2);
+    nodes.standin.set_work(StandinWork {
+        answer_bytes: Some(12 << 20),
+        is_plain_reliable: true,
+        ..StandinWork::default()
+    });
+    let request = request_text(&nodes, "1.1", "/lookups/x", 100, 5000);
+    let mut silent: Vec<TcpStream> = (0..3).map(|_| connect(&nodes)).collect();
+    for stream in &mut silent {
+        stream.write_all(&request).expect("the node reads");
+    }
+    let held = |nodes: &PlatformNodes| {
+        let metrics = nodes.get(0, 7701, "/metrics")?;
+        let text = metrics.as_str().ok()?;
+        let marker = "jaysaddle_held_response_bytes{kind=\"request\"} ";
+        let line = text.lines().find_map(|line| line.strip_prefix(marker))?;
+        line.trim().parse::<f64>().ok()
+    };
+    nodes.wait("responses are held", |nodes| {
+        held(nodes).is_some_and(|bytes| bytes >= 12e6)
+    });
+    nodes.wait("nothing is held", |nodes| held(nodes) == Some(0.0));
+    assert!(nodes.log(0).contains("event=caller_not_reading"));
+    let response = nodes.request(0, "after", "/lookups/x", KEY);
+    assert_eq!(response.status_code, 200);
+}
