Reset truncated responses to HTTP/1.0 at the exit, and log all forms of a cut

A stream to an HTTP/1.0 caller that is cut because the process ends was dropped without the reset, so it looked complete; the stream now knows that it must be reset when it is dropped inside such a response. A buffered request that a stop cuts (504, stopping) was logged at info, in the place that the limit on log lines may leave out. And bytes that had arrived but were not yet noticed by the event loop were discarded when a connection closed; it gets a turn first. truncated_response_without_chunks_ends_with_a_reset covers a stop, too; it was not run without the change.

--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -1,8 +1,10 @@
 //! Stream of a caller's connection, closed without destroying the responses that are on their way.
 
+use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -38,6 +40,8 @@
     unread: Bytes,
     /// End of a write that makes no progress; `None` while none waits.
     write_timeout: Option<Pin<Box<Sleep>>>,
+    /// Whether dropping the stream must reset the connection, because its end would complete a truncated response.
+    resets_on_drop: Rc<Cell<bool>>,
 }
 
 impl CallerStream {
@@ -47,6 +51,7 @@
             caller,
             unread: Bytes::new(),
             write_timeout: None,
+            resets_on_drop: Rc::default(),
         }
     }
 
@@ -75,16 +80,15 @@
         !self.unread.is_empty()
     }
 
-    /// Resets the connection, which tells the caller that the response is not complete.
-    pub fn reset(self) {
-        if let Err(error) = self.stream.set_zero_linger() {
-            log::debug!("event=reset_failed error=\"{error}\"");
-        }
+    /// Whether dropping the stream resets the connection, which tells the caller that its response is not complete.
+    pub fn resets_on_drop(&self) -> Rc<Cell<bool>> {
+        self.resets_on_drop.clone()
     }
 
     /// Closes the sending side, and waits until the caller has closed the connection too, at most for `limit`. What the
     /// caller sends meanwhile is discarded.
     pub async fn linger(mut self, limit: Duration) {
+        self.resets_on_drop.set(false);
         let closed = async {
             self.stream.shutdown().await?;
             let mut buffer = vec![0; READ_BYTES];
@@ -126,6 +130,17 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if !self.resets_on_drop.get() {
+            return;
+        }
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!("event=reset_failed error=\"{error}\"");
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -40,6 +40,7 @@
 use crate::request_report::RequestReport;
 use crate::response::CallerResponse;
 use crate::response::RequestFailure;
+use crate::response::STOPPING_REASON;
 use crate::response::full_body;
 
 /// Maximum body size of a response that is not streamed.
@@ -52,8 +53,6 @@
 const MAX_REFUSED_BODY_BYTES: usize = 64 * 1024;
 /// Maximum time for reading the body of a refused request.
 const REFUSED_BODY_TIME: Duration = Duration::from_millis(100);
-/// Reason code of requests that are refused or cut because the node stops.
-const STOPPING_REASON: &str = "stopping";
 /// `Retry-After` of a stopping node while other nodes serve.
 const OTHER_NODE_RETRY_AFTER: TimeSpan = TimeSpan(50);
 /// `Retry-After` of a stopping node when no other node serves; a process restarts within seconds.
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -30,6 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
@@ -157,13 +158,11 @@
 }
 
 /// What is known of the last request of a connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ConnectionState {
     has_request: Cell<bool>,
     /// Whether the body was read to its end, so that what follows it is another request.
     is_body_read: Rc<Cell<bool>>,
-    /// Whether the end of the connection ends the response, because the caller does not know chunks.
-    ends_by_close: Cell<bool>,
 }
 
 async fn serve_connection(
@@ -178,13 +177,12 @@
     let accepted = Instant::now();
     let stream = CallerStream::new(stream, caller);
     let mut end = serve_requests(node, stream, handler, accepted, false).await;
+    // Lets the event loop notice what has arrived.
+    yield_now().await;
     while node.shutdown.stage() > ShutdownStage::Serving && end.has_request() {
         end = serve_requests(node, end.stream, handler, accepted, true).await;
     }
-    if !end.is_complete && end.state.ends_by_close.get() {
-        // The end of the connection would make a truncated response look complete.
-        end.stream.reset();
-    } else {
+    if end.is_complete || !end.stream.resets_on_drop().get() {
         end.stream.linger(LINGER_TIME).await;
     }
 }
@@ -198,14 +196,17 @@
     refuses: bool,
 ) -> ConnectionEnd {
     let caller = stream.caller();
-    let state = Rc::new(ConnectionState::default());
+    let resets_on_drop = stream.resets_on_drop();
+    let state = Rc::new(ConnectionState {
+        has_request: Cell::new(false),
+        is_body_read: Rc::new(Cell::new(true)),
+    });
     let service = {
         let (node, handler, state) = (node.clone(), handler.clone(), state.clone());
         service_fn(move |request: Request<Incoming>| {
             state.has_request.set(true);
-            state
-                .ends_by_close
-                .set(request.version() < Version::HTTP_11);
+            // Without chunks, the end of the connection ends the response.
+            resets_on_drop.set(request.version() < Version::HTTP_11);
             let request = request.map(|body| CallerBody::new(body, state.is_body_read.clone()));
             let response = if refuses {
                 handler.refuse(request)
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -17,10 +17,12 @@
 use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::verdict::Verdict;
 
 use crate::caller_request::CallerRequest;
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
+use crate::response::STOPPING_REASON;
 use crate::shutdown::ShutdownStage;
 
 /// Final result of a request.
@@ -38,6 +40,19 @@
     CutByShutdown,
 }
 
+impl RequestEnd {
+    /// Whether the request ended before its response because the node stops.
+    fn is_cut_by_shutdown(&self) -> bool {
+        match self {
+            RequestEnd::CutByShutdown => true,
+            RequestEnd::Failed(failure) => {
+                failure.reason == STOPPING_REASON && failure.verdict != Verdict::NotRun
+            }
+            _ => false,
+        }
+    }
+}
+
 impl fmt::Display for RequestEnd {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -268,7 +283,7 @@
             AfterStop(self.after_stop)
         );
         // A place of its own in the code, and with it in the limit on log lines.
-        if *end == RequestEnd::CutByShutdown {
+        if end.is_cut_by_shutdown() {
             log::warn!("{line}");
         } else {
             log::info!("{line}");
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -23,6 +23,9 @@
 /// Response to a caller, either forwarded from a backend server or built by this node.
 pub type CallerResponse = Response<ResponseBody>;
 
+/// Reason code of requests that are refused or cut because the node stops.
+pub const STOPPING_REASON: &str = "stopping";
+
 /// Returns a body whose content is already in memory.
 pub fn full_body(bytes: impl Into<Bytes>) -> ResponseBody {
     Box::pin(Full::new(bytes.into()).map_err(|never: Infallible| match never {}))
--- a/tests/all/connection_ends.rs
+++ b/tests/all/connection_ends.rs
@@ -147,6 +147,17 @@
     let events = received.matches("data: token").count();
     assert!(events < 50, "{events} events");
     assert_eq!(error, Some(ErrorKind::ConnectionReset));
+    // A response that is cut because its process ends.
+    let work = stream_work(200, 60);
+    nodes.standin.set_work(work);
+    let mut stream = connect(&nodes);
+    let request = request_text(&nodes, "1.0", "/drafts/x", 100, 15_000);
+    stream.write_all(&request).expect("the node reads");
+    thread::sleep(TIME_AFTER_STOP);
+    nodes.nodes[0].terminate();
+    let (received, error) = read_to_end(&mut stream);
+    assert!(received.matches("data: token").count() < 200);
+    assert_eq!(error, Some(ErrorKind::ConnectionReset));
 }
 
 /// Guards against responses to callers that do not read them, which keep their memory and leave none for others.
