Retry a request elsewhere when the node lacks memory for its answer

Many answers without end exhaust the memory together before one of them reaches its own limit, so that lack of memory is how they end.

Such a request is retried again where it may be. The backend server is still not avoided.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -266,7 +266,7 @@
             budget: &node.budgets.requests,
             sender: guard.target.backend.as_str(),
         };
-        let cause = match within_time(&request, read_bounded(body, bounds)).await {
+        let (cause, lacks_memory) = match within_time(&request, read_bounded(body, bounds)).await {
             Some(Ok(body)) => {
                 guard.finish(TargetOutcome::Answered);
                 node.pool.put(connection, keep_alive_timeout);
@@ -275,36 +275,33 @@
                 report.finish_answered(parts.status.as_u16());
                 return Ok(Response::from_parts(parts, body));
             }
-            Some(Err(error @ BodyError::NoMemory(_))) => {
-                // The backend server is not at fault, and another one's answer would need as much memory.
-                log::warn!(
-                    "event=answer_cut request={} backend={} cause=\"{error}\"",
-                    request.id,
-                    guard.target.backend
-                );
-                guard.finish(TargetOutcome::Abandoned);
-                return Err(RequestFailure::may_have_run(
-                    StatusCode::BAD_GATEWAY,
-                    "no_memory",
-                ));
-            }
-            Some(Err(error)) => format!("{error}"),
-            None => "time is up".to_owned(),
+            Some(Err(error)) => (error.to_string(), matches!(error, BodyError::NoMemory(_))),
+            None => ("time is up".to_owned(), false),
         };
         log::info!(
             "event=answer_cut request={} backend={} cause=\"{cause}\"",
             request.id,
             guard.target.backend
         );
-        let number = guard.target.number;
-        node.gateway.borrow_mut().avoid(number, clock::now());
-        guard.finish(TargetOutcome::Failed);
+        // The node's lack of memory is no fault of the backend server.
+        if lacks_memory {
+            guard.finish(TargetOutcome::Abandoned);
+        } else {
+            let number = guard.target.number;
+            node.gateway.borrow_mut().avoid(number, clock::now());
+            guard.finish(TargetOutcome::Failed);
+        }
         drop(connection);
         let may_retry = rule.kind.may_retry() && report.runs < rule.max_attempts;
         if !may_retry {
+            let reason = if lacks_memory {
+                "no_memory"
+            } else {
+                "answer_cut"
+            };
             return Err(RequestFailure::may_have_run(
                 StatusCode::BAD_GATEWAY,
-                "answer_cut",
+                reason,
             ));
         }
         attempt = send_with_retries(node, &request, report, request.last_event).await?;
