Send nothing new to backend servers that say they leave or want a pause

A backend server says in all its answers that it is leaving, and may refuse with the time for which it wants nothing from a node. Neither was decoded.

What a server says of its leaving holds for its process: its entry counts as draining, so that targets, groups and joins follow; peers learn of it in heartbeats for 10 s. A pause holds for this node alone: requests, orders and probes keep it, and while all servers are paused, requests are refused at once with the time left.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,12 +10,12 @@
 use http::header;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
+use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_gateway::choice::TargetOutcome;
 use jaysaddle_gateway::choice::TargetQuery;
 use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_gateway::gateway::AttemptRecord;
 use jaysaddle_gateway::target::RequestTarget;
-use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use jaysaddle_types::verdict::Verdict;
@@ -31,8 +31,9 @@
 use crate::pool::PooledConnection;
 use crate::request_report::RequestReport;
 use crate::response::RequestFailure;
+use crate::server_notices::ServerNotices;
+use crate::server_notices::read_notices;
 use crate::stated_limit::StatedLimit;
-use crate::stated_limit::stated_limit;
 
 /// Maximum number of sends per request, refused ones included. A retry after a refusal also counts against the
 /// shared retry budget.
@@ -82,12 +83,31 @@
         }
     }
 
-    /// Records what the response states about the request limit of the backend server: a limit, or that there is none.
-    fn record_limit(&self, limit: Option<RequestLimit>) {
-        if let Some(record) = &self.record {
-            let backend = &self.target.backend;
-            self.node
-                .record_limit(backend, record.server(), limit, record.started());
+    /// Records what the response states about the backend server.
+    fn record_notices(&self, notices: ServerNotices) {
+        let Some(record) = &self.record else {
+            return;
+        };
+        let backend = &self.target.backend;
+        let server = record.server();
+        let started = record.started();
+        match notices.limit {
+            StatedLimit::Limited(limit) => {
+                self.node
+                    .record_limit(backend, server, Some(limit), started);
+            }
+            StatedLimit::Unlimited => self.node.record_limit(backend, server, None, started),
+            StatedLimit::Unknown => {}
+        }
+        if notices.is_leaving {
+            let server = LeavingServer {
+                id: backend.clone(),
+                started: self.target.started,
+            };
+            self.node.record_leaving(&server, "response");
+        }
+        if let Some(pause) = notices.pause {
+            self.node.record_pause(backend, server, pause);
         }
     }
 
@@ -249,11 +269,7 @@
     let echoed = header_text(map, &headers::REQUEST_ID);
     let is_refusal =
         map.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
-    match stated_limit(&response, &request.id, &guard.target.backend) {
-        StatedLimit::Limited(limit) => guard.record_limit(Some(limit)),
-        StatedLimit::Unlimited => guard.record_limit(None),
-        StatedLimit::Unknown => {}
-    }
+    guard.record_notices(read_notices(&response, &request.id, &guard.target.backend));
     if is_refusal && echoed.is_none_or(|id| id == request.id) {
         let faulty_backend = header_text(map, &headers::FAULTY_BACKEND)
             .unwrap_or("-")
--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -20,6 +20,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::FleetEvent;
 use jaysaddle_fleet::controller::ProbeResult;
+use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::serving::BackendOrder;
@@ -36,8 +37,8 @@
 use crate::exchange::send;
 use crate::node::EntryNode;
 use crate::pool::BackendKey;
+use crate::server_notices::read_notices;
 use crate::stated_limit::StatedLimit;
-use crate::stated_limit::stated_limit;
 
 /// Timeout of an order. Backend servers respond within milliseconds; after the timeout the outcome counts as unknown.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -112,9 +113,20 @@
     let response = send(&mut pooled.connection, request).await?;
     let status = response.status().as_u16();
     // Calls have no request id.
-    if let StatedLimit::Limited(limit) = stated_limit(&response, "", id) {
+    let notices = read_notices(&response, "", id);
+    if let StatedLimit::Limited(limit) = notices.limit {
         node.record_limit(id, server, Some(limit), sent);
     }
+    if notices.is_leaving {
+        let server = LeavingServer {
+            id: id.clone(),
+            started,
+        };
+        node.record_leaving(&server, "response");
+    }
+    if let Some(pause) = notices.pause {
+        node.record_pause(id, server, pause);
+    }
     let bounds = BodyBounds {
         limit: MAX_RESPONSE,
         budget: &node.budgets.calls,
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -12,6 +12,7 @@
 use jaysaddle_fleet::lease::LeaseClaim;
 use jaysaddle_fleet::lease::LeaseEvent;
 use jaysaddle_fleet::lease::LeaseHandover;
+use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_fleet::peers::PeerHeartbeat;
 use jaysaddle_fleet::peers::PeerLimit;
 use jaysaddle_fleet::peers::PeerLoad;
@@ -27,6 +28,7 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_wire::heartbeat::LeaseHandoverMessage;
 use jaysaddle_wire::heartbeat::LeaseMessage;
+use jaysaddle_wire::heartbeat::LeavingMessage;
 use jaysaddle_wire::heartbeat::LimitMessage;
 use jaysaddle_wire::heartbeat::NodeHeartbeat;
 use jaysaddle_wire::heartbeat::WorkMessage;
@@ -123,6 +125,16 @@
             .collect(),
         store_era: node.store.era().unwrap_or_default().0,
         latest_term: node.lease.borrow().latest_term().0,
+        leaving: node
+            .table
+            .borrow()
+            .announced_leaving(now)
+            .into_iter()
+            .map(|server| LeavingMessage {
+                server: server.id.to_string(),
+                started: server.started,
+            })
+            .collect(),
     }
 }
 
@@ -200,6 +212,16 @@
             .collect(),
         store_era: StoreEra(message.store_era),
         latest_term: LeaseEpoch(message.latest_term),
+        leaving: message
+            .leaving
+            .into_iter()
+            .map(|leaving| {
+                Ok(LeavingServer {
+                    id: leaving.server.parse()?,
+                    started: leaving.started,
+                })
+            })
+            .collect::<eyre::Result<_>>()?,
     })
 }
 
@@ -302,6 +324,9 @@
                 }
                 lease::accept_handover(&node, &heartbeat);
                 merge_limits(&node, &heartbeat);
+                for server in &heartbeat.leaving {
+                    node.record_leaving(server, heartbeat.node.as_str());
+                }
                 node.peers
                     .borrow_mut()
                     .record_heartbeat(heartbeat, clock::now());
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -54,6 +54,8 @@
         if node.lease.borrow().held_term(clock::now()).is_none() {
             continue;
         }
+        let paused = node.gateway.borrow().paused_servers(clock::now());
+        handle_fleet_event(&node, FleetEvent::Paused(paused));
         for id in stalled_leaders(&node) {
             handle_fleet_event(&node, FleetEvent::LeaderStalled { id });
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod request_report;
 mod response;
 mod response_bounds;
+pub mod server_notices;
 mod shutdown;
 pub mod stated_limit;
 mod stop;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,6 +17,7 @@
 use jaysaddle_fleet::lease::LeaseState;
 use jaysaddle_fleet::lease::LeaseTiming;
 use jaysaddle_fleet::lease::TermNode;
+use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_fleet::peers::PeerTable;
 use jaysaddle_fleet::table::BackendTable;
@@ -191,6 +192,29 @@
         }
     }
 
+    /// Records that a backend server has said that it is leaving, in a response to this node or to the peer that `source`
+    /// names.
+    pub fn record_leaving(&self, server: &LeavingServer, source: &str) {
+        let is_new = self.table.borrow_mut().mark_leaving(server, clock::now());
+        if is_new {
+            log::info!("event=server_leaving vm={} source={source}", server.id);
+            self.publish_table();
+        }
+    }
+
+    /// Records that a backend server has asked this node to send it nothing for a while.
+    pub fn record_pause(&self, backend: &VmId, server: ServerNumber, pause: TimeSpan) {
+        log::info!(
+            "event=server_pause vm={backend} pause_ms={}",
+            pause.as_millis()
+        );
+        metrics::counter!("jaysaddle_server_pauses_total").increment(1);
+        let until = clock::now() + pause;
+        self.gateway
+            .borrow_mut()
+            .record_pause(server, backend, until);
+    }
+
     /// Version of the configuration in force, or 0 when there is none.
     pub fn config_version(&self) -> u64 {
         self.config
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -158,6 +158,8 @@
     is_store_unreachable: bool,
     /// Parts of their slots that leaders with a request limit can use.
     limited: BTreeMap<VmId, f64>,
+    /// VMs that want nothing from this node, with the time until which they do.
+    paused: BTreeMap<VmId, Timestamp>,
     effects: Vec<FleetEffect>,
 }
 
@@ -181,6 +183,7 @@
             idle_reasons: BTreeMap::new(),
             is_store_unreachable: false,
             limited: BTreeMap::new(),
+            paused: BTreeMap::new(),
             effects: Vec::new(),
         }
     }
@@ -204,6 +207,7 @@
             FleetEvent::ProbeDone { id, result } => self.probe_done(&id, result, now),
             FleetEvent::LeaderStalled { id } => self.handle_stalled_leader(&id, now),
             FleetEvent::Limited(leaders) => self.limited = leaders.into_iter().collect(),
+            FleetEvent::Paused(vms) => self.paused = vms.into_iter().collect(),
             FleetEvent::StoreUnreachable(value) => self.is_store_unreachable = value,
             FleetEvent::Traffic(traffic) => {
                 self.estimate_initial_demand(view);
@@ -303,6 +307,11 @@
         }
     }
 
+    /// Whether a VM wants nothing from this node for now.
+    fn is_paused(&self, id: &VmId, now: Timestamp) -> bool {
+        self.paused.get(id).is_some_and(|until| now < *until)
+    }
+
     fn group_of(&self, id: &VmId) -> Option<&GroupKey> {
         self.groups
             .iter()
--- a/crates/fleet/src/controller/messages.rs
+++ b/crates/fleet/src/controller/messages.rs
@@ -10,6 +10,7 @@
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::OrderResult;
 use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::Timestamp;
 
 use crate::controller::FleetStats;
 use crate::table::BackendTable;
@@ -81,6 +82,8 @@
     /// Leaders whose backend servers have named a request limit, with the part of their slots that the limit allows to
     /// use, 0 to 1. Replaces the previous ones.
     Limited(Vec<(VmId, f64)>),
+    /// VMs that want nothing from this node for now, with the time until which they do. Replaces the previous ones.
+    Paused(Vec<(VmId, Timestamp)>),
 }
 
 /// Output of [`FleetController::step`](crate::controller::FleetController::step), to be carried out by the caller.
--- a/crates/fleet/src/controller/orders.rs
+++ b/crates/fleet/src/controller/orders.rs
@@ -30,6 +30,9 @@
     }
 
     pub(super) fn send_order(&mut self, id: &VmId, order: BackendOrder, now: Timestamp) -> bool {
+        if self.is_paused(id, now) {
+            return false;
+        }
         let Some(vm) = self.vms.get_mut(id) else {
             return false;
         };
--- a/crates/fleet/src/controller/probes.rs
+++ b/crates/fleet/src/controller/probes.rs
@@ -100,7 +100,8 @@
             let Some(address) = vm.address else {
                 continue;
             };
-            let is_due = vm.next_probe.is_some_and(|time| now >= time);
+            let is_paused = self.paused.get(id).is_some_and(|until| now < *until);
+            let is_due = vm.next_probe.is_some_and(|time| now >= time) && !is_paused;
             if is_due && !vm.probe_in_flight {
                 vm.probe_in_flight = true;
                 vm.next_probe = None;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demand;
 pub mod groups;
 pub mod lease;
+pub mod leaving;
 pub mod load_rate;
 pub mod peers;
 pub mod plan;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -17,6 +17,7 @@
 
 use crate::lease::LeaseClaim;
 use crate::lease::LeaseHandover;
+use crate::leaving::LeavingServer;
 
 /// Lifecycle phase of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,6 +104,8 @@
     pub unserved: Vec<PeerUnserved>,
     /// Request limits of backend servers.
     pub limits: Vec<PeerLimit>,
+    /// Backend servers that have said in a response that they are leaving.
+    pub leaving: Vec<LeavingServer>,
     /// Era of the store in its last response to the node; 0 before the first.
     pub store_era: StoreEra,
     /// Highest term of the lease that the node has seen.
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -8,6 +8,9 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::leaving::LeavingServer;
+use crate::leaving::LeavingServers;
+
 /// The entry of a registered backend server, with the times at which it was observed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TableRow {
@@ -41,6 +44,8 @@
     /// outage of the store, is no evidence that a backend server has failed.
     watched_since: Timestamp,
     change_count: u64,
+    /// Backend servers that have said that they are leaving; their entries count as draining.
+    leaving: LeavingServers,
 }
 
 /// An entry counts as expired if it was not written for this long before its removal. The platform removes an entry
@@ -53,8 +58,9 @@
 
 impl BackendTable {
     /// Records a write of an entry. Returns whether the content of the entry has changed.
-    pub fn put(&mut self, entry: BackendEntry, now: Timestamp) -> bool {
+    pub fn put(&mut self, mut entry: BackendEntry, now: Timestamp) -> bool {
         self.removed.remove(&entry.id);
+        entry.is_draining |= self.leaving.contains(&entry.id, entry.started);
         match self.rows.get_mut(&entry.id) {
             Some(row) => {
                 row.last_write = now;
@@ -79,6 +85,27 @@
         true
     }
 
+    /// Records that the process of a backend server has said that it is leaving: its entry counts as draining from now
+    /// on, whatever the store shows. Returns whether that was not known.
+    pub fn mark_leaving(&mut self, server: &LeavingServer, now: Timestamp) -> bool {
+        if !self.leaving.record(server, now) {
+            return false;
+        }
+        if let Some(row) = self.rows.get_mut(&server.id)
+            && row.entry.started == server.started
+            && !row.entry.is_draining
+        {
+            row.entry.is_draining = true;
+            self.change_count += 1;
+        }
+        true
+    }
+
+    /// Leaving backend servers that this node passes on to its peers.
+    pub fn announced_leaving(&self, now: Timestamp) -> Vec<LeavingServer> {
+        self.leaving.announced(now)
+    }
+
     /// Records the removal of an entry, observed while all writes were watched. Returns whether the entry was known.
     pub fn remove(&mut self, id: &VmId, now: Timestamp) -> bool {
         let has_expired = self.rows.get(id).is_some_and(|row| {
@@ -123,7 +150,8 @@
         for id in missing {
             self.move_to_removed(&id, false, now);
         }
-        for entry in entries {
+        for mut entry in entries {
+            entry.is_draining |= self.leaving.contains(&entry.id, entry.started);
             let is_same = self
                 .rows
                 .get(&entry.id)
--- a/crates/fleet/tests/all/controller.rs
+++ b/crates/fleet/tests/all/controller.rs
@@ -1,8 +1,10 @@
 //! Tests of the controller: forming, repairing, adopting and exchanging groups.
 
 use jaysaddle_fleet::controller::FleetEvent;
+use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::units::Timestamp;
 
 use crate::fake::FakeFleet;
 use crate::fake::LARGE;
@@ -435,3 +437,37 @@
     fleet.advance(10_000);
     assert!(fleet.orders.is_empty());
 }
+
+/// Guards against orders and probes to a VM that wants nothing from this node for a while.
+#[test]
+fn paused_vm_gets_no_orders_until_its_pause_ends() {
+    let mut fleet = FakeFleet::new(2);
+    let until = Timestamp(fleet.now.0 + 5000);
+    let paused = vec![(vm("vm0"), until), (vm("vm1"), until)];
+    fleet.handle_event(FleetEvent::Paused(paused));
+    fleet.advance(4500);
+    assert!(fleet.orders.is_empty());
+    fleet.advance(15_000);
+    assert_eq!(fleet.serving_groups(SMALL).len(), 1);
+}
+
+/// Guards against a group that keeps getting requests although one of its members has said that it is leaving.
+#[test]
+fn group_with_a_leaving_member_is_closed() {
+    let mut fleet = FakeFleet::new(2);
+    fleet.advance(15_000);
+    let group = fleet.serving_groups(SMALL).pop().expect("a group");
+    let leaving = LeavingServer {
+        id: group[1].clone(),
+        started: 1,
+    };
+    fleet.table.mark_leaving(&leaving, fleet.now);
+    fleet.advance(200);
+    assert!(fleet.serving_groups(SMALL).is_empty());
+    assert!(
+        fleet
+            .decisions
+            .iter()
+            .any(|text| text.contains("reason=draining_member"))
+    );
+}
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -40,6 +40,7 @@
         closed_targets: vec![8],
         unserved: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
         store_era: StoreEra(1),
         latest_term: LeaseEpoch(1),
     }
--- a/crates/fleet/tests/all/table.rs
+++ b/crates/fleet/tests/all/table.rs
@@ -1,6 +1,8 @@
 //! Tests of the table of backend servers.
 
+use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_fleet::table::BackendTable;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
 use crate::fake::entry;
@@ -95,3 +97,42 @@
             .has_expired
     );
 }
+
+fn leaving_server(started: u64) -> LeavingServer {
+    LeavingServer {
+        id: vm("vm0"),
+        started,
+    }
+}
+
+/// Guards against using a backend server again because its entry, which is older than its own word, says that it is
+/// ready, and against giving up its next process, which is not leaving.
+#[test]
+fn leaving_server_counts_as_draining_until_it_starts_again() {
+    let mut table = BackendTable::default();
+    table.put(entry("vm0", "d0"), Timestamp(100));
+    assert!(table.mark_leaving(&leaving_server(1), Timestamp(200)));
+    assert!(!table.mark_leaving(&leaving_server(1), Timestamp(300)));
+    let is_draining = |table: &BackendTable| table.get(&vm("vm0")).expect("row").entry.is_draining;
+    table.put(entry("vm0", "d0"), Timestamp(400));
+    assert!(is_draining(&table));
+    table.replace(vec![entry("vm0", "d0")], Timestamp(500));
+    assert!(is_draining(&table));
+    table.remove(&vm("vm0"), Timestamp(600));
+    table.put(entry("vm0", "d0"), Timestamp(700));
+    assert!(is_draining(&table));
+    let mut restarted = entry("vm0", "d0");
+    restarted.started = 2;
+    table.put(restarted, Timestamp(800));
+    assert!(!is_draining(&table));
+}
+
+/// Guards against announcements without end, and against peers that are not told.
+#[test]
+fn leaving_server_is_announced_for_a_while() {
+    let mut table = BackendTable::default();
+    table.mark_leaving(&leaving_server(1), Timestamp(200));
+    assert_eq!(table.announced_leaving(Timestamp(300)), [leaving_server(1)]);
+    let later = Timestamp(200) + TimeSpan::from_secs(10);
+    assert!(table.announced_leaving(later).is_empty());
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::random::XorshiftRng;
 use crate::routes::RouteIndex;
 use crate::server_limits::ServerLimits;
+use crate::server_pauses::ServerPauses;
 use crate::settings::GatewaySettings;
 use crate::target::RequestTarget;
 use crate::target::ServerNumber;
@@ -81,6 +82,7 @@
     /// Targets of groups that this node's controller has closed.
     closed: HashSet<TargetNumber>,
     limits: ServerLimits,
+    pauses: ServerPauses,
     shares: LimitShares,
     ranks: NodeRanks,
     /// Backend servers that accept too few connections for all nodes, and leave none to this one.
@@ -109,6 +111,7 @@
             work: BTreeMap::new(),
             closed: HashSet::new(),
             limits: ServerLimits::default(),
+            pauses: ServerPauses::default(),
             shares: LimitShares::default(),
             ranks: NodeRanks::new(node),
             unconnected: HashSet::new(),
--- a/crates/gateway/src/gateway/request_limits.rs
+++ b/crates/gateway/src/gateway/request_limits.rs
@@ -1,4 +1,5 @@
-//! Request limits of backend servers in the gateway: what responses and peers state, and whether a request may be sent.
+//! Request limits and pauses of backend servers in the gateway: what responses and peers state, and whether a request
+//! may be sent.
 
 use jaysaddle_fleet::peers::PeerLimit;
 use jaysaddle_fleet::peers::PeerTable;
@@ -25,6 +26,9 @@
         peers: &PeerTable,
         now: Timestamp,
     ) -> LimitAdmission {
+        if let Some(wait) = self.pauses.remaining(server, now) {
+            return LimitAdmission::Held { wait };
+        }
         let in_force = self
             .limits
             .get(server)
@@ -114,8 +118,19 @@
         self.limits.announced(now)
     }
 
-    /// Removes the request limits of backend servers that are gone.
+    /// Records that a backend server wants nothing from this node until `until`.
+    pub fn record_pause(&mut self, server: ServerNumber, backend: &VmId, until: Timestamp) {
+        self.pauses.record(server, backend, until);
+    }
+
+    /// Backend servers that want nothing from this node for now, with the time until which they do.
+    pub fn paused_servers(&self, now: Timestamp) -> Vec<(VmId, Timestamp)> {
+        self.pauses.paused(now)
+    }
+
+    /// Removes pauses that have ended, and the request limits of backend servers that are gone.
     pub fn expire_limits(&mut self, now: Timestamp) {
+        self.pauses.expire(now);
         let servers = self.targets.values().flatten().map(|target| target.server);
         self.limits.retain(&servers.collect(), now);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod random;
 pub mod routes;
 pub mod server_limits;
+pub mod server_pauses;
 pub mod service_times;
 pub mod settings;
 pub mod shutdown;
--- a/crates/gateway/tests/all/fixture.rs
+++ b/crates/gateway/tests/all/fixture.rs
@@ -9,6 +9,7 @@
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_gateway::choice::TargetOutcome;
 use jaysaddle_gateway::choice::TargetQuery;
+use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_gateway::gateway::AttemptRecord;
 use jaysaddle_gateway::gateway::RequestGateway;
 use jaysaddle_gateway::settings::GatewaySettings;
@@ -173,6 +174,7 @@
         closed_targets: Vec::new(),
         unserved: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
         store_era: StoreEra(1),
         latest_term: LeaseEpoch(1),
     }
@@ -225,6 +227,20 @@
         self.send_request(&[], true, now)
     }
 
+    /// The reason why a new request is refused; `None` if it is not.
+    pub fn refusal(&mut self, now: u64) -> Option<TargetRefusal> {
+        let query = TargetQuery {
+            service: &self.service,
+            model: Some(&self.model),
+            latency_target: TimeSpan(300),
+            tried: &[],
+            has_started: false,
+            is_caller_retry: false,
+        };
+        let chosen = self.gateway.choose(&query, &self.peers, Timestamp(now));
+        chosen.err()
+    }
+
     fn send_request(
         &mut self,
         tried: &[TargetNumber],
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod overload;
 mod routes;
 mod server_limits;
+mod server_pauses;
 mod shares;
 mod shutdown;
 mod unserved;
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -78,6 +78,20 @@
     /// Highest term of the controller's lease that the node has seen.
     #[prost(uint64, tag = "23")]
     pub latest_term: u64,
+    /// Backend servers that have said in a response that they are leaving.
+    #[prost(message, repeated, tag = "24")]
+    pub leaving: Vec<LeavingMessage>,
+}
+
+/// Process of a backend server that has said in a response that it is leaving.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeavingMessage {
+    /// Id under which the backend server is registered.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Start of the process.
+    #[prost(uint64, tag = "2")]
+    pub started: u64,
 }
 
 /// What a node knows of the request limit of a backend server.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod raw_callers;
 mod request_limits;
 mod saved_log;
+mod server_notices;
 mod service;
 mod serving;
 mod signals_under_load;
