Let a heartbeat cost what it changes, and find the group of a VM by an index

Cause: each heartbeat recomputed the totals over all peers, so a node paid for the number of peers squared. The search for a VM's group was linear in the groups, and the planner of loads compared all VMs for each load.

Conclusion: heartbeats are flat.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -15,6 +15,7 @@
 mod adoption;
 mod exchange;
 mod forming;
+mod group_table;
 mod idle;
 mod messages;
 mod orders;
@@ -41,6 +42,7 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::controller::group_table::GroupTable;
 use crate::demand::DemandEstimator;
 use crate::groups::reported_groups;
 use crate::load_rate::LoadRateLimiter;
@@ -140,7 +142,7 @@
     term: Option<LeaseEpoch>,
     /// Number of groups formed in the current term, including those formed before a handover.
     groups_formed: u64,
-    groups: BTreeMap<GroupKey, ControlledGroup>,
+    groups: GroupTable,
     vms: BTreeMap<VmId, ControlledVm>,
     /// Groups that the controller has ended, with the time. Entries may still show them for a while.
     ended_groups: BTreeMap<GroupKey, Timestamp>,
@@ -170,7 +172,7 @@
             timing,
             term: None,
             groups_formed: 0,
-            groups: BTreeMap::new(),
+            groups: GroupTable::default(),
             vms: BTreeMap::new(),
             ended_groups: BTreeMap::new(),
             reservations: BTreeMap::new(),
@@ -313,9 +315,6 @@
     }
 
     fn group_of(&self, id: &VmId) -> Option<&GroupKey> {
-        self.groups
-            .iter()
-            .find(|(_, group)| group.members.contains(id))
-            .map(|(key, _)| key)
+        self.groups.group_of(id)
     }
 }
--- a/crates/fleet/src/controller/adoption.rs
+++ b/crates/fleet/src/controller/adoption.rs
@@ -1,7 +1,6 @@
 //! Synchronizes the controller with the entries, and adopts groups that a previous lease holder has formed.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use compact_str::format_compact;
 use jaysaddle_types::ids::VmId;
@@ -32,13 +31,9 @@
             }
             vm.address = Some(entry.address);
         }
-        let members: BTreeSet<VmId> = self
-            .groups
-            .values()
-            .flat_map(|group| group.members.iter().cloned())
-            .collect();
+        let groups = &self.groups;
         self.vms
-            .retain(|id, _| view.table.get(id).is_some() || members.contains(id));
+            .retain(|id, _| view.table.get(id).is_some() || groups.group_of(id).is_some());
     }
 
     /// Adopts reported groups that are not managed yet. A group that may not serve safely is dissolved.
--- a/crates/fleet/src/controller/exchange.rs
+++ b/crates/fleet/src/controller/exchange.rs
@@ -33,7 +33,7 @@
     ) {
         let mut donors: BTreeMap<FabricDomainId, Vec<DonorGroup>> = BTreeMap::new();
         let mut closing_members: BTreeMap<FabricDomainId, Vec<FreeVm>> = BTreeMap::new();
-        for (key, group) in &self.groups {
+        for (key, group) in self.groups.iter() {
             if group.service != service.id {
                 continue;
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod lease;
 pub mod leaving;
 pub mod load_rate;
+mod peer_totals;
 pub mod peers;
 pub mod plan;
 pub mod staging_plan;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,8 +1,6 @@
 //! Heartbeats of the other nodes: liveness, phase and load.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use jaysaddle_types::ids::FailureDomainId;
@@ -18,6 +16,7 @@
 use crate::lease::LeaseClaim;
 use crate::lease::LeaseHandover;
 use crate::leaving::LeavingServer;
+use crate::peer_totals::PeerTotals;
 
 /// Lifecycle phase of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -134,102 +133,65 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<NodeId, PeerRecord>,
-    /// Requests in flight of all live peers and the late ones among them, by target.
-    loads: HashMap<u32, (u32, u32)>,
-    stalled: HashSet<u32>,
-    closed: HashSet<u32>,
-    /// Deadlines of the attempts that live peers did not serve, by fingerprint.
-    unserved: HashMap<u32, Vec<Timestamp>>,
-    /// Requests to backend servers with a request limit that peers have sent in the last [`LIMIT_WINDOW`], by server.
-    /// A peer that is down is included, because what it sent counts.
-    sent: HashMap<u32, u32>,
+    totals: PeerTotals,
 }
 
 impl PeerTable {
     /// Records a heartbeat. Heartbeats of an earlier incarnation are ignored.
     pub fn record_heartbeat(&mut self, heartbeat: PeerHeartbeat, now: Timestamp) {
-        let is_stale = self
-            .peers
-            .get(&heartbeat.node)
-            .is_some_and(|record| record.heartbeat.incarnation > heartbeat.incarnation);
-        if is_stale {
+        let before = self.peers.get(&heartbeat.node);
+        if before.is_some_and(|record| record.heartbeat.incarnation > heartbeat.incarnation) {
             return;
         }
-        self.peers.insert(
-            heartbeat.node.clone(),
-            PeerRecord {
-                heartbeat,
-                received: now,
-            },
-        );
-        self.update_totals(now);
+        if let Some(record) = before {
+            self.totals.remove(record);
+        }
+        let record = PeerRecord {
+            heartbeat,
+            received: now,
+        };
+        self.totals.add(&record, now);
+        self.peers.insert(record.heartbeat.node.clone(), record);
     }
 
     /// Removes peers whose retention has ended, and excludes peers that are down from the totals.
     pub fn tick(&mut self, now: Timestamp) {
         self.peers
             .retain(|_, record| now.since(record.received) < PEER_RETENTION);
-        self.update_totals(now);
-    }
-
-    fn update_totals(&mut self, now: Timestamp) {
-        self.loads.clear();
-        self.stalled.clear();
-        self.closed.clear();
-        self.unserved.clear();
-        self.sent.clear();
+        self.totals = PeerTotals::default();
         for record in self.peers.values() {
-            if now.since(record.received) < LIMIT_WINDOW {
-                for limit in &record.heartbeat.limits {
-                    *self.sent.entry(limit.server).or_default() += limit.sent;
-                }
-            }
-            if now.since(record.received) < PEER_TIMEOUT {
-                for load in &record.heartbeat.loads {
-                    let (requests, late) = self.loads.entry(load.target).or_default();
-                    *requests += load.requests;
-                    *late += load.late;
-                }
-                self.stalled.extend(&record.heartbeat.stalled_targets);
-                self.closed.extend(&record.heartbeat.closed_targets);
-                for unserved in &record.heartbeat.unserved {
-                    self.unserved
-                        .entry(unserved.fingerprint)
-                        .or_default()
-                        .push(record.received + unserved.time_left);
-                }
-            }
+            self.totals.add(record, now);
         }
     }
 
     /// Requests that live peers have in flight at a target.
     pub fn load_of(&self, target: u32) -> u32 {
-        self.loads.get(&target).map_or(0, |(requests, _)| *requests)
+        self.totals.load_of(target).requests
     }
 
     /// Requests of live peers at a target that are expected to miss their latency target.
     pub fn late_load_of(&self, target: u32) -> u32 {
-        self.loads.get(&target).map_or(0, |(_, late)| *late)
+        self.totals.load_of(target).late
     }
 
     /// Whether a live peer reports a target as stalled.
     pub fn is_stalled(&self, target: u32) -> bool {
-        self.stalled.contains(&target)
+        self.totals.is_stalled(target)
     }
 
     /// Whether a live peer that runs the controller reports a target as closed.
     pub fn is_closed(&self, target: u32) -> bool {
-        self.closed.contains(&target)
+        self.totals.is_closed(target)
     }
 
     /// Deadlines of the attempts with this fingerprint that live peers did not serve.
     pub fn unserved_deadlines(&self, fingerprint: u32) -> &[Timestamp] {
-        self.unserved.get(&fingerprint).map_or(&[], Vec::as_slice)
+        self.totals.unserved_deadlines(fingerprint)
     }
 
     /// Requests to a backend server with a request limit that peers have sent in the last [`LIMIT_WINDOW`].
     pub fn sent_to(&self, server: u32) -> u32 {
-        self.sent.get(&server).copied().unwrap_or(0)
+        self.totals.sent_to(server)
     }
 
     /// Peers whose last heartbeat is younger than [`PEER_TIMEOUT`].
--- a/crates/fleet/src/staging_plan.rs
+++ b/crates/fleet/src/staging_plan.rs
@@ -4,7 +4,9 @@
 //! completion. The planner picks one load at a time and accounts for earlier ones, including those in progress: a VM
 //! for which weights are staged no longer counts as missing, and a group with enough VMs adds to its model's capacity.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use jaysaddle_types::ids::FabricDomainId;
 use jaysaddle_types::ids::ModelId;
@@ -69,11 +71,11 @@
     }
 
     /// Value of a load per millisecond of load time, spread over the loads that the next group still needs.
-    fn value(&self, vm: &FreeVm, index: usize) -> f64 {
+    fn value(&self, domain: &FabricDomainId, index: usize) -> f64 {
         let need = &self.needs[index];
         let with_weights = self
             .with_weights
-            .get(&vm.domain)
+            .get(domain)
             .map_or(0, |counts| counts[index]);
         let size = need.group_size.max(1);
         let missing = size - with_weights % size;
@@ -81,10 +83,10 @@
         self.marginal_values[index] / (missing as f64 * load_time)
     }
 
-    fn add_load(&mut self, vm: &'a FreeVm, index: usize) {
+    fn add_load(&mut self, domain: &'a FabricDomainId, index: usize) {
         let counts = self
             .with_weights
-            .entry(&vm.domain)
+            .entry(domain)
             .or_insert_with(|| vec![0; self.needs.len()]);
         counts[index] += 1;
         if counts[index].is_multiple_of(self.needs[index].group_size.max(1)) {
@@ -93,6 +95,41 @@
     }
 }
 
+/// VMs that are equally good for a load: in one fabric domain, with the weights of the same models.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct VmKind<'a> {
+    domain: &'a FabricDomainId,
+    /// Whether the VMs have the weights of each model. Indexed like the needs.
+    has_weights: Vec<bool>,
+}
+
+impl VmKind<'_> {
+    fn has_no_weights(&self) -> bool {
+        !self.has_weights.contains(&true)
+    }
+}
+
+/// A load that could be chosen next.
+struct LoadCandidate<'a> {
+    value: f64,
+    kind: VmKind<'a>,
+    vm: &'a VmId,
+    need: usize,
+}
+
+impl LoadCandidate<'_> {
+    /// Whether this load is chosen before another one.
+    fn is_better_than(&self, other: &Self) -> bool {
+        self.value > other.value || (self.value == other.value && self.order() > other.order())
+    }
+
+    /// Preference among loads of equal value, highest first.
+    fn order(&self) -> (bool, Reverse<&VmId>, Reverse<usize>) {
+        let has_no_weights = self.kind.has_no_weights();
+        (has_no_weights, Reverse(self.vm), Reverse(self.need))
+    }
+}
+
 /// Plans up to `limit` loads, most valuable first. `pool` holds all VMs from which groups could be formed, including
 /// those in `stageable`; models that are being staged count as staged.
 ///
@@ -104,35 +141,47 @@
     limit: usize,
 ) -> Vec<PlannedStaging> {
     let mut projection = StagingProjection::new(pool, needs);
-    let mut remaining: Vec<&FreeVm> = stageable.iter().collect();
-    remaining.sort_by(|a, b| a.id.cmp(&b.id));
+    let mut remaining: BTreeMap<VmKind<'_>, BTreeSet<&VmId>> = BTreeMap::new();
+    for vm in stageable {
+        let kind = VmKind {
+            domain: &vm.domain,
+            has_weights: needs.iter().map(|need| vm.has_weights(&need.id)).collect(),
+        };
+        remaining.entry(kind).or_default().insert(&vm.id);
+    }
     let mut planned = Vec::new();
     while planned.len() < limit {
-        let mut best: Option<(f64, bool, usize, usize)> = None;
-        for (position, vm) in remaining.iter().enumerate() {
-            let has_no_weights = needs.iter().all(|need| !vm.has_weights(&need.id));
-            for (index, need) in needs.iter().enumerate() {
-                if vm.has_weights(&need.id) {
-                    continue;
-                }
-                let value = projection.value(vm, index);
-                let is_better = best.is_none_or(|(best_value, had_no_weights, ..)| {
-                    value > best_value || (value == best_value && has_no_weights && !had_no_weights)
-                });
-                if is_better {
-                    best = Some((value, has_no_weights, position, index));
+        let mut best: Option<LoadCandidate<'_>> = None;
+        for (kind, vms) in &remaining {
+            let Some(vm) = vms.first().copied() else {
+                continue;
+            };
+            for index in (0..needs.len()).filter(|index| !kind.has_weights[*index]) {
+                let candidate = LoadCandidate {
+                    value: projection.value(kind.domain, index),
+                    kind: kind.clone(),
+                    vm,
+                    need: index,
+                };
+                if best
+                    .as_ref()
+                    .is_none_or(|best| candidate.is_better_than(best))
+                {
+                    best = Some(candidate);
                 }
             }
         }
-        let Some((_, _, position, index)) = best else {
+        let Some(best) = best else {
             break;
         };
-        let vm = remaining.remove(position);
-        projection.add_load(vm, index);
+        if let Some(vms) = remaining.get_mut(&best.kind) {
+            vms.remove(best.vm);
+        }
+        projection.add_load(best.kind.domain, best.need);
         planned.push(PlannedStaging {
-            vm: vm.id.clone(),
-            model: needs[index].id.clone(),
-            load_time: needs[index].load_time,
+            vm: best.vm.clone(),
+            model: needs[best.need].id.clone(),
+            load_time: needs[best.need].load_time,
         });
     }
     planned
