--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -9,243 +9,100 @@
 use compact_str::ToCompactString;
 use eyre::WrapErr;
 use jaysaddle_daemon::clock;
-use jaysaddle_fleet::lease::LeaseClaim;
+use jaysaddle_fleet::heartbeat_round::RoundPlanner;
 use jaysaddle_fleet::lease::LeaseEvent;
-use jaysaddle_fleet::lease::LeaseHandover;
-use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_fleet::peers::PeerHeartbeat;
-use jaysaddle_fleet::peers::PeerLimit;
-use jaysaddle_fleet::peers::PeerLoad;
-use jaysaddle_fleet::peers::PeerPhase;
-use jaysaddle_fleet::peers::PeerUnserved;
-use jaysaddle_types::ids::Incarnation;
-use jaysaddle_types::ids::LeaseEpoch;
-use jaysaddle_types::ids::ModelId;
-use jaysaddle_types::ids::ObjectVersion;
-use jaysaddle_types::ids::StoreEra;
 use jaysaddle_types::ids::VmId;
-use jaysaddle_types::units::RequestLimit;
-use jaysaddle_types::units::TimeSpan;
-use jaysaddle_wire::heartbeat::LeaseHandoverMessage;
-use jaysaddle_wire::heartbeat::LeaseMessage;
-use jaysaddle_wire::heartbeat::LeavingMessage;
-use jaysaddle_wire::heartbeat::LimitMessage;
-use jaysaddle_wire::heartbeat::NodeHeartbeat;
-use jaysaddle_wire::heartbeat::WorkMessage;
-use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
 
+use crate::heartbeat_codec::decode_heartbeat;
+use crate::heartbeat_codec::encode_heartbeat;
+use crate::heartbeat_codec::encode_with_digest;
 use crate::lease;
 use crate::node::EntryNode;
 use crate::store_restore::handle_restores;
 
 /// Interval of heartbeats. Peers consider a node down after four missed ones.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
-/// Maximum size of a received datagram. Heartbeats stay far below the usual MTU.
-const MAX_HEARTBEAT_BYTES: usize = 16 << 10;
-/// Maximum number of peers per round of heartbeats; with more peers, rounds alternate between them.
-const MAX_RECIPIENTS: usize = 24;
+/// Maximum size of a received datagram. Heartbeats stay below the usual MTU; those with a digest grow with the nodes.
+const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
 /// Delay before the next receive after an error.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Addresses of all peers, from heartbeats and the store. Addresses are never removed.
 pub type PeerAddresses = Rc<RefCell<BTreeSet<SocketAddr>>>;
 
-fn build_heartbeat(node: &EntryNode) -> NodeHeartbeat {
+/// Binds the UDP socket for heartbeats.
+pub async fn bind_socket(address: SocketAddr) -> eyre::Result<UdpSocket> {
+    UdpSocket::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot bind UDP socket to {address}"))
+}
+
+/// This node's state for its peers.
+fn own_heartbeat(node: &EntryNode, is_relay: bool) -> PeerHeartbeat {
     let now = clock::now();
     let gateway = node.gateway.borrow();
-    let loads = gateway.loads();
-    let unserved = node.unserved.borrow().announced(now);
-    let claim = node.lease.borrow().claim(now);
-    NodeHeartbeat {
-        node: node.settings.node.to_string(),
-        incarnation: node.incarnation.0,
-        failure_domain: node.settings.failure_domain.to_string(),
-        caller_address: node.settings.listen.callers.to_string(),
-        peer_address: node.settings.peer_address().to_string(),
-        phase: match node.phase.get() {
-            PeerPhase::Starting => 0,
-            PeerPhase::Serving => 1,
-            PeerPhase::Stopping => 2,
-        },
+    let stalled = gateway.stalled_groups(now).into_iter();
+    PeerHeartbeat {
+        node: node.settings.node.clone(),
+        incarnation: node.incarnation,
+        failure_domain: node.settings.failure_domain.clone(),
+        caller_address: node.settings.listen.callers,
+        peer_address: node.settings.peer_address(),
+        phase: node.phase.get(),
         config_version: node.config_version(),
-        table_age_ms: node.table_age(now).as_millis(),
+        table_age: node.table_age(now),
         is_store_unreachable: node.store.is_unreachable(now),
-        lease: claim.map(|claim| LeaseMessage {
-            term: claim.term.0,
-            version: claim.version.0,
-            remaining_ms: claim.remaining.as_millis(),
-        }),
-        handover: node
-            .handover
-            .borrow()
-            .as_ref()
-            .map(|handover| LeaseHandoverMessage {
-                successor: handover.successor.to_string(),
-                term: handover.term.0,
-                version: handover.version.0,
-                groups_formed: handover.groups_formed,
-            }),
-        load_targets: loads.iter().map(|load| load.target).collect(),
-        load_counts: loads.iter().map(|load| load.requests).collect(),
-        late_counts: loads.iter().map(|load| load.late).collect(),
-        stalled_targets: gateway
-            .stalled_groups(now)
-            .into_iter()
-            .map(|(number, _)| number.0)
-            .collect(),
-        work: gateway
-            .work()
-            .into_iter()
-            .map(|(model, work_ms)| WorkMessage {
-                model: model.to_string(),
-                work_ms,
-            })
-            .collect(),
+        claim: node.lease.borrow().claim(now),
+        handover: node.handover.borrow().clone(),
+        loads: gateway.loads(),
+        stalled_targets: stalled.map(|(number, _)| number.0).collect(),
+        work: gateway.work(),
         target_changes: gateway.target_changes(),
         closed_targets: gateway.closed_targets(),
-        unserved_fingerprints: unserved.iter().map(|attempt| attempt.fingerprint).collect(),
-        unserved_times_left_ms: unserved
-            .iter()
-            .map(|attempt| attempt.time_left.as_millis())
-            .collect(),
-        limits: gateway
-            .announced_limits(now)
-            .into_iter()
-            .map(|limit| LimitMessage {
-                server: limit.server,
-                version: limit.version,
-                per_kilosecond: limit.limit.map(RequestLimit::per_kilosecond),
-                age_ms: limit.age.as_millis(),
-                sent: limit.sent,
-            })
-            .collect(),
-        store_era: node.store.era().unwrap_or_default().0,
-        latest_term: node.lease.borrow().latest_term().0,
-        leaving: node
-            .table
-            .borrow()
-            .announced_leaving(now)
-            .into_iter()
-            .map(|server| LeavingMessage {
-                server: server.id.to_string(),
-                started: server.started,
-            })
-            .collect(),
+        unserved: node.unserved.borrow().announced(now),
+        limits: gateway.announced_limits(now),
+        store_era: node.store.era().unwrap_or_default(),
+        latest_term: node.lease.borrow().latest_term(),
+        leaving: node.table.borrow().announced_leaving(now),
+        processor: node.settings.processor,
+        table_version: node.table_log.borrow().version(),
+        is_relay,
+        digest: None,
     }
 }
 
-fn decode_heartbeat(data: &[u8]) -> eyre::Result<PeerHeartbeat> {
-    let message = NodeHeartbeat::decode(data)?;
-    let work = message
-        .work
-        .into_iter()
-        .map(|work| Ok((work.model.parse::<ModelId>()?, work.work_ms)))
-        .collect::<eyre::Result<_>>()?;
-    Ok(PeerHeartbeat {
-        node: message.node.parse()?,
-        incarnation: Incarnation(message.incarnation),
-        failure_domain: message.failure_domain.parse()?,
-        caller_address: message.caller_address.parse()?,
-        peer_address: message.peer_address.parse()?,
-        phase: match message.phase {
-            1 => PeerPhase::Serving,
-            2 => PeerPhase::Stopping,
-            _ => PeerPhase::Starting,
-        },
-        config_version: message.config_version,
-        table_age: TimeSpan(message.table_age_ms),
-        is_store_unreachable: message.is_store_unreachable,
-        claim: message.lease.map(|claim| LeaseClaim {
-            term: LeaseEpoch(claim.term),
-            version: ObjectVersion(claim.version),
-            remaining: TimeSpan(claim.remaining_ms),
-        }),
-        handover: message
-            .handover
-            .map(|handover| {
-                Ok::<_, eyre::Report>(LeaseHandover {
-                    successor: handover.successor.parse()?,
-                    term: LeaseEpoch(handover.term),
-                    version: ObjectVersion(handover.version),
-                    groups_formed: handover.groups_formed,
-                })
-            })
-            .transpose()?,
-        loads: message
-            .load_targets
-            .into_iter()
-            .zip(message.load_counts)
-            .zip(message.late_counts)
-            .map(|((target, requests), late)| PeerLoad {
-                target,
-                requests,
-                late,
-            })
-            .collect(),
-        stalled_targets: message.stalled_targets,
-        work,
-        target_changes: message.target_changes,
-        closed_targets: message.closed_targets,
-        unserved: message
-            .unserved_fingerprints
-            .into_iter()
-            .zip(message.unserved_times_left_ms)
-            .map(|(fingerprint, time_left_ms)| PeerUnserved {
-                fingerprint,
-                time_left: TimeSpan(time_left_ms),
-            })
-            .collect(),
-        limits: message
-            .limits
-            .into_iter()
-            .map(|limit| PeerLimit {
-                server: limit.server,
-                version: limit.version,
-                limit: limit.per_kilosecond.map(RequestLimit::from_per_kilosecond),
-                age: TimeSpan(limit.age_ms),
-                sent: limit.sent,
-            })
-            .collect(),
-        store_era: StoreEra(message.store_era),
-        latest_term: LeaseEpoch(message.latest_term),
-        leaving: message
-            .leaving
-            .into_iter()
-            .map(|leaving| {
-                Ok(LeavingServer {
-                    id: leaving.server.parse()?,
-                    started: leaving.started,
-                })
-            })
-            .collect::<eyre::Result<_>>()?,
-    })
-}
-
-/// Binds the UDP socket for heartbeats.
-pub async fn bind_socket(address: SocketAddr) -> eyre::Result<UdpSocket> {
-    UdpSocket::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot bind UDP socket to {address}"))
-}
-
-async fn send_round(node: &EntryNode, socket: &UdpSocket, addresses: &PeerAddresses, round: usize) {
-    let own_address = node.settings.peer_address();
-    let recipients: Vec<SocketAddr> = addresses
-        .borrow()
-        .iter()
-        .copied()
-        .filter(|address| *address != own_address)
-        .collect();
-    let heartbeat = build_heartbeat(node).encode_to_vec();
-    let count = recipients.len().min(MAX_RECIPIENTS);
-    for offset in 0..count {
-        let recipient = recipients[(round * MAX_RECIPIENTS + offset) % recipients.len()];
-        if let Err(error) = socket.send_to(&heartbeat, recipient).await {
-            log::debug!("event=beat_not_sent peer={recipient} error=\"{error}\"");
+async fn send_round(
+    node: &EntryNode,
+    socket: &UdpSocket,
+    addresses: &PeerAddresses,
+    planner: &mut RoundPlanner,
+    is_urgent: bool,
+) {
+    let now = clock::now();
+    let is_holder = node.lease.borrow().held_term(now).is_some();
+    let candidate = node.relay_candidate(now);
+    let has_changed = planner.begin(&node.peers.borrow(), candidate, is_holder, is_urgent, now);
+    if has_changed {
+        let is_relay = planner.is_relay();
+        log::info!("event=relay_role is_relay={is_relay} is_holder={is_holder}");
+    }
+    node.is_relay.set(planner.is_relay());
+    let own = own_heartbeat(node, planner.is_relay());
+    let beats = planner.beats(&node.peers.borrow(), &addresses.borrow(), &own, now);
+    let plain = encode_heartbeat(&own);
+    for beat in beats {
+        let datagram = beat.digest.map(|digest| encode_with_digest(&plain, digest));
+        let datagram = datagram.as_ref().unwrap_or(&plain);
+        if let Err(error) = socket.send_to(datagram, beat.recipient).await {
+            log::debug!(
+                "event=beat_not_sent peer={} error=\"{error}\"",
+                beat.recipient
+            );
         }
     }
 }
@@ -254,25 +111,38 @@
 pub async fn send_heartbeats(node: Rc<EntryNode>, socket: Rc<UdpSocket>, addresses: PeerAddresses) {
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-    for round in 0usize.. {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            () = node.heartbeat_now.notified() => {}
-        }
-        node.peers.borrow_mut().tick(clock::now());
+    let mut planner = RoundPlanner::new(clock::now());
+    loop {
+        let is_urgent = tokio::select! {
+            _ = ticks.tick() => false,
+            () = node.heartbeat_now.notified() => true,
+        };
+        node.peers
+            .borrow_mut()
+            .tick(node.is_relay.get(), clock::now());
         let count = node.peers.borrow().sharing_nodes();
         {
             let mut gateway = node.gateway.borrow_mut();
             gateway.set_node_count(u32::try_from(count).unwrap_or(u32::MAX));
             gateway.expire_limits(clock::now());
         }
-        send_round(&node, &socket, &addresses, round).await;
+        send_round(&node, &socket, &addresses, &mut planner, is_urgent).await;
     }
 }
 
-/// Sends a heartbeat outside the regular interval, such as before the node stops.
-pub async fn send_heartbeat_now(node: &EntryNode, socket: &UdpSocket, addresses: &PeerAddresses) {
-    send_round(node, socket, addresses, 0).await;
+/// Sends a heartbeat to all nodes outside the regular interval, before the node stops.
+pub async fn send_to_all(node: &EntryNode, socket: &UdpSocket, addresses: &PeerAddresses) {
+    let own = own_heartbeat(node, false);
+    let bytes = encode_heartbeat(&own);
+    let recipients: Vec<SocketAddr> = addresses.borrow().iter().copied().collect();
+    for recipient in recipients {
+        if recipient == own.peer_address {
+            continue;
+        }
+        if let Err(error) = socket.send_to(&bytes, recipient).await {
+            log::debug!("event=beat_not_sent peer={recipient} error=\"{error}\"");
+        }
+    }
 }
 
 fn merge_limits(node: &EntryNode, heartbeat: &PeerHeartbeat) {
@@ -322,6 +192,9 @@
                         node.table_refresh.notify_one();
                     }
                 }
+                if heartbeat.is_relay || heartbeat.config_version > node.config_version() {
+                    node.feed_check.notify_one();
+                }
                 lease::accept_handover(&node, &heartbeat);
                 merge_limits(&node, &heartbeat);
                 for server in &heartbeat.leaving {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -72,7 +72,7 @@
         .into_iter()
         .map(|(_, id)| id)
         .collect();
-    for record in node.peers.borrow().live(now) {
+    for record in node.peers.borrow().heard(now) {
         for number in &record.heartbeat.stalled_targets {
             if let Some(id) = gateway.backend_of(TargetNumber(*number)) {
                 leaders.push(id.clone());
@@ -105,7 +105,7 @@
         work: node.gateway.borrow().work(),
     };
     let peers = node.peers.borrow();
-    let others = peers.live(clock::now()).map(|record| NodeTraffic {
+    let others = peers.heard(clock::now()).map(|record| NodeTraffic {
         node: NodeKey {
             id: record.heartbeat.node.clone(),
             incarnation: record.heartbeat.incarnation,
--- a/crates/entry/src/copies.rs
+++ b/crates/entry/src/copies.rs
@@ -1,20 +1,34 @@
-//! Copies the configuration and the backend table from peers when this node cannot read the store.
+//! Serves and requests copies of the configuration and of the backend table.
+//!
+//! A copy of the table is a difference. If the requesting node has copied the table of the same peer before, it names the
+//! version, and gets what has changed since. Otherwise it sends hashes of its entries and gets what differs.
 
+use std::collections::HashSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use eyre::WrapErr;
 use eyre::eyre;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use jaysaddle_adapter::backend::entry_write_count;
 use jaysaddle_daemon::clock;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::StoreEra;
+use jaysaddle_types::ids::StoreRevision;
+use jaysaddle_types::serving::BackendEntry;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_wire::heartbeat::SnapshotEntry;
 use jaysaddle_wire::heartbeat::SnapshotReply;
 use jaysaddle_wire::heartbeat::SnapshotRequest;
 use prost::Message;
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -22,26 +36,37 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::entry_codec::decode_entry;
+use crate::entry_codec::encode_entry;
 use crate::node::EntryNode;
+use crate::node::TableDifference;
+use crate::store_sync::WatchPosition;
 
-/// Interval at which the peers' versions are compared with this node's.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Age of the backend table from which it is copied from a peer; the store is normally read every 1.2 s.
-const STALE_TABLE_AGE: TimeSpan = TimeSpan(1700);
 /// Timeout of one exchange with a peer.
-const COPY_TIMEOUT: Duration = Duration::from_millis(800);
+pub const COPY_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without a request after which a connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum frame size; a frame holds a configuration and the entries of the whole fleet.
 const MAX_FRAME_BYTES: usize = 8 << 20;
 /// Delay before the next accept after an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> Frames {
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
         .new_codec();
     Framed::new(stream, codec)
 }
 
+/// Hash of an entry with its name, which is the same at all nodes.
+fn entry_hash(entry: &BackendEntry) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    entry.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Serves copies to peers. Never returns.
 pub async fn serve(node: Rc<EntryNode>, listener: TcpListener) {
     loop {
@@ -49,12 +74,8 @@
             Ok((stream, peer)) => {
                 let node = node.clone();
                 tokio::task::spawn_local(async move {
-                    match timeout(COPY_TIMEOUT, serve_copy(&node, stream)).await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(error)) => {
-                            log::debug!("event=copy_not_sent peer={peer} error=\"{error:#}\"");
-                        }
-                        Err(_) => log::debug!("event=copy_not_sent peer={peer} error=timeout"),
+                    if let Err(error) = serve_connection(&node, stream).await {
+                        log::debug!("event=copy_not_sent peer={peer} error=\"{error:#}\"");
                     }
                 });
             }
@@ -66,136 +87,200 @@
     }
 }
 
-async fn serve_copy(node: &EntryNode, stream: TcpStream) -> eyre::Result<()> {
+async fn serve_connection(node: &EntryNode, stream: TcpStream) -> eyre::Result<()> {
+    stream.set_nodelay(true)?;
     let mut frames = framed(stream);
-    let frame = frames
-        .next()
-        .await
-        .ok_or_else(|| eyre!("connection closed before a request"))??;
-    let request = SnapshotRequest::decode(frame)?;
-    let reply = build_reply(node, request)?;
-    frames.send(Bytes::from(reply.encode_to_vec())).await?;
+    while let Some(frame) = timeout(IDLE_TIMEOUT, frames.next()).await? {
+        let request = SnapshotRequest::decode(frame?)?;
+        let reply = build_reply(node, &request)?;
+        let reply = Bytes::from(reply.encode_to_vec());
+        timeout(COPY_TIMEOUT, frames.send(reply)).await??;
+    }
     Ok(())
 }
 
-fn build_reply(node: &EntryNode, request: SnapshotRequest) -> eyre::Result<SnapshotReply> {
+fn build_reply(node: &EntryNode, request: &SnapshotRequest) -> eyre::Result<SnapshotReply> {
     let mut reply = SnapshotReply::default();
     if node.config_version() > request.config_version
         && let Some(config) = &*node.raw_config.borrow()
     {
         reply.config = serde_json::to_vec(config)?;
     }
-    if request.wants_table {
-        reply.has_table = node.table_read_at.get().is_some();
-        reply.table_age_ms = node.table_age(clock::now()).as_millis();
-        for (name, spec) in &*node.raw_entries.borrow() {
-            reply.entries.push(SnapshotEntry {
-                name: name.to_string(),
-                content: serde_json::to_vec(spec)?,
-            });
-        }
+    if !request.wants_table {
+        return Ok(reply);
+    }
+    reply.has_table = node.table_read_at.get().is_some();
+    reply.table_age_ms = node.table_age(clock::now()).as_millis();
+    reply.incarnation = node.incarnation.0;
+    reply.table_version = node.table_log.borrow().version();
+    if let Some(position) = node.table_position.get()
+        && position.restores == node.store.restores()
+        && let Some(era) = node.store.era()
+    {
+        reply.store_revision = position.revision.0;
+        reply.store_era = era.0;
+    }
+    let is_same = request.incarnation == node.incarnation.0;
+    let log = node.table_log.borrow();
+    match log.changed_since(request.table_version).filter(|_| is_same) {
+        Some(names) => add_changes(node, &names, &mut reply),
+        None => add_differences(node, &request.known, &mut reply),
     }
     Ok(reply)
 }
 
-/// Copies newer data from peers whenever they have some. Never returns.
-pub async fn copy_from_peers(node: Rc<EntryNode>) {
-    loop {
-        sleep(CHECK_INTERVAL).await;
-        let Some((peer, request)) = next_request(&node) else {
-            continue;
-        };
-        match timeout(COPY_TIMEOUT, fetch_copy(&node, peer, request)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(error)) => log::info!("event=copy_failed peer={peer} error=\"{error:#}\""),
-            Err(_) => log::info!("event=copy_failed peer={peer} error=timeout"),
+/// Adds the entries with these names, or that they are gone.
+fn add_changes<'a>(
+    node: &EntryNode,
+    names: impl IntoIterator<Item = &'a &'a CompactString>,
+    reply: &mut SnapshotReply,
+) {
+    let entries = node.raw_entries.borrow();
+    let table = node.table.borrow();
+    for name in names {
+        let row = name.parse().ok().and_then(|id| table.get(&id));
+        match row.zip(entries.get(*name)) {
+            Some((row, spec)) => reply.entries.push(copy_entry(&row.entry, spec)),
+            None => reply.gone.push(name.to_string()),
         }
     }
 }
 
-/// Returns the peer to copy from and the request for it, or `None` when no peer has newer data.
-fn next_request(node: &EntryNode) -> Option<(SocketAddr, SnapshotRequest)> {
-    let now = clock::now();
-    let config_version = node.config_version();
-    let own_age = node.table_age(now);
-    let peers = node.peers.borrow();
-    let newest_config = peers
-        .live(now)
-        .max_by_key(|record| record.heartbeat.config_version)?;
-    let newest_table = peers
-        .live(now)
-        .min_by_key(|record| record.heartbeat.table_age)?;
-    // While the store is unreachable, the lease holder keeps its table up to date from reports.
-    let holder = peers
-        .live(now)
-        .find(|record| record.heartbeat.claim.is_some());
-    if let Some(holder) = holder
-        && node.store.is_unreachable(now)
-        && node.copied_target_changes.get() != holder.heartbeat.target_changes
-    {
-        node.copied_target_changes
-            .set(holder.heartbeat.target_changes);
-        let request = SnapshotRequest {
-            config_version,
-            wants_table: true,
-        };
-        return Some((holder.heartbeat.peer_address, request));
-    }
-    let wants_config = newest_config.heartbeat.config_version > config_version;
-    let wants_table = own_age > STALE_TABLE_AGE
-        && newest_table
-            .heartbeat
-            .table_age
-            .0
-            .saturating_add(STALE_TABLE_AGE.0 / 2)
-            < own_age.0;
-    if wants_table {
-        let request = SnapshotRequest {
-            config_version,
-            wants_table: true,
-        };
-        Some((newest_table.heartbeat.peer_address, request))
-    } else if wants_config {
-        let request = SnapshotRequest {
-            config_version,
-            wants_table: false,
-        };
-        Some((newest_config.heartbeat.peer_address, request))
-    } else {
-        None
+fn copy_entry(entry: &BackendEntry, spec: &Value) -> SnapshotEntry {
+    encode_entry(entry, entry_write_count(spec).unwrap_or_default())
+}
+
+/// Adds the entries whose hashes are not in `known`, and the positions of the hashes that no entry has.
+fn add_differences(node: &EntryNode, known: &[u64], reply: &mut SnapshotReply) {
+    let entries = node.raw_entries.borrow();
+    let table = node.table.borrow();
+    let theirs: HashSet<u64> = known.iter().copied().collect();
+    let mut own = HashSet::new();
+    for row in table.rows() {
+        let hash = entry_hash(&row.entry);
+        own.insert(hash);
+        let spec = entries.get(row.entry.id.as_str());
+        if let Some(spec) = spec.filter(|_| !theirs.contains(&hash)) {
+            reply.entries.push(copy_entry(&row.entry, spec));
+        }
     }
+    let positions = (0u32..).zip(known);
+    let unknown = positions.filter(|(_, hash)| !own.contains(hash));
+    reply.unknown = unknown.map(|(position, _)| position).collect();
 }
 
-async fn fetch_copy(
-    node: &EntryNode,
-    peer: SocketAddr,
-    request: SnapshotRequest,
-) -> eyre::Result<()> {
-    let requested_at = clock::now();
-    let stream = TcpStream::connect(peer).await.wrap_err("connect")?;
-    let mut frames = framed(stream);
-    frames.send(Bytes::from(request.encode_to_vec())).await?;
-    let frame = frames
-        .next()
-        .await
-        .ok_or_else(|| eyre!("connection closed before a reply"))??;
-    let reply = SnapshotReply::decode(frame)?;
-    if !reply.config.is_empty() {
-        node.apply_config(serde_json::from_slice(&reply.config)?, "peer");
+/// What this node has copied of a peer's table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopiedVersion {
+    /// Incarnation of the peer.
+    pub incarnation: Incarnation,
+    /// Version of its table.
+    pub version: u64,
+}
+
+/// Connection to a peer from which copies are requested.
+pub struct CopyConnection {
+    /// Address of the peer.
+    pub peer: SocketAddr,
+    frames: Frames,
+    /// What was copied of the peer's table over this connection; `None` before the first copy.
+    pub copied: Option<CopiedVersion>,
+}
+
+impl CopyConnection {
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached.
+    pub async fn open(peer: SocketAddr) -> eyre::Result<Self> {
+        let stream = TcpStream::connect(peer).await.wrap_err("connect")?;
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            peer,
+            frames: framed(stream),
+            copied: None,
+        })
     }
-    let is_newer = reply.table_age_ms < node.table_age(clock::now()).as_millis();
-    if reply.has_table && is_newer {
+
+    /// Requests what is newer at the peer and applies it. Afterwards the connection can be used again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does, or if the reply cannot be decoded.
+    pub async fn copy(&mut self, node: &EntryNode, wants_table: bool) -> eyre::Result<()> {
+        let requested_at = clock::now();
+        let restores = node.store.restores();
+        let mut request = SnapshotRequest {
+            config_version: node.config_version(),
+            wants_table,
+            ..SnapshotRequest::default()
+        };
+        let mut names: Vec<CompactString> = Vec::new();
+        match self.copied.filter(|_| wants_table) {
+            Some(copied) => {
+                request.incarnation = copied.incarnation.0;
+                request.table_version = copied.version;
+            }
+            None if wants_table => {
+                for row in node.table.borrow().rows() {
+                    names.push(row.entry.id.as_str().into());
+                    request.known.push(entry_hash(&row.entry));
+                }
+            }
+            None => {}
+        }
+        let request = Bytes::from(request.encode_to_vec());
+        self.frames.send(request).await?;
+        let frame = self.frames.next().await;
+        let frame = frame.ok_or_else(|| eyre!("connection closed before a reply"))??;
+        let reply = SnapshotReply::decode(frame)?;
+        if !reply.config.is_empty() {
+            node.apply_config(serde_json::from_slice(&reply.config)?, "peer");
+        }
+        let is_newer = reply.table_age_ms < node.table_age(clock::now()).as_millis();
+        if !reply.has_table || !is_newer {
+            return Ok(());
+        }
+        let unknown = reply.unknown.iter();
+        let unknown = unknown.filter_map(|position| names.get(*position as usize).cloned());
         let entries = reply
             .entries
-            .into_iter()
-            .map(|entry| Ok((entry.name.into(), serde_json::from_slice(&entry.content)?)))
-            .collect::<eyre::Result<_>>()?;
-        let read = requested_at - TimeSpan(reply.table_age_ms);
+            .iter()
+            .map(|entry| Ok((entry.name.as_str().into(), decode_entry(entry)?)))
+            .collect::<eyre::Result<Vec<_>>>()?;
+        let sent: HashSet<&CompactString> = entries.iter().map(|(name, _)| name).collect();
+        let gone = reply.gone.into_iter().map(CompactString::from);
+        let gone: Vec<CompactString> = gone
+            .chain(unknown)
+            .filter(|name| !sent.contains(name))
+            .collect();
         log::info!(
-            "event=table_copied peer={peer} age_ms={}",
-            reply.table_age_ms
+            "event=table_copied peer={} age_ms={} changed={} gone={}",
+            self.peer,
+            reply.table_age_ms,
+            entries.len(),
+            gone.len()
         );
-        node.copy_table(entries, read);
+        node.apply_difference(TableDifference {
+            entries,
+            gone,
+            read_at: requested_at - TimeSpan(reply.table_age_ms),
+        });
+        self.copied = Some(CopiedVersion {
+            incarnation: Incarnation(reply.incarnation),
+            version: reply.table_version,
+        });
+        let is_current = node.store.restores() == restores
+            && node
+                .store
+                .era()
+                .is_none_or(|era| era <= StoreEra(reply.store_era));
+        let position = (is_current && reply.store_revision > 0).then_some(WatchPosition {
+            revision: StoreRevision(reply.store_revision),
+            restores,
+        });
+        node.table_position.set(position);
+        Ok(())
     }
-    Ok(())
 }
--- /dev/null
+++ b/crates/entry/src/entry_codec.rs
@@ -0,0 +1,87 @@
+//! Translates entries of backend servers to and from the messages in copies of the table.
+
+use jaysaddle_adapter::backend::entry_spec;
+use jaysaddle_types::ids::Generation;
+use jaysaddle_types::serving::BackendEntry;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::GroupMembership;
+use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::units::SlotCount;
+use jaysaddle_wire::heartbeat::SnapshotEntry;
+use serde_json::Value;
+
+/// Encodes an entry.
+pub fn encode_entry(entry: &BackendEntry, write_count: u64) -> SnapshotEntry {
+    let text = |value: Option<&str>| value.unwrap_or_default().to_owned();
+    let mut message = SnapshotEntry {
+        name: entry.id.to_string(),
+        write_count,
+        started: entry.started,
+        service: entry.service.to_string(),
+        address: entry.address.to_string(),
+        failure_domain: entry.failure_domain.to_string(),
+        fabric_domain: text(entry.fabric_domain.as_ref().map(|domain| domain.as_str())),
+        slots: entry.slots.0,
+        is_draining: entry.is_draining,
+        model: text(entry.model.as_ref().map(|model| model.as_str())),
+        staged: entry.staged.iter().map(ToString::to_string).collect(),
+        ..SnapshotEntry::default()
+    };
+    if let Some(membership) = &entry.membership {
+        message.group = membership.key.group.to_string();
+        message.generation = membership.key.generation.0;
+        message.rank = membership.rank;
+        message.phase = match membership.phase {
+            MemberPhase::Unknown => 0,
+            MemberPhase::Joining => 1,
+            MemberPhase::Ready => 2,
+            MemberPhase::Open => 3,
+            MemberPhase::Closing => 4,
+            MemberPhase::Broken => 5,
+        };
+    }
+    message
+}
+
+fn optional<T: std::str::FromStr>(text: &str) -> Result<Option<T>, T::Err> {
+    (!text.is_empty()).then(|| text.parse()).transpose()
+}
+
+/// Decodes an entry into the form in which the store holds it.
+///
+/// # Errors
+///
+/// Fails on ids and addresses that are not valid.
+pub fn decode_entry(message: &SnapshotEntry) -> eyre::Result<Value> {
+    let group = optional(&message.group)?;
+    let membership = group.map(|group| GroupMembership {
+        key: GroupKey {
+            group,
+            generation: Generation(message.generation),
+        },
+        rank: message.rank,
+        phase: match message.phase {
+            1 => MemberPhase::Joining,
+            2 => MemberPhase::Ready,
+            3 => MemberPhase::Open,
+            4 => MemberPhase::Closing,
+            5 => MemberPhase::Broken,
+            _ => MemberPhase::Unknown,
+        },
+    });
+    let staged = message.staged.iter().map(|model| model.parse());
+    let entry = BackendEntry {
+        id: message.name.parse()?,
+        started: message.started,
+        service: message.service.parse()?,
+        address: message.address.parse()?,
+        failure_domain: message.failure_domain.parse()?,
+        fabric_domain: optional(&message.fabric_domain)?,
+        slots: SlotCount(message.slots),
+        is_draining: message.is_draining,
+        model: optional(&message.model)?,
+        staged: staged.collect::<Result<_, _>>()?,
+        membership,
+    };
+    Ok(entry_spec(&entry, message.write_count))
+}
--- /dev/null
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -0,0 +1,283 @@
+//! Translates heartbeats to and from the messages that nodes exchange.
+
+use eyre::WrapErr;
+use jaysaddle_fleet::digest::NodeNumber;
+use jaysaddle_fleet::digest::PeerDigest;
+use jaysaddle_fleet::digest::ServerSent;
+use jaysaddle_fleet::lease::LeaseClaim;
+use jaysaddle_fleet::lease::LeaseHandover;
+use jaysaddle_fleet::leaving::LeavingServer;
+use jaysaddle_fleet::peers::PeerHeartbeat;
+use jaysaddle_fleet::peers::PeerLimit;
+use jaysaddle_fleet::peers::PeerLoad;
+use jaysaddle_fleet::peers::PeerPhase;
+use jaysaddle_fleet::peers::PeerUnserved;
+use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::ids::LeaseEpoch;
+use jaysaddle_types::ids::ModelId;
+use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::ids::StoreEra;
+use jaysaddle_types::units::ProcessorShare;
+use jaysaddle_types::units::RequestLimit;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_wire::heartbeat::DigestMessage;
+use jaysaddle_wire::heartbeat::LeaseHandoverMessage;
+use jaysaddle_wire::heartbeat::LeaseMessage;
+use jaysaddle_wire::heartbeat::LeavingMessage;
+use jaysaddle_wire::heartbeat::LimitMessage;
+use jaysaddle_wire::heartbeat::NodeHeartbeat;
+use jaysaddle_wire::heartbeat::WorkMessage;
+use prost::Message;
+
+/// Encodes a heartbeat without a digest.
+pub fn encode_heartbeat(heartbeat: &PeerHeartbeat) -> Vec<u8> {
+    let message = NodeHeartbeat {
+        node: heartbeat.node.to_string(),
+        incarnation: heartbeat.incarnation.0,
+        failure_domain: heartbeat.failure_domain.to_string(),
+        caller_address: heartbeat.caller_address.to_string(),
+        peer_address: heartbeat.peer_address.to_string(),
+        phase: match heartbeat.phase {
+            PeerPhase::Starting => 0,
+            PeerPhase::Serving => 1,
+            PeerPhase::Stopping => 2,
+        },
+        config_version: heartbeat.config_version,
+        table_age_ms: heartbeat.table_age.as_millis(),
+        is_store_unreachable: heartbeat.is_store_unreachable,
+        lease: heartbeat.claim.as_ref().map(|claim| LeaseMessage {
+            term: claim.term.0,
+            version: claim.version.0,
+            remaining_ms: claim.remaining.as_millis(),
+        }),
+        handover: heartbeat
+            .handover
+            .as_ref()
+            .map(|handover| LeaseHandoverMessage {
+                successor: handover.successor.to_string(),
+                term: handover.term.0,
+                version: handover.version.0,
+                groups_formed: handover.groups_formed,
+            }),
+        load_targets: heartbeat.loads.iter().map(|load| load.target).collect(),
+        load_counts: heartbeat.loads.iter().map(|load| load.requests).collect(),
+        late_counts: heartbeat.loads.iter().map(|load| load.late).collect(),
+        stalled_targets: heartbeat.stalled_targets.clone(),
+        work: heartbeat
+            .work
+            .iter()
+            .map(|(model, work_ms)| WorkMessage {
+                model: model.to_string(),
+                work_ms: *work_ms,
+            })
+            .collect(),
+        target_changes: heartbeat.target_changes,
+        closed_targets: heartbeat.closed_targets.clone(),
+        unserved_fingerprints: fingerprints(&heartbeat.unserved),
+        unserved_times_left_ms: times_left(&heartbeat.unserved),
+        limits: heartbeat.limits.iter().map(encode_limit).collect(),
+        store_era: heartbeat.store_era.0,
+        latest_term: heartbeat.latest_term.0,
+        leaving: heartbeat
+            .leaving
+            .iter()
+            .map(|server| LeavingMessage {
+                server: server.id.to_string(),
+                started: server.started,
+            })
+            .collect(),
+        processor_permille: heartbeat.processor.0,
+        is_relay: heartbeat.is_relay,
+        digest: None,
+        table_version: heartbeat.table_version,
+    };
+    message.encode_to_vec()
+}
+
+fn fingerprints(unserved: &[PeerUnserved]) -> Vec<u32> {
+    unserved.iter().map(|attempt| attempt.fingerprint).collect()
+}
+
+fn times_left(unserved: &[PeerUnserved]) -> Vec<u64> {
+    let times = unserved.iter().map(|attempt| attempt.time_left);
+    times.map(TimeSpan::as_millis).collect()
+}
+
+fn encode_limit(limit: &PeerLimit) -> LimitMessage {
+    LimitMessage {
+        server: limit.server,
+        version: limit.version,
+        per_kilosecond: limit.limit.map(RequestLimit::per_kilosecond),
+        age_ms: limit.age.as_millis(),
+        sent: limit.sent,
+    }
+}
+
+/// Adds a digest to an encoded heartbeat. The fields of two encoded messages in succession are those of one message.
+pub fn encode_with_digest(heartbeat: &[u8], digest: PeerDigest) -> Vec<u8> {
+    let in_phase = |wanted: PeerPhase| {
+        let nodes = digest.nodes.iter();
+        nodes
+            .filter(|(_, phase)| *phase == wanted)
+            .map(|(number, _)| number.0)
+            .collect()
+    };
+    let message = NodeHeartbeat {
+        digest: Some(DigestMessage {
+            age_ms: digest.age.as_millis(),
+            serving: in_phase(PeerPhase::Serving),
+            starting: in_phase(PeerPhase::Starting),
+            stopping: in_phase(PeerPhase::Stopping),
+            load_targets: digest.loads.iter().map(|load| load.target).collect(),
+            load_counts: digest.loads.iter().map(|load| load.requests).collect(),
+            late_counts: digest.loads.iter().map(|load| load.late).collect(),
+            unserved_fingerprints: fingerprints(&digest.unserved),
+            unserved_times_left_ms: times_left(&digest.unserved),
+            sent_servers: digest.sent.iter().map(|sent| sent.server).collect(),
+            sent_counts: digest.sent.iter().map(|sent| sent.requests).collect(),
+            stalled_targets: digest.stalled_targets,
+            closed_targets: digest.closed_targets,
+        }),
+        ..NodeHeartbeat::default()
+    };
+    let mut bytes = heartbeat.to_vec();
+    bytes.extend(message.encode_to_vec());
+    bytes
+}
+
+fn decode_digest(message: DigestMessage) -> PeerDigest {
+    let phases = [
+        (PeerPhase::Serving, message.serving),
+        (PeerPhase::Starting, message.starting),
+        (PeerPhase::Stopping, message.stopping),
+    ];
+    let nodes = phases.into_iter().flat_map(|(phase, numbers)| {
+        let numbers = numbers.into_iter();
+        numbers.map(move |number| (NodeNumber(number), phase))
+    });
+    let sent = message.sent_servers.into_iter().zip(message.sent_counts);
+    PeerDigest {
+        age: TimeSpan(message.age_ms),
+        nodes: nodes.collect(),
+        loads: decode_loads(
+            message.load_targets,
+            message.load_counts,
+            message.late_counts,
+        ),
+        stalled_targets: message.stalled_targets,
+        closed_targets: message.closed_targets,
+        unserved: decode_unserved(
+            message.unserved_fingerprints,
+            message.unserved_times_left_ms,
+        ),
+        sent: sent
+            .map(|(server, requests)| ServerSent { server, requests })
+            .collect(),
+    }
+}
+
+fn decode_loads(targets: Vec<u32>, counts: Vec<u32>, late_counts: Vec<u32>) -> Vec<PeerLoad> {
+    let loads = targets.into_iter().zip(counts).zip(late_counts);
+    loads
+        .map(|((target, requests), late)| PeerLoad {
+            target,
+            requests,
+            late,
+        })
+        .collect()
+}
+
+fn decode_unserved(fingerprints: Vec<u32>, times_left_ms: Vec<u64>) -> Vec<PeerUnserved> {
+    let attempts = fingerprints.into_iter().zip(times_left_ms);
+    attempts
+        .map(|(fingerprint, time_left_ms)| PeerUnserved {
+            fingerprint,
+            time_left: TimeSpan(time_left_ms),
+        })
+        .collect()
+}
+
+/// Decodes a received heartbeat.
+///
+/// # Errors
+///
+/// Fails on data that is no heartbeat, and on ids and addresses that are not valid.
+pub fn decode_heartbeat(data: &[u8]) -> eyre::Result<PeerHeartbeat> {
+    let message = NodeHeartbeat::decode(data)?;
+    let work = message
+        .work
+        .into_iter()
+        .map(|work| Ok((work.model.parse::<ModelId>()?, work.work_ms)))
+        .collect::<eyre::Result<_>>()?;
+    Ok(PeerHeartbeat {
+        node: message.node.parse().wrap_err("node")?,
+        incarnation: Incarnation(message.incarnation),
+        failure_domain: message.failure_domain.parse()?,
+        caller_address: message.caller_address.parse()?,
+        peer_address: message.peer_address.parse()?,
+        phase: match message.phase {
+            1 => PeerPhase::Serving,
+            2 => PeerPhase::Stopping,
+            _ => PeerPhase::Starting,
+        },
+        config_version: message.config_version,
+        table_age: TimeSpan(message.table_age_ms),
+        is_store_unreachable: message.is_store_unreachable,
+        claim: message.lease.map(|claim| LeaseClaim {
+            term: LeaseEpoch(claim.term),
+            version: ObjectVersion(claim.version),
+            remaining: TimeSpan(claim.remaining_ms),
+        }),
+        handover: message
+            .handover
+            .map(|handover| {
+                Ok::<_, eyre::Report>(LeaseHandover {
+                    successor: handover.successor.parse()?,
+                    term: LeaseEpoch(handover.term),
+                    version: ObjectVersion(handover.version),
+                    groups_formed: handover.groups_formed,
+                })
+            })
+            .transpose()?,
+        loads: decode_loads(
+            message.load_targets,
+            message.load_counts,
+            message.late_counts,
+        ),
+        stalled_targets: message.stalled_targets,
+        work,
+        target_changes: message.target_changes,
+        closed_targets: message.closed_targets,
+        unserved: decode_unserved(
+            message.unserved_fingerprints,
+            message.unserved_times_left_ms,
+        ),
+        limits: message
+            .limits
+            .into_iter()
+            .map(|limit| PeerLimit {
+                server: limit.server,
+                version: limit.version,
+                limit: limit.per_kilosecond.map(RequestLimit::from_per_kilosecond),
+                age: TimeSpan(limit.age_ms),
+                sent: limit.sent,
+            })
+            .collect(),
+        store_era: StoreEra(message.store_era),
+        latest_term: LeaseEpoch(message.latest_term),
+        leaving: message
+            .leaving
+            .into_iter()
+            .map(|leaving| {
+                Ok(LeavingServer {
+                    id: leaving.server.parse()?,
+                    started: leaving.started,
+                })
+            })
+            .collect::<eyre::Result<_>>()?,
+        processor: ProcessorShare(message.processor_permille),
+        is_relay: message.is_relay,
+        digest: message.digest.map(decode_digest),
+        table_version: message.table_version,
+    })
+}
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -1,6 +1,7 @@
 //! Maintains the controller's lease: reads and writes its object in the store, hands the lease over on a planned
 //! shutdown and accepts it from a peer that shuts down.
 
+use std::cmp::Reverse;
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -70,14 +71,16 @@
     *node.handover.borrow_mut() = Some(handover);
 }
 
-/// Chooses the live, serving node with the most recent backend table.
+/// Chooses the serving node with the most recent backend table, a relay if there are any, since only relays hear whether
+/// the store is unreachable for the others.
 fn choose_successor(node: &EntryNode) -> Option<NodeId> {
     node.peers
         .borrow()
-        .live(clock::now())
-        .filter(|record| record.heartbeat.phase == PeerPhase::Serving)
-        .min_by_key(|record| (record.heartbeat.table_age, record.heartbeat.node.clone()))
-        .map(|record| record.heartbeat.node.clone())
+        .heard(clock::now())
+        .map(|record| &record.heartbeat)
+        .filter(|heartbeat| heartbeat.phase == PeerPhase::Serving)
+        .min_by_key(|heartbeat| (!heartbeat.is_relay, heartbeat.table_age, &heartbeat.node))
+        .map(|heartbeat| heartbeat.node.clone())
 }
 
 /// Accepts the lease when a peer that shuts down has named this node as its successor.
@@ -99,7 +102,8 @@
     handle_lease_event(node, event);
 }
 
-/// Number of live nodes that take precedence over this one as the next lease holder.
+/// Number of live nodes that take precedence over this one as the next lease holder. Nodes with more processor time come
+/// first.
 pub fn lease_rank(node: &EntryNode) -> u32 {
     let now = clock::now();
     let own_age = node.table_age(now);
@@ -109,7 +113,11 @@
         .live(now)
         .filter(|record| record.heartbeat.phase == PeerPhase::Serving)
         .filter(|record| record.heartbeat.table_age.0 <= own_age.0.saturating_add(2000))
-        .filter(|record| record.heartbeat.node < node.settings.node)
+        .filter(|record| {
+            let heartbeat = &record.heartbeat;
+            (Reverse(heartbeat.processor), &heartbeat.node)
+                < (Reverse(node.settings.processor), &node.settings.node)
+        })
         .count();
     u32::try_from(before).unwrap_or(u32::MAX)
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -20,7 +20,9 @@
 use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_fleet::peers::PeerTable;
+use jaysaddle_fleet::relays::RelayCandidate;
 use jaysaddle_fleet::table::BackendTable;
+use jaysaddle_fleet::table_log::TableLog;
 use jaysaddle_gateway::gateway::RequestGateway;
 use jaysaddle_gateway::service_times::ServiceTimes;
 use jaysaddle_gateway::settings::GatewaySettings;
@@ -43,6 +45,7 @@
 use crate::shutdown::ShutdownState;
 use crate::store_client::StoreClient;
 use crate::store_restore::RestoreState;
+use crate::store_sync::WatchPosition;
 
 /// Fraction of the platform's retry slack that this system uses. The rest allows for requests that nodes
 /// count in different windows.
@@ -65,6 +68,17 @@
     (permille as u32, burst as u32)
 }
 
+/// Difference between this node's table and a peer's.
+#[derive(Debug)]
+pub struct TableDifference {
+    /// Entries that this node does not have, or has with another content.
+    pub entries: Vec<(CompactString, Value)>,
+    /// Names of entries that the peer does not have.
+    pub gone: Vec<CompactString>,
+    /// Time as of which the peer's table was complete.
+    pub read_at: Timestamp,
+}
+
 /// Shared state of an entry node.
 pub struct EntryNode {
     pub settings: EntrySettings,
@@ -89,6 +103,10 @@
     pub raw_config: RefCell<Option<Value>>,
     /// The backend entries as read, kept to serve copies to peers.
     pub raw_entries: RefCell<BTreeMap<CompactString, Value>>,
+    /// Changes of the table, for copies to peers.
+    pub table_log: RefCell<TableLog>,
+    /// Where a watch of the backend entries continues that includes all changes after the table.
+    pub table_position: Cell<Option<WatchPosition>>,
     /// What is remembered to deal with a restore of the store.
     pub restore: RestoreState,
     pub controller: RefCell<FleetController>,
@@ -111,6 +129,10 @@
     pub holder_target_changes: Cell<u64>,
     /// Target change counter of the lease holder when its table was last copied.
     pub copied_target_changes: Cell<u64>,
+    /// Whether this node is a relay.
+    pub is_relay: Cell<bool>,
+    /// Triggers an immediate comparison with the peers' versions.
+    pub feed_check: Notify,
     /// Triggers an immediate read of the backend entries.
     pub table_refresh: Notify,
     /// Triggers an immediate heartbeat.
@@ -152,6 +174,8 @@
             config: RefCell::default(),
             raw_config: RefCell::default(),
             raw_entries: RefCell::default(),
+            table_log: RefCell::default(),
+            table_position: Cell::new(None),
             restore: RestoreState::default(),
             controller: RefCell::new(FleetController::new(ControllerTiming::default())),
             lease: RefCell::new(lease),
@@ -166,6 +190,8 @@
             open_requests: Cell::new(0),
             holder_target_changes: Cell::new(0),
             copied_target_changes: Cell::new(0),
+            is_relay: Cell::new(false),
+            feed_check: Notify::new(),
             table_refresh: Notify::new(),
             heartbeat_now: Notify::new(),
             bounds: Cell::new(bounds),
@@ -215,6 +241,25 @@
             .record_pause(server, backend, until);
     }
 
+    /// Whether the lease holder reports that the store is unreachable, which this node has not noticed.
+    pub fn is_store_in_doubt(&self) -> bool {
+        let now = clock::now();
+        let peers = self.peers.borrow();
+        let mut holders = peers.heard(now).map(|record| &record.heartbeat);
+        !self.store.is_unreachable(now)
+            && holders.any(|holder| holder.claim.is_some() && holder.is_store_unreachable)
+    }
+
+    /// This node as a candidate for work that one node does for all others.
+    pub fn relay_candidate(&self, now: Timestamp) -> RelayCandidate<'_> {
+        RelayCandidate {
+            node: &self.settings.node,
+            domain: &self.settings.failure_domain,
+            processor: self.settings.processor,
+            is_store_unreachable: self.store.is_unreachable(now),
+        }
+    }
+
     /// Version of the configuration in force, or 0 when there is none.
     pub fn config_version(&self) -> u64 {
         self.config
@@ -250,6 +295,9 @@
         self.gateway
             .borrow_mut()
             .set_config(config, &self.table.borrow());
+        if self.is_relay.get() {
+            self.heartbeat_now.notify_one();
+        }
         if self.phase.get() == PeerPhase::Starting {
             self.phase.set(PeerPhase::Serving);
         }
@@ -284,31 +332,73 @@
         self.outage_grace_until.set(now + OUTAGE_GRACE);
     }
 
-    /// Replaces the table by a copy from a peer. Entries that are newer at this node are kept, because reports may
-    /// have updated them.
-    pub fn copy_table(&self, mut entries: BTreeMap<CompactString, Value>, read_at: Timestamp) {
-        for (name, current) in &*self.raw_entries.borrow() {
-            if let Some(entry) = entries.get_mut(name)
-                && is_newer_entry(entry, current)
-            {
-                entry.clone_from(current);
+    /// Applies the difference between this node's table and a peer's. Entries that are newer at this node are kept,
+    /// because reports may have updated them.
+    pub fn apply_difference(&self, difference: TableDifference) {
+        let now = clock::now();
+        for name in difference.gone {
+            let removed = self.raw_entries.borrow_mut().remove(&name);
+            if let Some(spec) = removed {
+                self.restore.remember_removed(name.clone(), spec);
+                if let Ok(id) = name.parse() {
+                    self.table.borrow_mut().remove_missing(&id, now);
+                }
+                self.table_log.borrow_mut().record(name);
             }
         }
-        self.install_table(entries, read_at);
+        for (name, spec) in difference.entries {
+            let is_outdated = {
+                let entries = self.raw_entries.borrow();
+                let current = entries.get(&name);
+                current.is_some_and(|current| is_newer_entry(&spec, current))
+            };
+            if !is_outdated {
+                self.put_entry(&name, spec);
+            }
+        }
+        self.confirm_table(difference.read_at);
+        self.publish_table();
+    }
+
+    /// Records that the table is known to be complete as of `read_at`.
+    pub fn confirm_table(&self, read_at: Timestamp) {
+        let before = self.table_read_at.get();
+        if before.is_none_or(|before| before < read_at) {
+            self.table_read_at.set(Some(read_at));
+        }
     }
 
     fn install_table(&self, entries: BTreeMap<CompactString, Value>, read_at: Timestamp) {
+        let now = clock::now();
+        let missing: Vec<CompactString> = {
+            let before = self.raw_entries.borrow();
+            let names = before.keys().filter(|name| !entries.contains_key(*name));
+            names.cloned().collect()
+        };
+        for name in missing {
+            if let Some(spec) = self.raw_entries.borrow_mut().remove(&name) {
+                self.restore.remember_removed(name.clone(), spec);
+            }
+            self.table_log.borrow_mut().record(name);
+        }
         let decoded: Vec<BackendEntry> = entries
             .iter()
             .filter_map(|(name, spec)| decode_entry(name, spec))
             .collect();
-        let before = std::mem::replace(&mut *self.raw_entries.borrow_mut(), entries);
-        for (name, spec) in before {
-            if !self.raw_entries.borrow().contains_key(&name) {
-                self.restore.remember_removed(name, spec);
-            }
+        let changed: Vec<CompactString> = {
+            let table = self.table.borrow();
+            let is_changed = |entry: &&BackendEntry| {
+                let row = table.get(&entry.id);
+                row.is_none_or(|row| row.entry != **entry)
+            };
+            let changed = decoded.iter().filter(is_changed);
+            changed.map(|entry| entry.id.as_str().into()).collect()
+        };
+        for name in changed {
+            self.table_log.borrow_mut().record(name);
         }
-        self.table.borrow_mut().replace(decoded, clock::now());
+        *self.raw_entries.borrow_mut() = entries;
+        self.table.borrow_mut().replace(decoded, now);
         self.table_read_at.set(Some(read_at));
         self.publish_table();
     }
@@ -316,15 +406,14 @@
     /// Applies one changed entry from the store.
     pub fn put_entry(&self, name: &CompactString, spec: Value) {
         let now = clock::now();
-        match decode_entry(name, &spec) {
-            Some(entry) => {
-                self.table.borrow_mut().put(entry, now);
-            }
-            None => {
-                if let Ok(id) = name.parse() {
-                    self.table.borrow_mut().remove(&id, now);
-                }
-            }
+        let has_changed = match decode_entry(name, &spec) {
+            Some(entry) => self.table.borrow_mut().put(entry, now),
+            None => name
+                .parse()
+                .is_ok_and(|id| self.table.borrow_mut().remove(&id, now)),
+        };
+        if has_changed {
+            self.table_log.borrow_mut().record(name.clone());
         }
         self.raw_entries.borrow_mut().insert(name.clone(), spec);
     }
@@ -350,6 +439,7 @@
         let removed = self.raw_entries.borrow_mut().remove(name);
         if let Some(spec) = removed {
             self.restore.remember_removed(name.clone(), spec);
+            self.table_log.borrow_mut().record(name.clone());
         }
         if let Ok(id) = name.parse() {
             self.table.borrow_mut().remove(&id, clock::now());
@@ -357,13 +447,14 @@
     }
 
     /// Updates the gateway's targets from the table, and notifies peers of changed targets
-    /// when this node holds the lease.
+    /// when this node holds the lease or is a relay.
     pub fn publish_table(&self) {
         let has_changed = self
             .gateway
             .borrow_mut()
             .update_targets(&self.table.borrow());
-        if has_changed && self.lease.borrow().held_term(clock::now()).is_some() {
+        let is_holder = self.lease.borrow().held_term(clock::now()).is_some();
+        if has_changed && (is_holder || self.is_relay.get()) {
             self.heartbeat_now.notify_one();
         }
     }
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -39,8 +39,9 @@
     }
     if old.bounds != new.bounds {
         change.applied.push(format_compact!(
-            "bounds.stop_grace={} bounds.repeat_ratio={} bounds.repeat_slack={} bounds.directory_lifetime_secs={}",
+            "bounds.stop_grace={} bounds.drain={} bounds.repeat_ratio={} bounds.repeat_slack={} bounds.directory_lifetime_secs={}",
             new.bounds.stop_grace,
+            new.bounds.drain,
             new.bounds.repeat_ratio,
             new.bounds.repeat_slack,
             new.bounds.directory_lifetime_secs
@@ -54,6 +55,7 @@
         ("peer_ports", old.peer_ports != new.peer_ports),
         ("store", old.store != new.store),
         ("memory", old.memory != new.memory),
+        ("processor", old.processor != new.processor),
     ];
     change.needs_restart.extend(
         restart_fields
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -31,6 +31,7 @@
 use crate::stop;
 use crate::store_restore;
 use crate::store_sync;
+use crate::table_feed;
 
 /// Runs the daemon until SIGTERM or SIGINT.
 ///
@@ -109,7 +110,7 @@
         addresses.clone(),
     ));
     spawn_local(copies::serve(node.clone(), copy_listener));
-    spawn_local(copies::copy_from_peers(node.clone()));
+    spawn_local(table_feed::run(node.clone()));
     spawn_local(control::run(node.clone()));
     spawn_local(reload::watch_settings(
         node.clone(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
 use jaysaddle_types::ids::FailureDomainId;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::units::ByteCount;
+use jaysaddle_types::units::ProcessorShare;
 use jaysaddle_types::units::TimeSpan;
 use serde::Deserialize;
 use serde::Serialize;
@@ -32,6 +33,8 @@
 pub struct PlatformBounds {
     /// Time between SIGTERM and SIGKILL.
     pub stop_grace: TimeSpan,
+    /// Time within which a backend server that leaves gets no new requests.
+    pub drain: TimeSpan,
     /// Maximum ratio of retries to requests of a service, over all nodes.
     pub repeat_ratio: f64,
     /// Number of retries per window that are allowed in addition to the ratio, over all nodes.
@@ -44,6 +47,7 @@
     fn default() -> Self {
         Self {
             stop_grace: TimeSpan::from_secs(8),
+            drain: TimeSpan::from_secs(2),
             repeat_ratio: 0.2,
             repeat_slack: 100,
             directory_lifetime_secs: 2,
@@ -70,6 +74,9 @@
     /// Memory of the VM, of which responses take a part at most.
     #[serde(default = "default_memory")]
     pub memory: ByteCount,
+    /// Part of a core that the VM provides. Nodes with more of it do the work that one node does for all.
+    #[serde(default = "default_processor")]
+    pub processor: ProcessorShare,
     /// Whether all nodes start for the first time, so that no node can hold the lease yet.
     #[serde(default)]
     pub is_first_start: bool,
@@ -85,6 +92,10 @@
     ByteCount(512 << 20)
 }
 
+fn default_processor() -> ProcessorShare {
+    ProcessorShare(1000)
+}
+
 fn default_log_level() -> CompactString {
     "info".into()
 }
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -33,7 +33,7 @@
     node.shutdown.begin(plan, started);
     node.gateway.borrow_mut().release_limits();
     lease::resign(&node);
-    beats::send_heartbeat_now(&node, &socket, &addresses).await;
+    beats::send_to_all(&node, &socket, &addresses).await;
     wait_until(plan.withdrawn_until, || false).await;
     node.shutdown.enter(ShutdownStage::Draining);
     wait_until(plan.closing_from, || node.open_requests.get() == 0).await;
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -13,6 +13,7 @@
 use jaysaddle_adapter::store::StoreObject;
 use jaysaddle_adapter::store::StoreResponse;
 use jaysaddle_daemon::clock;
+use jaysaddle_fleet::relays::MAX_DIRECT_PEERS;
 use jaysaddle_types::ids::StoreRevision;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -31,6 +32,8 @@
 const CONFIG_WATCH_TIME: TimeSpan = TimeSpan(2500);
 /// Maximum duration of a watch of the backend entries, which change continuously.
 const BACKEND_WATCH_TIME: TimeSpan = TimeSpan(1000);
+/// The same at a relay. Nodes that follow it take over the age of its table, which includes the duration of the watch.
+const RELAY_WATCH_TIME: TimeSpan = TimeSpan(500);
 /// Time beyond a watch's duration after which its connection counts as unresponsive.
 const WATCH_TIMEOUT_MARGIN: TimeSpan = TimeSpan(400);
 /// Delay after a failed call, so that a recovering store is not overloaded.
@@ -40,7 +43,13 @@
 /// Delay between two reads of changed entries at other nodes, while the lease holder notifies them of changes.
 /// Short enough that a backend server that leaves gets no new work in time even if a notification is lost.
 const FOLLOWER_READ_DELAY: Duration = Duration::from_millis(1000);
-/// The same while no lease holder is known.
+/// The same at a relay, which reads for other nodes as well.
+const RELAY_READ_DELAY: Duration = Duration::from_millis(300);
+/// Interval at which a node that follows a relay checks whether it has to read the store itself.
+const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Minimum time between two checks of the store by a node that follows a relay.
+const STORE_CHECK_INTERVAL: TimeSpan = TimeSpan(1000);
+/// Delay between two reads of changed entries at other nodes while no lease holder is known.
 const NO_HOLDER_READ_DELAY: Duration = Duration::from_millis(400);
 /// Minimum delay between two reads, regardless of how many changes are announced.
 const MIN_READ_DELAY: Duration = Duration::from_millis(100);
@@ -52,13 +61,16 @@
 ];
 /// Delay between later reads of the node list; heartbeats announce new nodes earlier.
 const NODE_LIST_DELAY: Duration = Duration::from_secs(5);
+/// The same at a node that follows a relay.
+const FOLLOWER_NODE_LIST_DELAY: Duration = Duration::from_secs(30);
 
 /// Position from which a watch continues.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct WatchPosition {
-    revision: StoreRevision,
+pub struct WatchPosition {
+    /// Revision of the store up to which all changes are known.
+    pub revision: StoreRevision,
     /// Number of restores of the store at the time of the listing. After another one, the revision is void.
-    restores: u64,
+    pub restores: u64,
 }
 
 /// Lists all objects of a kind, page by page. Returns `None` when a call fails, or when the store is restored meanwhile.
@@ -139,6 +151,11 @@
 pub async fn watch_config(node: Rc<EntryNode>) {
     let mut since: Option<WatchPosition> = None;
     loop {
+        if node.config_version() > 0 && node.follows_relays() {
+            since = None;
+            sleep(FOLLOW_CHECK_INTERVAL).await;
+            continue;
+        }
         let Some(position) = since else {
             match list_all(&node, ObjectKind::Config, false).await {
                 Some((objects, position)) => {
@@ -183,6 +200,11 @@
 pub async fn watch_backends(node: Rc<EntryNode>) {
     let mut since: Option<WatchPosition> = None;
     loop {
+        if node.follows_relays() {
+            follow_relays(&node).await;
+            since = node.table_position.get();
+            node.table.borrow_mut().begin_watch(clock::now());
+        }
         let started = clock::now();
         // After the grace period of an outage, a full listing shows which entries have not been written again.
         let grace = node.outage_grace_until.get();
@@ -199,12 +221,18 @@
                         .collect::<BTreeMap<_, _>>();
                     node.replace_table(entries, started);
                     since = Some(position);
+                    node.table_position.set(since);
                 }
                 None => sleep(RETRY_DELAY).await,
             }
             continue;
         };
-        match watch_changes(&node, ObjectKind::Backends, position, BACKEND_WATCH_TIME).await {
+        let wait = if node.is_relay.get() {
+            RELAY_WATCH_TIME
+        } else {
+            BACKEND_WATCH_TIME
+        };
+        match watch_changes(&node, ObjectKind::Backends, position, wait).await {
             Some(Ok(StoreResponse::Changes { changes, revision })) => {
                 for change in changes {
                     if change.is_removed {
@@ -215,16 +243,17 @@
                 }
                 node.table_read_at.set(Some(started));
                 node.store_read_at.set(Some(started));
-                node.publish_table();
                 since = Some(WatchPosition {
                     revision,
                     ..position
                 });
+                node.table_position.set(since);
+                node.publish_table();
             }
             Some(Ok(StoreResponse::RevisionExpired)) | None => since = None,
             _ => {
                 since = None;
-                sleep(RETRY_DELAY).await;
+                sleep(retry_delay(&node)).await;
             }
         }
         sleep(MIN_READ_DELAY).await;
@@ -236,15 +265,52 @@
     }
 }
 
+/// Waits until this node has to read the store itself. If the lease holder reports that the store is unreachable, this
+/// node checks it, since the holder needs to know whether it is for most nodes.
+async fn follow_relays(node: &EntryNode) {
+    let mut checked = clock::now();
+    while node.follows_relays() {
+        let is_requested = tokio::select! {
+            () = sleep(FOLLOW_CHECK_INTERVAL) => false,
+            () = node.table_refresh.notified() => node.is_store_in_doubt(),
+        };
+        let now = clock::now();
+        let is_due = now.since(checked) >= STORE_CHECK_INTERVAL;
+        if is_due && (is_requested || node.store.is_unreachable(now)) {
+            checked = now;
+            let call = StoreCall::Read {
+                kind: ObjectKind::Config,
+                name: CompactString::const_new(CONFIG_NAME),
+            };
+            // The outcome is recorded by the client.
+            let _ = node.store.call(&call, CALL_TIMEOUT).await;
+        }
+    }
+}
+
+/// Delay after a failed read of the store. The many nodes of a large deployment that are no relays do not have to be the
+/// first to notice that the store is back.
+fn retry_delay(node: &EntryNode) -> Duration {
+    let is_large = node.peers.borrow().known() > MAX_DIRECT_PEERS;
+    if is_large && !node.is_relay.get() {
+        STORE_CHECK_INTERVAL.as_duration()
+    } else {
+        RETRY_DELAY
+    }
+}
+
 fn backend_read_delay(node: &EntryNode) -> Duration {
     let now = clock::now();
     if node.lease.borrow().held_term(now).is_some() {
         return HOLDER_READ_DELAY;
     }
+    if node.is_relay.get() {
+        return RELAY_READ_DELAY;
+    }
     let has_live_holder = node
         .peers
         .borrow()
-        .live(now)
+        .heard(now)
         .any(|record| record.heartbeat.claim.is_some());
     if has_live_holder {
         FOLLOWER_READ_DELAY
@@ -293,8 +359,13 @@
             sleep(RETRY_DELAY).await;
             continue;
         }
+        let later_delay = if node.follows_relays() {
+            FOLLOWER_NODE_LIST_DELAY
+        } else {
+            NODE_LIST_DELAY
+        };
         tokio::select! {
-            () = sleep(delay.unwrap_or(NODE_LIST_DELAY)) => {}
+            () = sleep(delay.unwrap_or(later_delay)) => {}
             () = restored => {}
         }
     }
--- /dev/null
+++ b/crates/entry/src/table_feed.rs
@@ -0,0 +1,185 @@
+//! Keeps the configuration and the backend table up to date from peers.
+//!
+//! In a large deployment, only the relays read the store; the others follow a relay, whose heartbeats name the version
+//! and the age of its table. A node that hears no relay with a recent table reads the store itself, as all nodes of a
+//! small deployment do. Whenever a node cannot read the store, it copies from the peer with the most recent table.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jaysaddle_daemon::clock;
+use jaysaddle_fleet::peers::PeerRecord;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::copies::COPY_TIMEOUT;
+use crate::copies::CopyConnection;
+use crate::node::EntryNode;
+
+/// Interval at which the peers' versions are compared with this node's.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Minimum time between two copies from one peer.
+const COPY_INTERVAL: TimeSpan = TimeSpan(250);
+/// Age of the backend table from which it is copied from any peer; without a relay, the store is read every 1.2 s.
+const STALE_TABLE_AGE: TimeSpan = TimeSpan(1700);
+/// Time for which a peer is not asked again after it did not respond.
+const FAILED_PEER_TIME: TimeSpan = TimeSpan(2000);
+/// Part of the time in which a change must be known, in percent, up to which the age of a relay's table may be to follow it.
+const FOLLOW_AGE_PERCENT: u64 = 60;
+
+impl EntryNode {
+    /// Age up to which a relay's table is followed.
+    fn follow_age(&self) -> TimeSpan {
+        TimeSpan(self.bounds.get().drain.0 * FOLLOW_AGE_PERCENT / 100)
+    }
+
+    /// Whether a peer is a relay with a recent table.
+    fn is_followable(&self, record: &PeerRecord, now: Timestamp) -> bool {
+        let heartbeat = &record.heartbeat;
+        let age = TimeSpan(
+            heartbeat
+                .table_age
+                .0
+                .saturating_add(now.since(record.received).0),
+        );
+        heartbeat.is_relay && !heartbeat.is_store_unreachable && age <= self.follow_age()
+    }
+
+    /// Whether this node follows a relay instead of reading the store.
+    pub fn follows_relays(&self) -> bool {
+        let now = clock::now();
+        let peers = self.peers.borrow();
+        !self.is_relay.get()
+            && self.table_age(now) <= self.follow_age()
+            && peers
+                .heard(now)
+                .any(|record| self.is_followable(record, now))
+    }
+}
+
+/// A copy to be made.
+#[derive(Clone, Copy, Debug)]
+struct CopyPlan {
+    peer: SocketAddr,
+    wants_table: bool,
+}
+
+/// What is remembered of earlier copies.
+#[derive(Default)]
+struct FeedState {
+    connection: Option<CopyConnection>,
+    last_copy: Timestamp,
+    /// The peer that did not respond last, and until when it is not asked again.
+    failed: Option<(SocketAddr, Timestamp)>,
+}
+
+/// Copies newer data from peers whenever they have some. Never returns.
+pub async fn run(node: Rc<EntryNode>) {
+    let mut state = FeedState::default();
+    loop {
+        tokio::select! {
+            () = sleep(CHECK_INTERVAL) => {}
+            () = node.feed_check.notified() => {}
+        }
+        let now = clock::now();
+        let Some(plan) = next_copy(&node, &state, now) else {
+            continue;
+        };
+        if now.since(state.last_copy) < COPY_INTERVAL {
+            sleep(COPY_INTERVAL.as_duration()).await;
+        }
+        state.last_copy = clock::now();
+        let cause = match timeout(COPY_TIMEOUT, copy(&node, &mut state, plan)).await {
+            Ok(Ok(())) => continue,
+            Ok(Err(error)) => format!("{error:#}"),
+            Err(_) => "timeout".to_owned(),
+        };
+        log::info!("event=copy_failed peer={} error=\"{cause}\"", plan.peer);
+        state.connection = None;
+        state.failed = Some((plan.peer, clock::now() + FAILED_PEER_TIME));
+    }
+}
+
+async fn copy(node: &EntryNode, state: &mut FeedState, plan: CopyPlan) -> eyre::Result<()> {
+    let reused = state.connection.take();
+    let mut connection = match reused.filter(|connection| connection.peer == plan.peer) {
+        Some(connection) => connection,
+        None => CopyConnection::open(plan.peer).await?,
+    };
+    connection.copy(node, plan.wants_table).await?;
+    state.connection = Some(connection);
+    Ok(())
+}
+
+/// Weight of a relay for this node, by which the nodes spread over the relays.
+fn relay_weight(node: &EntryNode, record: &PeerRecord) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (&node.settings.node, &record.heartbeat.node).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The copy to make now; `None` if no peer has newer data. While this node has what a relay has, it takes over the age of
+/// the relay's table.
+fn next_copy(node: &EntryNode, state: &FeedState, now: Timestamp) -> Option<CopyPlan> {
+    let peers = node.peers.borrow();
+    let may_ask = |record: &&PeerRecord| {
+        let address = record.heartbeat.peer_address;
+        !state
+            .failed
+            .is_some_and(|(failed, until)| failed == address && now < until)
+    };
+    let heard = || peers.heard(now).filter(may_ask);
+    // While the store is unreachable, the lease holder keeps its table up to date from reports.
+    let holder = heard().find(|record| record.heartbeat.claim.is_some());
+    if let Some(holder) = holder
+        && node.store.is_unreachable(now)
+        && node.copied_target_changes.get() != holder.heartbeat.target_changes
+    {
+        node.copied_target_changes
+            .set(holder.heartbeat.target_changes);
+        return Some(CopyPlan {
+            peer: holder.heartbeat.peer_address,
+            wants_table: true,
+        });
+    }
+    let relay = heard()
+        .filter(|record| !node.is_relay.get() && node.is_followable(record, now))
+        .max_by_key(|record| relay_weight(node, record));
+    if let Some(record) = relay {
+        let connection = state.connection.as_ref();
+        let copied = connection
+            .filter(|connection| connection.peer == record.heartbeat.peer_address)
+            .and_then(|connection| connection.copied);
+        let is_same = copied.is_some_and(|copied| {
+            copied.incarnation == record.heartbeat.incarnation
+                && copied.version >= record.heartbeat.table_version
+        });
+        if !is_same {
+            return Some(CopyPlan {
+                peer: record.heartbeat.peer_address,
+                wants_table: true,
+            });
+        }
+        node.confirm_table(record.received - record.heartbeat.table_age);
+    }
+    let newest_table = heard().min_by_key(|record| record.heartbeat.table_age)?;
+    let own_age = node.table_age(now);
+    let their_age = newest_table.heartbeat.table_age;
+    if own_age > STALE_TABLE_AGE && their_age.0.saturating_add(STALE_TABLE_AGE.0 / 2) < own_age.0 {
+        return Some(CopyPlan {
+            peer: newest_table.heartbeat.peer_address,
+            wants_table: true,
+        });
+    }
+    let newest_config = heard().max_by_key(|record| record.heartbeat.config_version)?;
+    (newest_config.heartbeat.config_version > node.config_version()).then_some(CopyPlan {
+        peer: newest_config.heartbeat.peer_address,
+        wants_table: false,
+    })
+}
--- /dev/null
+++ b/crates/entry/tests/all/entry_codec.rs
@@ -0,0 +1,48 @@
+//! Copies of entries of backend servers.
+
+use jaysaddle_adapter::backend::entry_write_count;
+use jaysaddle_adapter::backend::is_newer_entry;
+use jaysaddle_adapter::backend::parse_entry;
+use jaysaddle_entry::entry_codec::decode_entry;
+use jaysaddle_entry::entry_codec::encode_entry;
+use serde_json::Value;
+use serde_json::json;
+
+fn engine(phase: &str) -> Value {
+    json!({
+        "service": "engines", "address": "10.128.0.9:8080", "zone": "phc-a", "version": "v1", "slots": 17,
+        "state": "ready", "sequence": 4, "born": 17, "models": [{"name": "large"}], "domain": "phc-a-d0",
+        "staged": ["small"], "group": {"name": "g7", "epoch": 12, "rank": 1, "state": phase}
+    })
+}
+
+fn plain() -> Value {
+    json!({
+        "service": "ledger", "address": "10.128.0.10:8080", "zone": "phc-b", "slots": 6, "state": "draining",
+        "sequence": 9, "born": 3
+    })
+}
+
+/// Guards against fields that a copy of an entry loses, so that a node that follows a relay would use other backend servers
+/// than one that reads the store.
+#[test]
+fn copied_entry_is_the_same_at_the_receiver() {
+    let phases = ["joining", "ready", "open", "closing", "broken", "later"];
+    let entries = phases.into_iter().map(engine).chain([plain()]);
+    for spec in entries {
+        let entry = parse_entry("i-1", &spec).expect("an entry");
+        let count = entry_write_count(&spec).expect("a count");
+        let copy = decode_entry(&encode_entry(&entry, count)).expect("an entry");
+        assert_eq!(parse_entry("i-1", &copy).expect("an entry"), entry);
+        assert!(!is_newer_entry(&copy, &spec) && !is_newer_entry(&spec, &copy));
+    }
+}
+
+/// Guards against a copy that names no valid backend server and is used nevertheless.
+#[test]
+fn copy_without_valid_fields_is_refused() {
+    let entry = parse_entry("i-1", &engine("open")).expect("an entry");
+    let mut message = encode_entry(&entry, 4);
+    message.address = "nowhere".to_owned();
+    assert!(decode_entry(&message).is_err());
+}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod address_list;
 mod byte_budget;
+mod entry_codec;
 mod log_limiter;
 mod responses;
 mod stated_limit;
--- a/crates/fleet/examples/measure.rs
+++ b/crates/fleet/examples/measure.rs
@@ -34,6 +34,7 @@
 use jaysaddle_types::serving::ModelProfile;
 use jaysaddle_types::serving::ServiceRule;
 use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::ProcessorShare;
 use jaysaddle_types::units::SlotCount;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -146,6 +147,10 @@
         unserved: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        processor: ProcessorShare(250),
+        table_version: 0,
+        is_relay: false,
+        digest: None,
         store_era: StoreEra(1),
         latest_term: LeaseEpoch(1),
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,12 +5,17 @@
 
 pub mod controller;
 pub mod demand;
+pub mod digest;
 pub mod groups;
+pub mod heartbeat_round;
 pub mod lease;
 pub mod leaving;
 pub mod load_rate;
-mod peer_totals;
+pub mod peer_totals;
 pub mod peers;
 pub mod plan;
+pub mod relays;
 pub mod staging_plan;
 pub mod table;
+pub mod table_log;
+mod unserved_log;
--- a/crates/fleet/src/peer_totals.rs
+++ b/crates/fleet/src/peer_totals.rs
@@ -1,13 +1,17 @@
 //! Totals over the heartbeats of peers, which each heartbeat changes by its difference from the previous one.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::units::Timestamp;
 
+use crate::digest::PeerDigest;
 use crate::peers::LIMIT_WINDOW;
 use crate::peers::PEER_TIMEOUT;
+use crate::peers::PeerHeartbeat;
+use crate::peers::PeerLoad;
 use crate::peers::PeerRecord;
 
 /// Requests of all live peers at a target.
@@ -24,7 +28,7 @@
 /// # Invariants
 ///
 /// Each total is the sum over the records of the peers in `live`, and `sent` that over the peers in `senders`.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PeerTotals {
     /// Peers whose heartbeats are included.
     live: HashSet<NodeId>,
@@ -36,8 +40,6 @@
     stalled: HashMap<u32, u32>,
     /// Number of peers that report a target as closed.
     closed: HashMap<u32, u32>,
-    /// Deadlines of the attempts that peers did not serve, by fingerprint.
-    unserved: HashMap<u32, Vec<Timestamp>>,
     /// Requests to backend servers with a request limit in the last [`LIMIT_WINDOW`], by server.
     sent: HashMap<u32, u32>,
 }
@@ -69,9 +71,7 @@
             return;
         }
         for load in &heartbeat.loads {
-            let total = self.loads.entry(load.target).or_default();
-            total.requests += load.requests;
-            total.late += load.late;
+            self.add_load(load);
         }
         for target in &heartbeat.stalled_targets {
             increase(&mut self.stalled, *target, 1);
@@ -79,11 +79,6 @@
         for target in &heartbeat.closed_targets {
             increase(&mut self.closed, *target, 1);
         }
-        for unserved in &heartbeat.unserved {
-            let deadline = record.received + unserved.time_left;
-            let deadlines = self.unserved.entry(unserved.fingerprint).or_default();
-            deadlines.push(deadline);
-        }
     }
 
     /// Removes what a record has contributed.
@@ -112,19 +107,79 @@
         for target in &heartbeat.closed_targets {
             decrease(&mut self.closed, *target, 1);
         }
-        for unserved in &heartbeat.unserved {
-            let deadline = record.received + unserved.time_left;
-            if let Some(deadlines) = self.unserved.get_mut(&unserved.fingerprint) {
-                if let Some(position) = deadlines.iter().position(|other| *other == deadline) {
-                    deadlines.swap_remove(position);
-                }
-                if deadlines.is_empty() {
-                    self.unserved.remove(&unserved.fingerprint);
-                }
-            }
+    }
+
+    /// Totals that a digest holds.
+    pub fn of_digest(digest: &PeerDigest) -> Self {
+        let loads = digest.loads.iter().map(|load| {
+            let total = TargetTotal {
+                requests: load.requests,
+                late: load.late,
+            };
+            (load.target, total)
+        });
+        let sent = digest.sent.iter().map(|sent| (sent.server, sent.requests));
+        Self {
+            loads: loads.collect(),
+            stalled: digest
+                .stalled_targets
+                .iter()
+                .map(|target| (*target, 1))
+                .collect(),
+            closed: digest
+                .closed_targets
+                .iter()
+                .map(|target| (*target, 1))
+                .collect(),
+            sent: sent.collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Adds what this node itself contributes, for the digests that it sends.
+    pub fn add_own(&mut self, own: &PeerHeartbeat) {
+        for load in &own.loads {
+            self.add_load(load);
+        }
+        for target in &own.stalled_targets {
+            increase(&mut self.stalled, *target, 1);
+        }
+        for target in &own.closed_targets {
+            increase(&mut self.closed, *target, 1);
+        }
+        for limit in &own.limits {
+            increase(&mut self.sent, limit.server, limit.sent);
         }
     }
 
+    fn add_load(&mut self, load: &PeerLoad) {
+        let total = self.loads.entry(load.target).or_default();
+        total.requests += load.requests;
+        total.late += load.late;
+    }
+
+    /// Requests in flight, by target.
+    pub fn loads(&self) -> BTreeMap<u32, TargetTotal> {
+        let loads = self.loads.iter();
+        loads.map(|(target, total)| (*target, *total)).collect()
+    }
+
+    /// Requests to backend servers with a request limit in the last [`LIMIT_WINDOW`], by server.
+    pub fn sent(&self) -> BTreeMap<u32, u32> {
+        let sent = self.sent.iter();
+        sent.map(|(server, count)| (*server, *count)).collect()
+    }
+
+    /// Targets that a peer reports as stalled.
+    pub fn stalled_targets(&self) -> Vec<u32> {
+        self.stalled.keys().copied().collect()
+    }
+
+    /// Targets that a peer reports as closed.
+    pub fn closed_targets(&self) -> Vec<u32> {
+        self.closed.keys().copied().collect()
+    }
+
     /// Requests in flight at a target.
     pub fn load_of(&self, target: u32) -> TargetTotal {
         self.loads.get(&target).copied().unwrap_or_default()
@@ -140,11 +195,6 @@
         self.closed.contains_key(&target)
     }
 
-    /// Deadlines of the attempts with this fingerprint that peers did not serve.
-    pub fn unserved_deadlines(&self, fingerprint: u32) -> &[Timestamp] {
-        self.unserved.get(&fingerprint).map_or(&[], Vec::as_slice)
-    }
-
     /// Requests to a backend server with a request limit in the last [`LIMIT_WINDOW`].
     pub fn sent_to(&self, server: u32) -> u32 {
         self.sent.get(&server).copied().unwrap_or(0)
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,6 +1,7 @@
 //! Heartbeats of the other nodes: liveness, phase and load.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use jaysaddle_types::ids::FailureDomainId;
@@ -9,14 +10,22 @@
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::StoreEra;
+use jaysaddle_types::units::ProcessorShare;
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::digest::DigestBuilder;
+use crate::digest::NodeNumber;
+use crate::digest::PeerDigest;
 use crate::lease::LeaseClaim;
 use crate::lease::LeaseHandover;
 use crate::leaving::LeavingServer;
 use crate::peer_totals::PeerTotals;
+use crate::relays::MAX_DIRECT_PEERS;
+use crate::relays::RelayCandidate;
+use crate::relays::choose_relays;
+use crate::unserved_log::UnservedLog;
 
 /// Lifecycle phase of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,6 +114,14 @@
     pub limits: Vec<PeerLimit>,
     /// Backend servers that have said in a response that they are leaving.
     pub leaving: Vec<LeavingServer>,
+    /// Processor of the node's VM.
+    pub processor: ProcessorShare,
+    /// Version of the node's table of backend servers, which counts its changes in this incarnation.
+    pub table_version: u64,
+    /// Whether the node relays the state of all nodes.
+    pub is_relay: bool,
+    /// State of all nodes; set in the heartbeats of a relay to nodes that are no relays.
+    pub digest: Option<PeerDigest>,
     /// Era of the store in its last response to the node; 0 before the first.
     pub store_era: StoreEra,
     /// Highest term of the lease that the node has seen.
@@ -118,6 +135,8 @@
     pub heartbeat: PeerHeartbeat,
     /// When the heartbeat was received.
     pub received: Timestamp,
+    /// When a digest has last listed the peer as live; `None` if none has.
+    listed: Option<Timestamp>,
 }
 
 /// Time without a heartbeat after which a peer counts as down. Covers four heartbeats of 200 ms, so that the loss of
@@ -126,89 +145,179 @@
 /// Time over which the requests to a backend server with a request limit are counted. The platform counts over 4 s;
 /// the rest is a margin for delays between the nodes and the backend server.
 pub const LIMIT_WINDOW: TimeSpan = TimeSpan(4500);
+/// Time without a digest for which the peers that the last one listed still count as live. While all relays are lost,
+/// the nodes agree on new ones.
+const DIGEST_RETENTION: TimeSpan = TimeSpan::from_secs(3);
+/// Time for which a digest repeats an attempt that was not served: two rounds of digests, because one may be lost.
+const UNSERVED_RELAY_TIME: TimeSpan = TimeSpan(900);
 /// Time without a heartbeat after which a peer's record is removed.
 const PEER_RETENTION: TimeSpan = TimeSpan::from_secs(60);
 
+/// Digest that is in force at a node.
+#[derive(Debug)]
+struct ReceivedDigest {
+    totals: PeerTotals,
+    /// Mean age of the heartbeats of the digest when it was received.
+    age: TimeSpan,
+    received: Timestamp,
+}
+
 /// Last heartbeats of all peers, with totals over the live ones.
+///
+/// In a large deployment, a node that is no relay knows most peers from digests only (see [`relays`](crate::relays)).
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<NodeId, PeerRecord>,
+    numbers: HashMap<NodeNumber, NodeId>,
+    /// Totals over the heartbeats that this node has received itself.
     totals: PeerTotals,
+    /// Last digest; `None` before the first and at a relay.
+    digest: Option<ReceivedDigest>,
+    unserved: UnservedLog,
 }
 
 impl PeerTable {
     /// Records a heartbeat. Heartbeats of an earlier incarnation are ignored.
-    pub fn record_heartbeat(&mut self, heartbeat: PeerHeartbeat, now: Timestamp) {
+    pub fn record_heartbeat(&mut self, mut heartbeat: PeerHeartbeat, now: Timestamp) {
         let before = self.peers.get(&heartbeat.node);
         if before.is_some_and(|record| record.heartbeat.incarnation > heartbeat.incarnation) {
             return;
         }
         if let Some(record) = before {
             self.totals.remove(record);
+        } else {
+            let number = NodeNumber::of(&heartbeat.node);
+            self.numbers.insert(number, heartbeat.node.clone());
+        }
+        for unserved in &heartbeat.unserved {
+            self.unserved.record(*unserved, now);
         }
+        let digest = heartbeat.digest.take();
         let record = PeerRecord {
+            listed: before.and_then(|record| record.listed),
             heartbeat,
             received: now,
         };
         self.totals.add(&record, now);
         self.peers.insert(record.heartbeat.node.clone(), record);
+        if let Some(digest) = digest {
+            self.record_digest(digest, now);
+        }
     }
 
-    /// Removes peers whose retention has ended, and excludes peers that are down from the totals.
-    pub fn tick(&mut self, now: Timestamp) {
-        self.peers
-            .retain(|_, record| now.since(record.received) < PEER_RETENTION);
+    fn record_digest(&mut self, digest: PeerDigest, now: Timestamp) {
+        for (number, phase) in &digest.nodes {
+            let node = self.numbers.get(number);
+            if let Some(record) = node.and_then(|node| self.peers.get_mut(node)) {
+                record.listed = Some(now);
+                if now.since(record.received) >= PEER_TIMEOUT {
+                    record.heartbeat.phase = *phase;
+                }
+            }
+        }
+        for unserved in &digest.unserved {
+            self.unserved.record(*unserved, now);
+        }
+        self.digest = Some(ReceivedDigest {
+            age: digest.age,
+            totals: PeerTotals::of_digest(&digest),
+            received: now,
+        });
+    }
+
+    /// Removes peers whose retention has ended, and excludes peers that are down from the totals. `is_relay` says whether
+    /// this node is a relay, which hears all nodes itself.
+    pub fn tick(&mut self, is_relay: bool, now: Timestamp) {
+        self.peers.retain(|_, record| {
+            let seen = record.received.max(record.listed.unwrap_or_default());
+            now.since(seen) < PEER_RETENTION
+        });
+        let peers = &self.peers;
+        self.numbers.retain(|_, node| peers.contains_key(node));
+        let is_outdated = |digest: &ReceivedDigest| now.since(digest.received) >= DIGEST_RETENTION;
+        if is_relay || self.digest.as_ref().is_some_and(is_outdated) {
+            self.digest = None;
+        }
+        self.unserved.expire(now);
         self.totals = PeerTotals::default();
         for record in self.peers.values() {
             self.totals.add(record, now);
         }
     }
 
+    /// The totals that include most peers.
+    fn widest_totals(&self) -> &PeerTotals {
+        let digest = self.digest.as_ref();
+        digest.map_or(&self.totals, |digest| &digest.totals)
+    }
+
     /// Requests that live peers have in flight at a target.
     pub fn load_of(&self, target: u32) -> u32 {
-        self.totals.load_of(target).requests
+        self.widest_totals().load_of(target).requests
     }
 
     /// Requests of live peers at a target that are expected to miss their latency target.
     pub fn late_load_of(&self, target: u32) -> u32 {
-        self.totals.load_of(target).late
+        self.widest_totals().load_of(target).late
     }
 
     /// Whether a live peer reports a target as stalled.
     pub fn is_stalled(&self, target: u32) -> bool {
-        self.totals.is_stalled(target)
+        self.totals.is_stalled(target) || self.widest_totals().is_stalled(target)
     }
 
     /// Whether a live peer that runs the controller reports a target as closed.
     pub fn is_closed(&self, target: u32) -> bool {
-        self.totals.is_closed(target)
+        self.totals.is_closed(target) || self.widest_totals().is_closed(target)
     }
 
     /// Deadlines of the attempts with this fingerprint that live peers did not serve.
     pub fn unserved_deadlines(&self, fingerprint: u32) -> &[Timestamp] {
-        self.totals.unserved_deadlines(fingerprint)
+        self.unserved.deadlines(fingerprint)
     }
 
     /// Requests to a backend server with a request limit that peers have sent in the last [`LIMIT_WINDOW`].
     pub fn sent_to(&self, server: u32) -> u32 {
-        self.totals.sent_to(server)
+        self.widest_totals().sent_to(server)
     }
 
-    /// Peers whose last heartbeat is younger than [`PEER_TIMEOUT`].
-    pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
+    /// Number of peers that were heard or listed lately, whether they are live or not.
+    pub fn known(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Record of a peer; `None` if it is not known.
+    pub fn get(&self, node: &NodeId) -> Option<&PeerRecord> {
+        self.peers.get(node)
+    }
+
+    /// Peers whose last heartbeat is younger than [`PEER_TIMEOUT`], so that its content is recent.
+    pub fn heard(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
         self.peers
             .values()
             .filter(move |record| now.since(record.received) < PEER_TIMEOUT)
     }
 
-    /// Serving peers that were heard within [`LIMIT_WINDOW`]. Unlike [`Self::live`], this does not depend on single
-    /// heartbeats where each peer sends one every few seconds.
-    pub fn recently_serving(&self, now: Timestamp) -> impl Iterator<Item = &NodeId> {
+    /// Peers that this node or a relay has heard within [`PEER_TIMEOUT`]. Apart from its phase, the heartbeat of a peer
+    /// that only a relay has heard may be old.
+    pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
+        let digest = self.digest.as_ref().map(|digest| digest.received);
+        self.peers.values().filter(move |record| {
+            let is_listed = record.listed.zip(digest).is_some_and(|(listed, digest)| {
+                digest.since(listed) < PEER_TIMEOUT && now.since(digest) < DIGEST_RETENTION
+            });
+            is_listed || now.since(record.received) < PEER_TIMEOUT
+        })
+    }
+
+    /// Serving peers that were seen within [`LIMIT_WINDOW`]. Unlike [`Self::live`], this does not depend on single
+    /// heartbeats.
+    pub fn recently_serving(&self, now: Timestamp) -> impl Iterator<Item = &NodeId> + Clone {
         self.peers
             .values()
             .filter(move |record| {
-                record.heartbeat.phase == PeerPhase::Serving
-                    && now.since(record.received) < LIMIT_WINDOW
+                let seen = record.received.max(record.listed.unwrap_or_default());
+                record.heartbeat.phase == PeerPhase::Serving && now.since(seen) < LIMIT_WINDOW
             })
             .map(|record| &record.heartbeat.node)
     }
@@ -221,24 +330,77 @@
         peers.filter(stays).count() + 1
     }
 
-    /// Mean age of the heartbeats of the live peers; zero without any.
+    /// Mean age of the heartbeats from which the loads of the live peers are taken; zero without any.
     pub fn mean_age(&self, now: Timestamp) -> TimeSpan {
+        if let Some(digest) = &self.digest {
+            return TimeSpan(digest.age.0 + now.since(digest.received).0);
+        }
         let (count, total) = self
-            .live(now)
+            .heard(now)
             .map(|record| now.since(record.received).as_millis())
             .fold((0, 0), |(count, total), age| (count + 1, total + age));
         TimeSpan(total / u64::max(count, 1))
     }
 
     /// Whether the store is unreachable for so many nodes that no other one can acquire the lease: a majority of the
-    /// known peers is live, and a majority of the live ones cannot reach the store.
+    /// known peers is heard, and a majority of those cannot reach the store.
     pub fn is_store_unreachable(&self, now: Timestamp) -> bool {
         let total = self.peers.len();
-        let live = self.live(now).count();
+        let heard = self.heard(now).count();
         let unreachable = self
-            .live(now)
+            .heard(now)
             .filter(|record| record.heartbeat.is_store_unreachable)
             .count();
-        live * 2 > total && unreachable * 2 > live
+        heard * 2 > total && unreachable * 2 > heard
+    }
+
+    /// The relays among this node and its peers; none in a deployment in which all nodes send their heartbeats to all
+    /// others. A relay that has fallen silent is left out at once, before the digests of the others show it.
+    pub fn relays(&self, own: RelayCandidate<'_>, now: Timestamp) -> Vec<NodeId> {
+        if self.known() <= MAX_DIRECT_PEERS {
+            return Vec::new();
+        }
+        let peers = self.live(now).filter(|record| {
+            let is_silent = now.since(record.received) >= PEER_TIMEOUT;
+            record.heartbeat.phase != PeerPhase::Stopping
+                && !(record.heartbeat.is_relay && is_silent)
+        });
+        let candidates = peers.map(|record| RelayCandidate {
+            node: &record.heartbeat.node,
+            domain: &record.heartbeat.failure_domain,
+            processor: record.heartbeat.processor,
+            is_store_unreachable: record.heartbeat.is_store_unreachable,
+        });
+        let relays = choose_relays(candidates.chain([own]).collect());
+        relays.into_iter().cloned().collect()
+    }
+
+    /// Prepares the digests that a relay sends. `own` is the relay's own heartbeat.
+    pub fn digests(&self, own: &PeerHeartbeat, now: Timestamp) -> DigestBuilder {
+        let own_node = (NodeNumber::of(&own.node), own.phase);
+        let nodes = self.heard(now).map(|record| {
+            let heartbeat = &record.heartbeat;
+            (NodeNumber::of(&heartbeat.node), heartbeat.phase)
+        });
+        let mut totals = self.totals.clone();
+        totals.add_own(own);
+        let mut unserved = own.unserved.clone();
+        unserved.extend(self.unserved.learned_within(UNSERVED_RELAY_TIME, now));
+        let common = PeerDigest {
+            age: self.mean_age(now),
+            nodes: nodes.chain([own_node]).collect(),
+            stalled_targets: totals.stalled_targets(),
+            closed_targets: totals.closed_targets(),
+            unserved,
+            ..PeerDigest::default()
+        };
+        DigestBuilder::new(common, totals.loads(), totals.sent())
+    }
+
+    /// The digest of a node, without its own part.
+    pub fn digest_for(&self, builder: &DigestBuilder, node: &NodeId, now: Timestamp) -> PeerDigest {
+        let record = self.peers.get(node);
+        let heard = record.filter(|record| now.since(record.received) < PEER_TIMEOUT);
+        builder.digest_for(heard.map(|record| &record.heartbeat))
     }
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -115,6 +115,17 @@
         self.move_to_removed(id, has_expired, now)
     }
 
+    /// Removes an entry that a copy of the table no longer contains. Returns whether it was known. It does not count as
+    /// expired, since its backend server may have deregistered itself.
+    pub fn remove_missing(&mut self, id: &VmId, now: Timestamp) -> bool {
+        self.move_to_removed(id, false, now)
+    }
+
+    /// Begins the period for which all writes are observed, after a time in which the table was copied from a peer.
+    pub fn begin_watch(&mut self, now: Timestamp) {
+        self.watched_since = now;
+    }
+
     fn move_to_removed(&mut self, id: &VmId, has_expired: bool, now: Timestamp) -> bool {
         let Some(row) = self.rows.remove(id) else {
             return false;
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -10,6 +10,7 @@
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::StoreEra;
+use jaysaddle_types::units::ProcessorShare;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
@@ -41,6 +42,10 @@
         unserved: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        processor: ProcessorShare(250),
+        table_version: 0,
+        is_relay: false,
+        digest: None,
         store_era: StoreEra(1),
         latest_term: LeaseEpoch(1),
     }
@@ -62,7 +67,7 @@
     let mut peers = PeerTable::default();
     peers.record_heartbeat(heartbeat("a", 1, &[(1, 2)]), Timestamp(100));
     let later = Timestamp(100) + PEER_TIMEOUT;
-    peers.tick(later);
+    peers.tick(false, later);
     assert_eq!(peers.load_of(1), 0);
     assert_eq!(peers.live(later).count(), 0);
     assert!(!peers.is_closed(8));
--- a/crates/gateway/tests/all/delayed_loads.rs
+++ b/crates/gateway/tests/all/delayed_loads.rs
@@ -14,13 +14,12 @@
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::units::Timestamp;
 
+use crate::dissemination::BeatSender;
+use crate::dissemination::HEARTBEAT_MS;
 use crate::fixture::GatewayFixture;
 use crate::fixture::SLOTS;
 use crate::fixture::heartbeat;
 
-/// Interval of heartbeats and number of peers in each round, as in the entry daemon.
-const HEARTBEAT_MS: u64 = 200;
-const PEERS_PER_ROUND: usize = 24;
 /// Time at a backend server, if a slot is free.
 const SERVICE_MS: u64 = 1200;
 /// Requests that arrive before this time are not evaluated; loads and durations are not known yet.
@@ -29,6 +28,7 @@
 /// A deployment of nodes and groups under constant load.
 struct Simulation {
     nodes: Vec<GatewayFixture>,
+    senders: Vec<BeatSender>,
     groups: u64,
     random: XorshiftRng,
     /// Requests at each target, whether they run or wait.
@@ -47,6 +47,9 @@
             nodes: (0..nodes)
                 .map(|node| GatewayFixture::with_seed(groups, 1 + node as u64 * 7919))
                 .collect(),
+            senders: (0..nodes)
+                .map(|node| BeatSender::new(node, nodes, 0))
+                .collect(),
             groups,
             random: XorshiftRng::new(77),
             at_target: HashMap::new(),
@@ -59,7 +62,6 @@
 
     fn run(&mut self, until: u64) -> f64 {
         let per_second = self.groups * u64::from(SLOTS) * 2 / 3 * 1000 / SERVICE_MS;
-        let mut rounds = vec![0; self.nodes.len()];
         for now in 1..until {
             self.end_requests(now);
             for _ in 0..4 {
@@ -67,11 +69,10 @@
                     self.arrive(now);
                 }
             }
-            for (node, round) in rounds.iter_mut().enumerate() {
+            for node in 0..self.nodes.len() {
                 // Nodes send at different times within the interval.
                 if (now + node as u64 * 37).is_multiple_of(HEARTBEAT_MS) {
-                    self.send_heartbeats(node, *round, now);
-                    *round += 1;
+                    self.send_heartbeats(node, now);
                 }
             }
         }
@@ -108,19 +109,17 @@
         }
     }
 
-    fn send_heartbeats(&mut self, sender: usize, round: usize, now: u64) {
+    fn send_heartbeats(&mut self, sender: usize, now: u64) {
+        let node = &mut self.nodes[sender];
         let message = PeerHeartbeat {
             node: NodeId::new(format!("node-{sender}")),
-            loads: self.nodes[sender].gateway.loads(),
+            loads: node.gateway.loads(),
             ..heartbeat()
         };
-        let peers = self.nodes.len() - 1;
-        for offset in 0..peers.min(PEERS_PER_ROUND) {
-            let position = (round * PEERS_PER_ROUND + offset) % peers;
-            let receiver = (sender + 1 + position) % self.nodes.len();
-            self.nodes[receiver]
-                .peers
-                .record_heartbeat(message.clone(), Timestamp(now));
+        let beats = self.senders[sender].send(&mut node.peers, message, false, now);
+        for (receiver, message) in beats {
+            let peers = &mut self.nodes[receiver].peers;
+            peers.record_heartbeat(message, Timestamp(now));
         }
     }
 }
--- a/crates/gateway/tests/all/fixture.rs
+++ b/crates/gateway/tests/all/fixture.rs
@@ -38,6 +38,7 @@
 use jaysaddle_types::serving::RouteRule;
 use jaysaddle_types::serving::ServiceRule;
 use jaysaddle_types::serving::ServingConfig;
+use jaysaddle_types::units::ProcessorShare;
 use jaysaddle_types::units::SlotCount;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -175,6 +176,10 @@
         unserved: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        processor: ProcessorShare(250),
+        table_version: 0,
+        is_relay: false,
+        digest: None,
         store_era: StoreEra(1),
         latest_term: LeaseEpoch(1),
     }
--- a/crates/gateway/tests/all/limit_simulation.rs
+++ b/crates/gateway/tests/all/limit_simulation.rs
@@ -29,15 +29,14 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::dissemination::BeatSender;
+use crate::dissemination::HEARTBEAT_MS;
 use crate::fixture::ENGINE_SERVICE;
 use crate::fixture::MODEL;
 use crate::fixture::add_group;
 use crate::fixture::config;
 use crate::fixture::heartbeat;
 
-/// Interval of heartbeats and number of peers in each round, as in the entry daemon.
-const HEARTBEAT_MS: u64 = 200;
-const PEERS_PER_ROUND: usize = 24;
 /// Delay of a message between nodes.
 const MESSAGE_MS: u64 = 5;
 /// Time from sending a request to the first byte of its response, and to its end.
@@ -72,7 +71,7 @@
 struct SimulatedNode {
     gateway: RequestGateway,
     peers: PeerTable,
-    round: usize,
+    sender: BeatSender,
     incarnation: u64,
 }
 
@@ -180,7 +179,14 @@
     NodeId::new(format!("node-{number}"))
 }
 
-fn new_node(number: usize, incarnation: u64, table: &BackendTable) -> SimulatedNode {
+/// Creates one of `nodes` nodes, which starts at `now`.
+fn new_node(
+    number: usize,
+    nodes: usize,
+    incarnation: u64,
+    table: &BackendTable,
+    now: u64,
+) -> SimulatedNode {
     let seed = 1 + number as u64 * 7919 + incarnation * 104_729;
     let id = node_id(number);
     let mut gateway = RequestGateway::new(GatewaySettings::default(), id, seed);
@@ -188,7 +194,7 @@
     SimulatedNode {
         gateway,
         peers: PeerTable::default(),
-        round: 0,
+        sender: BeatSender::new(number, nodes, now),
         incarnation,
     }
 }
@@ -206,7 +212,7 @@
         }
         Self {
             nodes: (0..scenario.nodes)
-                .map(|number| new_node(number, 1, &table))
+                .map(|number| new_node(number, scenario.nodes, 1, &table, 0))
                 .collect(),
             scenario,
             table,
@@ -223,12 +229,13 @@
     }
 
     pub fn run(mut self) -> Self {
+        let nodes = self.nodes.len();
         for now in 1..self.scenario.until {
             self.now = now;
             for (node, time) in &self.scenario.restarts {
                 if *time == now {
                     let incarnation = self.nodes[*node].incarnation + 1;
-                    self.nodes[*node] = new_node(*node, incarnation, &self.table);
+                    self.nodes[*node] = new_node(*node, nodes, incarnation, &self.table, self.now);
                 }
             }
             while let Some(Reverse((time, event))) = self.events.peek().copied()
@@ -245,7 +252,7 @@
             for node in 0..self.nodes.len() {
                 // Nodes send at different times within the interval.
                 if (now + node as u64 * 37).is_multiple_of(HEARTBEAT_MS) && !self.is_frozen(node) {
-                    self.send_heartbeats(node);
+                    self.send_heartbeats(node, false);
                 }
             }
         }
@@ -381,14 +388,13 @@
             node.gateway
                 .record_limit(sent.record.server(), limit, sent.record.started(), now);
         if change.is_some_and(|change| change.is_urgent()) {
-            self.send_heartbeats(number);
+            self.send_heartbeats(number, true);
         }
     }
 
-    fn send_heartbeats(&mut self, sender: usize) {
+    fn send_heartbeats(&mut self, sender: usize, is_urgent: bool) {
         let now = Timestamp(self.now);
         let node = &mut self.nodes[sender];
-        node.peers.tick(now);
         let count = u32::try_from(node.peers.sharing_nodes()).unwrap_or(u32::MAX);
         node.gateway.set_node_count(count);
         let message = PeerHeartbeat {
@@ -398,17 +404,15 @@
             limits: node.gateway.announced_limits(now),
             ..heartbeat()
         };
-        let round = node.round;
-        node.round += 1;
-        self.messages.push(message);
-        let message = self.messages.len() - 1;
-        let peers = self.nodes.len() - 1;
+        let beats = node
+            .sender
+            .send(&mut node.peers, message, is_urgent, self.now);
         let half = self.nodes.len() / 2;
         let is_cut = self.scenario.cut.contains(&self.now);
-        for offset in 0..peers.min(PEERS_PER_ROUND) {
-            let position = (round * PEERS_PER_ROUND + offset) % peers;
-            let receiver = (sender + 1 + position) % self.nodes.len();
+        for (receiver, message) in beats {
             if !(is_cut && (sender < half) != (receiver < half)) {
+                self.messages.push(message);
+                let message = self.messages.len() - 1;
                 self.schedule(MESSAGE_MS, Event::Heartbeat { message, receiver });
             }
         }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,11 +2,13 @@
 
 mod choice;
 mod delayed_loads;
+mod dissemination;
 mod events;
 mod fixture;
 mod limit_simulation;
 mod limited_servers;
 mod overload;
+mod peer_view;
 mod routes;
 mod server_limits;
 mod server_pauses;
--- a/crates/gateway/tests/all/overload.rs
+++ b/crates/gateway/tests/all/overload.rs
@@ -171,7 +171,7 @@
             fixture.peers.record_heartbeat(message, Timestamp(1000));
         }
         let later = Timestamp(6000);
-        fixture.peers.tick(later);
+        fixture.peers.tick(false, later);
         assert_eq!(fixture.peers.live(later).count(), 0);
         let count = u32::try_from(fixture.peers.sharing_nodes()).expect("a small number");
         fixture.gateway.set_node_count(count);
--- a/crates/types/src/serving.rs
+++ b/crates/types/src/serving.rs
@@ -52,7 +52,7 @@
 }
 
 /// A backend server's report about its group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct GroupMembership {
     /// Group and generation that the backend server belongs to.
     pub key: GroupKey,
@@ -63,7 +63,7 @@
 }
 
 /// A registered backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct BackendEntry {
     /// Id under which it registered; a later start may reuse the id.
     pub id: VmId,
--- a/crates/types/src/units.rs
+++ b/crates/types/src/units.rs
@@ -255,6 +255,63 @@
     }
 }
 
+/// Part of a processor core, in thousandths. Its text form is a decimal number of cores, such as `0.25`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProcessorShare(pub u32);
+
+impl ProcessorShare {
+    /// Largest share, in thousandths of a core.
+    const MAX: f64 = 1e6;
+
+    /// The share of a number of cores; `None` unless the number is above zero and at most a thousand.
+    pub fn from_cores(cores: f64) -> Option<Self> {
+        let thousandths = (cores * 1000.0).round();
+        (1.0..=Self::MAX)
+            .contains(&thousandths)
+            .then_some(Self(thousandths as u32))
+    }
+
+    /// Number of cores.
+    pub fn cores(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+impl fmt::Display for ProcessorShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.cores().fmt(f)
+    }
+}
+
+impl FromStr for ProcessorShare {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let cores = text.parse().ok().and_then(Self::from_cores);
+        cores.ok_or_else(|| UnitError {
+            text: text.into(),
+            expected: "a number of cores above 0 and at most 1000",
+        })
+    }
+}
+
+impl Serialize for ProcessorShare {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_f64(self.cores())
+    }
+}
+
+impl<'de> Deserialize<'de> for ProcessorShare {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let cores = f64::deserialize(deserializer)?;
+        Self::from_cores(cores).ok_or_else(|| {
+            serde::de::Error::custom(format_args!(
+                "{cores} is not valid: expected a number of cores above 0 and at most 1000"
+            ))
+        })
+    }
+}
+
 /// A number of concurrent requests that a group or an account may hold.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -81,6 +81,62 @@
     /// Backend servers that have said in a response that they are leaving.
     #[prost(message, repeated, tag = "24")]
     pub leaving: Vec<LeavingMessage>,
+    /// Processor of the node's VM, in thousandths of a core.
+    #[prost(uint32, tag = "25")]
+    pub processor_permille: u32,
+    /// Whether the node relays the state of all nodes.
+    #[prost(bool, tag = "26")]
+    pub is_relay: bool,
+    /// State of all nodes; set by a relay.
+    #[prost(message, optional, tag = "27")]
+    pub digest: Option<DigestMessage>,
+    /// Version of the node's table of backend servers, which counts its changes in this incarnation.
+    #[prost(uint64, tag = "28")]
+    pub table_version: u64,
+}
+
+/// What a relay has heard from all nodes, without the part of the node that receives it.
+#[derive(Clone, PartialEq, Message)]
+pub struct DigestMessage {
+    /// Mean age of the heartbeats from which the loads were taken, in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub age_ms: u64,
+    /// Numbers of the live nodes that accept requests.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub serving: Vec<u32>,
+    /// Numbers of the live nodes that are starting.
+    #[prost(fixed32, repeated, tag = "3")]
+    pub starting: Vec<u32>,
+    /// Numbers of the live nodes that are stopping.
+    #[prost(fixed32, repeated, tag = "4")]
+    pub stopping: Vec<u32>,
+    /// Numbers of the targets that have requests in flight.
+    #[prost(fixed32, repeated, tag = "5")]
+    pub load_targets: Vec<u32>,
+    /// Number of requests in flight, in the order of `load_targets`.
+    #[prost(uint32, repeated, tag = "6")]
+    pub load_counts: Vec<u32>,
+    /// Number of late requests in flight, in the order of `load_targets`.
+    #[prost(uint32, repeated, tag = "7")]
+    pub late_counts: Vec<u32>,
+    /// Numbers of the stalled targets.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub stalled_targets: Vec<u32>,
+    /// Numbers of the targets that must not receive new requests.
+    #[prost(fixed32, repeated, tag = "9")]
+    pub closed_targets: Vec<u32>,
+    /// Fingerprints of recent attempts of callers that were not served.
+    #[prost(fixed32, repeated, tag = "10")]
+    pub unserved_fingerprints: Vec<u32>,
+    /// Time until the callers' deadlines, in milliseconds, in the order of `unserved_fingerprints`.
+    #[prost(uint64, repeated, tag = "11")]
+    pub unserved_times_left_ms: Vec<u64>,
+    /// Numbers of the backend servers with a request limit to which requests were sent.
+    #[prost(fixed32, repeated, tag = "12")]
+    pub sent_servers: Vec<u32>,
+    /// Number of requests lately, in the order of `sent_servers`.
+    #[prost(uint32, repeated, tag = "13")]
+    pub sent_counts: Vec<u32>,
 }
 
 /// Process of a backend server that has said in a response that it is leaving.
@@ -156,8 +212,8 @@
     pub work_ms: u64,
 }
 
-/// Request for the state that a peer has read from the store.
-#[derive(Clone, Copy, PartialEq, Message)]
+/// Request for the state that a peer has read from the store. A connection carries any number of them.
+#[derive(Clone, PartialEq, Message)]
 pub struct SnapshotRequest {
     /// Version of the configuration that the requesting node has.
     #[prost(uint64, tag = "1")]
@@ -165,6 +221,15 @@
     /// Whether the entries of the backend servers are requested.
     #[prost(bool, tag = "2")]
     pub wants_table: bool,
+    /// Incarnation of the peer from which the table was last copied; 0 if it was another peer.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Version of that peer's table at the last copy.
+    #[prost(uint64, tag = "4")]
+    pub table_version: u64,
+    /// Hashes of the entries that the requesting node has, in the order of their names; empty with an incarnation.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub known: Vec<u64>,
 }
 
 /// Response to a [`SnapshotRequest`].
@@ -174,24 +239,81 @@
     /// node's.
     #[prost(bytes = "vec", tag = "1")]
     pub config: Vec<u8>,
-    /// Whether `entries` is the result of a complete read.
+    /// Whether the difference to a complete read of the table is included.
     #[prost(bool, tag = "2")]
     pub has_table: bool,
-    /// Entries of the backend servers.
+    /// Entries that the requesting node does not have, or has with another content.
     #[prost(message, repeated, tag = "3")]
     pub entries: Vec<SnapshotEntry>,
-    /// Age of the entries, in milliseconds, as in [`NodeHeartbeat::table_age_ms`].
+    /// Age of the table, in milliseconds, as in [`NodeHeartbeat::table_age_ms`].
     #[prost(uint64, tag = "4")]
     pub table_age_ms: u64,
+    /// Incarnation of the responding node.
+    #[prost(uint64, tag = "5")]
+    pub incarnation: u64,
+    /// Version of the responding node's table.
+    #[prost(uint64, tag = "6")]
+    pub table_version: u64,
+    /// Names of entries that have gone since the requested version.
+    #[prost(string, repeated, tag = "7")]
+    pub gone: Vec<String>,
+    /// Positions in [`SnapshotRequest::known`] of entries that the responding node does not have with that content.
+    #[prost(uint32, repeated, tag = "8")]
+    pub unknown: Vec<u32>,
+    /// Revision of the store up to which the table includes all changes.
+    #[prost(uint64, tag = "9")]
+    pub store_revision: u64,
+    /// Era of the store to which the revision belongs.
+    #[prost(uint64, tag = "10")]
+    pub store_era: u64,
 }
 
 /// A backend server's entry as read from the store.
 #[derive(Clone, PartialEq, Message)]
 pub struct SnapshotEntry {
-    /// Name of the entry in the store.
+    /// Name of the entry in the store, which is the id of the backend server.
     #[prost(string, tag = "1")]
     pub name: String,
-    /// Content of the entry, JSON text.
-    #[prost(bytes = "vec", tag = "2")]
-    pub content: Vec<u8>,
+    /// Number of writes of the entry.
+    #[prost(uint64, tag = "2")]
+    pub write_count: u64,
+    /// Start of the backend server's process.
+    #[prost(uint64, tag = "3")]
+    pub started: u64,
+    /// Service that it runs.
+    #[prost(string, tag = "4")]
+    pub service: String,
+    /// Address for requests.
+    #[prost(string, tag = "5")]
+    pub address: String,
+    /// Failure domain of its VM.
+    #[prost(string, tag = "6")]
+    pub failure_domain: String,
+    /// Fabric domain of its VM; empty without one.
+    #[prost(string, tag = "7")]
+    pub fabric_domain: String,
+    /// Requests that it runs concurrently.
+    #[prost(uint32, tag = "8")]
+    pub slots: u32,
+    /// Whether it is shutting down.
+    #[prost(bool, tag = "9")]
+    pub is_draining: bool,
+    /// Model of its current or last group; empty without one.
+    #[prost(string, tag = "10")]
+    pub model: String,
+    /// Models whose weights are on its host.
+    #[prost(string, repeated, tag = "11")]
+    pub staged: Vec<String>,
+    /// Group that it belongs to; empty without one.
+    #[prost(string, tag = "12")]
+    pub group: String,
+    /// Generation of the group.
+    #[prost(uint64, tag = "13")]
+    pub generation: u64,
+    /// Position in the group; 0 is the leader.
+    #[prost(uint32, tag = "14")]
+    pub rank: u32,
+    /// 0 unknown, 1 joining, 2 ready, 3 open, 4 closing, 5 broken.
+    #[prost(uint32, tag = "15")]
+    pub phase: u32,
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod platform_nodes;
 mod process;
 mod raw_callers;
+mod relays;
 mod request_limits;
 mod saved_log;
 mod server_notices;
