Grant retries where they are needed, within the bounds of all nodes

Cause: the retry budget was divided by the number of nodes. A retry after a 5xx was also taken from the budget twice.

Nodes count requests and retries over the platform's window and pass the counts on in heartbeats and digests. Each may use a small part of what all leave, again with each new count; 15 % of the bounds stay shares of their own for nodes that hear no others.

With shares alone a node of 82 saves up 0.8 retries, of 195 none (worked out).

Conclusion: the sum keeps the rule with a margin, and the need decides where retries go.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -348,6 +348,8 @@
 ) -> Result<ActiveAttempt, RequestFailure> {
     let rule = &request.route.rule;
     let may_retry = rule.kind.may_retry();
+    // Whether the next send has been taken from the retry budget already.
+    let mut is_granted = false;
     loop {
         let may_have_run = report.runs > 0;
         if request.time_left() < MIN_RETRY_TIME {
@@ -383,7 +385,7 @@
             Err(refusal) => return Err(refusal_failure(may_have_run, refusal, node)),
         };
         let is_retry = !report.tried.is_empty();
-        if is_retry && !try_take_retry(node, request) {
+        if is_retry && !std::mem::take(&mut is_granted) && !try_take_retry(node, request) {
             return Err(terminal_failure(
                 may_have_run,
                 StatusCode::BAD_GATEWAY,
@@ -422,7 +424,8 @@
                 if !should_retry {
                     return Ok(*attempt);
                 }
-                if !try_take_retry(node, request) {
+                is_granted = try_take_retry(node, request);
+                if !is_granted {
                     return Ok(*attempt);
                 }
                 attempt.guard.finish(TargetOutcome::Failed);
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -69,6 +69,7 @@
         store_era: node.store.era().unwrap_or_default(),
         latest_term: node.lease.borrow().latest_term(),
         leaving: node.table.borrow().announced_leaving(now),
+        usage: gateway.retry_usage(),
         processor: node.settings.processor,
         table_version: node.table_log.borrow().version(),
         is_relay,
@@ -120,11 +121,13 @@
         node.peers
             .borrow_mut()
             .tick(node.is_relay.get(), clock::now());
-        let count = node.peers.borrow().sharing_nodes();
         {
+            let now = clock::now();
+            let peers = node.peers.borrow();
             let mut gateway = node.gateway.borrow_mut();
-            gateway.set_node_count(u32::try_from(count).unwrap_or(u32::MAX));
-            gateway.expire_limits(clock::now());
+            gateway.set_node_count(u32::try_from(peers.sharing_nodes()).unwrap_or(u32::MAX));
+            gateway.update_retry_pool(&peers, now);
+            gateway.expire_limits(now);
         }
         send_round(&node, &socket, &addresses, &mut planner, is_urgent).await;
     }
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -12,6 +12,7 @@
 use jaysaddle_fleet::peers::PeerLoad;
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_fleet::peers::PeerUnserved;
+use jaysaddle_fleet::usage::ServiceUsage;
 use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::ModelId;
@@ -26,6 +27,7 @@
 use jaysaddle_wire::heartbeat::LeavingMessage;
 use jaysaddle_wire::heartbeat::LimitMessage;
 use jaysaddle_wire::heartbeat::NodeHeartbeat;
+use jaysaddle_wire::heartbeat::UsageMessage;
 use jaysaddle_wire::heartbeat::WorkMessage;
 use prost::Message;
 
@@ -90,6 +92,7 @@
         is_relay: heartbeat.is_relay,
         digest: None,
         table_version: heartbeat.table_version,
+        usage: encode_usage(&heartbeat.usage),
     };
     message.encode_to_vec()
 }
@@ -103,6 +106,24 @@
     times.map(TimeSpan::as_millis).collect()
 }
 
+fn encode_usage(usage: &[ServiceUsage]) -> Vec<UsageMessage> {
+    let usage = usage.iter().map(|usage| UsageMessage {
+        service: usage.service,
+        requests: usage.requests,
+        retries: usage.retries,
+    });
+    usage.collect()
+}
+
+fn decode_usage(messages: Vec<UsageMessage>) -> Vec<ServiceUsage> {
+    let usage = messages.into_iter().map(|message| ServiceUsage {
+        service: message.service,
+        requests: message.requests,
+        retries: message.retries,
+    });
+    usage.collect()
+}
+
 fn encode_limit(limit: &PeerLimit) -> LimitMessage {
     LimitMessage {
         server: limit.server,
@@ -135,6 +156,7 @@
             unserved_times_left_ms: times_left(&digest.unserved),
             sent_servers: digest.sent.iter().map(|sent| sent.server).collect(),
             sent_counts: digest.sent.iter().map(|sent| sent.requests).collect(),
+            usage: encode_usage(&digest.usage),
             stalled_targets: digest.stalled_targets,
             closed_targets: digest.closed_targets,
         }),
@@ -173,6 +195,7 @@
         sent: sent
             .map(|(server, requests)| ServerSent { server, requests })
             .collect(),
+        usage: decode_usage(message.usage),
     }
 }
 
@@ -279,5 +302,6 @@
         is_relay: message.is_relay,
         digest: message.digest.map(decode_digest),
         table_version: message.table_version,
+        usage: decode_usage(message.usage),
     })
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -24,6 +24,7 @@
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_fleet::table_log::TableLog;
 use jaysaddle_gateway::gateway::RequestGateway;
+use jaysaddle_gateway::retry_pool::PoolLimits;
 use jaysaddle_gateway::service_times::ServiceTimes;
 use jaysaddle_gateway::settings::GatewaySettings;
 use jaysaddle_gateway::target::ServerNumber;
@@ -47,11 +48,11 @@
 use crate::store_restore::RestoreState;
 use crate::store_sync::WatchPosition;
 
-/// Fraction of the platform's retry slack that this system uses. The rest allows for requests that nodes
-/// count in different windows.
-const RETRY_SLACK_SHARE: f64 = 0.8;
-/// Fraction of the platform's retry ratio that this system uses, for the same reason.
-const RETRY_RATIO_SHARE: f64 = 0.9;
+/// Fraction of the platform's bounds on retries that is divided among the nodes as their own shares.
+const OWN_RETRY_PART: f64 = 0.15;
+/// Fraction of the platform's bounds up to which nodes may use what others leave. Together with shares that are used only
+/// after that, the bounds are kept.
+const POOLED_RETRY_PART: f64 = 0.8;
 
 /// Time since the previous read of the store from which there may have been an outage. The store is read every
 /// second, and less often while it is slow.
@@ -60,12 +61,22 @@
 /// the outage again within it, with a margin for propagation.
 const OUTAGE_GRACE: TimeSpan = TimeSpan(2300);
 
-/// Retries that this system allows itself within the platform's bounds: the number per thousand requests of a
-/// service, and the burst in any window.
-pub fn retry_limits(bounds: &PlatformBounds) -> (u32, u32) {
-    let permille = bounds.repeat_ratio * RETRY_RATIO_SHARE * 1000.0;
-    let burst = f64::from(bounds.repeat_slack) * RETRY_SLACK_SHARE;
-    (permille as u32, burst as u32)
+/// Part of the platform's bounds on retries: the number per thousand requests of a service, and the burst in any window.
+fn retry_part(bounds: &PlatformBounds, part: f64) -> PoolLimits {
+    PoolLimits {
+        permille: (bounds.repeat_ratio * part * 1000.0) as u32,
+        burst: (f64::from(bounds.repeat_slack) * part) as u32,
+    }
+}
+
+/// Retries of which each node has a share of its own.
+pub fn own_retries(bounds: &PlatformBounds) -> PoolLimits {
+    retry_part(bounds, OWN_RETRY_PART)
+}
+
+/// Retries of all nodes up to which a node may send more than its share.
+pub fn pooled_retries(bounds: &PlatformBounds) -> PoolLimits {
+    retry_part(bounds, POOLED_RETRY_PART)
 }
 
 /// Difference between this node's table and a peer's.
@@ -142,10 +153,10 @@
 impl EntryNode {
     pub fn new(settings: EntrySettings) -> Self {
         let bounds = settings.bounds;
-        let (retry_permille, retry_burst) = retry_limits(&bounds);
+        let own_retries = own_retries(&bounds);
         let gateway_settings = GatewaySettings {
-            retry_permille,
-            retry_burst,
+            retry_permille: own_retries.permille,
+            retry_burst: own_retries.burst,
             ..GatewaySettings::default()
         };
         let incarnation = clock::new_incarnation();
@@ -158,12 +169,11 @@
         if !settings.is_first_start {
             lease.delay_acquisition();
         }
+        let mut gateway =
+            RequestGateway::new(gateway_settings, settings.node.clone(), incarnation.0);
+        gateway.set_pool_limits(pooled_retries(&bounds));
         Self {
-            gateway: RefCell::new(RequestGateway::new(
-                gateway_settings,
-                settings.node.clone(),
-                incarnation.0,
-            )),
+            gateway: RefCell::new(gateway),
             peers: RefCell::default(),
             unserved: RefCell::default(),
             service_times: RefCell::default(),
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -14,7 +14,8 @@
 use tokio::time::timeout;
 
 use crate::node::EntryNode;
-use crate::node::retry_limits;
+use crate::node::own_retries;
+use crate::node::pooled_retries;
 use crate::settings::EntrySettings;
 
 /// Interval at which the file is checked for changes made without a SIGHUP.
@@ -128,9 +129,11 @@
 fn apply_settings(node: &EntryNode, old: &EntrySettings, new: &EntrySettings) {
     let change = compare_settings(old, new);
     node.bounds.set(new.bounds);
-    let (permille, burst) = retry_limits(&new.bounds);
     if old.bounds != new.bounds {
-        node.gateway.borrow_mut().set_retry_limits(permille, burst);
+        let own = own_retries(&new.bounds);
+        let mut gateway = node.gateway.borrow_mut();
+        gateway.set_retry_limits(own.permille, own.burst);
+        gateway.set_pool_limits(pooled_retries(&new.bounds));
     }
     log::info!(
         "event=settings_changed applied=\"{}\" needs_restart=\"{}\"",
--- a/crates/fleet/examples/measure.rs
+++ b/crates/fleet/examples/measure.rs
@@ -147,6 +147,7 @@
         unserved: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        usage: Vec::new(),
         processor: ProcessorShare(250),
         table_version: 0,
         is_relay: false,
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -13,6 +13,7 @@
 use crate::peers::PeerLoad;
 use crate::peers::PeerPhase;
 use crate::peers::PeerUnserved;
+use crate::usage::ServiceUsage;
 
 /// Identifies a node in a digest. It is a hash of the node's id, so all nodes compute the same number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,6 +54,8 @@
     pub unserved: Vec<PeerUnserved>,
     /// Requests to backend servers with a request limit.
     pub sent: Vec<ServerSent>,
+    /// Requests and retries of all nodes by service. They include the part of the node that receives the digest.
+    pub usage: Vec<ServiceUsage>,
 }
 
 /// Builds the digests of one round.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod table;
 pub mod table_log;
 mod unserved_log;
+pub mod usage;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -26,6 +26,9 @@
 use crate::relays::RelayCandidate;
 use crate::relays::choose_relays;
 use crate::unserved_log::UnservedLog;
+use crate::usage::ServiceUsage;
+use crate::usage::UsageTotals;
+use crate::usage::add_usage;
 
 /// Lifecycle phase of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,6 +117,8 @@
     pub limits: Vec<PeerLimit>,
     /// Backend servers that have said in a response that they are leaving.
     pub leaving: Vec<LeavingServer>,
+    /// Requests and retries of the node, by service.
+    pub usage: Vec<ServiceUsage>,
     /// Processor of the node's VM.
     pub processor: ProcessorShare,
     /// Version of the node's table of backend servers, which counts its changes in this incarnation.
@@ -157,6 +162,7 @@
 #[derive(Debug)]
 struct ReceivedDigest {
     totals: PeerTotals,
+    usage: UsageTotals,
     /// Mean age of the heartbeats of the digest when it was received.
     age: TimeSpan,
     received: Timestamp,
@@ -218,7 +224,10 @@
         for unserved in &digest.unserved {
             self.unserved.record(*unserved, now);
         }
+        let mut usage = UsageTotals::new();
+        add_usage(&mut usage, &digest.usage);
         self.digest = Some(ReceivedDigest {
+            usage,
             age: digest.age,
             totals: PeerTotals::of_digest(&digest),
             received: now,
@@ -281,6 +290,22 @@
         self.widest_totals().sent_to(server)
     }
 
+    /// Requests and retries of all nodes; `own` are those of this node. `None` if most nodes were not heard lately.
+    pub fn usage(&self, own: &[ServiceUsage], now: Timestamp) -> Option<UsageTotals> {
+        if let Some(digest) = &self.digest {
+            let is_recent = now.since(digest.received) < PEER_TIMEOUT;
+            return is_recent.then(|| digest.usage.clone());
+        }
+        let mut totals = UsageTotals::new();
+        add_usage(&mut totals, own);
+        let mut heard = 0;
+        for record in self.heard(now) {
+            heard += 1;
+            add_usage(&mut totals, &record.heartbeat.usage);
+        }
+        (heard * 2 >= self.known()).then_some(totals)
+    }
+
     /// Number of peers that were heard or listed lately, whether they are live or not.
     pub fn known(&self) -> usize {
         self.peers.len()
@@ -391,6 +416,10 @@
             nodes: nodes.chain([own_node]).collect(),
             stalled_targets: totals.stalled_targets(),
             closed_targets: totals.closed_targets(),
+            usage: self
+                .usage(&own.usage, now)
+                .map(|usage| usage.into_values().collect())
+                .unwrap_or_default(),
             unserved,
             ..PeerDigest::default()
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,9 @@
 
 use jaysaddle_admission::RetryBudget;
 use jaysaddle_fleet::peers::PeerLoad;
+use jaysaddle_fleet::peers::PeerTable;
 use jaysaddle_fleet::table::BackendTable;
+use jaysaddle_fleet::usage::ServiceUsage;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ServiceId;
@@ -28,6 +30,8 @@
 use crate::limit_shares::LimitShares;
 use crate::node_ranks::NodeRanks;
 use crate::random::XorshiftRng;
+use crate::retry_pool::PoolLimits;
+use crate::retry_pool::RetryPool;
 use crate::routes::RouteIndex;
 use crate::server_limits::ServerLimits;
 use crate::server_pauses::ServerPauses;
@@ -75,7 +79,9 @@
     targets: HashMap<TargetClass, Vec<Rc<RequestTarget>>>,
     health: HashMap<TargetNumber, TargetHealth>,
     durations: HashMap<TargetClass, f64>,
+    /// This node's share of the retry budget, by service.
     budgets: HashMap<ServiceId, RetryBudget>,
+    pool: RetryPool,
     node_count: u32,
     /// Estimated work of all requests since the start, by model, in milliseconds of one fully used group.
     work: BTreeMap<ModelId, f64>,
@@ -107,6 +113,7 @@
             health: HashMap::new(),
             durations: HashMap::new(),
             budgets: HashMap::new(),
+            pool: RetryPool::default(),
             node_count: 1,
             work: BTreeMap::new(),
             closed: HashSet::new(),
@@ -190,6 +197,23 @@
         self.update_budgets();
     }
 
+    /// Sets the limits on the retries of all nodes together, within which a node may send more than its share.
+    pub fn set_pool_limits(&mut self, limits: PoolLimits) {
+        self.pool.set_limits(limits);
+    }
+
+    /// Computes what this node may use of the retries that all nodes together leave.
+    pub fn update_retry_pool(&mut self, peers: &PeerTable, now: Timestamp) {
+        let totals = peers.usage(&self.pool.usage(), now);
+        self.pool
+            .update(totals.as_ref(), self.node_count, &mut self.random, now);
+    }
+
+    /// This node's requests and retries, for its heartbeats.
+    pub fn retry_usage(&self) -> Vec<ServiceUsage> {
+        self.pool.usage()
+    }
+
     fn update_budgets(&mut self) {
         let burst = self.settings.retry_burst / self.node_count;
         for budget in self.budgets.values_mut() {
@@ -411,6 +435,7 @@
         size: Option<&RequestSize<'_>>,
     ) -> Option<RequestWork> {
         self.budget(service).record_request();
+        self.pool.record_request(service);
         let size = size?;
         let engine = self.index.as_ref()?.config().engine(service)?;
         engine.model(size.model)?;
@@ -424,8 +449,13 @@
         })
     }
 
-    /// Takes one retry from the budget of a service. Returns `false` if the budget is exhausted.
+    /// Takes one retry from this node's share of the budget of a service, or else from what all nodes leave. Returns
+    /// `false` if both are exhausted.
     pub fn try_take_retry(&mut self, service: &ServiceId) -> bool {
-        self.budget(service).try_take()
+        let is_granted = self.budget(service).try_take() || self.pool.try_take(service);
+        if is_granted {
+            self.pool.record_retry(service);
+        }
+        is_granted
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod limit_shares;
 pub mod node_ranks;
 pub mod random;
+pub mod retry_pool;
 pub mod routes;
 pub mod server_limits;
 pub mod server_pauses;
--- a/crates/gateway/tests/all/fixture.rs
+++ b/crates/gateway/tests/all/fixture.rs
@@ -176,6 +176,7 @@
         unserved: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        usage: Vec::new(),
         processor: ProcessorShare(250),
         table_version: 0,
         is_relay: false,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod limited_servers;
 mod overload;
 mod peer_view;
+mod retry_pool;
 mod routes;
 mod server_limits;
 mod server_pauses;
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -93,6 +93,23 @@
     /// Version of the node's table of backend servers, which counts its changes in this incarnation.
     #[prost(uint64, tag = "28")]
     pub table_version: u64,
+    /// Requests and retries of the node, by service.
+    #[prost(message, repeated, tag = "29")]
+    pub usage: Vec<UsageMessage>,
+}
+
+/// Requests and retries for a service in the window over which retries are limited.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct UsageMessage {
+    /// Number of the service, which is the same at all nodes.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Number of requests of callers.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Number of retries.
+    #[prost(uint32, tag = "3")]
+    pub retries: u32,
 }
 
 /// What a relay has heard from all nodes, without the part of the node that receives it.
@@ -137,6 +154,9 @@
     /// Number of requests lately, in the order of `sent_servers`.
     #[prost(uint32, repeated, tag = "13")]
     pub sent_counts: Vec<u32>,
+    /// Requests and retries of all nodes, by service.
+    #[prost(message, repeated, tag = "14")]
+    pub usage: Vec<UsageMessage>,
 }
 
 /// Process of a backend server that has said in a response that it is leaving.
