Take missing writes between distant reads of the store for no evidence of a crash

Cause: an entry counts as expired if it was not written for 2.4 s before its removal. A node that reads the store after a gap of seconds, short of processor time, sees a backend server that has deregistered itself in the gap as expired.

Test: missing_writes_between_distant_reads_are_not_expiry, fails without the change of begin_changes.

--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -234,6 +234,7 @@
         };
         match watch_changes(&node, ObjectKind::Backends, position, wait).await {
             Some(Ok(StoreResponse::Changes { changes, revision })) => {
+                node.table.borrow_mut().begin_changes(clock::now());
                 for change in changes {
                     if change.is_removed {
                         node.remove_entry(&change.object.name);
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -43,6 +43,8 @@
     /// Start of the period for which all writes have been observed. A lack of writes before that, such as during an
     /// outage of the store, is no evidence that a backend server has failed.
     watched_since: Timestamp,
+    /// When changes were last read; `None` before the first listing.
+    last_read: Option<Timestamp>,
     change_count: u64,
     /// Backend servers that have said that they are leaving; their entries count as draining.
     leaving: LeavingServers,
@@ -53,6 +55,10 @@
 /// interval. Both are observed up to a second late.
 const EXPIRY_WRITE_AGE: TimeSpan = TimeSpan(2400);
 
+/// Time between two reads of changes up to which the lack of writes is evidence. A backend server that deregisters itself
+/// may have written an interval of heartbeats earlier, and its removal is observed up to this time later.
+const MAX_READ_GAP: TimeSpan = TimeSpan(1200);
+
 /// Maximum number of removed entries kept; more than any fleet loses within the history that the store keeps.
 const MAX_REMOVED: usize = 4096;
 
@@ -124,6 +130,16 @@
     /// Begins the period for which all writes are observed, after a time in which the table was copied from a peer.
     pub fn begin_watch(&mut self, now: Timestamp) {
         self.watched_since = now;
+        self.last_read = Some(now);
+    }
+
+    /// Begins to record changes that were read at `now`. After a long time without reading, a backend server that was
+    /// removed may have written and deregistered itself meanwhile.
+    pub fn begin_changes(&mut self, now: Timestamp) {
+        let is_late = |read: Timestamp| now.since(read) > MAX_READ_GAP;
+        if self.last_read.replace(now).is_none_or(is_late) {
+            self.watched_since = now;
+        }
     }
 
     fn move_to_removed(&mut self, id: &VmId, has_expired: bool, now: Timestamp) -> bool {
@@ -148,7 +164,7 @@
     /// A listing is no evidence of a recent write: an unchanged entry keeps its times. A missing entry does not count
     /// as expired, since its backend server may have deregistered itself.
     pub fn replace(&mut self, entries: Vec<BackendEntry>, now: Timestamp) -> bool {
-        self.watched_since = now;
+        self.begin_watch(now);
         let before = self.change_count;
         let present: std::collections::BTreeSet<_> =
             entries.iter().map(|entry| entry.id.clone()).collect();
--- a/crates/fleet/tests/all/table.rs
+++ b/crates/fleet/tests/all/table.rs
@@ -98,6 +98,27 @@
     );
 }
 
+/// Guards against treating a backend server as crashed that deregisters itself while the node does not read the store for
+/// some seconds, because the node is short of processor time or the store is slow: its writes since the last read are
+/// missing as well. Its group would be formed again while it still finishes its requests.
+#[test]
+fn missing_writes_between_distant_reads_are_not_expiry() {
+    let has_expired = |reads: &[u64]| {
+        let mut table = BackendTable::default();
+        table.replace(vec![entry("vm0", "d0")], Timestamp(1000));
+        for read in reads {
+            table.begin_changes(Timestamp(*read));
+        }
+        table.remove(&vm("vm0"), Timestamp(5000));
+        table
+            .removed(&vm("vm0"))
+            .expect("a removed row")
+            .has_expired
+    };
+    assert!(has_expired(&[2000, 3000, 4000, 5000]));
+    assert!(!has_expired(&[2000, 5000]));
+}
+
 fn leaving_server(started: u64) -> LeavingServer {
     LeavingServer {
         id: vm("vm0"),
