--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -162,7 +162,7 @@
                     apply_config_objects(&node, objects);
                     since = Some(position);
                 }
-                None => sleep(RETRY_DELAY).await,
+                None => sleep(retry_delay(&node)).await,
             }
             continue;
         };
@@ -182,7 +182,7 @@
             Some(Ok(StoreResponse::RevisionExpired)) | None => since = None,
             _ => {
                 since = None;
-                sleep(RETRY_DELAY).await;
+                sleep(retry_delay(&node)).await;
             }
         }
     }
@@ -223,7 +223,7 @@
                     since = Some(position);
                     node.table_position.set(since);
                 }
-                None => sleep(RETRY_DELAY).await,
+                None => sleep(retry_delay(&node)).await,
             }
             continue;
         };
