--- a/crates/entry/src/table_feed.rs
+++ b/crates/entry/src/table_feed.rs
@@ -124,8 +124,7 @@
     hasher.finish()
 }
 
-/// The copy to make now; `None` if no peer has newer data. While this node has what a relay has, it takes over the age of
-/// the relay's table.
+/// The copy to make now; `None` if no peer has newer data.
 fn next_copy(node: &EntryNode, state: &FeedState, now: Timestamp) -> Option<CopyPlan> {
     let peers = node.peers.borrow();
     let may_ask = |record: &&PeerRecord| {
@@ -134,52 +133,75 @@
             .failed
             .is_some_and(|(failed, until)| failed == address && now < until)
     };
-    let heard = || peers.heard(now).filter(may_ask);
-    // While the store is unreachable, the lease holder keeps its table up to date from reports.
-    let holder = heard().find(|record| record.heartbeat.claim.is_some());
-    if let Some(holder) = holder
-        && node.store.is_unreachable(now)
-        && node.copied_target_changes.get() != holder.heartbeat.target_changes
-    {
-        node.copied_target_changes
-            .set(holder.heartbeat.target_changes);
-        return Some(CopyPlan {
-            peer: holder.heartbeat.peer_address,
+    let heard: Vec<&PeerRecord> = peers.heard(now).filter(may_ask).collect();
+    holder_copy(node, &heard, now)
+        .or_else(|| relay_copy(node, state, &heard, now))
+        .or_else(|| newest_copy(node, &heard, now))
+}
+
+/// A copy from the lease holder, which keeps its table up to date from reports while the store is unreachable.
+fn holder_copy(node: &EntryNode, heard: &[&PeerRecord], now: Timestamp) -> Option<CopyPlan> {
+    let mut heartbeats = heard.iter().map(|record| &record.heartbeat);
+    let holder = heartbeats.find(|heartbeat| heartbeat.claim.is_some())?;
+    let changes = holder.target_changes;
+    let is_new = node.store.is_unreachable(now) && node.copied_target_changes.get() != changes;
+    is_new.then(|| {
+        node.copied_target_changes.set(changes);
+        CopyPlan {
+            peer: holder.peer_address,
             wants_table: true,
-        });
-    }
-    let relay = heard()
-        .filter(|record| !node.is_relay.get() && node.is_followable(record, now))
-        .max_by_key(|record| relay_weight(node, record));
-    if let Some(record) = relay {
-        let connection = state.connection.as_ref();
-        let copied = connection
-            .filter(|connection| connection.peer == record.heartbeat.peer_address)
-            .and_then(|connection| connection.copied);
-        let is_same = copied.is_some_and(|copied| {
-            copied.incarnation == record.heartbeat.incarnation
-                && copied.version >= record.heartbeat.table_version
-        });
-        if !is_same {
-            return Some(CopyPlan {
-                peer: record.heartbeat.peer_address,
-                wants_table: true,
-            });
         }
-        node.confirm_table(record.received - record.heartbeat.table_age);
+    })
+}
+
+/// A copy from the relay that this node follows. If this node has all that the relay has, it takes over the age of the
+/// relay's table instead.
+fn relay_copy(
+    node: &EntryNode,
+    state: &FeedState,
+    heard: &[&PeerRecord],
+    now: Timestamp,
+) -> Option<CopyPlan> {
+    if node.is_relay.get() {
+        return None;
+    }
+    let record = heard
+        .iter()
+        .filter(|record| node.is_followable(record, now))
+        .max_by_key(|record| relay_weight(node, record))?;
+    let heartbeat = &record.heartbeat;
+    let connection = state.connection.as_ref();
+    let copied = connection
+        .filter(|connection| connection.peer == heartbeat.peer_address)
+        .and_then(|connection| connection.copied);
+    let has_all = copied.is_some_and(|copied| {
+        copied.incarnation == heartbeat.incarnation && copied.version >= heartbeat.table_version
+    });
+    if has_all {
+        node.confirm_table(record.received - heartbeat.table_age);
+        return None;
     }
-    let newest_table = heard().min_by_key(|record| record.heartbeat.table_age)?;
+    Some(CopyPlan {
+        peer: heartbeat.peer_address,
+        wants_table: true,
+    })
+}
+
+/// A copy from the peer with the most recent table, if this node's is stale, or with the newest configuration.
+fn newest_copy(node: &EntryNode, heard: &[&PeerRecord], now: Timestamp) -> Option<CopyPlan> {
+    let heartbeats = || heard.iter().map(|record| &record.heartbeat);
+    let newest_table = heartbeats().min_by_key(|heartbeat| heartbeat.table_age)?;
     let own_age = node.table_age(now);
-    let their_age = newest_table.heartbeat.table_age;
-    if own_age > STALE_TABLE_AGE && their_age.0.saturating_add(STALE_TABLE_AGE.0 / 2) < own_age.0 {
+    let margin = STALE_TABLE_AGE.0 / 2;
+    if own_age > STALE_TABLE_AGE && newest_table.table_age.0.saturating_add(margin) < own_age.0 {
         return Some(CopyPlan {
-            peer: newest_table.heartbeat.peer_address,
+            peer: newest_table.peer_address,
             wants_table: true,
         });
     }
-    let newest_config = heard().max_by_key(|record| record.heartbeat.config_version)?;
-    (newest_config.heartbeat.config_version > node.config_version()).then_some(CopyPlan {
-        peer: newest_config.heartbeat.peer_address,
+    let newest_config = heartbeats().max_by_key(|heartbeat| heartbeat.config_version)?;
+    (newest_config.config_version > node.config_version()).then_some(CopyPlan {
+        peer: newest_config.peer_address,
         wants_table: false,
     })
 }
