--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,8 +1,10 @@
 //! Target selection and admission for each request, and the retry budget.
 
 mod request_limits;
+mod retries;
 mod selection;
 mod shares;
+mod stalls;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,9 +14,7 @@
 
 use jaysaddle_admission::RetryBudget;
 use jaysaddle_fleet::peers::PeerLoad;
-use jaysaddle_fleet::peers::PeerTable;
 use jaysaddle_fleet::table::BackendTable;
-use jaysaddle_fleet::usage::ServiceUsage;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ServiceId;
@@ -30,7 +30,6 @@
 use crate::limit_shares::LimitShares;
 use crate::node_ranks::NodeRanks;
 use crate::random::XorshiftRng;
-use crate::retry_pool::PoolLimits;
 use crate::retry_pool::RetryPool;
 use crate::routes::RouteIndex;
 use crate::server_limits::ServerLimits;
@@ -193,37 +192,6 @@
         self.update_budgets();
     }
 
-    /// Sets the limits of the retry budgets: retries per thousand requests, and the burst capacity shared by all nodes.
-    pub fn set_retry_limits(&mut self, permille: u32, burst: u32) {
-        self.settings.retry_permille = permille;
-        self.settings.retry_burst = burst;
-        self.update_budgets();
-    }
-
-    /// Sets the limits on the retries of all nodes together, within which a node may send more than its share.
-    pub fn set_pool_limits(&mut self, limits: PoolLimits) {
-        self.pool.set_limits(limits);
-    }
-
-    /// Computes what this node may use of the retries that all nodes together leave.
-    pub fn update_retry_pool(&mut self, peers: &PeerTable, now: Timestamp) {
-        let totals = peers.usage(&self.pool.usage(), now);
-        self.pool
-            .update(totals.as_ref(), self.node_count, &mut self.random, now);
-    }
-
-    /// This node's requests and retries, for its heartbeats.
-    pub fn retry_usage(&self) -> Vec<ServiceUsage> {
-        self.pool.usage()
-    }
-
-    fn update_budgets(&mut self) {
-        let burst = self.settings.retry_burst / self.node_count;
-        for budget in self.budgets.values_mut() {
-            budget.set_limits(burst, self.settings.retry_permille);
-        }
-    }
-
     /// Number of nodes among which the retry budget and other shared limits are divided; at least 1.
     pub fn node_count(&self) -> u32 {
         self.node_count
@@ -330,89 +298,6 @@
         }
     }
 
-    /// Makes other targets preferred for [`GatewaySettings::avoid_time`], because a request has failed at this one.
-    pub fn avoid(&mut self, number: TargetNumber, now: Timestamp) {
-        let avoid_time = self.settings.avoid_time;
-        if let Some(health) = self.health.get_mut(&number) {
-            health.avoid_until = now + avoid_time;
-            health.suspect_until = now + avoid_time;
-        }
-    }
-
-    /// Time since the last data from a target; `None` if the target is idle or unknown.
-    pub fn stall_time(&self, number: TargetNumber, now: Timestamp) -> Option<TimeSpan> {
-        self.health.get(&number)?.stall_time(now)
-    }
-
-    /// Time without data after which a request fails over to another target. A target that is known to be slow gets more.
-    pub fn stall_limit(&self, number: TargetNumber) -> TimeSpan {
-        let settings = &self.settings;
-        let pause_ms = self
-            .health
-            .get(&number)
-            .map_or(0.0, |health| health.pause_ms);
-        let slow_limit = TimeSpan((pause_ms * settings.stall_pauses) as u64);
-        slow_limit.clamp(settings.stall_limit, settings.max_stall_limit)
-    }
-
-    /// Time without data after which a target counts as stalled although no response of it has begun at this node. Under
-    /// load, first events take long at all targets.
-    pub fn first_event_limit(&self, target: &RequestTarget) -> TimeSpan {
-        let class = (target.service.clone(), target.model.clone());
-        let mean = self.first_events.get(&class).copied().unwrap_or(0.0);
-        let usual = TimeSpan((mean * self.settings.first_event_factor) as u64);
-        usual.max(self.settings.first_event_probe_after)
-    }
-
-    /// Whether responses of a target that have begun at this node have sent no data for `limit`.
-    pub fn has_stalled_streams(
-        &self,
-        number: TargetNumber,
-        limit: TimeSpan,
-        now: Timestamp,
-    ) -> bool {
-        let health = self.health.get(&number);
-        health.is_some_and(|health| {
-            let stalled = health.stall_time(now);
-            health.streaming > 0 && stalled.is_some_and(|stalled| stalled >= limit)
-        })
-    }
-
-    /// Whether a target is a group that has sent no data for `limit`. The limit for the first event applies if no response
-    /// has begun.
-    fn has_stalled(
-        &self,
-        target: &RequestTarget,
-        health: &TargetHealth,
-        limit: TimeSpan,
-        now: Timestamp,
-    ) -> bool {
-        let limit = if health.streaming > 0 {
-            limit
-        } else {
-            self.first_event_limit(target)
-        };
-        let stalled = health.stall_time(now);
-        target.group.is_some() && stalled.is_some_and(|stalled| stalled >= limit)
-    }
-
-    /// Groups that have requests in flight but send no data, or at which a request has failed, with their leaders. Their
-    /// members are probed, and peers avoid them.
-    pub fn stalled_groups(&self, now: Timestamp) -> Vec<(TargetNumber, VmId)> {
-        self.targets
-            .values()
-            .flatten()
-            .filter(|target| target.group.is_some())
-            .filter(|target| {
-                self.health.get(&target.number).is_some_and(|health| {
-                    now < health.suspect_until
-                        || self.has_stalled(target, health, self.settings.probe_after, now)
-                })
-            })
-            .map(|target| (target.number, target.backend.clone()))
-            .collect()
-    }
-
     /// Backend server of a target; `None` if this node does not know the target.
     pub fn backend_of(&self, number: TargetNumber) -> Option<&VmId> {
         self.targets
@@ -459,14 +344,6 @@
         self.closed.iter().map(|number| number.0).collect()
     }
 
-    fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
-        let burst = self.settings.retry_burst / self.node_count;
-        let permille = self.settings.retry_permille;
-        self.budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(burst, permille))
-    }
-
     /// Records a new request for a service: adds to its retry budget, and adds the estimated work if `size` is known.
     /// Returns the work that was added.
     pub fn record_request(
@@ -488,14 +365,4 @@
             work_ms,
         })
     }
-
-    /// Takes one retry from this node's share of the budget of a service, or else from what all nodes leave. Returns
-    /// `false` if both are exhausted.
-    pub fn try_take_retry(&mut self, service: &ServiceId) -> bool {
-        let is_granted = self.budget(service).try_take() || self.pool.try_take(service);
-        if is_granted {
-            self.pool.record_retry(service);
-        }
-        is_granted
-    }
 }
