Ignore what is older than the known entry of a backend server, and compare tables after own readings

Cause: a node may copy entries from a peer while its watch of the store is under way. The answer of the watch is older and put back entries that the copy had changed: a backend server that had left, or the state of a leader from before its group was formed. At a node that follows a relay, nothing corrected that until the entry changed again, since the node had the relay's version; at the holder, the controller could form the group of a serving leader again.

Changes that were written before the known entry are ignored, and a removed entry comes back only with a later write. Tests: entry_order (2), entry_codec (an entry without a start).

--- a/crates/entry/src/copies.rs
+++ b/crates/entry/src/copies.rs
@@ -176,6 +176,15 @@
     pub incarnation: Incarnation,
     /// Version of its table.
     pub version: u64,
+    /// Number of this node's own readings of the store before the copy.
+    pub store_reads: u64,
+}
+
+impl CopiedVersion {
+    /// Whether this node's table is still what was copied, with the changes that other copies brought.
+    pub fn is_intact(&self, node: &EntryNode) -> bool {
+        self.store_reads == node.store_reads.get()
+    }
 }
 
 /// Connection to a peer from which copies are requested.
@@ -217,7 +226,8 @@
             ..SnapshotRequest::default()
         };
         let mut names: Vec<CompactString> = Vec::new();
-        match self.copied.filter(|_| wants_table) {
+        let copied = self.copied.filter(|copied| copied.is_intact(node));
+        match copied.filter(|_| wants_table) {
             Some(copied) => {
                 request.incarnation = copied.incarnation.0;
                 request.table_version = copied.version;
@@ -270,6 +280,7 @@
         self.copied = Some(CopiedVersion {
             incarnation: Incarnation(reply.incarnation),
             version: reply.table_version,
+            store_reads: node.store_reads.get(),
         });
         let is_current = node.store.restores() == restores
             && node
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod copies;
 mod directory;
 pub mod entry_codec;
+pub mod entry_order;
 pub mod exchange;
 mod forward;
 mod gauges;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -10,6 +10,8 @@
 use jaysaddle_adapter::backend::parse_entry;
 use jaysaddle_adapter::config::parse_config;
 use jaysaddle_adapter::orders::update_entry;
+use jaysaddle_adapter::store::StoreChange;
+use jaysaddle_adapter::store::StoreObject;
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::ControllerTiming;
 use jaysaddle_fleet::controller::FleetController;
@@ -116,6 +118,9 @@
     pub raw_entries: RefCell<BTreeMap<CompactString, Value>>,
     /// Changes of the table, for copies to peers.
     pub table_log: RefCell<TableLog>,
+    /// Number of times that the table was changed by a reading of the store. After one, the table may differ from what was
+    /// copied from a peer.
+    pub store_reads: Cell<u64>,
     /// Where a watch of the backend entries continues that includes all changes after the table.
     pub table_position: Cell<Option<WatchPosition>>,
     /// What is remembered to deal with a restore of the store.
@@ -185,6 +190,7 @@
             raw_config: RefCell::default(),
             raw_entries: RefCell::default(),
             table_log: RefCell::default(),
+            store_reads: Cell::new(0),
             table_position: Cell::new(None),
             restore: RestoreState::default(),
             controller: RefCell::new(FleetController::new(ControllerTiming::default())),
@@ -234,6 +240,10 @@
         let is_new = self.table.borrow_mut().mark_leaving(server, clock::now());
         if is_new {
             log::info!("event=server_leaving vm={} source={source}", server.id);
+            // The entry that says so itself will be no change any more.
+            self.table_log
+                .borrow_mut()
+                .record(server.id.as_str().into());
             self.publish_table();
         }
     }
@@ -357,12 +367,7 @@
             }
         }
         for (name, spec) in difference.entries {
-            let is_outdated = {
-                let entries = self.raw_entries.borrow();
-                let current = entries.get(&name);
-                current.is_some_and(|current| is_newer_entry(&spec, current))
-            };
-            if !is_outdated {
+            if !self.is_outdated(&name, &spec, false) {
                 self.put_entry(&name, spec);
             }
         }
@@ -413,8 +418,26 @@
         self.publish_table();
     }
 
-    /// Applies one changed entry from the store.
-    pub fn put_entry(&self, name: &CompactString, spec: Value) {
+    /// Applies a change that a watch of the store reports, unless it is older than what this node knows.
+    pub fn apply_change(&self, change: StoreChange) {
+        let StoreObject { name, spec, .. } = change.object;
+        if self.is_outdated(&name, &spec, change.is_removed) {
+            log::debug!("event=change_outdated entry={name}");
+        } else if change.is_removed {
+            self.remove_entry(&name);
+        } else {
+            self.put_entry(&name, spec);
+        }
+    }
+
+    fn is_outdated(&self, name: &CompactString, spec: &Value, is_removal: bool) -> bool {
+        let entries = self.raw_entries.borrow();
+        let removed = self.restore.removed.borrow();
+        removed.is_outdated(name, spec, is_removal, entries.get(name))
+    }
+
+    /// Puts one entry into the table.
+    fn put_entry(&self, name: &CompactString, spec: Value) {
         let now = clock::now();
         let has_changed = match decode_entry(name, &spec) {
             Some(entry) => self.table.borrow_mut().put(entry, now),
@@ -445,7 +468,7 @@
     }
 
     /// Applies the removal of an entry from the store.
-    pub fn remove_entry(&self, name: &CompactString) {
+    fn remove_entry(&self, name: &CompactString) {
         let removed = self.raw_entries.borrow_mut().remove(name);
         if let Some(spec) = removed {
             self.restore.remember_removed(name.clone(), spec);
--- a/crates/entry/src/store_restore.rs
+++ b/crates/entry/src/store_restore.rs
@@ -6,21 +6,16 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use jaysaddle_adapter::backend::is_newer_entry;
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::lease::LeaseEvent;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use serde_json::Value;
 
+use crate::entry_order::RemovedEntries;
 use crate::lease::handle_lease_event;
 use crate::node::EntryNode;
 
-/// Time for which removed entries are remembered. A copy of the store is some seconds old.
-const REMOVED_RETENTION: TimeSpan = TimeSpan::from_secs(60);
-/// Maximum number of removed entries that are remembered.
-const MAX_REMOVED: usize = 4096;
-
 /// What a node remembers to deal with a restore of the store.
 #[derive(Debug, Default)]
 pub struct RestoreState {
@@ -30,32 +25,25 @@
     last: Cell<Option<Timestamp>>,
     /// Whether the node holds the lease and has not written it since the last restore.
     pub lease_pending: Cell<bool>,
-    /// Entries of backend servers that were removed, with the time. An older copy of the store lists them again.
-    removed: RefCell<BTreeMap<CompactString, (Value, Timestamp)>>,
+    /// Entries of backend servers that were removed. An older copy of the store lists them again.
+    pub removed: RefCell<RemovedEntries>,
 }
 
 impl RestoreState {
     /// Remembers an entry that was removed.
     pub fn remember_removed(&self, name: CompactString, spec: Value) {
         let mut removed = self.removed.borrow_mut();
-        if removed.len() >= MAX_REMOVED {
-            removed.pop_first();
-        }
-        removed.insert(name, (spec, clock::now()));
+        removed.remember(name, spec, clock::now());
     }
 
     /// Leaves out the entries that an older copy of the store lists although they were removed. A live backend server
     /// writes a newer one.
     pub fn leave_out_removed(&self, entries: &mut BTreeMap<CompactString, Value>, now: Timestamp) {
         let mut removed = self.removed.borrow_mut();
-        removed.retain(|_, (_, time)| now.since(*time) < REMOVED_RETENTION);
-        if self.last.get().is_none() {
-            return;
+        removed.expire(now);
+        if self.last.get().is_some() {
+            entries.retain(|name, entry| !removed.includes(name, entry));
         }
-        entries.retain(|name, entry| {
-            let known = removed.get(name);
-            known.is_none_or(|(removed, _)| is_newer_entry(removed, entry))
-        });
     }
 
     /// Records that something that the store had lost was written again.
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -219,6 +219,7 @@
                         .into_iter()
                         .map(|object| (object.name, object.spec))
                         .collect::<BTreeMap<_, _>>();
+                    node.store_reads.set(node.store_reads.get() + 1);
                     node.replace_table(entries, started);
                     since = Some(position);
                     node.table_position.set(since);
@@ -235,12 +236,9 @@
         match watch_changes(&node, ObjectKind::Backends, position, wait).await {
             Some(Ok(StoreResponse::Changes { changes, revision })) => {
                 node.table.borrow_mut().begin_changes(clock::now());
+                node.store_reads.set(node.store_reads.get() + 1);
                 for change in changes {
-                    if change.is_removed {
-                        node.remove_entry(&change.object.name);
-                    } else {
-                        node.put_entry(&change.object.name, change.object.spec);
-                    }
+                    node.apply_change(change);
                 }
                 node.table_read_at.set(Some(started));
                 node.store_read_at.set(Some(started));
--- a/crates/entry/src/table_feed.rs
+++ b/crates/entry/src/table_feed.rs
@@ -175,7 +175,9 @@
         .filter(|connection| connection.peer == heartbeat.peer_address)
         .and_then(|connection| connection.copied);
     let has_all = copied.is_some_and(|copied| {
-        copied.incarnation == heartbeat.incarnation && copied.version >= heartbeat.table_version
+        copied.is_intact(node)
+            && copied.incarnation == heartbeat.incarnation
+            && copied.version >= heartbeat.table_version
     });
     if has_all {
         node.confirm_table(record.received - heartbeat.table_age);
--- a/crates/entry/tests/all/entry_codec.rs
+++ b/crates/entry/tests/all/entry_codec.rs
@@ -28,7 +28,12 @@
 #[test]
 fn copied_entry_is_the_same_at_the_receiver() {
     let phases = ["joining", "ready", "open", "closing", "broken", "later"];
-    let entries = phases.into_iter().map(engine).chain([plain()]);
+    let mut without_start = plain();
+    without_start
+        .as_object_mut()
+        .map(|entry| entry.remove("born"));
+    let entries = phases.into_iter().map(engine);
+    let entries = entries.chain([plain(), without_start]);
     for spec in entries {
         let entry = parse_entry("i-1", &spec).expect("an entry");
         let count = entry_write_count(&spec).expect("a count");
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod address_list;
 mod byte_budget;
 mod entry_codec;
+mod entry_order;
 mod log_limiter;
 mod responses;
 mod stated_limit;
