Log and count the attempts that a node gives up because of silence, with its own lag

The logs name the time without an event, but neither whether the backend server had sent anything to other requests, nor whether the node itself was running. So a silent backend server and a paused node look the same, and attempts given up are not counted. No decision is changed.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -33,6 +33,8 @@
 use crate::response::RequestFailure;
 use crate::server_notices::ServerNotices;
 use crate::server_notices::read_notices;
+use crate::silence::SilenceFacts;
+use crate::silence::report_given_up;
 use crate::stated_limit::StatedLimit;
 
 /// Maximum number of sends per request, refused ones included. A retry after a refusal also counts against the
@@ -330,6 +332,8 @@
             waited >= first_wait
         };
         if may_fail_over && is_unresponsive {
+            let facts = SilenceFacts::collect(node, target, waited, now);
+            report_given_up(&request.id, target.backend.as_str(), "head", facts);
             return Err(ExchangeError::may_have_run(eyre!("no data for {waited}")));
         }
     }
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -13,6 +13,7 @@
 use jaysaddle_fleet::lease::LeaseEvent;
 use jaysaddle_fleet::peers::PeerHeartbeat;
 use jaysaddle_types::ids::VmId;
+use jaysaddle_types::units::TimeSpan;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -26,7 +27,7 @@
 use crate::store_restore::handle_restores;
 
 /// Interval of heartbeats. Peers consider a node down after four missed ones.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+const HEARTBEAT_INTERVAL: TimeSpan = TimeSpan(200);
 /// Maximum size of a received datagram. Heartbeats stay below the usual MTU; those with a digest grow with the nodes.
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
 /// Delay before the next receive after an error.
@@ -110,14 +111,20 @@
 
 /// Sends heartbeats at a fixed interval, and immediately when `heartbeat_now` is notified. Never returns.
 pub async fn send_heartbeats(node: Rc<EntryNode>, socket: Rc<UdpSocket>, addresses: PeerAddresses) {
-    let mut ticks = interval(HEARTBEAT_INTERVAL);
+    let mut ticks = interval(HEARTBEAT_INTERVAL.as_duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut planner = RoundPlanner::new(clock::now());
+    let mut next_tick = clock::now();
     loop {
         let is_urgent = tokio::select! {
             _ = ticks.tick() => false,
             () = node.heartbeat_now.notified() => true,
         };
+        if !is_urgent {
+            let now = clock::now();
+            node.loop_lag.record(now.since(next_tick));
+            next_tick = now + HEARTBEAT_INTERVAL;
+        }
         node.peers
             .borrow_mut()
             .tick(node.is_relay.get(), clock::now());
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -75,6 +75,10 @@
             "jaysaddle_longest_pause_seconds",
             "Longest pause between two pieces of data of a stream",
         ),
+        (
+            "jaysaddle_loop_lag_seconds",
+            "Time by which the event loop runs a regular task later than planned",
+        ),
         (
             "jaysaddle_store_call_seconds",
             "Time of a call to the platform's store, without watches",
@@ -88,6 +92,14 @@
     for kind in ["node", "lease"] {
         metrics::counter!(rewrites, "kind" => kind).increment(0);
     }
+    let silent = "jaysaddle_silent_attempts_given_up_total";
+    metrics::describe_counter!(
+        silent,
+        "Attempts given up because their backend server sent nothing, by the part that was awaited"
+    );
+    for part in ["head", "first_event", "next_event"] {
+        metrics::counter!(silent, "part" => part).increment(0);
+    }
     let bounds = "jaysaddle_response_bounds_total";
     metrics::describe_counter!(
         bounds,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -36,6 +36,7 @@
 use tokio::sync::Notify;
 
 use crate::byte_budget::ResponseBudgets;
+use crate::loop_lag::LoopLag;
 use crate::pool::BackendPool;
 use crate::settings::EntrySettings;
 use crate::settings::PlatformBounds;
@@ -110,6 +111,7 @@
     pub pool: BackendPool,
     pub store: StoreClient,
     pub phase: Cell<PeerPhase>,
+    pub loop_lag: LoopLag,
     pub shutdown: ShutdownState,
     /// Number of open connections of callers.
     pub caller_connections: Cell<u32>,
@@ -176,6 +178,7 @@
             store: StoreClient::new(settings.store, budgets.store.clone()),
             budgets,
             phase: Cell::new(PeerPhase::Starting),
+            loop_lag: LoopLag::default(),
             shutdown: ShutdownState::default(),
             caller_connections: Cell::new(0),
             info_connections: Cell::new(0),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -33,6 +33,8 @@
 use crate::response::ResponseBody;
 use crate::response_bounds::BoundKind;
 use crate::response_bounds::report_bound;
+use crate::silence::SilenceFacts;
+use crate::silence::report_given_up;
 
 /// Minimum remaining time for a stream to resume at another group, which has to process the prompt again.
 const MIN_RESUME_TIME: TimeSpan = TimeSpan(400);
@@ -166,6 +168,7 @@
                 return StreamRead::Broken("time is up".to_owned());
             }
             if let Some(stall_time) = self.stall_time() {
+                self.report_silence(stall_time);
                 return StreamRead::Broken(format!("no event for {stall_time}"));
             }
             let Some(attempt) = &mut self.attempt else {
@@ -194,6 +197,19 @@
         (has_stalled && self.may_resume()).then_some(stall_time)
     }
 
+    fn report_silence(&self, stall_time: TimeSpan) {
+        if let Some(attempt) = &self.attempt {
+            let target = &attempt.guard.target;
+            let facts = SilenceFacts::collect(&self.node, target, stall_time, clock::now());
+            let part = if self.has_events {
+                "next_event"
+            } else {
+                "first_event"
+            };
+            report_given_up(&self.request.id, target.backend.as_str(), part, facts);
+        }
+    }
+
     /// Records that a complete event has arrived. Parts of events are no progress: a backend server that has stalled may
     /// send them without end.
     fn record_progress(&mut self) {
