Keep a silent attempt of a request until another one has brought something

Callers saw streams end in the middle and answers replaced by 502, although their backend servers were sound. Cause: a node took the lack of data for a failure. It closed the connection of a silent attempt and only then looked for another target and a retry; with neither, the request ended. It measured the silence by the clock, so a pause of the node itself, or of its caller, counted too.

Now the request is sent to another target beside the silent one, within the same limits; the first to send an event, or response headers, goes on. Only a fact ends the last attempt: its connection fails, or the time is up. Sends under way count against the limit of runs from their start. Silence is the time of waits that were not interrupted, and a pause of the process is left out of what peers are told.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -122,7 +122,10 @@
         };
         if !is_urgent {
             let now = clock::now();
-            node.loop_lag.record(now.since(next_tick));
+            let lag = now.since(next_tick);
+            if node.loop_lag.record(lag) {
+                node.gateway.borrow_mut().excuse_own_pause(lag, now);
+            }
             next_tick = now + HEARTBEAT_INTERVAL;
         }
         node.peers
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -30,6 +30,7 @@
 use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::caller_body::CallerBody;
@@ -37,6 +38,8 @@
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
 
+/// Interval at which a wait checks whether a planned stop has brought the deadline forward.
+const DEADLINE_CHECK_INTERVAL: TimeSpan = TimeSpan(150);
 /// Subtracted from the caller's deadline, so that the response arrives before the caller times out.
 const RESPONSE_MARGIN: TimeSpan = TimeSpan(25);
 /// Added to the priority value of requests that will be late, so that others go first in the engine's queue.
@@ -288,6 +291,24 @@
     }
 }
 
+/// Completes with the output of `future`, or with `None` when the time of the request is up, which a planned stop may
+/// bring forward. An output that is ready by then counts: this process may have been paused.
+pub async fn within_time<F: Future>(request: &CallerRequest, future: F) -> Option<F::Output> {
+    tokio::pin!(future);
+    loop {
+        let remaining = request.time_left();
+        if remaining.0 == 0 {
+            // The task that reads the connection runs first.
+            yield_now().await;
+            return timeout(Duration::ZERO, future).await.ok();
+        }
+        let wait = DEADLINE_CHECK_INTERVAL.min(remaining).as_duration();
+        if let Ok(output) = timeout(wait, &mut future).await {
+            return Some(output);
+        }
+    }
+}
+
 fn number_value(number: u64) -> eyre::Result<HeaderValue> {
     HeaderValue::from_str(&number.to_compact_string()).wrap_err("number as header value")
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -24,7 +24,6 @@
 use tokio::time::timeout;
 
 use crate::attempt::ActiveAttempt;
-use crate::attempt::send_with_retries;
 use crate::bounded_body::BodyBounds;
 use crate::bounded_body::BodyError;
 use crate::bounded_body::read_bounded;
@@ -35,6 +34,7 @@
 use crate::caller_request::read_body;
 use crate::caller_request::strip_connection_headers;
 use crate::caller_request::time_limit;
+use crate::caller_request::within_time;
 use crate::node::EntryNode;
 use crate::relay::StreamRelay;
 use crate::request_report::RequestReport;
@@ -42,11 +42,10 @@
 use crate::response::RequestFailure;
 use crate::response::STOPPING_REASON;
 use crate::response::full_body;
+use crate::send_race::send_with_retries;
 
 /// Maximum body size of a response that is not streamed.
 const MAX_RESPONSE: ByteCount = ByteCount(16 << 20);
-/// Interval at which a wait checks whether a planned stop has brought the deadline forward.
-const DEADLINE_CHECK_INTERVAL: TimeSpan = TimeSpan(100);
 /// Interval at which a request whose body arrives slowly is checked for a planned stop that it does not fit into.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum size of the body of a refused request that is read, in bytes.
@@ -148,7 +147,7 @@
         .borrow_mut()
         .record_request(&request.route.service, size.as_ref());
     report.record_work(work);
-    let attempt = send_with_retries(node, &request, report, request.last_event).await?;
+    let attempt = send_with_retries(node, &request, &report.sends, request.last_event).await?;
     if request.is_stream() && attempt.response.status().is_success() {
         let relay = StreamRelay::new(node.clone(), request, report.take(), attempt, open);
         return Ok(relay.into_response());
@@ -229,22 +228,6 @@
     })
 }
 
-/// Completes with the output of `future`, or with `None` when the time of the request is up, which a planned stop may
-/// bring forward.
-async fn within_time<F: Future>(request: &CallerRequest, future: F) -> Option<F::Output> {
-    tokio::pin!(future);
-    loop {
-        let remaining = request.time_left();
-        if remaining.0 == 0 {
-            return None;
-        }
-        let wait = DEADLINE_CHECK_INTERVAL.min(remaining).as_duration();
-        if let Ok(output) = timeout(wait, &mut future).await {
-            return Some(output);
-        }
-    }
-}
-
 /// Reads the complete response before forwarding it, so that a truncated one is detected and can be retried.
 async fn buffered_response(
     node: &Rc<EntryNode>,
@@ -292,7 +275,7 @@
             guard.finish(TargetOutcome::Failed);
         }
         drop(connection);
-        let may_retry = rule.kind.may_retry() && report.runs < rule.max_attempts;
+        let may_retry = rule.kind.may_retry() && report.sends.runs() < rule.max_attempts;
         if !may_retry {
             let reason = if lacks_memory {
                 "no_memory"
@@ -304,6 +287,6 @@
                 reason,
             ));
         }
-        attempt = send_with_retries(node, &request, report, request.last_event).await?;
+        attempt = send_with_retries(node, &request, &report.sends, request.last_event).await?;
     }
 }
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -7,6 +7,8 @@
 use crate::log_writer;
 use crate::node::EntryNode;
 use crate::response_bounds::BoundKind;
+use crate::silence::AwaitedPart;
+use crate::silence::SilenceEnd;
 
 /// Registers the descriptions of the metrics and initializes counters, so that they are exported
 /// before their first event.
@@ -92,13 +94,18 @@
     for kind in ["node", "lease"] {
         metrics::counter!(rewrites, "kind" => kind).increment(0);
     }
-    let silent = "jaysaddle_silent_attempts_given_up_total";
+    let silent = "jaysaddle_silent_attempts_total";
     metrics::describe_counter!(
         silent,
-        "Attempts given up because their backend server sent nothing, by the part that was awaited"
+        "Attempts beside which another one was tried because their backend server sent nothing, by the part that was awaited"
     );
-    for part in ["head", "first_event", "next_event"] {
-        metrics::counter!(silent, "part" => part).increment(0);
+    for part in AwaitedPart::ALL {
+        metrics::counter!(silent, "part" => part.label()).increment(0);
+    }
+    let ends = "jaysaddle_silence_ends_total";
+    metrics::describe_counter!(ends, "Silent attempts, by what came of them");
+    for end in SilenceEnd::ALL {
+        metrics::counter!(ends, "end" => end.label()).increment(0);
     }
     let bounds = "jaysaddle_response_bounds_total";
     metrics::describe_counter!(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -37,6 +37,8 @@
 mod request_report;
 mod response;
 mod response_bounds;
+mod send_history;
+mod send_race;
 pub mod server_notices;
 mod shutdown;
 mod silence;
@@ -46,6 +48,7 @@
 pub mod store_era;
 mod store_restore;
 mod store_sync;
+mod stream_attempt;
 mod table_feed;
 
 pub mod reload;
--- a/crates/entry/src/loop_lag.rs
+++ b/crates/entry/src/loop_lag.rs
@@ -9,8 +9,8 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
-/// Lag from which a line is logged.
-const MIN_LOGGED_LAG: TimeSpan = TimeSpan(100);
+/// Lag from which the process counts as paused.
+const MIN_PAUSE: TimeSpan = TimeSpan(100);
 /// Time for which the largest lag is remembered.
 const RETENTION: TimeSpan = TimeSpan::from_secs(5);
 
@@ -22,16 +22,18 @@
 }
 
 impl LoopLag {
-    /// Records that a task ran `lag` later than planned.
-    pub fn record(&self, lag: TimeSpan) {
+    /// Records that a task ran `lag` later than planned. Returns whether the process counts as paused.
+    pub fn record(&self, lag: TimeSpan) -> bool {
         let now = clock::now();
         metrics::histogram!("jaysaddle_loop_lag_seconds").record(lag.as_duration().as_secs_f64());
-        if lag >= MIN_LOGGED_LAG {
-            log::info!("event=loop_late late_ms={}", lag.as_millis());
-        }
         if lag >= self.recent() {
             self.largest.set(Some((now, lag)));
         }
+        let is_pause = lag >= MIN_PAUSE;
+        if is_pause {
+            log::info!("event=loop_late late_ms={}", lag.as_millis());
+        }
+        is_pause
     }
 
     /// Largest lag of the last [`RETENTION`].
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,29 +1,31 @@
 //! Relays an event stream to its caller, and resumes it at another group when its backend server fails.
+//!
+//! A stream whose backend server is silent is also begun at another group, after the last event that its caller has received. The
+//! first attempt to send the next event goes on, and the others end. Only a fact ends the last attempt: its connection fails, or the time
+//! of the request is up.
 
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::TargetOutcome;
-use jaysaddle_gateway::events::EventBuffer;
-use jaysaddle_gateway::events::EventError;
+use jaysaddle_gateway::silence::DataWait;
 use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::attempt::ActiveAttempt;
-use crate::attempt::MIN_RETRY_TIME;
-use crate::attempt::STALL_CHECK_INTERVAL;
-use crate::attempt::is_stalled;
-use crate::attempt::send_with_retries;
-use crate::byte_budget::HeldBytes;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::strip_connection_headers;
 use crate::forward::OpenRequest;
@@ -31,36 +33,50 @@
 use crate::request_report::RequestReport;
 use crate::response::CallerResponse;
 use crate::response::ResponseBody;
-use crate::response_bounds::BoundKind;
-use crate::response_bounds::report_bound;
-use crate::silence::SilenceFacts;
-use crate::silence::report_given_up;
+use crate::send_race::MIN_RETRY_TIME;
+use crate::send_race::send_with_retries;
+use crate::silence::REPLACEMENT_RETRY_DELAY;
+use crate::silence::STALL_CHECK_INTERVAL;
+use crate::stream_attempt::StreamAttempt;
+use crate::stream_attempt::StreamRead;
 
 /// Minimum remaining time for a stream to resume at another group, which has to process the prompt again.
 const MIN_RESUME_TIME: TimeSpan = TimeSpan(400);
 
+/// Attempt whose response headers are awaited; fails with the reason.
+type StartingAttempt = Pin<Box<dyn Future<Output = Result<Box<ActiveAttempt>, String>>>>;
+
 /// Event stream that is being relayed to a caller.
 pub struct StreamRelay {
     node: Rc<EntryNode>,
-    request: CallerRequest,
+    request: Rc<CallerRequest>,
     report: RequestReport,
-    attempt: Option<ActiveAttempt>,
-    events: EventBuffer,
-    /// Memory of the incomplete event.
-    held: HeldBytes,
-    /// When the last complete event arrived, or the present attempt began.
-    last_event: Timestamp,
-    /// Whether the present attempt has sent a complete event.
-    has_events: bool,
+    /// Attempts that go on after the last event that the caller has received. All but one are silent, or have just begun.
+    attempts: Vec<StreamAttempt>,
+    /// Attempt that begins beside the others, or in place of those that have failed.
+    starting: Option<StartingAttempt>,
+    /// Id of the last event that the caller has received; `None` before the first event with an id.
+    last_event: Option<u64>,
+    /// Time until which no replacement of a silent attempt is tried.
+    next_replacement: Timestamp,
+    /// Why the last attempt has failed, or been replaced.
+    cause: String,
+    /// Whether no other group accepts the stream and no attempt is left.
+    is_given_up: bool,
     /// Counts the request as open until the stream has ended.
     _open: OpenRequest,
 }
 
-/// Result of waiting for data from the backend server.
-enum StreamRead {
-    Data(Bytes),
-    End,
-    Broken(String),
+/// What a relay has waited for.
+enum RelayEvent {
+    /// The attempt with this position was read.
+    Read(usize, StreamRead),
+    /// The headers of the starting attempt have arrived, or it has failed.
+    Started(Result<Box<ActiveAttempt>, String>),
+    /// No data arrived in this time.
+    Quiet(DataWait),
+    /// The time of the request is up.
+    TimeUp,
 }
 
 impl StreamRelay {
@@ -72,17 +88,18 @@
         attempt: ActiveAttempt,
         open: OpenRequest,
     ) -> Self {
-        let events = EventBuffer::resume_after(request.last_event);
-        let held = node.budgets.requests.holder();
+        let last_event = request.last_event;
+        let attempt = StreamAttempt::new(&node, attempt, last_event, false);
         Self {
             node,
-            request,
+            request: Rc::new(request),
             report,
-            attempt: Some(attempt),
-            events,
-            held,
-            last_event: clock::now(),
-            has_events: false,
+            attempts: vec![attempt],
+            starting: None,
+            last_event,
+            next_replacement: Timestamp(0),
+            cause: String::new(),
+            is_given_up: false,
             _open: open,
         }
     }
@@ -90,9 +107,9 @@
     /// Builds the response: the headers of the first backend server, and a body of the events as they arrive.
     pub fn into_response(self) -> CallerResponse {
         let mut response = Response::new(());
-        if let Some(attempt) = &self.attempt {
-            *response.status_mut() = attempt.response.status();
-            *response.headers_mut() = attempt.response.headers().clone();
+        if let Some(attempt) = self.attempts.first() {
+            *response.status_mut() = attempt.response().status();
+            *response.headers_mut() = attempt.response().headers().clone();
         }
         strip_connection_headers(response.headers_mut());
         let stream = unfold(Some(self), |state| async move {
@@ -106,178 +123,220 @@
         response.map(|()| Box::pin(StreamBody::new(stream)) as ResponseBody)
     }
 
+    /// Next complete events for the caller; `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
         loop {
-            let cause = match self.read_data().await {
-                StreamRead::Data(data) => match self.push(&data) {
-                    Ok(ready) if ready.is_empty() => continue,
-                    Ok(ready) => {
-                        self.record_progress();
-                        return Some(Ok(ready));
-                    }
-                    Err(cause) => cause,
+            self.start_if_needed();
+            if self.attempts.is_empty() && self.starting.is_none() {
+                return Some(Err(self.break_off()));
+            }
+            match self.wait().await {
+                RelayEvent::Read(position, read) => match self.handle_read(position, read) {
+                    Some(ready) => return Some(Ok(ready)),
+                    None if self.is_complete() => return None,
+                    None => {}
                 },
-                StreamRead::End if !self.events.has_partial() => {
-                    self.complete();
-                    return None;
-                }
-                StreamRead::End => "ended inside an event".to_owned(),
-                StreamRead::Broken(cause) => cause,
-            };
-            if let Err(cause) = self.resume(&cause).await {
-                metrics::counter!("jaysaddle_streams_broken_total").increment(1);
-                log::info!(
-                    "event=stream_broken request={} last_event={:?} cause=\"{cause}\"",
-                    self.request.id,
-                    self.events.last_id()
-                );
-                self.report.finish_cut();
-                return Some(Err(io::Error::other(cause)));
+                RelayEvent::Started(result) => self.handle_start(result),
+                RelayEvent::Quiet(wait) => self.check_silence(wait),
+                RelayEvent::TimeUp => self.end_for_time(),
             }
         }
     }
 
-    /// Appends data and returns the complete events.
-    fn push(&mut self, data: &[u8]) -> Result<Bytes, String> {
-        let result = self.events.push(data);
-        let pending = self.events.pending_bytes();
-        let (kind, received, cause) = match (result, self.held.resize(pending)) {
-            (Ok(ready), Ok(())) => return Ok(ready),
-            // Events that were returned by the buffer would be missing in a resumed stream.
-            (Ok(ready), Err(_)) if !ready.is_empty() => return Ok(ready),
-            (Ok(_), Err(error)) => (BoundKind::Memory, pending, error.to_string()),
-            (Err(error), _) => match error {
-                EventError::Gap { .. } => return Err(error.to_string()),
-                EventError::TooLong { bytes } | EventError::Repeated { bytes } => {
-                    (BoundKind::Event, bytes, error.to_string())
-                }
-            },
-        };
-        if let Some(attempt) = &self.attempt {
-            let sender = attempt.guard.target.backend.as_str();
-            report_bound(sender, kind, received);
-        }
-        Err(cause)
+    /// Whether the stream has ended as it should.
+    fn is_complete(&self) -> bool {
+        self.report.is_finished()
     }
 
-    /// Waits until data arrives, the stream ends, or the backend server is considered failed.
-    async fn read_data(&mut self) -> StreamRead {
-        loop {
-            let remaining = self.request.time_left();
-            if remaining.0 == 0 {
-                return StreamRead::Broken("time is up".to_owned());
-            }
-            if let Some(stall_time) = self.stall_time() {
-                self.report_silence(stall_time);
-                return StreamRead::Broken(format!("no event for {stall_time}"));
+    /// Starts an attempt at another group if all attempts are silent or have failed, and the request allows another one.
+    fn start_if_needed(&mut self) {
+        let is_needed = self.attempts.iter().all(StreamAttempt::is_silent);
+        let is_delayed = !self.attempts.is_empty() && clock::now() < self.next_replacement;
+        let is_possible = !self.is_given_up && self.may_resume();
+        if !is_needed || is_delayed || self.starting.is_some() || !is_possible {
+            return;
+        }
+        let (node, request) = (self.node.clone(), self.request.clone());
+        let (sends, last_event) = (self.report.sends.clone(), self.last_event);
+        self.starting = Some(Box::pin(async move {
+            let attempt = send_with_retries(&node, &request, &sends, last_event)
+                .await
+                .map_err(|failure| failure.reason.to_string())?;
+            let status = attempt.response.status();
+            if !status.is_success() {
+                attempt.guard.finish(TargetOutcome::Failed);
+                return Err(format!("status {}", status.as_u16()));
             }
-            let Some(attempt) = &mut self.attempt else {
-                return StreamRead::Broken("no backend server".to_owned());
-            };
-            let wait = STALL_CHECK_INTERVAL.min(remaining).as_duration();
-            match timeout(wait, attempt.response.body_mut().frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        return StreamRead::Data(data);
-                    }
-                }
-                Ok(Some(Err(error))) => return StreamRead::Broken(error.to_string()),
-                Ok(None) => return StreamRead::End,
-                Err(_) => {}
+            Ok(Box::new(attempt))
+        }));
+    }
+
+    /// Whether the stream may go on at another group.
+    fn may_resume(&self) -> bool {
+        let rule = &self.request.route.rule;
+        let is_resumable = matches!(
+            rule.kind,
+            RequestKind::Stream {
+                is_resumable: true,
+                ..
             }
-        }
+        );
+        let min_time = MIN_RESUME_TIME.max(MIN_RETRY_TIME);
+        is_resumable
+            && self.report.sends.runs() < rule.max_attempts
+            && self.request.time_left() >= min_time
     }
 
-    /// Time without a complete event, if the stream has stalled and can go on elsewhere.
-    fn stall_time(&self) -> Option<TimeSpan> {
-        let target = &self.attempt.as_ref()?.guard.target;
-        let now = clock::now();
-        let stall_time = now.since(self.last_event);
-        let has_stalled = is_stalled(&self.node, target, stall_time, self.has_events, now);
-        (has_stalled && self.may_resume()).then_some(stall_time)
+    /// Waits for data, for the start of an attempt, or for the next check.
+    async fn wait(&mut self) -> RelayEvent {
+        let remaining = self.request.time_left();
+        let planned = STALL_CHECK_INTERVAL.min(remaining);
+        if remaining.0 == 0 {
+            // Data that is ready is delivered, because this process may have been paused. The task that reads the connection runs
+            // first.
+            yield_now().await;
+        }
+        let began = clock::now();
+        let event = timeout(planned.as_duration(), poll_fn(|cx| self.poll_event(cx))).await;
+        let wait = DataWait {
+            planned,
+            actual: clock::now().since(began),
+        };
+        for attempt in &mut self.attempts {
+            attempt.record_wait(wait);
+        }
+        match event {
+            Ok(event) => event,
+            Err(_) if remaining.0 == 0 => RelayEvent::TimeUp,
+            Err(_) => RelayEvent::Quiet(wait),
+        }
     }
 
-    fn report_silence(&self, stall_time: TimeSpan) {
-        if let Some(attempt) = &self.attempt {
-            let target = &attempt.guard.target;
-            let facts = SilenceFacts::collect(&self.node, target, stall_time, clock::now());
-            let part = if self.has_events {
-                "next_event"
-            } else {
-                "first_event"
-            };
-            report_given_up(&self.request.id, target.backend.as_str(), part, facts);
+    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<RelayEvent> {
+        for (position, attempt) in self.attempts.iter_mut().enumerate() {
+            if let Poll::Ready(read) = attempt.poll_read(context) {
+                return Poll::Ready(RelayEvent::Read(position, read));
+            }
+        }
+        if let Some(starting) = &mut self.starting {
+            return starting.as_mut().poll(context).map(RelayEvent::Started);
         }
+        Poll::Pending
+    }
+
+    /// Handles what was read from an attempt. Returns complete events.
+    fn handle_read(&mut self, position: usize, read: StreamRead) -> Option<Bytes> {
+        let failure = match read {
+            StreamRead::Data(data) => match self.attempts[position].push(&data) {
+                Ok(ready) if ready.is_empty() => return None,
+                Ok(ready) => {
+                    self.go_on_with(position);
+                    return Some(ready);
+                }
+                Err(failure) => failure,
+            },
+            StreamRead::End if !self.attempts[position].has_partial() => {
+                self.complete(position);
+                return None;
+            }
+            StreamRead::End => "ended inside an event".to_owned(),
+            StreamRead::Other => return None,
+            StreamRead::Broken(failure) => failure,
+        };
+        self.fail(position, failure);
+        None
     }
 
-    /// Records that a complete event has arrived. Parts of events are no progress: a backend server that has stalled may
-    /// send them without end.
-    fn record_progress(&mut self) {
+    /// Lets the attempt that has sent events go on alone.
+    fn go_on_with(&mut self, position: usize) {
+        let mut attempt = self.attempts.swap_remove(position);
+        self.starting = None;
+        for other in self.attempts.drain(..) {
+            self.cause = other.replace(&self.request.id);
+        }
         let now = clock::now();
-        let pause = self.has_events.then(|| now.since(self.last_event));
         self.report.record_data(now);
-        self.last_event = now;
-        self.has_events = true;
-        if let Some(attempt) = &mut self.attempt {
-            attempt.guard.record_progress(pause, now);
+        if attempt.is_first_of_resumed() {
+            self.report.resumes += 1;
+            metrics::counter!("jaysaddle_streams_resumed_total").increment(1);
+            log::info!(
+                "event=stream_resumed request={} last_event={:?} backend={} cause=\"{}\"",
+                self.request.id,
+                self.last_event,
+                attempt.target().backend,
+                self.cause
+            );
         }
+        attempt.record_progress(&self.request.id, now);
+        self.last_event = attempt.last_event();
+        self.attempts.push(attempt);
     }
 
-    fn may_resume(&self) -> bool {
-        let rule = &self.request.route.rule;
-        let is_resumable = matches!(
-            rule.kind,
-            RequestKind::Stream {
-                is_resumable: true,
-                ..
-            }
-        );
-        is_resumable
-            && self.report.runs < rule.max_attempts
-            && self.request.time_left() >= MIN_RESUME_TIME
+    /// Ends the stream with the end of an attempt.
+    fn complete(&mut self, position: usize) {
+        let attempt = self.attempts.swap_remove(position);
+        self.report
+            .finish_answered(attempt.response().status().as_u16());
+        attempt.complete(&self.node);
     }
 
-    fn complete(&mut self) {
-        if let Some(attempt) = self.attempt.take() {
-            let keep_alive_timeout = attempt.keep_alive_timeout();
-            self.report
-                .finish_answered(attempt.response.status().as_u16());
-            attempt.guard.finish(TargetOutcome::Answered);
-            self.node.pool.put(attempt.connection, keep_alive_timeout);
+    /// Removes an attempt that has failed.
+    fn fail(&mut self, position: usize, failure: String) {
+        let attempt = self.attempts.swap_remove(position);
+        attempt.fail(&self.node, &self.request.id);
+        self.cause = failure;
+    }
+
+    /// Handles the response headers, or the failure, of the starting attempt.
+    fn handle_start(&mut self, result: Result<Box<ActiveAttempt>, String>) {
+        self.starting = None;
+        match result {
+            Ok(attempt) => {
+                let attempt = StreamAttempt::new(&self.node, *attempt, self.last_event, true);
+                self.attempts.push(attempt);
+            }
+            Err(reason) => {
+                log::info!(
+                    "event=no_replacement request={} reason=\"{reason}\" others={}",
+                    self.request.id,
+                    self.attempts.len()
+                );
+                self.next_replacement = clock::now() + REPLACEMENT_RETRY_DELAY;
+                self.cause = format!("{}; resume: {reason}", self.cause);
+                self.is_given_up = self.attempts.is_empty();
+            }
         }
     }
 
-    /// Resumes at another group, after the last event that the caller has received.
-    async fn resume(&mut self, cause: &str) -> Result<(), String> {
-        if let Some(attempt) = self.attempt.take() {
-            let number = attempt.guard.target.number;
-            self.node.gateway.borrow_mut().avoid(number, clock::now());
-            attempt.guard.finish(TargetOutcome::Failed);
+    /// Looks for attempts that are silent, if they could be replaced.
+    fn check_silence(&mut self, wait: DataWait) {
+        if wait.was_interrupted() || !self.may_resume() {
+            return;
         }
-        if !self.may_resume() || self.request.time_left() < MIN_RETRY_TIME {
-            return Err(cause.to_owned());
+        for attempt in &mut self.attempts {
+            attempt.check_silence(&self.node, &self.request.id);
         }
-        self.events.discard_partial();
-        self.held.release();
-        let last = self.events.last_id();
-        let attempt = send_with_retries(&self.node, &self.request, &mut self.report, last)
-            .await
-            .map_err(|failure| format!("{cause}; resume: {}", failure.reason))?;
-        if !attempt.response.status().is_success() {
-            let status = attempt.response.status().as_u16();
-            attempt.guard.finish(TargetOutcome::Failed);
-            return Err(format!("{cause}; resume: status {status}"));
+    }
+
+    /// Ends all attempts because the time of the request is up.
+    fn end_for_time(&mut self) {
+        self.starting = None;
+        for attempt in self.attempts.drain(..) {
+            attempt.end_for_time(&self.node, &self.request.id);
         }
-        metrics::counter!("jaysaddle_streams_resumed_total").increment(1);
+        self.cause = "time is up".to_owned();
+    }
+
+    /// Reports that the stream ends before its end.
+    fn break_off(&mut self) -> io::Error {
+        metrics::counter!("jaysaddle_streams_broken_total").increment(1);
         log::info!(
-            "event=stream_resumed request={} last_event={last:?} backend={} cause=\"{cause}\"",
+            "event=stream_broken request={} last_event={:?} cause=\"{}\"",
             self.request.id,
-            attempt.guard.target.backend
+            self.last_event,
+            self.cause
         );
-        self.report.resumes += 1;
-        self.last_event = clock::now();
-        self.has_events = false;
-        self.attempt = Some(attempt);
-        Ok(())
+        self.report.finish_cut();
+        io::Error::other(self.cause.clone())
     }
 }
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -6,14 +6,9 @@
 use compact_str::CompactString;
 use compact_str::format_compact;
 use jaysaddle_daemon::clock;
-use jaysaddle_gateway::choice::ChoiceInputs;
 use jaysaddle_gateway::choice::RequestWork;
-use jaysaddle_gateway::choice::TargetChoice;
 use jaysaddle_gateway::service_times::OpenRecord;
-use jaysaddle_gateway::target::TargetNumber;
 use jaysaddle_gateway::unserved::RequestFingerprint;
-use jaysaddle_types::ids::VmId;
-use jaysaddle_types::serving::GroupKey;
 use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -23,6 +18,8 @@
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
 use crate::response::STOPPING_REASON;
+use crate::send_history::ChoiceFields;
+use crate::send_history::SendHistory;
 use crate::shutdown::ShutdownStage;
 
 /// Final result of a request.
@@ -90,16 +87,6 @@
     deadline: Timestamp,
 }
 
-/// Logged fields of the last target selection and its inputs.
-#[derive(Debug)]
-struct ChoiceFields {
-    backend: VmId,
-    group: Option<GroupKey>,
-    is_late: bool,
-    inputs: ChoiceInputs,
-    table_age: TimeSpan,
-}
-
 /// Collects the route, target selections, attempts and timing of a request, and logs them at its end.
 ///
 /// # Invariants
@@ -118,11 +105,8 @@
     attempt: Option<CallerAttempt>,
     /// Counted work; `None` for caller retries and for requests that state no size.
     work: Option<RequestWork>,
-    choice: Option<ChoiceFields>,
-    /// Targets to which the request was sent, in order, with repetitions.
-    pub tried: Vec<TargetNumber>,
-    /// Number of sends that may have run the request.
-    pub runs: u32,
+    /// Sends of the request, also recorded by attempts that are under way.
+    pub sends: Rc<SendHistory>,
     /// Number of times that the stream was resumed at another target.
     pub resumes: u32,
     /// Whether the caller has received the beginning of the stream with an earlier request.
@@ -154,9 +138,7 @@
             times: None,
             attempt: None,
             work: None,
-            choice: None,
-            tried: Vec::new(),
-            runs: 0,
+            sends: Rc::default(),
             resumes: 0,
             is_resumed: false,
             first_data: None,
@@ -171,6 +153,11 @@
         self.received
     }
 
+    /// Whether the end of the request has been reported.
+    pub fn is_finished(&self) -> bool {
+        self.is_finished
+    }
+
     /// Moves the report out, to the task that continues with the request. Leaves an empty one that logs nothing.
     pub fn take(&mut self) -> Self {
         let mut empty = Self::new(self.node.clone(), CompactString::default(), self.received);
@@ -204,18 +191,6 @@
         });
     }
 
-    /// Records the selection of a target.
-    pub fn record_choice(&mut self, node: &EntryNode, choice: &TargetChoice) {
-        self.tried.push(choice.target.number);
-        self.choice = Some(ChoiceFields {
-            backend: choice.target.backend.clone(),
-            group: choice.target.group.clone(),
-            is_late: choice.is_late,
-            inputs: choice.inputs,
-            table_age: node.table_age(clock::now()),
-        });
-    }
-
     /// Records the work that was counted for the demand of the request's model.
     pub fn record_work(&mut self, work: Option<RequestWork>) {
         self.work = work;
@@ -268,14 +243,15 @@
         }
         let took = now.since(self.received);
         self.record_metrics(end, took);
+        let choice = self.sends.last_choice();
         let line = format_args!(
             "event=request_ended request={} result={end}{}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}{}",
             self.id,
             OptionalFields(self.route.as_ref()),
             OptionalFields(self.work.as_ref()),
-            OptionalFields(self.choice.as_ref()),
-            self.tried.len(),
-            self.runs,
+            OptionalFields(choice.as_ref()),
+            self.sends.sends(),
+            self.sends.runs(),
             self.resumes,
             OptionalMillis(self.first_data),
             self.longest_pause.as_millis(),
--- /dev/null
+++ b/crates/entry/src/stream_attempt.rs
@@ -0,0 +1,212 @@
+//! One attempt of an event stream: its response, the incomplete event, and how long it has been silent.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use bytes::Bytes;
+use http_body::Body;
+use jaysaddle_daemon::clock;
+use jaysaddle_gateway::choice::TargetOutcome;
+use jaysaddle_gateway::events::EventBuffer;
+use jaysaddle_gateway::events::EventError;
+use jaysaddle_gateway::silence::DataWait;
+use jaysaddle_gateway::silence::SilenceMeter;
+use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_types::units::Timestamp;
+
+use crate::attempt::ActiveAttempt;
+use crate::byte_budget::HeldBytes;
+use crate::exchange::ReceivedResponse;
+use crate::node::EntryNode;
+use crate::response_bounds::BoundKind;
+use crate::response_bounds::report_bound;
+use crate::silence::AwaitedPart;
+use crate::silence::SilenceEnd;
+use crate::silence::is_stalled;
+use crate::silence::report_silence;
+use crate::silence::report_silence_end;
+
+/// What was read from a backend server.
+pub enum StreamRead {
+    Data(Bytes),
+    /// Something that is no data, such as trailers.
+    Other,
+    End,
+    Broken(String),
+}
+
+/// Attempt of a stream whose response headers have arrived.
+pub struct StreamAttempt {
+    attempt: ActiveAttempt,
+    events: EventBuffer,
+    /// Memory of the incomplete event.
+    held: HeldBytes,
+    /// Time without a complete event. Parts of events are no progress: a backend server that has stalled may send them
+    /// without end.
+    silence: SilenceMeter,
+    /// Whether the silence is long enough that another attempt is made beside this one.
+    is_silent: bool,
+    /// Whether a complete event has arrived.
+    has_events: bool,
+    /// Whether another attempt of the stream came before.
+    is_resumed: bool,
+}
+
+impl StreamAttempt {
+    /// Creates an attempt that goes on after `last_event`.
+    pub fn new(
+        node: &Rc<EntryNode>,
+        attempt: ActiveAttempt,
+        last_event: Option<u64>,
+        is_resumed: bool,
+    ) -> Self {
+        Self {
+            attempt,
+            events: EventBuffer::resume_after(last_event),
+            held: node.budgets.requests.holder(),
+            silence: SilenceMeter::default(),
+            is_silent: false,
+            has_events: false,
+            is_resumed,
+        }
+    }
+
+    /// Response of the backend server.
+    pub fn response(&self) -> &ReceivedResponse {
+        &self.attempt.response
+    }
+
+    /// Target of the attempt.
+    pub fn target(&self) -> &RequestTarget {
+        &self.attempt.guard.target
+    }
+
+    /// Whether another attempt is wanted beside this one.
+    pub fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
+    /// Whether no event had arrived, and the stream had been begun at another target.
+    pub fn is_first_of_resumed(&self) -> bool {
+        self.is_resumed && !self.has_events
+    }
+
+    /// Whether the data ends inside an event.
+    pub fn has_partial(&self) -> bool {
+        self.events.has_partial()
+    }
+
+    /// Id of the last complete event, of this attempt or those before.
+    pub fn last_event(&self) -> Option<u64> {
+        self.events.last_id()
+    }
+
+    /// Reads from the connection.
+    pub fn poll_read(&mut self, context: &mut Context<'_>) -> Poll<StreamRead> {
+        let body = Pin::new(self.attempt.response.body_mut());
+        Poll::Ready(match ready!(body.poll_frame(context)) {
+            Some(Ok(frame)) => frame
+                .into_data()
+                .map_or(StreamRead::Other, StreamRead::Data),
+            Some(Err(error)) => StreamRead::Broken(error.to_string()),
+            None => StreamRead::End,
+        })
+    }
+
+    /// Appends data and returns the complete events.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the data cannot belong to the stream, or exceeds a bound.
+    pub fn push(&mut self, data: &[u8]) -> Result<Bytes, String> {
+        let result = self.events.push(data);
+        let pending = self.events.pending_bytes();
+        let (kind, received, cause) = match (result, self.held.resize(pending)) {
+            (Ok(ready), Ok(())) => return Ok(ready),
+            // Events that were returned by the buffer would be missing in a resumed stream.
+            (Ok(ready), Err(_)) if !ready.is_empty() => return Ok(ready),
+            (Ok(_), Err(error)) => (BoundKind::Memory, pending, error.to_string()),
+            (Err(error), _) => match error {
+                EventError::Gap { .. } => return Err(error.to_string()),
+                EventError::TooLong { bytes } | EventError::Repeated { bytes } => {
+                    (BoundKind::Event, bytes, error.to_string())
+                }
+            },
+        };
+        report_bound(self.target().backend.as_str(), kind, received);
+        Err(cause)
+    }
+
+    /// Records a wait for data, whether it ended with data or without.
+    pub fn record_wait(&mut self, wait: DataWait) {
+        self.silence.record(wait);
+    }
+
+    /// Records that a complete event has arrived.
+    pub fn record_progress(&mut self, request: &str, now: Timestamp) {
+        let pause = self.has_events.then(|| self.silence.silent());
+        self.attempt.guard.record_progress(pause, now);
+        self.has_events = true;
+        self.silence.reset();
+        if std::mem::take(&mut self.is_silent) {
+            report_silence_end(request, self.target(), SilenceEnd::WentOn);
+        }
+    }
+
+    /// Checks whether the silence is long enough that another attempt is made beside this one.
+    pub fn check_silence(&mut self, node: &EntryNode, request: &str) {
+        let now = clock::now();
+        let silent = self.silence.silent();
+        let target = &self.attempt.guard.target;
+        if self.is_silent || !is_stalled(node, target, silent, self.has_events, now) {
+            return;
+        }
+        let part = if self.has_events {
+            AwaitedPart::NextEvent
+        } else {
+            AwaitedPart::FirstEvent
+        };
+        report_silence(node, request, target, part, silent, now);
+        self.is_silent = true;
+    }
+
+    /// Ends the attempt because another one takes its place. Returns the cause.
+    pub fn replace(self, request: &str) -> String {
+        self.report_end(request, SilenceEnd::Replaced);
+        format!("no event for {}", self.silence.silent())
+    }
+
+    /// Ends the attempt because its connection has failed.
+    pub fn fail(self, node: &EntryNode, request: &str) {
+        self.end_failed(node, request, SilenceEnd::Failed);
+    }
+
+    /// Ends the attempt because the time of the request is up.
+    pub fn end_for_time(self, node: &EntryNode, request: &str) {
+        self.end_failed(node, request, SilenceEnd::TimeUp);
+    }
+
+    fn end_failed(self, node: &EntryNode, request: &str, end: SilenceEnd) {
+        self.report_end(request, end);
+        let guard = self.attempt.guard;
+        let number = guard.target.number;
+        node.gateway.borrow_mut().avoid(number, clock::now());
+        guard.finish(TargetOutcome::Failed);
+    }
+
+    fn report_end(&self, request: &str, end: SilenceEnd) {
+        if self.is_silent {
+            report_silence_end(request, self.target(), end);
+        }
+    }
+
+    /// Ends the attempt after the whole response was read.
+    pub fn complete(self, node: &EntryNode) {
+        let keep_alive_timeout = self.attempt.keep_alive_timeout();
+        self.attempt.guard.finish(TargetOutcome::Answered);
+        node.pool.put(self.attempt.connection, keep_alive_timeout);
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -292,7 +292,7 @@
             }
             TargetOutcome::Refused => health.avoid_until = now + avoid_time,
             TargetOutcome::Failed => {
-                health.failure_rate += (1.0 - health.failure_rate) * 0.2;
+                health.record_failure();
             }
             TargetOutcome::Abandoned => {}
         }
--- a/crates/gateway/src/gateway/stalls.rs
+++ b/crates/gateway/src/gateway/stalls.rs
@@ -19,6 +19,22 @@
         }
     }
 
+    /// Records that a request has received nothing from a target for too long. Other targets are preferred, as after a failure;
+    /// the request itself may still be answered.
+    pub fn record_silence(&mut self, number: TargetNumber, now: Timestamp) {
+        self.avoid(number, now);
+        if let Some(health) = self.health.get_mut(&number) {
+            health.record_failure();
+        }
+    }
+
+    /// Leaves a time in which this process did not run out of the silences of all targets.
+    pub fn excuse_own_pause(&mut self, pause: TimeSpan, now: Timestamp) {
+        for health in self.health.values_mut() {
+            health.last_data = now.min(health.last_data + pause);
+        }
+    }
+
     /// Time since the last data from a target; `None` if the target is idle or unknown.
     pub fn stall_time(&self, number: TargetNumber, now: Timestamp) -> Option<TimeSpan> {
         self.health.get(&number)?.stall_time(now)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod service_times;
 pub mod settings;
 pub mod shutdown;
+pub mod silence;
 pub mod spread;
 pub mod target;
 pub mod unserved;
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -153,6 +153,9 @@
 /// slow.
 const FAILURE_RATE_WEIGHT: f64 = 8.0;
 
+/// Weight of a failed request in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.2;
+
 /// Weight of a new sample in the moving averages, so that about the last dozen samples dominate.
 const EWMA_WEIGHT: f64 = 0.15;
 
@@ -177,6 +180,11 @@
         pause * (1.0 + FAILURE_RATE_WEIGHT * self.failure_rate)
     }
 
+    /// Counts a request that failed.
+    pub fn record_failure(&mut self) {
+        self.failure_rate += (1.0 - self.failure_rate) * FAILURE_WEIGHT;
+    }
+
     /// Time since the last data from the target; `None` if it has no request in flight.
     pub fn stall_time(&self, now: Timestamp) -> Option<TimeSpan> {
         (self.in_flight > 0).then(|| now.since(self.last_data))
--- a/crates/gateway/tests/all/choice.rs
+++ b/crates/gateway/tests/all/choice.rs
@@ -56,6 +56,18 @@
     assert_eq!(counts.get(&first), None, "{counts:?}");
 }
 
+/// Guards against a node that reports all groups as stalled to its peers after it was paused itself.
+#[test]
+fn groups_are_not_stalled_after_a_pause_of_the_node() {
+    let mut fixture = GatewayFixture::new(2);
+    fixture.send(&[], 100).expect("a target");
+    let (pause, woken) = (TimeSpan(3000), Timestamp(3200));
+    assert_eq!(fixture.gateway.stalled_groups(woken).len(), 1);
+    fixture.gateway.excuse_own_pause(pause, woken);
+    assert!(fixture.gateway.stalled_groups(woken).is_empty());
+    assert_eq!(fixture.gateway.stalled_groups(Timestamp(4200)).len(), 1);
+}
+
 /// Guards against selecting a group that the controller on a peer has closed.
 #[test]
 fn closed_group_receives_no_requests() {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -15,4 +15,5 @@
 mod server_pauses;
 mod shares;
 mod shutdown;
+mod silence;
 mod unserved;
