Notice the silence of a stream that sends bytes but no events

Since an attempt is kept while it is silent, silence was looked for only after a wait without data. A backend server that sends a byte every 100 ms was never found silent, and its stream was cut when its time was up: faulty_answers::stream_that_trickles_without_events_goes_on_at_another_group failed, after 15 s. Now each wait is checked, whether it ended with data or not. The test passes again, silent_servers and endless_bytes too.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -73,8 +73,8 @@
     Read(usize, StreamRead),
     /// The headers of the starting attempt have arrived, or it has failed.
     Started(Result<Box<ActiveAttempt>, String>),
-    /// No data arrived in this time.
-    Quiet(DataWait),
+    /// No data arrived until the next check.
+    Quiet,
     /// The time of the request is up.
     TimeUp,
 }
@@ -130,16 +130,19 @@
             if self.attempts.is_empty() && self.starting.is_none() {
                 return Some(Err(self.break_off()));
             }
-            match self.wait().await {
+            let (event, wait) = self.wait().await;
+            match event {
                 RelayEvent::Read(position, read) => match self.handle_read(position, read) {
                     Some(ready) => return Some(Ok(ready)),
                     None if self.is_complete() => return None,
                     None => {}
                 },
                 RelayEvent::Started(result) => self.handle_start(result),
-                RelayEvent::Quiet(wait) => self.check_silence(wait),
+                RelayEvent::Quiet => {}
                 RelayEvent::TimeUp => self.end_for_time(),
             }
+            // Bytes that complete no event do not end a silence.
+            self.check_silence(wait);
         }
     }
 
@@ -188,7 +191,7 @@
     }
 
     /// Waits for data, for the start of an attempt, or for the next check.
-    async fn wait(&mut self) -> RelayEvent {
+    async fn wait(&mut self) -> (RelayEvent, DataWait) {
         let remaining = self.request.time_left();
         let planned = STALL_CHECK_INTERVAL.min(remaining);
         if remaining.0 == 0 {
@@ -205,11 +208,12 @@
         for attempt in &mut self.attempts {
             attempt.record_wait(wait);
         }
-        match event {
-            Ok(event) => event,
-            Err(_) if remaining.0 == 0 => RelayEvent::TimeUp,
-            Err(_) => RelayEvent::Quiet(wait),
-        }
+        let event = event.unwrap_or(if remaining.0 == 0 {
+            RelayEvent::TimeUp
+        } else {
+            RelayEvent::Quiet
+        });
+        (event, wait)
     }
 
     fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<RelayEvent> {
