Wait for the log line in the test of callers that do not read

connection_ends::response_that_nobody_reads_gives_its_memory_back failed once beside builds of other work trees: the line event=caller_not_reading was in the log, 15.0 s after the request, but the test read the file as soon as the memory was given back, and lines pass through two threads on their way there. The test now waits for the line, as for its other conditions. It still fails if the line does not come.

--- a/tests/all/connection_ends.rs
+++ b/tests/all/connection_ends.rs
@@ -186,7 +186,9 @@
         held(nodes).is_some_and(|bytes| bytes >= 12e6)
     });
     nodes.wait("nothing is held", |nodes| held(nodes) == Some(0.0));
-    assert!(nodes.log(0).contains("event=caller_not_reading"));
+    nodes.wait("the caller is named in the log", |nodes| {
+        nodes.log(0).contains("event=caller_not_reading")
+    });
     let response = nodes.request(0, "after", "/lookups/x", KEY);
     assert_eq!(response.status_code, 200);
 }
