Withhold single events that end a silence while another attempt may be faster

Callers on slow backend servers got their streams late or cut. Cause: one event of a slow server ended the attempt beside it, whose run had been counted, so the stream stayed with that server for good. Events of two runs cannot be joined. Now a single event after a silence waits for a second one within the time of a silence, or for 500 ms, while another attempt is under way; the first of it takes over. Several events at once show that the server has recovered. Silent attempts of callers that left are logged too. Test: gateway withheld; the load is that of a server which sends one event a second beside sound ones.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -37,6 +37,7 @@
 use crate::send_race::send_with_retries;
 use crate::silence::REPLACEMENT_RETRY_DELAY;
 use crate::silence::STALL_CHECK_INTERVAL;
+use crate::silence::SilenceEnd;
 use crate::stream_attempt::StreamAttempt;
 use crate::stream_attempt::StreamRead;
 
@@ -126,6 +127,9 @@
     /// Next complete events for the caller; `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
         loop {
+            if let Some(events) = self.release_withheld() {
+                return Some(Ok(events));
+            }
             self.start_if_needed();
             if self.attempts.is_empty() && self.starting.is_none() {
                 return Some(Err(self.break_off()));
@@ -233,14 +237,13 @@
         let failure = match read {
             StreamRead::Data(data) => match self.attempts[position].push(&data) {
                 Ok(ready) if ready.is_empty() => return None,
-                Ok(ready) => {
-                    self.go_on_with(position);
-                    return Some(ready);
-                }
+                Ok(ready) => return self.accept_events(position, ready),
                 Err(failure) => failure,
             },
             StreamRead::End if !self.attempts[position].has_partial() => {
-                self.complete(position);
+                if !self.attempts[position].record_end() {
+                    self.complete(position);
+                }
                 return None;
             }
             StreamRead::End => "ended inside an event".to_owned(),
@@ -251,6 +254,32 @@
         None
     }
 
+    /// Forwards events of an attempt, unless it was silent and another attempt is under way that may be faster.
+    fn accept_events(&mut self, position: usize, events: Bytes) -> Option<Bytes> {
+        let has_rival = self.starting.is_some() || self.attempts.len() > 1;
+        let attempt = &mut self.attempts[position];
+        let events = if has_rival && attempt.is_silent() {
+            attempt.withhold(&events, &self.node)?
+        } else {
+            events
+        };
+        self.go_on_with(position);
+        Some(events)
+    }
+
+    /// Withheld events that are forwarded now, because no other attempt has brought them sooner, or the time is up.
+    fn release_withheld(&mut self) -> Option<Bytes> {
+        let has_rival = self.starting.is_some() || self.attempts.len() > 1;
+        let is_alone = !has_rival || self.request.time_left().0 == 0;
+        let mut attempts = self.attempts.iter_mut().enumerate();
+        let (position, events) = attempts.find_map(|(position, attempt)| {
+            let events = attempt.release(is_alone);
+            Some((position, events?))
+        })?;
+        self.go_on_with(position);
+        Some(events)
+    }
+
     /// Lets the attempt that has sent events go on alone.
     fn go_on_with(&mut self, position: usize) {
         let mut attempt = self.attempts.swap_remove(position);
@@ -344,3 +373,11 @@
         io::Error::other(self.cause.clone())
     }
 }
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        for attempt in &self.attempts {
+            attempt.report_end(&self.request.id, SilenceEnd::CallerLeft);
+        }
+    }
+}
--- a/crates/entry/src/send_race.rs
+++ b/crates/entry/src/send_race.rs
@@ -356,8 +356,8 @@
         mut self,
         end: Result<ActiveAttempt, RequestFailure>,
     ) -> Result<ActiveAttempt, RequestFailure> {
-        for target in &self.silent {
-            report_silence_end(&self.request.id, target, SilenceEnd::Replaced);
+        for target in std::mem::take(&mut self.silent) {
+            report_silence_end(&self.request.id, &target, SilenceEnd::Replaced);
         }
         let end = end.or_else(|failure| match self.failure_response.take() {
             Some(attempt) => Ok(*attempt),
@@ -368,6 +368,14 @@
     }
 }
 
+impl Drop for SendRace<'_> {
+    fn drop(&mut self) {
+        for target in &self.silent {
+            report_silence_end(&self.request.id, target, SilenceEnd::CallerLeft);
+        }
+    }
+}
+
 /// Takes a retry from the service's shared budget. Returns false when the budget is used up.
 fn try_take_retry(node: &EntryNode, request: &CallerRequest) -> bool {
     let service = &request.route.service;
--- a/crates/entry/src/silence.rs
+++ b/crates/entry/src/silence.rs
@@ -60,15 +60,18 @@
     Failed,
     /// The time of the request was up.
     TimeUp,
+    /// The caller closed its connection.
+    CallerLeft,
 }
 
 impl SilenceEnd {
     /// All ends.
-    pub const ALL: [SilenceEnd; 4] = [
+    pub const ALL: [SilenceEnd; 5] = [
         SilenceEnd::WentOn,
         SilenceEnd::Replaced,
         SilenceEnd::Failed,
         SilenceEnd::TimeUp,
+        SilenceEnd::CallerLeft,
     ];
 
     /// Name of the end in logs and metrics.
@@ -78,6 +81,7 @@
             SilenceEnd::Replaced => "replaced",
             SilenceEnd::Failed => "failed",
             SilenceEnd::TimeUp => "time_up",
+            SilenceEnd::CallerLeft => "caller_left",
         }
     }
 }
--- a/crates/entry/src/stream_attempt.rs
+++ b/crates/entry/src/stream_attempt.rs
@@ -15,6 +15,7 @@
 use jaysaddle_gateway::silence::DataWait;
 use jaysaddle_gateway::silence::SilenceMeter;
 use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_gateway::withheld::WithheldEvents;
 use jaysaddle_types::units::Timestamp;
 
 use crate::attempt::ActiveAttempt;
@@ -53,6 +54,10 @@
     has_events: bool,
     /// Whether another attempt of the stream came before.
     is_resumed: bool,
+    /// Complete events that are not forwarded yet, because the silence may not be over.
+    withheld: WithheldEvents,
+    /// Whether the response has ended while events were withheld.
+    has_ended: bool,
 }
 
 impl StreamAttempt {
@@ -71,6 +76,8 @@
             is_silent: false,
             has_events: false,
             is_resumed,
+            withheld: WithheldEvents::default(),
+            has_ended: false,
         }
     }
 
@@ -106,6 +113,9 @@
 
     /// Reads from the connection.
     pub fn poll_read(&mut self, context: &mut Context<'_>) -> Poll<StreamRead> {
+        if self.has_ended {
+            return Poll::Ready(StreamRead::End);
+        }
         let body = Pin::new(self.attempt.response.body_mut());
         Poll::Ready(match ready!(body.poll_frame(context)) {
             Some(Ok(frame)) => frame
@@ -140,6 +150,26 @@
         Err(cause)
     }
 
+    /// Withholds events that arrive after a silence while another attempt may bring them sooner. Returns the events if the silence is
+    /// over.
+    pub fn withhold(&mut self, events: &[u8], node: &EntryNode) -> Option<Bytes> {
+        let limit = node.gateway.borrow().stall_limit(self.target().number);
+        let is_over = self.withheld.add(events, limit, clock::now());
+        is_over.then(|| self.withheld.take())
+    }
+
+    /// Withheld events that need not wait any longer. `is_alone` says that no other attempt may bring them sooner.
+    pub fn release(&mut self, is_alone: bool) -> Option<Bytes> {
+        let is_due = is_alone || self.has_ended || self.withheld.is_due(clock::now());
+        (is_due && !self.withheld.is_empty()).then(|| self.withheld.take())
+    }
+
+    /// Records that the response has ended. Returns whether events are still withheld.
+    pub fn record_end(&mut self) -> bool {
+        self.has_ended = true;
+        !self.withheld.is_empty()
+    }
+
     /// Records a wait for data, whether it ended with data or without.
     pub fn record_wait(&mut self, wait: DataWait) {
         self.silence.record(wait);
@@ -197,7 +227,8 @@
         guard.finish(TargetOutcome::Failed);
     }
 
-    fn report_end(&self, request: &str, end: SilenceEnd) {
+    /// Reports what came of the attempt, if it is silent.
+    pub fn report_end(&self, request: &str, end: SilenceEnd) {
         if self.is_silent {
             report_silence_end(request, self.target(), end);
         }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -146,6 +146,17 @@
     }
 }
 
+/// Number of events in data that consists of complete events.
+pub fn event_count(events: &[u8]) -> usize {
+    let mut rest = events;
+    let mut count = 0;
+    while let Some(end) = event_end(rest, 0) {
+        rest = &rest[end..];
+        count += 1;
+    }
+    count
+}
+
 /// Parses the number from a line of the form `id: N`.
 fn parse_event_id(line: &[u8]) -> Option<u64> {
     let rest = line.strip_prefix(b"id:")?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod spread;
 pub mod target;
 pub mod unserved;
+pub mod withheld;
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -17,3 +17,4 @@
 mod shutdown;
 mod silence;
 mod unserved;
+mod withheld;
