--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -163,6 +163,7 @@
         is_late,
         last_event,
     } = options;
+    sends.begin_run();
     let guard = AttemptGuard::new(node, target.clone(), is_late);
     let key = BackendKey {
         id: target.backend.clone(),
@@ -176,21 +177,29 @@
         Err(error) => {
             node.gateway.borrow_mut().avoid(target.number, clock::now());
             guard.finish(TargetOutcome::Failed);
+            sends.cancel_run();
             return SendResult::NotRun(format!("connect: {:#}", error.cause));
         }
     };
     let outgoing = match request.for_target(&target, last_event, is_late) {
         Ok(outgoing) => outgoing,
-        Err(error) => return SendResult::NotRun(format!("{error:#}")),
+        Err(error) => {
+            sends.cancel_run();
+            return SendResult::NotRun(format!("{error:#}"));
+        }
     };
-    sends.begin_run();
     let head = within_time(request, send(&mut connection.connection, outgoing)).await;
     let head = head.unwrap_or_else(|| Err(ExchangeError::may_have_run(eyre!("time is up"))));
     let response = match head {
         Ok(response) => response,
         Err(error) => {
-            node.gateway.borrow_mut().avoid(target.number, clock::now());
-            guard.finish(TargetOutcome::Failed);
+            // The end of a planned stop is no failure of the backend server.
+            if request.is_cut_by_shutdown() {
+                guard.finish(TargetOutcome::Abandoned);
+            } else {
+                node.gateway.borrow_mut().avoid(target.number, clock::now());
+                guard.finish(TargetOutcome::Failed);
+            }
             let cause = format!("{:#}", error.cause);
             if error.verdict == Verdict::NotRun {
                 sends.cancel_run();
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -249,6 +249,11 @@
         self.deadline.since(clock::now())
     }
 
+    /// Whether a planned stop has ended the request before its own time.
+    pub fn is_cut_by_shutdown(&self) -> bool {
+        self.time_left().0 == 0 && self.own_time_left().0 > 0
+    }
+
     /// Builds the request to send to `target`. With `last_event`, the stream resumes after that event.
     pub fn for_target(
         &self,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -44,6 +44,9 @@
 /// Minimum remaining time for a stream to resume at another group, which has to process the prompt again.
 const MIN_RESUME_TIME: TimeSpan = TimeSpan(400);
 
+/// Time after the end of a request's time in which data that is ready is still delivered.
+const MAX_LATE_TIME: TimeSpan = TimeSpan(100);
+
 /// Attempt whose response headers are awaited; fails with the reason.
 type StartingAttempt = Pin<Box<dyn Future<Output = Result<Box<ActiveAttempt>, String>>>>;
 
@@ -62,6 +65,10 @@
     next_replacement: Timestamp,
     /// Why the last attempt has failed, or been replaced.
     cause: String,
+    /// Why the last start of an attempt has failed; `None` if none has.
+    refusal: Option<String>,
+    /// When the time of the request was up; `None` before.
+    expired: Option<Timestamp>,
     /// Whether no other group accepts the stream and no attempt is left.
     is_given_up: bool,
     /// Counts the request as open until the stream has ended.
@@ -100,6 +107,8 @@
             last_event,
             next_replacement: Timestamp(0),
             cause: String::new(),
+            refusal: None,
+            expired: None,
             is_given_up: false,
             _open: open,
         }
@@ -134,8 +143,7 @@
             if self.attempts.is_empty() && self.starting.is_none() {
                 return Some(Err(self.break_off()));
             }
-            let (event, wait) = self.wait().await;
-            match event {
+            match self.wait().await {
                 RelayEvent::Read(position, read) => match self.handle_read(position, read) {
                     Some(ready) => return Some(Ok(ready)),
                     None if self.is_complete() => return None,
@@ -146,7 +154,7 @@
                 RelayEvent::TimeUp => self.end_for_time(),
             }
             // Bytes that complete no event do not end a silence.
-            self.check_silence(wait);
+            self.check_silence();
         }
     }
 
@@ -195,10 +203,14 @@
     }
 
     /// Waits for data, for the start of an attempt, or for the next check.
-    async fn wait(&mut self) -> (RelayEvent, DataWait) {
+    async fn wait(&mut self) -> RelayEvent {
         let remaining = self.request.time_left();
         let planned = STALL_CHECK_INTERVAL.min(remaining);
         if remaining.0 == 0 {
+            let expired = *self.expired.get_or_insert_with(clock::now);
+            if clock::now().since(expired) >= MAX_LATE_TIME {
+                return RelayEvent::TimeUp;
+            }
             // Data that is ready is delivered, because this process may have been paused. The task that reads the connection runs
             // first.
             yield_now().await;
@@ -212,12 +224,11 @@
         for attempt in &mut self.attempts {
             attempt.record_wait(wait);
         }
-        let event = event.unwrap_or(if remaining.0 == 0 {
+        event.unwrap_or(if remaining.0 == 0 {
             RelayEvent::TimeUp
         } else {
             RelayEvent::Quiet
-        });
-        (event, wait)
+        })
     }
 
     fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<RelayEvent> {
@@ -301,6 +312,7 @@
             );
         }
         attempt.record_progress(&self.request.id, now);
+        self.report.sends.record_forwarded(attempt.target().number);
         self.last_event = attempt.last_event();
         self.attempts.push(attempt);
     }
@@ -308,6 +320,10 @@
     /// Ends the stream with the end of an attempt.
     fn complete(&mut self, position: usize) {
         let attempt = self.attempts.swap_remove(position);
+        for other in self.attempts.drain(..) {
+            other.replace(&self.request.id);
+        }
+        self.report.sends.record_forwarded(attempt.target().number);
         self.report
             .finish_answered(attempt.response().status().as_u16());
         attempt.complete(&self.node);
@@ -335,15 +351,15 @@
                     self.attempts.len()
                 );
                 self.next_replacement = clock::now() + REPLACEMENT_RETRY_DELAY;
-                self.cause = format!("{}; resume: {reason}", self.cause);
                 self.is_given_up = self.attempts.is_empty();
+                self.refusal = Some(reason);
             }
         }
     }
 
     /// Looks for attempts that are silent, if they could be replaced.
-    fn check_silence(&mut self, wait: DataWait) {
-        if wait.was_interrupted() || !self.may_resume() {
+    fn check_silence(&mut self) {
+        if !self.may_resume() {
             return;
         }
         for attempt in &mut self.attempts {
@@ -355,13 +371,16 @@
     fn end_for_time(&mut self) {
         self.starting = None;
         for attempt in self.attempts.drain(..) {
-            attempt.end_for_time(&self.node, &self.request.id);
+            attempt.end_for_time(&self.request.id);
         }
         self.cause = "time is up".to_owned();
     }
 
     /// Reports that the stream ends before its end.
     fn break_off(&mut self) -> io::Error {
+        if let Some(refusal) = &self.refusal {
+            self.cause = format!("{}; resume: {refusal}", self.cause);
+        }
         metrics::counter!("jaysaddle_streams_broken_total").increment(1);
         log::info!(
             "event=stream_broken request={} last_event={:?} cause=\"{}\"",
@@ -377,7 +396,7 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         for attempt in &self.attempts {
-            attempt.report_end(&self.request.id, SilenceEnd::CallerLeft);
+            attempt.report_end(&self.request.id, SilenceEnd::RequestEnded);
         }
     }
 }
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -243,7 +243,7 @@
         }
         let took = now.since(self.received);
         self.record_metrics(end, took);
-        let choice = self.sends.last_choice();
+        let choice = self.sends.logged_choice();
         let line = format_args!(
             "event=request_ended request={} result={end}{}{}{} sends={} runs={} resumes={} first_ms={} longest_pause_ms={} took_ms={}{}",
             self.id,
--- a/crates/entry/src/send_history.rs
+++ b/crates/entry/src/send_history.rs
@@ -27,25 +27,27 @@
 ///
 /// # Invariants
 ///
-/// - A send that may run the request counts in `runs` from the moment at which it begins, so that attempts at the same time
-///   keep the route's limit together.
+/// - A send that may run the request counts in `runs` from its start, so that attempts at the same time keep the route's limit
+///   together.
 #[derive(Debug, Default)]
 pub struct SendHistory {
-    /// Targets to which the request was sent, in order, with repetitions.
-    tried: RefCell<Vec<TargetNumber>>,
+    /// Selected targets, in order, with repetitions.
+    choices: RefCell<Vec<(TargetNumber, ChoiceFields)>>,
+    /// Target whose response is forwarded; `None` before the first response.
+    forwarded: Cell<Option<TargetNumber>>,
     runs: Cell<u32>,
-    choice: RefCell<Option<ChoiceFields>>,
 }
 
 impl SendHistory {
     /// Targets to which the request was sent, in order, with repetitions.
     pub fn tried(&self) -> Vec<TargetNumber> {
-        self.tried.borrow().clone()
+        let choices = self.choices.borrow();
+        choices.iter().map(|(number, _)| *number).collect()
     }
 
     /// Number of sends, refused ones included.
     pub fn sends(&self) -> usize {
-        self.tried.borrow().len()
+        self.choices.borrow().len()
     }
 
     /// Number of sends that may have run the request, or may still run it.
@@ -53,21 +55,32 @@
         self.runs.get()
     }
 
-    /// Last target selection; `None` before the first one.
-    pub fn last_choice(&self) -> Option<ChoiceFields> {
-        self.choice.borrow().clone()
+    /// Selection of the target whose response is forwarded, or the last one; `None` before the first one.
+    pub fn logged_choice(&self) -> Option<ChoiceFields> {
+        let choices = self.choices.borrow();
+        let forwarded = self.forwarded.get();
+        let mut matching = choices.iter().rev();
+        let choice = matching.find(|(number, _)| Some(*number) == forwarded);
+        let choice = choice.or(choices.last());
+        choice.map(|(_, fields)| fields.clone())
     }
 
     /// Records the selection of a target.
     pub fn record_choice(&self, node: &EntryNode, choice: &TargetChoice) {
-        self.tried.borrow_mut().push(choice.target.number);
-        *self.choice.borrow_mut() = Some(ChoiceFields {
+        let fields = ChoiceFields {
             backend: choice.target.backend.clone(),
             group: choice.target.group.clone(),
             is_late: choice.is_late,
             inputs: choice.inputs,
             table_age: node.table_age(clock::now()),
-        });
+        };
+        let mut choices = self.choices.borrow_mut();
+        choices.push((choice.target.number, fields));
+    }
+
+    /// Records the target whose response is forwarded.
+    pub fn record_forwarded(&self, number: TargetNumber) {
+        self.forwarded.set(Some(number));
     }
 
     /// Counts a send that may run the request.
--- a/crates/entry/src/send_race.rs
+++ b/crates/entry/src/send_race.rs
@@ -47,6 +47,9 @@
 /// takes a small part of the time budget, so a backend server that needs more may hang.
 const FIRST_ATTEMPT_PERCENT: u64 = 55;
 
+/// Remaining time at which a failure response of a backend server is forwarded although another send is under way.
+const FAILURE_RESPONSE_TIME: TimeSpan = TimeSpan(250);
+
 /// A send and its result.
 struct FinishedSend {
     target: Rc<RequestTarget>,
@@ -126,6 +129,11 @@
                     Err(failure) => self.postpone(&failure),
                 }
             }
+            let has_failure_response = self.failure_response.is_some();
+            if has_failure_response && self.request.time_left() <= FAILURE_RESPONSE_TIME {
+                let status = StatusCode::GATEWAY_TIMEOUT;
+                return Err(RequestFailure::may_have_run(status, "time_is_up"));
+            }
             let Some(finished) = self.wait().await else {
                 continue;
             };
@@ -140,10 +148,7 @@
         if self.pending.is_empty() {
             return true;
         }
-        self.awaited.is_none()
-            && self.may_send_beside()
-            && clock::now() >= self.next_replacement
-            && self.failure_response.is_none()
+        self.awaited.is_none() && self.may_send_beside() && clock::now() >= self.next_replacement
     }
 
     /// Whether the request may be sent to another target while one may still run it.
@@ -255,8 +260,8 @@
         awaited.silence.record(wait);
         let rule = &self.request.route.rule;
         // Sends under way count as runs.
-        let is_last = !rule.kind.may_retry() || self.sends.runs() >= rule.max_attempts;
-        if wait.was_interrupted() || is_last {
+        let is_only_run = !rule.kind.may_retry() || self.sends.runs() >= rule.max_attempts;
+        if is_only_run {
             return;
         }
         let now = clock::now();
@@ -277,7 +282,7 @@
     /// Handles the end of a send. Returns the result of the request if it is known.
     fn handle(&mut self, finished: FinishedSend) -> Option<Result<ActiveAttempt, RequestFailure>> {
         let FinishedSend { target, result } = finished;
-        let was_silent = self.leave(&target);
+        let was_silent = self.remove_send(&target);
         let end = match result {
             SendResult::Answered(_) => SilenceEnd::WentOn,
             _ if self.request.time_left().0 == 0 => SilenceEnd::TimeUp,
@@ -316,7 +321,7 @@
     }
 
     /// Forgets a send that has ended. Returns whether it was silent.
-    fn leave(&mut self, target: &RequestTarget) -> bool {
+    fn remove_send(&mut self, target: &RequestTarget) -> bool {
         self.awaited
             .take_if(|awaited| awaited.target.number == target.number);
         let silent = self.silent.len();
@@ -364,6 +369,9 @@
             None => Err(failure),
         });
         self.drop_failure_response();
+        if let Ok(attempt) = &end {
+            self.sends.record_forwarded(attempt.guard.target.number);
+        }
         end
     }
 }
@@ -371,7 +379,7 @@
 impl Drop for SendRace<'_> {
     fn drop(&mut self) {
         for target in &self.silent {
-            report_silence_end(&self.request.id, target, SilenceEnd::CallerLeft);
+            report_silence_end(&self.request.id, target, SilenceEnd::RequestEnded);
         }
     }
 }
--- a/crates/entry/src/silence.rs
+++ b/crates/entry/src/silence.rs
@@ -60,8 +60,8 @@
     Failed,
     /// The time of the request was up.
     TimeUp,
-    /// The caller closed its connection.
-    CallerLeft,
+    /// The request ended first, or went on with another attempt.
+    RequestEnded,
 }
 
 impl SilenceEnd {
@@ -71,7 +71,7 @@
         SilenceEnd::Replaced,
         SilenceEnd::Failed,
         SilenceEnd::TimeUp,
-        SilenceEnd::CallerLeft,
+        SilenceEnd::RequestEnded,
     ];
 
     /// Name of the end in logs and metrics.
@@ -81,7 +81,7 @@
             SilenceEnd::Replaced => "replaced",
             SilenceEnd::Failed => "failed",
             SilenceEnd::TimeUp => "time_up",
-            SilenceEnd::CallerLeft => "caller_left",
+            SilenceEnd::RequestEnded => "request_ended",
         }
     }
 }
--- a/crates/entry/src/stream_attempt.rs
+++ b/crates/entry/src/stream_attempt.rs
@@ -58,6 +58,8 @@
     withheld: WithheldEvents,
     /// Whether the response has ended while events were withheld.
     has_ended: bool,
+    /// Whether an incomplete event exceeds the memory that all responses may take.
+    has_used_up_memory: bool,
 }
 
 impl StreamAttempt {
@@ -78,6 +80,7 @@
             is_resumed,
             withheld: WithheldEvents::default(),
             has_ended: false,
+            has_used_up_memory: false,
         }
     }
 
@@ -146,6 +149,7 @@
                 }
             },
         };
+        self.has_used_up_memory = kind == BoundKind::Memory;
         report_bound(self.target().backend.as_str(), kind, received);
         Err(cause)
     }
@@ -153,8 +157,11 @@
     /// Withholds events that arrive after a silence while another attempt may bring them sooner. Returns the events if the silence is
     /// over.
     pub fn withhold(&mut self, events: &[u8], node: &EntryNode) -> Option<Bytes> {
-        let limit = node.gateway.borrow().stall_limit(self.target().number);
-        let is_over = self.withheld.add(events, limit, clock::now());
+        let now = clock::now();
+        node.gateway
+            .borrow_mut()
+            .record_data(self.target().number, now);
+        let is_over = self.withheld.add(events, self.silence.silent(), now);
         is_over.then(|| self.withheld.take())
     }
 
@@ -209,22 +216,29 @@
         format!("no event for {}", self.silence.silent())
     }
 
-    /// Ends the attempt because its connection has failed.
+    /// Ends the attempt because its connection has failed, or its data exceeds a bound.
     pub fn fail(self, node: &EntryNode, request: &str) {
-        self.end_failed(node, request, SilenceEnd::Failed);
-    }
-
-    /// Ends the attempt because the time of the request is up.
-    pub fn end_for_time(self, node: &EntryNode, request: &str) {
-        self.end_failed(node, request, SilenceEnd::TimeUp);
-    }
-
-    fn end_failed(self, node: &EntryNode, request: &str, end: SilenceEnd) {
-        self.report_end(request, end);
+        self.report_end(request, SilenceEnd::Failed);
         let guard = self.attempt.guard;
+        if self.has_used_up_memory {
+            // The node's lack of memory is no fault of the backend server.
+            guard.finish(TargetOutcome::Abandoned);
+            return;
+        }
         let number = guard.target.number;
         node.gateway.borrow_mut().avoid(number, clock::now());
-        guard.finish(TargetOutcome::Failed);
+        // A silence has been counted as a failure already.
+        guard.finish(if self.is_silent {
+            TargetOutcome::Abandoned
+        } else {
+            TargetOutcome::Failed
+        });
+    }
+
+    /// Ends the attempt because the time of the request is up, which is no failure of the backend server.
+    pub fn end_for_time(self, request: &str) {
+        self.report_end(request, SilenceEnd::TimeUp);
+        self.attempt.guard.finish(TargetOutcome::Abandoned);
     }
 
     /// Reports what came of the attempt, if it is silent.
--- a/crates/gateway/src/gateway/stalls.rs
+++ b/crates/gateway/src/gateway/stalls.rs
@@ -28,6 +28,13 @@
         }
     }
 
+    /// Records that data has arrived from a target, which does not show yet that it has recovered from a silence.
+    pub fn record_data(&mut self, number: TargetNumber, now: Timestamp) {
+        if let Some(health) = self.health.get_mut(&number) {
+            health.last_data = now;
+        }
+    }
+
     /// Leaves a time in which this process did not run out of the silences of all targets.
     pub fn excuse_own_pause(&mut self, pause: TimeSpan, now: Timestamp) {
         for health in self.health.values_mut() {
--- a/crates/gateway/src/withheld.rs
+++ b/crates/gateway/src/withheld.rs
@@ -13,22 +13,26 @@
 
 /// Time for which an event waits for those of another attempt.
 const MAX_WITHHELD_TIME: TimeSpan = TimeSpan(500);
+/// Time without an event after which nothing is withheld any more; callers leave after two seconds.
+const MAX_CALLER_WAIT: TimeSpan = TimeSpan(1500);
 
 /// Events of an attempt that was silent.
 #[derive(Debug, Default)]
 pub struct WithheldEvents {
     events: BytesMut,
-    /// When the last of them arrived; `None` without events.
-    latest: Option<Timestamp>,
+    /// When they have waited long enough; `None` without events.
+    due: Option<Timestamp>,
 }
 
 impl WithheldEvents {
-    /// Adds complete events. Returns whether the silence is over: two events have arrived together, or one after the other in less
-    /// than `limit`, the time after which an attempt counts as silent.
-    pub fn add(&mut self, events: &[u8], limit: TimeSpan, now: Timestamp) -> bool {
-        let previous = self.latest.replace(now);
+    /// Adds complete events that arrived after a silence of `silent`. Returns whether the silence is over: two events have arrived
+    /// together, or one shortly after the other.
+    pub fn add(&mut self, events: &[u8], silent: TimeSpan, now: Timestamp) -> bool {
         self.events.extend_from_slice(events);
-        event_count(events) > 1 || previous.is_some_and(|previous| now.since(previous) < limit)
+        let remaining = TimeSpan(MAX_CALLER_WAIT.0.saturating_sub(silent.0));
+        let due = now + MAX_WITHHELD_TIME.min(remaining);
+        let is_second = self.due.replace(due).is_some();
+        is_second || event_count(events) > 1
     }
 
     /// Whether there are none.
@@ -38,8 +42,7 @@
 
     /// Whether the events have waited long enough for those of another attempt.
     pub fn is_due(&self, now: Timestamp) -> bool {
-        let latest = self.latest;
-        latest.is_some_and(|latest| now.since(latest) >= MAX_WITHHELD_TIME)
+        self.due.is_some_and(|due| now >= due)
     }
 
     /// Takes all events.
