Deliver the responses that wait when a stopping node wakes from a pause

What callers saw: when the process of a stopping node did not run for some seconds (a suspended VM, SIGSTOP), and went on shortly before the platform killed it, every request lost its answer, although its backend server had answered seconds before. Streams ended after the events that had been sent before the pause, without their end, and other requests without a response.

Cause: the times of the plan pass while the process does not run. On waking, the task of the stop went through all stages to the exit in one go, and the time of each request was up, so requests were ended before the data in their sockets had been read.

Why it works: `LoopLag` knows when its tasks were to run, so every task can tell after a pause that the sockets have not been read, whichever task runs first. For 100 ms after a pause no request is out of time, and the exit waits for that, once, and for the responses to be written. A connection is polled before the end of the process closes it.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -126,6 +126,7 @@
             if node.loop_lag.record(lag) {
                 node.gateway.borrow_mut().excuse_own_pause(lag, now);
             }
+            node.loop_lag.record_run(HEARTBEAT_INTERVAL);
             next_tick = now + HEARTBEAT_INTERVAL;
         }
         node.peers
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -238,10 +238,13 @@
         matches!(self.route.rule.kind, RequestKind::Stream { .. })
     }
 
-    /// Time until the deadline, or until the end of a planned stop if that is earlier; zero when it has passed.
+    /// Time until the deadline, or until the end of a planned stop if that is earlier; zero when it has passed. After a pause of this
+    /// process, there is time for what has arrived meanwhile.
     pub fn time_left(&self) -> TimeSpan {
+        let now = clock::now();
         let deadline = self.deadline.min(self.node.shutdown.request_deadline());
-        deadline.since(clock::now())
+        let catch_up_until = self.node.loop_lag.catch_up_until(now);
+        deadline.max(catch_up_until).since(now)
     }
 
     /// Time until the deadline of the request itself; zero when it has passed.
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -134,7 +134,9 @@
     handler.connection_opened();
     let (node, handler) = (node.clone(), handler.clone());
     spawn_local(async move {
+        // What can be written now comes first.
         tokio::select! {
+            biased;
             () = serve_connection(&node, stream, caller, &handler) => {}
             () = node.shutdown.entered(ShutdownStage::Ended) => {}
         }
--- a/crates/entry/src/loop_lag.rs
+++ b/crates/entry/src/loop_lag.rs
@@ -1,7 +1,8 @@
 //! Lag of the event loop: how much later than planned its tasks run.
 //!
 //! A process that was paused, or did not get the processor, sees the same as one whose peers were silent: no data for some time. The
-//! lag tells the two apart.
+//! lag tells the two apart. After a pause, what has arrived meanwhile waits in the sockets: nothing is ended because of the time until
+//! the tasks have been able to read it.
 
 use std::cell::Cell;
 
@@ -13,12 +14,18 @@
 const MIN_PAUSE: TimeSpan = TimeSpan(100);
 /// Time for which the largest lag is remembered.
 const RETENTION: TimeSpan = TimeSpan::from_secs(5);
+/// Time after a pause in which the tasks read what has arrived meanwhile.
+const CATCH_UP_TIME: TimeSpan = TimeSpan(100);
 
-/// Largest recent lag of the event loop.
+/// Lag of the event loop, as tasks measure it that run regularly.
 #[derive(Debug, Default)]
 pub struct LoopLag {
     /// The largest lag of the last [`RETENTION`] and when it was measured; `None` before the first measurement.
     largest: Cell<Option<(Timestamp, TimeSpan)>>,
+    /// When one of the tasks is to run next; `None` before the first run.
+    due: Cell<Option<Timestamp>>,
+    /// End of the time after the last pause in which the tasks read what has arrived meanwhile.
+    catch_up_until: Cell<Timestamp>,
 }
 
 impl LoopLag {
@@ -36,6 +43,24 @@
         is_pause
     }
 
+    /// Records that a task runs, which runs again after `interval`.
+    pub fn record_run(&self, interval: TimeSpan) {
+        let now = clock::now();
+        self.catch_up_until.set(self.catch_up_until(now));
+        self.due.set(Some(now + interval));
+    }
+
+    /// End of the time after the last pause in which the tasks read what has arrived meanwhile.
+    pub fn catch_up_until(&self, now: Timestamp) -> Timestamp {
+        // Other tasks may run before the one that records the pause.
+        let is_late = |due: Timestamp| now.since(due) >= MIN_PAUSE;
+        if self.due.get().is_some_and(is_late) {
+            now + CATCH_UP_TIME
+        } else {
+            self.catch_up_until.get()
+        }
+    }
+
     /// Largest lag of the last [`RETENTION`].
     pub fn recent(&self) -> TimeSpan {
         let now = clock::now();
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -1,12 +1,12 @@
 //! Graceful shutdown of a node.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_gateway::shutdown::ShutdownPlan;
 use jaysaddle_gateway::shutdown::ShutdownSettings;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use log::Level;
 use tokio::net::UdpSocket;
@@ -20,7 +20,9 @@
 use crate::shutdown::ShutdownStage;
 
 /// Interval at which a stop checks its progress.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const CHECK_INTERVAL: TimeSpan = TimeSpan(20);
+/// Time for writing the responses that have arrived during a pause of this process.
+const LATE_RESPONSE_TIME: TimeSpan = TimeSpan(50);
 
 /// Withdraws from the directory, releases or hands over the lease, and ends all connections after the open requests
 /// have finished, before the platform kills the process.
@@ -34,11 +36,17 @@
     node.gateway.borrow_mut().release_limits();
     lease::resign(&node);
     beats::send_to_all(&node, &socket, &addresses).await;
-    wait_until(plan.withdrawn_until, || false).await;
+    wait_until(&node, plan.withdrawn_until, || false).await;
     node.shutdown.enter(ShutdownStage::Draining);
-    wait_until(plan.closing_from, || node.open_requests.get() == 0).await;
+    wait_until(&node, plan.closing_from, || node.open_requests.get() == 0).await;
     node.shutdown.enter(ShutdownStage::Closing);
-    wait_until(plan.exit_by, || has_closed(&node)).await;
+    wait_until(&node, plan.exit_by, || has_closed(&node)).await;
+    // Once, so that a process that is slow all the time exits nevertheless.
+    let catch_up_until = node.loop_lag.catch_up_until(clock::now());
+    wait_until(&node, catch_up_until + LATE_RESPONSE_TIME, || {
+        has_closed(&node)
+    })
+    .await;
     let open_requests = node.open_requests.get();
     let open_connections = node.caller_connections.get();
     node.shutdown.enter(ShutdownStage::Ended);
@@ -71,8 +79,9 @@
 }
 
 /// Waits until `limit`, or until `is_done` holds.
-async fn wait_until(limit: Timestamp, is_done: impl Fn() -> bool) {
+async fn wait_until(node: &EntryNode, limit: Timestamp, is_done: impl Fn() -> bool) {
     while clock::now() < limit && !is_done() {
-        sleep(CHECK_INTERVAL).await;
+        sleep(CHECK_INTERVAL.as_duration()).await;
+        node.loop_lag.record_run(CHECK_INTERVAL);
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod load;
 mod lost_responses;
 mod operators;
+mod own_pauses;
 mod planned_stop;
 mod platform;
 mod platform_nodes;
