Keep calls of the store whose responses wait after a pause of the node

What was seen: a node that did not run for 1 to 3 s reported the store as lost (`store_lost call=watch failure="no response within 1400ms"`) when it went on, cut its watch and listed all entries again. Its peers take that into account when they vote on whether the store is reachable.

Cause: the time limits of calls pass while the process does not run. The response waits in the socket, and takes several passes of the event loop to be read. `is_unreachable` also counted the pause, until the response was read.

Why it works: a limit that ends late, because the process was paused, is followed by 100 ms in which the process reads. The time from which the store counts as unreachable is a wait of the same kind, not a difference of clocks. The body of a caller's request has the same limit now; no test covers that.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -36,6 +36,7 @@
 use crate::caller_body::CallerBody;
 use crate::exchange::RequestBody;
 use crate::node::EntryNode;
+use crate::own_pause::timeout_awake;
 use crate::response::RequestFailure;
 
 /// Interval at which a wait checks whether a planned stop has brought the deadline forward.
@@ -139,18 +140,17 @@
 /// Reads the whole body of a request within the configured size and time limits.
 pub async fn read_body(body: CallerBody, limits: &ClientLimits) -> Result<Bytes, RequestFailure> {
     let limited = Limited::new(body, limits.body_bytes);
-    let wait = Duration::from_millis(limits.idle_time.as_millis());
-    match timeout(wait, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestFailure::not_run(
+    match timeout_awake(limits.idle_time, limited.collect()).await {
+        Some(Ok(collected)) => Ok(collected.to_bytes()),
+        Some(Err(error)) if error.is::<LengthLimitError>() => Err(RequestFailure::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
             "body_too_large",
         )),
-        Ok(Err(_)) => Err(RequestFailure::not_run(
+        Some(Err(_)) => Err(RequestFailure::not_run(
             StatusCode::BAD_REQUEST,
             "body_incomplete",
         )),
-        Err(_) => Err(RequestFailure::not_run(
+        None => Err(RequestFailure::not_run(
             StatusCode::REQUEST_TIMEOUT,
             "body_timeout",
         )),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod metered_stream;
 mod node;
 mod node_table;
+mod own_pause;
 mod pool;
 mod relay;
 mod request_report;
--- a/crates/entry/src/loop_lag.rs
+++ b/crates/entry/src/loop_lag.rs
@@ -15,7 +15,7 @@
 /// Time for which the largest lag is remembered.
 const RETENTION: TimeSpan = TimeSpan::from_secs(5);
 /// Time after a pause in which the tasks read what has arrived meanwhile.
-const CATCH_UP_TIME: TimeSpan = TimeSpan(100);
+pub const CATCH_UP_TIME: TimeSpan = TimeSpan(100);
 
 /// Lag of the event loop, as tasks measure it that run regularly.
 #[derive(Debug, Default)]
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -23,7 +23,6 @@
 use jaysaddle_types::units::Timestamp;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
-use tokio::time::timeout;
 
 use crate::bounded_body::BodyBounds;
 use crate::bounded_body::read_bounded;
@@ -33,6 +32,7 @@
 use crate::exchange::ReceivedResponse;
 use crate::exchange::connect;
 use crate::exchange::send;
+use crate::own_pause::timeout_awake;
 use crate::store_era::EraOutcome;
 use crate::store_era::EraTracker;
 
@@ -52,8 +52,8 @@
     idle: RefCell<Vec<Connection>>,
     /// Whether the last call got a response that was not a refusal.
     is_reachable: Cell<bool>,
-    /// Start of a call in flight that is not a watch. Reset when any such call ends.
-    pending_since: Cell<Option<Timestamp>>,
+    /// Time since which a call in flight that is not a watch takes too long. Reset when any such call ends.
+    overdue_since: Cell<Option<Timestamp>>,
     era: RefCell<EraTracker>,
     /// Notified when the store is known to have come back from an older copy.
     restored: Notify,
@@ -70,7 +70,7 @@
             budget,
             idle: RefCell::default(),
             is_reachable: Cell::new(true),
-            pending_since: Cell::new(None),
+            overdue_since: Cell::new(None),
             era: RefCell::default(),
             restored: Notify::new(),
         }
@@ -128,11 +128,8 @@
 
     /// Whether the store is unreachable for this node: its last call failed, or one in flight takes too long.
     pub fn is_unreachable(&self, now: Timestamp) -> bool {
-        let has_timed_out = self
-            .pending_since
-            .get()
-            .is_some_and(|since| now.since(since) >= UNREACHABLE_TIMEOUT);
-        !self.is_reachable.get() || has_timed_out
+        let overdue_since = self.overdue_since.get();
+        !self.is_reachable.get() || overdue_since.is_some_and(|since| now >= since)
     }
 
     /// Calls the store.
@@ -148,20 +145,30 @@
     ) -> Result<StoreResponse, ExchangeError> {
         metrics::counter!("jaysaddle_store_calls_total", "call" => call.label()).increment(1);
         let is_watch = matches!(call, StoreCall::Watch { .. });
-        if !is_watch && self.pending_since.get().is_none() {
-            self.pending_since.set(Some(clock::now()));
-        }
         let started = clock::now();
-        let result = match timeout(limit.as_duration(), self.exchange(call)).await {
-            Ok(result) => result,
-            Err(_) => Err(ExchangeError::may_have_run(eyre!(
-                "no response within {limit}"
-            ))),
+        let exchange = async {
+            let exchange = self.exchange(call);
+            if is_watch {
+                return exchange.await;
+            }
+            tokio::pin!(exchange);
+            match timeout_awake(UNREACHABLE_TIMEOUT, &mut exchange).await {
+                Some(result) => result,
+                None => {
+                    self.overdue_since.set(Some(clock::now()));
+                    exchange.await
+                }
+            }
         };
+        let result = timeout_awake(limit, exchange).await.unwrap_or_else(|| {
+            Err(ExchangeError::may_have_run(eyre!(
+                "no response within {limit}"
+            )))
+        });
         if !is_watch {
             let took = clock::now().since(started);
             metrics::histogram!("jaysaddle_store_call_seconds").record(took.as_duration());
-            self.pending_since.set(None);
+            self.overdue_since.set(None);
         }
         self.record_outcome(call, &result);
         result
--- a/tests/all/own_pauses.rs
+++ b/tests/all/own_pauses.rs
@@ -83,3 +83,34 @@
     });
     assert!(cut.is_empty(), "{cut:#?}\n{}", nodes.log(0));
 }
+
+/// Guards against a node that takes its own pause for the silence of the store and of its peers: it cuts its watches, and its
+/// directory names no other node.
+#[test]
+fn store_and_peers_are_not_lost_after_a_pause_of_the_node() {
+    let nodes = PlatformNodes::start(3, 8);
+    nodes.wait_serving(4);
+    nodes.wait("the directories list all nodes", |nodes| {
+        (0..3).all(|node| nodes.resolved(node) == 3)
+    });
+    let mut listed = Vec::new();
+    for pause_ms in [1000, 1550, 2300, 3000] {
+        let process = &nodes.nodes[0];
+        process.pause();
+        thread::sleep(Duration::from_millis(pause_ms));
+        let directory = thread::scope(|scope| {
+            let directory = scope.spawn(|| nodes.resolved(0));
+            thread::sleep(Duration::from_millis(20));
+            process.resume();
+            directory.join().expect("no panic")
+        });
+        listed.push(directory);
+        thread::sleep(Duration::from_millis(700));
+    }
+    let log = nodes.log(0);
+    let lost: Vec<&str> = log
+        .lines()
+        .filter(|line| line.contains("store_lost"))
+        .collect();
+    assert!(lost.is_empty() && listed == [3; 4], "{listed:?}\n{lost:#?}");
+}
