Count no pause of a node as the silence of its peers

Fault: after 0.9 s in which a node did not run, all its peers counted as down until the first pass over its UDP socket. What is decided in that time is decided by this node alone: its directory lists no other node, it becomes a relay, it gets none of the retries that all nodes share, and its rank for the lease is the first.

Cause: the silence of a peer was the difference between the clock and its last heartbeat.

Evidence: the test of this commit failed before (no peer heard after a pause of 6 s) and passes now.

Why it works: rounds of heartbeats call `PeerTable::tick` every 200 ms. Silence counts only up to 300 ms after the last tick, and a late tick leaves the pause out of the silence of all peers. A peer that is really gone still counts as down 0.9 s after its last heartbeat, not counting the pause.

--- a/crates/fleet/src/peer_totals.rs
+++ b/crates/fleet/src/peer_totals.rs
@@ -58,16 +58,18 @@
 }
 
 impl PeerTotals {
-    /// Adds what a record contributes at `now`.
-    pub fn add(&mut self, record: &PeerRecord, now: Timestamp) {
+    /// Adds what a record contributes. The silence of its peer counts up to `observed`.
+    pub fn add(&mut self, record: &PeerRecord, observed: Timestamp) {
         let heartbeat = &record.heartbeat;
-        let age = now.since(record.received);
-        if age < LIMIT_WINDOW && self.senders.insert(heartbeat.node.clone()) {
+        if record.is_heard_within(LIMIT_WINDOW, observed)
+            && self.senders.insert(heartbeat.node.clone())
+        {
             for limit in &heartbeat.limits {
                 increase(&mut self.sent, limit.server, limit.sent);
             }
         }
-        if age >= PEER_TIMEOUT || !self.live.insert(heartbeat.node.clone()) {
+        let is_heard = record.is_heard_within(PEER_TIMEOUT, observed);
+        if !is_heard || !self.live.insert(heartbeat.node.clone()) {
             return;
         }
         for load in &heartbeat.loads {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -140,10 +140,24 @@
     pub heartbeat: PeerHeartbeat,
     /// When the heartbeat was received.
     pub received: Timestamp,
-    /// When a digest has last listed the peer as live; `None` if none has.
+    /// The same, later by the time for which this process was paused since.
+    heard: Timestamp,
+    /// When a digest has last listed the peer as live, later by the time for which this process was paused since; `None` if none has.
     listed: Option<Timestamp>,
 }
 
+impl PeerRecord {
+    /// Whether the last heartbeat is younger than `age`, apart from pauses of this process.
+    pub(crate) fn is_heard_within(&self, age: TimeSpan, observed: Timestamp) -> bool {
+        observed.since(self.heard) < age
+    }
+
+    /// When this node or a relay has last heard the peer, later by the time for which this process was paused since.
+    fn seen(&self) -> Timestamp {
+        self.heard.max(self.listed.unwrap_or_default())
+    }
+}
+
 /// Time without a heartbeat after which a peer counts as down. Covers four heartbeats of 200 ms, so that the loss of
 /// single datagrams does not suffice.
 pub const PEER_TIMEOUT: TimeSpan = TimeSpan(900);
@@ -155,6 +169,8 @@
 const DIGEST_RETENTION: TimeSpan = TimeSpan::from_secs(3);
 /// Time for which a digest repeats an attempt that was not served: two rounds of digests, because one may be lost.
 const UNSERVED_RELAY_TIME: TimeSpan = TimeSpan(900);
+/// Time between two ticks from which this process counts as paused; ticks come with each round of heartbeats, every 200 ms.
+const MAX_TICK_GAP: TimeSpan = TimeSpan(300);
 /// Time without a heartbeat after which a peer's record is removed.
 const PEER_RETENTION: TimeSpan = TimeSpan::from_secs(60);
 
@@ -166,11 +182,16 @@
     /// Mean age of the heartbeats of the digest when it was received.
     age: TimeSpan,
     received: Timestamp,
+    /// The same, later by the time for which this process was paused since.
+    heard: Timestamp,
 }
 
 /// Last heartbeats of all peers, with totals over the live ones.
 ///
 /// In a large deployment, a node that is no relay knows most peers from digests only (see [`relays`](crate::relays)).
+///
+/// A node that was paused finds the heartbeats of its peers in its socket. A pause shows as a late tick, and does not count as the
+/// peers' silence.
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<NodeId, PeerRecord>,
@@ -180,9 +201,29 @@
     /// Last digest; `None` before the first and at a relay.
     digest: Option<ReceivedDigest>,
     unserved: UnservedLog,
+    /// When [`Self::tick`] was last called; `None` before the first call.
+    last_tick: Option<Timestamp>,
 }
 
 impl PeerTable {
+    /// Time up to which the silence of peers counts: `now`, unless a tick is late.
+    fn observed(&self, now: Timestamp) -> Timestamp {
+        self.last_tick
+            .map_or(now, |tick| now.min(tick + MAX_TICK_GAP))
+    }
+
+    /// Leaves the time in which this process did not run out of the silence of the peers.
+    fn excuse_own_pause(&mut self, now: Timestamp) {
+        let pause = now.since(self.observed(now));
+        for record in self.peers.values_mut() {
+            record.heard = record.heard + pause;
+            record.listed = record.listed.map(|listed| listed + pause);
+        }
+        if let Some(digest) = &mut self.digest {
+            digest.heard = digest.heard + pause;
+        }
+    }
+
     /// Records a heartbeat. Heartbeats of an earlier incarnation are ignored.
     pub fn record_heartbeat(&mut self, mut heartbeat: PeerHeartbeat, now: Timestamp) {
         let before = self.peers.get(&heartbeat.node);
@@ -203,8 +244,9 @@
             listed: before.and_then(|record| record.listed),
             heartbeat,
             received: now,
+            heard: self.observed(now),
         };
-        self.totals.add(&record, now);
+        self.totals.add(&record, self.observed(now));
         self.peers.insert(record.heartbeat.node.clone(), record);
         if let Some(digest) = digest {
             self.record_digest(digest, now);
@@ -212,11 +254,12 @@
     }
 
     fn record_digest(&mut self, digest: PeerDigest, now: Timestamp) {
+        let observed = self.observed(now);
         for (number, phase) in &digest.nodes {
             let node = self.numbers.get(number);
             if let Some(record) = node.and_then(|node| self.peers.get_mut(node)) {
-                record.listed = Some(now);
-                if now.since(record.received) >= PEER_TIMEOUT {
+                record.listed = Some(observed);
+                if !record.is_heard_within(PEER_TIMEOUT, observed) {
                     record.heartbeat.phase = *phase;
                 }
             }
@@ -231,19 +274,20 @@
             age: digest.age,
             totals: PeerTotals::of_digest(&digest),
             received: now,
+            heard: observed,
         });
     }
 
     /// Removes peers whose retention has ended, and excludes peers that are down from the totals. `is_relay` says whether
     /// this node is a relay, which hears all nodes itself.
     pub fn tick(&mut self, is_relay: bool, now: Timestamp) {
-        self.peers.retain(|_, record| {
-            let seen = record.received.max(record.listed.unwrap_or_default());
-            now.since(seen) < PEER_RETENTION
-        });
+        self.excuse_own_pause(now);
+        self.last_tick = Some(now);
+        self.peers
+            .retain(|_, record| now.since(record.seen()) < PEER_RETENTION);
         let peers = &self.peers;
         self.numbers.retain(|_, node| peers.contains_key(node));
-        let is_outdated = |digest: &ReceivedDigest| now.since(digest.received) >= DIGEST_RETENTION;
+        let is_outdated = |digest: &ReceivedDigest| now.since(digest.heard) >= DIGEST_RETENTION;
         if is_relay || self.digest.as_ref().is_some_and(is_outdated) {
             self.digest = None;
         }
@@ -293,7 +337,7 @@
     /// Requests and retries of all nodes; `own` are those of this node. `None` if most nodes were not heard lately.
     pub fn usage(&self, own: &[ServiceUsage], now: Timestamp) -> Option<UsageTotals> {
         if let Some(digest) = &self.digest {
-            let is_recent = now.since(digest.received) < PEER_TIMEOUT;
+            let is_recent = self.observed(now).since(digest.heard) < PEER_TIMEOUT;
             return is_recent.then(|| digest.usage.clone());
         }
         let mut totals = UsageTotals::new();
@@ -318,31 +362,34 @@
 
     /// Peers whose last heartbeat is younger than [`PEER_TIMEOUT`], so that its content is recent.
     pub fn heard(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
+        let observed = self.observed(now);
         self.peers
             .values()
-            .filter(move |record| now.since(record.received) < PEER_TIMEOUT)
+            .filter(move |record| record.is_heard_within(PEER_TIMEOUT, observed))
     }
 
     /// Peers that this node or a relay has heard within [`PEER_TIMEOUT`]. Apart from its phase, the heartbeat of a peer
     /// that only a relay has heard may be old.
     pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
-        let digest = self.digest.as_ref().map(|digest| digest.received);
+        let observed = self.observed(now);
+        let digest = self.digest.as_ref().map(|digest| digest.heard);
         self.peers.values().filter(move |record| {
             let is_listed = record.listed.zip(digest).is_some_and(|(listed, digest)| {
-                digest.since(listed) < PEER_TIMEOUT && now.since(digest) < DIGEST_RETENTION
+                digest.since(listed) < PEER_TIMEOUT && observed.since(digest) < DIGEST_RETENTION
             });
-            is_listed || now.since(record.received) < PEER_TIMEOUT
+            is_listed || record.is_heard_within(PEER_TIMEOUT, observed)
         })
     }
 
     /// Serving peers that were seen within [`LIMIT_WINDOW`]. Unlike [`Self::live`], this does not depend on single
     /// heartbeats.
     pub fn recently_serving(&self, now: Timestamp) -> impl Iterator<Item = &NodeId> + Clone {
+        let observed = self.observed(now);
         self.peers
             .values()
             .filter(move |record| {
-                let seen = record.received.max(record.listed.unwrap_or_default());
-                record.heartbeat.phase == PeerPhase::Serving && now.since(seen) < LIMIT_WINDOW
+                let is_seen = observed.since(record.seen()) < LIMIT_WINDOW;
+                record.heartbeat.phase == PeerPhase::Serving && is_seen
             })
             .map(|record| &record.heartbeat.node)
     }
@@ -385,8 +432,9 @@
         if self.known() <= MAX_DIRECT_PEERS {
             return Vec::new();
         }
+        let observed = self.observed(now);
         let peers = self.live(now).filter(|record| {
-            let is_silent = now.since(record.received) >= PEER_TIMEOUT;
+            let is_silent = !record.is_heard_within(PEER_TIMEOUT, observed);
             record.heartbeat.phase != PeerPhase::Stopping
                 && !(record.heartbeat.is_relay && is_silent)
         });
@@ -428,8 +476,9 @@
 
     /// The digest of a node, without its own part.
     pub fn digest_for(&self, builder: &DigestBuilder, node: &NodeId, now: Timestamp) -> PeerDigest {
+        let observed = self.observed(now);
         let record = self.peers.get(node);
-        let heard = record.filter(|record| now.since(record.received) < PEER_TIMEOUT);
+        let heard = record.filter(|record| record.is_heard_within(PEER_TIMEOUT, observed));
         builder.digest_for(heard.map(|record| &record.heartbeat))
     }
 }
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -82,3 +82,39 @@
     peers.record_heartbeat(heartbeat("a", 1, &[(1, 9)]), Timestamp(200));
     assert_eq!(peers.load_of(1), 2);
 }
+
+/// Guards against a node that takes its own pause for the silence of its peers: it would list no other node, become a relay, and have
+/// no part of what all nodes share, until it has read its socket.
+#[test]
+fn peers_are_live_after_a_pause_of_this_node_until_they_are_silent_again() {
+    let mut peers = PeerTable::default();
+    for time in (1000..3000).step_by(200) {
+        for node in ["a", "b", "c"] {
+            peers.record_heartbeat(heartbeat(node, 1, &[(1, 2)]), Timestamp(time));
+        }
+        peers.tick(false, Timestamp(time));
+    }
+    let woken = Timestamp(8800);
+    assert_eq!(peers.heard(woken).count(), 3);
+    peers.record_heartbeat(heartbeat("a", 1, &[(1, 1)]), woken);
+    for time in (8800..9300).step_by(200) {
+        peers.tick(false, Timestamp(time));
+        let now = Timestamp(time);
+        assert_eq!(
+            (peers.live(now).count(), peers.load_of(1)),
+            (3, 5),
+            "{now:?}"
+        );
+        assert_eq!(peers.recently_serving(now).count(), 3);
+        assert!(peers.usage(&[], now).is_some());
+    }
+    for time in (9600..10_400).step_by(200) {
+        peers.record_heartbeat(heartbeat("a", 1, &[(1, 1)]), Timestamp(time));
+        peers.tick(false, Timestamp(time));
+    }
+    assert_eq!(peers.live(Timestamp(10_300)).count(), 1);
+    assert_eq!(
+        peers.get(&NodeId::new("b")).map(|peer| peer.received),
+        Some(Timestamp(2800))
+    );
+}
