Let a copy from a peer go on as long as it makes progress

What was seen: a node whose peer needs more than 0.8 s to send a copy of the configuration or the table, as over a full link, never got it. It closed the connection at 0.8 s, and began again 2 s later, or at another peer.

Cause: the limit of 0.8 s held for the whole exchange, whether data arrived or not, at both ends.

Why it works: the connection counts its bytes, and the limit is a time without any. A copy ends after 10 s in any case, so that a very slow peer does not keep the node from the others.

--- a/crates/entry/src/copies.rs
+++ b/crates/entry/src/copies.rs
@@ -40,10 +40,12 @@
 use crate::entry_codec::encode_entry;
 use crate::node::EntryNode;
 use crate::node_table::TableDifference;
+use crate::progress::ProgressCount;
+use crate::progress::ProgressStream;
 use crate::store_sync::WatchPosition;
 
-/// Timeout of one exchange with a peer.
-pub const COPY_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without progress after which an exchange with a peer ends.
+pub const COPY_TIMEOUT: TimeSpan = TimeSpan(800);
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum frame size; a frame holds a configuration and the entries of the whole fleet.
@@ -51,13 +53,13 @@
 /// Delay before the next accept after an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+type Frames = Framed<ProgressStream, LengthDelimitedCodec>;
 
-fn framed(stream: TcpStream) -> Frames {
+fn framed(stream: TcpStream, progress: ProgressCount) -> Frames {
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
         .new_codec();
-    Framed::new(stream, codec)
+    Framed::new(ProgressStream::new(stream, progress), codec)
 }
 
 /// Hash of an entry with its name, which is the same at all nodes.
@@ -89,12 +91,14 @@
 
 async fn serve_connection(node: &EntryNode, stream: TcpStream) -> eyre::Result<()> {
     stream.set_nodelay(true)?;
-    let mut frames = framed(stream);
+    let progress = ProgressCount::default();
+    let mut frames = framed(stream, progress.clone());
     while let Some(frame) = timeout(IDLE_TIMEOUT, frames.next()).await? {
         let request = SnapshotRequest::decode(frame?)?;
         let reply = build_reply(node, &request)?;
         let reply = Bytes::from(reply.encode_to_vec());
-        timeout(COPY_TIMEOUT, frames.send(reply)).await??;
+        let sent = progress.timeout(COPY_TIMEOUT, frames.send(reply)).await;
+        sent.ok_or_else(|| eyre!("the peer does not read"))??;
     }
     Ok(())
 }
@@ -197,17 +201,17 @@
 }
 
 impl CopyConnection {
-    /// Connects to a peer.
+    /// Connects to a peer, and counts the bytes of the connection with `progress`.
     ///
     /// # Errors
     ///
     /// Fails if the peer cannot be reached.
-    pub async fn open(peer: SocketAddr) -> eyre::Result<Self> {
+    pub async fn open(peer: SocketAddr, progress: ProgressCount) -> eyre::Result<Self> {
         let stream = TcpStream::connect(peer).await.wrap_err("connect")?;
         stream.set_nodelay(true)?;
         Ok(Self {
             peer,
-            frames: framed(stream),
+            frames: framed(stream, progress),
             copied: None,
         })
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod node_table;
 mod own_pause;
 mod pool;
+mod progress;
 mod relay;
 mod request_report;
 mod response;
--- a/crates/entry/src/table_feed.rs
+++ b/crates/entry/src/table_feed.rs
@@ -16,11 +16,12 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::copies::COPY_TIMEOUT;
 use crate::copies::CopyConnection;
 use crate::node::EntryNode;
+use crate::own_pause::timeout_awake;
+use crate::progress::ProgressCount;
 
 /// Interval at which the peers' versions are compared with this node's.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,6 +29,8 @@
 const COPY_INTERVAL: TimeSpan = TimeSpan(250);
 /// Age of the backend table from which it is copied from any peer; without a relay, the store is read every 1.2 s.
 const STALE_TABLE_AGE: TimeSpan = TimeSpan(1700);
+/// Time after which a copy ends although it makes progress. A relay that is so slow is no use, and others may have newer data.
+const MAX_COPY_TIME: TimeSpan = TimeSpan::from_secs(10);
 /// Time for which a peer is not asked again after it did not respond.
 const FAILED_PEER_TIME: TimeSpan = TimeSpan(2000);
 /// Part of the time in which a change must be known, in percent, up to which the age of a relay's table may be to follow it.
@@ -74,6 +77,8 @@
 #[derive(Default)]
 struct FeedState {
     connection: Option<CopyConnection>,
+    /// Bytes of the connections.
+    progress: ProgressCount,
     last_copy: Timestamp,
     /// The peer that did not respond last, and until when it is not asked again.
     failed: Option<(SocketAddr, Timestamp)>,
@@ -95,10 +100,12 @@
             sleep(COPY_INTERVAL.as_duration()).await;
         }
         state.last_copy = clock::now();
-        let cause = match timeout(COPY_TIMEOUT, copy(&node, &mut state, plan)).await {
-            Ok(Ok(())) => continue,
-            Ok(Err(error)) => format!("{error:#}"),
-            Err(_) => "timeout".to_owned(),
+        let progress = state.progress.clone();
+        let copy = progress.timeout(COPY_TIMEOUT, copy(&node, &mut state, plan));
+        let cause = match timeout_awake(MAX_COPY_TIME, copy).await.flatten() {
+            Some(Ok(())) => continue,
+            Some(Err(error)) => format!("{error:#}"),
+            None => "timeout".to_owned(),
         };
         log::info!("event=copy_failed peer={} error=\"{cause}\"", plan.peer);
         state.connection = None;
@@ -110,7 +117,7 @@
     let reused = state.connection.take();
     let mut connection = match reused.filter(|connection| connection.peer == plan.peer) {
         Some(connection) => connection,
-        None => CopyConnection::open(plan.peer).await?,
+        None => CopyConnection::open(plan.peer, state.progress.clone()).await?,
     };
     connection.copy(node, plan.wants_table).await?;
     state.connection = Some(connection);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -34,6 +34,7 @@
 mod serving;
 mod signals_under_load;
 mod silent_servers;
+mod slow_copies;
 mod soak_callers;
 mod soak_events;
 mod soak_world;
