End a group only when a member is gone, not because it is silent

Callers saw streams of sound groups end, and models without a group for a while. Cause: two probes without an answer within 160 ms made a member count as lost, whether its machine was gone or its process did not get the processor. The controller dissolved the group and repeated the order to leave every 60 ms to a leader that had not answered; as soon as the leader ran again, it left with its streams.

A probe now tells a refused connection or one that cannot be opened from a process that accepts it and sends nothing; a kept connection that is silent for 40 ms gets a new one beside it. Two of the former in a row end the group, as before. A silent member only closes it to new requests, until it answers. Such a group is replaced from free VMs, no other group is closed for it, and it ends when the member has been silent for 6 s, after which it breaks by itself. A probe that took longer than planned, because this process did not run, counts for nothing. An order to leave is not repeated before its response or timeout. Resets after the connection was opened count as silence: backend servers with too many connections reset new ones.

--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -1,6 +1,9 @@
 //! Sends the controller's orders to backend servers and reads their reports.
 
+use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +24,7 @@
 use jaysaddle_fleet::controller::FleetEvent;
 use jaysaddle_fleet::controller::ProbeResult;
 use jaysaddle_fleet::leaving::LeavingServer;
+use jaysaddle_gateway::silence::DataWait;
 use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::serving::BackendOrder;
@@ -37,13 +41,19 @@
 use crate::exchange::send;
 use crate::node::EntryNode;
 use crate::pool::BackendKey;
+use crate::pool::PooledConnection;
 use crate::server_notices::read_notices;
 use crate::stated_limit::StatedLimit;
 
 /// Timeout of an order. Backend servers respond within milliseconds; after the timeout the outcome counts as unknown.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Timeout of a report. A member that takes longer delays its whole group.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(160);
+/// Timeout of a report, and of opening a connection for it. A member that takes longer delays its whole group.
+const REPORT_TIMEOUT: TimeSpan = TimeSpan(160);
+/// Time in which a connection that was already open must bring a report before a new one is opened beside it. Only a new
+/// connection tells a process that is silent from a machine that is gone.
+const KEPT_CONNECTION_TIME: TimeSpan = TimeSpan(40);
+/// Status with which another process answers at the address of a VM.
+const MISDIRECTED: u16 = 421;
 /// Limit of a report and of an answer to an order.
 const MAX_RESPONSE: ByteCount = ByteCount(64 << 10);
 /// Maximum number of characters of an order's answer that are logged.
@@ -72,32 +82,36 @@
         .map(|row| (row.entry.id.clone(), row.entry.address))
         .collect();
     for (id, address) in engines {
-        tokio::task::spawn_local(probe(node.clone(), id, address));
+        tokio::task::spawn_local(probe(node.clone(), id, address, false));
+    }
+}
+
+fn backend_key(node: &EntryNode, id: &VmId, address: SocketAddr) -> BackendKey {
+    let table = node.table.borrow();
+    BackendKey {
+        id: id.clone(),
+        started: table.get(id).map_or(0, |row| row.entry.started),
+        address,
     }
 }
 
 async fn call_backend(
     node: &EntryNode,
-    id: &VmId,
-    address: SocketAddr,
+    key: &BackendKey,
+    mut pooled: PooledConnection,
     method: Method,
     path: &str,
     body: Vec<u8>,
 ) -> Result<(u16, Bytes), ExchangeError> {
-    let started = {
-        let table = node.table.borrow();
-        table.get(id).map_or(0, |row| row.entry.started)
-    };
-    let key = BackendKey {
-        id: id.clone(),
+    let BackendKey {
+        id,
         started,
         address,
-    };
-    let server = ServerNumber::of(id, started);
+    } = key;
+    let server = ServerNumber::of(id, *started);
     let sent = clock::now();
     // Request limits count everything that a backend server receives.
     node.gateway.borrow_mut().record_send(server, sent);
-    let mut pooled = node.pool.take(&key, true, u32::MAX).await?;
     let mut builder = Request::builder()
         .method(method)
         .uri(path)
@@ -120,7 +134,7 @@
     if notices.is_leaving {
         let server = LeavingServer {
             id: id.clone(),
-            started,
+            started: *started,
         };
         node.record_leaving(&server, "response");
     }
@@ -151,7 +165,11 @@
         return;
     }
     let body = order_body(&order, order_count);
-    let exchange = call_backend(&node, &id, address, Method::POST, ORDER_PATH, body);
+    let key = backend_key(&node, &id, address);
+    let exchange = async {
+        let pooled = node.pool.take(&key, true, u32::MAX).await?;
+        call_backend(&node, &key, pooled, Method::POST, ORDER_PATH, body).await
+    };
     let outcome = match timeout(ORDER_TIMEOUT, exchange).await {
         Ok(outcome) => outcome,
         Err(_) => Err(ExchangeError::may_have_run(eyre!("no answer"))),
@@ -176,10 +194,144 @@
     handle_fleet_event(&node, FleetEvent::OrderDone { id, order, result });
 }
 
-pub async fn probe(node: Rc<EntryNode>, id: VmId, address: SocketAddr) {
-    let exchange = call_backend(&node, &id, address, Method::GET, REPORT_PATH, Vec::new());
-    let result = match timeout(REPORT_TIMEOUT, exchange).await {
-        Ok(Ok((200, body))) => match parse_report(&body) {
+/// Waits for `future` for at most `limit`.
+///
+/// # Errors
+///
+/// Fails with the wait when the time is up.
+async fn within<T>(limit: TimeSpan, future: impl Future<Output = T>) -> Result<T, DataWait> {
+    let started = clock::now();
+    let outcome = timeout(limit.as_duration(), future).await;
+    outcome.map_err(|_| DataWait {
+        planned: limit,
+        actual: clock::now().since(started),
+    })
+}
+
+/// What a probe shows whose connection could not be opened.
+fn connect_failure(error: &ExchangeError) -> ProbeResult {
+    let kind = error.cause.downcast_ref::<io::Error>().map(io::Error::kind);
+    match kind {
+        Some(io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset) => {
+            ProbeResult::Refused
+        }
+        Some(
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable,
+        ) => ProbeResult::Unreachable,
+        _ if error.is_timeout() => ProbeResult::Unreachable,
+        _ => ProbeResult::Void,
+    }
+}
+
+async fn call_report(
+    node: &EntryNode,
+    key: &BackendKey,
+    pooled: PooledConnection,
+) -> Result<(u16, Bytes), ExchangeError> {
+    call_backend(node, key, pooled, Method::GET, REPORT_PATH, Vec::new()).await
+}
+
+/// Reads a report on a new connection.
+///
+/// # Errors
+///
+/// Fails with what the probe shows when no response arrives.
+async fn read_on_new_connection(
+    node: &EntryNode,
+    key: &BackendKey,
+) -> Result<(u16, Bytes), ProbeResult> {
+    let id = &key.id;
+    let pooled = match within(REPORT_TIMEOUT, node.pool.open_new(key)).await {
+        Ok(Ok(pooled)) => pooled,
+        Ok(Err(error)) => {
+            log::info!(
+                "event=report_failed vm={id} connected=false error=\"{:#}\"",
+                error.cause
+            );
+            return Err(connect_failure(&error));
+        }
+        Err(wait) => {
+            log::info!(
+                "event=report_failed vm={id} connected=false error=timeout waited_ms={}",
+                wait.actual.as_millis()
+            );
+            return Err(if wait.was_interrupted() {
+                ProbeResult::Void
+            } else {
+                ProbeResult::Unreachable
+            });
+        }
+    };
+    match within(REPORT_TIMEOUT, call_report(node, key, pooled)).await {
+        Ok(Ok(response)) => Ok(response),
+        // A backend server that has too many connections resets new ones.
+        Ok(Err(error)) => {
+            log::info!(
+                "event=report_failed vm={id} connected=true error=\"{:#}\"",
+                error.cause
+            );
+            Err(ProbeResult::Silent)
+        }
+        Err(wait) => {
+            log::info!(
+                "event=report_failed vm={id} connected=true error=timeout waited_ms={}",
+                wait.actual.as_millis()
+            );
+            Err(if wait.was_interrupted() {
+                ProbeResult::Void
+            } else {
+                ProbeResult::Silent
+            })
+        }
+    }
+}
+
+/// The response of a probe on a kept connection; `None`, logged, if the connection has failed.
+fn log_failure(
+    key: &BackendKey,
+    outcome: Result<(u16, Bytes), ExchangeError>,
+) -> Option<(u16, Bytes)> {
+    outcome
+        .inspect_err(|error| {
+            log::info!(
+                "event=report_failed vm={} kept=true error=\"{:#}\"",
+                key.id,
+                error.cause
+            );
+        })
+        .ok()
+}
+
+/// Reads a report on an idle connection if there is one, and beside it on a new one if it takes long.
+async fn read_report(
+    node: &EntryNode,
+    key: &BackendKey,
+    is_repeated: bool,
+) -> Result<(u16, Bytes), ProbeResult> {
+    let kept = (!is_repeated).then(|| node.pool.take_idle(key, true));
+    let Some(pooled) = kept.flatten() else {
+        return read_on_new_connection(node, key).await;
+    };
+    let mut kept_read = pin!(call_report(node, key, pooled));
+    match within(KEPT_CONNECTION_TIME, &mut kept_read).await {
+        Ok(outcome) => match log_failure(key, outcome) {
+            Some(response) => Ok(response),
+            None => read_on_new_connection(node, key).await,
+        },
+        Err(_) => tokio::select! {
+            Some(response) = async { log_failure(key, kept_read.await) } => Ok(response),
+            outcome = read_on_new_connection(node, key) => outcome,
+        },
+    }
+}
+
+/// Reads the report of a VM and passes on what that shows. With `is_repeated`, only a new connection is used.
+pub async fn probe(node: Rc<EntryNode>, id: VmId, address: SocketAddr, is_repeated: bool) {
+    let key = backend_key(&node, &id, address);
+    let result = match read_report(&node, &key, is_repeated).await {
+        Ok((200, body)) => match parse_report(&body) {
             Ok(report) => {
                 if node.store.is_unreachable(clock::now()) {
                     node.apply_report(&id, &body);
@@ -190,25 +342,18 @@
             }
             Err(error) => {
                 log::warn!("event=report_undecodable vm={id} error=\"{error:#}\"");
-                ProbeResult::Refused
+                ProbeResult::Silent
             }
         },
-        Ok(Ok((status, _))) => {
+        Ok((status, _)) => {
             log::info!("event=report_refused vm={id} status={status}");
-            ProbeResult::Refused
-        }
-        Ok(Err(error)) => {
-            log::info!("event=report_failed vm={id} error=\"{:#}\"", error.cause);
-            if error.is_timeout() {
-                ProbeResult::TimedOut
-            } else {
+            if status == MISDIRECTED {
                 ProbeResult::Refused
+            } else {
+                ProbeResult::Silent
             }
         }
-        Err(_) => {
-            log::info!("event=report_failed vm={id} error=timeout");
-            ProbeResult::TimedOut
-        }
+        Err(result) => result,
     };
     handle_fleet_event(&node, FleetEvent::ProbeDone { id, result });
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -163,8 +163,13 @@
                     order_count,
                 ));
             }
-            FleetEffect::Probe { id, address } => {
-                tokio::task::spawn_local(backend_calls::probe(node.clone(), id, address));
+            FleetEffect::Probe {
+                id,
+                address,
+                is_repeated,
+            } => {
+                let probe = backend_calls::probe(node.clone(), id, address, is_repeated);
+                tokio::task::spawn_local(probe);
             }
         }
     }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -120,6 +120,15 @@
                 "{limit} connections are open"
             )));
         }
+        self.open_new(key).await
+    }
+
+    /// Opens a new connection, whatever the number of open ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection cannot be opened.
+    pub async fn open_new(&self, key: &BackendKey) -> Result<PooledConnection, ExchangeError> {
         let count = ConnectionCount::new(&self.open, &key.id);
         let connection = connect(key.address, key.id.as_str()).await?;
         metrics::counter!("jaysaddle_backend_connections_total").increment(1);
@@ -130,7 +139,8 @@
         })
     }
 
-    fn take_idle(&self, key: &BackendKey, needs_recent_use: bool) -> Option<PooledConnection> {
+    /// Takes an idle connection; `None` if none can be reused.
+    pub fn take_idle(&self, key: &BackendKey, needs_recent_use: bool) -> Option<PooledConnection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(key)?;
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -9,6 +9,8 @@
 //!   name and generation.
 //! - A VM is ordered to join another group only if the leader of its current group is not serving: the leader has
 //!   acknowledged an order to leave, reports that it does not serve, or has failed.
+//! - A group is not ended because a member is silent, only closed to new requests until the member answers or counts as
+//!   lost.
 //! - Every order to join carries the number of orders that the VM is known to have accepted, so that an order which
 //!   arrives after a newer one is rejected.
 
@@ -20,6 +22,7 @@
 mod messages;
 mod orders;
 mod probes;
+mod reachability;
 mod release;
 mod stages;
 mod staging;
@@ -42,6 +45,7 @@
 use jaysaddle_types::units::Timestamp;
 
 use crate::controller::group_table::GroupTable;
+use crate::controller::reachability::Reachability;
 use crate::demand::DemandEstimator;
 use crate::groups::reported_groups;
 use crate::load_rate::LoadRateLimiter;
@@ -125,11 +129,7 @@
     loading_until: Option<Timestamp>,
     probe_in_flight: bool,
     next_probe: Option<Timestamp>,
-    failed_probes: u32,
-    /// Time of the first of the current consecutive failed probes.
-    unreachable_since: Option<Timestamp>,
-    /// Whether the last failed probe was refused rather than unanswered, which shows that the host is still up.
-    is_refusing: bool,
+    reachability: Reachability,
     /// When a report was last received.
     last_report: Option<Timestamp>,
 }
@@ -241,7 +241,7 @@
                 matches!(
                     group.stage,
                     GroupStage::Closing { .. } | GroupStage::Dissolving
-                )
+                ) || self.has_silent_member(group)
             })
             .map(|group| group.leader().clone())
             .collect()
--- a/crates/fleet/src/controller/exchange.rs
+++ b/crates/fleet/src/controller/exchange.rs
@@ -52,9 +52,9 @@
                 group.stage,
                 GroupStage::Closing { .. } | GroupStage::Dissolving
             ) {
-                let healthy = members.into_iter().filter(|vm| !self.is_lost(&vm.id));
+                let healthy = members.into_iter().filter(|vm| self.is_answering(&vm.id));
                 closing_members.entry(domain).or_default().extend(healthy);
-            } else if group.stage == GroupStage::Serving {
+            } else if group.stage == GroupStage::Serving && !self.has_silent_member(group) {
                 donors.entry(domain.clone()).or_default().push(DonorGroup {
                     key: key.clone(),
                     model: group.model.clone(),
--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -56,10 +56,12 @@
         has_settled
     }
 
+    /// What the models of a service need beside the groups that count, as given by `counts`.
     pub(super) fn model_needs(
         &self,
         service: &ServiceId,
         profile: &EngineProfile,
+        counts: impl Fn(&ControlledGroup) -> bool,
         now: Timestamp,
     ) -> Vec<ModelNeed> {
         let has_traffic = self.demand.has_traffic();
@@ -71,6 +73,7 @@
                     group.service == *service
                         && group.model == model.id
                         && group.counts_as_capacity()
+                        && counts(group)
                 });
                 // A reservation counts as a group, since one will be formed from its VMs.
                 let reserved = self
@@ -118,9 +121,12 @@
                 .filter(|row| self.join_blocker(&row.entry, view, reported, now).is_none())
                 .filter_map(to_free_vm)
                 .collect();
-            let mut needs = self.model_needs(&service.id, profile, now);
+            // A silent group is replaced from free VMs only: other groups are not closed for it.
+            let lasting_needs = self.model_needs(&service.id, profile, |_| true, now);
             self.drop_reservations(view, now);
-            self.exchange_groups(service, &free, &needs, view, now);
+            self.exchange_groups(service, &free, &lasting_needs, view, now);
+            let is_answering = |group: &ControlledGroup| !self.has_silent_member(group);
+            let mut needs = self.model_needs(&service.id, profile, is_answering, now);
             self.form_reserved(&service.id, &free, &needs, now);
             let unreserved: Vec<FreeVm> = free
                 .into_iter()
@@ -199,7 +205,7 @@
         let is_reachable = self
             .vms
             .get(&entry.id)
-            .is_some_and(|vm| vm.failed_probes == 0);
+            .is_some_and(|vm| vm.reachability.failed() == 0);
         is_ending
             && is_reachable
             && !entry.is_draining
--- a/crates/fleet/src/controller/idle.rs
+++ b/crates/fleet/src/controller/idle.rs
@@ -79,7 +79,7 @@
         let Some(vm) = self.vms.get(&entry.id) else {
             return Some(IdleReason::Unreachable);
         };
-        if vm.failed_probes > 0 {
+        if vm.reachability.failed() > 0 {
             return Some(IdleReason::Unreachable);
         }
         if vm.in_flight.is_some() || self.group_of(&entry.id).is_some() {
--- a/crates/fleet/src/controller/messages.rs
+++ b/crates/fleet/src/controller/messages.rs
@@ -32,10 +32,14 @@
         /// Number of orders that the VM has accepted since its start.
         order_count: u64,
     },
-    /// The connection was refused, or the response was not a valid report: the host is up.
+    /// The host refused the connection, or another process answered at the address: the process is gone or leaving.
     Refused,
-    /// The probe timed out.
-    TimedOut,
+    /// No connection could be opened in time.
+    Unreachable,
+    /// A connection was opened, but no valid report arrived: the process may still be working.
+    Silent,
+    /// The probe says nothing about the VM, because this process did not run or could not send it.
+    Void,
 }
 
 /// Input of [`FleetController::step`](crate::controller::FleetController::step).
@@ -106,6 +110,8 @@
         id: VmId,
         /// Address of the VM's backend server.
         address: SocketAddr,
+        /// Whether the previous probe has failed, so that a connection which was open before it must not be used.
+        is_repeated: bool,
     },
     /// Log a decision, given as key=value fields.
     LogDecision(CompactString),
--- a/crates/fleet/src/controller/orders.rs
+++ b/crates/fleet/src/controller/orders.rs
@@ -39,9 +39,10 @@
         let Some(address) = vm.address else {
             return false;
         };
-        // An order to leave does not wait for the response to another order.
+        // An order to leave waits only for the response to the same order.
         let is_leave = matches!(order, BackendOrder::Leave { .. });
-        if vm.in_flight.is_some() && !is_leave {
+        let in_flight = vm.in_flight.as_ref();
+        if in_flight.is_some_and(|in_flight| !is_leave || *in_flight == order) {
             return false;
         }
         if vm.next_order.is_some_and(|time| now < time) && !is_leave {
@@ -81,12 +82,12 @@
         }
         match result {
             OrderResult::Begun => {
-                vm.failed_probes = 0;
+                vm.reachability.record_response();
                 vm.order_count = vm.order_count.map(|count| count + 1);
             }
-            OrderResult::Done => vm.failed_probes = 0,
+            OrderResult::Done => vm.reachability.record_response(),
             OrderResult::Refused { .. } => {
-                vm.failed_probes = 0;
+                vm.reachability.record_response();
                 vm.next_order = Some(now + retry_delay);
                 vm.order_count = None;
                 vm.next_probe = Some(now + retry_delay);
--- a/crates/fleet/src/controller/probes.rs
+++ b/crates/fleet/src/controller/probes.rs
@@ -4,6 +4,7 @@
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::units::Timestamp;
 
+use crate::controller::ControlledGroup;
 use crate::controller::FleetController;
 use crate::controller::FleetEffect;
 use crate::controller::GroupStage;
@@ -12,43 +13,53 @@
 impl FleetController {
     pub(super) fn probe_done(&mut self, id: &VmId, result: ProbeResult, now: Timestamp) {
         let is_member = self.group_of(id).is_some();
-        let retry_delay = self.timing.retry_delay;
-        let lost_probe_count = self.timing.lost_probe_count;
-        let lost_probe_interval = self.timing.lost_probe_interval;
+        let timing = self.timing;
         let Some(vm) = self.vms.get_mut(id) else {
             return;
         };
         vm.probe_in_flight = false;
+        let reachability = &mut vm.reachability;
+        let (was_silent, was_lost) = (
+            reachability.is_silent(&timing),
+            reachability.is_lost(&timing),
+        );
         match result {
             ProbeResult::Reported { order_count } => {
-                if vm.failed_probes >= lost_probe_count {
-                    self.effects.push(FleetEffect::LogDecision(format_compact!(
-                        "vm={id} decision=reachable_again"
-                    )));
-                }
-                vm.failed_probes = 0;
-                vm.unreachable_since = None;
+                reachability.record_response();
                 vm.last_report = Some(now);
                 vm.order_count = vm.order_count.max(Some(order_count));
                 vm.next_probe = None;
             }
-            ProbeResult::Refused | ProbeResult::TimedOut => {
-                vm.failed_probes += 1;
-                vm.unreachable_since.get_or_insert(now);
-                vm.is_refusing = result == ProbeResult::Refused;
-                let pause = if vm.failed_probes >= lost_probe_count {
-                    lost_probe_interval
+            ProbeResult::Void => vm.next_probe = Some(now + timing.retry_delay),
+            ProbeResult::Refused | ProbeResult::Unreachable | ProbeResult::Silent => {
+                reachability.record_failure(result, &timing, now);
+                let pause = if reachability.is_lost(&timing) {
+                    timing.lost_probe_interval
+                } else if reachability.is_silent(&timing) {
+                    timing.silent_probe_interval
                 } else {
-                    retry_delay
+                    timing.retry_delay
                 };
                 vm.next_probe = Some(now + pause);
-                if vm.failed_probes == lost_probe_count {
-                    self.effects.push(FleetEffect::LogDecision(format_compact!(
-                        "vm={id} decision=unreachable failed_probes={lost_probe_count} is_member={is_member}"
-                    )));
-                }
             }
         }
+        let (is_silent, is_lost) = (
+            reachability.is_silent(&timing),
+            reachability.is_lost(&timing),
+        );
+        let decision = if is_lost && !was_lost {
+            "unreachable"
+        } else if is_silent && !was_silent {
+            "silent"
+        } else if (was_silent || was_lost) && !is_silent && !is_lost {
+            "reachable_again"
+        } else {
+            return;
+        };
+        let failed = reachability.failed();
+        self.log_decision(format_compact!(
+            "vm={id} decision={decision} failed_probes={failed} last={result:?} is_member={is_member}"
+        ));
     }
 
     /// Schedules probes of the members of a stalled group, except of members that have reported recently.
@@ -108,14 +119,28 @@
                 self.effects.push(FleetEffect::Probe {
                     id: id.clone(),
                     address,
+                    is_repeated: vm.reachability.failed() > 0,
                 });
             }
         }
     }
 
     pub(super) fn is_lost(&self, id: &VmId) -> bool {
-        self.vms
-            .get(id)
-            .is_some_and(|vm| vm.failed_probes >= self.timing.lost_probe_count)
+        let vm = self.vms.get(id);
+        vm.is_some_and(|vm| vm.reachability.is_lost(&self.timing))
+    }
+
+    /// Whether the VM counts neither as lost nor as silent.
+    pub(super) fn is_answering(&self, id: &VmId) -> bool {
+        let vm = self.vms.get(id);
+        vm.is_none_or(|vm| vm.reachability.failed() < self.timing.lost_probe_count)
+    }
+
+    /// Whether a member of the group is silent, so that requests would wait for it.
+    pub(super) fn has_silent_member(&self, group: &ControlledGroup) -> bool {
+        group.members.iter().any(|id| {
+            let vm = self.vms.get(id);
+            vm.is_some_and(|vm| vm.reachability.is_silent(&self.timing))
+        })
     }
 }
--- a/crates/fleet/src/controller/release.rs
+++ b/crates/fleet/src/controller/release.rs
@@ -28,7 +28,7 @@
                 .is_some_and(|ended| now.since(*ended) >= self.timing.release_delay);
             let is_idle = self.vms.get(&entry.id).is_some_and(|vm| {
                 vm.in_flight.is_none()
-                    && vm.failed_probes == 0
+                    && vm.reachability.failed() == 0
                     && vm.released_from.as_ref() != Some(&membership.key)
             });
             if has_ended
--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -287,11 +287,12 @@
         let Some(vm) = self.vms.get(leader) else {
             return true;
         };
-        let may_finish = vm.is_refusing && !has_expired;
+        let may_finish = vm.reachability.is_refusing() && !has_expired;
         let limit = self.timing.finish_timeout;
         !may_finish
             || vm
-                .unreachable_since
+                .reachability
+                .failed_since()
                 .is_some_and(|since| now.since(since) >= limit)
     }
 
--- a/crates/fleet/src/controller/staging.rs
+++ b/crates/fleet/src/controller/staging.rs
@@ -199,7 +199,7 @@
             .any(|staged| Some(staged) != vm.last_model.as_ref());
         let is_idle = self.vms.get(&vm.id).is_some_and(|state| {
             state.in_flight.is_none()
-                && state.failed_probes == 0
+                && state.reachability.failed() == 0
                 && state.loading_until.is_none_or(|until| now >= until)
                 && state
                     .staging
--- a/crates/fleet/src/controller/timing.rs
+++ b/crates/fleet/src/controller/timing.rs
@@ -15,6 +15,10 @@
     pub leader_retry_delay: TimeSpan,
     /// Interval between probes of a VM that counts as lost.
     pub lost_probe_interval: TimeSpan,
+    /// Interval between probes of a VM that is silent.
+    pub silent_probe_interval: TimeSpan,
+    /// Time after which a group breaks by itself if a member does nothing. A VM that is silent for longer counts as lost.
+    pub stall_time: TimeSpan,
     /// Time after which an accepted join counts as failed if the VM's entry does not show it.
     pub join_visibility_timeout: TimeSpan,
     /// Maximum time to form a group. Loads share the weight store's bandwidth, so this allows several load times.
@@ -25,7 +29,7 @@
     /// Time after which a new lease holder treats an unregistered leader with an expired entry as failed. The platform
     /// restores the entry of a live backend server within two seconds.
     pub unknown_leader_timeout: TimeSpan,
-    /// Number of consecutive failed probes after which a VM counts as lost.
+    /// Number of consecutive failed probes after which a VM counts as lost or silent.
     pub lost_probe_count: u32,
     /// Time for which a report is evidence that a VM is up, so that it is not probed although its group has stalled.
     pub report_validity: TimeSpan,
@@ -55,6 +59,8 @@
             retry_delay: TimeSpan(60),
             leader_retry_delay: TimeSpan(1000),
             lost_probe_interval: TimeSpan(1000),
+            silent_probe_interval: TimeSpan(250),
+            stall_time: TimeSpan(6000),
             join_visibility_timeout: TimeSpan(3000),
             join_timeout: TimeSpan::from_secs(60),
             finish_timeout: TimeSpan(10_500),
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -37,6 +37,8 @@
 
 /// Interval of the controller's ticks.
 const TICK_MS: u64 = 100;
+/// Time after which the outcome of an order without a response counts as unknown.
+const ORDER_TIMEOUT: TimeSpan = TimeSpan(800);
 
 /// Name of the model with groups of four.
 pub const LARGE: &str = "large";
@@ -120,6 +122,16 @@
     }
 }
 
+/// An order to a VM whose process is paused.
+#[derive(Clone, Debug)]
+struct WaitingOrder {
+    id: VmId,
+    order: BackendOrder,
+    order_count: Option<u64>,
+    /// When its sender gives up; `None` if it has.
+    sender_until: Option<Timestamp>,
+}
+
 /// A controller with the VMs and the table that it works on.
 pub struct FakeFleet {
     pub controller: FleetController,
@@ -137,6 +149,9 @@
     pub is_store_stale: bool,
     /// VMs that ignore orders and do not respond to them.
     pub unresponsive: BTreeSet<VmId>,
+    /// VMs whose process is paused: it accepts connections but sends nothing, and carries out its orders when it continues.
+    pub paused: BTreeSet<VmId>,
+    waiting: Vec<WaitingOrder>,
     /// Unreachable VMs that refuse connections instead of not responding.
     pub refusing: BTreeSet<VmId>,
     /// VMs that joined a group while the leader of their previous group was still serving.
@@ -172,6 +187,8 @@
             is_table_current: true,
             is_store_stale: false,
             unresponsive: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            waiting: Vec::new(),
             refusing: BTreeSet::new(),
             overlapping_joins: Vec::new(),
             staging_ms: 0,
@@ -208,6 +225,36 @@
         self.vms.get_mut(id).expect("VM").is_reachable = false;
     }
 
+    /// Lets the processes of all paused VMs continue: they carry out the orders that have arrived meanwhile.
+    pub fn resume(&mut self) {
+        self.paused.clear();
+        for waiting in std::mem::take(&mut self.waiting) {
+            let WaitingOrder { id, order, .. } = waiting;
+            let result = self.execute_order(&id, &order, waiting.order_count);
+            if waiting.sender_until.is_some() {
+                self.handle_event(FleetEvent::OrderDone { id, order, result });
+            }
+        }
+    }
+
+    fn expire_orders(&mut self) {
+        let now = self.now;
+        let mut expired = Vec::new();
+        for waiting in &mut self.waiting {
+            if waiting
+                .sender_until
+                .take_if(|until| now >= *until)
+                .is_some()
+            {
+                expired.push((waiting.id.clone(), waiting.order.clone()));
+            }
+        }
+        for (id, order) in expired {
+            let result = OrderResult::Unknown;
+            self.handle_event(FleetEvent::OrderDone { id, order, result });
+        }
+    }
+
     /// Makes a VM fail for good: it is unreachable and serves nothing. Its entry stays until it is removed.
     pub fn kill(&mut self, id: &VmId) {
         let fake = self.vms.get_mut(id).expect("VM");
@@ -254,14 +301,16 @@
                 FleetEffect::ReportStats(stats) => self.stats.push(stats),
                 FleetEffect::Probe { id, .. } => {
                     let fake = &self.vms[&id];
-                    let result = if fake.is_reachable {
+                    let result = if self.paused.contains(&id) {
+                        ProbeResult::Silent
+                    } else if fake.is_reachable {
                         ProbeResult::Reported {
                             order_count: fake.order_count,
                         }
                     } else if self.refusing.contains(&id) {
                         ProbeResult::Refused
                     } else {
-                        ProbeResult::TimedOut
+                        ProbeResult::Unreachable
                     };
                     self.handle_event(FleetEvent::ProbeDone { id, result });
                 }
@@ -272,6 +321,15 @@
                     ..
                 } => {
                     self.orders.push((id.clone(), order.clone()));
+                    if self.paused.contains(&id) {
+                        self.waiting.push(WaitingOrder {
+                            id,
+                            order,
+                            order_count,
+                            sender_until: Some(self.now + ORDER_TIMEOUT),
+                        });
+                        continue;
+                    }
                     let result = self.execute_order(&id, &order, order_count);
                     self.handle_event(FleetEvent::OrderDone { id, order, result });
                 }
@@ -380,6 +438,7 @@
         let end = self.now.0 + millis;
         while self.now.0 < end {
             self.now = Timestamp(self.now.0 + TICK_MS);
+            self.expire_orders();
             for fake in self.vms.values_mut() {
                 fake.finish_staging(self.now.0);
                 if fake.ready_at.is_some_and(|time| self.now.0 >= time) {
@@ -390,6 +449,7 @@
                 }
                 if !self.is_store_stale
                     && fake.is_reachable
+                    && !self.paused.contains(&fake.entry.id)
                     && self.table.get(&fake.entry.id).is_some()
                 {
                     self.table.put(fake.entry.clone(), self.now);
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -10,4 +10,5 @@
 mod lease_restores;
 mod peers;
 mod plan;
+mod silence;
 mod table;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod load;
 mod lost_responses;
 mod operators;
+mod paused_groups;
 mod planned_stop;
 mod platform;
 mod platform_nodes;
