Close the group of a member that has deregistered itself instead of ending it

A backend server that shuts down without saying so removes its entry and stays in its group until the leader has finished its requests. The controller took the missing entry for a loss and ordered the leader to leave at once, which ends the requests of all callers at that group. It now closes the group, as for a member that says that it is draining.

--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -13,6 +13,9 @@
 use crate::groups::ReportedGroup;
 use crate::table::BackendTable;
 
+/// Fault of a member that is not registered.
+const GONE: &str = "gone";
+
 impl FleetController {
     /// The reason why a member can no longer be part of its group; `None` if it can.
     pub(super) fn member_fault(
@@ -22,7 +25,7 @@
         view: FleetView<'_>,
     ) -> Option<&'static str> {
         let Some(row) = view.table.get(id) else {
-            return Some("gone");
+            return Some(GONE);
         };
         if self.is_lost(id) {
             return Some("unreachable");
@@ -140,10 +143,28 @@
         let Some(group) = self.groups.get(key).cloned() else {
             return;
         };
-        let fault = group
+        let faults = group
             .members
             .iter()
-            .find_map(|id| Some((id.clone(), self.member_fault(key, id, view)?)));
+            .filter_map(|id| Some((id.clone(), self.member_fault(key, id, view)?)));
+        // A member that has deregistered itself stays until the leader has finished its requests.
+        let (deregistered, faults): (Vec<_>, Vec<_>) = faults.partition(|(id, reason)| {
+            *reason == GONE
+                && id != group.leader()
+                && view.table.removed(id).is_some_and(|row| !row.has_expired)
+        });
+        let fault = faults.into_iter().next();
+        if let (None, Some((id, _))) = (&fault, deregistered.first()) {
+            self.log_decision(format_compact!(
+                "group={key} decision=close vm={id} reason=deregistered"
+            ));
+            let stage = GroupStage::Closing {
+                until: now + self.timing.close_timeout,
+            };
+            self.set_stage(key, stage);
+            self.order_leader(key, BackendOrder::Close { key: key.clone() }, now);
+            return;
+        }
         if let Some((id, reason)) = fault {
             self.log_decision(format_compact!(
                 "group={key} decision=dissolve vm={id} reason={reason}"
@@ -204,6 +225,11 @@
             return;
         };
         let leader = group.leader().clone();
+        // A member that refuses connections may only have stopped to listen.
+        let is_broken = group.members.iter().any(|id| {
+            let vm = self.vms.get(id);
+            self.is_lost(id) && vm.is_some_and(|vm| !vm.reachability.is_refusing())
+        });
         let phase = view.table.get(&leader).and_then(|row| {
             let membership = row.entry.membership.as_ref()?;
             (membership.key == *key).then_some(membership.phase)
@@ -214,7 +240,7 @@
                 self.set_stage(key, GroupStage::Dissolving);
                 self.advance_dissolving(key, view, now);
             }
-            Some(MemberPhase::Open | MemberPhase::Closing) if now < until => {
+            Some(MemberPhase::Open | MemberPhase::Closing) if now < until && !is_broken => {
                 let is_due = group
                     .last_order
                     .is_none_or(|sent| now.since(sent) >= self.timing.leader_retry_delay);
--- a/crates/fleet/tests/all/silence.rs
+++ b/crates/fleet/tests/all/silence.rs
@@ -101,3 +101,20 @@
     assert!(fleet.controller.closed_leaders().is_empty());
     assert_eq!(ending_orders(&fleet).len(), orders);
 }
+
+/// Guards against requests that are cut because a member of their group deregisters itself before it shuts down, as some backend
+/// servers do without a word: the leader must finish them before it leaves.
+#[test]
+fn group_of_a_deregistered_member_finishes_its_requests() {
+    let mut fleet = FakeFleet::new(4);
+    fleet.advance(15_000);
+    let group = fleet.serving_group(SMALL, LARGE);
+    fleet.remove_entry(&group[1]);
+    fleet.advance(1000);
+    let orders = ending_orders(&fleet);
+    assert_eq!(orders[0].0, group[0]);
+    assert!(
+        matches!(orders[0].1, BackendOrder::Close { .. }),
+        "{orders:?}"
+    );
+}
