--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod lost_responses;
 mod operators;
 mod own_pauses;
+mod paused_groups;
 mod planned_stop;
 mod platform;
 mod platform_nodes;
