Drain a group that executes requests although a member was called failed

Callers lost the requests of a group whose leader had been silent for 3.5 s, after it had answered again. Cause: a VM that answers after a suspicion is damped as Returning, and two failed requests of one node make a VM suspect for longer than the planner waits. Both counted as failed members, of which no request can go on, so the group was dissolved or re-formed at once, and its engines aborted what they executed.

Now a group whose leader reports the stored generation, all members and running requests is changed only after a drain, whatever evidence there is about its members. Such a report is fresh by the first probe after the silence; a leader that does not answer has none, so the groups of dead VMs are repaired as soon as before. The group receives no new requests meanwhile, as before.

Evidence: group_that_executes_requests_drains_when_a_member_returns failed before (the plan was Serve at generation 2, not Rebuild at 1).

--- a/crates/placement/src/controller.rs
+++ b/crates/placement/src/controller.rs
@@ -67,6 +67,7 @@
     /// Observed group states without request counts, which change constantly. The planner only uses
     /// whether a loading group runs any request.
     groups: BTreeMap<GroupId, PlannerGroup>,
+    executing: BTreeSet<GroupId>,
     placement_changes: u64,
     expired_suspects: BTreeSet<VmId>,
     drained: BTreeSet<GroupId>,
@@ -262,6 +263,17 @@
         drained.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Groups that execute requests and have a member that may count as failed. The others are left out, since the plan does not depend on
+    /// them and the set changes with each request.
+    fn executing_with_losses(&self) -> BTreeSet<GroupId> {
+        let is_incomplete = |id: &&GroupId| {
+            let group = self.input.groups.get(*id);
+            group.is_some_and(|group| group.state == GroupState::Incomplete)
+        };
+        let executing = self.input.executing.iter().filter(is_incomplete);
+        executing.cloned().collect()
+    }
+
     fn expired_suspects(&self, now: Timestamp) -> BTreeSet<VmId> {
         let grace = self.settings.suspect_grace;
         let expired = self
@@ -298,6 +310,7 @@
                 .iter()
                 .map(without_running_counts)
                 .collect(),
+            executing: self.executing_with_losses(),
             placement_changes: self.placement_changes,
             expired_suspects: self.expired_suspects(now),
             drained: self.drained(now),
@@ -323,6 +336,7 @@
         for (domain, (_, document)) in &self.placements {
             input.placements.insert(domain.clone(), document.clone());
         }
+        input.executing = plan_key.executing.clone();
         input.expired_suspects = plan_key.expired_suspects.clone();
         input.drained = plan_key.drained.clone();
         input.seen_generations = plan_key.seen_generations.clone();
--- a/crates/placement/src/draft.rs
+++ b/crates/placement/src/draft.rs
@@ -195,7 +195,10 @@
             .groups
             .get(&record.id)
             .is_some_and(|group| group.state == GroupState::Loading && group.running == 0);
-        idle || group.has_loss(MemberLoss::Failed) || self.input.drained.contains(&record.id)
+        // A group that executes requests has not failed: a member that was silent answers again, or only this node does not reach it.
+        let failed =
+            group.has_loss(MemberLoss::Failed) && !self.input.executing.contains(&record.id);
+        idle || failed || self.input.drained.contains(&record.id)
     }
 
     /// Whether the group is stored and was last reported as ready.
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -58,6 +58,8 @@
     pub placements: BTreeMap<FabricDomainId, PlacementDocument>,
     /// Observed state of each stored group.
     pub groups: BTreeMap<GroupId, PlannerGroup>,
+    /// Groups whose leader reports now that they are complete and execute requests. These go on even if evidence calls a member failed.
+    pub executing: BTreeSet<GroupId>,
     /// Slots in use by each client account.
     pub usage: BTreeMap<AccountId, SlotCount>,
     /// VMs that have been suspect for longer than `suspect_grace`; filled by the controller.
--- a/crates/placement/tests/all/planner.rs
+++ b/crates/placement/tests/all/planner.rs
@@ -259,6 +259,22 @@
     assert_eq!(repaired.intent, GroupIntent::Serve);
 }
 
+/// Guards against requests that are cut because a member of their group answers again after it was silent.
+#[test]
+fn group_that_executes_requests_drains_when_a_member_returns() {
+    let mut fleet = one_domain(5, 4, 1);
+    let group = fleet.groups().next().expect("formed").clone();
+    fleet.input.executing.insert(group.id.clone());
+    fleet.set_state(group.members[0].as_str(), VmState::Returning);
+    let next = plan(&fleet);
+    fleet.apply(&next);
+    let drained = fleet.groups().next().expect("kept");
+    assert_eq!(
+        (drained.intent, drained.generation),
+        (GroupIntent::Rebuild, group.generation)
+    );
+}
+
 /// Guards against a VM in two documents: a VM that moved may join a new group only after its old
 /// document has been stored without it.
 #[test]
--- a/crates/reducer/src/control_view.rs
+++ b/crates/reducer/src/control_view.rs
@@ -309,8 +309,12 @@
             })
             .collect();
         let mut groups = BTreeMap::new();
+        let mut executing = BTreeSet::new();
         for (_, document) in self.shards.placements().values() {
             for record in &document.groups {
+                if self.is_executing(record, now) {
+                    executing.insert(record.id.clone());
+                }
                 groups.insert(record.id.clone(), self.planner_group(record, now));
             }
         }
@@ -324,12 +328,27 @@
                 .map(|(domain, (_, document))| (domain.clone(), document.clone()))
                 .collect(),
             groups,
+            executing,
             usage: self.fleet_usage(),
             // The shard controller fills in the fields that it tracks over time.
             ..PlannerInput::default()
         }
     }
 
+    /// Whether the leader of a group reports that the group is complete and executes requests.
+    fn is_executing(&self, record: &GroupRecord, now: Timestamp) -> bool {
+        let leader = record.members.first();
+        let received = leader.and_then(|leader| self.reports.get(leader));
+        received.is_some_and(|(report, at)| {
+            now.since(*at) <= MAX_REPORT_AGE
+                && report.role == EngineRole::Leader
+                && report.group.as_ref() == Some(&record.id)
+                && report.generation == record.generation
+                && report.missing.is_empty()
+                && report.running + report.queued > 0
+        })
+    }
+
     fn planner_group(&self, record: &GroupRecord, now: Timestamp) -> PlannerGroup {
         let members: Vec<(VmId, VmState)> = record
             .members
