End a drain only when the leader has reported that nothing runs

A draining group whose leader missed one probe (1 s) lost its running requests. Cause: the report of a VM is dropped when a probe fails, a group without a report counted 0 requests, and a drain ended when 3 s had passed with a count of 0. A node that had just taken the lease had no report either.

Now a drain ends early only by a report of the leader that was received after the minimum drain time and counts no request. Without one it ends at drain_timeout, or with the failure of a member, as before.

--- a/crates/placement/src/controller.rs
+++ b/crates/placement/src/controller.rs
@@ -243,18 +243,12 @@
         self.drain_since = drain_since;
     }
 
-    /// Groups whose drain has ended: no request runs and none can still arrive, or the drain
-    /// has timed out.
+    /// Groups whose drain has ended: the leader reports that no request runs and none can still
+    /// arrive, or the drain has timed out.
     fn drained(&self, now: Timestamp) -> BTreeSet<GroupId> {
         let is_over = |id: &GroupId, since: Timestamp| {
-            let idle = self
-                .input
-                .groups
-                .get(id)
-                .is_some_and(|group| group.running == 0);
-            let elapsed = now.since(since);
-            elapsed >= self.settings.drain_timeout
-                || (idle && elapsed >= self.settings.min_drain_time)
+            now.since(since) >= self.settings.drain_timeout
+                || self.reports_idle_after(id, since + self.settings.min_drain_time)
         };
         let drained = self
             .drain_since
@@ -263,6 +257,20 @@
         drained.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Whether the last report of a group's leader was received at `earliest` or later and counts no
+    /// request. A leader that does not report may still execute requests.
+    fn reports_idle_after(&self, id: &GroupId, earliest: Timestamp) -> bool {
+        let documents = self.placements.values();
+        let mut groups = documents.flat_map(|(_, document)| &document.groups);
+        let leader = groups
+            .find(|group| group.id == *id)
+            .and_then(|group| group.members.first());
+        let received = leader.and_then(|leader| self.reports.get(leader));
+        received.is_some_and(|received| {
+            received.at >= earliest && received.report.running + received.report.queued == 0
+        })
+    }
+
     /// Groups that execute requests and have a member that may count as failed. The others are left out, since the plan does not depend on
     /// them and the set changes with each request.
     fn executing_with_losses(&self) -> BTreeSet<GroupId> {
--- a/crates/placement/tests/all/single.rs
+++ b/crates/placement/tests/all/single.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use jaysaddle_placement::PlacementSettings;
+use jaysaddle_placement::PlannerGroup;
 use jaysaddle_placement::PlannerInput;
 use jaysaddle_placement::PlannerVm;
 use jaysaddle_placement::ShardController;
@@ -34,6 +35,7 @@
 use jaysaddle_types::rules::WeightStoreRule;
 use jaysaddle_types::units::RequestRate;
 use jaysaddle_types::units::Timestamp;
+use jaysaddle_types::view::GroupState;
 use jaysaddle_types::view::VmState;
 
 use crate::fleet::model;
@@ -347,3 +349,42 @@
     .to_vec();
     assert_eq!((kinds, found.len()), (vec![true; 6], 6));
 }
+
+/// Guards against requests that are cut because the leader of a draining group is silent, so that no report counts them.
+#[test]
+fn drain_does_not_end_while_the_leader_is_silent() {
+    let mut node = SingleNode::new(four_vms(), chat_rules(2, 1));
+    node.run(2000);
+    let stored = |node: &SingleNode| {
+        let documents = node.controller.placements().values();
+        documents
+            .flat_map(|(_, document)| document.groups.clone())
+            .next()
+    };
+    let group = stored(&node).expect("a group is stored");
+    let observed = |running| PlannerGroup {
+        state: GroupState::Ready,
+        running,
+    };
+    let report = |running| {
+        ShardEvent::Reported(EngineReport {
+            vm: group.members[0].clone(),
+            running,
+            ..EngineReport::default()
+        })
+    };
+    node.step(report(2));
+    node.input.groups.insert(group.id.clone(), observed(2));
+    node.input.rules = Arc::new(chat_rules(2, 0));
+    node.run(1000);
+    assert_eq!(
+        stored(&node).map(|group| group.intent),
+        Some(GroupIntent::Drain)
+    );
+    node.input.groups.insert(group.id.clone(), observed(0));
+    node.run(10_000);
+    assert!(stored(&node).is_some(), "dissolved without a report");
+    node.step(report(0));
+    node.run(2000);
+    assert_eq!(stored(&node), None);
+}
