--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -34,6 +34,7 @@
 mod service;
 mod serving;
 mod signals_under_load;
+mod silence_soak;
 mod silent_servers;
 mod slow_copies;
 mod soak_callers;
