Close an adopted group whose member has deregistered itself instead of ending it

A new lease holder ordered the leader of an open group to leave at once if an entry of a member was missing, and with it ended the requests of all callers at that group. The member may have deregistered itself, and stays in the group until they are finished. The group is now closed, and ended as before if the missing entry had lapsed, or if the leader reports that the group is broken.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -299,7 +299,7 @@
             return;
         }
         let reported = reported_groups(view.table, view.config);
-        self.adopt(&reported, now);
+        self.adopt(&reported, view, now);
         let keys: Vec<GroupKey> = self.groups.keys().cloned().collect();
         for key in keys {
             self.advance(&key, view, reported.get(&key), now);
--- a/crates/fleet/src/controller/adoption.rs
+++ b/crates/fleet/src/controller/adoption.rs
@@ -37,7 +37,12 @@
     }
 
     /// Adopts reported groups that are not managed yet. A group that may not serve safely is dissolved.
-    pub(super) fn adopt(&mut self, reported: &BTreeMap<GroupKey, ReportedGroup>, now: Timestamp) {
+    pub(super) fn adopt(
+        &mut self,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
+        view: FleetView<'_>,
+        now: Timestamp,
+    ) {
         let retention = self.timing.ended_retention;
         self.ended_groups
             .retain(|_, ended| now.since(*ended) < retention);
@@ -66,6 +71,12 @@
                         until: now + self.timing.close_timeout,
                     }
                 }
+                // The missing member may have deregistered itself, and stays until the leader has finished its requests.
+                MemberPhase::Open if group.is_loaded && !view.table.has_expired_member(key) => {
+                    GroupStage::Closing {
+                        until: now + self.timing.close_timeout,
+                    }
+                }
                 MemberPhase::Open => GroupStage::Dissolving,
                 MemberPhase::Joining | MemberPhase::Ready
                     if group.is_complete() && !group.is_loaded =>
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -222,6 +222,14 @@
         })
     }
 
+    /// Whether the entry of a member of the group `key` has expired.
+    pub fn has_expired_member(&self, key: &GroupKey) -> bool {
+        self.removed.values().any(|row| {
+            let membership = row.entry.membership.as_ref();
+            row.has_expired && membership.is_some_and(|membership| membership.key == *key)
+        })
+    }
+
     /// Number of registered backend servers.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/crates/fleet/tests/all/silence.rs
+++ b/crates/fleet/tests/all/silence.rs
@@ -103,18 +103,23 @@
 }
 
 /// Guards against requests that are cut because a member of their group deregisters itself before it shuts down, as some backend
-/// servers do without a word: the leader must finish them before it leaves.
+/// servers do without a word: the leader must finish them before it leaves, also under a new lease holder.
 #[test]
 fn group_of_a_deregistered_member_finishes_its_requests() {
-    let mut fleet = FakeFleet::new(4);
-    fleet.advance(15_000);
-    let group = fleet.serving_group(SMALL, LARGE);
-    fleet.remove_entry(&group[1]);
-    fleet.advance(1000);
-    let orders = ending_orders(&fleet);
-    assert_eq!(orders[0].0, group[0]);
-    assert!(
-        matches!(orders[0].1, BackendOrder::Close { .. }),
-        "{orders:?}"
-    );
+    for has_new_holder in [false, true] {
+        let mut fleet = FakeFleet::new(4);
+        fleet.advance(15_000);
+        let group = fleet.serving_group(SMALL, LARGE);
+        fleet.remove_entry(&group[1]);
+        if has_new_holder {
+            fleet.replace_controller(2);
+        }
+        fleet.advance(1000);
+        let orders = ending_orders(&fleet);
+        assert_eq!(orders[0].0, group[0]);
+        assert!(
+            matches!(orders[0].1, BackendOrder::Close { .. }),
+            "{orders:?}"
+        );
+    }
 }
