Keep a response whose caller reads nothing for a while within its time

What callers saw: a caller that read nothing for 15 s, and had stated a longer time, got the first part of its response and then the end of the connection.

Cause: the write of a response failed after 15 s without progress, whatever time the caller had.

A response that nobody reads still gives its memory back after 15 s when its caller has stated 5 s (`response_that_nobody_reads_gives_its_memory_back`, unchanged).

Why it works: the time of the caller, as far as the longest timeout of a route allows it, extends the 15 s. A caller that has not read by then gets no more.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -158,7 +158,7 @@
 }
 
 /// Time that the caller states to wait for the response; `None` if it states none.
-fn stated_time(map: &HeaderMap) -> Option<TimeSpan> {
+pub fn stated_time(map: &HeaderMap) -> Option<TimeSpan> {
     let millis = header_text(map, &headers::DEADLINE_MS)?.parse().ok()?;
     Some(TimeSpan(millis))
 }
--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -12,12 +12,16 @@
 
 use bytes::Buf;
 use bytes::Bytes;
+use jaysaddle_daemon::clock;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -28,7 +32,8 @@
 /// Number of bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
 
-/// Time without progress after which the write of a response fails, because its caller does not read it.
+/// Time without progress after which the write of a response fails, because its caller does not read it. A caller that waits longer may
+/// still read it.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// TCP stream whose received bytes can be given back, to be read again.
@@ -40,6 +45,8 @@
     unread: Bytes,
     /// End of a write that makes no progress; `None` while none waits.
     write_timeout: Option<Pin<Box<Sleep>>>,
+    /// Time until which the caller waits for its last response.
+    awaited_until: Rc<Cell<Timestamp>>,
     /// Whether dropping the stream must reset the connection, because its end would complete a truncated response.
     resets_on_drop: Rc<Cell<bool>>,
 }
@@ -51,6 +58,7 @@
             caller,
             unread: Bytes::new(),
             write_timeout: None,
+            awaited_until: Rc::default(),
             resets_on_drop: Rc::default(),
         }
     }
@@ -80,6 +88,11 @@
         !self.unread.is_empty()
     }
 
+    /// Time until which the caller waits for its last response.
+    pub fn awaited_until(&self) -> Rc<Cell<Timestamp>> {
+        self.awaited_until.clone()
+    }
+
     /// Whether dropping the stream resets the connection, which tells the caller that its response is not complete.
     pub fn resets_on_drop(&self) -> Rc<Cell<bool>> {
         self.resets_on_drop.clone()
@@ -125,6 +138,11 @@
             .write_timeout
             .get_or_insert_with(|| Box::pin(sleep(WRITE_TIMEOUT)));
         ready!(timeout.as_mut().poll(context));
+        let left = self.awaited_until.get().since(clock::now());
+        if left > TimeSpan(0) {
+            timeout.as_mut().reset(Instant::now() + left.as_duration());
+            ready!(timeout.as_mut().poll(context));
+        }
         log::info!("event=caller_not_reading caller={}", self.caller);
         Poll::Ready(Err(io::Error::from(io::ErrorKind::TimedOut)))
     }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,8 +4,10 @@
 use std::rc::Rc;
 
 use http::Request;
+use jaysaddle_types::units::TimeSpan;
 
 use crate::caller_body::CallerBody;
+use crate::caller_request::stated_time;
 use crate::forward;
 use crate::listener::HeadLimits;
 use crate::listener::RequestHandler;
@@ -44,6 +46,15 @@
         }
     }
 
+    fn wait_limit(&self, request: &Request<CallerBody>) -> TimeSpan {
+        let config = self.node.config.borrow();
+        let routes = config.iter().flat_map(|config| &config.routes);
+        let longest = routes.map(|route| route.timeout).max().unwrap_or_default();
+        stated_time(request.headers())
+            .unwrap_or_default()
+            .min(longest)
+    }
+
     fn connection_opened(&self) {
         let count = &self.node.caller_connections;
         count.set(count.get() + 1);
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -15,6 +15,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_daemon::telemetry::MetricsRenderer;
 use jaysaddle_fleet::peers::PeerPhase;
+use jaysaddle_types::units::TimeSpan;
 
 use crate::address_list::ServingNode;
 use crate::address_list::select_addresses;
@@ -61,6 +62,10 @@
         }
     }
 
+    fn wait_limit(&self, _request: &Request<CallerBody>) -> TimeSpan {
+        TimeSpan(0)
+    }
+
     fn connection_opened(&self) {
         let count = &self.node.info_connections;
         count.set(count.get() + 1);
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -27,6 +27,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use jaysaddle_daemon::clock;
+use jaysaddle_types::units::TimeSpan;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -70,6 +72,9 @@
     /// Limits for a new connection.
     fn head_limits(&self) -> HeadLimits;
 
+    /// Time from now for which the caller of a request waits for the response, as far as it is allowed to.
+    fn wait_limit(&self, request: &Request<CallerBody>) -> TimeSpan;
+
     /// Records a new connection.
     fn connection_opened(&self);
 
@@ -199,6 +204,7 @@
 ) -> ConnectionEnd {
     let caller = stream.caller();
     let resets_on_drop = stream.resets_on_drop();
+    let awaited_until = stream.awaited_until();
     let state = Rc::new(ConnectionState {
         has_request: Cell::new(false),
         is_body_read: Rc::new(Cell::new(true)),
@@ -210,6 +216,7 @@
             // Without chunks, the end of the connection ends the response.
             resets_on_drop.set(request.version() < Version::HTTP_11);
             let request = request.map(|body| CallerBody::new(body, state.is_body_read.clone()));
+            awaited_until.set(clock::now() + handler.wait_limit(&request));
             let response = if refuses {
                 handler.refuse(request)
             } else {
--- a/tests/all/connection_ends.rs
+++ b/tests/all/connection_ends.rs
@@ -9,7 +9,10 @@
 use std::time::Duration;
 
 use jaysaddle_platform_standin::StandinWork;
+use jaysaddle_platform_standin::add_plain_routes;
 use jaysaddle_platform_standin::request_headers_with_time;
+use jaysaddle_platform_standin::set_route_timeouts;
+use jaysaddle_platform_standin::stream_config;
 use serde_json::json;
 
 use crate::platform_nodes::KEY;
@@ -190,3 +193,31 @@
     let response = nodes.request(0, "after", "/lookups/x", KEY);
     assert_eq!(response.status_code, 200);
 }
+
+/// Guards against a response that is cut because its caller reads nothing for some time, although it has more time than that.
+#[test]
+fn response_whose_caller_pauses_within_its_time_is_whole() {
+    let nodes = PlatformNodes::start(1, 2);
+    nodes.wait_serving(1);
+    let mut config = stream_config(2, &nodes.addresses, KEY);
+    add_plain_routes(&mut config, &nodes.addresses);
+    set_route_timeouts(&mut config, 40_000);
+    nodes.standin.set_config(&config);
+    nodes.wait("the configuration is in force", |nodes| {
+        nodes.log(0).contains("event=config_in_force version=2")
+    });
+    nodes.standin.set_work(StandinWork {
+        answer_bytes: Some(12 << 20),
+        is_plain_reliable: true,
+        ..StandinWork::default()
+    });
+    let mut stream = connect(&nodes);
+    let request = request_text(&nodes, "1.1", "/lookups/x", 100, 40_000);
+    stream.write_all(&request).expect("the node reads");
+    thread::sleep(Duration::from_secs(18));
+    stream
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .expect("a valid timeout");
+    let (received, error) = read_to_end(&mut stream);
+    assert!(received.len() > 12 << 20, "{} {error:?}", received.len());
+}
