Send the leaving backend server a request before its peers are expected to know

Cause: the test, not the nodes. Streams of 0.9 s were sent one after the other, so that the first second had two requests for three groups. When neither went to the leader, no node had been told, as the logs show: server_leaving comes with the first request to it.

Now requests are sent until one has reached the leader, then for the time in which the peers learn, then for 3 s as before.

--- a/tests/all/server_notices.rs
+++ b/tests/all/server_notices.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jaysaddle_platform_standin::StandinWork;
+
 use crate::platform_nodes::KEY;
 use crate::platform_nodes::PlatformNodes;
 
@@ -37,8 +39,17 @@
     let nodes = PlatformNodes::start(3, 6);
     nodes.wait_serving(3);
     let leader = nodes.standin.serving_groups()[0][0].clone();
+    nodes.standin.set_work(StandinWork {
+        events: 2,
+        ..StandinWork::default()
+    });
     nodes.standin.set_leaving(&leader);
-    assert_eq!(call_all(&nodes, "told", SPREAD_TIME), 0);
+    let earlier = nodes.standin.arrival_times(&leader).len();
+    nodes.wait("the leader has said so to a node", |nodes| {
+        assert_eq!(call_all(nodes, "told", CALL_INTERVAL), 0);
+        nodes.standin.arrival_times(&leader).len() > earlier
+    });
+    assert_eq!(call_all(&nodes, "spread", SPREAD_TIME), 0);
     let before = nodes.standin.arrival_times(&leader).len();
     assert_eq!(call_all(&nodes, "later", Duration::from_secs(3)), 0);
     assert_eq!(nodes.standin.arrival_times(&leader).len(), before);
