Keep silent completions open until another stream brings something

With an inventory, callers lost completions whose engine was slow or paused: streams ended with 502 `backend_failed` (`may_have_run`) while the engine went on. Cause: after `token_timeout` without a token a node closed the stream, and only then asked the leader for a report. If that took 1 s, or the stream had been resumed three times, the request was refused. A stream of a draining or suspect group was not resumed at all, because the check was that for new requests.

Now silence ends no attempt. The silent stream is read on, beside one that resumes it if the leader reports the run, or beside another attempt if the request may run twice; the first to bring a token goes on. Without an alternative the request waits for what is open. An attempt ends with its connections, with a report or a placement that excludes its run, with the death of its leader, or at the deadline. A wait that a pause of the node itself prolonged is no silence. A resume no longer counts as one more request at the group; nothing ever took it back.

Each stream runs once.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -28,6 +28,7 @@
 use tiny_http::Method;
 use tiny_http::Request;
 
+use crate::attempt_streams::AttemptStreams;
 use crate::clock;
 use crate::completion;
 use crate::completion::CompletionBody;
@@ -256,9 +257,8 @@
             arrived,
             request: Some(request),
             stream: None,
-            assembler: None,
-            sent: arrived,
-            first_token: None,
+            streams: AttemptStreams::default(),
+            has_first_token: false,
         };
         request::run_request(&self.shared, spec, Box::new(runner));
     }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -4,6 +4,7 @@
 use std::time::UNIX_EPOCH;
 
 use jaysaddle_types::ids::Incarnation;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
@@ -19,6 +20,16 @@
     Timestamp(secs * 1000 + nanos / 1_000_000)
 }
 
+/// Time by which a wait may exceed its timeout without a pause of this process.
+const MAX_WAKE_DELAY: TimeSpan = TimeSpan::from_millis(300);
+
+/// Whether this process did not run for a part of a wait that began at `started` and has timed out.
+///
+/// Such a timeout is no evidence about the process that was waited for: its data may not have been read yet.
+pub fn was_paused(started: Timestamp, timeout: TimeSpan) -> bool {
+    now() > started + timeout + MAX_WAKE_DELAY
+}
+
 /// Returns the incarnation for a node that starts now: the wall clock in milliseconds.
 ///
 /// A node stores no state, so it cannot count its restarts. Incarnations are compared only with
--- a/crates/daemon/src/completion.rs
+++ b/crates/daemon/src/completion.rs
@@ -4,6 +4,7 @@
 use std::time::UNIX_EPOCH;
 
 use compact_str::CompactString;
+use jaysaddle_engine::EngineClient;
 use jaysaddle_engine::StreamItem;
 use jaysaddle_ledger::StoredResponse;
 use jaysaddle_reducer::traffic_event::AttemptOutcome;
@@ -20,13 +21,15 @@
 use serde::Deserialize;
 use tiny_http::Request;
 
-use crate::assembler::ChunkAssembler;
-use crate::assembler::ChunkOutcome;
+use crate::attempt_streams::AttemptStreams;
+use crate::attempt_streams::OpenAttempt;
+use crate::attempt_streams::StreamProgress;
 use crate::clock;
 use crate::reply;
 use crate::reply::EVENT_STREAM;
 use crate::reply::JSON;
 use crate::reply::StreamReply;
+use crate::request::AttemptEnd;
 use crate::request::AttemptSpec;
 use crate::request::RequestRunner;
 use crate::shared_state::SharedState;
@@ -89,12 +92,10 @@
     pub request: Option<Request>,
     /// Streamed response to the caller; `None` until the first text is forwarded.
     pub stream: Option<StreamReply>,
-    /// Reassembly of the current attempt; `None` before the first attempt.
-    pub assembler: Option<ChunkAssembler>,
-    /// Time at which the current attempt was sent.
-    pub sent: Timestamp,
-    /// Arrival time of the first token of the current attempt.
-    pub first_token: Option<Timestamp>,
+    /// Streams of the attempts that are open.
+    pub streams: AttemptStreams,
+    /// Whether the latency to the first token has been recorded.
+    pub has_first_token: bool,
 }
 
 fn finish_text(finish: FinishReason) -> &'static str {
@@ -188,10 +189,14 @@
         }
     }
 
-    fn record_first_token(&mut self, now: Timestamp) {
-        if self.first_token.is_none() {
-            self.first_token = Some(now);
-            let span = now.since(self.arrived).as_duration();
+    /// Records the latency to the first token of the first attempt that brings one.
+    fn record_first_token(&mut self) {
+        let first_token = self.streams.current().and_then(|open| open.first_token);
+        if let Some(first_token) = first_token
+            && !self.has_first_token
+        {
+            self.has_first_token = true;
+            let span = first_token.since(self.arrived).as_duration();
             metrics::histogram!("jaysaddle_first_token_seconds").record(span.as_secs_f64());
         }
     }
@@ -218,64 +223,39 @@
         })
     }
 
+    fn received(&self) -> u32 {
+        let open = self.streams.current();
+        open.map_or(0, |open| open.assembler.tokens())
+    }
+
     fn broken(&self, resumable: bool) -> AttemptOutcome {
         AttemptOutcome::Broken {
-            received: self.assembler.as_ref().map_or(0, ChunkAssembler::tokens),
+            received: self.received(),
             delivered: self.stream.is_some(),
             resumable,
         }
     }
 
-    /// Handles a chunk; returns `None` while the completion continues.
-    fn handle_chunk(
-        &mut self,
-        chunk: jaysaddle_types::engine::TokenChunk,
-    ) -> Option<AttemptOutcome> {
-        let assembler = self.assembler.as_mut()?;
-        let before = assembler.tokens();
-        let text = match assembler.push(chunk) {
-            ChunkOutcome::Text(text) => text,
-            ChunkOutcome::Unrelated => {
-                log::warn!(
-                    "request={} dropped a chunk of another request or attempt",
-                    self.id
-                );
-                return None;
-            }
-            ChunkOutcome::Inconsistent => {
-                log::warn!(
-                    "request={} received inconsistent completion chunks",
-                    self.id
-                );
-                return Some(self.broken(true));
-            }
-        };
-        let tokens = assembler.tokens();
-        let finish = assembler.finish();
-        metrics::counter!("jaysaddle_tokens_total").increment(u64::from(tokens - before));
-        if tokens > 0 {
-            self.record_first_token(clock::now());
-        }
-        if !self.forward_text(&text) {
+    /// Handles text of the current attempt; returns `None` while the completion continues.
+    fn handle_text(&mut self, text: &str, previous: u32) -> Option<AttemptOutcome> {
+        let tokens = self.received();
+        metrics::counter!("jaysaddle_tokens_total")
+            .increment(u64::from(tokens.saturating_sub(previous)));
+        self.record_first_token();
+        if !self.forward_text(text) {
             return Some(AttemptOutcome::CallerDisconnected);
         }
-        match finish {
-            None => None,
-            // An empty or cancelled completion must not be delivered as a response.
-            Some(FinishReason::Cancelled) => Some(self.broken(false)),
-            Some(_) if tokens == 0 => Some(self.broken(false)),
-            Some(finish) => Some(self.completed(finish)),
-        }
+        let open = self.streams.current()?;
+        let finish = open.assembler.finish()?;
+        Some(self.completed(open, finish))
     }
 
-    fn completed(&self, finish: FinishReason) -> AttemptOutcome {
-        let Some(assembler) = &self.assembler else {
-            return self.broken(false);
-        };
-        let first_token = self.first_token.unwrap_or(self.sent);
+    fn completed(&self, open: &OpenAttempt, finish: FinishReason) -> AttemptOutcome {
+        let assembler = &open.assembler;
+        let first_token = open.first_token.unwrap_or(open.sent);
         AttemptOutcome::Completed {
             response: self.stored_response(assembler.text(), finish, assembler.tokens()),
-            first_token: first_token.since(self.sent),
+            first_token: first_token.since(open.sent),
             cached_tokens: TokenCount(assembler.cached_tokens()),
         }
     }
@@ -285,10 +265,14 @@
         self.deadline.min(self.shared.stop_deadline())
     }
 
-    /// Timeout for the next chunk: the token timeout, limited by the deadline.
+    /// Time without a chunk after which the attempt counts as silent, limited by the deadline.
     fn next_chunk_timeout(&self, now: Timestamp) -> TimeSpan {
         let timing = &self.shared.settings.timing;
-        let timeout = if self.first_token.is_some() {
+        let has_token = self
+            .streams
+            .current()
+            .is_some_and(|open| open.first_token.is_some());
+        let timeout = if has_token {
             timing.token_timeout
         } else {
             timing.first_token_timeout
@@ -296,63 +280,103 @@
         timeout.min(self.current_deadline().since(now))
     }
 
-    fn read_stream(&mut self, items: &flume::Receiver<StreamItem>) -> AttemptOutcome {
+    fn read_streams(&mut self) -> AttemptOutcome {
         loop {
-            let timeout = self.next_chunk_timeout(clock::now());
-            match items.recv_timeout(timeout.as_duration()) {
-                Ok(StreamItem::Chunk(chunk)) => {
-                    if let Some(outcome) = self.handle_chunk(chunk) {
+            let started = clock::now();
+            let timeout = self.next_chunk_timeout(started);
+            let previous = self.received();
+            match self.streams.next(timeout.as_duration(), clock::now) {
+                StreamProgress::Text(text) => {
+                    if let Some(outcome) = self.handle_text(&text, previous) {
                         return outcome;
                     }
                 }
-                Ok(StreamItem::NotSent) => return AttemptOutcome::NotSent,
-                Ok(StreamItem::Refused(refusal)) => return AttemptOutcome::Refused(refusal),
-                Ok(StreamItem::Ended) | Err(flume::RecvTimeoutError::Disconnected) => {
-                    return self.broken(true);
+                StreamProgress::Nothing => {}
+                StreamProgress::Ended(_, StreamItem::NotSent) => return AttemptOutcome::NotSent,
+                StreamProgress::Ended(_, StreamItem::Refused(refusal)) => {
+                    return AttemptOutcome::Refused(refusal);
                 }
-                Err(flume::RecvTimeoutError::Timeout) => {
-                    return if clock::now() >= self.current_deadline() {
-                        AttemptOutcome::DeadlineExceeded
-                    } else {
-                        self.broken(true)
+                StreamProgress::Ended(..) => return self.broken(true),
+                StreamProgress::Spoiled { resumable, .. } => return self.broken(resumable),
+                StreamProgress::Silence if clock::now() >= self.current_deadline() => {
+                    return AttemptOutcome::DeadlineExceeded;
+                }
+                // What arrived during a pause of this process has not been read yet.
+                StreamProgress::Silence if clock::was_paused(started, timeout) => {}
+                StreamProgress::Silence => {
+                    log::info!(
+                        "request={} attempt={} brought nothing for {timeout} after {previous} tokens; its streams stay open",
+                        self.id,
+                        self.streams.current_number()
+                    );
+                    return AttemptOutcome::Silent {
+                        received: self.received(),
+                        delivered: self.stream.is_some(),
                     };
                 }
             }
         }
     }
+
+    /// Reads the open streams until the current attempt ends or is silent, and returns its number with the outcome.
+    fn finish_attempt(&mut self) -> AttemptEnd {
+        let outcome = self.read_streams();
+        if matches!(
+            outcome,
+            AttemptOutcome::DeadlineExceeded | AttemptOutcome::CallerDisconnected
+        ) {
+            for address in self.streams.addresses() {
+                self.shared.engine.cancel(address, &self.id);
+            }
+        }
+        AttemptEnd {
+            attempt: self.streams.current_number(),
+            outcome,
+        }
+    }
 }
 
 impl RequestRunner for CompletionRunner<'_> {
-    fn run(&mut self, spec: &AttemptSpec) -> AttemptOutcome {
+    fn run(&mut self, spec: &AttemptSpec) -> AttemptEnd {
         let now = clock::now();
         let Some(completion) = self.engine_completion(spec, now) else {
-            return AttemptOutcome::NotSent;
+            return AttemptEnd {
+                attempt: spec.attempt,
+                outcome: AttemptOutcome::NotSent,
+            };
         };
-        if spec.resume_at.is_some() {
-            if let Some(assembler) = &mut self.assembler {
-                assembler.resume();
+        let start = |engine: &dyn EngineClient| engine.start_completion(spec.address, completion);
+        match spec.resume_at {
+            // The silence has ended meanwhile.
+            Some(_) if self.streams.select(spec.attempt) && self.streams.has_items() => {}
+            Some(_) => {
+                metrics::counter!("jaysaddle_stream_resumes_total").increment(1);
+                let items = start(self.shared.engine.as_ref());
+                self.streams.resume(spec.attempt, items);
+            }
+            None => {
+                let items = start(self.shared.engine.as_ref());
+                let id = self.id.clone();
+                self.streams
+                    .start(id, spec.attempt, spec.address, items, now);
             }
-        } else {
-            self.sent = now;
-            self.first_token = None;
-            self.assembler = Some(ChunkAssembler::new(self.id.clone(), spec.attempt));
         }
-        let items = self
-            .shared
-            .engine
-            .start_completion(spec.address, completion);
-        let outcome = self.read_stream(&items);
-        if matches!(
-            outcome,
-            AttemptOutcome::DeadlineExceeded | AttemptOutcome::CallerDisconnected
-        ) {
-            self.shared.engine.cancel(spec.address, &self.id);
+        self.finish_attempt()
+    }
+
+    fn await_attempt(&mut self, attempt: u32) -> AttemptEnd {
+        if self.streams.select(attempt) {
+            return self.finish_attempt();
+        }
+        AttemptEnd {
+            attempt,
+            outcome: self.broken(false),
         }
-        outcome
     }
 
     fn complete(mut self: Box<Self>, response: &StoredResponse) {
-        let finish = self.assembler.as_ref().and_then(ChunkAssembler::finish);
+        let open = self.streams.current();
+        let finish = open.and_then(|open| open.assembler.finish());
         let end = self.chunk_json("", finish);
         match (self.stream.take(), self.request.take()) {
             (Some(mut stream), _) => {
--- a/crates/daemon/src/data_plane.rs
+++ b/crates/daemon/src/data_plane.rs
@@ -115,7 +115,8 @@
     fn execute(&mut self, effect: TrafficEffect, elapsed: Duration) {
         match effect {
             TrafficEffect::CheckGroup { ref request, .. }
-            | TrafficEffect::Dispatch { ref request, .. } => {
+            | TrafficEffect::Dispatch { ref request, .. }
+            | TrafficEffect::AwaitAttempt { ref request, .. } => {
                 let request = request.clone();
                 self.forward(&request, effect, false);
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod abandon;
 pub mod assembler;
+pub mod attempt_streams;
 pub mod callers;
 pub mod clock;
 pub mod completion;
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -3,16 +3,20 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
+use jaysaddle_engine::ReportFailure;
 use jaysaddle_ledger::StoredResponse;
 use jaysaddle_reducer::TrafficEffect;
 use jaysaddle_reducer::TrafficEvent;
 use jaysaddle_reducer::traffic_event::AttemptOutcome;
 use jaysaddle_routing::RouteTarget;
+use jaysaddle_types::engine::EngineReport;
+use jaysaddle_types::ids::RequestId;
 use jaysaddle_types::request::RequestSpec;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::verdict::ReasonCode;
 use jaysaddle_types::verdict::RequestRefusal;
 
+use crate::clock;
 use crate::control_lane::probe_failure;
 use crate::shared_state::DataPlaneInput;
 use crate::shared_state::SharedState;
@@ -34,11 +38,23 @@
     pub resume_at: Option<u32>,
 }
 
+/// End, or silence, of an attempt.
+#[derive(Clone, Debug)]
+pub struct AttemptEnd {
+    /// Number of the attempt: the latest one, or an earlier one that brought something first.
+    pub attempt: u32,
+    /// How the attempt ended.
+    pub outcome: AttemptOutcome,
+}
+
 /// Parts of request handling that differ between completions and calls of plain services.
 pub trait RequestRunner {
     /// Makes an attempt and returns its outcome. A streamed response is forwarded to the caller
     /// during the attempt.
-    fn run(&mut self, spec: &AttemptSpec) -> AttemptOutcome;
+    fn run(&mut self, spec: &AttemptSpec) -> AttemptEnd;
+
+    /// Goes on with an attempt that was silent.
+    fn await_attempt(&mut self, attempt: u32) -> AttemptEnd;
 
     /// Sends the complete response, or the rest of it when it was streamed.
     fn complete(self: Box<Self>, response: &StoredResponse);
@@ -54,6 +70,37 @@
     metrics::counter!("jaysaddle_requests_total", "result" => result).increment(1);
 }
 
+/// Fetches the report of a group's leader, again after a pause of this process: the pause may have caused the timeout.
+fn fetch_report(shared: &SharedState, address: SocketAddr) -> Result<EngineReport, ReportFailure> {
+    let started = clock::now();
+    let outcome = shared.engine.fetch_report(address, CHECK_TIMEOUT);
+    if outcome.is_err() && clock::was_paused(started, CHECK_TIMEOUT) {
+        return shared.engine.fetch_report(address, CHECK_TIMEOUT);
+    }
+    outcome
+}
+
+/// Reports the end of an attempt to the data plane and returns the response, if there is one.
+///
+/// The ledger stores the response before the caller receives its end, so that an immediate caller
+/// retry finds it.
+fn report_end(
+    shared: &SharedState,
+    request: &RequestId,
+    end: AttemptEnd,
+) -> Option<StoredResponse> {
+    let response = match &end.outcome {
+        AttemptOutcome::Completed { response, .. } => Some(response.clone()),
+        _ => None,
+    };
+    shared.send_data_event(TrafficEvent::AttemptEnded {
+        request: request.clone(),
+        attempt: end.attempt,
+        outcome: end.outcome,
+    });
+    response
+}
+
 /// Submits a request to the data plane and executes its effects until a response or a refusal
 /// has been sent.
 pub fn run_request(
@@ -73,10 +120,9 @@
     loop {
         match effects.recv() {
             Ok(TrafficEffect::CheckGroup { address, .. }) => {
-                let outcome = shared.engine.fetch_report(address, CHECK_TIMEOUT);
                 shared.send_data_event(TrafficEvent::GroupReported {
                     request: request.clone(),
-                    outcome: outcome.map_err(probe_failure),
+                    outcome: fetch_report(shared, address).map_err(probe_failure),
                 });
             }
             Ok(TrafficEffect::Dispatch {
@@ -87,28 +133,21 @@
                 ..
             }) => {
                 sent = true;
-                if resume_at.is_some() {
-                    metrics::counter!("jaysaddle_stream_resumes_total").increment(1);
-                }
-                let attempt_spec = AttemptSpec {
+                let end = runner.run(&AttemptSpec {
                     attempt,
                     target,
                     address,
                     resume_at,
-                };
-                let outcome = runner.run(&attempt_spec);
-                let response = match &outcome {
-                    AttemptOutcome::Completed { response, .. } => Some(response.clone()),
-                    _ => None,
-                };
-                // The ledger stores the response before the caller receives its end, so that an
-                // immediate caller retry finds it.
-                shared.send_data_event(TrafficEvent::AttemptEnded {
-                    request: request.clone(),
-                    attempt,
-                    outcome,
                 });
-                if let Some(response) = response {
+                if let Some(response) = report_end(shared, &request, end) {
+                    count_result("answered");
+                    runner.complete(&response);
+                    return;
+                }
+            }
+            Ok(TrafficEffect::AwaitAttempt { attempt, .. }) => {
+                let end = runner.await_attempt(attempt);
+                if let Some(response) = report_end(shared, &request, end) {
                     count_result("answered");
                     runner.complete(&response);
                     return;
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -13,6 +13,7 @@
 
 use crate::clock;
 use crate::reply;
+use crate::request::AttemptEnd;
 use crate::request::AttemptSpec;
 use crate::request::RequestRunner;
 use crate::shared_state::SharedState;
@@ -38,8 +39,8 @@
     pub request: Option<Request>,
 }
 
-impl RequestRunner for ServiceRunner<'_> {
-    fn run(&mut self, spec: &AttemptSpec) -> AttemptOutcome {
+impl ServiceRunner<'_> {
+    fn call(&self, spec: &AttemptSpec) -> AttemptOutcome {
         let started = clock::now();
         let call = ServiceCall {
             request_id: self.id.clone(),
@@ -80,6 +81,24 @@
             },
         }
     }
+}
+
+impl RequestRunner for ServiceRunner<'_> {
+    fn run(&mut self, spec: &AttemptSpec) -> AttemptEnd {
+        AttemptEnd {
+            attempt: spec.attempt,
+            outcome: self.call(spec),
+        }
+    }
+
+    fn await_attempt(&mut self, attempt: u32) -> AttemptEnd {
+        let outcome = AttemptOutcome::Broken {
+            received: 0,
+            delivered: false,
+            resumable: false,
+        };
+        AttemptEnd { attempt, outcome }
+    }
 
     fn complete(mut self: Box<Self>, response: &StoredResponse) {
         if let Some(request) = self.request.take() {
--- a/crates/reducer/src/attempt.rs
+++ b/crates/reducer/src/attempt.rs
@@ -29,7 +29,7 @@
 
 /// Maximum number of times that one stream is resumed. A stalled connection is replaced once or
 /// twice; more resumes indicate a fault in the group.
-const MAX_RESUMES: u32 = 3;
+pub(crate) const MAX_RESUMES: u32 = 3;
 
 /// Number of targets tried for one request before it is refused.
 const MAX_TARGETS: usize = 8;
@@ -67,7 +67,7 @@
                 "no group that was tried could take the request",
                 BACKEND_RETRY_AFTER,
             );
-            self.refuse(request, refusal, now, effects);
+            self.await_kept_or_refuse(request, refusal, now, effects);
             return;
         }
         let view = self.view.clone();
@@ -83,12 +83,13 @@
             }
             Err(failure) => {
                 effects.push(TrafficEffect::Decision(failure.decision));
-                self.refuse(request, failure.refusal, now, effects);
+                self.await_kept_or_refuse(request, failure.refusal, now, effects);
             }
         }
     }
 
-    fn check_group(
+    /// Requests a report from the leader of a target.
+    pub(crate) fn check_group(
         &mut self,
         request: &RequestId,
         target: &RouteTarget,
@@ -126,6 +127,10 @@
         let Some((target, _)) = entry.target.clone() else {
             return;
         };
+        if entry.resume_at.is_some() {
+            self.handle_resume_report(request, &outcome, now, effects);
+            return;
+        }
         if outcome.is_ok() && self.router.is_present(&target, &self.view, now) {
             self.dispatch(request, now, effects);
             return;
@@ -139,15 +144,16 @@
                 });
             }
         }
-        if entry.resume_at.is_some() {
-            self.retry_or_refuse(request, now, effects);
-        } else {
-            self.route(request, now, effects);
-        }
+        self.route(request, now, effects);
     }
 
     /// Dispatches the request, or refuses it when the send would violate an invariant.
-    fn dispatch(&mut self, request: &RequestId, now: Timestamp, effects: &mut Vec<TrafficEffect>) {
+    pub(crate) fn dispatch(
+        &mut self,
+        request: &RequestId,
+        now: Timestamp,
+        effects: &mut Vec<TrafficEffect>,
+    ) {
         let Some(entry) = self.requests.get_mut(request) else {
             return;
         };
@@ -161,7 +167,9 @@
                 detail: detail.into(),
             })
         };
-        let violation = if !self.router.is_present(&target, &self.view, now) {
+        // A resume starts nothing: the run was sent while the target was available.
+        let is_new = entry.resume_at.is_none();
+        let violation = if is_new && !self.router.is_present(&target, &self.view, now) {
             let kind = match target {
                 RouteTarget::Group { .. } => InvariantKind::CompleteGroup,
                 RouteTarget::Server { .. } => InvariantKind::LeavingServer,
@@ -170,8 +178,7 @@
                 kind,
                 "dispatch to a target that is not available",
             ))
-        } else if entry.resume_at.is_none() && !entry.spec.idempotent && entry.sent != entry.not_run
-        {
+        } else if is_new && !entry.spec.idempotent && entry.sent != entry.not_run {
             Some(new_violation(
                 InvariantKind::AtMostOnce,
                 "repeated dispatch of a non-idempotent request that may have run",
@@ -190,10 +197,11 @@
         }
         entry.phase = RequestPhase::Running;
         entry.verdict = Verdict::MayHaveRun;
-        if entry.resume_at.is_none() {
-            entry.attempt += 1;
+        if is_new {
             entry.sent += 1;
+            entry.attempt = entry.sent;
             entry.resumes = 0;
+            entry.silence = None;
         }
         let query = route_query(entry);
         effects.push(TrafficEffect::Dispatch {
@@ -203,7 +211,9 @@
             address,
             resume_at: entry.resume_at,
         });
-        self.router.record_attempt_start(&target, &query);
+        if is_new {
+            self.router.record_attempt_start(&target, &query);
+        }
     }
 
     pub(crate) fn handle_attempt_end(
@@ -218,10 +228,14 @@
             return;
         };
         // Ignore late outcomes of earlier attempts.
-        if entry.attempt != attempt || entry.phase != RequestPhase::Running {
+        if entry.phase != RequestPhase::Running {
             return;
         }
-        let Some((target, _)) = entry.target.clone() else {
+        if entry.attempt != attempt && !self.select_kept(request, attempt, now) {
+            return;
+        }
+        let entry = self.requests.get(request);
+        let Some((target, _)) = entry.and_then(|entry| entry.target.clone()) else {
             return;
         };
         match outcome {
@@ -262,6 +276,10 @@
                     request, &target, received, delivered, resumable, now, effects,
                 );
             }
+            AttemptOutcome::Silent {
+                received,
+                delivered,
+            } => self.handle_silence(request, received, delivered, now, effects),
             AttemptOutcome::DeadlineExceeded => {
                 self.router
                     .record_attempt_end(&target, AttemptResult::Cancelled, now);
@@ -291,6 +309,7 @@
         now: Timestamp,
         effects: &mut Vec<TrafficEffect>,
     ) {
+        self.drop_kept(request, now);
         let Some(entry) = self.requests.remove(request) else {
             return;
         };
@@ -364,7 +383,7 @@
                 "the engine's queue is full and the retry budget is used up",
                 BACKEND_RETRY_AFTER,
             );
-            self.refuse(request, refusal, now, effects);
+            self.await_kept_or_refuse(request, refusal, now, effects);
             return;
         }
         self.reroute_not_run(request, target, now, effects);
@@ -388,6 +407,7 @@
             return;
         };
         entry.delivered |= delivered;
+        entry.silence = None;
         if resumable && entry.resumes < MAX_RESUMES {
             entry.resumes += 1;
             entry.resume_at = Some(received);
@@ -411,7 +431,7 @@
 
     /// Retries an idempotent request on another target if no part of its response reached the
     /// caller and the retry budget allows it; otherwise refuses it.
-    fn retry_or_refuse(
+    pub(crate) fn retry_or_refuse(
         &mut self,
         request: &RequestId,
         now: Timestamp,
@@ -438,6 +458,6 @@
             ReasonCode::BackendFailed,
             "the backend server failed before its answer was whole",
         );
-        self.refuse(request, refusal, now, effects);
+        self.await_kept_or_refuse(request, refusal, now, effects);
     }
 }
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod invariant;
 pub mod ledger_wire;
 pub mod operator;
+pub(crate) mod silence;
 pub mod traffic;
 pub mod traffic_event;
 pub(crate) mod traffic_ledger;
--- a/crates/reducer/src/traffic.rs
+++ b/crates/reducer/src/traffic.rs
@@ -42,6 +42,8 @@
 use crate::handover::HandoverSender;
 use crate::invariant::InvariantKind;
 use crate::invariant::InvariantViolation;
+use crate::silence::KeptAttempt;
+use crate::silence::SilentSpell;
 use crate::traffic_event::TrafficEffect;
 use crate::traffic_event::TrafficEvent;
 
@@ -98,6 +100,10 @@
     pub(crate) target: Option<(RouteTarget, SocketAddr)>,
     /// Token offset to resume at; absent when the next dispatch is a new attempt.
     pub(crate) resume_at: Option<u32>,
+    /// Silence of the latest attempt; absent when its stream has ended since.
+    pub(crate) silence: Option<SilentSpell>,
+    /// Silent attempts at other targets, oldest first.
+    pub(crate) kept: Vec<KeptAttempt>,
     /// Whether any part of the response reached the caller. From then on, the request is
     /// not retried on another target. Tokens that a node buffers for a non-streamed
     /// response do not count.
@@ -285,6 +291,8 @@
                 resumes: 0,
                 target: None,
                 resume_at: None,
+                silence: None,
+                kept: Vec::new(),
                 delivered: false,
                 excluded: Vec::new(),
                 claimed: false,
@@ -456,6 +464,7 @@
         now: Timestamp,
         effects: &mut Vec<TrafficEffect>,
     ) {
+        self.drop_kept(request, now);
         let Some(entry) = self.requests.remove(request) else {
             return;
         };
@@ -510,6 +519,7 @@
         now: Timestamp,
         effects: &mut Vec<TrafficEffect>,
     ) {
+        self.drop_kept(request, now);
         let Some(entry) = self.requests.remove(request) else {
             return;
         };
--- a/crates/reducer/src/traffic_event.rs
+++ b/crates/reducer/src/traffic_event.rs
@@ -39,7 +39,15 @@
     NotSent,
     /// The backend server refused the request before running it.
     Refused(EngineRefusal),
-    /// The stream ended or stalled before its end marker, or its chunks were inconsistent.
+    /// No chunk arrived for some time. The streams of the attempt are open and go on being read with
+    /// [`TrafficEffect::AwaitAttempt`] or beside a further dispatch.
+    Silent {
+        /// Number of tokens received in sequence.
+        received: u32,
+        /// Whether any part of the response was forwarded to the caller.
+        delivered: bool,
+    },
+    /// The stream ended before its end marker, or its chunks were inconsistent.
     Broken {
         /// Number of tokens received in sequence.
         received: u32,
@@ -121,6 +129,13 @@
         /// Number of tokens already received; present when a stream is resumed.
         resume_at: Option<u32>,
     },
+    /// Go on reading the open streams of a request.
+    AwaitAttempt {
+        /// Request that waits.
+        request: RequestId,
+        /// Latest attempt, of which a stream is expected to be open.
+        attempt: u32,
+    },
     /// Refuse a request, which ends it.
     Refuse {
         /// Request to refuse.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -32,6 +32,7 @@
 mod service;
 mod serving;
 mod signals_under_load;
+mod silent_engines;
 mod silent_servers;
 mod soak_callers;
 mod soak_events;
