--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -35,6 +35,7 @@
 mod serving;
 mod signals_under_load;
 mod silence_soak;
+mod silent_engines;
 mod silent_servers;
 mod slow_copies;
 mod soak_callers;
