Check in the soaks that no group is left while its leader runs requests

A holder that takes silence for a failure orders the members of a group to leave. The backend servers of the tests let running streams go on after it, so the soaks did not see what a real one does: its streams end. The stand-in now records each order to leave that is carried out while the leader of the group runs requests, and the soaks fail with it.

--- a/tests/all/silence_soak.rs
+++ b/tests/all/silence_soak.rs
@@ -5,7 +5,7 @@
 /// Seed of the run in CI.
 const FIRST_SEED: u64 = 1004;
 /// Seeds that have failed, each with its cause.
-const FAILED_SEEDS: [(u64, &str); 7] = [
+const FAILED_SEEDS: [(u64, &str); 13] = [
     (
         FIRST_SEED,
         "streams are cut while their groups are silent, and requests behind them are not answered",
@@ -22,6 +22,15 @@
         2012,
         "not known: the end of a connection behind a refusal is seen after 283 ms, on a machine with a load of 33",
     ),
+    (
+        1000,
+        "silent groups are dissolved while their leaders run requests",
+    ),
+    (1008, "as 1000"),
+    (1010, "as 1000"),
+    (2000, "as 1000"),
+    (2001, "as 1000"),
+    (2006, "as 1000"),
 ];
 
 /// Guards against requests that a node ends because of a silence while their backend servers still work on them.
--- a/tests/all/stop_soak.rs
+++ b/tests/all/stop_soak.rs
@@ -369,6 +369,9 @@
                 self.add_fault(format!("no line for a lost request: {text}"));
             }
         }
+        for leave in self.world.nodes.standin.early_leaves() {
+            self.add_fault(format!("a group that works is ended: {leave}"));
+        }
         self.check_processes(&logs);
         self.check_calls();
         let calls = self.records.iter().flat_map(|record| &record.calls);
