Leave a pause of the node out of the stalls in urgent heartbeats too

After a pause, a task that asks for an urgent heartbeat may run before the regular tick. The heartbeat then told the peers that all groups with streams had stalled. Found by a reviewer by reading; no run shows it and no test covers the order of the two.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -23,6 +23,7 @@
 use crate::heartbeat_codec::encode_heartbeat;
 use crate::heartbeat_codec::encode_with_digest;
 use crate::lease;
+use crate::loop_lag::MIN_PAUSE;
 use crate::node::EntryNode;
 use crate::store_restore::handle_restores;
 
@@ -120,9 +121,10 @@
             _ = ticks.tick() => false,
             () = node.heartbeat_now.notified() => true,
         };
-        if !is_urgent {
-            let now = clock::now();
-            let lag = now.since(next_tick);
+        let now = clock::now();
+        let lag = now.since(next_tick);
+        // After a pause of this process, an urgent heartbeat may come before the regular one.
+        if !is_urgent || lag >= MIN_PAUSE {
             if node.loop_lag.record(lag) {
                 node.gateway.borrow_mut().excuse_own_pause(lag, now);
             }
--- a/crates/entry/src/loop_lag.rs
+++ b/crates/entry/src/loop_lag.rs
@@ -11,7 +11,7 @@
 use jaysaddle_types::units::Timestamp;
 
 /// Lag from which the process counts as paused.
-const MIN_PAUSE: TimeSpan = TimeSpan(100);
+pub const MIN_PAUSE: TimeSpan = TimeSpan(100);
 /// Time for which the largest lag is remembered.
 const RETENTION: TimeSpan = TimeSpan::from_secs(5);
 /// Time after a pause in which the tasks read what has arrived meanwhile.
