--- a/tests/all/silent_servers.rs
+++ b/tests/all/silent_servers.rs
@@ -92,7 +92,7 @@
     })
 }
 
-/// Streams of a group that pauses long between events, after fast ones have set what is usual there.
+/// Sends fast streams, which set what is a usual pause at their groups.
 fn warm_up(nodes: &PlatformNodes) {
     for number in 0..10 {
         let id = format!("warm-{number}");
