--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -211,8 +211,7 @@
             if clock::now().since(expired) >= MAX_LATE_TIME {
                 return RelayEvent::TimeUp;
             }
-            // Data that is ready is delivered, because this process may have been paused. The task that reads the connection runs
-            // first.
+            // Data that is ready is delivered, because this process may have been paused. The task that reads it runs first.
             yield_now().await;
         }
         let began = clock::now();
--- a/crates/entry/src/stream_attempt.rs
+++ b/crates/entry/src/stream_attempt.rs
@@ -154,8 +154,9 @@
         Err(cause)
     }
 
-    /// Withholds events that arrive after a silence while another attempt may bring them sooner. Returns the events if the silence is
-    /// over.
+    /// Withholds events that arrive after a silence while another attempt may bring them sooner.
+    ///
+    /// Returns the events if the silence has ended.
     pub fn withhold(&mut self, events: &[u8], node: &EntryNode) -> Option<Bytes> {
         let now = clock::now();
         node.gateway
