Log the ends of backend servers and the requests that were there

The log did not tell whether a broken answer was the end of a backend server, nor which requests the node had there. A node now checks with a connection attempt whether the process has ended (a refused connection is the evidence), and logs the end (server_ended) and each of its requests there with the parts of its prompt and for how long the answer had been written (run_at_server_end). No decision uses this yet.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,6 +10,8 @@
 use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_gateway::choice::TargetOutcome;
 use jaysaddle_gateway::gateway::AttemptRecord;
+use jaysaddle_gateway::server_runs::RunEnd;
+use jaysaddle_gateway::server_runs::RunNumber;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -18,6 +20,7 @@
 use crate::caller_request::CallerRequest;
 use crate::caller_request::header_text;
 use crate::caller_request::within_time;
+use crate::crash_watch::check_server;
 use crate::exchange::ExchangeError;
 use crate::exchange::ReceivedResponse;
 use crate::exchange::send;
@@ -35,11 +38,20 @@
     pub target: Rc<RequestTarget>,
     /// `None` once the request has ended.
     record: Option<AttemptRecord>,
+    /// `None` once the end of the request at the backend server has been recorded.
+    run: Option<RunNumber>,
 }
 
 impl AttemptGuard {
-    fn new(node: &Rc<EntryNode>, target: Rc<RequestTarget>, is_late: bool) -> Self {
+    fn new(
+        node: &Rc<EntryNode>,
+        request: &CallerRequest,
+        target: Rc<RequestTarget>,
+        is_late: bool,
+    ) -> Self {
         let now = clock::now();
+        let content = request.content.clone();
+        let run = node.crashes.borrow_mut().begin_run(target.server, content);
         let record = node
             .gateway
             .borrow_mut()
@@ -48,6 +60,7 @@
             node: node.clone(),
             target,
             record: Some(record),
+            run: Some(run),
         }
     }
 
@@ -59,6 +72,23 @@
                 .borrow_mut()
                 .record_progress(record, pause, now);
         }
+        if let Some(run) = self.run {
+            let mut crashes = self.node.crashes.borrow_mut();
+            crashes.record_data(self.target.server, run, now);
+        }
+    }
+
+    /// Records that the connection has ended in the middle of the request, or of its response.
+    pub fn record_break(&mut self) {
+        self.end_run(RunEnd::Broken);
+        check_server(&self.node, &self.target);
+    }
+
+    fn end_run(&mut self, end: RunEnd) {
+        if let Some(run) = self.run.take() {
+            let mut crashes = self.node.crashes.borrow_mut();
+            crashes.end_run(self.target.server, run, end, clock::now());
+        }
     }
 
     /// Records what the response states about the backend server.
@@ -95,6 +125,12 @@
     }
 
     fn end(&mut self, outcome: TargetOutcome) {
+        self.end_run(match outcome {
+            TargetOutcome::Refused => RunEnd::NotRun,
+            TargetOutcome::Answered | TargetOutcome::Failed | TargetOutcome::Abandoned => {
+                RunEnd::Closed
+            }
+        });
         if let Some(record) = self.record.take() {
             self.node
                 .gateway
@@ -164,7 +200,7 @@
         last_event,
     } = options;
     sends.begin_run();
-    let guard = AttemptGuard::new(node, target.clone(), is_late);
+    let mut guard = AttemptGuard::new(node, request, target.clone(), is_late);
     let key = BackendKey {
         id: target.backend.clone(),
         started: target.started,
@@ -189,10 +225,14 @@
         }
     };
     let head = within_time(request, send(&mut connection.connection, outgoing)).await;
+    let is_in_time = head.is_some();
     let head = head.unwrap_or_else(|| Err(ExchangeError::may_have_run(eyre!("time is up"))));
     let response = match head {
         Ok(response) => response,
         Err(error) => {
+            if is_in_time && error.verdict != Verdict::NotRun {
+                guard.record_break();
+            }
             // The end of a planned stop is no failure of the backend server.
             if request.is_cut_by_shutdown() {
                 guard.finish(TargetOutcome::Abandoned);
@@ -208,7 +248,6 @@
             return SendResult::MayHaveRun(cause);
         }
     };
-    let mut guard = guard;
     if !request.is_stream() {
         guard.record_progress(None, clock::now());
     }
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -134,6 +134,7 @@
         node.peers
             .borrow_mut()
             .tick(node.is_relay.get(), clock::now());
+        node.crashes.borrow_mut().tick(clock::now());
         {
             let now = clock::now();
             let peers = node.peers.borrow();
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use compact_str::ToCompactString;
+use compact_str::format_compact;
 use eyre::WrapErr;
 use http::HeaderMap;
 use http::HeaderName;
@@ -22,6 +23,7 @@
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::RequestSize;
+use jaysaddle_gateway::content::RequestContent;
 use jaysaddle_gateway::routes::RouteMatch;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_gateway::unserved::RequestFingerprint;
@@ -68,6 +70,8 @@
     deadline: Timestamp,
     /// Hash of the content, which is the same for all attempts of the caller.
     pub fingerprint: RequestFingerprint,
+    /// Pieces of the content that may end a backend server.
+    pub content: Rc<RequestContent>,
     /// Whether the caller has made an earlier attempt that was not served.
     pub is_caller_retry: bool,
 }
@@ -196,6 +200,14 @@
             &body,
         );
         let fingerprint = RequestFingerprint::of(&content);
+        let shared_parts = header_text(&parts.headers, &headers::PROMPT_PARTS)
+            .map(headers::shared_prompt_parts)
+            .unwrap_or_default();
+        let class = model
+            .as_ref()
+            .map_or(route.service.as_str(), ModelId::as_str);
+        let whole = format_compact!("{:08x}", fingerprint.0);
+        let content = RequestContent::new(&shared_parts, &whole, class, &id);
         Self {
             node,
             id,
@@ -209,6 +221,7 @@
             received,
             stated_time,
             fingerprint,
+            content: Rc::new(content),
             is_caller_retry: last_event.is_some(),
             deadline: received + limit,
         }
--- /dev/null
+++ b/crates/entry/src/crash_watch.rs
@@ -0,0 +1,105 @@
+//! Finds out whether the process of a backend server has ended after an answer of it has broken off.
+//!
+//! A broken connection alone is no evidence: the network or the backend server may have reset it. A process that has ended
+//! leaves an address that refuses connections. One that is unreachable does not answer, and is not taken for ended.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::fmt;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jaysaddle_daemon::clock;
+use jaysaddle_gateway::server_runs::RunAtEnd;
+use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_gateway::target::ServerNumber;
+use jaysaddle_types::units::TimeSpan;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::node::EntryNode;
+
+/// Time for which a connection attempt may take until the process counts as unreachable.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Checks that are under way.
+#[derive(Debug, Default)]
+pub struct ServerChecks(RefCell<HashSet<ServerNumber>>);
+
+/// Checks whether the process of a backend server has ended, unless a check is under way.
+pub fn check_server(node: &Rc<EntryNode>, target: &Rc<RequestTarget>) {
+    if node.server_checks.0.borrow_mut().insert(target.server) {
+        spawn_local(run_check(node.clone(), target.clone()));
+    }
+}
+
+async fn run_check(node: Rc<EntryNode>, target: Rc<RequestTarget>) {
+    let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(target.address)).await;
+    node.server_checks.0.borrow_mut().remove(&target.server);
+    let is_refused =
+        matches!(&connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
+    if is_refused {
+        record_server_end(&node, &target);
+    }
+}
+
+fn record_server_end(node: &EntryNode, target: &RequestTarget) {
+    let now = clock::now();
+    let is_planned = !is_expected_to_serve(node, target);
+    let runs = node
+        .crashes
+        .borrow_mut()
+        .record_server_end(target.server, now);
+    let suspects = runs.iter().filter(|run| run.is_suspect).count();
+    log::info!(
+        "event=server_ended vm={} planned={is_planned} runs={} suspects={suspects}",
+        target.backend,
+        runs.len()
+    );
+    metrics::counter!("jaysaddle_server_ends_total", "planned" => is_planned.to_string())
+        .increment(1);
+    for run in &runs {
+        log::info!(
+            "event=run_at_server_end vm={} attempt={:08x} wrote_ms={} suspect={} content={}",
+            target.backend,
+            run.content.attempt,
+            OptionalMillis(run.wrote_for),
+            run.is_suspect,
+            RunContent(run)
+        );
+    }
+}
+
+/// Whether nothing has announced the end of the process.
+fn is_expected_to_serve(node: &EntryNode, target: &RequestTarget) -> bool {
+    let table = node.table.borrow();
+    table
+        .get(&target.backend)
+        .is_some_and(|row| row.entry.started == target.started && !row.entry.is_draining)
+}
+
+struct OptionalMillis(Option<TimeSpan>);
+
+impl fmt::Display for OptionalMillis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(time) => write!(f, "{}", time.as_millis()),
+            None => f.write_str("-"),
+        }
+    }
+}
+
+/// Formats the content of a request, without spaces.
+struct RunContent<'a>(&'a RunAtEnd);
+
+impl fmt::Display for RunContent<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, item) in self.0.content.items.iter().enumerate() {
+            let separator = if position > 0 { "," } else { "" };
+            write!(f, "{separator}{item}={}", item.key)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -239,7 +239,7 @@
     loop {
         let keep_alive_timeout = attempt.keep_alive_timeout();
         let ActiveAttempt {
-            guard,
+            mut guard,
             connection,
             response,
         } = attempt;
@@ -258,7 +258,12 @@
                 report.finish_answered(parts.status.as_u16());
                 return Ok(Response::from_parts(parts, body));
             }
-            Some(Err(error)) => (error.to_string(), matches!(error, BodyError::NoMemory(_))),
+            Some(Err(error)) => {
+                if matches!(error, BodyError::Broken(_)) {
+                    guard.record_break();
+                }
+                (error.to_string(), matches!(error, BodyError::NoMemory(_)))
+            }
             None => ("time is up".to_owned(), false),
         };
         log::info!(
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -89,6 +89,14 @@
     for (name, text) in histograms {
         metrics::describe_histogram!(name, metrics::Unit::Seconds, text);
     }
+    let server_ends = "jaysaddle_server_ends_total";
+    metrics::describe_counter!(
+        server_ends,
+        "Processes of backend servers that ended while this node had requests there, by whether that was announced"
+    );
+    for planned in ["false", "true"] {
+        metrics::counter!(server_ends, "planned" => planned).increment(0);
+    }
     let rewrites = "jaysaddle_store_rewrites_total";
     metrics::describe_counter!(rewrites, "Objects that were written again after a restore");
     for kind in ["node", "lease"] {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod callers;
 mod control;
 mod copies;
+mod crash_watch;
 mod directory;
 pub mod entry_codec;
 pub mod entry_order;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -20,6 +20,7 @@
 use jaysaddle_fleet::relays::RelayCandidate;
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_fleet::table_log::TableLog;
+use jaysaddle_gateway::crash_guard::CrashGuard;
 use jaysaddle_gateway::gateway::RequestGateway;
 use jaysaddle_gateway::retry_pool::PoolLimits;
 use jaysaddle_gateway::service_times::ServiceTimes;
@@ -36,6 +37,7 @@
 use tokio::sync::Notify;
 
 use crate::byte_budget::ResponseBudgets;
+use crate::crash_watch::ServerChecks;
 use crate::loop_lag::LoopLag;
 use crate::pool::BackendPool;
 use crate::settings::EntrySettings;
@@ -76,6 +78,9 @@
     pub bounds: Cell<PlatformBounds>,
     pub incarnation: Incarnation,
     pub gateway: RefCell<RequestGateway>,
+    /// Requests at backend servers, to find those that end them.
+    pub crashes: RefCell<CrashGuard>,
+    pub server_checks: ServerChecks,
     pub peers: RefCell<PeerTable>,
     /// Attempts of callers that this node did not serve.
     pub unserved: RefCell<UnservedRequests>,
@@ -157,6 +162,8 @@
         gateway.set_pool_limits(pooled_retries(&bounds));
         Self {
             gateway: RefCell::new(gateway),
+            crashes: RefCell::default(),
+            server_checks: ServerChecks::default(),
             peers: RefCell::default(),
             unserved: RefCell::default(),
             service_times: RefCell::default(),
--- a/crates/entry/src/stream_attempt.rs
+++ b/crates/entry/src/stream_attempt.rs
@@ -58,6 +58,8 @@
     withheld: WithheldEvents,
     /// Whether the response has ended while events were withheld.
     has_ended: bool,
+    /// Whether the connection has ended before the response.
+    is_broken: bool,
     /// Whether an incomplete event exceeds the memory that all responses may take.
     has_used_up_memory: bool,
 }
@@ -80,6 +82,7 @@
             is_resumed,
             withheld: WithheldEvents::default(),
             has_ended: false,
+            is_broken: false,
             has_used_up_memory: false,
         }
     }
@@ -124,8 +127,14 @@
             Some(Ok(frame)) => frame
                 .into_data()
                 .map_or(StreamRead::Other, StreamRead::Data),
-            Some(Err(error)) => StreamRead::Broken(error.to_string()),
-            None => StreamRead::End,
+            Some(Err(error)) => {
+                self.is_broken = true;
+                StreamRead::Broken(error.to_string())
+            }
+            None => {
+                self.is_broken = self.events.has_partial();
+                StreamRead::End
+            }
         })
     }
 
@@ -218,8 +227,11 @@
     }
 
     /// Ends the attempt because its connection has failed, or its data exceeds a bound.
-    pub fn fail(self, node: &EntryNode, request: &str) {
+    pub fn fail(mut self, node: &EntryNode, request: &str) {
         self.report_end(request, SilenceEnd::Failed);
+        if self.is_broken {
+            self.attempt.guard.record_break();
+        }
         let guard = self.attempt.guard;
         if self.has_used_up_memory {
             // The node's lack of memory is no fault of the backend server.
--- /dev/null
+++ b/crates/gateway/src/awake_clock.rs
@@ -0,0 +1,30 @@
+//! Time without the pauses of this process.
+
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+/// Time between two ticks from which the process counts as paused. Ticks come every 200 ms.
+const MAX_TICK_GAP: TimeSpan = TimeSpan(300);
+
+/// A clock that stands still while the process does not run, which shows as a late tick.
+#[derive(Debug, Default)]
+pub struct AwakeClock {
+    last_tick: Option<Timestamp>,
+    paused: TimeSpan,
+}
+
+impl AwakeClock {
+    /// Records that the process runs.
+    pub fn tick(&mut self, now: Timestamp) {
+        if let Some(tick) = self.last_tick {
+            self.paused = TimeSpan(self.paused.0 + now.since(tick + MAX_TICK_GAP).0);
+        }
+        self.last_tick = Some(now);
+    }
+
+    /// Current time, earlier by all pauses.
+    pub fn read(&self, now: Timestamp) -> Timestamp {
+        let limit = self.last_tick.map_or(now, |tick| tick + MAX_TICK_GAP);
+        now.min(limit) - self.paused
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/content.rs
@@ -0,0 +1,112 @@
+//! The content of a request, as far as it may be the reason why a backend server ends that runs it.
+
+use std::fmt;
+
+use compact_str::CompactString;
+use jaysaddle_types::content::ContentKey;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Maximum number of parts of one prompt that are considered, so that a caller cannot make a request expensive. Of a longer
+/// prompt, those are the first and the last ones.
+const MAX_PARTS: usize = 64;
+/// Maximum length of a part's name in logs, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// What a [`ContentKey`] stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContentKind {
+    /// A part of a prompt that other requests may share.
+    Part,
+    /// The whole request. Callers that repeat a request send the same content.
+    Whole,
+    /// The model, or the service of a request without one.
+    Class,
+}
+
+impl ContentKind {
+    fn label(self) -> &'static str {
+        match self {
+            ContentKind::Part => "part",
+            ContentKind::Whole => "request",
+            ContentKind::Class => "class",
+        }
+    }
+}
+
+/// Computes the key of a piece of content. Keys are stored, so they do not depend on the version of the program.
+pub fn content_key(kind: ContentKind, name: &str) -> ContentKey {
+    let digest = Sha256::new()
+        .chain_update(kind.label())
+        .chain_update([0])
+        .chain_update(name)
+        .finalize();
+    let mut bytes = [0; size_of::<u64>()];
+    bytes.copy_from_slice(&digest[..size_of::<u64>()]);
+    ContentKey(u64::from_be_bytes(bytes))
+}
+
+/// A piece of content that may end backend servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ContentItem {
+    /// Key of the piece, the same at all nodes.
+    pub key: ContentKey,
+    /// What the key stands for.
+    pub kind: ContentKind,
+    /// Name under which it is logged.
+    pub name: CompactString,
+}
+
+impl ContentItem {
+    /// Creates an item from the name of the piece.
+    pub fn new(kind: ContentKind, name: &str) -> Self {
+        let end = name.floor_char_boundary(MAX_NAME_BYTES);
+        Self {
+            key: content_key(kind, name),
+            kind,
+            name: name[..end].into(),
+        }
+    }
+}
+
+impl fmt::Display for ContentItem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.kind.label(), self.name)
+    }
+}
+
+/// Content of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestContent {
+    /// Pieces that may end a backend server: the shared parts of the prompt, and the request as a whole.
+    pub items: Vec<ContentItem>,
+    /// Key of the model, or of the service of a request without one.
+    pub class: ContentKey,
+    /// Identifies the caller's attempt: a hash of the request id.
+    pub attempt: u32,
+}
+
+impl RequestContent {
+    /// Describes a request. `parts` are the names of the parts of its prompt that others may share, `whole` identifies its
+    /// whole content, `class` names the model or service, and `id` is the request id.
+    pub fn new(parts: &[&str], whole: &str, class: &str, id: &str) -> Self {
+        let skipped = MAX_PARTS / 2..parts.len().saturating_sub(MAX_PARTS / 2);
+        let considered = parts
+            .iter()
+            .enumerate()
+            .filter(|(position, _)| parts.len() <= MAX_PARTS || !skipped.contains(position));
+        let mut items: Vec<ContentItem> = Vec::new();
+        for (_, name) in considered {
+            let item = ContentItem::new(ContentKind::Part, name);
+            if items.iter().all(|other| other.key != item.key) {
+                items.push(item);
+            }
+        }
+        items.push(ContentItem::new(ContentKind::Whole, whole));
+        Self {
+            items,
+            class: content_key(ContentKind::Class, class),
+            attempt: (content_key(ContentKind::Whole, id).0 >> 32) as u32,
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,10 @@
 //! This crate performs no I/O and does not read the clock. `jaysaddle-entry` calls it for each request, passes in the
 //! current time and reports the outcome of each attempt.
 
+pub mod awake_clock;
 pub mod choice;
+pub mod content;
+pub mod crash_guard;
 pub mod events;
 pub mod gateway;
 pub mod limit_shares;
@@ -13,6 +16,7 @@
 pub mod routes;
 pub mod server_limits;
 pub mod server_pauses;
+pub mod server_runs;
 pub mod service_times;
 pub mod settings;
 pub mod shutdown;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Every other crate builds on these types. Nothing here performs I/O or reads a clock.
 
+pub mod content;
 pub mod decision;
 pub mod engine;
 pub mod evidence;
