Add a failing test for a prompt part that crashes engines

Three nodes in front of 20 stand-in engines, each of which ends 100 ms after the first event of an answer to a request with the part, and is back after 3 s in no group.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,8 @@
 mod cluster_state;
 mod config_validation;
 mod connection_ends;
+mod crash_world;
+mod crashing_parts;
 mod deployment;
 mod endless_bytes;
 mod faults;
