Refuse requests with content that ends backend servers

Cause: nothing was remembered beyond one request, and nothing joined what different nodes had seen. Each new request with the part was sent like any other, and each was sent again to a second backend server.

A node now joins the ends of processes with the requests that had just begun, or had not begun, to be answered there, and with the requests that processes have survived. Both travel in heartbeats. A piece of content (a part of a prompt that is not the last, or a whole request) at two ends in two independent requests, without survivals to outweigh them and not explained by a piece that was at more ends, is held at once and blocked after the time in which peers can contradict. Blocked requests are refused as not run; what waits at a backend server is withdrawn; nothing is sent again. Decisions have versions, are announced to all nodes and kept in the store, which a node reads before it accepts its first request.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -19,6 +19,7 @@
 use tokio::time::interval;
 use tokio::time::sleep;
 
+use crate::content_control;
 use crate::heartbeat_codec::decode_heartbeat;
 use crate::heartbeat_codec::encode_heartbeat;
 use crate::heartbeat_codec::encode_with_digest;
@@ -71,6 +72,8 @@
         store_era: node.store.era().unwrap_or_default(),
         latest_term: node.lease.borrow().latest_term(),
         leaving: node.table.borrow().announced_leaving(now),
+        crash_facts: node.crashes.borrow().announced_facts(is_relay, now),
+        content_blocks: node.crashes.borrow().announced_blocks(now),
         usage: gateway.retry_usage(),
         processor: node.settings.processor,
         table_version: node.table_log.borrow().version(),
@@ -134,7 +137,7 @@
         node.peers
             .borrow_mut()
             .tick(node.is_relay.get(), clock::now());
-        node.crashes.borrow_mut().tick(clock::now());
+        content_control::tick(&node);
         {
             let now = clock::now();
             let peers = node.peers.borrow();
@@ -214,6 +217,7 @@
                 }
                 lease::accept_handover(&node, &heartbeat);
                 merge_limits(&node, &heartbeat);
+                content_control::merge(&node, &heartbeat);
                 for server in &heartbeat.leaving {
                     node.record_leaving(server, heartbeat.node.as_str());
                 }
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -19,6 +19,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::content_control::decide;
 use crate::node::EntryNode;
 
 /// Time for which a connection attempt may take until the process counts as unreachable.
@@ -51,7 +52,7 @@
     let runs = node
         .crashes
         .borrow_mut()
-        .record_server_end(target.server, now);
+        .record_server_end(target.server, is_planned, now);
     let suspects = runs.iter().filter(|run| run.is_suspect).count();
     log::info!(
         "event=server_ended vm={} planned={is_planned} runs={} suspects={suspects}",
@@ -70,6 +71,7 @@
             RunContent(run)
         );
     }
+    decide(node);
 }
 
 /// Whether nothing has announced the end of the process.
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -35,6 +35,7 @@
 use crate::caller_request::strip_connection_headers;
 use crate::caller_request::time_limit;
 use crate::caller_request::within_time;
+use crate::content_control::check_content;
 use crate::node::EntryNode;
 use crate::relay::StreamRelay;
 use crate::request_report::RequestReport;
@@ -140,6 +141,7 @@
     let mut request = CallerRequest::new(node.clone(), parts, body, route, report.received());
     request.is_caller_retry |= is_known_unserved(node, &request);
     report.record_route(&request);
+    check_content(node, &request, false)?;
     // A caller's retry is for work that was already counted; counting it again would overestimate the demand.
     let size = request.size().filter(|_| !request.is_caller_retry);
     let work = node
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -3,6 +3,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::FleetStats;
 use jaysaddle_fleet::peers::PeerPhase;
+use jaysaddle_gateway::crash_guard::ContentState;
 
 use crate::log_writer;
 use crate::node::EntryNode;
@@ -97,6 +98,18 @@
     for planned in ["false", "true"] {
         metrics::counter!(server_ends, "planned" => planned).increment(0);
     }
+    let refusals = "jaysaddle_content_refusals_total";
+    metrics::describe_counter!(
+        refusals,
+        "Sends that were refused because the content of the request ends backend servers, by state of the content"
+    );
+    let decisions = "jaysaddle_content_decisions_total";
+    metrics::describe_counter!(decisions, "Decisions on such content, by its new state");
+    for state in [ContentState::Held, ContentState::Blocked] {
+        metrics::counter!(refusals, "state" => state.to_string()).increment(0);
+        metrics::counter!(decisions, "state" => state.to_string()).increment(0);
+    }
+    metrics::counter!(decisions, "state" => "released").increment(0);
     let rewrites = "jaysaddle_store_rewrites_total";
     metrics::describe_counter!(rewrites, "Objects that were written again after a restore");
     for kind in ["node", "lease"] {
@@ -188,6 +201,9 @@
     metrics::gauge!("jaysaddle_live_peers").set(node.peers.borrow().live(now).count() as f64);
     let limits = node.gateway.borrow().limits_in_force();
     metrics::gauge!("jaysaddle_request_limits").set(limits as f64);
+    let crashes = node.crashes.borrow();
+    metrics::gauge!("jaysaddle_content_suspects").set(crashes.suspects() as f64);
+    metrics::gauge!("jaysaddle_content_blocks").set(crashes.blocks().count() as f64);
     metrics::gauge!("jaysaddle_open_requests").set(f64::from(node.open_requests.get()));
     let connections = [
         ("caller", node.caller_connections.get()),
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -1,6 +1,9 @@
 //! Translates heartbeats to and from the messages that nodes exchange.
 
 use eyre::WrapErr;
+use jaysaddle_fleet::crash_report::CrashFact;
+use jaysaddle_fleet::crash_report::PeerBlock;
+use jaysaddle_fleet::crash_report::RunFate;
 use jaysaddle_fleet::digest::NodeNumber;
 use jaysaddle_fleet::digest::PeerDigest;
 use jaysaddle_fleet::digest::ServerSent;
@@ -13,6 +16,7 @@
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_fleet::peers::PeerUnserved;
 use jaysaddle_fleet::usage::ServiceUsage;
+use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::ModelId;
@@ -21,6 +25,8 @@
 use jaysaddle_types::units::ProcessorShare;
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
+use jaysaddle_wire::heartbeat::ContentBlockMessage;
+use jaysaddle_wire::heartbeat::CrashFactMessage;
 use jaysaddle_wire::heartbeat::DigestMessage;
 use jaysaddle_wire::heartbeat::LeaseHandoverMessage;
 use jaysaddle_wire::heartbeat::LeaseMessage;
@@ -93,6 +99,8 @@
         digest: None,
         table_version: heartbeat.table_version,
         usage: encode_usage(&heartbeat.usage),
+        crash_facts: heartbeat.crash_facts.iter().map(encode_fact).collect(),
+        content_blocks: heartbeat.content_blocks.iter().map(encode_block).collect(),
     };
     message.encode_to_vec()
 }
@@ -134,6 +142,52 @@
     }
 }
 
+fn encode_fact(fact: &CrashFact) -> CrashFactMessage {
+    CrashFactMessage {
+        key: fact.key.0,
+        class: fact.class.0,
+        server: fact.server,
+        source: fact.source,
+        has_survived: fact.fate == RunFate::Survived,
+        age_ms: fact.age.as_millis(),
+    }
+}
+
+fn decode_fact(message: CrashFactMessage) -> CrashFact {
+    CrashFact {
+        key: ContentKey(message.key),
+        class: ContentKey(message.class),
+        server: message.server,
+        source: message.source,
+        fate: if message.has_survived {
+            RunFate::Survived
+        } else {
+            RunFate::Ended
+        },
+        age: TimeSpan(message.age_ms),
+    }
+}
+
+fn encode_block(block: &PeerBlock) -> ContentBlockMessage {
+    ContentBlockMessage {
+        key: block.key.0,
+        version: block.version,
+        is_blocked: block.is_blocked,
+        ends: block.ends,
+        age_ms: block.age.as_millis(),
+    }
+}
+
+fn decode_block(message: ContentBlockMessage) -> PeerBlock {
+    PeerBlock {
+        key: ContentKey(message.key),
+        version: message.version,
+        is_blocked: message.is_blocked,
+        ends: message.ends,
+        age: TimeSpan(message.age_ms),
+    }
+}
+
 /// Adds a digest to an encoded heartbeat. The fields of two encoded messages in succession are those of one message.
 pub fn encode_with_digest(heartbeat: &[u8], digest: PeerDigest) -> Vec<u8> {
     let in_phase = |wanted: PeerPhase| {
@@ -303,5 +357,11 @@
         digest: message.digest.map(decode_digest),
         table_version: message.table_version,
         usage: decode_usage(message.usage),
+        crash_facts: message.crash_facts.into_iter().map(decode_fact).collect(),
+        content_blocks: message
+            .content_blocks
+            .into_iter()
+            .map(decode_block)
+            .collect(),
     })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod caller_request;
 mod caller_stream;
 mod callers;
+mod content_control;
 mod control;
 mod copies;
 mod crash_watch;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -28,6 +28,7 @@
 use crate::attempt::ActiveAttempt;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::strip_connection_headers;
+use crate::content_control::is_blocked;
 use crate::forward::OpenRequest;
 use crate::node::EntryNode;
 use crate::request_report::RequestReport;
@@ -139,6 +140,9 @@
             if let Some(events) = self.release_withheld() {
                 return Some(Ok(events));
             }
+            if is_blocked(&self.node, &self.request) {
+                self.withdraw_unbegun();
+            }
             self.start_if_needed();
             if self.attempts.is_empty() && self.starting.is_none() {
                 return Some(Err(self.break_off()));
@@ -186,6 +190,21 @@
         }));
     }
 
+    /// Ends the attempts that have not begun to be answered, because they would end their backend servers.
+    fn withdraw_unbegun(&mut self) {
+        self.starting = None;
+        self.is_given_up = true;
+        let attempts = std::mem::take(&mut self.attempts);
+        for attempt in attempts {
+            if attempt.has_begun() {
+                self.attempts.push(attempt);
+            } else {
+                attempt.withdraw(&self.request.id);
+                self.cause = "content_blocked".to_owned();
+            }
+        }
+    }
+
     /// Whether the stream may go on at another group.
     fn may_resume(&self) -> bool {
         let rule = &self.request.route.rule;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,6 +17,7 @@
 use crate::beats;
 use crate::beats::PeerAddresses;
 use crate::callers::CallerHandler;
+use crate::content_control;
 use crate::control;
 use crate::copies;
 use crate::directory::InfoHandler;
@@ -94,6 +95,7 @@
     spawn_local(store_sync::watch_config(node.clone()));
     spawn_local(store_sync::watch_backends(node.clone()));
     spawn_local(store_sync::sync_nodes(node.clone(), address_sender));
+    spawn_local(content_control::sync_blocks(node.clone()));
     spawn_local(store_restore::watch_restores(node.clone()));
     spawn_local(beats::collect_addresses(
         address_receiver,
--- a/crates/entry/src/send_race.rs
+++ b/crates/entry/src/send_race.rs
@@ -27,6 +27,8 @@
 use crate::attempt::SendResult;
 use crate::attempt::send_once;
 use crate::caller_request::CallerRequest;
+use crate::content_control::check_content;
+use crate::content_control::is_blocked;
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
 use crate::send_history::SendHistory;
@@ -135,6 +137,10 @@
                 return Err(RequestFailure::may_have_run(status, "time_is_up"));
             }
             let Some(finished) = self.wait().await else {
+                // The sends under way have not begun to be answered, so their backend servers can still be spared.
+                if is_blocked(self.node, self.request) {
+                    check_content(self.node, self.request, true)?;
+                }
                 continue;
             };
             if let Some(end) = self.handle(finished) {
@@ -165,6 +171,7 @@
         if request.time_left() < MIN_RETRY_TIME {
             return fail(StatusCode::GATEWAY_TIMEOUT, "time_is_up");
         }
+        check_content(node, request, may_have_run)?;
         if may_have_run && !self.may_send_beside() {
             return fail(StatusCode::BAD_GATEWAY, "backend_failed");
         }
--- a/crates/entry/src/store_restore.rs
+++ b/crates/entry/src/store_restore.rs
@@ -70,6 +70,7 @@
     node.begin_outage_grace(now);
     let is_held = node.lease.borrow().held_term(now).is_some();
     node.restore.lease_pending.set(is_held);
+    node.crashes.borrow_mut().record_restore();
     handle_lease_event(node, LeaseEvent::StoreRestored);
     // The peers learn of the restore from this node's heartbeat.
     node.heartbeat_now.notify_one();
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -22,6 +22,7 @@
 use serde_json::Value;
 use tokio::time::sleep;
 
+use crate::content_control::read_blocks;
 use crate::exchange::ExchangeError;
 use crate::node::EntryNode;
 
@@ -74,7 +75,7 @@
 }
 
 /// Lists all objects of a kind, page by page. Returns `None` when a call fails, or when the store is restored meanwhile.
-async fn list_all(
+pub async fn list_all(
     node: &EntryNode,
     kind: ObjectKind,
     may_be_stale: bool,
@@ -159,6 +160,11 @@
         let Some(position) = since else {
             match list_all(&node, ObjectKind::Config, false).await {
                 Some((objects, position)) => {
+                    // Decisions on content are known before the first request is accepted.
+                    if node.config_version() == 0 && !read_blocks(&node).await {
+                        sleep(retry_delay(&node)).await;
+                        continue;
+                    }
                     apply_config_objects(&node, objects);
                     since = Some(position);
                 }
--- a/crates/entry/src/stream_attempt.rs
+++ b/crates/entry/src/stream_attempt.rs
@@ -107,6 +107,17 @@
         self.is_resumed && !self.has_events
     }
 
+    /// Whether an event has arrived, complete or not.
+    pub fn has_begun(&self) -> bool {
+        self.has_events || self.events.has_partial() || !self.withheld.is_empty()
+    }
+
+    /// Ends the attempt before it has begun, which is no failure of the backend server.
+    pub fn withdraw(self, request: &str) {
+        self.report_end(request, SilenceEnd::RequestEnded);
+        self.attempt.guard.finish(TargetOutcome::Abandoned);
+    }
+
     /// Whether the data ends inside an event.
     pub fn has_partial(&self) -> bool {
         self.events.has_partial()
--- a/crates/fleet/examples/measure.rs
+++ b/crates/fleet/examples/measure.rs
@@ -147,6 +147,8 @@
         unserved: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        crash_facts: Vec::new(),
+        content_blocks: Vec::new(),
         usage: Vec::new(),
         processor: ProcessorShare(250),
         table_version: 0,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! `jaysaddle-entry`.
 
 pub mod controller;
+pub mod crash_report;
 pub mod demand;
 pub mod digest;
 pub mod groups;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -15,6 +15,8 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::crash_report::CrashFact;
+use crate::crash_report::PeerBlock;
 use crate::digest::DigestBuilder;
 use crate::digest::NodeNumber;
 use crate::digest::PeerDigest;
@@ -115,6 +117,10 @@
     pub unserved: Vec<PeerUnserved>,
     /// Request limits of backend servers.
     pub limits: Vec<PeerLimit>,
+    /// Observations of content under which backend servers have ended.
+    pub crash_facts: Vec<CrashFact>,
+    /// Decisions on such content.
+    pub content_blocks: Vec<PeerBlock>,
     /// Backend servers that have said in a response that they are leaving.
     pub leaving: Vec<LeavingServer>,
     /// Requests and retries of the node, by service.
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -42,6 +42,8 @@
         unserved: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        crash_facts: Vec::new(),
+        content_blocks: Vec::new(),
         usage: Vec::new(),
         processor: ProcessorShare(250),
         table_version: 0,
--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -106,7 +106,20 @@
         Self {
             items,
             class: content_key(ContentKind::Class, class),
-            attempt: (content_key(ContentKind::Whole, id).0 >> 32) as u32,
+            attempt: short_number(content_key(ContentKind::Whole, id)),
         }
     }
+
+    /// Number that all requests with the same content share.
+    pub fn whole_number(&self) -> u32 {
+        let whole = self
+            .items
+            .iter()
+            .find(|item| item.kind == ContentKind::Whole);
+        whole.map_or(self.attempt, |item| short_number(item.key))
+    }
+}
+
+fn short_number(key: ContentKey) -> u32 {
+    (key.0 >> 32) as u32
 }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -1,25 +1,135 @@
 //! Keeps requests that end backend servers from reaching more of them.
+//!
+//! A node joins what it sees at the ends of backend servers with what its peers have seen ([`CrashEvidence`]). A piece of content
+//! that is accused is held at once, and blocked after the time in which peers can contradict ([`ContentBlocks`]).
 
+use std::collections::HashMap;
+use std::fmt;
 use std::rc::Rc;
 
+use jaysaddle_fleet::crash_report::CrashFact;
+use jaysaddle_fleet::crash_report::PeerBlock;
+use jaysaddle_types::content::ContentKey;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
 use crate::awake_clock::AwakeClock;
+use crate::content::ContentItem;
+use crate::content::ContentKind;
 use crate::content::RequestContent;
+use crate::content_blocks::ContentBlocks;
+use crate::crash_evidence::CrashEvidence;
 use crate::server_runs::RunAtEnd;
 use crate::server_runs::RunEnd;
 use crate::server_runs::RunNumber;
 use crate::server_runs::ServerRuns;
 use crate::target::ServerNumber;
 
+/// Time in which peers can contradict, in a deployment in which all nodes send their heartbeats to each other.
+const DIRECT_SETTLE_TIME: TimeSpan = TimeSpan(250);
+/// The same where relays pass on what nodes know.
+const RELAYED_SETTLE_TIME: TimeSpan = TimeSpan(1000);
+
+/// Why requests with a piece of content are not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContentState {
+    /// The piece is accused, and peers may still contradict.
+    Held,
+    /// The piece is blocked.
+    Blocked,
+}
+
+impl fmt::Display for ContentState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            ContentState::Held => "content_held",
+            ContentState::Blocked => "content_blocked",
+        })
+    }
+}
+
+/// Source of a decision on a piece of content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DecisionSource {
+    /// Ends of backend servers, as this node knows them.
+    Evidence,
+    /// Backend servers that have survived the content.
+    Survival,
+    /// A peer.
+    Peer,
+    /// The store, which operators write to.
+    Store,
+    /// The end of the block's time.
+    Expiry,
+}
+
+impl fmt::Display for DecisionSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            DecisionSource::Evidence => "evidence",
+            DecisionSource::Survival => "survival",
+            DecisionSource::Peer => "peer",
+            DecisionSource::Store => "store",
+            DecisionSource::Expiry => "expiry",
+        })
+    }
+}
+
+/// A change of a piece's state, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BlockDecision {
+    /// The piece.
+    pub key: ContentKey,
+    /// New state; `None` if requests with it are sent again.
+    pub state: Option<ContentState>,
+    /// Number of processes that have ended under it, as far as known.
+    pub ends: usize,
+    /// Source of the decision.
+    pub source: DecisionSource,
+}
+
+impl fmt::Display for BlockDecision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "key={} state=", self.key)?;
+        match self.state {
+            Some(state) => state.fmt(f)?,
+            None => f.write_str("released")?,
+        }
+        write!(f, " ends={} source={}", self.ends, self.source)
+    }
+}
+
 /// What this node knows of requests and the ends of backend servers.
 #[derive(Debug, Default)]
 pub struct CrashGuard {
     clock: AwakeClock,
     runs: ServerRuns,
+    evidence: CrashEvidence,
+    blocks: ContentBlocks,
+    /// Pieces that are accused, and since when.
+    held: HashMap<ContentKey, Timestamp>,
+    /// Whether peers should learn of something before the next regular heartbeat.
+    is_urgent: bool,
 }
 
 impl CrashGuard {
+    /// Why a request must not be sent, and the piece of its content that is the reason; `None` if it may be sent.
+    pub fn refusal<'a>(
+        &self,
+        content: &'a RequestContent,
+    ) -> Option<(ContentState, &'a ContentItem)> {
+        if self.held.is_empty() && self.blocks.count() == 0 {
+            return None;
+        }
+        let is_blocked = |item: &&ContentItem| self.blocks.is_blocked(item.key);
+        let is_held = |item: &&ContentItem| self.held.contains_key(&item.key);
+        let blocked = content.items.iter().find(is_blocked);
+        let held = || content.items.iter().find(is_held);
+        blocked
+            .map(|item| (ContentState::Blocked, item))
+            .or_else(|| held().map(|item| (ContentState::Held, item)))
+    }
+
     /// Records that a request is sent to a backend server.
     pub fn begin_run(&mut self, server: ServerNumber, content: Rc<RequestContent>) -> RunNumber {
         self.runs.begin(server, content)
@@ -28,7 +138,14 @@
     /// Records data of an answer.
     pub fn record_data(&mut self, server: ServerNumber, run: RunNumber, now: Timestamp) {
         let awake = self.clock.read(now);
-        self.runs.record_data(server, run, awake);
+        for content in self.runs.record_data(server, run, awake) {
+            let keys = content.items.iter().map(|item| item.key);
+            for key in keys.chain([content.class]) {
+                self.is_urgent |=
+                    self.evidence
+                        .record_survival(key, server.0, content.attempt, now);
+            }
+        }
     }
 
     /// Records the end of a request at a backend server.
@@ -37,15 +154,191 @@
         self.runs.end(server, run, end, awake);
     }
 
-    /// Records that the process of a backend server has ended. Returns this node's requests there.
-    pub fn record_server_end(&mut self, server: ServerNumber, now: Timestamp) -> Vec<RunAtEnd> {
+    /// Records that the process of a backend server has ended. Returns this node's requests there. An end that was announced
+    /// accuses nothing.
+    pub fn record_server_end(
+        &mut self,
+        server: ServerNumber,
+        is_planned: bool,
+        now: Timestamp,
+    ) -> Vec<RunAtEnd> {
         let awake = self.clock.read(now);
-        self.runs.record_server_end(server, awake)
+        let runs = self.runs.record_server_end(server, awake);
+        let suspects = runs.iter().filter(|run| run.is_suspect && !is_planned);
+        for content in suspects.map(|run| &run.content) {
+            for item in &content.items {
+                let source = match item.kind {
+                    // Requests with the same content are no independent evidence against its parts.
+                    ContentKind::Part | ContentKind::Class => content.whole_number(),
+                    ContentKind::Whole => content.attempt,
+                };
+                self.is_urgent |=
+                    self.evidence
+                        .record_end(item.key, content.class, server.0, source, now);
+            }
+        }
+        runs
+    }
+
+    /// Adds what a peer has announced. A relay passes it on.
+    pub fn merge(
+        &mut self,
+        facts: &[CrashFact],
+        blocks: &[PeerBlock],
+        is_relay: bool,
+        now: Timestamp,
+    ) -> Vec<BlockDecision> {
+        for fact in facts {
+            let is_new = self.evidence.merge(*fact, now);
+            self.is_urgent |= is_new && is_relay;
+        }
+        let mut decisions = Vec::new();
+        for block in blocks {
+            // What this node has seen go on is stronger than a peer's count of ends.
+            let is_contradicted = block.is_blocked
+                && block.ends > 0
+                && self
+                    .evidence
+                    .contradicts(block.key, block.ends as usize, now);
+            if self.blocks.merge(block, false, now) {
+                self.is_urgent |= is_relay;
+                decisions.push(self.changed(block.key, DecisionSource::Peer));
+            }
+            if is_contradicted && self.blocks.is_blocked(block.key) {
+                decisions.push(self.release(block.key, DecisionSource::Survival, now));
+            }
+        }
+        decisions
+    }
+
+    /// Takes over a record of the store.
+    pub fn merge_stored(&mut self, block: &PeerBlock, now: Timestamp) -> Option<BlockDecision> {
+        let has_changed = self.blocks.merge(block, true, now);
+        has_changed.then(|| {
+            self.is_urgent = true;
+            self.changed(block.key, DecisionSource::Store)
+        })
+    }
+
+    /// Follows a decision of others on a piece.
+    fn changed(&mut self, key: ContentKey, source: DecisionSource) -> BlockDecision {
+        self.held.remove(&key);
+        let is_blocked = self.blocks.is_blocked(key);
+        if !is_blocked {
+            self.evidence.forget(key);
+        }
+        let ends = self.blocks.get(key).map_or(0, |record| record.ends);
+        BlockDecision {
+            key,
+            state: is_blocked.then_some(ContentState::Blocked),
+            ends: ends as usize,
+            source,
+        }
+    }
+
+    fn release(
+        &mut self,
+        key: ContentKey,
+        source: DecisionSource,
+        now: Timestamp,
+    ) -> BlockDecision {
+        self.blocks.release(key, now);
+        self.is_urgent = true;
+        self.changed(key, source)
+    }
+
+    /// Decides on the pieces that are accused. `is_relayed` says whether peers learn from each other through relays.
+    pub fn decide(&mut self, is_relayed: bool, now: Timestamp) -> Vec<BlockDecision> {
+        let settle_time = if is_relayed {
+            RELAYED_SETTLE_TIME
+        } else {
+            DIRECT_SETTLE_TIME
+        };
+        let mut decisions = Vec::new();
+        let blocks = &self.blocks;
+        let accused = self.evidence.accused(|key| blocks.history(key));
+        self.held.retain(|key, _| accused.contains(key));
+        for key in accused {
+            if self.blocks.is_blocked(key) {
+                continue;
+            }
+            let ends = self.evidence.ends_of(key);
+            let is_new = !self.held.contains_key(&key);
+            let since = *self.held.entry(key).or_insert(now);
+            let mut state = is_new.then_some(ContentState::Held);
+            if now.since(since) >= settle_time {
+                self.held.remove(&key);
+                let count = u32::try_from(ends).unwrap_or(u32::MAX);
+                self.blocks.block(key, count, now);
+                self.is_urgent = true;
+                state = Some(ContentState::Blocked);
+            }
+            decisions.extend(state.map(|state| BlockDecision {
+                key,
+                state: Some(state),
+                ends,
+                source: DecisionSource::Evidence,
+            }));
+        }
+        let contradicted: Vec<ContentKey> = self
+            .blocks
+            .iter()
+            .filter(|(key, record)| {
+                let ends = record.ends as usize;
+                record.is_blocked && ends > 0 && self.evidence.contradicts(**key, ends, now)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in contradicted {
+            decisions.push(self.release(key, DecisionSource::Survival, now));
+        }
+        decisions
     }
 
     /// Does what is due at a regular interval.
-    pub fn tick(&mut self, now: Timestamp) {
+    pub fn tick(&mut self, now: Timestamp) -> Vec<BlockDecision> {
         self.clock.tick(now);
         self.runs.expire(self.clock.read(now));
+        self.evidence.expire(now);
+        let ended = self.blocks.expire(now);
+        ended
+            .into_iter()
+            .map(|key| self.changed(key, DecisionSource::Expiry))
+            .collect()
+    }
+
+    /// Whether peers should learn of something now. The next call returns false unless there is something new.
+    pub fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.is_urgent)
+    }
+
+    /// Facts for the peers.
+    pub fn announced_facts(&self, is_relay: bool, now: Timestamp) -> Vec<CrashFact> {
+        self.evidence.announced(is_relay, now)
+    }
+
+    /// Decisions for the peers.
+    pub fn announced_blocks(&self, now: Timestamp) -> Vec<PeerBlock> {
+        self.blocks.announced(now)
+    }
+
+    /// Decisions.
+    pub fn blocks(&self) -> &ContentBlocks {
+        &self.blocks
+    }
+
+    /// Records that the store holds a version of a piece's record.
+    pub fn record_stored(&mut self, key: ContentKey, version: u64) {
+        self.blocks.record_stored(key, version);
+    }
+
+    /// Records that the store may have lost what it held.
+    pub fn record_restore(&mut self) {
+        self.blocks.record_restore();
+    }
+
+    /// Number of pieces that were at the end of a backend server.
+    pub fn suspects(&self) -> usize {
+        self.evidence.len()
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod awake_clock;
 pub mod choice;
 pub mod content;
+pub mod content_blocks;
+pub mod crash_evidence;
 pub mod crash_guard;
 pub mod events;
 pub mod gateway;
--- a/crates/gateway/tests/all/fixture.rs
+++ b/crates/gateway/tests/all/fixture.rs
@@ -176,6 +176,8 @@
         unserved: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        crash_facts: Vec::new(),
+        content_blocks: Vec::new(),
         usage: Vec::new(),
         processor: ProcessorShare(250),
         table_version: 0,
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -96,6 +96,55 @@
     /// Requests and retries of the node, by service.
     #[prost(message, repeated, tag = "29")]
     pub usage: Vec<UsageMessage>,
+    /// Observations of content under which backend servers have ended.
+    #[prost(message, repeated, tag = "30")]
+    pub crash_facts: Vec<CrashFactMessage>,
+    /// Decisions on such content.
+    #[prost(message, repeated, tag = "31")]
+    pub content_blocks: Vec<ContentBlockMessage>,
+}
+
+/// Observation of a request with a piece of content at a process of a backend server.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct CrashFactMessage {
+    /// Key of the piece.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// Key of the model or service.
+    #[prost(fixed64, tag = "2")]
+    pub class: u64,
+    /// Number of the backend server's process, which is the same at all nodes.
+    #[prost(fixed32, tag = "3")]
+    pub server: u32,
+    /// Tells independent requests apart.
+    #[prost(fixed32, tag = "4")]
+    pub source: u32,
+    /// Whether the process has gone on; otherwise it has ended.
+    #[prost(bool, tag = "5")]
+    pub has_survived: bool,
+    /// Time since the observation, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
+}
+
+/// Decision on a piece of content.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct ContentBlockMessage {
+    /// Key of the piece.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// Orders the decisions on the piece.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Whether requests with the piece are refused.
+    #[prost(bool, tag = "3")]
+    pub is_blocked: bool,
+    /// Number of processes that have ended under it; 0 for a decision of an operator.
+    #[prost(uint32, tag = "4")]
+    pub ends: u32,
+    /// Time since the decision, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
 }
 
 /// Requests and retries for a service in the window over which retries are limited.
--- a/tests/all/crash_world.rs
+++ b/tests/all/crash_world.rs
@@ -15,6 +15,7 @@
 
 use jaysaddle_platform_standin::CrashingPart;
 use jaysaddle_platform_standin::StandinWork;
+use jaysaddle_platform_standin::prompt_parts_line;
 use jaysaddle_platform_standin::target_with_work;
 
 use crate::platform_nodes::PlatformNodes;
@@ -85,11 +86,9 @@
         STATED_MS,
     );
     let text = String::from_utf8(text).expect("text");
-    let with_parts = text.replacen(
-        "\r\n\r\n",
-        &format!("\r\nX-Prefix-Hash: {parts}\r\n\r\n"),
-        1,
-    );
+    let head_end = "\r\n\r\n";
+    let with_parts = format!("\r\n{}\r\n", prompt_parts_line(parts));
+    let with_parts = text.replacen(head_end, &with_parts, 1);
     with_parts.into_bytes()
 }
 
