Test answers that end with their connection, and check their servers

An answer may come with neither a length nor chunks and end with its connection. Five tests with a stand-in that sends such answers and streams: whole after an orderly end, not whole after a reset, resumed or broken when they end inside an event, also one whose empty line is missing.

The node now checks the server after each answer that ends with its connection.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use eyre::eyre;
+use http::HeaderMap;
 use http::StatusCode;
 use http::header;
 use jaysaddle_adapter::headers;
@@ -84,6 +85,15 @@
         check_server(&self.node, &self.target);
     }
 
+    /// Records the end of the response. One that ends with its connection may also have ended with its backend server.
+    pub fn record_response_end(&self, headers: &HeaderMap) {
+        let is_framed = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        if !is_framed {
+            check_server(&self.node, &self.target);
+        }
+    }
+
     fn end_run(&mut self, end: RunEnd) {
         if let Some(run) = self.run.take() {
             let mut crashes = self.node.crashes.borrow_mut();
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -253,6 +253,7 @@
         };
         let (cause, lacks_memory) = match within_time(&request, read_bounded(body, bounds)).await {
             Some(Ok(body)) => {
+                guard.record_response_end(&parts.headers);
                 guard.finish(TargetOutcome::Answered);
                 node.pool.put(connection, keep_alive_timeout);
                 strip_connection_headers(&mut parts.headers);
--- a/crates/entry/src/stream_attempt.rs
+++ b/crates/entry/src/stream_attempt.rs
@@ -275,6 +275,8 @@
     /// Ends the attempt after the whole response was read.
     pub fn complete(self, node: &EntryNode) {
         let keep_alive_timeout = self.attempt.keep_alive_timeout();
+        let headers = self.attempt.response.headers();
+        self.attempt.guard.record_response_end(headers);
         self.attempt.guard.finish(TargetOutcome::Answered);
         node.pool.put(self.attempt.connection, keep_alive_timeout);
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -48,3 +48,4 @@
 mod store_faults;
 mod store_restores;
 mod traces;
+mod unframed_answers;
