Tell losses at the same time and sound content apart from crashing parts

Ends at the same time now count once. In a large deployment only relays decide; they ask the other nodes about accused content, and those answer with what they have seen survive. A node that has seen content survive lately releases a wrong block. Of content at the same ends, that which has survived before is not accused. Facts are announced in two or three heartbeats.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -72,7 +72,10 @@
         store_era: node.store.era().unwrap_or_default(),
         latest_term: node.lease.borrow().latest_term(),
         leaving: node.table.borrow().announced_leaving(now),
-        crash_facts: node.crashes.borrow().announced_facts(is_relay, now),
+        crash_facts: node
+            .crashes
+            .borrow()
+            .announced_facts(content_control::peer_role(node), now),
         content_blocks: node.crashes.borrow().announced_blocks(now),
         usage: gateway.retry_usage(),
         processor: node.settings.processor,
--- a/crates/entry/src/content_control.rs
+++ b/crates/entry/src/content_control.rs
@@ -15,6 +15,7 @@
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_fleet::relays::MAX_DIRECT_PEERS;
 use jaysaddle_gateway::content_blocks::BlockRecord;
+use jaysaddle_gateway::crash_evidence::PeerRole;
 use jaysaddle_gateway::crash_guard::BlockDecision;
 use jaysaddle_gateway::crash_guard::ContentState;
 use jaysaddle_types::content::ContentKey;
@@ -96,15 +97,26 @@
     metrics::counter!("jaysaddle_content_decisions_total", "state" => state).increment(1);
 }
 
+/// How this node learns from its peers what has ended backend servers.
+pub fn peer_role(node: &EntryNode) -> PeerRole {
+    if node.is_relay.get() {
+        PeerRole::Relay
+    } else if node.peers.borrow().known() > MAX_DIRECT_PEERS {
+        PeerRole::Follower
+    } else {
+        PeerRole::Direct
+    }
+}
+
 /// Decides on the content that is accused, and tells the peers at once what is new.
 pub fn decide(node: &EntryNode) {
     let now = clock::now();
-    let is_relayed = node.peers.borrow().known() > MAX_DIRECT_PEERS;
+    let role = peer_role(node);
     let mut crashes = node.crashes.borrow_mut();
-    for decision in crashes.decide(is_relayed, now) {
+    for decision in crashes.decide(role, now) {
         report(&decision, node.settings.node.as_str());
     }
-    if crashes.take_urgent() {
+    if crashes.take_urgent(role, now) {
         node.heartbeat_now.notify_one();
     }
 }
@@ -126,7 +138,7 @@
     let decisions = node.crashes.borrow_mut().merge(
         &heartbeat.crash_facts,
         &heartbeat.content_blocks,
-        node.is_relay.get(),
+        peer_role(node),
         clock::now(),
     );
     for decision in decisions {
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -145,7 +145,7 @@
 fn encode_fact(fact: &CrashFact) -> CrashFactMessage {
     CrashFactMessage {
         key: fact.key.0,
-        class: fact.class.0,
+        class: fact.class.0 as u32,
         server: fact.server,
         source: fact.source,
         has_survived: fact.fate == RunFate::Survived,
@@ -156,7 +156,7 @@
 fn decode_fact(message: CrashFactMessage) -> CrashFact {
     CrashFact {
         key: ContentKey(message.key),
-        class: ContentKey(message.class),
+        class: ContentKey(u64::from(message.class)),
         server: message.server,
         source: message.source,
         fate: if message.has_survived {
--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -80,7 +80,7 @@
 pub struct RequestContent {
     /// Pieces that may end a backend server: the shared parts of the prompt, and the request as a whole.
     pub items: Vec<ContentItem>,
-    /// Key of the model, or of the service of a request without one.
+    /// Key of the model, or of the service of a request without one. It has 32 bits, to keep heartbeats small.
     pub class: ContentKey,
     /// Identifies the caller's attempt: a hash of the request id.
     pub attempt: u32,
@@ -105,7 +105,10 @@
         items.push(ContentItem::new(ContentKind::Whole, whole));
         Self {
             items,
-            class: content_key(ContentKind::Class, class),
+            class: ContentKey(u64::from(short_number(content_key(
+                ContentKind::Class,
+                class,
+            )))),
             attempt: short_number(content_key(ContentKind::Whole, id)),
         }
     }
--- a/crates/gateway/src/content_blocks.rs
+++ b/crates/gateway/src/content_blocks.rs
@@ -22,6 +22,8 @@
 const MANY_ENDS: u32 = 5;
 /// Time for which a record of content that is not blocked is remembered.
 const RELEASE_RETENTION: TimeSpan = TimeSpan::from_secs(24 * 3600);
+/// Time for which a release is announced, and again after a peer has announced an earlier decision.
+const RELEASE_ANNOUNCE_TIME: TimeSpan = TimeSpan::from_secs(2);
 /// Maximum number of records.
 const MAX_RECORDS: usize = 256;
 /// Maximum number of records in a heartbeat; further ones take turns.
@@ -45,6 +47,8 @@
     pub ends: u32,
     /// When it was decided.
     pub decided: Timestamp,
+    /// Until when a record of content that is not blocked is announced.
+    pub announce_until: Timestamp,
     /// Whether this node has decided.
     pub is_own: bool,
     /// Whether the store is known to hold this version, or a later one.
@@ -124,6 +128,7 @@
             is_blocked,
             ends,
             decided: now,
+            announce_until: now + RELEASE_ANNOUNCE_TIME,
             is_own: true,
             is_stored: false,
         };
@@ -138,6 +143,9 @@
             && record.version >= block.version
         {
             record.is_stored |= is_stored && record.version == block.version;
+            if record.version > block.version {
+                record.announce_until = now + RELEASE_ANNOUNCE_TIME;
+            }
             return false;
         }
         let was_blocked = self.is_blocked(block.key);
@@ -146,6 +154,7 @@
             is_blocked: block.is_blocked,
             ends: block.ends,
             decided: now - block.age,
+            announce_until: now + RELEASE_ANNOUNCE_TIME,
             is_own: false,
             is_stored,
         };
@@ -199,11 +208,16 @@
 
     /// Records for the peers.
     pub fn announced(&self, now: Timestamp) -> Vec<PeerBlock> {
-        let count = self.records.len();
+        let records: Vec<(&ContentKey, &BlockRecord)> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_blocked || now < record.announce_until)
+            .collect();
+        let count = records.len();
         let turn = (now.0 / ANNOUNCE_INTERVAL.0) as usize;
         let first = turn.wrapping_mul(MAX_ANNOUNCED) % count.max(1);
-        self.records
-            .iter()
+        records
+            .into_iter()
             .cycle()
             .skip(if count > MAX_ANNOUNCED { first } else { 0 })
             .take(count.min(MAX_ANNOUNCED))
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -4,11 +4,12 @@
 //! of every end. Three facts tell them apart.
 //!
 //! - A process that goes on after it has begun to answer clears all pieces of that request.
-//! - A guilty piece is there in independent requests, at more than one end.
-//! - Of the pieces that were at the same ends, the guilty one is at most of them.
+//! - A guilty piece is there in independent requests, at ends at different times. Ends at the same time have a common cause.
+//! - Of the pieces that were at the same ends, the guilty one is at most of them, and has survived none.
 //!
 //! A class (model or service) under which nothing survives gives no contrast, so no piece is accused for it.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
@@ -32,17 +33,29 @@
 const MIN_CONTRAST: usize = 3;
 /// Maximum number of facts of each kind that are kept for a piece. As many survivals clear it whatever its ends are.
 const MAX_FACTS: usize = 8;
-/// Maximum number of independent requests that are kept for one end of a process.
-const MAX_SOURCES_PER_END: usize = 2;
+/// Maximum number of independent requests that are kept for ends at the same time.
+const MAX_SOURCES_PER_TIME: usize = 2;
+/// Ends that are no further apart are at the same time, as far as nodes can tell that learn from each other directly.
+const SAME_TIME: TimeSpan = TimeSpan(50);
+/// The same if relays pass on what nodes know.
+const RELAYED_SAME_TIME: TimeSpan = TimeSpan(300);
+/// Recent survivals from which a node does not accuse a piece in the first place.
+const CLEARING_SURVIVALS: usize = 2;
 /// Survivals that are remembered of a piece that is not accused.
 const MAX_RECENT: usize = 4;
 /// Maximum number of pieces whose survivals are remembered, and of pieces that were at an end.
 const MAX_RECENT_KEYS: usize = 8192;
 const MAX_KEYS: usize = 1024;
-/// Time for which a fact is announced.
-const ANNOUNCE_TIME: TimeSpan = TimeSpan::from_secs(3);
+/// Age up to which a survival answers a peer that tells of an end.
+const ANSWER_TIME: TimeSpan = TimeSpan::from_secs(3);
+/// Time for which a release is remembered; peers announce older ends for less.
+const CLEARED_RETENTION: TimeSpan = TimeSpan::from_secs(10);
+/// Time for which a fact is announced: two heartbeats or three, because one may be lost.
+const ANNOUNCE_TIME: TimeSpan = TimeSpan(500);
 /// Maximum number of facts in a heartbeat, so that it fits into one packet.
-const MAX_ANNOUNCED: usize = 16;
+const MAX_ANNOUNCED: usize = 8;
+/// The same in that of a relay, which goes with a digest.
+const MAX_QUESTIONS: usize = 32;
 
 /// An observation, with the time at which this node has learned of it.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +68,24 @@
     is_own: bool,
 }
 
+impl Sighting {
+    fn is_same_time(&self, other: &Sighting) -> bool {
+        let difference = self.at.since(other.at).max(other.at.since(self.at));
+        difference < SAME_TIME
+    }
+}
+
+/// How a node learns from its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerRole {
+    /// All nodes hear each other, and each decides.
+    Direct,
+    /// The node hears all others, decides, and asks them what speaks against it.
+    Relay,
+    /// The node answers the relays and follows their decisions.
+    Follower,
+}
+
 /// What was decided on a piece before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PieceHistory {
@@ -70,8 +101,14 @@
 #[derive(Debug)]
 struct KeyFacts {
     class: ContentKey,
+    /// Whether other requests may have the piece.
+    is_shared: bool,
     ends: Vec<Sighting>,
     survivals: Vec<Sighting>,
+    /// Up to when ends do not count, because the piece was released.
+    cleared: Timestamp,
+    /// When a peer has last told of an end.
+    questioned: Timestamp,
 }
 
 impl KeyFacts {
@@ -84,18 +121,26 @@
 
     /// Adds an observation. Returns whether it is new.
     fn add(&mut self, fate: RunFate, sighting: Sighting) -> bool {
+        let cleared = self.cleared;
         let facts = self.facts(fate);
-        let known: Vec<&Sighting> = facts
-            .iter()
-            .filter(|other| other.server == sighting.server)
-            .collect();
-        let max_known = match fate {
-            RunFate::Ended => MAX_SOURCES_PER_END,
-            RunFate::Survived => 1,
+        let is_known = match fate {
+            RunFate::Ended if sighting.at <= cleared => return false,
+            RunFate::Ended => {
+                let same = facts.iter().filter(|other| other.is_same_time(&sighting));
+                let sources: HashSet<u32> = same.map(|other| other.source).collect();
+                sources.len() >= MAX_SOURCES_PER_TIME || sources.contains(&sighting.source)
+            }
+            RunFate::Survived => facts.iter().any(|other| {
+                other.server == sighting.server && sighting.at <= other.at + SAME_TIME
+            }),
         };
-        if known.len() >= max_known || known.iter().any(|other| other.source == sighting.source) {
+        if is_known {
             return false;
         }
+        if fate == RunFate::Survived {
+            // The latest survival of a process replaces an earlier one.
+            facts.retain(|other| other.server != sighting.server);
+        }
         if facts.len() >= MAX_FACTS {
             facts.remove(0);
         }
@@ -110,9 +155,25 @@
         self.ends.iter().filter(move |end| end.at >= from)
     }
 
-    /// Processes whose ends count.
-    fn end_servers(&self) -> HashSet<u32> {
-        self.counted_ends().map(|end| end.server).collect()
+    /// Number of different times of the ends that count; `same_time` is the difference from which times are different.
+    fn end_count(&self, same_time: TimeSpan) -> usize {
+        let mut times: Vec<Timestamp> = self.counted_ends().map(|end| end.at).collect();
+        times.sort_unstable();
+        let mut count = 0;
+        let mut last = None;
+        for time in times {
+            if last.is_none_or(|last| time.since(last) >= same_time) {
+                count += 1;
+                last = Some(time);
+            }
+        }
+        count
+    }
+
+    /// Whether another piece was there at all ends that count.
+    fn is_covered_by(&self, other: &KeyFacts) -> bool {
+        self.counted_ends()
+            .all(|end| other.ends.iter().any(|one| one.is_same_time(end)))
     }
 
     fn source_count(&self) -> usize {
@@ -129,8 +190,8 @@
     }
 
     /// Whether the ends outweigh the survivals. `min_ends` suffice without survivals.
-    fn is_harmful(&self, min_ends: usize) -> bool {
-        self.end_servers().len() >= min_ends * (self.survival_count() + 1)
+    fn is_harmful(&self, min_ends: usize, same_time: TimeSpan) -> bool {
+        self.end_count(same_time) >= min_ends * (self.survival_count() + 1)
     }
 }
 
@@ -191,13 +252,14 @@
     pub fn record_end(
         &mut self,
         key: ContentKey,
+        is_shared: bool,
         class: ContentKey,
         server: u32,
         source: u32,
         now: Timestamp,
     ) -> bool {
         let recent = self.recent_survivals(key, now);
-        if recent >= MAX_RECENT {
+        if recent >= CLEARING_SURVIVALS {
             return false;
         }
         let fact = CrashFact {
@@ -208,7 +270,11 @@
             fate: RunFate::Ended,
             age: TimeSpan(0),
         };
-        self.add(fact, true, now)
+        let is_new = self.add(fact, true, now);
+        if let Some(facts) = self.facts.get_mut(&key) {
+            facts.is_shared = is_shared;
+        }
+        is_new
     }
 
     /// Number of own survivals of a piece lately.
@@ -222,7 +288,13 @@
 
     /// Adds an observation of a peer. Returns whether it is new.
     pub fn merge(&mut self, fact: CrashFact, now: Timestamp) -> bool {
-        fact.age < END_WINDOW && self.add(fact, false, now)
+        let is_new = fact.age < END_WINDOW && self.add(fact, false, now);
+        if fact.fate == RunFate::Ended
+            && let Some(facts) = self.facts.get_mut(&fact.key)
+        {
+            facts.questioned = now;
+        }
+        is_new
     }
 
     fn add(&mut self, fact: CrashFact, is_own: bool, now: Timestamp) -> bool {
@@ -249,8 +321,11 @@
         });
         let mut facts = KeyFacts {
             class: fact.class,
+            is_shared: true,
             ends: vec![sighting],
             survivals: Vec::new(),
+            cleared: Timestamp(0),
+            questioned: Timestamp(0),
         };
         for survival in survivals {
             facts.add(RunFate::Survived, survival);
@@ -270,22 +345,48 @@
         }
     }
 
-    /// Number of processes that have ended under a piece.
+    /// Whether the known ends of a piece outweigh its survivals.
+    pub fn is_harmful(&self, key: ContentKey) -> bool {
+        let facts = self.facts.get(&key);
+        facts.is_some_and(|facts| {
+            facts.ends.len() >= MIN_ENDS && facts.is_harmful(MIN_ENDS, SAME_TIME)
+        })
+    }
+
+    /// Number of times at which processes have ended under a piece.
     pub fn ends_of(&self, key: ContentKey) -> usize {
         self.facts
             .get(&key)
-            .map_or(0, |facts| facts.end_servers().len())
+            .map_or(0, |facts| facts.end_count(SAME_TIME))
+    }
+
+    /// Whether this node knows of a survival that is too recent for the piece to be harmful.
+    pub fn contradicts(&self, key: ContentKey, now: Timestamp) -> bool {
+        let known = self.facts.get(&key).is_some_and(|facts| {
+            let mut survivals = facts.survivals.iter();
+            survivals.any(|survival| now.since(survival.at) < SURVIVAL_LOOKBACK)
+        });
+        known || self.recent_survivals(key, now) > 0
     }
 
-    /// Whether the survivals that this node knows outweigh a number of ends.
-    pub fn contradicts(&self, key: ContentKey, ends: usize, now: Timestamp) -> bool {
-        let known = self.facts.get(&key).map_or(0, KeyFacts::survival_count);
-        let survivals = known.max(self.recent_survivals(key, now));
-        survivals > 0 && ends < MIN_ENDS * (survivals + 1)
+    /// Whether this node knows something that speaks against the ends that peers tell of.
+    pub fn has_answer(&self, key: ContentKey, now: Timestamp) -> bool {
+        let facts = self.facts.get(&key);
+        facts.is_some_and(|facts| facts.ends.len() >= MIN_ENDS)
+            && self.recent_survivals(key, now) > 0
     }
 
     /// Pieces that are accused. `history` tells what was decided on a piece before.
-    pub fn accused(&self, history: impl Fn(ContentKey) -> PieceHistory) -> Vec<ContentKey> {
+    pub fn accused(
+        &self,
+        role: PeerRole,
+        history: impl Fn(ContentKey) -> PieceHistory,
+    ) -> Vec<ContentKey> {
+        let same_time = match role {
+            PeerRole::Direct => SAME_TIME,
+            PeerRole::Relay => RELAYED_SAME_TIME,
+            PeerRole::Follower => return Vec::new(),
+        };
         let mut harmful = Vec::new();
         for (key, facts) in &self.facts {
             let history = history(*key);
@@ -293,37 +394,53 @@
                 PieceHistory::Blocked | PieceHistory::Unknown => (MIN_ENDS, MIN_SOURCES),
                 PieceHistory::FormerlyBlocked => (1, 1),
             };
-            if facts.is_harmful(min_ends) && facts.source_count() >= min_sources {
-                harmful.push((*key, facts.class, facts.end_servers(), history));
+            if facts.ends.len() >= min_ends
+                && facts.is_harmful(min_ends, same_time)
+                && facts.source_count() >= min_sources
+            {
+                harmful.push((*key, facts, facts.end_count(same_time), history));
             }
         }
-        let accused = harmful.iter().filter(|(key, class, ends, _)| {
-            let is_explained = harmful.iter().any(|(other, _, other_ends, history)| {
-                other != key
-                    && other_ends.is_superset(ends)
-                    && (other_ends.len() > ends.len() || *history == PieceHistory::Blocked)
-            });
-            self.has_contrast(*class) && !is_explained
+        let accused = harmful.iter().filter(|(key, facts, ends, _)| {
+            let has_survived = self.has_survived(*key);
+            let is_explained = harmful
+                .iter()
+                .any(|(other, other_facts, other_ends, history)| {
+                    let is_likelier = other_ends > ends
+                        || *history == PieceHistory::Blocked
+                        || other_ends == ends && has_survived && !self.has_survived(*other);
+                    other != key && is_likelier && facts.is_covered_by(other_facts)
+                });
+            self.has_contrast(facts.class) && !is_explained
         });
         accused.map(|(key, ..)| *key).collect()
     }
 
+    /// Whether this node knows of any survival of a piece, however long ago.
+    fn has_survived(&self, key: ContentKey) -> bool {
+        let facts = self.facts.get(&key);
+        self.recent.contains_key(&key) || facts.is_some_and(|facts| !facts.survivals.is_empty())
+    }
+
     fn has_contrast(&self, class: ContentKey) -> bool {
         self.recent
             .get(&class)
             .is_some_and(|recent| recent.len() >= MIN_CONTRAST)
     }
 
-    /// Forgets all facts about a piece.
-    pub fn forget(&mut self, key: ContentKey) {
-        self.facts.remove(&key);
+    /// Drops the ends of a piece that was released, also those that peers still announce.
+    pub fn clear(&mut self, key: ContentKey, now: Timestamp) {
+        if let Some(facts) = self.facts.get_mut(&key) {
+            facts.ends.clear();
+            facts.cleared = now;
+        }
     }
 
     /// Forgets what is too old to count.
     pub fn expire(&mut self, now: Timestamp) {
         self.facts.retain(|_, facts| {
             facts.ends.retain(|end| now.since(end.at) < END_WINDOW);
-            !facts.ends.is_empty()
+            !facts.ends.is_empty() || now.since(facts.cleared) < CLEARED_RETENTION
         });
     }
 
@@ -337,33 +454,54 @@
         self.facts.is_empty()
     }
 
-    /// Facts for the peers: those about the pieces with most ends first. A relay passes on those of others too.
-    pub fn announced(&self, is_relay: bool, now: Timestamp) -> Vec<CrashFact> {
+    /// Facts for the peers: those about the pieces with most ends first.
+    pub fn announced(&self, role: PeerRole, now: Timestamp) -> Vec<CrashFact> {
+        let is_recent = |sighting: &&Sighting| now.since(sighting.learned) < ANNOUNCE_TIME;
         let mut announced = Vec::new();
         for (key, facts) in &self.facts {
-            let fates = [
-                (RunFate::Ended, &facts.ends),
-                (RunFate::Survived, &facts.survivals),
-            ];
-            for (fate, sightings) in fates {
-                let sightings = sightings.iter().filter(|sighting| {
-                    (is_relay || sighting.is_own) && now.since(sighting.learned) < ANNOUNCE_TIME
-                });
-                announced.extend(sightings.map(|sighting| {
-                    let fact = CrashFact {
-                        key: *key,
-                        class: facts.class,
-                        server: sighting.server,
-                        source: sighting.source,
-                        fate,
-                        age: now.since(sighting.at),
-                    };
-                    (facts.ends.len(), fact)
-                }));
+            let count = facts.ends.len();
+            let mut announce = |fate: RunFate, sighting: &Sighting| {
+                let fact = CrashFact {
+                    key: *key,
+                    class: facts.class,
+                    server: sighting.server,
+                    source: sighting.source,
+                    fate,
+                    age: now.since(sighting.at),
+                };
+                announced.push((count, fact));
+            };
+            let recent = || facts.ends.iter().filter(is_recent);
+            let is_asked = now.since(facts.questioned) < ANNOUNCE_TIME;
+            let is_questioned = is_asked && (role == PeerRole::Follower || count >= MIN_ENDS);
+            if role == PeerRole::Relay {
+                // One end is a question that nodes answer with their survivals.
+                let question = recent().next().filter(|_| self.is_harmful(*key));
+                question
+                    .into_iter()
+                    .for_each(|end| announce(RunFate::Ended, end));
+                continue;
+            }
+            // Whole requests rarely come to another node, so one end of theirs is no news.
+            let is_news = facts.is_shared || count >= MIN_ENDS;
+            let own = recent().filter(|end| end.is_own && is_news);
+            own.for_each(|end| announce(RunFate::Ended, end));
+            if is_questioned {
+                let own = facts.survivals.iter().filter(|one| one.is_own);
+                let latest = own.max_by_key(|one| one.at);
+                let latest = latest.filter(|one| now.since(one.at) < ANSWER_TIME);
+                latest
+                    .into_iter()
+                    .for_each(|one| announce(RunFate::Survived, one));
             }
         }
-        announced.sort_by_key(|(ends, fact)| (std::cmp::Reverse(*ends), fact.age, fact.key));
-        announced.truncate(MAX_ANNOUNCED);
+        // Survivals first: they end a question.
+        announced
+            .sort_by_key(|(ends, fact)| (Reverse(fact.fate), Reverse(*ends), fact.age, fact.key));
+        announced.truncate(match role {
+            PeerRole::Relay => MAX_QUESTIONS,
+            PeerRole::Direct | PeerRole::Follower => MAX_ANNOUNCED,
+        });
         announced.into_iter().map(|(_, fact)| fact).collect()
     }
 }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -19,6 +19,7 @@
 use crate::content::RequestContent;
 use crate::content_blocks::ContentBlocks;
 use crate::crash_evidence::CrashEvidence;
+use crate::crash_evidence::PeerRole;
 use crate::server_runs::RunAtEnd;
 use crate::server_runs::RunEnd;
 use crate::server_runs::RunNumber;
@@ -28,7 +29,10 @@
 /// Time in which peers can contradict, in a deployment in which all nodes send their heartbeats to each other.
 const DIRECT_SETTLE_TIME: TimeSpan = TimeSpan(250);
 /// The same where relays pass on what nodes know.
-const RELAYED_SETTLE_TIME: TimeSpan = TimeSpan(1000);
+const RELAYED_SETTLE_TIME: TimeSpan = TimeSpan(500);
+
+/// Minimum time between two heartbeats outside the regular interval.
+const URGENT_INTERVAL: TimeSpan = TimeSpan(50);
 
 /// Why requests with a piece of content are not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,8 +112,14 @@
     blocks: ContentBlocks,
     /// Pieces that are accused, and since when.
     held: HashMap<ContentKey, Timestamp>,
-    /// Whether peers should learn of something before the next regular heartbeat.
-    is_urgent: bool,
+    /// Whether peers that this node reaches directly should learn of evidence before the next regular heartbeat.
+    has_urgent_facts: bool,
+    /// The same for a decision, which concerns all peers.
+    has_urgent_decision: bool,
+    /// When peers were last told something urgent.
+    last_urgent: Timestamp,
+    /// Whether evidence has been added since the last decision.
+    has_news: bool,
 }
 
 impl CrashGuard {
@@ -141,9 +151,12 @@
         for content in self.runs.record_data(server, run, awake) {
             let keys = content.items.iter().map(|item| item.key);
             for key in keys.chain([content.class]) {
-                self.is_urgent |=
-                    self.evidence
-                        .record_survival(key, server.0, content.attempt, now);
+                let is_new = self
+                    .evidence
+                    .record_survival(key, server.0, content.attempt, now);
+                self.has_news |= is_new;
+                // Peers hold the piece too.
+                self.has_urgent_facts |= is_new && self.held.contains_key(&key);
             }
         }
     }
@@ -172,9 +185,17 @@
                     ContentKind::Part | ContentKind::Class => content.whole_number(),
                     ContentKind::Whole => content.attempt,
                 };
-                self.is_urgent |=
-                    self.evidence
-                        .record_end(item.key, content.class, server.0, source, now);
+                let is_shared = item.kind == ContentKind::Part;
+                let is_new = self.evidence.record_end(
+                    item.key,
+                    is_shared,
+                    content.class,
+                    server.0,
+                    source,
+                    now,
+                );
+                self.has_news |= is_new;
+                self.has_urgent_facts |= is_new && self.evidence.is_harmful(item.key);
             }
         }
         runs
@@ -185,24 +206,22 @@
         &mut self,
         facts: &[CrashFact],
         blocks: &[PeerBlock],
-        is_relay: bool,
+        role: PeerRole,
         now: Timestamp,
     ) -> Vec<BlockDecision> {
         for fact in facts {
             let is_new = self.evidence.merge(*fact, now);
-            self.is_urgent |= is_new && is_relay;
+            self.has_news |= is_new;
+            self.has_urgent_facts |= is_new && self.evidence.has_answer(fact.key, now);
         }
         let mut decisions = Vec::new();
         for block in blocks {
             // What this node has seen go on is stronger than a peer's count of ends.
-            let is_contradicted = block.is_blocked
-                && block.ends > 0
-                && self
-                    .evidence
-                    .contradicts(block.key, block.ends as usize, now);
+            let is_contradicted =
+                block.is_blocked && block.ends > 0 && self.evidence.contradicts(block.key, now);
             if self.blocks.merge(block, false, now) {
-                self.is_urgent |= is_relay;
-                decisions.push(self.changed(block.key, DecisionSource::Peer));
+                self.has_urgent_decision |= role == PeerRole::Relay;
+                decisions.push(self.changed(block.key, DecisionSource::Peer, now));
             }
             if is_contradicted && self.blocks.is_blocked(block.key) {
                 decisions.push(self.release(block.key, DecisionSource::Survival, now));
@@ -215,17 +234,22 @@
     pub fn merge_stored(&mut self, block: &PeerBlock, now: Timestamp) -> Option<BlockDecision> {
         let has_changed = self.blocks.merge(block, true, now);
         has_changed.then(|| {
-            self.is_urgent = true;
-            self.changed(block.key, DecisionSource::Store)
+            self.has_urgent_decision = true;
+            self.changed(block.key, DecisionSource::Store, now)
         })
     }
 
     /// Follows a decision of others on a piece.
-    fn changed(&mut self, key: ContentKey, source: DecisionSource) -> BlockDecision {
+    fn changed(
+        &mut self,
+        key: ContentKey,
+        source: DecisionSource,
+        now: Timestamp,
+    ) -> BlockDecision {
         self.held.remove(&key);
         let is_blocked = self.blocks.is_blocked(key);
         if !is_blocked {
-            self.evidence.forget(key);
+            self.evidence.clear(key, now);
         }
         let ends = self.blocks.get(key).map_or(0, |record| record.ends);
         BlockDecision {
@@ -243,20 +267,22 @@
         now: Timestamp,
     ) -> BlockDecision {
         self.blocks.release(key, now);
-        self.is_urgent = true;
-        self.changed(key, source)
+        self.has_urgent_decision = true;
+        self.changed(key, source, now)
     }
 
-    /// Decides on the pieces that are accused. `is_relayed` says whether peers learn from each other through relays.
-    pub fn decide(&mut self, is_relayed: bool, now: Timestamp) -> Vec<BlockDecision> {
-        let settle_time = if is_relayed {
-            RELAYED_SETTLE_TIME
-        } else {
-            DIRECT_SETTLE_TIME
+    /// Decides on the pieces that are accused.
+    pub fn decide(&mut self, role: PeerRole, now: Timestamp) -> Vec<BlockDecision> {
+        if !std::mem::take(&mut self.has_news) && self.held.is_empty() {
+            return Vec::new();
+        }
+        let settle_time = match role {
+            PeerRole::Direct => DIRECT_SETTLE_TIME,
+            PeerRole::Relay | PeerRole::Follower => RELAYED_SETTLE_TIME,
         };
         let mut decisions = Vec::new();
         let blocks = &self.blocks;
-        let accused = self.evidence.accused(|key| blocks.history(key));
+        let accused = self.evidence.accused(role, |key| blocks.history(key));
         self.held.retain(|key, _| accused.contains(key));
         for key in accused {
             if self.blocks.is_blocked(key) {
@@ -270,7 +296,7 @@
                 self.held.remove(&key);
                 let count = u32::try_from(ends).unwrap_or(u32::MAX);
                 self.blocks.block(key, count, now);
-                self.is_urgent = true;
+                self.has_urgent_decision = true;
                 state = Some(ContentState::Blocked);
             }
             decisions.extend(state.map(|state| BlockDecision {
@@ -284,8 +310,7 @@
             .blocks
             .iter()
             .filter(|(key, record)| {
-                let ends = record.ends as usize;
-                record.is_blocked && ends > 0 && self.evidence.contradicts(**key, ends, now)
+                record.is_blocked && record.ends > 0 && self.evidence.contradicts(**key, now)
             })
             .map(|(key, _)| *key)
             .collect();
@@ -303,18 +328,26 @@
         let ended = self.blocks.expire(now);
         ended
             .into_iter()
-            .map(|key| self.changed(key, DecisionSource::Expiry))
+            .map(|key| self.changed(key, DecisionSource::Expiry, now))
             .collect()
     }
 
-    /// Whether peers should learn of something now. The next call returns false unless there is something new.
-    pub fn take_urgent(&mut self) -> bool {
-        std::mem::take(&mut self.is_urgent)
+    /// Whether peers should be told something now. What comes shortly after the last time waits for a later call.
+    pub fn take_urgent(&mut self, role: PeerRole, now: Timestamp) -> bool {
+        let has_facts = self.has_urgent_facts && role == PeerRole::Direct;
+        let is_urgent = self.has_urgent_decision || has_facts;
+        if !is_urgent || now.since(self.last_urgent) < URGENT_INTERVAL {
+            return false;
+        }
+        self.last_urgent = now;
+        self.has_urgent_facts = false;
+        self.has_urgent_decision = false;
+        true
     }
 
     /// Facts for the peers.
-    pub fn announced_facts(&self, is_relay: bool, now: Timestamp) -> Vec<CrashFact> {
-        self.evidence.announced(is_relay, now)
+    pub fn announced_facts(&self, role: PeerRole, now: Timestamp) -> Vec<CrashFact> {
+        self.evidence.announced(role, now)
     }
 
     /// Decisions for the peers.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,8 @@
 //! Integration tests of the gateway crate.
 
 mod choice;
+mod crash_guard;
+mod crash_simulation;
 mod delayed_loads;
 mod dissemination;
 mod events;
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -111,8 +111,8 @@
     #[prost(fixed64, tag = "1")]
     pub key: u64,
     /// Key of the model or service.
-    #[prost(fixed64, tag = "2")]
-    pub class: u64,
+    #[prost(fixed32, tag = "2")]
+    pub class: u32,
     /// Number of the backend server's process, which is the same at all nodes.
     #[prost(fixed32, tag = "3")]
     pub server: u32,
