--- a/crates/entry/src/content_control.rs
+++ b/crates/entry/src/content_control.rs
@@ -21,7 +21,6 @@
 use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::units::TimeSpan;
 use serde::Deserialize;
-use serde::Serialize;
 use tokio::time::sleep;
 
 use crate::caller_request::CallerRequest;
@@ -29,6 +28,7 @@
 use crate::response::RequestFailure;
 use crate::store_sync::CALL_TIMEOUT;
 use crate::store_sync::list_all;
+use crate::stored_block::StoredBlock;
 
 /// `Retry-After` of a request with a piece that is held: by then the piece is blocked or cleared.
 const HELD_RETRY_AFTER: TimeSpan = TimeSpan(1000);
@@ -36,17 +36,11 @@
 const BLOCKED_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(60);
 /// Interval at which decisions that the store does not hold are written.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which the node that has decided tries to write its decision.
+const OWN_WRITE_TIME: TimeSpan = TimeSpan::from_secs(60);
 /// Number of these intervals after which the holder of the lease reads the decisions, which operators change.
 const READ_ROUNDS: u32 = 20;
 
-/// Stored decision on a piece of content. The name of its object is the key of the piece.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct BlockBody {
-    version: u64,
-    is_blocked: bool,
-    ends: u32,
-}
-
 /// Refuses a request whose content ends backend servers.
 ///
 /// # Errors
@@ -160,7 +154,7 @@
 
 fn merge_object(node: &EntryNode, object: &StoreObject) {
     let key = object.name.parse::<ContentKey>();
-    let (Ok(key), Ok(body)) = (key, BlockBody::deserialize(&object.spec)) else {
+    let (Ok(key), Ok(body)) = (key, StoredBlock::deserialize(&object.spec)) else {
         log::warn!("event=content_block_undecodable object={:?}", object.name);
         return;
     };
@@ -206,16 +200,13 @@
     }
 }
 
-/// Time for which the node that has decided tries to write its decision.
-const OWN_WRITE_TIME: TimeSpan = TimeSpan::from_secs(60);
-
 async fn write_block(node: &EntryNode, key: ContentKey, record: BlockRecord) {
-    let body = BlockBody {
+    let body = StoredBlock {
         version: record.version,
         is_blocked: record.is_blocked,
         ends: record.ends,
     };
-    let spec = match serde_json::to_value(&body) {
+    let spec = match serde_json::to_value(body) {
         Ok(spec) => spec,
         Err(error) => {
             log::error!("event=content_block_unencodable error=\"{error}\"");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod store_era;
 mod store_restore;
 mod store_sync;
+pub mod stored_block;
 mod stream_attempt;
 mod table_feed;
 
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands of the command-line tool, one module each.
 
 pub mod apply;
+pub mod blocks;
 pub mod check;
 pub mod drain;
 pub mod explain;
@@ -44,6 +45,9 @@
     /// Ends the drain of a VM
     #[bpaf(command)]
     Undrain(#[bpaf(external(drain::drain_options))] drain::DrainOptions),
+    /// Lists, adds or releases blocks of content that ends backend servers on the platform
+    #[bpaf(command)]
+    Blocks(#[bpaf(external(blocks::blocks_options))] blocks::BlocksOptions),
     /// Measures latency through a node and directly at an engine
     #[bpaf(command)]
     Load(#[bpaf(external(load::load_options))] load::LoadOptions),
@@ -72,6 +76,7 @@
         ToolCommand::Explain(options) => explain::run(options),
         ToolCommand::Drain(options) => drain::run(options, true),
         ToolCommand::Undrain(options) => drain::run(options, false),
+        ToolCommand::Blocks(options) => blocks::run(options),
         ToolCommand::Load(options) => load::run(options),
         ToolCommand::Plan(options) => plan::run(options),
         ToolCommand::Replay(options) => replay::run(options),
--- a/tests/all/crash_world.rs
+++ b/tests/all/crash_world.rs
@@ -203,6 +203,19 @@
     }
 }
 
+/// Whether a node refuses a request with the crashing part.
+pub fn refuses_part(nodes: &PlatformNodes, node: usize) -> bool {
+    let address = nodes.addresses[node];
+    let Some(mut connection) = connect(address) else {
+        return false;
+    };
+    let id = next_id("refused");
+    let parts = format!("5a5a:40,{CRASHING_PART}:70,{id}:9");
+    let is_sent = connection.send(&prompt_request(address, &id, &parts), false);
+    let (outcome, _) = connection.read_response(false);
+    is_sent.is_ok() && matches!(outcome, RawOutcome::Complete { status: 503, .. })
+}
+
 /// Times in which a node was disrupted.
 pub type Disruptions = Vec<(usize, Instant, Instant)>;
 
--- a/tests/all/crashing_parts.rs
+++ b/tests/all/crashing_parts.rs
@@ -1,5 +1,6 @@
 //! Requests that share one part of their prompts and crash each engine that begins to answer them.
 
+use std::process::Command;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +11,7 @@
 use crate::crash_world::CrashTraffic;
 use crate::crash_world::Disruptions;
 use crate::crash_world::arm_crashing_part;
+use crate::crash_world::refuses_part;
 use crate::crash_world::run_traffic;
 use crate::platform_nodes::PlatformNodes;
 
@@ -146,3 +148,29 @@
         assert!(faults.is_empty(), "seed {seed}: {faults:?}");
     }
 }
+
+/// Guards against a block that operators can neither see nor end, and against one of theirs that does not reach the nodes.
+#[test]
+fn operators_add_and_release_blocks() {
+    let nodes = PlatformNodes::start(2, 4);
+    nodes.wait_serving(2);
+    let store = nodes.standin.store_address.to_string();
+    let blocks = |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddle"));
+        command.args(["blocks", "--store", &store]).args(arguments);
+        let output = command.output().expect("the command runs");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        (output.status.code(), text)
+    };
+    let is_refused = |nodes: &PlatformNodes| (0..2).all(|node| refuses_part(nodes, node));
+    assert_eq!(blocks(&["release", "bad0c0de"]).0, Some(6));
+    assert_eq!(blocks(&["add", "bad0c0de"]).0, Some(0));
+    assert!(blocks(&["list"]).1.contains("blocked"));
+    nodes.wait("both nodes refuse the part", is_refused);
+    assert_eq!(blocks(&["release", "bad0c0de"]).0, Some(0));
+    nodes.wait("both nodes accept the part", |nodes| {
+        (0..2).all(|node| !refuses_part(nodes, node))
+    });
+    assert!(blocks(&["list"]).1.contains("released"));
+    assert_eq!(blocks(&["add", "--key", "x"]).0, Some(2));
+}
