--- a/crates/reducer/src/attempt.rs
+++ b/crates/reducer/src/attempt.rs
@@ -30,6 +30,8 @@
 /// Maximum number of times that one stream is resumed. A stalled connection is replaced once or
 /// twice; more resumes indicate a fault in the group.
 pub(crate) const MAX_RESUMES: u32 = 3;
+/// Runs at different targets after whose failure a request is not sent again.
+const MAX_FAILED_RUNS: u32 = 2;
 
 /// Number of targets tried for one request before it is refused.
 const MAX_TARGETS: usize = 8;
@@ -450,7 +452,13 @@
         {
             entry.excluded.push(vm);
         }
-        if entry.spec.idempotent && !entry.delivered && self.admission.try_take_retry() {
+        // A request may be the reason why its backend servers fail.
+        let may_run_again = entry.sent - entry.not_run < MAX_FAILED_RUNS;
+        if entry.spec.idempotent
+            && !entry.delivered
+            && may_run_again
+            && self.admission.try_take_retry()
+        {
             self.route(request, now, effects);
             return;
         }
--- a/tests/all/leader_failure.rs
+++ b/tests/all/leader_failure.rs
@@ -75,6 +75,43 @@
     assert_eq!(starts.len(), 2, "{starts:?}");
 }
 
+/// Guards against a request that ends its backend servers and is sent to one group after the other until none is left.
+#[test]
+fn request_that_ends_its_servers_is_not_sent_a_third_time() {
+    let deployment = Deployment::start_ready(DeploymentSettings::default());
+    let prompt = "quote order 43";
+    let body = json!({
+        "model": "reminder",
+        "prompt": prompt,
+        "max_tokens": LONG_RESPONSE_TOKENS,
+        "stream": false,
+    });
+    let response = std::thread::scope(|scope| {
+        let deployment = &deployment;
+        let headers = [("Authorization", "Bearer lender-a-key")];
+        let call =
+            scope.spawn(move || deployment.post(0, "/v1/completions", &headers, &body.to_string()));
+        let mut killed = Vec::new();
+        while !call.is_finished() {
+            for (vm, _) in starts(deployment, prompt) {
+                if !killed.contains(&vm) {
+                    let control = deployment.control_address(&vm);
+                    deployment.set_fault(control, &json!({ "vm": vm, "fault": "kill" }));
+                    killed.push(vm);
+                }
+            }
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+        call.join()
+            .expect("the caller does not panic")
+            .expect("the node responds")
+    });
+    assert_eq!(response.status, 502, "{}", response.text);
+    assert!(response.text.contains("may_have_run"), "{}", response.text);
+    let starts = starts(&deployment, prompt);
+    assert_eq!(starts.len(), 2, "{starts:?}");
+}
+
 /// Guards against running a streamed request again at another group after tokens have reached the
 /// caller.
 #[test]
