--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -63,9 +63,9 @@
         .increment(1);
     for run in &runs {
         log::info!(
-            "event=run_at_server_end vm={} attempt={:08x} wrote_ms={} suspect={} content={}",
+            "event=run_at_server_end request={} vm={} wrote_ms={} suspect={} content={}",
+            run.content.request,
             target.backend,
-            run.content.attempt,
             OptionalMillis(run.wrote_for),
             run.is_suspect,
             RunContent(run)
--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -82,6 +82,8 @@
     pub items: Vec<ContentItem>,
     /// Key of the model, or of the service of a request without one. It has 32 bits, to keep heartbeats small.
     pub class: ContentKey,
+    /// Request id, for logs.
+    pub request: CompactString,
     /// Identifies the caller's attempt: a hash of the request id.
     pub attempt: u32,
 }
@@ -109,6 +111,7 @@
                 ContentKind::Class,
                 class,
             )))),
+            request: id.into(),
             attempt: short_number(content_key(ContentKind::Whole, id)),
         }
     }
