Weigh content at the ends of servers against chance and against all ends

A piece is now accused if the odds against chance are high enough, from the rate at which requests of its class met an end in the last 10 s, or if it was at three quarters of all ends since its first one.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -7,7 +7,9 @@
 //! - A guilty piece is there in independent requests, at ends at different times. Ends at the same time have a common cause.
 //! - Of the pieces that were at the same ends, the guilty one is at most of them, and has survived none.
 //!
-//! A class (model or service) under which nothing survives gives no contrast, so no piece is accused for it.
+//! All this is weighed against how often requests of the class (model or service) meet the end of their backend server, whatever
+//! their content is: while many servers are lost, a sound piece is at several ends by chance. If nothing of a class survives, none
+//! of its pieces is accused.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -19,6 +21,8 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::end_rates::EndRates;
+
 /// Time for which an end counts.
 const END_WINDOW: TimeSpan = TimeSpan::from_secs(600);
 /// Survivals count that are not older than the last end by more than this, and ends that are not older than the last survival
@@ -29,10 +33,17 @@
 const MIN_ENDS: usize = 2;
 /// Independent requests that must have been at these ends.
 const MIN_SOURCES: usize = 2;
-/// Survivals in the class of a piece from which its ends are not those of the class.
-const MIN_CONTRAST: usize = 3;
+/// Natural logarithm of the odds against chance from which a piece is accused.
+const MIN_WEIGHT: f64 = 6.0;
+/// Ends, and independent requests there, from which a piece is accused that was at most ends of all since its first one,
+/// whatever the odds: it may have ended so many servers that nothing survives.
+const MIN_DOMINANT_ENDS: usize = 3;
+/// Part of these ends, in percent.
+const DOMINANT_PERCENT: usize = 75;
+/// Odds against chance for a piece that was blocked before, as [`MIN_WEIGHT`].
+const MIN_FORMER_WEIGHT: f64 = 2.0;
 /// Maximum number of facts of each kind that are kept for a piece. As many survivals clear it whatever its ends are.
-const MAX_FACTS: usize = 8;
+const MAX_FACTS: usize = 16;
 /// Maximum number of independent requests that are kept for ends at the same time.
 const MAX_SOURCES_PER_TIME: usize = 2;
 /// Ends that are no further apart are at the same time, as far as nodes can tell that learn from each other directly.
@@ -75,6 +86,20 @@
     }
 }
 
+/// Times that are at least `same_time` apart, in order.
+fn distinct_times(mut times: Vec<Timestamp>, same_time: TimeSpan) -> Vec<Timestamp> {
+    times.sort_unstable();
+    let mut last: Option<Timestamp> = None;
+    times.retain(|time| {
+        let is_distinct = last.is_none_or(|last| time.since(last) >= same_time);
+        if is_distinct {
+            last = Some(*time);
+        }
+        is_distinct
+    });
+    times
+}
+
 /// How a node learns from its peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerRole {
@@ -157,17 +182,15 @@
 
     /// Number of different times of the ends that count; `same_time` is the difference from which times are different.
     fn end_count(&self, same_time: TimeSpan) -> usize {
-        let mut times: Vec<Timestamp> = self.counted_ends().map(|end| end.at).collect();
-        times.sort_unstable();
-        let mut count = 0;
-        let mut last = None;
-        for time in times {
-            if last.is_none_or(|last| time.since(last) >= same_time) {
-                count += 1;
-                last = Some(time);
-            }
-        }
-        count
+        let times = self.counted_ends().map(|end| end.at).collect();
+        distinct_times(times, same_time).len()
+    }
+
+    /// Number of times out of `all` since the first end that counts.
+    fn ends_since_first(&self, all: &[Timestamp]) -> usize {
+        let first = self.counted_ends().map(|end| end.at).min();
+        let first = first.map_or(Timestamp(0), |first| first - SAME_TIME);
+        all.iter().filter(|time| **time >= first).count()
     }
 
     /// Whether another piece was there at all ends that count.
@@ -201,9 +224,15 @@
     facts: HashMap<ContentKey, KeyFacts>,
     /// This node's latest survivals of pieces and classes.
     recent: HashMap<ContentKey, Vec<Sighting>>,
+    rates: EndRates,
 }
 
 impl CrashEvidence {
+    /// Counts a request whose backend server has ended, or has survived it.
+    pub fn record_fate(&mut self, class: ContentKey, fate: RunFate, now: Timestamp) {
+        self.rates.record(class, fate == RunFate::Ended, now);
+    }
+
     /// Records that a process has gone on after it had begun to answer a request. Returns whether that speaks for a piece
     /// that was at an end.
     pub fn record_survival(
@@ -381,24 +410,35 @@
         &self,
         role: PeerRole,
         history: impl Fn(ContentKey) -> PieceHistory,
+        now: Timestamp,
     ) -> Vec<ContentKey> {
         let same_time = match role {
             PeerRole::Direct => SAME_TIME,
             PeerRole::Relay => RELAYED_SAME_TIME,
             PeerRole::Follower => return Vec::new(),
         };
+        let all_ends = self.end_times(same_time);
         let mut harmful = Vec::new();
         for (key, facts) in &self.facts {
             let history = history(*key);
-            let (min_ends, min_sources) = match history {
-                PieceHistory::Blocked | PieceHistory::Unknown => (MIN_ENDS, MIN_SOURCES),
-                PieceHistory::FormerlyBlocked => (1, 1),
+            let (min_ends, min_sources, min_weight) = match history {
+                PieceHistory::Blocked | PieceHistory::Unknown => {
+                    (MIN_ENDS, MIN_SOURCES, MIN_WEIGHT)
+                }
+                PieceHistory::FormerlyBlocked => (1, 1, MIN_FORMER_WEIGHT),
             };
-            if facts.ends.len() >= min_ends
-                && facts.is_harmful(min_ends, same_time)
-                && facts.source_count() >= min_sources
-            {
-                harmful.push((*key, facts, facts.end_count(same_time), history));
+            let has_contrast = self.rates.has_contrast(facts.class, now);
+            if !has_contrast || !facts.is_harmful(min_ends, same_time) {
+                continue;
+            }
+            let sources = facts.source_count();
+            let chance = self.rates.probability(facts.class, now);
+            let weight = -chance.ln() * sources as f64;
+            let ends = facts.end_count(same_time);
+            let is_dominant = ends.min(sources) >= MIN_DOMINANT_ENDS
+                && ends * 100 >= facts.ends_since_first(&all_ends) * DOMINANT_PERCENT;
+            if sources >= min_sources && (weight >= min_weight || is_dominant) {
+                harmful.push((*key, facts, ends, history));
             }
         }
         let accused = harmful.iter().filter(|(key, facts, ends, _)| {
@@ -411,23 +451,23 @@
                         || other_ends == ends && has_survived && !self.has_survived(*other);
                     other != key && is_likelier && facts.is_covered_by(other_facts)
                 });
-            self.has_contrast(facts.class) && !is_explained
+            !is_explained
         });
         accused.map(|(key, ..)| *key).collect()
     }
 
+    /// Different times of all known ends, in order.
+    fn end_times(&self, same_time: TimeSpan) -> Vec<Timestamp> {
+        let ends = self.facts.values().flat_map(|facts| &facts.ends);
+        distinct_times(ends.map(|end| end.at).collect(), same_time)
+    }
+
     /// Whether this node knows of any survival of a piece, however long ago.
     fn has_survived(&self, key: ContentKey) -> bool {
         let facts = self.facts.get(&key);
         self.recent.contains_key(&key) || facts.is_some_and(|facts| !facts.survivals.is_empty())
     }
 
-    fn has_contrast(&self, class: ContentKey) -> bool {
-        self.recent
-            .get(&class)
-            .is_some_and(|recent| recent.len() >= MIN_CONTRAST)
-    }
-
     /// Drops the ends of a piece that was released, also those that peers still announce.
     pub fn clear(&mut self, key: ContentKey, now: Timestamp) {
         if let Some(facts) = self.facts.get_mut(&key) {
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -9,6 +9,7 @@
 
 use jaysaddle_fleet::crash_report::CrashFact;
 use jaysaddle_fleet::crash_report::PeerBlock;
+use jaysaddle_fleet::crash_report::RunFate;
 use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -32,7 +33,7 @@
 const RELAYED_SETTLE_TIME: TimeSpan = TimeSpan(500);
 
 /// Minimum time between two heartbeats outside the regular interval.
-const URGENT_INTERVAL: TimeSpan = TimeSpan(50);
+const URGENT_INTERVAL: TimeSpan = TimeSpan(100);
 
 /// Why requests with a piece of content are not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -149,8 +150,9 @@
     pub fn record_data(&mut self, server: ServerNumber, run: RunNumber, now: Timestamp) {
         let awake = self.clock.read(now);
         for content in self.runs.record_data(server, run, awake) {
-            let keys = content.items.iter().map(|item| item.key);
-            for key in keys.chain([content.class]) {
+            self.evidence
+                .record_fate(content.class, RunFate::Survived, now);
+            for key in content.items.iter().map(|item| item.key) {
                 let is_new = self
                     .evidence
                     .record_survival(key, server.0, content.attempt, now);
@@ -179,6 +181,8 @@
         let runs = self.runs.record_server_end(server, awake);
         let suspects = runs.iter().filter(|run| run.is_suspect && !is_planned);
         for content in suspects.map(|run| &run.content) {
+            self.evidence
+                .record_fate(content.class, RunFate::Ended, now);
             for item in &content.items {
                 let source = match item.kind {
                     // Requests with the same content are no independent evidence against its parts.
@@ -282,7 +286,7 @@
         };
         let mut decisions = Vec::new();
         let blocks = &self.blocks;
-        let accused = self.evidence.accused(role, |key| blocks.history(key));
+        let accused = self.evidence.accused(role, |key| blocks.history(key), now);
         self.held.retain(|key, _| accused.contains(key));
         for key in accused {
             if self.blocks.is_blocked(key) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod content_blocks;
 pub mod crash_evidence;
 pub mod crash_guard;
+pub mod end_rates;
 pub mod events;
 pub mod gateway;
 pub mod limit_shares;
--- a/crates/gateway/tests/all/crash_guard.rs
+++ b/crates/gateway/tests/all/crash_guard.rs
@@ -1,5 +1,6 @@
 //! Decisions on content under which backend servers have ended.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use jaysaddle_fleet::crash_report::PeerBlock;
@@ -10,6 +11,7 @@
 use jaysaddle_gateway::crash_guard::ContentState;
 use jaysaddle_gateway::crash_guard::CrashGuard;
 use jaysaddle_gateway::server_runs::RunEnd;
+use jaysaddle_gateway::server_runs::RunNumber;
 use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::units::TimeSpan;
@@ -18,11 +20,17 @@
 const DIRECT: PeerRole = PeerRole::Direct;
 
 /// A node with a clock.
+///
+/// Beside the requests of a test, a sound one of the same model begins every 100 ms.
 struct TestNode {
     guard: CrashGuard,
     now: Timestamp,
+    sound: VecDeque<(ServerNumber, RunNumber)>,
 }
 
+/// Number of sound requests under way, of which the oldest has begun long enough ago to have been survived.
+const SOUND_RUNS: usize = 12;
+
 fn content(parts: &[&str], id: &str) -> Rc<RequestContent> {
     Rc::new(RequestContent::new(parts, id, "model", id))
 }
@@ -37,6 +45,7 @@
         let mut node = Self {
             guard: CrashGuard::default(),
             now: Timestamp(100_000),
+            sound: VecDeque::new(),
         };
         for number in 0..4 {
             node.survive(1000 + number, &["other"], &format!("warm-{number}"));
@@ -50,10 +59,25 @@
         for _ in 0..millis / 100 {
             self.now = self.now + TimeSpan(100);
             self.guard.tick(self.now);
+            self.send_sound();
             self.guard.decide(DIRECT, self.now);
         }
     }
 
+    fn send_sound(&mut self) {
+        let server = ServerNumber((self.now.0 % 10_000) as u32 + 20_000);
+        let content = content(&[], &self.now.0.to_string());
+        let run = self.guard.begin_run(server, content);
+        self.guard.record_data(server, run, self.now);
+        self.sound.push_back((server, run));
+        if self.sound.len() > SOUND_RUNS
+            && let Some((server, run)) = self.sound.pop_front()
+        {
+            self.guard.record_data(server, run, self.now);
+            self.guard.end_run(server, run, RunEnd::Closed, self.now);
+        }
+    }
+
     /// A server goes on after it has begun to answer a request.
     fn survive(&mut self, server: u32, parts: &[&str], id: &str) {
         let server = ServerNumber(server);
@@ -276,6 +300,7 @@
         node.guard.record_server_end(server, false, node.now);
         node.pass(300);
     }
+    node.pass(400);
     assert!(node.is_blocked("bad"));
 }
 
--- a/crates/gateway/tests/all/crash_simulation.rs
+++ b/crates/gateway/tests/all/crash_simulation.rs
@@ -39,16 +39,41 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
-    Arrive { is_crashing: bool },
-    Send { request: usize },
-    Begin { run: usize },
-    Data { run: usize },
-    Crash { server: usize, boot: u32 },
-    Return { server: usize },
-    Beat { node: usize },
-    Deliver { node: usize, message: usize },
-    Losses { percent: u64 },
-    Disrupt { node: usize, kind: u64 },
+    Arrive {
+        is_crashing: bool,
+    },
+    Send {
+        request: usize,
+    },
+    Begin {
+        run: usize,
+    },
+    Data {
+        run: usize,
+    },
+    Crash {
+        server: usize,
+        boot: u32,
+    },
+    Return {
+        server: usize,
+    },
+    Beat {
+        node: usize,
+    },
+    Deliver {
+        node: usize,
+        message: usize,
+    },
+    Losses {
+        percent: u64,
+    },
+    /// One server is lost, for a reason of its own.
+    Loss,
+    Disrupt {
+        node: usize,
+        kind: u64,
+    },
 }
 
 struct Request {
@@ -200,6 +225,12 @@
                     }
                 }
             }
+            Step::Loss => {
+                let server = self.random.below(self.boots.len() as u64) as usize;
+                if self.boots[server].is_multiple_of(2) {
+                    self.crash(server, false);
+                }
+            }
             Step::Disrupt { node, kind } => {
                 let until = self.now + 300 + self.random.below(2500);
                 match kind {
@@ -415,6 +446,21 @@
     ServerNumber(server as u32 * 1000 + boot)
 }
 
+/// Names of sound parts that are blocked, by node, at the first nodes.
+fn blocked_sound_parts(world: &World) -> HashMap<usize, Vec<String>> {
+    (0..world.nodes.len().min(5))
+        .map(|node| {
+            let blocks = world.nodes[node].guard.blocks();
+            let sessions = (0..SESSIONS).map(|number| format!("session-{number}"));
+            let names = sessions.chain([SHARED.to_owned()]);
+            let is_blocked =
+                |name: &String| blocks.is_blocked(content_key(ContentKind::Part, name));
+            (node, names.filter(is_blocked).collect::<Vec<_>>())
+        })
+        .filter(|(_, names)| !names.is_empty())
+        .collect()
+}
+
 fn simulate(count: usize, first_seed: u64, runs: u64) {
     for seed in seeds(first_seed, runs) {
         let mut world = World::new(count, seed);
@@ -427,17 +473,7 @@
             .unwrap_or(0);
         let before = world.served_percent(0, 4000);
         let after = world.served_percent(last + 2 * CONTACT_MS, END_MS - 1000);
-        let wrong: HashMap<usize, Vec<String>> = (0..count.min(5))
-            .map(|node| {
-                let blocks = world.nodes[node].guard.blocks();
-                let sessions = (0..SESSIONS).map(|number| format!("session-{number}"));
-                let names = sessions.chain([SHARED.to_owned()]);
-                let is_blocked =
-                    |name: &String| blocks.is_blocked(content_key(ContentKind::Part, name));
-                (node, names.filter(is_blocked).collect::<Vec<_>>())
-            })
-            .filter(|(_, names)| !names.is_empty())
-            .collect();
+        let wrong = blocked_sound_parts(&world);
         let rate = world.bytes / count / (END_MS as usize / 1000);
         let (ends, late) = (world.ends.len(), world.late);
         println!(
@@ -470,3 +506,27 @@
 fn crashing_part_is_stopped_by_320_nodes() {
     simulate(320, 300, 2);
 }
+
+/// Guards against sound parts that are blocked because servers are lost one after the other for reasons of their own, so that each
+/// part is at several ends by chance.
+#[test]
+fn series_of_losses_without_a_crashing_part_blocks_nothing() {
+    for seed in seeds(400, 20) {
+        let mut world = World::new(7, seed);
+        world.steps.clear();
+        for node in 0..7 {
+            world.plan(node as u64, Step::Beat { node });
+        }
+        let is_crashing = false;
+        world.plan(0, Step::Arrive { is_crashing });
+        for number in 0..24 {
+            world.plan(4000 + number * 350, Step::Loss);
+        }
+        world.run();
+        let wrong = blocked_sound_parts(&world);
+        assert!(
+            wrong.is_empty(),
+            "seed {seed}: sound parts are blocked: {wrong:?}"
+        );
+    }
+}
