--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -13,7 +13,6 @@
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::collections::HashSet;
 
 use jaysaddle_fleet::crash_report::CrashFact;
 use jaysaddle_fleet::crash_report::RunFate;
@@ -22,13 +21,14 @@
 use jaysaddle_types::units::Timestamp;
 
 use crate::end_rates::EndRates;
+use crate::key_facts::KeyFacts;
+use crate::key_facts::SAME_TIME;
+use crate::key_facts::SURVIVAL_LOOKBACK;
+use crate::key_facts::Sighting;
+use crate::key_facts::distinct_times;
 
 /// Time for which an end counts.
 const END_WINDOW: TimeSpan = TimeSpan::from_secs(600);
-/// Survivals count that are not older than the last end by more than this, and ends that are not older than the last survival
-/// by more than this. Content that has been sound for long may have become harmful, and ends of long ago are no evidence
-/// against content that is sound since.
-const SURVIVAL_LOOKBACK: TimeSpan = TimeSpan::from_secs(2);
 /// Ends from which a piece is accused that no process has survived.
 const MIN_ENDS: usize = 2;
 /// Independent requests that must have been at these ends.
@@ -42,12 +42,6 @@
 const DOMINANT_PERCENT: usize = 75;
 /// Odds against chance for a piece that was blocked before, as [`MIN_WEIGHT`].
 const MIN_FORMER_WEIGHT: f64 = 2.0;
-/// Maximum number of facts of each kind that are kept for a piece. As many survivals clear it whatever its ends are.
-const MAX_FACTS: usize = 16;
-/// Maximum number of independent requests that are kept for ends at the same time.
-const MAX_SOURCES_PER_TIME: usize = 2;
-/// Ends that are no further apart are at the same time, as far as nodes can tell that learn from each other directly.
-const SAME_TIME: TimeSpan = TimeSpan(50);
 /// The same if relays pass on what nodes know.
 const RELAYED_SAME_TIME: TimeSpan = TimeSpan(300);
 /// Recent survivals from which a node does not accuse a piece in the first place.
@@ -68,38 +62,6 @@
 /// The same in that of a relay, which goes with a digest.
 const MAX_QUESTIONS: usize = 32;
 
-/// An observation, with the time at which this node has learned of it.
-#[derive(Clone, Copy, Debug)]
-struct Sighting {
-    server: u32,
-    source: u32,
-    at: Timestamp,
-    learned: Timestamp,
-    /// Whether this node has made it.
-    is_own: bool,
-}
-
-impl Sighting {
-    fn is_same_time(&self, other: &Sighting) -> bool {
-        let difference = self.at.since(other.at).max(other.at.since(self.at));
-        difference < SAME_TIME
-    }
-}
-
-/// Times that are at least `same_time` apart, in order.
-fn distinct_times(mut times: Vec<Timestamp>, same_time: TimeSpan) -> Vec<Timestamp> {
-    times.sort_unstable();
-    let mut last: Option<Timestamp> = None;
-    times.retain(|time| {
-        let is_distinct = last.is_none_or(|last| time.since(last) >= same_time);
-        if is_distinct {
-            last = Some(*time);
-        }
-        is_distinct
-    });
-    times
-}
-
 /// How a node learns from its peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerRole {
@@ -122,107 +84,47 @@
     FormerlyBlocked,
 }
 
-/// Facts about a piece that was at the end of a process.
-#[derive(Debug)]
-struct KeyFacts {
-    class: ContentKey,
-    /// Whether other requests may have the piece.
-    is_shared: bool,
-    ends: Vec<Sighting>,
-    survivals: Vec<Sighting>,
-    /// Up to when ends do not count, because the piece was released.
-    cleared: Timestamp,
-    /// When a peer has last told of an end.
-    questioned: Timestamp,
-}
-
-impl KeyFacts {
-    fn facts(&mut self, fate: RunFate) -> &mut Vec<Sighting> {
-        match fate {
-            RunFate::Ended => &mut self.ends,
-            RunFate::Survived => &mut self.survivals,
+impl PieceHistory {
+    /// Ends from which a piece is accused that no process has survived.
+    fn min_ends(self) -> usize {
+        match self {
+            PieceHistory::Unknown | PieceHistory::Blocked => MIN_ENDS,
+            PieceHistory::FormerlyBlocked => 1,
         }
     }
 
-    /// Adds an observation. Returns whether it is new.
-    fn add(&mut self, fate: RunFate, sighting: Sighting) -> bool {
-        let cleared = self.cleared;
-        let facts = self.facts(fate);
-        let is_known = match fate {
-            RunFate::Ended if sighting.at <= cleared => return false,
-            RunFate::Ended => {
-                let same = facts.iter().filter(|other| other.is_same_time(&sighting));
-                let sources: HashSet<u32> = same.map(|other| other.source).collect();
-                sources.len() >= MAX_SOURCES_PER_TIME || sources.contains(&sighting.source)
-            }
-            RunFate::Survived => facts.iter().any(|other| {
-                other.server == sighting.server && sighting.at <= other.at + SAME_TIME
-            }),
-        };
-        if is_known {
-            return false;
-        }
-        if fate == RunFate::Survived {
-            // The latest survival of a process replaces an earlier one.
-            facts.retain(|other| other.server != sighting.server);
-        }
-        if facts.len() >= MAX_FACTS {
-            facts.remove(0);
+    /// Independent requests that must have been at these ends.
+    fn min_sources(self) -> usize {
+        match self {
+            PieceHistory::Unknown | PieceHistory::Blocked => MIN_SOURCES,
+            PieceHistory::FormerlyBlocked => 1,
         }
-        facts.push(sighting);
-        true
-    }
-
-    /// Ends that count.
-    fn counted_ends(&self) -> impl Iterator<Item = &Sighting> {
-        let last = self.survivals.iter().map(|survival| survival.at).max();
-        let from = last.map_or(Timestamp(0), |last| last - SURVIVAL_LOOKBACK);
-        self.ends.iter().filter(move |end| end.at >= from)
-    }
-
-    /// Number of different times of the ends that count; `same_time` is the difference from which times are different.
-    fn end_count(&self, same_time: TimeSpan) -> usize {
-        let times = self.counted_ends().map(|end| end.at).collect();
-        distinct_times(times, same_time).len()
-    }
-
-    /// Number of times out of `all` since the first end that counts.
-    fn ends_since_first(&self, all: &[Timestamp]) -> usize {
-        let first = self.counted_ends().map(|end| end.at).min();
-        let first = first.map_or(Timestamp(0), |first| first - SAME_TIME);
-        all.iter().filter(|time| **time >= first).count()
-    }
-
-    /// Whether another piece was there at all ends that count.
-    fn is_covered_by(&self, other: &KeyFacts) -> bool {
-        self.counted_ends()
-            .all(|end| other.ends.iter().any(|one| one.is_same_time(end)))
-    }
-
-    fn source_count(&self) -> usize {
-        let sources: HashSet<u32> = self.counted_ends().map(|end| end.source).collect();
-        sources.len()
     }
 
-    /// Number of survivals that count.
-    fn survival_count(&self) -> usize {
-        let last = self.ends.iter().map(|end| end.at).max();
-        let from = last.map_or(Timestamp(0), |last| last - SURVIVAL_LOOKBACK);
-        let survivals = self.survivals.iter();
-        survivals.filter(|survival| survival.at >= from).count()
+    /// Natural logarithm of the odds against chance from which a piece is accused.
+    fn min_weight(self) -> f64 {
+        match self {
+            PieceHistory::Unknown | PieceHistory::Blocked => MIN_WEIGHT,
+            PieceHistory::FormerlyBlocked => MIN_FORMER_WEIGHT,
+        }
     }
+}
 
-    /// Whether the ends outweigh the survivals. `min_ends` suffice without survivals.
-    fn is_harmful(&self, min_ends: usize, same_time: TimeSpan) -> bool {
-        self.end_count(same_time) >= min_ends * (self.survival_count() + 1)
-    }
+/// A piece that may be accused.
+#[derive(Clone, Copy)]
+struct Candidate<'a> {
+    key: ContentKey,
+    facts: &'a KeyFacts,
+    history: PieceHistory,
+    /// Number of different times of its ends.
+    ends: usize,
 }
 
 /// Evidence about all pieces of content.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
     facts: HashMap<ContentKey, KeyFacts>,
-    /// This node's latest survivals of pieces and classes.
+    /// This node's latest survivals of each piece.
     recent: HashMap<ContentKey, Vec<Sighting>>,
     rates: EndRates,
 }
@@ -417,43 +319,62 @@
             PeerRole::Relay => RELAYED_SAME_TIME,
             PeerRole::Follower => return Vec::new(),
         };
-        let all_ends = self.end_times(same_time);
-        let mut harmful = Vec::new();
-        for (key, facts) in &self.facts {
-            let history = history(*key);
-            let (min_ends, min_sources, min_weight) = match history {
-                PieceHistory::Blocked | PieceHistory::Unknown => {
-                    (MIN_ENDS, MIN_SOURCES, MIN_WEIGHT)
-                }
-                PieceHistory::FormerlyBlocked => (1, 1, MIN_FORMER_WEIGHT),
-            };
-            let has_contrast = self.rates.has_contrast(facts.class, now);
-            if !has_contrast || !facts.is_harmful(min_ends, same_time) {
-                continue;
-            }
-            let sources = facts.source_count();
-            let chance = self.rates.probability(facts.class, now);
-            let weight = -chance.ln() * sources as f64;
-            let ends = facts.end_count(same_time);
-            let is_dominant = ends.min(sources) >= MIN_DOMINANT_ENDS
-                && ends * 100 >= facts.ends_since_first(&all_ends) * DOMINANT_PERCENT;
-            if sources >= min_sources && (weight >= min_weight || is_dominant) {
-                harmful.push((*key, facts, ends, history));
-            }
+        let candidates: Vec<Candidate<'_>> = self
+            .facts
+            .iter()
+            .map(|(key, facts)| Candidate {
+                key: *key,
+                facts,
+                history: history(*key),
+                ends: 0,
+            })
+            .filter(|candidate| candidate.facts.ends.len() >= candidate.history.min_ends())
+            .collect();
+        if candidates.is_empty() {
+            return Vec::new();
         }
-        let accused = harmful.iter().filter(|(key, facts, ends, _)| {
-            let has_survived = self.has_survived(*key);
-            let is_explained = harmful
-                .iter()
-                .any(|(other, other_facts, other_ends, history)| {
-                    let is_likelier = other_ends > ends
-                        || *history == PieceHistory::Blocked
-                        || other_ends == ends && has_survived && !self.has_survived(*other);
-                    other != key && is_likelier && facts.is_covered_by(other_facts)
-                });
-            !is_explained
+        let all_ends = self.end_times(same_time);
+        let harmful: Vec<Candidate<'_>> = candidates
+            .into_iter()
+            .filter_map(|candidate| self.weigh(candidate, &all_ends, same_time, now))
+            .collect();
+        let accused = harmful.iter().filter(|one| {
+            let mut others = harmful.iter().filter(|other| other.key != one.key);
+            !others.any(|other| self.explains(other, one))
         });
-        accused.map(|(key, ..)| *key).collect()
+        accused.map(|candidate| candidate.key).collect()
+    }
+
+    /// Returns a candidate with the number of its ends if these are unlikely to be chance.
+    fn weigh<'a>(
+        &self,
+        candidate: Candidate<'a>,
+        all_ends: &[Timestamp],
+        same_time: TimeSpan,
+        now: Timestamp,
+    ) -> Option<Candidate<'a>> {
+        let Candidate { facts, history, .. } = candidate;
+        let has_contrast = self.rates.has_contrast(facts.class, now);
+        if !has_contrast || !facts.is_harmful(history.min_ends(), same_time) {
+            return None;
+        }
+        let sources = facts.source_count();
+        let chance = self.rates.probability(facts.class, now);
+        let weight = -chance.ln() * sources as f64;
+        let ends = facts.end_count(same_time);
+        let is_dominant = ends.min(sources) >= MIN_DOMINANT_ENDS
+            && ends * 100 >= facts.ends_since_first(all_ends) * DOMINANT_PERCENT;
+        let is_unlikely = weight >= history.min_weight() || is_dominant;
+        (sources >= history.min_sources() && is_unlikely).then_some(Candidate { ends, ..candidate })
+    }
+
+    /// Whether a piece that was at all ends of another one is the likelier reason for them.
+    fn explains(&self, other: &Candidate<'_>, one: &Candidate<'_>) -> bool {
+        let is_newer = || self.has_survived(one.key) && !self.has_survived(other.key);
+        let is_likelier = other.ends > one.ends
+            || other.history == PieceHistory::Blocked
+            || other.ends == one.ends && is_newer();
+        is_likelier && one.facts.is_covered_by(other.facts)
     }
 
     /// Different times of all known ends, in order.
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -205,7 +205,7 @@
         runs
     }
 
-    /// Adds what a peer has announced. A relay passes it on.
+    /// Adds what a peer has announced.
     pub fn merge(
         &mut self,
         facts: &[CrashFact],
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod end_rates;
 pub mod events;
 pub mod gateway;
+mod key_facts;
 pub mod limit_shares;
 pub mod node_ranks;
 pub mod random;
