--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -53,6 +53,10 @@
         .crashes
         .borrow_mut()
         .record_server_end(target.server, is_planned, now);
+    if runs.is_empty() {
+        // An earlier check has found the same end.
+        return;
+    }
     let suspects = runs.iter().filter(|run| run.is_suspect).count();
     log::info!(
         "event=server_ended vm={} planned={is_planned} runs={} suspects={suspects}",
