--- a/tests/all/unframed_answers.rs
+++ b/tests/all/unframed_answers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use jaysaddle_platform_standin::EndlessBytes;
@@ -16,7 +17,7 @@
 use crate::raw_callers::RawOutcome;
 use crate::raw_callers::request_text;
 
-/// Number of requests of each test, so that both backend servers get some.
+/// Number of requests of each test.
 const REQUESTS: usize = 12;
 /// Events of a stream of the first kind of server, and of the second.
 const WORK: StandinWork = StandinWork {
@@ -50,14 +51,21 @@
     (1..=count).map(event).collect()
 }
 
-/// Sends requests one after the other and returns the texts of the answers.
+/// Sends requests at the same time, so that each server gets some, and returns the texts of the answers.
 fn texts(nodes: &PlatformNodes, name: &str, path: &str) -> Vec<String> {
-    let texts = (0..REQUESTS).map(|number| {
-        let response = nodes.request(0, &format!("{name}{number}"), path, KEY);
-        assert_eq!(response.status_code, 200, "{}", nodes.log(0));
-        response.as_str().expect("text").to_owned()
-    });
-    texts.collect()
+    thread::scope(|scope| {
+        let calls: Vec<_> = (0..REQUESTS)
+            .map(|number| {
+                scope.spawn(move || {
+                    let response = nodes.request(0, &format!("{name}{number}"), path, KEY);
+                    assert_eq!(response.status_code, 200, "{}", nodes.log(0));
+                    response.as_str().expect("text").to_owned()
+                })
+            })
+            .collect();
+        let texts = calls.into_iter().map(|call| call.join());
+        texts.map(|text| text.expect("no caller panics")).collect()
+    })
 }
 
 /// Guards against an answer that ends with its connection and is taken for a broken one.
@@ -115,7 +123,9 @@
             texts.iter().all(|text| *text == whole),
             "{bytes:?}: {texts:?}"
         );
-        assert!(nodes.log(0).contains("event=stream_resumed"));
+        nodes.wait("the log has the resumption", |nodes| {
+            nodes.log(0).contains("event=stream_resumed")
+        });
     }
 }
 
@@ -136,5 +146,7 @@
     connection.send(&text, false).expect("the request is sent");
     let (outcome, _) = connection.read_response(false);
     assert!(matches!(outcome, RawOutcome::Cut { .. }), "{outcome:?}");
-    assert!(nodes.log(0).contains("event=stream_broken"));
+    nodes.wait("the log has the broken stream", |nodes| {
+        nodes.log(0).contains("event=stream_broken")
+    });
 }
