--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -16,7 +16,7 @@
 /// What a [`ContentKey`] stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ContentKind {
-    /// A part of a prompt that other requests may share.
+    /// A prompt part that other requests may share.
     Part,
     /// The whole request. Callers that repeat a request send the same content.
     Whole,
