--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -14,13 +14,13 @@
 use jaysaddle_gateway::server_runs::RunAtEnd;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_gateway::target::ServerNumber;
-use jaysaddle_types::units::TimeSpan;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::content_control::decide;
 use crate::node::EntryNode;
+use crate::request_report::OptionalMillis;
 
 /// Time for which a connection attempt may take until the process counts as unreachable.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
@@ -86,17 +86,6 @@
         .is_some_and(|row| row.entry.started == target.started && !row.entry.is_draining)
 }
 
-struct OptionalMillis(Option<TimeSpan>);
-
-impl fmt::Display for OptionalMillis {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
-            Some(time) => write!(f, "{}", time.as_millis()),
-            None => f.write_str("-"),
-        }
-    }
-}
-
 /// Formats the content of a request, without spaces.
 struct RunContent<'a>(&'a RunAtEnd);
 
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -411,7 +411,8 @@
     }
 }
 
-struct OptionalMillis(Option<TimeSpan>);
+/// Formats a time in milliseconds, or a dash if it is not known.
+pub struct OptionalMillis(pub Option<TimeSpan>);
 
 impl fmt::Display for OptionalMillis {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -60,7 +60,7 @@
     Evidence,
     /// Backend servers that have survived the content.
     Survival,
-    /// A peer.
+    /// What a peer has announced.
     Peer,
     /// The store, which operators write to.
     Store,
@@ -83,7 +83,7 @@
 /// A change of a piece's state, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BlockDecision {
-    /// The piece.
+    /// Piece that is decided on.
     pub key: ContentKey,
     /// New state; `None` if requests with it are sent again.
     pub state: Option<ContentState>,
@@ -359,7 +359,7 @@
         self.blocks.announced(now)
     }
 
-    /// Decisions.
+    /// All decisions that this node knows.
     pub fn blocks(&self) -> &ContentBlocks {
         &self.blocks
     }
