Log why content at several ends of servers is not accused

A piece of content that was weighed and not accused left no trace, so the log could not tell a lack of traffic to compare with from a lack of independent requests. Checks of a server after a broken answer are logged and counted too. Decisions are unchanged.

--- a/crates/entry/src/content_control.rs
+++ b/crates/entry/src/content_control.rs
@@ -107,7 +107,13 @@
     let now = clock::now();
     let role = peer_role(node);
     let mut crashes = node.crashes.borrow_mut();
-    for decision in crashes.decide(role, now) {
+    let decisions = crashes.decide(role, now);
+    for weighing in crashes.take_weighings() {
+        log::info!("event=content_weighed {weighing}");
+        let result = weighing.result.to_string();
+        metrics::counter!("jaysaddle_content_weighings_total", "result" => result).increment(1);
+    }
+    for decision in decisions {
         report(&decision, node.settings.node.as_str());
     }
     if crashes.take_urgent(role, now) {
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -25,6 +25,27 @@
 /// Time for which a connection attempt may take until the process counts as unreachable.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// What a check has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CheckOutcome {
+    /// A process accepts connections at the address.
+    Connected,
+    /// The address refuses connections: the process has ended.
+    Refused,
+    /// Nothing answers at the address.
+    Unreachable,
+}
+
+impl fmt::Display for CheckOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            CheckOutcome::Connected => "connected",
+            CheckOutcome::Refused => "refused",
+            CheckOutcome::Unreachable => "unreachable",
+        })
+    }
+}
+
 /// Checks that are under way.
 #[derive(Debug, Default)]
 pub struct ServerChecks(RefCell<HashSet<ServerNumber>>);
@@ -39,9 +60,15 @@
 async fn run_check(node: Rc<EntryNode>, target: Rc<RequestTarget>) {
     let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(target.address)).await;
     node.server_checks.0.borrow_mut().remove(&target.server);
-    let is_refused =
-        matches!(&connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
-    if is_refused {
+    let outcome = match &connected {
+        Ok(Ok(_)) => CheckOutcome::Connected,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => CheckOutcome::Refused,
+        Ok(Err(_)) | Err(_) => CheckOutcome::Unreachable,
+    };
+    log::info!("event=server_check vm={} outcome={outcome}", target.backend);
+    metrics::counter!("jaysaddle_server_checks_total", "outcome" => outcome.to_string())
+        .increment(1);
+    if outcome == CheckOutcome::Refused {
         record_server_end(&node, &target);
     }
 }
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -110,6 +110,14 @@
         metrics::counter!(decisions, "state" => state.to_string()).increment(0);
     }
     metrics::counter!(decisions, "state" => "released").increment(0);
+    metrics::describe_counter!(
+        "jaysaddle_server_checks_total",
+        "Checks of a backend server after an answer has broken off, by what they have shown"
+    );
+    metrics::describe_counter!(
+        "jaysaddle_content_weighings_total",
+        "Pieces of content at several ends that were weighed on new evidence, by result"
+    );
     let rewrites = "jaysaddle_store_rewrites_total";
     metrics::describe_counter!(rewrites, "Objects that were written again after a restore");
     for kind in ["node", "lease"] {
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -20,6 +20,8 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::content_weighing::ContentWeighing;
+use crate::content_weighing::WeighingResult;
 use crate::end_rates::EndRates;
 use crate::key_facts::KeyFacts;
 use crate::key_facts::SAME_TIME;
@@ -307,13 +309,13 @@
             && self.recent_survivals(key, now) > 0
     }
 
-    /// Pieces that are accused. `history` tells what was decided on a piece before.
-    pub fn accused(
+    /// Weighs the pieces that were at several ends. `history` tells what was decided on a piece before.
+    pub fn weigh_all(
         &self,
         role: PeerRole,
         history: impl Fn(ContentKey) -> PieceHistory,
         now: Timestamp,
-    ) -> Vec<ContentKey> {
+    ) -> Vec<ContentWeighing> {
         let same_time = match role {
             PeerRole::Direct => SAME_TIME,
             PeerRole::Relay => RELAYED_SAME_TIME,
@@ -334,38 +336,63 @@
             return Vec::new();
         }
         let all_ends = self.end_times(same_time);
-        let harmful: Vec<Candidate<'_>> = candidates
-            .into_iter()
-            .filter_map(|candidate| self.weigh(candidate, &all_ends, same_time, now))
-            .collect();
-        let accused = harmful.iter().filter(|one| {
+        let mut harmful: Vec<Candidate<'_>> = Vec::new();
+        let mut weighings: Vec<ContentWeighing> = Vec::new();
+        for candidate in candidates {
+            let weighing = self.weigh(candidate, &all_ends, same_time, now);
+            if weighing.result == WeighingResult::Accused {
+                harmful.push(Candidate {
+                    ends: weighing.ends,
+                    ..candidate
+                });
+            }
+            weighings.push(weighing);
+        }
+        for one in &harmful {
             let mut others = harmful.iter().filter(|other| other.key != one.key);
-            !others.any(|other| self.explains(other, one))
-        });
-        accused.map(|candidate| candidate.key).collect()
+            if others.any(|other| self.explains(other, one))
+                && let Some(weighing) = weighings.iter_mut().find(|other| other.key == one.key)
+            {
+                weighing.result = WeighingResult::Explained;
+            }
+        }
+        weighings
     }
 
-    /// Returns a candidate with the number of its ends if these are unlikely to be chance.
-    fn weigh<'a>(
+    /// Weighs a piece against chance.
+    fn weigh(
         &self,
-        candidate: Candidate<'a>,
+        candidate: Candidate<'_>,
         all_ends: &[Timestamp],
         same_time: TimeSpan,
         now: Timestamp,
-    ) -> Option<Candidate<'a>> {
+    ) -> ContentWeighing {
         let Candidate { facts, history, .. } = candidate;
-        let has_contrast = self.rates.has_contrast(facts.class, now);
-        if !has_contrast || !facts.is_harmful(history.min_ends(), same_time) {
-            return None;
-        }
         let sources = facts.source_count();
         let chance = self.rates.probability(facts.class, now);
         let weight = -chance.ln() * sources as f64;
         let ends = facts.end_count(same_time);
         let is_dominant = ends.min(sources) >= MIN_DOMINANT_ENDS
             && ends * 100 >= facts.ends_since_first(all_ends) * DOMINANT_PERCENT;
-        let is_unlikely = weight >= history.min_weight() || is_dominant;
-        (sources >= history.min_sources() && is_unlikely).then_some(Candidate { ends, ..candidate })
+        let result = if !self.rates.has_contrast(facts.class, now) {
+            WeighingResult::NoContrast
+        } else if !facts.is_harmful(history.min_ends(), same_time) {
+            WeighingResult::Survived
+        } else if sources < history.min_sources() {
+            WeighingResult::FewSources
+        } else if weight < history.min_weight() && !is_dominant {
+            WeighingResult::Unweighty
+        } else {
+            WeighingResult::Accused
+        };
+        ContentWeighing {
+            key: candidate.key,
+            ends,
+            sources,
+            survivals: facts.survival_count(),
+            weight,
+            result,
+        }
     }
 
     /// Whether a piece that was at all ends of another one is the likelier reason for them.
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -19,6 +19,8 @@
 use crate::content::ContentKind;
 use crate::content::RequestContent;
 use crate::content_blocks::ContentBlocks;
+use crate::content_weighing::ContentWeighing;
+use crate::content_weighing::WeighingResult;
 use crate::crash_evidence::CrashEvidence;
 use crate::crash_evidence::PeerRole;
 use crate::server_runs::RunAtEnd;
@@ -121,6 +123,8 @@
     last_urgent: Timestamp,
     /// Whether evidence has been added since the last decision.
     has_news: bool,
+    /// Weighings of the last decision with new evidence, for the log.
+    weighings: Vec<ContentWeighing>,
 }
 
 impl CrashGuard {
@@ -277,7 +281,8 @@
 
     /// Decides on the pieces that are accused.
     pub fn decide(&mut self, role: PeerRole, now: Timestamp) -> Vec<BlockDecision> {
-        if !std::mem::take(&mut self.has_news) && self.held.is_empty() {
+        let has_news = std::mem::take(&mut self.has_news);
+        if !has_news && self.held.is_empty() {
             return Vec::new();
         }
         let settle_time = match role {
@@ -286,7 +291,18 @@
         };
         let mut decisions = Vec::new();
         let blocks = &self.blocks;
-        let accused = self.evidence.accused(role, |key| blocks.history(key), now);
+        let weighings = self
+            .evidence
+            .weigh_all(role, |key| blocks.history(key), now);
+        let is_accused = |one: &&ContentWeighing| one.result == WeighingResult::Accused;
+        let accused: Vec<ContentKey> = weighings
+            .iter()
+            .filter(is_accused)
+            .map(|one| one.key)
+            .collect();
+        if has_news {
+            self.weighings = weighings;
+        }
         self.held.retain(|key, _| accused.contains(key));
         for key in accused {
             if self.blocks.is_blocked(key) {
@@ -324,6 +340,13 @@
         decisions
     }
 
+    /// Takes the weighings of pieces that were not decided on before, as of the last decision with new evidence.
+    pub fn take_weighings(&mut self) -> Vec<ContentWeighing> {
+        let mut weighings = std::mem::take(&mut self.weighings);
+        weighings.retain(|one| !self.blocks.is_blocked(one.key));
+        weighings
+    }
+
     /// Does what is due at a regular interval.
     pub fn tick(&mut self, now: Timestamp) -> Vec<BlockDecision> {
         self.clock.tick(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod choice;
 pub mod content;
 pub mod content_blocks;
+pub mod content_weighing;
 pub mod crash_evidence;
 pub mod crash_guard;
 pub mod end_rates;
