--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -30,6 +30,8 @@
 mod process;
 mod raw_callers;
 mod relays;
+mod repeat_world;
+mod repeated_requests;
 mod request_limits;
 mod saved_log;
 mod server_notices;
--- a/tests/all/platform_nodes.rs
+++ b/tests/all/platform_nodes.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use jaysaddle_platform_standin::PLAIN_BACKEND_COUNT;
 use jaysaddle_platform_standin::PlatformStandin;
 use jaysaddle_platform_standin::add_plain_routes;
 use jaysaddle_platform_standin::request_headers;
@@ -39,6 +40,27 @@
     logs: Vec<Vec<PathBuf>>,
 }
 
+/// Size of a deployment, and settings of its nodes.
+#[derive(Clone, Debug)]
+pub struct NodeSetup {
+    pub nodes: u8,
+    pub engines: u16,
+    pub plain_servers: u16,
+    /// Further settings of the nodes.
+    pub further: Value,
+}
+
+impl Default for NodeSetup {
+    fn default() -> Self {
+        Self {
+            nodes: 3,
+            engines: 8,
+            plain_servers: PLAIN_BACKEND_COUNT,
+            further: json!({}),
+        }
+    }
+}
+
 fn spawn_node(settings: &Path, log: &Path) -> TestProcess {
     let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddled"));
     command.arg("--entry-settings").arg(settings);
@@ -56,6 +78,22 @@
 
     /// The same, with further settings of the nodes.
     pub fn start_with(count: u8, engines: u16, further: Value) -> Self {
+        Self::start_setup(NodeSetup {
+            nodes: count,
+            engines,
+            further,
+            ..NodeSetup::default()
+        })
+    }
+
+    /// Starts a deployment.
+    pub fn start_setup(setup: NodeSetup) -> Self {
+        let NodeSetup {
+            nodes: count,
+            engines,
+            plain_servers,
+            further,
+        } = setup;
         let number = NODE_SETS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
         // 127.x.y.z with x and y from the process id and the number of the set. The offset of 8 keeps the
@@ -66,7 +104,7 @@
         let addresses: Vec<IpAddr> = (1..=count).map(ip).collect();
         let mut config = stream_config(1, &addresses, KEY);
         add_plain_routes(&mut config, &addresses);
-        let standin = PlatformStandin::start(ip(200), &config, engines);
+        let standin = PlatformStandin::start(ip(200), &config, engines, plain_servers);
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("nodes-{process}-{number}"));
         fs::create_dir_all(&folder).expect("the directory can be created");
