Stop a repeated request after two or three ends of servers, whatever the traffic

Callers saw a request that ends each server that begins it sent on and on, and all servers of its service gone for seconds each time.

Cause: whole requests were weighed like parts of prompts, against other traffic of their class, which a node with few requests does not see; the repetitions of one id counted as one request; and the node sent the request to a second server at once. Evidence: content_weighed lines with no_contrast and few_sources at up to 16 ends, in the seven tests that failed before.

A whole request is now accused by ends alone: two under independent attempts if no other server of the class is lost, else three. Ends that others share at the same time, or that another piece explains, do not count. Answers between the ends clear it, also at light traffic, where an open connection shows that the server has survived. A request that is not a stream is not sent on after the end of its server's process.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -137,9 +137,8 @@
     fn end(&mut self, outcome: TargetOutcome) {
         self.end_run(match outcome {
             TargetOutcome::Refused => RunEnd::NotRun,
-            TargetOutcome::Answered | TargetOutcome::Failed | TargetOutcome::Abandoned => {
-                RunEnd::Closed
-            }
+            TargetOutcome::Answered => RunEnd::Answered,
+            TargetOutcome::Failed | TargetOutcome::Abandoned => RunEnd::Closed,
         });
         if let Some(record) = self.record.take() {
             self.node
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use compact_str::ToCompactString;
-use compact_str::format_compact;
 use eyre::WrapErr;
 use http::HeaderMap;
 use http::HeaderName;
@@ -24,6 +23,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::RequestSize;
 use jaysaddle_gateway::content::RequestContent;
+use jaysaddle_gateway::content::request_name;
 use jaysaddle_gateway::routes::RouteMatch;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_gateway::unserved::RequestFingerprint;
@@ -206,7 +206,24 @@
         let class = model
             .as_ref()
             .map_or(route.service.as_str(), ModelId::as_str);
-        let whole = format_compact!("{:08x}", fingerprint.0);
+        let mut fields = vec![
+            Some(parts.method.as_str().as_bytes()),
+            parts
+                .uri
+                .path_and_query()
+                .map(|target| target.as_str().as_bytes()),
+            route
+                .account
+                .as_ref()
+                .map(|account| account.as_str().as_bytes()),
+            Some(&body[..]),
+        ];
+        fields.extend(
+            CONTENT_HEADERS
+                .iter()
+                .map(|name| parts.headers.get(name).map(HeaderValue::as_bytes)),
+        );
+        let whole = request_name(&fields);
         let content = RequestContent::new(&shared_parts, &whole, class, &id);
         Self {
             node,
--- a/crates/entry/src/content_control.rs
+++ b/crates/entry/src/content_control.rs
@@ -1,5 +1,6 @@
 //! Refuses requests with content that ends backend servers, and shares the decisions on it with the peers and the store.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,12 +19,15 @@
 use jaysaddle_gateway::crash_evidence::PeerRole;
 use jaysaddle_gateway::crash_guard::BlockDecision;
 use jaysaddle_gateway::crash_guard::ContentState;
+use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::units::TimeSpan;
 use serde::Deserialize;
 use tokio::time::sleep;
 
 use crate::caller_request::CallerRequest;
+use crate::crash_watch::has_ended;
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
 use crate::store_sync::CALL_TIMEOUT;
@@ -76,6 +80,40 @@
     Err(RequestFailure::unavailable(reason, retry_after))
 }
 
+/// Whether the process of a backend server whose answer has broken off has ended, and the request may be the reason.
+pub async fn is_suspect(
+    node: &Rc<EntryNode>,
+    request: &CallerRequest,
+    target: &Rc<RequestTarget>,
+) -> bool {
+    let is_suspect =
+        has_ended(node, target).await && node.crashes.borrow().withholds_retry(&request.content);
+    if is_suspect {
+        log::info!(
+            "event=retry_withheld request={} vm={}",
+            request.id,
+            target.backend
+        );
+        metrics::counter!("jaysaddle_retries_withheld_total").increment(1);
+    }
+    is_suspect
+}
+
+/// Tells the guard which processes of backend servers still keep connections open.
+fn record_alive(node: &EntryNode) {
+    let mut crashes = node.crashes.borrow_mut();
+    let awaited: HashSet<ServerNumber> = crashes.awaited_servers().collect();
+    if awaited.is_empty() {
+        return;
+    }
+    let now = clock::now();
+    for server in node.pool.connected_servers() {
+        if awaited.contains(&server) {
+            crashes.record_alive(server, now);
+        }
+    }
+}
+
 /// Whether a request must not reach a further backend server, nor begin at one.
 pub fn is_blocked(node: &EntryNode, request: &CallerRequest) -> bool {
     let crashes = node.crashes.borrow();
@@ -123,6 +161,7 @@
 
 /// Does what is due at a regular interval.
 pub fn tick(node: &EntryNode) {
+    record_alive(node);
     let decisions = node.crashes.borrow_mut().tick(clock::now());
     for decision in decisions {
         report(&decision, node.settings.node.as_str());
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -14,8 +14,10 @@
 use jaysaddle_gateway::server_runs::RunAtEnd;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_gateway::target::ServerNumber;
+use jaysaddle_types::units::TimeSpan;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::content_control::decide;
@@ -25,6 +27,10 @@
 /// Time for which a connection attempt may take until the process counts as unreachable.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a request waits for a check, and the interval at which it looks.
+const MAX_CHECK_WAIT: TimeSpan = TimeSpan(300);
+const CHECK_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// What a check has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CheckOutcome {
@@ -57,6 +63,15 @@
     }
 }
 
+/// Waits for the check of a backend server. Returns whether its process has ended.
+pub async fn has_ended(node: &Rc<EntryNode>, target: &Rc<RequestTarget>) -> bool {
+    let deadline = clock::now() + MAX_CHECK_WAIT;
+    while node.server_checks.0.borrow().contains(&target.server) && clock::now() < deadline {
+        sleep(CHECK_POLL_INTERVAL).await;
+    }
+    node.crashes.borrow().has_ended(target.server)
+}
+
 async fn run_check(node: Rc<EntryNode>, target: Rc<RequestTarget>) {
     let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(target.address)).await;
     node.server_checks.0.borrow_mut().remove(&target.server);
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -36,6 +36,7 @@
 use crate::caller_request::time_limit;
 use crate::caller_request::within_time;
 use crate::content_control::check_content;
+use crate::content_control::is_suspect;
 use crate::node::EntryNode;
 use crate::relay::StreamRelay;
 use crate::request_report::RequestReport;
@@ -274,6 +275,7 @@
             request.id,
             guard.target.backend
         );
+        let target = guard.target.clone();
         // The node's lack of memory is no fault of the backend server.
         if lacks_memory {
             guard.finish(TargetOutcome::Abandoned);
@@ -284,6 +286,12 @@
         }
         drop(connection);
         let may_retry = rule.kind.may_retry() && report.sends.runs() < rule.max_attempts;
+        if may_retry && is_suspect(node, &request, &target).await {
+            return Err(RequestFailure::may_have_run(
+                StatusCode::BAD_GATEWAY,
+                "server_ended",
+            ));
+        }
         if !may_retry {
             let reason = if lacks_memory {
                 "no_memory"
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -118,6 +118,10 @@
         "jaysaddle_content_weighings_total",
         "Pieces of content at several ends that were weighed on new evidence, by result"
     );
+    metrics::describe_counter!(
+        "jaysaddle_retries_withheld_total",
+        "Requests that were not sent to a further backend server, because the process of an earlier one had ended under them"
+    );
     let rewrites = "jaysaddle_store_rewrites_total";
     metrics::describe_counter!(rewrites, "Objects that were written again after a restore");
     for kind in ["node", "lease"] {
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -150,12 +150,16 @@
         source: fact.source,
         has_survived: fact.fate == RunFate::Survived,
         age_ms: fact.age.as_millis(),
+        is_whole: fact.is_whole,
+        was_answered: fact.was_answered,
     }
 }
 
 fn decode_fact(message: CrashFactMessage) -> CrashFact {
     CrashFact {
         key: ContentKey(message.key),
+        is_whole: message.is_whole,
+        was_answered: message.was_answered,
         class: ContentKey(u64::from(message.class)),
         server: message.server,
         source: message.source,
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -12,6 +12,7 @@
 
 use eyre::eyre;
 use jaysaddle_daemon::clock;
+use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
@@ -185,6 +186,18 @@
         }
     }
 
+    /// Processes of backend servers that keep a connection open.
+    pub fn connected_servers(&self) -> Vec<ServerNumber> {
+        let idle = self.idle.borrow();
+        let connected = idle.iter().filter(|(_, connections)| {
+            let mut connections = connections.iter();
+            connections.any(|(idle, _)| !idle.connection.is_closed())
+        });
+        connected
+            .map(|(key, _)| ServerNumber::of(&key.id, key.started))
+            .collect()
+    }
+
     /// Closes idle connections that have exceeded their idle limit.
     pub fn close_expired(&self) {
         let now = clock::now();
--- a/crates/entry/src/send_race.rs
+++ b/crates/entry/src/send_race.rs
@@ -29,6 +29,7 @@
 use crate::caller_request::CallerRequest;
 use crate::content_control::check_content;
 use crate::content_control::is_blocked;
+use crate::content_control::is_suspect;
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
 use crate::send_history::SendHistory;
@@ -87,6 +88,8 @@
     silent: Vec<Rc<RequestTarget>>,
     /// A failure of a backend server itself, which the caller gets if no other one does better.
     failure_response: Option<Box<ActiveAttempt>>,
+    /// Whether the request may be the reason for the end of a backend server.
+    is_under_suspicion: bool,
     /// Whether the next send has been taken from the retry budget already.
     is_granted: bool,
     /// Time until which no replacement of a silent send is tried.
@@ -113,6 +116,7 @@
         awaited: None,
         silent: Vec::new(),
         failure_response: None,
+        is_under_suspicion: false,
         is_granted: false,
         next_replacement: Timestamp(0),
     };
@@ -136,7 +140,11 @@
                 let status = StatusCode::GATEWAY_TIMEOUT;
                 return Err(RequestFailure::may_have_run(status, "time_is_up"));
             }
-            let Some(finished) = self.wait().await else {
+            let finished = self.wait().await;
+            if let Some(finished) = &finished {
+                self.await_check(finished).await;
+            }
+            let Some(finished) = finished else {
                 // The sends under way have not begun to be answered, so their backend servers can still be spared.
                 if is_blocked(self.node, self.request) {
                     check_content(self.node, self.request, true)?;
@@ -172,6 +180,9 @@
             return fail(StatusCode::GATEWAY_TIMEOUT, "time_is_up");
         }
         check_content(node, request, may_have_run)?;
+        if may_have_run && self.is_under_suspicion {
+            return fail(StatusCode::BAD_GATEWAY, "server_ended");
+        }
         if may_have_run && !self.may_send_beside() {
             return fail(StatusCode::BAD_GATEWAY, "backend_failed");
         }
@@ -286,6 +297,16 @@
         }
     }
 
+    /// Waits until it is known whether the backend server of a broken attempt has ended, and whether the request may be the
+    /// reason. A stream is resumed in any case: it has usually begun, and its caller cannot repeat it as cheaply.
+    async fn await_check(&mut self, finished: &FinishedSend) {
+        let is_broken = matches!(finished.result, SendResult::MayHaveRun(_));
+        if !is_broken || self.request.is_stream() || !self.may_send_beside() {
+            return;
+        }
+        self.is_under_suspicion |= is_suspect(self.node, self.request, &finished.target).await;
+    }
+
     /// Handles the end of a send. Returns the result of the request if it is known.
     fn handle(&mut self, finished: FinishedSend) -> Option<Result<ActiveAttempt, RequestFailure>> {
         let FinishedSend { target, result } = finished;
--- a/crates/fleet/src/crash_report.rs
+++ b/crates/fleet/src/crash_report.rs
@@ -17,6 +17,8 @@
 pub struct CrashFact {
     /// The piece of content.
     pub key: ContentKey,
+    /// Whether the piece is a whole request, rather than a part that requests share.
+    pub is_whole: bool,
     /// Model, or service, of the request.
     pub class: ContentKey,
     /// Number of the process of the backend server, which is the same at all nodes.
@@ -25,6 +27,8 @@
     pub source: u32,
     /// What became of the process.
     pub fate: RunFate,
+    /// Whether the answer was complete before the process ended.
+    pub was_answered: bool,
     /// Time since the observation.
     pub age: TimeSpan,
 }
--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use compact_str::CompactString;
+use compact_str::format_compact;
 use jaysaddle_types::content::ContentKey;
 use sha2::Digest;
 use sha2::Sha256;
@@ -10,6 +11,8 @@
 /// Maximum number of parts of one prompt that are considered, so that a caller cannot make a request expensive. Of a longer
 /// prompt, those are the first and the last ones.
 const MAX_PARTS: usize = 64;
+/// Length of the digest that names a whole request, in bytes.
+const NAME_BYTES: usize = 16;
 /// Maximum length of a part's name in logs, in bytes.
 const MAX_NAME_BYTES: usize = 64;
 
@@ -46,6 +49,24 @@
     ContentKey(u64::from_be_bytes(bytes))
 }
 
+/// Name of a whole request: a digest of the fields that all its repetitions share, in order. It is stored, and a caller must not be
+/// able to make a request that has the name of another one.
+pub fn request_name(fields: &[Option<&[u8]>]) -> CompactString {
+    let mut digest = Sha256::new();
+    for field in fields {
+        // The length keeps neighbouring fields apart; an absent field differs from an empty one.
+        let length = field.map_or(0, |bytes| bytes.len() as u64 + 1);
+        digest.update(length.to_be_bytes());
+        digest.update(field.unwrap_or_default());
+    }
+    let digest = digest.finalize();
+    let mut name = CompactString::default();
+    for byte in &digest[..NAME_BYTES] {
+        name.push_str(&format_compact!("{byte:02x}"));
+    }
+    name
+}
+
 /// A piece of content that may end backend servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ContentItem {
--- a/crates/gateway/src/content_weighing.rs
+++ b/crates/gateway/src/content_weighing.rs
@@ -17,6 +17,8 @@
     FewSources,
     /// The ends may be chance.
     Unweighty,
+    /// Other processes have ended at the same times.
+    CommonCause,
     /// Another piece is the likelier reason.
     Explained,
 }
@@ -29,6 +31,7 @@
             WeighingResult::Survived => "survived",
             WeighingResult::FewSources => "few_sources",
             WeighingResult::Unweighty => "unweighty",
+            WeighingResult::CommonCause => "common_cause",
             WeighingResult::Explained => "explained",
         })
     }
@@ -45,7 +48,7 @@
     pub sources: usize,
     /// Number of survivals that count.
     pub survivals: usize,
-    /// Natural logarithm of the odds against chance.
+    /// Natural logarithm of the odds against chance; 0 for whole requests, which are not weighed so.
     pub weight: f64,
     /// What follows from it.
     pub result: WeighingResult,
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -11,7 +11,6 @@
 //! their content is: while many servers are lost, a sound piece is at several ends by chance. If nothing of a class survives, none
 //! of its pieces is accused.
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use jaysaddle_fleet::crash_report::CrashFact;
@@ -28,11 +27,15 @@
 use crate::key_facts::SURVIVAL_LOOKBACK;
 use crate::key_facts::Sighting;
 use crate::key_facts::distinct_times;
+use crate::repeat_evidence::EndOverview;
+use crate::repeat_evidence::KnownPiece;
+use crate::repeat_evidence::OwnEnds;
 
-/// Time for which an end counts.
-const END_WINDOW: TimeSpan = TimeSpan::from_secs(600);
+/// Time for which an end counts against a part of prompts, and against a whole request, which may come again much later.
+const PART_END_WINDOW: TimeSpan = TimeSpan::from_secs(600);
+const WHOLE_END_WINDOW: TimeSpan = TimeSpan::from_secs(24 * 3600);
 /// Ends from which a piece is accused that no process has survived.
-const MIN_ENDS: usize = 2;
+pub(crate) const MIN_ENDS: usize = 2;
 /// Independent requests that must have been at these ends.
 const MIN_SOURCES: usize = 2;
 /// Natural logarithm of the odds against chance from which a piece is accused.
@@ -53,16 +56,8 @@
 /// Maximum number of pieces whose survivals are remembered, and of pieces that were at an end.
 const MAX_RECENT_KEYS: usize = 8192;
 const MAX_KEYS: usize = 1024;
-/// Age up to which a survival answers a peer that tells of an end.
-const ANSWER_TIME: TimeSpan = TimeSpan::from_secs(3);
 /// Time for which a release is remembered; peers announce older ends for less.
 const CLEARED_RETENTION: TimeSpan = TimeSpan::from_secs(10);
-/// Time for which a fact is announced: two heartbeats or three, because one may be lost.
-const ANNOUNCE_TIME: TimeSpan = TimeSpan(500);
-/// Maximum number of facts in a heartbeat, so that it fits into one packet.
-const MAX_ANNOUNCED: usize = 8;
-/// The same in that of a relay, which goes with a digest.
-const MAX_QUESTIONS: usize = 32;
 
 /// How a node learns from its peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,7 +83,7 @@
 
 impl PieceHistory {
     /// Ends from which a piece is accused that no process has survived.
-    fn min_ends(self) -> usize {
+    pub(crate) fn min_ends(self) -> usize {
         match self {
             PieceHistory::Unknown | PieceHistory::Blocked => MIN_ENDS,
             PieceHistory::FormerlyBlocked => 1,
@@ -125,32 +120,77 @@
 /// Evidence about all pieces of content.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
-    facts: HashMap<ContentKey, KeyFacts>,
+    pub(crate) facts: HashMap<ContentKey, KeyFacts>,
     /// This node's latest survivals of each piece.
     recent: HashMap<ContentKey, Vec<Sighting>>,
     rates: EndRates,
+    own_ends: OwnEnds,
+}
+
+/// Time for which an end counts.
+fn end_window(is_whole: bool) -> TimeSpan {
+    if is_whole {
+        WHOLE_END_WINDOW
+    } else {
+        PART_END_WINDOW
+    }
 }
 
 impl CrashEvidence {
+    /// Records the end of a process, whatever requests were there. `class` is that of one of them.
+    pub fn record_process_end(&mut self, server: u32, class: ContentKey, now: Timestamp) {
+        self.own_ends.record(server, class, now);
+    }
+
+    /// Whether this node has seen a process end.
+    pub fn has_ended(&self, server: u32) -> bool {
+        self.own_ends.contains(server)
+    }
+
+    /// Whether a whole request may be the reason why a process has ended.
+    pub fn is_suspect(&self, key: ContentKey, is_blocked: impl Fn(ContentKey) -> bool) -> bool {
+        let facts = self.facts.get(&key);
+        facts.is_some_and(|facts| {
+            self.end_overview(SAME_TIME, is_blocked)
+                .is_suspect(key, facts)
+        })
+    }
+
+    fn end_overview(
+        &self,
+        same_time: TimeSpan,
+        is_blocked: impl Fn(ContentKey) -> bool,
+    ) -> EndOverview {
+        let pieces = self.facts.iter().map(|(key, facts)| KnownPiece {
+            key: *key,
+            facts,
+            is_blocked: is_blocked(*key),
+        });
+        let pieces: Vec<KnownPiece<'_>> = pieces.collect();
+        EndOverview::of(&self.own_ends, &pieces, same_time)
+    }
+
     /// Counts a request whose backend server has ended, or has survived it.
     pub fn record_fate(&mut self, class: ContentKey, fate: RunFate, now: Timestamp) {
         self.rates.record(class, fate == RunFate::Ended, now);
     }
 
-    /// Records that a process has gone on after it had begun to answer a request. Returns whether that speaks for a piece
-    /// that was at an end.
+    /// Records that a process has gone on after it had begun to answer a request, or had answered it at `at`. Returns whether
+    /// that speaks for a piece that was at an end.
     pub fn record_survival(
         &mut self,
         key: ContentKey,
         server: u32,
         source: u32,
+        at: Timestamp,
         now: Timestamp,
     ) -> bool {
         let sighting = Sighting {
             server,
             source,
-            at: now,
+            at,
             learned: now,
+            was_answered: true,
             is_own: true,
         };
         if self.recent.len() >= MAX_RECENT_KEYS && !self.recent.contains_key(&key) {
@@ -182,32 +222,8 @@
 
     /// Records that a process has ended that may have begun to answer a request. Returns whether the piece may be the
     /// reason.
-    pub fn record_end(
-        &mut self,
-        key: ContentKey,
-        is_shared: bool,
-        class: ContentKey,
-        server: u32,
-        source: u32,
-        now: Timestamp,
-    ) -> bool {
-        let recent = self.recent_survivals(key, now);
-        if recent >= CLEARING_SURVIVALS {
-            return false;
-        }
-        let fact = CrashFact {
-            key,
-            class,
-            server,
-            source,
-            fate: RunFate::Ended,
-            age: TimeSpan(0),
-        };
-        let is_new = self.add(fact, true, now);
-        if let Some(facts) = self.facts.get_mut(&key) {
-            facts.is_shared = is_shared;
-        }
-        is_new
+    pub fn record_end(&mut self, fact: CrashFact, now: Timestamp) -> bool {
+        self.recent_survivals(fact.key, now) < CLEARING_SURVIVALS && self.add(fact, true, now)
     }
 
     /// Number of own survivals of a piece lately.
@@ -221,7 +237,7 @@
 
     /// Adds an observation of a peer. Returns whether it is new.
     pub fn merge(&mut self, fact: CrashFact, now: Timestamp) -> bool {
-        let is_new = fact.age < END_WINDOW && self.add(fact, false, now);
+        let is_new = fact.age < end_window(fact.is_whole) && self.add(fact, false, now);
         if fact.fate == RunFate::Ended
             && let Some(facts) = self.facts.get_mut(&fact.key)
         {
@@ -236,6 +252,7 @@
             source: fact.source,
             at: now - fact.age,
             learned: now,
+            was_answered: fact.was_answered,
             is_own,
         };
         if let Some(facts) = self.facts.get_mut(&fact.key) {
@@ -254,7 +271,7 @@
         });
         let mut facts = KeyFacts {
             class: fact.class,
-            is_shared: true,
+            is_whole: fact.is_whole,
             ends: vec![sighting],
             survivals: Vec::new(),
             cleared: Timestamp(0),
@@ -298,6 +315,7 @@
         let known = self.facts.get(&key).is_some_and(|facts| {
             let mut survivals = facts.survivals.iter();
             survivals.any(|survival| now.since(survival.at) < SURVIVAL_LOOKBACK)
+                || facts.is_cleared_between_ends()
         });
         known || self.recent_survivals(key, now) > 0
     }
@@ -305,8 +323,10 @@
     /// Whether this node knows something that speaks against the ends that peers tell of.
     pub fn has_answer(&self, key: ContentKey, now: Timestamp) -> bool {
         let facts = self.facts.get(&key);
-        facts.is_some_and(|facts| facts.ends.len() >= MIN_ENDS)
-            && self.recent_survivals(key, now) > 0
+        facts.is_some_and(|facts| {
+            let has_survived = || self.recent_survivals(key, now) > 0;
+            facts.ends.len() >= MIN_ENDS && (has_survived() || facts.is_cleared_between_ends())
+        })
     }
 
     /// Weighs the pieces that were at several ends. `history` tells what was decided on a piece before.
@@ -338,8 +358,14 @@
         let all_ends = self.end_times(same_time);
         let mut harmful: Vec<Candidate<'_>> = Vec::new();
         let mut weighings: Vec<ContentWeighing> = Vec::new();
+        let overview = self.end_overview(same_time, |key| history(key) == PieceHistory::Blocked);
         for candidate in candidates {
-            let weighing = self.weigh(candidate, &all_ends, same_time, now);
+            let Candidate { facts, history, .. } = candidate;
+            let weighing = if facts.is_whole {
+                overview.weigh(candidate.key, facts, history, now)
+            } else {
+                self.weigh(candidate, &all_ends, same_time, now)
+            };
             if weighing.result == WeighingResult::Accused {
                 harmful.push(Candidate {
                     ends: weighing.ends,
@@ -359,7 +385,7 @@
         weighings
     }
 
-    /// Weighs a piece against chance.
+    /// Weighs a part of prompts against chance.
     fn weigh(
         &self,
         candidate: Candidate<'_>,
@@ -427,7 +453,8 @@
     /// Forgets what is too old to count.
     pub fn expire(&mut self, now: Timestamp) {
         self.facts.retain(|_, facts| {
-            facts.ends.retain(|end| now.since(end.at) < END_WINDOW);
+            let window = end_window(facts.is_whole);
+            facts.ends.retain(|end| now.since(end.at) < window);
             !facts.ends.is_empty() || now.since(facts.cleared) < CLEARED_RETENTION
         });
     }
@@ -441,55 +468,4 @@
     pub fn is_empty(&self) -> bool {
         self.facts.is_empty()
     }
-
-    /// Facts for the peers: those about the pieces with most ends first.
-    pub fn announced(&self, role: PeerRole, now: Timestamp) -> Vec<CrashFact> {
-        let is_recent = |sighting: &&Sighting| now.since(sighting.learned) < ANNOUNCE_TIME;
-        let mut announced = Vec::new();
-        for (key, facts) in &self.facts {
-            let count = facts.ends.len();
-            let mut announce = |fate: RunFate, sighting: &Sighting| {
-                let fact = CrashFact {
-                    key: *key,
-                    class: facts.class,
-                    server: sighting.server,
-                    source: sighting.source,
-                    fate,
-                    age: now.since(sighting.at),
-                };
-                announced.push((count, fact));
-            };
-            let recent = || facts.ends.iter().filter(is_recent);
-            let is_asked = now.since(facts.questioned) < ANNOUNCE_TIME;
-            let is_questioned = is_asked && (role == PeerRole::Follower || count >= MIN_ENDS);
-            if role == PeerRole::Relay {
-                // One end is a question that nodes answer with their survivals.
-                let question = recent().next().filter(|_| self.is_harmful(*key));
-                question
-                    .into_iter()
-                    .for_each(|end| announce(RunFate::Ended, end));
-                continue;
-            }
-            // Whole requests rarely come to another node, so one end of theirs is no news.
-            let is_news = facts.is_shared || count >= MIN_ENDS;
-            let own = recent().filter(|end| end.is_own && is_news);
-            own.for_each(|end| announce(RunFate::Ended, end));
-            if is_questioned {
-                let own = facts.survivals.iter().filter(|one| one.is_own);
-                let latest = own.max_by_key(|one| one.at);
-                let latest = latest.filter(|one| now.since(one.at) < ANSWER_TIME);
-                latest
-                    .into_iter()
-                    .for_each(|one| announce(RunFate::Survived, one));
-            }
-        }
-        // Survivals first: they end a question.
-        announced
-            .sort_by_key(|(ends, fact)| (Reverse(fact.fate), Reverse(*ends), fact.age, fact.key));
-        announced.truncate(match role {
-            PeerRole::Relay => MAX_QUESTIONS,
-            PeerRole::Direct | PeerRole::Follower => MAX_ANNOUNCED,
-        });
-        announced.into_iter().map(|(_, fact)| fact).collect()
-    }
 }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -27,6 +27,7 @@
 use crate::server_runs::RunEnd;
 use crate::server_runs::RunNumber;
 use crate::server_runs::ServerRuns;
+use crate::server_runs::SurvivedRun;
 use crate::target::ServerNumber;
 
 /// Time in which peers can contradict, in a deployment in which all nodes send their heartbeats to each other.
@@ -145,6 +146,22 @@
             .or_else(|| held().map(|item| (ContentState::Held, item)))
     }
 
+    /// Whether a request must not be sent to a further backend server because the process of an earlier one has ended under
+    /// it, for no reason that is known. The next attempt of its caller shows whether it is the reason.
+    pub fn withholds_retry(&self, content: &RequestContent) -> bool {
+        let mut whole = content.items.iter();
+        let whole = whole.find(|item| item.kind == ContentKind::Whole);
+        whole.is_some_and(|item| {
+            self.evidence
+                .is_suspect(item.key, |key| self.blocks.is_blocked(key))
+        })
+    }
+
+    /// Whether this node has seen the process of a backend server end.
+    pub fn has_ended(&self, server: ServerNumber) -> bool {
+        self.evidence.has_ended(server.0)
+    }
+
     /// Records that a request is sent to a backend server.
     pub fn begin_run(&mut self, server: ServerNumber, content: Rc<RequestContent>) -> RunNumber {
         self.runs.begin(server, content)
@@ -153,13 +170,36 @@
     /// Records data of an answer.
     pub fn record_data(&mut self, server: ServerNumber, run: RunNumber, now: Timestamp) {
         let awake = self.clock.read(now);
-        for content in self.runs.record_data(server, run, awake) {
+        let survived = self.runs.record_data(server, run, awake);
+        self.record_survivals(server, survived, now);
+    }
+
+    /// Records that the process of a backend server works, because it keeps a connection open.
+    pub fn record_alive(&mut self, server: ServerNumber, now: Timestamp) {
+        let awake = self.clock.read(now);
+        let survived = self.runs.record_alive(server, awake);
+        self.record_survivals(server, survived, now);
+    }
+
+    /// Processes at which requests have ended of which it is not known yet whether the process has survived them.
+    pub fn awaited_servers(&self) -> impl Iterator<Item = ServerNumber> {
+        self.runs.awaited_servers()
+    }
+
+    fn record_survivals(
+        &mut self,
+        server: ServerNumber,
+        survived: Vec<SurvivedRun>,
+        now: Timestamp,
+    ) {
+        for run in survived {
+            let SurvivedRun { content, age } = run;
             self.evidence
                 .record_fate(content.class, RunFate::Survived, now);
             for key in content.items.iter().map(|item| item.key) {
-                let is_new = self
-                    .evidence
-                    .record_survival(key, server.0, content.attempt, now);
+                let is_new =
+                    self.evidence
+                        .record_survival(key, server.0, content.attempt, now - age, now);
                 self.has_news |= is_new;
                 // Peers hold the piece too.
                 self.has_urgent_facts |= is_new && self.held.contains_key(&key);
@@ -183,8 +223,13 @@
     ) -> Vec<RunAtEnd> {
         let awake = self.clock.read(now);
         let runs = self.runs.record_server_end(server, awake);
+        if let Some(run) = runs.first() {
+            let class = run.content.class;
+            self.evidence.record_process_end(server.0, class, now);
+        }
         let suspects = runs.iter().filter(|run| run.is_suspect && !is_planned);
-        for content in suspects.map(|run| &run.content) {
+        for run in suspects {
+            let content = &run.content;
             self.evidence
                 .record_fate(content.class, RunFate::Ended, now);
             for item in &content.items {
@@ -193,15 +238,17 @@
                     ContentKind::Part | ContentKind::Class => content.whole_number(),
                     ContentKind::Whole => content.attempt,
                 };
-                let is_shared = item.kind == ContentKind::Part;
-                let is_new = self.evidence.record_end(
-                    item.key,
-                    is_shared,
-                    content.class,
-                    server.0,
+                let fact = CrashFact {
+                    key: item.key,
+                    is_whole: item.kind == ContentKind::Whole,
+                    class: content.class,
+                    server: server.0,
                     source,
-                    now,
-                );
+                    fate: RunFate::Ended,
+                    was_answered: run.was_answered,
+                    age: TimeSpan(0),
+                };
+                let is_new = self.evidence.record_end(fact, now);
                 self.has_news |= is_new;
                 self.has_urgent_facts |= is_new && self.evidence.is_harmful(item.key);
             }
--- a/crates/gateway/src/key_facts.rs
+++ b/crates/gateway/src/key_facts.rs
@@ -25,6 +25,8 @@
     pub(crate) source: u32,
     pub(crate) at: Timestamp,
     pub(crate) learned: Timestamp,
+    /// Whether the answer was complete before the process ended.
+    pub(crate) was_answered: bool,
     /// Whether this node has made it.
     pub(crate) is_own: bool,
 }
@@ -54,8 +56,8 @@
 #[derive(Debug)]
 pub(crate) struct KeyFacts {
     pub(crate) class: ContentKey,
-    /// Whether other requests may have the piece.
-    pub(crate) is_shared: bool,
+    /// Whether the piece is a whole request, rather than a part that requests share.
+    pub(crate) is_whole: bool,
     pub(crate) ends: Vec<Sighting>,
     pub(crate) survivals: Vec<Sighting>,
     /// Up to when ends do not count, because the piece was released.
@@ -76,9 +78,12 @@
     /// Adds an observation. Returns whether it is new.
     pub(crate) fn add(&mut self, fate: RunFate, sighting: Sighting) -> bool {
         let cleared = self.cleared;
+        let is_whole = self.is_whole;
         let facts = self.facts(fate);
         let is_known = match fate {
             RunFate::Ended if sighting.at <= cleared => return false,
+            // A process ends once, whoever tells of it.
+            RunFate::Ended if is_whole => facts.iter().any(|other| other.server == sighting.server),
             RunFate::Ended => {
                 let same = facts.iter().filter(|other| other.is_same_time(&sighting));
                 let sources: HashSet<u32> = same.map(|other| other.source).collect();
@@ -103,12 +108,20 @@
     }
 
     /// Ends that count.
-    fn counted_ends(&self) -> impl Iterator<Item = &Sighting> {
+    pub(crate) fn counted_ends(&self) -> impl Iterator<Item = &Sighting> {
         let last = self.survivals.iter().map(|survival| survival.at).max();
         let from = last.map_or(Timestamp(0), |last| last - SURVIVAL_LOOKBACK);
         self.ends.iter().filter(move |end| end.at >= from)
     }
 
+    /// Whether a whole request was survived after all but one of its ends, so that these are no evidence against it.
+    pub(crate) fn is_cleared_between_ends(&self) -> bool {
+        self.is_whole
+            && !self.survivals.is_empty()
+            && self.ends.len() > 1
+            && self.counted_ends().count() < 2
+    }
+
     /// Number of different times of the ends that count; `same_time` is the difference from which times are different.
     pub(crate) fn end_count(&self, same_time: TimeSpan) -> usize {
         let times = self.counted_ends().map(|end| end.at).collect();
--- /dev/null
+++ b/crates/gateway/src/repeat_evidence.rs
@@ -0,0 +1,204 @@
+//! Evidence against a whole request that its callers send again and again.
+//!
+//! Unlike a part of a prompt, a whole request is rarely shared, so a few ends suffice and no other traffic is needed to compare
+//! with. Two causes of ends have to be told apart from it: a common cause, which ends other processes at the same time, and chance,
+//! which meets a request twice only if it was sent again after the first end.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+
+use jaysaddle_types::content::ContentKey;
+use jaysaddle_types::units::TimeSpan;
+use jaysaddle_types::units::Timestamp;
+
+use crate::content_weighing::ContentWeighing;
+use crate::content_weighing::WeighingResult;
+use crate::crash_evidence::PieceHistory;
+use crate::key_facts::KeyFacts;
+use crate::key_facts::SAME_TIME;
+use crate::key_facts::Sighting;
+use crate::key_facts::distinct_times;
+
+/// Ends of processes within this time may have a common cause, such as the loss of a rack or a failure domain.
+const COMMON_CAUSE_TIME: TimeSpan = TimeSpan(500);
+/// Ends from which a request is accused although they were under one request id, or others of its class are lost too.
+const MIN_DOUBTFUL_ENDS: usize = 3;
+/// The same if some of the ends came after the whole answer.
+const MIN_ENDS_AFTER_ANSWERS: usize = 4;
+/// Independent attempts with the same content from which fewer ends suffice.
+const MIN_ATTEMPTS: usize = 2;
+/// Time for which the unexplained end of another process makes further ends likely.
+const LOSS_TIME: TimeSpan = TimeSpan::from_secs(60);
+/// Ends of one piece that explain themselves, so that they are no common cause of other ends.
+const MIN_EXPLAINED_ENDS: usize = 3;
+/// Maximum number of own ends that are remembered.
+const MAX_OWN_ENDS: usize = 512;
+
+/// End of a process.
+#[derive(Clone, Copy, Debug)]
+struct ProcessEnd {
+    server: u32,
+    class: ContentKey,
+    at: Timestamp,
+}
+
+/// Ends of processes that this node has seen itself, whether requests were under suspicion there or not.
+#[derive(Debug, Default)]
+pub(crate) struct OwnEnds(VecDeque<ProcessEnd>);
+
+impl OwnEnds {
+    pub fn record(&mut self, server: u32, class: ContentKey, at: Timestamp) {
+        if self.0.len() >= MAX_OWN_ENDS {
+            self.0.pop_front();
+        }
+        self.0.push_back(ProcessEnd { server, class, at });
+    }
+
+    /// Whether a process has ended.
+    pub fn contains(&self, server: u32) -> bool {
+        self.0.iter().any(|end| end.server == server)
+    }
+}
+
+/// A piece of content, what is known of it, and whether it is blocked.
+#[derive(Clone, Copy)]
+pub(crate) struct KnownPiece<'a> {
+    pub key: ContentKey,
+    pub facts: &'a KeyFacts,
+    pub is_blocked: bool,
+}
+
+impl KnownPiece<'_> {
+    /// Whether the piece is the reason for its ends, as far as known.
+    fn explains_ends(&self, same_time: TimeSpan) -> bool {
+        self.is_blocked
+            || self.facts.ends.len() >= MIN_EXPLAINED_ENDS
+                && self.facts.is_harmful(MIN_EXPLAINED_ENDS, same_time)
+    }
+}
+
+/// Ends of processes, and which of them a piece of content explains.
+#[derive(Debug)]
+pub(crate) struct EndOverview {
+    /// Pieces that explain the end of a process.
+    reasons: HashMap<u32, Vec<ContentKey>>,
+    unexplained: Vec<ProcessEnd>,
+}
+
+impl EndOverview {
+    /// Collects the ends that are known.
+    pub fn of(own: &OwnEnds, pieces: &[KnownPiece<'_>], same_time: TimeSpan) -> Self {
+        let mut reasons: HashMap<u32, Vec<ContentKey>> = HashMap::new();
+        for piece in pieces.iter().filter(|piece| piece.explains_ends(same_time)) {
+            for end in &piece.facts.ends {
+                reasons.entry(end.server).or_default().push(piece.key);
+            }
+        }
+        let reported = pieces.iter().flat_map(|piece| {
+            let ends = piece.facts.ends.iter();
+            ends.map(|end| ProcessEnd {
+                server: end.server,
+                class: piece.facts.class,
+                at: end.at,
+            })
+        });
+        let ends = own.0.iter().copied().chain(reported);
+        let unexplained = ends.filter(|end| !reasons.contains_key(&end.server));
+        Self {
+            unexplained: unexplained.collect(),
+            reasons,
+        }
+    }
+
+    /// Whether another piece was there that explains the end.
+    fn has_other_reason(&self, key: ContentKey, end: &Sighting) -> bool {
+        let reasons = self.reasons.get(&end.server);
+        reasons.is_some_and(|keys| keys.iter().any(|other| *other != key))
+    }
+
+    /// Whether another process has ended at about the same time as one of the ends of a piece.
+    fn has_common_cause(&self, facts: &KeyFacts, end: &Sighting) -> bool {
+        self.unexplained.iter().any(|other| {
+            let difference = other.at.since(end.at).max(end.at.since(other.at));
+            difference < COMMON_CAUSE_TIME
+                && facts.ends.iter().all(|own| own.server != other.server)
+        })
+    }
+
+    /// Whether processes of the same class are lately lost without the piece.
+    fn has_other_losses(&self, facts: &KeyFacts, now: Timestamp) -> bool {
+        self.unexplained.iter().any(|other| {
+            other.class == facts.class
+                && now.since(other.at) < LOSS_TIME
+                && facts.ends.iter().all(|own| own.server != other.server)
+        })
+    }
+
+    /// Ends of a piece that count, and for which no other cause is known.
+    fn own_ends<'a>(&self, key: ContentKey, facts: &'a KeyFacts) -> Vec<&'a Sighting> {
+        facts
+            .counted_ends()
+            .filter(|end| !self.has_common_cause(facts, end) && !self.has_other_reason(key, end))
+            .collect()
+    }
+
+    /// Whether a request may have ended a process, so that it should not reach another one at once.
+    pub fn is_suspect(&self, key: ContentKey, facts: &KeyFacts) -> bool {
+        let own_ends = self.own_ends(key, facts);
+        facts.survival_count() == 0 && own_ends.iter().any(|end| !end.was_answered)
+    }
+
+    /// Weighs the evidence against a whole request.
+    pub fn weigh(
+        &self,
+        key: ContentKey,
+        facts: &KeyFacts,
+        history: PieceHistory,
+        now: Timestamp,
+    ) -> ContentWeighing {
+        let own_ends = self.own_ends(key, facts);
+        let unanswered: Vec<&Sighting> = own_ends
+            .iter()
+            .copied()
+            .filter(|end| !end.was_answered)
+            .collect();
+        let attempts: HashSet<u32> = unanswered.iter().map(|end| end.source).collect();
+        let ends = count_times(&own_ends);
+        let survivals = facts.survival_count();
+        let min_ends = history.min_ends() * (survivals + 1);
+        let has_attempts = attempts.len() >= MIN_ATTEMPTS.min(min_ends);
+        let is_formerly_blocked = history == PieceHistory::FormerlyBlocked;
+        let is_alone = is_formerly_blocked || !self.has_other_losses(facts, now);
+        let unanswered_ends = count_times(&unanswered);
+        let is_clear = unanswered_ends >= min_ends && has_attempts && is_alone;
+        let is_accused = is_clear
+            || unanswered_ends >= MIN_DOUBTFUL_ENDS * (survivals + 1)
+            || ends >= MIN_ENDS_AFTER_ANSWERS * (survivals + 1);
+        let result = if is_accused {
+            WeighingResult::Accused
+        } else if facts.counted_ends().count() > own_ends.len() {
+            WeighingResult::CommonCause
+        } else if ends < min_ends {
+            WeighingResult::Survived
+        } else if has_attempts {
+            WeighingResult::Unweighty
+        } else {
+            WeighingResult::FewSources
+        };
+        ContentWeighing {
+            key,
+            ends,
+            sources: attempts.len(),
+            survivals,
+            weight: 0.0,
+            result,
+        }
+    }
+}
+
+/// Number of different times of ends.
+fn count_times(ends: &[&Sighting]) -> usize {
+    let times = ends.iter().map(|end| end.at).collect();
+    distinct_times(times, SAME_TIME).len()
+}
--- a/crates/gateway/src/server_runs.rs
+++ b/crates/gateway/src/server_runs.rs
@@ -26,7 +26,9 @@
 /// How a request at a backend server has ended, as far as this node knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunEnd {
-    /// The answer was received, or nobody waits for it any more.
+    /// The whole answer was received.
+    Answered,
+    /// Nobody waits for the answer any more.
     Closed,
     /// The backend server has refused it, or was not reached.
     NotRun,
@@ -43,6 +45,7 @@
     /// When the request ended; `None` before.
     ended: Option<Timestamp>,
     is_broken: bool,
+    was_answered: bool,
     has_survived: bool,
 }
 
@@ -53,10 +56,38 @@
     pub content: Rc<RequestContent>,
     /// Time for which the process had been writing the answer; `None` if no data had arrived.
     pub wrote_for: Option<TimeSpan>,
+    /// Whether the answer was complete before the end.
+    pub was_answered: bool,
     /// Whether the request may be the cause.
     pub is_suspect: bool,
 }
 
+/// A request that a process has survived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SurvivedRun {
+    /// Content of the request.
+    pub content: Rc<RequestContent>,
+    /// Time since its end; zero if it goes on.
+    pub age: TimeSpan,
+}
+
+/// Marks the requests that a process has survived, which works now, and returns their contents.
+fn take_survived(runs: &mut Vec<ServerRun>, now: Timestamp) -> Vec<SurvivedRun> {
+    let mut survived = Vec::new();
+    for run in runs.iter_mut().filter(|run| !run.has_survived) {
+        let began = run.began.filter(|began| now.since(*began) >= SURVIVAL_TIME);
+        if began.is_some() {
+            run.has_survived = true;
+            survived.push(SurvivedRun {
+                content: run.content.clone(),
+                age: run.ended.map_or(TimeSpan(0), |ended| now.since(ended)),
+            });
+        }
+    }
+    runs.retain(|run| !run.has_survived || run.ended.is_none());
+    survived
+}
+
 /// Requests at all processes of backend servers.
 ///
 /// All times exclude pauses of this process: the data of a backend server that has ended meanwhile waits in the socket.
@@ -81,6 +112,7 @@
             began: None,
             ended: None,
             is_broken: false,
+            was_answered: false,
             has_survived: false,
         });
         number
@@ -92,25 +124,29 @@
         server: ServerNumber,
         number: RunNumber,
         now: Timestamp,
-    ) -> Vec<Rc<RequestContent>> {
+    ) -> Vec<SurvivedRun> {
         let Some(runs) = self.servers.get_mut(&server) else {
             return Vec::new();
         };
         if let Some(run) = runs.iter_mut().find(|run| run.number == number) {
             run.began.get_or_insert(now);
         }
-        let mut survived = Vec::new();
-        for run in runs.iter_mut().filter(|run| !run.has_survived) {
-            if run
-                .began
-                .is_some_and(|began| now.since(began) >= SURVIVAL_TIME)
-            {
-                run.has_survived = true;
-                survived.push(run.content.clone());
-            }
-        }
-        runs.retain(|run| !run.has_survived || run.ended.is_none());
-        survived
+        take_survived(runs, now)
+    }
+
+    /// Records that a process works. Returns the requests that it has survived.
+    pub fn record_alive(&mut self, server: ServerNumber, now: Timestamp) -> Vec<SurvivedRun> {
+        let runs = self.servers.get_mut(&server);
+        runs.map_or_else(Vec::new, |runs| take_survived(runs, now))
+    }
+
+    /// Processes with requests that have ended without showing whether the process has survived them.
+    pub fn awaited_servers(&self) -> impl Iterator<Item = ServerNumber> {
+        let is_awaited = |run: &ServerRun| run.ended.is_some() && !run.is_broken;
+        let servers = self.servers.iter();
+        servers
+            .filter(move |(_, runs)| runs.iter().any(is_awaited))
+            .map(|(server, _)| *server)
     }
 
     /// Records the end of a request.
@@ -124,6 +160,7 @@
         let run = &mut runs[position];
         run.ended = Some(now);
         run.is_broken = end == RunEnd::Broken;
+        run.was_answered = end == RunEnd::Answered;
         // A request whose answer has not begun cannot end the process after the node has withdrawn it.
         let is_unbegun = run.began.is_none() && !run.is_broken;
         if end == RunEnd::NotRun || is_unbegun || run.has_survived && !run.is_broken {
@@ -150,6 +187,7 @@
                 RunAtEnd {
                     content: run.content,
                     wrote_for,
+                    was_answered: run.was_answered,
                     is_suspect: wrote_for.is_none_or(|time| time < SURVIVAL_TIME),
                 }
             });
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -11,6 +11,8 @@
 mod limited_servers;
 mod overload;
 mod peer_view;
+mod repeat_simulation;
+mod repeated_requests;
 mod retry_pool;
 mod routes;
 mod server_limits;
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -125,6 +125,12 @@
     /// Time since the observation, in milliseconds.
     #[prost(uint64, tag = "6")]
     pub age_ms: u64,
+    /// Whether the piece is a whole request, rather than a part that requests share.
+    #[prost(bool, tag = "7")]
+    pub is_whole: bool,
+    /// Whether the answer was complete before the process ended.
+    #[prost(bool, tag = "8")]
+    pub was_answered: bool,
 }
 
 /// Decision on a piece of content.
