Show that nodes cut off from all servers stay in use and stop the others

Connections to backend servers are opened through a trait object, so that a test program can cut a node off from all of them.

--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -15,7 +15,6 @@
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_types::units::TimeSpan;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -73,7 +72,7 @@
 }
 
 async fn run_check(node: Rc<EntryNode>, target: Rc<RequestTarget>) {
-    let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(target.address)).await;
+    let connected = timeout(CHECK_TIMEOUT, node.pool.connector().connect(target.address)).await;
     node.server_checks.0.borrow_mut().remove(&target.server);
     let outcome = match &connected {
         Ok(Ok(_)) => CheckOutcome::Connected,
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -12,10 +12,10 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use jaysaddle_types::verdict::Verdict;
-use tokio::net::TcpStream;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use crate::connector::ServerConnector;
 use crate::metered_stream::MeteredBody;
 use crate::metered_stream::MeteredStream;
 use crate::metered_stream::ReadMeter;
@@ -88,12 +88,15 @@
 /// # Errors
 ///
 /// Fails when the connection cannot be opened in time.
-pub async fn connect(address: SocketAddr, name: &str) -> Result<Connection, ExchangeError> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+pub async fn connect(
+    connector: &dyn ServerConnector,
+    address: SocketAddr,
+    name: &str,
+) -> Result<Connection, ExchangeError> {
+    let stream = timeout(CONNECT_TIMEOUT, connector.connect(address))
         .await
         .map_err(ExchangeError::not_run)?
         .map_err(ExchangeError::not_run)?;
-    stream.set_nodelay(true).map_err(ExchangeError::not_run)?;
     let meter = ReadMeter::new(name);
     let stream = MeteredStream::new(stream, meter.clone());
     let (sender, connection) = http1::Builder::new()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod caller_request;
 mod caller_stream;
 mod callers;
+pub mod connector;
 mod content_control;
 mod control;
 mod copies;
@@ -61,4 +62,5 @@
 pub mod settings;
 
 pub use run::run_entry;
+pub use run::run_entry_with;
 pub use settings::EntrySettings;
--- a/crates/entry/src/metered_stream.rs
+++ b/crates/entry/src/metered_stream.rs
@@ -21,8 +21,8 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
+use crate::connector::ServerStream;
 use crate::response_bounds::BoundKind;
 use crate::response_bounds::report_bound;
 
@@ -75,15 +75,15 @@
     }
 }
 
-/// TCP connection whose received bytes are counted.
+/// Connection whose received bytes are counted.
 pub struct MeteredStream {
-    stream: TcpStream,
+    stream: ServerStream,
     meter: Rc<ReadMeter>,
 }
 
 impl MeteredStream {
     /// Counts the bytes of `stream` with `meter`.
-    pub fn new(stream: TcpStream, meter: Rc<ReadMeter>) -> Self {
+    pub fn new(stream: ServerStream, meter: Rc<ReadMeter>) -> Self {
         Self { stream, meter }
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -37,6 +37,7 @@
 use tokio::sync::Notify;
 
 use crate::byte_budget::ResponseBudgets;
+use crate::connector::ServerConnector;
 use crate::crash_watch::ServerChecks;
 use crate::loop_lag::LoopLag;
 use crate::pool::BackendPool;
@@ -139,7 +140,7 @@
 }
 
 impl EntryNode {
-    pub fn new(settings: EntrySettings) -> Self {
+    pub fn new(settings: EntrySettings, connector: Rc<dyn ServerConnector>) -> Self {
         let bounds = settings.bounds;
         let own_retries = own_retries(&bounds);
         let gateway_settings = GatewaySettings {
@@ -181,7 +182,7 @@
             controller: RefCell::new(FleetController::new(ControllerTiming::default())),
             lease: RefCell::new(lease),
             handover: RefCell::default(),
-            pool: BackendPool::default(),
+            pool: BackendPool::new(connector),
             store: StoreClient::new(settings.store, budgets.store.clone()),
             budgets,
             phase: Cell::new(PeerPhase::Starting),
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -17,6 +17,7 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::connector::ServerConnector;
 use crate::exchange::Connection;
 use crate::exchange::ExchangeError;
 use crate::exchange::connect;
@@ -84,13 +85,27 @@
 }
 
 /// Pool of idle connections to backend servers, with a count of all open ones.
-#[derive(Default)]
 pub struct BackendPool {
+    connector: Rc<dyn ServerConnector>,
     idle: RefCell<HashMap<BackendKey, Vec<(IdleConnection, ConnectionCount)>>>,
     open: ConnectionCounts,
 }
 
 impl BackendPool {
+    /// Creates a pool whose connections `connector` opens.
+    pub fn new(connector: Rc<dyn ServerConnector>) -> Self {
+        Self {
+            connector,
+            idle: RefCell::default(),
+            open: ConnectionCounts::default(),
+        }
+    }
+
+    /// Opens connections to backend servers that carry no requests.
+    pub fn connector(&self) -> &dyn ServerConnector {
+        self.connector.as_ref()
+    }
+
     /// Number of open connections to all backend servers, idle ones included.
     pub fn open_connections(&self) -> u32 {
         self.open.borrow().values().sum()
@@ -131,7 +146,7 @@
     /// Fails when the connection cannot be opened.
     pub async fn open_new(&self, key: &BackendKey) -> Result<PooledConnection, ExchangeError> {
         let count = ConnectionCount::new(&self.open, &key.id);
-        let connection = connect(key.address, key.id.as_str()).await?;
+        let connection = connect(self.connector.as_ref(), key.address, key.id.as_str()).await?;
         metrics::counter!("jaysaddle_backend_connections_total").increment(1);
         Ok(PooledConnection {
             connection,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,6 +17,8 @@
 use crate::beats;
 use crate::beats::PeerAddresses;
 use crate::callers::CallerHandler;
+use crate::connector::ServerConnector;
+use crate::connector::TcpConnector;
 use crate::content_control;
 use crate::control;
 use crate::copies;
@@ -40,6 +42,15 @@
 ///
 /// Fails when the settings are invalid, an address cannot be bound or the event loop cannot be started.
 pub fn run_entry(path: PathBuf) -> eyre::Result<()> {
+    run_entry_with(path, Rc::new(TcpConnector))
+}
+
+/// The same, with another way to open connections to backend servers.
+///
+/// # Errors
+///
+/// As [`run_entry`].
+pub fn run_entry_with(path: PathBuf, connector: Rc<dyn ServerConnector>) -> eyre::Result<()> {
     let text = fs::read_to_string(&path)
         .wrap_err_with(|| format!("{}: cannot read settings", path.display()))?;
     let settings = parse_settings(&path.display().to_string(), &text)?;
@@ -48,10 +59,14 @@
         .enable_all()
         .build()
         .wrap_err("cannot start the event loop")?;
-    LocalSet::new().block_on(&runtime, run(settings, path))
+    LocalSet::new().block_on(&runtime, run(settings, path, connector))
 }
 
-async fn run(settings: EntrySettings, path: PathBuf) -> eyre::Result<()> {
+async fn run(
+    settings: EntrySettings,
+    path: PathBuf,
+    connector: Rc<dyn ServerConnector>,
+) -> eyre::Result<()> {
     let mut terminate =
         signal(SignalKind::terminate()).wrap_err("cannot install the SIGTERM handler")?;
     let mut interrupt =
@@ -60,7 +75,7 @@
     let metrics = Rc::new(MetricsRenderer::install()?);
     gauges::describe();
     let reload_signal = Rc::new(Notify::new());
-    let node = Rc::new(EntryNode::new(settings));
+    let node = Rc::new(EntryNode::new(settings, connector));
     let settings = &node.settings;
     log::info!(
         "event=started incarnation={} callers={} peers={} store={}",
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -27,6 +27,7 @@
 use crate::bounded_body::BodyBounds;
 use crate::bounded_body::read_bounded;
 use crate::byte_budget::ByteBudget;
+use crate::connector::TcpConnector;
 use crate::exchange::Connection;
 use crate::exchange::ExchangeError;
 use crate::exchange::ReceivedResponse;
@@ -209,7 +210,7 @@
         let encoded = encode_call(call);
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
-            None => connect(self.address, STORE_NAME).await?,
+            None => connect(&TcpConnector, self.address, STORE_NAME).await?,
         };
         let mut builder = Request::builder()
             .method(encoded.method)
--- a/crates/entry/tests/all/responses.rs
+++ b/crates/entry/tests/all/responses.rs
@@ -11,6 +11,7 @@
 use jaysaddle_entry::bounded_body::BodyError;
 use jaysaddle_entry::bounded_body::read_bounded;
 use jaysaddle_entry::byte_budget::ByteBudget;
+use jaysaddle_entry::connector::TcpConnector;
 use jaysaddle_entry::exchange::ReceivedResponse;
 use jaysaddle_entry::exchange::connect;
 use jaysaddle_entry::exchange::send;
@@ -48,7 +49,9 @@
 
 async fn response_to(bytes: Vec<u8>) -> Result<ReceivedResponse, Verdict> {
     let address = serve(bytes).await;
-    let mut connection = connect(address, "server").await.expect("a connection");
+    let mut connection = connect(&TcpConnector, address, "server")
+        .await
+        .expect("a connection");
     let request = Request::get("/").body(Full::new(Bytes::new()));
     send(&mut connection, request.expect("a request"))
         .await
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,8 @@
 mod connection_ends;
 mod crash_world;
 mod crashing_parts;
+mod cut_nodes;
+mod cut_world;
 mod deployment;
 mod endless_bytes;
 mod faults;
--- a/tests/all/platform_nodes.rs
+++ b/tests/all/platform_nodes.rs
@@ -38,6 +38,7 @@
     pub settings: Vec<PathBuf>,
     /// Log files of each node, one for each start.
     logs: Vec<Vec<PathBuf>>,
+    has_cuts: bool,
 }
 
 /// Size of a deployment, and settings of its nodes.
@@ -46,6 +47,8 @@
     pub nodes: u8,
     pub engines: u16,
     pub plain_servers: u16,
+    /// Whether the nodes' connections to backend servers can be cut.
+    pub has_cuts: bool,
     /// Further settings of the nodes.
     pub further: Value,
 }
@@ -56,13 +59,20 @@
             nodes: 3,
             engines: 8,
             plain_servers: PLAIN_BACKEND_COUNT,
+            has_cuts: false,
             further: json!({}),
         }
     }
 }
 
-fn spawn_node(settings: &Path, log: &Path) -> TestProcess {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddled"));
+fn spawn_node(settings: &Path, log: &Path, has_cuts: bool) -> TestProcess {
+    let mut command = if has_cuts {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jaysaddle-cut-node"));
+        command.arg("--server-network").arg(network_file(settings));
+        command
+    } else {
+        Command::new(env!("CARGO_BIN_EXE_jaysaddled"))
+    };
     command.arg("--entry-settings").arg(settings);
     let name = settings.file_stem().unwrap_or_default().to_string_lossy();
     let mut process = TestProcess::spawn(&name, command, log.with_extension("err"));
@@ -70,6 +80,11 @@
     process
 }
 
+/// File that states what becomes of a node's connections to backend servers.
+fn network_file(settings: &Path) -> PathBuf {
+    settings.with_extension("network")
+}
+
 impl PlatformNodes {
     /// Starts nodes, a store and engines.
     pub fn start(count: u8, engines: u16) -> Self {
@@ -92,6 +107,7 @@
             nodes: count,
             engines,
             plain_servers,
+            has_cuts,
             further,
         } = setup;
         let number = NODE_SETS.fetch_add(1, Ordering::Relaxed);
@@ -114,6 +130,7 @@
             addresses: Vec::new(),
             settings: Vec::new(),
             logs: Vec::new(),
+            has_cuts,
         };
         for (node, address) in (1..).zip(addresses) {
             let mut settings = json!({
@@ -129,7 +146,7 @@
             let file = folder.join(format!("entry-{node}.yaml"));
             fs::write(&file, settings.to_string()).expect("the settings can be written");
             let log = file.with_extension("log");
-            set.nodes.push(spawn_node(&file, &log));
+            set.nodes.push(spawn_node(&file, &log, has_cuts));
             set.settings.push(file);
             set.logs.push(vec![log]);
             set.addresses.push(address);
@@ -137,6 +154,23 @@
         set
     }
 
+    /// Cuts a node off from the backend servers, or ends the cut. `state` states what becomes of new and of open connections:
+    /// `refused` or `hanging`, and `reset`, `silent` or `live`; empty for connections that work.
+    pub fn set_server_network(&self, node: usize, state: &str) {
+        let file = network_file(&self.settings[node]);
+        fs::write(file, state).expect("the file can be written");
+    }
+
+    /// The node that holds the controller's lease.
+    pub fn lease_holder(&self) -> Option<usize> {
+        (0..self.nodes.len()).find(|node| {
+            let metrics = self.get(*node, 7702, "/metrics");
+            metrics.is_some_and(|metrics| {
+                String::from_utf8_lossy(metrics.as_bytes()).contains("jaysaddle_lease_held 1")
+            })
+        })
+    }
+
     /// Kills a node.
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].kill();
@@ -156,7 +190,7 @@
     pub fn start_again(&mut self, node: usize) {
         let file = &self.settings[node];
         let log = file.with_extension(format!("{}.log", self.logs[node].len()));
-        self.nodes[node] = spawn_node(file, &log);
+        self.nodes[node] = spawn_node(file, &log, self.has_cuts);
         self.logs[node].push(log);
     }
 
