Take nodes that are cut off from all servers out of use, with the lease

Callers of such a node got nothing, and a cut holder of the lease stopped all nodes: it took every server for lost, closed and dissolved all groups.

Cause: what a node saw of servers was taken for the state of the servers, and nothing knew whether the node reached any. Rounds of connection attempts to up to six servers in different failure domains now begin with the first failure, or 500 ms of silence of all servers. A node without any that answers announces so while peers do better: it leaves the directory, gives the lease up, draws no conclusions about servers or content, ends its callers' connections after their answers, and passes requests on to a peer. If all nodes are cut off, all stay. Most servers of a round have to answer for the return.

No server or content is accused meanwhile.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -31,6 +31,8 @@
 use crate::send_history::SendHistory;
 use crate::server_notices::ServerNotices;
 use crate::server_notices::read_notices;
+use crate::server_reach::is_isolated;
+use crate::server_reach::suspect;
 use crate::stated_limit::StatedLimit;
 
 /// Registers a request at a target with the gateway and deregisters it when dropped.
@@ -67,6 +69,7 @@
 
     /// Records data from the target. `pause` is the time since the previous data, `None` for the first.
     pub fn record_progress(&mut self, pause: Option<TimeSpan>, now: Timestamp) {
+        self.node.reach.record_data();
         if let Some(record) = &mut self.record {
             self.node
                 .gateway
@@ -217,9 +220,15 @@
     };
     let needs_recent_use = !request.route.rule.kind.may_retry();
     let limit = node.gateway.borrow().connection_limit(&target);
+    if is_isolated(node) {
+        guard.finish(TargetOutcome::Abandoned);
+        sends.cancel_run();
+        return SendResult::NotRun("cut off from all backend servers".to_owned());
+    }
     let mut connection = match node.pool.take(&key, needs_recent_use, limit).await {
         Ok(connection) => connection,
         Err(error) => {
+            suspect(node);
             node.gateway.borrow_mut().avoid(target.number, clock::now());
             guard.finish(TargetOutcome::Failed);
             sends.cancel_run();
@@ -239,6 +248,9 @@
     let response = match head {
         Ok(response) => response,
         Err(error) => {
+            if is_in_time {
+                suspect(node);
+            }
             if is_in_time && error.verdict != Verdict::NotRun {
                 guard.record_break();
             }
--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -43,6 +43,7 @@
 use crate::pool::BackendKey;
 use crate::pool::PooledConnection;
 use crate::server_notices::read_notices;
+use crate::server_reach::confirms_failure;
 use crate::stated_limit::StatedLimit;
 
 /// Timeout of an order. Backend servers respond within milliseconds; after the timeout the outcome counts as unknown.
@@ -191,6 +192,10 @@
     log::info!(
         "event=order vm={id} order=\"{order}\" expected={order_count:?} result={result:?}{detail}"
     );
+    if outcome.is_err() && !confirms_failure(&node).await {
+        // The lease is given up with all that the controller waits for.
+        return;
+    }
     handle_fleet_event(&node, FleetEvent::OrderDone { id, order, result });
 }
 
@@ -355,5 +360,10 @@
         }
         Err(result) => result,
     };
+    let result = match result {
+        ProbeResult::Reported { .. } | ProbeResult::Void => result,
+        _ if confirms_failure(&node).await => result,
+        _ => ProbeResult::Void,
+    };
     handle_fleet_event(&node, FleetEvent::ProbeDone { id, result });
 }
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -26,6 +26,7 @@
 use crate::lease;
 use crate::loop_lag::MIN_PAUSE;
 use crate::node::EntryNode;
+use crate::server_reach::announced_phase;
 use crate::store_restore::handle_restores;
 
 /// Interval of heartbeats. Peers consider a node down after four missed ones.
@@ -56,7 +57,7 @@
         failure_domain: node.settings.failure_domain.clone(),
         caller_address: node.settings.listen.callers,
         peer_address: node.settings.peer_address(),
-        phase: node.phase.get(),
+        phase: announced_phase(node),
         config_version: node.config_version(),
         table_age: node.table_age(now),
         is_store_unreachable: node.store.is_unreachable(now),
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -39,6 +39,7 @@
 use crate::exchange::RequestBody;
 use crate::node::EntryNode;
 use crate::own_pause::timeout_awake;
+use crate::pass_on::PASSED_ON;
 use crate::response::RequestFailure;
 
 /// Interval at which a wait checks whether a planned stop has brought the deadline forward.
@@ -77,7 +78,8 @@
 }
 
 /// Headers that are not forwarded: they concern a single connection, or this node sets them itself.
-const UNFORWARDED_HEADERS: [HeaderName; 14] = [
+const UNFORWARDED_HEADERS: [HeaderName; 15] = [
+    PASSED_ON,
     header::CONNECTION,
     HeaderName::from_static("keep-alive"),
     header::PROXY_AUTHENTICATE,
@@ -347,6 +349,7 @@
     }
 }
 
-fn number_value(number: u64) -> eyre::Result<HeaderValue> {
+/// A number as the value of a header.
+pub fn number_value(number: u64) -> eyre::Result<HeaderValue> {
     HeaderValue::from_str(&number.to_compact_string()).wrap_err("number as header value")
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -23,6 +23,7 @@
 use crate::lease::lease_rank;
 use crate::lease::observe_reported_terms;
 use crate::node::EntryNode;
+use crate::server_reach;
 
 /// Interval at which the lease and the controller are driven.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -37,6 +38,8 @@
         if node.phase.get() == PeerPhase::Stopping {
             continue;
         }
+        server_reach::tick(&node);
+        server_reach::release_lease_if_isolated(&node);
         observe_reported_terms(&node);
         let rank = lease_rank(&node);
         let now = clock::now();
@@ -45,7 +48,9 @@
             rank,
             is_store_unreachable: is_store_unreachable_for_majority(&node),
         };
-        handle_lease_event(&node, tick);
+        if !server_reach::is_isolated(&node) {
+            handle_lease_event(&node, tick);
+        }
         handle_fleet_event(&node, FleetEvent::StoreUnreachable(is_store_unreachable));
         // Every node tracks demand, so that the next lease holder has the averages when it acquires the lease.
         handle_fleet_event(&node, FleetEvent::Traffic(collect_traffic(&node)));
@@ -54,6 +59,10 @@
         if node.lease.borrow().held_term(clock::now()).is_none() {
             continue;
         }
+        // What the node sees of backend servers meanwhile may be its own failure.
+        if node.reach.is_in_doubt() {
+            continue;
+        }
         let paused = node.gateway.borrow().paused_servers(clock::now());
         handle_fleet_event(&node, FleetEvent::Paused(paused));
         for id in stalled_leaders(&node) {
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -22,6 +22,7 @@
 use crate::content_control::decide;
 use crate::node::EntryNode;
 use crate::request_report::OptionalMillis;
+use crate::server_reach::confirms_failure;
 
 /// Time for which a connection attempt may take until the process counts as unreachable.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
@@ -39,6 +40,8 @@
     Refused,
     /// Nothing answers at the address.
     Unreachable,
+    /// This node reaches no backend server.
+    CutOff,
 }
 
 impl fmt::Display for CheckOutcome {
@@ -47,6 +50,7 @@
             CheckOutcome::Connected => "connected",
             CheckOutcome::Refused => "refused",
             CheckOutcome::Unreachable => "unreachable",
+            CheckOutcome::CutOff => "cut_off",
         })
     }
 }
@@ -73,9 +77,11 @@
 
 async fn run_check(node: Rc<EntryNode>, target: Rc<RequestTarget>) {
     let connected = timeout(CHECK_TIMEOUT, node.pool.connector().connect(target.address)).await;
+    let is_own_failure = !matches!(&connected, Ok(Ok(_))) && !confirms_failure(&node).await;
     node.server_checks.0.borrow_mut().remove(&target.server);
     let outcome = match &connected {
         Ok(Ok(_)) => CheckOutcome::Connected,
+        _ if is_own_failure => CheckOutcome::CutOff,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => CheckOutcome::Refused,
         Ok(Err(_)) | Err(_) => CheckOutcome::Unreachable,
     };
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -29,6 +29,7 @@
 use crate::response::empty_response;
 use crate::response::full_body;
 use crate::response::json_response;
+use crate::server_reach::announced_phase;
 
 /// Path of the Prometheus metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -115,19 +116,18 @@
     json_response(resolve_body(&addresses, lifetime))
 }
 
-/// Addresses of the nodes that accept callers. While all nodes stop, those that are stopping, because they still serve
-/// what can end in time.
+/// Addresses of the nodes that accept callers. If none of them reaches a backend server, all of them; while all nodes stop, those
+/// that are stopping, because they still serve what can end in time.
 fn serving_addresses(
     node: &EntryNode,
     caller: IpAddr,
     caller_domain: Option<&str>,
 ) -> Vec<SocketAddr> {
-    let serving = nodes_in_phase(node, PeerPhase::Serving, caller_domain);
-    let nodes = if serving.is_empty() {
-        nodes_in_phase(node, PeerPhase::Stopping, caller_domain)
-    } else {
-        serving
-    };
+    let phases = [PeerPhase::Serving, PeerPhase::CutOff, PeerPhase::Stopping];
+    let mut nodes = phases
+        .into_iter()
+        .map(|phase| nodes_in_phase(node, phase, caller_domain));
+    let nodes = nodes.find(|nodes| !nodes.is_empty()).unwrap_or_default();
     select_addresses(nodes, MAX_ADDRESSES, caller)
 }
 
@@ -147,7 +147,7 @@
             address: record.heartbeat.caller_address,
         })
         .collect();
-    if node.phase.get() == phase {
+    if announced_phase(node) == phase {
         nodes.push(ServingNode {
             is_same_domain: Some(node.settings.failure_domain.as_str()) == caller_domain,
             address: node.settings.listen.callers,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -38,6 +38,8 @@
 use crate::content_control::check_content;
 use crate::content_control::is_suspect;
 use crate::node::EntryNode;
+use crate::pass_on::may_pass_on;
+use crate::pass_on::pass_on;
 use crate::relay::StreamRelay;
 use crate::request_report::RequestReport;
 use crate::response::CallerResponse;
@@ -45,6 +47,7 @@
 use crate::response::STOPPING_REASON;
 use crate::response::full_body;
 use crate::send_race::send_with_retries;
+use crate::server_reach::is_isolated;
 
 /// Maximum body size of a response that is not streamed.
 const MAX_RESPONSE: ByteCount = ByteCount(16 << 20);
@@ -150,7 +153,22 @@
         .borrow_mut()
         .record_request(&request.route.service, size.as_ref());
     report.record_work(work);
-    let attempt = send_with_retries(node, &request, &report.sends, request.last_event).await?;
+    if is_isolated(node) && may_pass_on(node, &request) {
+        return pass_on(node, &request, report, open).await;
+    }
+    let attempt = send_with_retries(node, &request, &report.sends, request.last_event).await;
+    let attempt = match attempt {
+        Ok(attempt) => attempt,
+        // The node has found out meanwhile that it is cut off.
+        Err(failure)
+            if failure.verdict == Verdict::NotRun
+                && is_isolated(node)
+                && may_pass_on(node, &request) =>
+        {
+            return pass_on(node, &request, report, open).await;
+        }
+        Err(failure) => return Err(failure),
+    };
     if request.is_stream() && attempt.response.status().is_success() {
         let relay = StreamRelay::new(node.clone(), request, report.take(), attempt, open);
         return Ok(relay.into_response());
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -122,6 +122,18 @@
         "jaysaddle_retries_withheld_total",
         "Requests that were not sent to a further backend server, because the process of an earlier one had ended under them"
     );
+    metrics::describe_counter!(
+        "jaysaddle_requests_passed_on_total",
+        "Requests that were passed on to a peer, because this node reaches no backend server"
+    );
+    let reach = "jaysaddle_server_reach_changes_total";
+    metrics::describe_counter!(
+        reach,
+        "Changes of whether this node reaches backend servers at all"
+    );
+    for state in ["cut_off", "returned"] {
+        metrics::counter!(reach, "state" => state).increment(0);
+    }
     let rewrites = "jaysaddle_store_rewrites_total";
     metrics::describe_counter!(rewrites, "Objects that were written again after a restore");
     for kind in ["node", "lease"] {
@@ -210,6 +222,8 @@
     metrics::gauge!("jaysaddle_serving").set(f64::from(u8::from(is_serving)));
     let is_reachable = !node.store.is_unreachable(now);
     metrics::gauge!("jaysaddle_store_reachable").set(f64::from(u8::from(is_reachable)));
+    let reaches_servers = !node.reach.is_cut_off();
+    metrics::gauge!("jaysaddle_servers_reachable").set(f64::from(u8::from(reaches_servers)));
     metrics::gauge!("jaysaddle_live_peers").set(node.peers.borrow().live(now).count() as f64);
     let limits = node.gateway.borrow().limits_in_force();
     metrics::gauge!("jaysaddle_request_limits").set(limits as f64);
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -49,6 +49,7 @@
             PeerPhase::Starting => 0,
             PeerPhase::Serving => 1,
             PeerPhase::Stopping => 2,
+            PeerPhase::CutOff => 3,
         },
         config_version: heartbeat.config_version,
         table_age_ms: heartbeat.table_age.as_millis(),
@@ -207,6 +208,7 @@
             serving: in_phase(PeerPhase::Serving),
             starting: in_phase(PeerPhase::Starting),
             stopping: in_phase(PeerPhase::Stopping),
+            cut_off: in_phase(PeerPhase::CutOff),
             load_targets: digest.loads.iter().map(|load| load.target).collect(),
             load_counts: digest.loads.iter().map(|load| load.requests).collect(),
             late_counts: digest.loads.iter().map(|load| load.late).collect(),
@@ -230,6 +232,7 @@
         (PeerPhase::Serving, message.serving),
         (PeerPhase::Starting, message.starting),
         (PeerPhase::Stopping, message.stopping),
+        (PeerPhase::CutOff, message.cut_off),
     ];
     let nodes = phases.into_iter().flat_map(|(phase, numbers)| {
         let numbers = numbers.into_iter();
@@ -299,6 +302,7 @@
         phase: match message.phase {
             1 => PeerPhase::Serving,
             2 => PeerPhase::Stopping,
+            3 => PeerPhase::CutOff,
             _ => PeerPhase::Starting,
         },
         config_version: message.config_version,
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -42,6 +42,7 @@
 use crate::caller_stream::CallerStream;
 use crate::node::EntryNode;
 use crate::response::CallerResponse;
+use crate::server_reach::is_isolated;
 use crate::shutdown::ShutdownStage;
 
 /// Delay before the next accept after an error, such as running out of file descriptors.
@@ -272,7 +273,8 @@
     response: ResponseFuture,
 ) -> Result<CallerResponse, Infallible> {
     let mut response = response.await;
-    if node.shutdown.stage() > ShutdownStage::Serving {
+    // Callers of a node that is cut off from the backend servers do better at another one.
+    if node.shutdown.stage() > ShutdownStage::Serving || is_isolated(&node) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -41,6 +41,7 @@
 use crate::crash_watch::ServerChecks;
 use crate::loop_lag::LoopLag;
 use crate::pool::BackendPool;
+use crate::server_reach::ReachMonitor;
 use crate::settings::EntrySettings;
 use crate::settings::PlatformBounds;
 use crate::shutdown::ShutdownState;
@@ -82,6 +83,8 @@
     /// Requests at backend servers, to find those that end them.
     pub crashes: RefCell<CrashGuard>,
     pub server_checks: ServerChecks,
+    /// Whether this node reaches backend servers.
+    pub reach: ReachMonitor,
     pub peers: RefCell<PeerTable>,
     /// Attempts of callers that this node did not serve.
     pub unserved: RefCell<UnservedRequests>,
@@ -165,6 +168,7 @@
             gateway: RefCell::new(gateway),
             crashes: RefCell::default(),
             server_checks: ServerChecks::default(),
+            reach: ReachMonitor::default(),
             peers: RefCell::default(),
             unserved: RefCell::default(),
             service_times: RefCell::default(),
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -5,6 +5,7 @@
 //! - A connection carries one request at a time and returns to the pool only after the whole response was read.
 //! - A connection that was closed, or that received unsolicited bytes, is not reused.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -87,6 +88,8 @@
 /// Pool of idle connections to backend servers, with a count of all open ones.
 pub struct BackendPool {
     connector: Rc<dyn ServerConnector>,
+    /// When a connection was last opened; `None` before the first.
+    last_opened: Cell<Option<Timestamp>>,
     idle: RefCell<HashMap<BackendKey, Vec<(IdleConnection, ConnectionCount)>>>,
     open: ConnectionCounts,
 }
@@ -96,11 +99,17 @@
     pub fn new(connector: Rc<dyn ServerConnector>) -> Self {
         Self {
             connector,
+            last_opened: Cell::new(None),
             idle: RefCell::default(),
             open: ConnectionCounts::default(),
         }
     }
 
+    /// When a connection was last opened; `None` before the first.
+    pub fn last_opened(&self) -> Option<Timestamp> {
+        self.last_opened.get()
+    }
+
     /// Opens connections to backend servers that carry no requests.
     pub fn connector(&self) -> &dyn ServerConnector {
         self.connector.as_ref()
@@ -147,6 +156,7 @@
     pub async fn open_new(&self, key: &BackendKey) -> Result<PooledConnection, ExchangeError> {
         let count = ConnectionCount::new(&self.open, &key.id);
         let connection = connect(self.connector.as_ref(), key.address, key.id.as_str()).await?;
+        self.last_opened.set(Some(clock::now()));
         metrics::counter!("jaysaddle_backend_connections_total").increment(1);
         Ok(PooledConnection {
             connection,
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -228,18 +228,28 @@
             }
             LeaseEvent::Resign => {
                 self.is_resigning = true;
-                self.pending = PendingCall::None;
-                if let Some((term, _)) = self.held.take() {
-                    effects.push(LeaseEffect::Lost);
-                    let record = self.next_record(None, term);
-                    let version = self.known_object.as_ref().map(|(version, _)| *version);
-                    effects.push(LeaseEffect::Write { version, record });
-                }
+                self.release(&mut effects);
+            }
+            LeaseEvent::Release => {
+                self.release(&mut effects);
+                // Until another node has had the time to acquire the lease.
+                self.other_holder_until = Some(now + self.timing.duration);
             }
         }
         effects
     }
 
+    /// Releases the lease in the store if this node holds it.
+    fn release(&mut self, effects: &mut Vec<LeaseEffect>) {
+        self.pending = PendingCall::None;
+        if let Some((term, _)) = self.held.take() {
+            effects.push(LeaseEffect::Lost);
+            let record = self.next_record(None, term);
+            let version = self.known_object.as_ref().map(|(version, _)| *version);
+            effects.push(LeaseEffect::Write { version, record });
+        }
+    }
+
     /// Extends a held lease without a renewal while the store is unreachable for most nodes, so that repairs continue.
     /// The first write after the outage shows whether another node has acquired the lease anyway.
     fn extend(&mut self, now: Timestamp) {
--- a/crates/fleet/src/lease/messages.rs
+++ b/crates/fleet/src/lease/messages.rs
@@ -83,6 +83,8 @@
     StoreRestored,
     /// This node shuts down and releases the lease in the store.
     Resign,
+    /// This node releases the lease in the store because it cannot do the controller's work at the moment.
+    Release,
     /// This node shuts down while the store is unreachable, and announces the result of [`LeaseState::handover`](crate::lease::LeaseState::handover).
     HandOver,
     /// A holder that shuts down has announced its successor.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -39,6 +39,8 @@
     Starting,
     /// The node accepts requests.
     Serving,
+    /// The node accepts requests, but reaches no backend server.
+    CutOff,
     /// The node is shutting down and only finishes its requests in flight.
     Stopping,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod routes;
 pub mod server_limits;
 pub mod server_pauses;
+pub mod server_reach;
 pub mod server_runs;
 pub mod service_times;
 pub mod settings;
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod routes;
 mod server_limits;
 mod server_pauses;
+mod server_reach;
 mod shares;
 mod shutdown;
 mod silence;
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -21,7 +21,7 @@
     /// Address that peers connect to.
     #[prost(string, tag = "5")]
     pub peer_address: String,
-    /// 0 starting, 1 serving, 2 stopping.
+    /// 0 starting, 1 serving, 2 stopping, 3 serving but cut off from the backend servers.
     #[prost(uint32, tag = "6")]
     pub phase: u32,
     /// Version of the configuration in force; 0 for none.
@@ -212,6 +212,9 @@
     /// Requests and retries of all nodes, by service.
     #[prost(message, repeated, tag = "14")]
     pub usage: Vec<UsageMessage>,
+    /// Numbers of the live nodes that reach no backend server.
+    #[prost(fixed32, repeated, tag = "15")]
+    pub cut_off: Vec<u32>,
 }
 
 /// Process of a backend server that has said in a response that it is leaving.
--- a/tests/all/cut_world.rs
+++ b/tests/all/cut_world.rs
@@ -161,7 +161,22 @@
     });
     let cut: Vec<IpAddr> = cut.into_iter().map(|node| nodes.addresses[node]).collect();
     let tries = tries.into_inner().unwrap_or_else(PoisonError::into_inner);
-    faults(case, &tries, &cut, from)
+    let mut faults = faults(case, &tries, &cut, from);
+    // All servers work throughout, whatever a cut node sees.
+    let logs = (0..usize::from(case.nodes)).map(|node| nodes.log(node));
+    let ended = logs
+        .flat_map(|log| {
+            let lines = log.lines().map(str::to_owned);
+            lines.collect::<Vec<_>>()
+        })
+        .filter(|line| line.contains("event=server_ended") || line.contains("content_decision"))
+        .count();
+    if ended > 0 {
+        faults.push(format!(
+            "{ended} lines about servers that have ended, or content that ends them"
+        ));
+    }
+    faults
 }
 
 fn percent(tries: &[&FirstTry]) -> usize {
