End a stream's attempt at data without an event id after its first event

A stream that broke off with the head and text of a failure in its body reached callers with that text in the middle, as an event. The test failure_inside_a_stream_is_no_event showed it: the caller got 'HTTP/1.1 500 Internal Server Error' after the first event. Such data now fails the attempt, and the stream is resumed or cut; comment lines are let through.

Calls to servers keep no connection after a refusal, so that nothing stale can follow on it.

--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -55,6 +55,8 @@
 const KEPT_CONNECTION_TIME: TimeSpan = TimeSpan(40);
 /// Status with which another process answers at the address of a VM.
 const MISDIRECTED: u16 = 421;
+/// Lowest status of an answer that is a refusal or a failure.
+const MIN_FAILURE_STATUS: u16 = 400;
 /// Limit of a report and of an answer to an order.
 const MAX_RESPONSE: ByteCount = ByteCount(64 << 10);
 /// Maximum number of characters of an order's answer that are logged.
@@ -150,7 +152,10 @@
     let body = read_bounded(response.into_body(), bounds)
         .await
         .map_err(ExchangeError::may_have_run)?;
-    node.pool.put(pooled, None);
+    // A faulty server may send a refusal once more, as the answer to the next request.
+    if status < MIN_FAILURE_STATUS {
+        node.pool.put(pooled, None);
+    }
     Ok((status, body))
 }
 
--- a/crates/entry/src/stream_attempt.rs
+++ b/crates/entry/src/stream_attempt.rs
@@ -163,7 +163,7 @@
             (Ok(ready), Err(_)) if !ready.is_empty() => return Ok(ready),
             (Ok(_), Err(error)) => (BoundKind::Memory, pending, error.to_string()),
             (Err(error), _) => match error {
-                EventError::Gap { .. } => return Err(error.to_string()),
+                EventError::Gap { .. } | EventError::Foreign => return Err(error.to_string()),
                 EventError::TooLong { bytes } | EventError::Repeated { bytes } => {
                     (BoundKind::Event, bytes, error.to_string())
                 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -39,6 +39,8 @@
         /// Size of these events in bytes.
         bytes: usize,
     },
+    /// Data without an event id follows events that have one, such as the text of a failure.
+    Foreign,
     /// One or more event ids were skipped.
     Gap {
         /// Id of the last event that was returned.
@@ -52,6 +54,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             EventError::TooLong { .. } => f.write_str("event_too_long"),
+            EventError::Foreign => f.write_str("data_without_event_id"),
             EventError::Repeated { .. } => f.write_str("events_repeated"),
             EventError::Gap { last, received } => write!(f, "event_gap_{last}_to_{received}"),
         }
@@ -93,7 +96,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`EventError::Gap`] if an event id was skipped, [`EventError::TooLong`] if an incomplete event exceeds
+    /// Returns [`EventError::Foreign`] for data without an id after events with one, [`EventError::Gap`] if an event id was skipped, [`EventError::TooLong`] if an incomplete event exceeds
     /// the size limit, and [`EventError::Repeated`] if events that were already returned do.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         let returned = self.last_id;
@@ -105,6 +108,13 @@
         result
     }
 
+    /// Puts a complete event back in front of the pending data.
+    fn put_back(&mut self, mut event: BytesMut) {
+        event.extend_from_slice(&self.pending);
+        self.pending = event;
+        self.searched = 0;
+    }
+
     fn split(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         self.pending.extend_from_slice(data);
         let mut ready = BytesMut::new();
@@ -114,6 +124,14 @@
             let id = event[..]
                 .split(|byte| *byte == b'\n')
                 .find_map(parse_event_id);
+            if id.is_none() && self.last_id.is_some() && !is_comment(&event) {
+                if ready.is_empty() {
+                    return Err(EventError::Foreign);
+                }
+                // The events before it are sound; the next call returns the error.
+                self.put_back(event);
+                return Ok(ready.freeze());
+            }
             if let (Some(id), Some(last)) = (id, self.last_id) {
                 if id <= last {
                     self.repeated += event.len();
@@ -146,6 +164,12 @@
     }
 }
 
+/// Whether an event consists of comment lines, which some servers send to keep connections open.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Number of events in data that consists of complete events.
 pub fn event_count(events: &[u8]) -> usize {
     let mut rest = events;
--- a/crates/gateway/tests/all/events.rs
+++ b/crates/gateway/tests/all/events.rs
@@ -141,3 +141,26 @@
         out == data && !buffer.has_partial()
     }
 }
+
+/// Guards against the text of a failure, or a whole response head, that is forwarded in the middle of a stream, and against comments
+/// that end one.
+#[test]
+fn data_without_an_id_between_events_is_an_error() {
+    let mut buffer = EventBuffer::default();
+    assert_eq!(
+        &buffer.push(b"id: 1\ndata: a\n\n").expect("an event")[..],
+        b"id: 1\ndata: a\n\n"
+    );
+    assert_eq!(
+        &buffer.push(b": ping\n\n").expect("a comment")[..],
+        b": ping\n\n"
+    );
+    let mixed = b"id: 2\ndata: b\n\nHTTP/1.1 500 Error\r\n\r\nfailed\n\n";
+    assert_eq!(
+        &buffer.push(mixed).expect("the event before")[..],
+        b"id: 2\ndata: b\n\n"
+    );
+    assert_eq!(buffer.push(b""), Err(EventError::Foreign));
+    let mut resumed = EventBuffer::resume_after(Some(4));
+    assert_eq!(resumed.push(b"overloaded\n\n"), Err(EventError::Foreign));
+}
--- a/tests/all/faulty_answers.rs
+++ b/tests/all/faulty_answers.rs
@@ -88,3 +88,93 @@
     assert!(text.ends_with("id: 6\ndata: token 6\n\n"), "{text}");
     assert!(nodes.standin.run_count("slow") <= 2);
 }
+
+/// Guards against a caller that is told that its request was not run, because a backend server has written an earlier refusal once
+/// more on a kept connection.
+#[test]
+fn stale_refusal_is_not_taken_for_that_of_the_next_request() {
+    let nodes = PlatformNodes::start(1, 4);
+    nodes.wait_serving(2);
+    nodes.standin.set_work(StandinWork {
+        events: 3,
+        is_plain_reliable: true,
+        ..StandinWork::default()
+    });
+    let stale = Some(EndlessBytes::StaleRefusal);
+    for server in nodes.standin.plain_servers() {
+        nodes
+            .standin
+            .set_endless(&server, EndlessCalls::Requests, stale);
+    }
+    for engine in nodes.standin.engines() {
+        nodes
+            .standin
+            .set_endless(&engine, EndlessCalls::Reports, stale);
+    }
+    for number in 0..40 {
+        let path = ["/sends/x", "/lookups/x", "/drafts/x"][number % 3];
+        let id = format!("stale{number}");
+        let response = nodes.request(0, &id, path, KEY);
+        let runs = nodes.standin.run_count(&id);
+        let text = String::from_utf8_lossy(response.as_bytes()).into_owned();
+        let is_refused = text.contains("\"not_run\"");
+        assert!(
+            !is_refused || runs == 0,
+            "{id} at {path} ran and was refused"
+        );
+        assert!(
+            path == "/lookups/x" || runs <= 1,
+            "{id} at {path} ran {runs} times"
+        );
+    }
+}
+
+/// Guards against a head that ends half-way with its connection and reaches the caller as a whole answer with an empty body.
+#[test]
+fn half_a_head_is_no_answer() {
+    let nodes = PlatformNodes::start(1, 4);
+    nodes.wait_serving(2);
+    let half = Some(EndlessBytes::PartialHead);
+    for server in nodes.standin.plain_servers() {
+        nodes
+            .standin
+            .set_endless(&server, EndlessCalls::Requests, half);
+    }
+    for engine in nodes.standin.engines() {
+        nodes
+            .standin
+            .set_endless(&engine, EndlessCalls::Requests, half);
+    }
+    for (number, path) in ["/sends/x", "/lookups/x", "/drafts/x"]
+        .into_iter()
+        .enumerate()
+    {
+        let response = nodes.request(0, &format!("half{number}"), path, KEY);
+        assert_eq!(response.status_code, 502, "{path}");
+        assert!(!String::from_utf8_lossy(response.as_bytes()).contains("\"not_run\""));
+    }
+    assert_eq!(nodes.standin.run_count("half0"), 1);
+}
+
+/// Guards against a stream with the text of a failure, or its whole head, in the middle: it goes on at another group.
+#[test]
+fn failure_inside_a_stream_is_no_event() {
+    let nodes = PlatformNodes::start(1, 4);
+    nodes.wait_serving(2);
+    let leader = nodes.standin.serving_groups()[0][0].clone();
+    let failure = Some(EndlessBytes::ErrorInStream);
+    nodes
+        .standin
+        .set_endless(&leader, EndlessCalls::Requests, failure);
+    for number in 0..6 {
+        let response = nodes.request(0, &format!("inside{number}"), "/drafts/x", KEY);
+        assert_eq!(response.status_code, 200);
+        let text = response.as_str().expect("text");
+        assert!(
+            !text.contains("HTTP/1.1") && !text.contains("failed"),
+            "{text}"
+        );
+        assert!(text.ends_with("id: 30\ndata: token 30\n\n"), "{text}");
+    }
+    assert!(nodes.log(0).contains("event=stream_resumed"));
+}
