--- a/tests/all/repeat_world.rs
+++ b/tests/all/repeat_world.rs
@@ -1,5 +1,6 @@
 //! Nodes whose callers send one request on and on that crashes each backend server that begins it, beside sound requests.
 
+use std::collections::HashSet;
 use std::net::IpAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -105,6 +106,7 @@
         nodes: case.nodes,
         engines: case.engines,
         plain_servers: case.plain_servers,
+        has_cuts: true,
         ..NodeSetup::default()
     });
     nodes.standin.set_work(StandinWork {
@@ -184,6 +186,21 @@
     (within.len() >= MIN_SOUND).then(|| served * 100 / within.len())
 }
 
+/// Keys of the requests that nodes have blocked.
+fn blocked_keys(nodes: &PlatformNodes) -> HashSet<String> {
+    let mut keys = HashSet::new();
+    for node in 0..nodes.nodes.len() {
+        for line in nodes.log(node).lines() {
+            if line.contains("event=content_decision") && line.contains("content_blocked") {
+                let words = line.split(' ');
+                let key = words.filter_map(|word| word.strip_prefix("key="));
+                keys.extend(key.map(str::to_owned));
+            }
+        }
+    }
+    keys
+}
+
 fn faults(
     case: &RepeatCase,
     nodes: &PlatformNodes,
@@ -213,6 +230,10 @@
             "of the sound requests {after} % are served, before {before} %"
         ));
     }
+    let blocked = blocked_keys(nodes).len();
+    if blocked > case.crashing {
+        faults.push(format!("{blocked} requests are blocked"));
+    }
     println!(
         "{case:?}: {} ends, {} arrivals, {late} late; sound {before:?} % before, {after:?} % after",
         counts.ends.len(),
--- a/tests/all/repeated_requests.rs
+++ b/tests/all/repeated_requests.rs
@@ -1,7 +1,13 @@
 //! A request that crashes each backend server that begins it, and that its callers send again and again, at any node.
 
+use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
+use jaysaddle_test_support::TestRandom;
+use jaysaddle_test_support::seeds;
+
+use crate::platform_nodes::PlatformNodes;
 use crate::repeat_world::RepeatCase;
 use crate::repeat_world::repeat;
 
@@ -88,3 +94,59 @@
         ..RepeatCase::default()
     });
 }
+
+/// Seed of the soak in CI.
+const FIRST_SEED: u64 = 3801;
+/// Longest time between two events of the soak, and longest cut or outage, in milliseconds.
+const MAX_EVENT_GAP_MS: u64 = 2500;
+const MAX_FAULT_MS: u64 = 2500;
+/// Time for which a server is gone that no request has ended.
+const ABSENCE: Duration = Duration::from_secs(2);
+
+/// Losses of servers, cuts of nodes from all servers, and outages of the store.
+fn disrupt(nodes: &PlatformNodes, random: &mut TestRandom, until: Instant) {
+    while Instant::now() < until {
+        thread::sleep(Duration::from_millis(200 + random.below(MAX_EVENT_GAP_MS)));
+        let time = Duration::from_millis(500 + random.below(MAX_FAULT_MS));
+        let node = random.below(nodes.nodes.len() as u64) as usize;
+        match random.below(5) {
+            0..2 => {
+                let servers = nodes.standin.plain_servers();
+                let server = random.below(servers.len() as u64) as usize;
+                nodes.standin.crash(&servers[server], ABSENCE);
+            }
+            2 => {
+                nodes.standin.set_store_down(true);
+                thread::sleep(time);
+                nodes.standin.set_store_down(false);
+            }
+            kind => {
+                let network = ["refused reset", "hanging silent"][(kind - 3) as usize];
+                nodes.set_server_network(node, network);
+                thread::sleep(time);
+                nodes.set_server_network(node, "");
+            }
+        }
+    }
+}
+
+/// Guards against the same beside ordinary losses of servers, nodes that are cut off from all of them and see all fail, and a store
+/// that is down: the request is stopped, and no other one is blocked.
+#[test]
+fn repeated_requests_are_stopped_under_random_events() {
+    for seed in seeds(FIRST_SEED, 1) {
+        let mut random = TestRandom::new(seed);
+        let case = RepeatCase {
+            nodes: 3 + random.below(4) as u8,
+            plain_servers: [3, 6][random.below(2) as usize],
+            sound_interval: Some(Duration::from_millis([80, 400][random.below(2) as usize])),
+            repeat_interval: Duration::from_millis(900 + random.below(1600)),
+            keeps_id: random.below(3) == 0,
+            duration: Duration::from_secs(16),
+            ..RepeatCase::default()
+        };
+        let until = Instant::now() + case.duration;
+        let faults = repeat(&case, |nodes| disrupt(nodes, &mut random, until));
+        assert!(faults.is_empty(), "seed {seed}: {case:?}: {faults:?}");
+    }
+}
