Let rounds begin with two servers, and not hold up the controller

Found by reading: each failure begins a round at the next tick, and the controller skipped its work while one was under way, so frequent failures would have stopped it. Rounds that begin in a tick do not count for it now.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -38,6 +38,8 @@
         if node.phase.get() == PeerPhase::Stopping {
             continue;
         }
+        // Rounds that begin now do not keep the controller from its work, or frequent failures would.
+        let is_in_doubt = node.reach.is_in_doubt();
         server_reach::tick(&node);
         server_reach::release_lease_if_isolated(&node);
         observe_reported_terms(&node);
@@ -60,7 +62,7 @@
             continue;
         }
         // What the node sees of backend servers meanwhile may be its own failure.
-        if node.reach.is_in_doubt() {
+        if is_in_doubt {
             continue;
         }
         let paused = node.gateway.borrow().paused_servers(clock::now());
--- a/crates/entry/src/server_reach.rs
+++ b/crates/entry/src/server_reach.rs
@@ -30,6 +30,9 @@
 
 /// Time for which a connection attempt of a round may take.
 const ATTEMPT_TIMEOUT: TimeSpan = TimeSpan(250);
+/// Number of servers that a round tries first, and the time without an answer after which it tries the others.
+const FIRST_SERVERS: usize = 2;
+const SILENCE_TIME: Duration = Duration::from_millis(60);
 /// Number of rounds that show whether a failure concerns a single server: the one under way may have begun before it.
 const MAX_ROUNDS: usize = 2;
 /// Time for which a new connection must stay open, because some cuts reset connections only after they were opened.
@@ -150,9 +153,19 @@
         tried: chosen.len(),
         ..RoundResult::default()
     };
-    let attempts = chosen.into_iter().map(|address| try_server(node, address));
-    let mut attempts: FuturesUnordered<_> = attempts.collect();
-    while let Some(attempt) = attempts.next().await {
+    let mut waiting = chosen;
+    let mut attempts = FuturesUnordered::new();
+    let mut next = waiting.split_off(waiting.len().saturating_sub(FIRST_SERVERS));
+    loop {
+        attempts.extend(next.drain(..).map(|address| try_server(node, address)));
+        let attempt = match timeout(SILENCE_TIME, attempts.next()).await {
+            Ok(Some(attempt)) => attempt,
+            Ok(None) if waiting.is_empty() => break,
+            Ok(None) | Err(_) => {
+                next.append(&mut waiting);
+                continue;
+            }
+        };
         match attempt {
             ReachAttempt::Reached => result.reached += 1,
             ReachAttempt::Failed => {}
