Share the steps and roles of the two simulations, and name a check by its result

The simulation of repeated requests repeated the queue, roles and constants of the one of crashing parts. is_suspect stood for three things; the one that waits for a check and decides on a retry is is_retry_withheld now.

--- a/crates/entry/src/connector.rs
+++ b/crates/entry/src/connector.rs
@@ -16,7 +16,7 @@
 /// Connection to a backend server.
 pub type ServerStream = Box<dyn ServerIo>;
 
-/// Connection attempt.
+/// Connection attempt; completes when the connection is open, and has no time limit of its own.
 pub type ConnectFuture = Pin<Box<dyn Future<Output = io::Result<ServerStream>>>>;
 
 /// Opens connections to backend servers. Tests use one that cuts a node off from them.
--- a/crates/entry/src/content_control.rs
+++ b/crates/entry/src/content_control.rs
@@ -80,15 +80,16 @@
     Err(RequestFailure::unavailable(reason, retry_after))
 }
 
-/// Whether the process of a backend server whose answer has broken off has ended, and the request may be the reason.
-pub async fn is_suspect(
+/// Whether a request is not sent on after its answer has broken off: the process of its backend server has ended, and the request
+/// may be the reason. Waits for the check of the process.
+pub async fn is_retry_withheld(
     node: &Rc<EntryNode>,
     request: &CallerRequest,
     target: &Rc<RequestTarget>,
 ) -> bool {
-    let is_suspect =
+    let is_withheld =
         has_ended(node, target).await && node.crashes.borrow().withholds_retry(&request.content);
-    if is_suspect {
+    if is_withheld {
         log::info!(
             "event=retry_withheld request={} vm={}",
             request.id,
@@ -96,7 +97,7 @@
         );
         metrics::counter!("jaysaddle_retries_withheld_total").increment(1);
     }
-    is_suspect
+    is_withheld
 }
 
 /// Tells the guard which processes of backend servers still keep connections open.
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -36,7 +36,7 @@
 use crate::caller_request::time_limit;
 use crate::caller_request::within_time;
 use crate::content_control::check_content;
-use crate::content_control::is_suspect;
+use crate::content_control::is_retry_withheld;
 use crate::node::EntryNode;
 use crate::pass_on::may_pass_on;
 use crate::pass_on::pass_on;
@@ -304,7 +304,7 @@
         }
         drop(connection);
         let may_retry = rule.kind.may_retry() && report.sends.runs() < rule.max_attempts;
-        if may_retry && is_suspect(node, &request, &target).await {
+        if may_retry && is_retry_withheld(node, &request, &target).await {
             return Err(RequestFailure::may_have_run(
                 StatusCode::BAD_GATEWAY,
                 "server_ended",
--- a/crates/entry/src/send_race.rs
+++ b/crates/entry/src/send_race.rs
@@ -29,7 +29,7 @@
 use crate::caller_request::CallerRequest;
 use crate::content_control::check_content;
 use crate::content_control::is_blocked;
-use crate::content_control::is_suspect;
+use crate::content_control::is_retry_withheld;
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
 use crate::send_history::SendHistory;
@@ -304,7 +304,8 @@
         if !is_broken || self.request.is_stream() || !self.may_send_beside() {
             return;
         }
-        self.is_under_suspicion |= is_suspect(self.node, self.request, &finished.target).await;
+        self.is_under_suspicion |=
+            is_retry_withheld(self.node, self.request, &finished.target).await;
     }
 
     /// Handles the end of a send. Returns the result of the request if it is known.
--- a/crates/gateway/src/content_weighing.rs
+++ b/crates/gateway/src/content_weighing.rs
@@ -40,7 +40,7 @@
 /// Evidence about a piece of content that was at several ends of backend servers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ContentWeighing {
-    /// The piece.
+    /// Key of the piece that was weighed.
     pub key: ContentKey,
     /// Number of different times of its ends that count.
     pub ends: usize,
--- a/crates/gateway/tests/all/crash_simulation.rs
+++ b/crates/gateway/tests/all/crash_simulation.rs
@@ -1,9 +1,7 @@
 //! Simulation of nodes that learn from each other which content ends backend servers, beside ordinary losses, pauses, cuts and
 //! restarts of nodes.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
-use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -21,21 +19,24 @@
 use jaysaddle_test_support::seeds;
 use jaysaddle_types::units::Timestamp;
 
+use crate::simulation_steps::BEAT_MS;
+use crate::simulation_steps::CONTACT_MS;
+use crate::simulation_steps::MAX_BYTES_PER_SECOND;
+use crate::simulation_steps::RELAYS;
+use crate::simulation_steps::RETURN_MS;
+use crate::simulation_steps::StepQueue;
+use crate::simulation_steps::has_relays;
+use crate::simulation_steps::role_of;
+
 /// Names of the crashing part, of a part that all prompts share, and the number of sessions, whose parts few share.
 const CRASHING: &str = "bad";
 const SHARED: &str = "shared";
 const SESSIONS: u64 = 40;
-const RELAYS: usize = 3;
-const MAX_DIRECT: usize = 25;
-const BEAT_MS: u64 = 200;
-const CONTACT_MS: u64 = 3000;
-const RETURN_MS: u64 = 3000;
 const CRASHING_FROM_MS: u64 = 5000;
 const END_MS: u64 = 30_000;
-/// Encoded sizes of a fact and of a block, and the limit on control traffic of a node, in bytes and bytes a second.
+/// Encoded sizes of a fact and of a block, in bytes.
 const FACT_BYTES: usize = 32;
 const BLOCK_BYTES: usize = 24;
-const MAX_BYTES_PER_SECOND: usize = 5000;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
@@ -109,8 +110,7 @@
 struct World {
     now: u64,
     random: TestRandom,
-    steps: BinaryHeap<Reverse<(u64, u64, Step)>>,
-    count: u64,
+    steps: StepQueue<Step>,
     nodes: Vec<Node>,
     /// Number of the process of each server; odd while it is gone.
     boots: Vec<u32>,
@@ -127,8 +127,7 @@
         let mut world = Self {
             now: 0,
             random: TestRandom::new(seed),
-            steps: BinaryHeap::new(),
-            count: 0,
+            steps: StepQueue::default(),
             nodes: (0..count).map(|_| Node::default()).collect(),
             boots: vec![0; 20 + count],
             requests: Vec::new(),
@@ -161,8 +160,7 @@
     }
 
     fn plan(&mut self, at: u64, step: Step) {
-        self.count += 1;
-        self.steps.push(Reverse((at, self.count, step)));
+        self.steps.plan(at, step);
     }
 
     fn stamp(&self) -> Timestamp {
@@ -170,19 +168,15 @@
     }
 
     fn is_relayed(&self) -> bool {
-        self.nodes.len() > MAX_DIRECT
+        has_relays(self.nodes.len())
     }
 
     fn role(&self, node: usize) -> PeerRole {
-        match (self.is_relayed(), node < RELAYS) {
-            (false, _) => PeerRole::Direct,
-            (true, true) => PeerRole::Relay,
-            (true, false) => PeerRole::Follower,
-        }
+        role_of(node, self.nodes.len())
     }
 
     fn run(&mut self) {
-        while let Some(Reverse((at, _, step))) = self.steps.pop() {
+        while let Some((at, step)) = self.steps.pop() {
             if at >= END_MS {
                 return;
             }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -21,5 +21,6 @@
 mod shares;
 mod shutdown;
 mod silence;
+mod simulation_steps;
 mod unserved;
 mod withheld;
--- a/crates/gateway/tests/all/repeat_simulation.rs
+++ b/crates/gateway/tests/all/repeat_simulation.rs
@@ -1,9 +1,7 @@
 //! Simulation of nodes whose callers send one request on and on that ends the servers of a plain service, at light and at heavy
 //! traffic, beside losses of servers, pauses, cuts and restarts of nodes.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
-use std::collections::BinaryHeap;
 use std::rc::Rc;
 
 use jaysaddle_fleet::crash_report::CrashFact;
@@ -20,28 +18,30 @@
 use jaysaddle_test_support::seeds;
 use jaysaddle_types::units::Timestamp;
 
+use crate::simulation_steps::BEAT_MS;
+use crate::simulation_steps::CONTACT_MS;
+use crate::simulation_steps::MAX_BYTES_PER_SECOND;
+use crate::simulation_steps::RELAYS;
+use crate::simulation_steps::RETURN_MS;
+use crate::simulation_steps::StepQueue;
+use crate::simulation_steps::role_of;
+
 /// Name of the request that ends its servers.
 const CRASHING: &str = "crashing";
 /// Number of different sound requests. Callers send the same ones again, as those of a status page.
 const SOUND_NAMES: u64 = 150;
-const RELAYS: usize = 3;
-const MAX_DIRECT: usize = 25;
-const BEAT_MS: u64 = 200;
-const CONTACT_MS: u64 = 3000;
 /// Ends after which the request must be known, and arrivals that are allowed later than [`CONTACT_MS`] after that.
 const KNOWN_AFTER: usize = 3;
 const MAX_LATE: usize = 3;
 /// Losses that no request causes.
 const LOSSES_PER_SERVER: usize = 2;
-const RETURN_MS: u64 = 3000;
 const WORK_MS: u64 = 60;
 const CRASH_MS: u64 = 90;
 const CRASHING_FROM_MS: u64 = 5000;
 const END_MS: u64 = 60_000;
-/// Encoded sizes of a fact and of a block, and the limit on control traffic of a node, in bytes and bytes a second.
+/// Encoded sizes of a fact and of a block, in bytes.
 const FACT_BYTES: usize = 34;
 const BLOCK_BYTES: usize = 24;
-const MAX_BYTES_PER_SECOND: usize = 5000;
 
 /// A deployment and its traffic.
 #[derive(Clone, Copy, Debug)]
@@ -99,8 +99,7 @@
     traffic: Traffic,
     now: u64,
     random: TestRandom,
-    steps: BinaryHeap<Reverse<(u64, u64, Step)>>,
-    count: u64,
+    steps: StepQueue<Step>,
     nodes: Vec<Node>,
     /// Number of the process of each server; odd while it is gone.
     boots: Vec<u32>,
@@ -118,8 +117,7 @@
             traffic,
             now: 0,
             random: TestRandom::new(seed),
-            steps: BinaryHeap::new(),
-            count: 0,
+            steps: StepQueue::default(),
             nodes: (0..traffic.nodes).map(|_| Node::default()).collect(),
             boots: vec![0; traffic.servers],
             requests: Vec::new(),
@@ -160,8 +158,7 @@
     }
 
     fn plan(&mut self, at: u64, step: Step) {
-        self.count += 1;
-        self.steps.push(Reverse((at, self.count, step)));
+        self.steps.plan(at, step);
     }
 
     fn stamp(&self) -> Timestamp {
@@ -169,15 +166,11 @@
     }
 
     fn role(&self, node: usize) -> PeerRole {
-        match (self.nodes.len() > MAX_DIRECT, node < RELAYS) {
-            (false, _) => PeerRole::Direct,
-            (true, true) => PeerRole::Relay,
-            (true, false) => PeerRole::Follower,
-        }
+        role_of(node, self.nodes.len())
     }
 
     fn run(&mut self) {
-        while let Some(Reverse((at, _, step))) = self.steps.pop() {
+        while let Some((at, step)) = self.steps.pop() {
             if at >= END_MS {
                 return;
             }
