Serve evacuations and the bound on cold backend servers

Cause: no part of the product read the operators' evacuations or the cold times of backend servers, so requests went on to an evacuated failure domain, and all nodes together sent a cold server its usual load.

Change: evacuations are watched in the store and passed on in heartbeats; the selection leaves the domain's targets out, and the controller sends no orders there and plans without its capacity. Cold servers get requests from a few owners only, which keep a minimum time between two of them. Both are off unless the settings state the platform's bounds.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -130,6 +130,9 @@
         if let Some(pause) = notices.pause {
             self.node.record_pause(backend, server, pause);
         }
+        if let Some(cold) = notices.cold {
+            self.node.record_cold(backend, server, cold);
+        }
     }
 
     /// Records the end of the request at the target.
--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -76,6 +76,10 @@
         .table
         .borrow()
         .rows()
+        .filter(|row| {
+            let evacuations = node.evacuations.borrow();
+            !evacuations.is_evacuated(&row.entry.failure_domain)
+        })
         .filter(|row| {
             let service = &row.entry.service;
             config
@@ -144,6 +148,9 @@
     if let Some(pause) = notices.pause {
         node.record_pause(id, server, pause);
     }
+    if let Some(cold) = notices.cold {
+        node.record_cold(id, server, cold);
+    }
     let bounds = BodyBounds {
         limit: MAX_RESPONSE,
         budget: &node.budgets.calls,
--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use crate::content_control;
+use crate::evacuation_sync;
 use crate::heartbeat_codec::decode_heartbeat;
 use crate::heartbeat_codec::encode_heartbeat;
 use crate::heartbeat_codec::encode_with_digest;
@@ -83,6 +84,7 @@
         table_version: node.table_log.borrow().version(),
         is_relay,
         digest: None,
+        evacuations: node.evacuations.borrow().current().cloned(),
     }
 }
 
@@ -149,6 +151,7 @@
             gateway.set_node_count(u32::try_from(peers.sharing_nodes()).unwrap_or(u32::MAX));
             gateway.update_retry_pool(&peers, now);
             gateway.expire_limits(now);
+            gateway.update_cold_shares(&peers, now);
         }
         send_round(&node, &socket, &addresses, &mut planner, is_urgent).await;
     }
@@ -222,6 +225,9 @@
                 lease::accept_handover(&node, &heartbeat);
                 merge_limits(&node, &heartbeat);
                 content_control::merge(&node, &heartbeat);
+                if let Some(set) = &heartbeat.evacuations {
+                    evacuation_sync::merge(&node, set, heartbeat.node.as_str());
+                }
                 for server in &heartbeat.leaving {
                     node.record_leaving(server, heartbeat.node.as_str());
                 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -56,6 +56,8 @@
         handle_fleet_event(&node, FleetEvent::StoreUnreachable(is_store_unreachable));
         // Every node tracks demand, so that the next lease holder has the averages when it acquires the lease.
         handle_fleet_event(&node, FleetEvent::Traffic(collect_traffic(&node)));
+        let evacuated = node.evacuations.borrow().domains().cloned().collect();
+        handle_fleet_event(&node, FleetEvent::Evacuated(evacuated));
         let limited = node.gateway.borrow().limited_leaders();
         handle_fleet_event(&node, FleetEvent::Limited(limited));
         if node.lease.borrow().held_term(clock::now()).is_none() {
--- a/crates/entry/src/entry_codec.rs
+++ b/crates/entry/src/entry_codec.rs
@@ -7,6 +7,7 @@
 use jaysaddle_types::serving::GroupMembership;
 use jaysaddle_types::serving::MemberPhase;
 use jaysaddle_types::units::SlotCount;
+use jaysaddle_types::units::TimeSpan;
 use jaysaddle_wire::heartbeat::SnapshotEntry;
 use serde_json::Value;
 
@@ -25,6 +26,7 @@
         is_draining: entry.is_draining,
         model: text(entry.model.as_ref().map(|model| model.as_str())),
         staged: entry.staged.iter().map(ToString::to_string).collect(),
+        cold_left_ms: entry.cold_left.as_millis(),
         ..SnapshotEntry::default()
     };
     if let Some(membership) = &entry.membership {
@@ -82,6 +84,7 @@
         model: optional(&message.model)?,
         staged: staged.collect::<Result<_, _>>()?,
         membership,
+        cold_left: TimeSpan(message.cold_left_ms),
     };
     Ok(entry_spec(&entry, message.write_count))
 }
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -48,6 +48,18 @@
             "jaysaddle_limit_diversions_total",
             "Requests that were sent elsewhere because a request limit was used up",
         ),
+        (
+            "jaysaddle_evacuation_changes_total",
+            "Changes of the evacuated failure domains",
+        ),
+        (
+            "jaysaddle_evacuations_undecodable_total",
+            "Evacuations in the store that name no failure domain",
+        ),
+        (
+            "jaysaddle_cold_times_ignored_total",
+            "Entries that state an invalid time for which their backend server is cold",
+        ),
         (
             "jaysaddle_store_restores_total",
             "Times that the store came back from an older copy",
@@ -228,6 +240,11 @@
     let limits = node.gateway.borrow().limits_in_force();
     metrics::gauge!("jaysaddle_request_limits").set(limits as f64);
     let crashes = node.crashes.borrow();
+    let gateway = node.gateway.borrow();
+    metrics::gauge!("jaysaddle_cold_servers").set(gateway.cold_servers() as f64);
+    metrics::counter!("jaysaddle_cold_sends_total").absolute(gateway.cold_sends());
+    let evacuated = node.evacuations.borrow().domains().count();
+    metrics::gauge!("jaysaddle_evacuated_domains").set(evacuated as f64);
     metrics::gauge!("jaysaddle_content_suspects").set(crashes.suspects() as f64);
     metrics::gauge!("jaysaddle_content_blocks").set(crashes.blocks().count() as f64);
     metrics::gauge!("jaysaddle_open_requests").set(f64::from(node.open_requests.get()));
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -7,6 +7,8 @@
 use jaysaddle_fleet::digest::NodeNumber;
 use jaysaddle_fleet::digest::PeerDigest;
 use jaysaddle_fleet::digest::ServerSent;
+use jaysaddle_fleet::evacuation::EvacuationSet;
+use jaysaddle_fleet::evacuation::MAX_EVACUATED;
 use jaysaddle_fleet::lease::LeaseClaim;
 use jaysaddle_fleet::lease::LeaseHandover;
 use jaysaddle_fleet::leaving::LeavingServer;
@@ -22,12 +24,14 @@
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ObjectVersion;
 use jaysaddle_types::ids::StoreEra;
+use jaysaddle_types::ids::StoreRevision;
 use jaysaddle_types::units::ProcessorShare;
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_wire::heartbeat::ContentBlockMessage;
 use jaysaddle_wire::heartbeat::CrashFactMessage;
 use jaysaddle_wire::heartbeat::DigestMessage;
+use jaysaddle_wire::heartbeat::EvacuationMessage;
 use jaysaddle_wire::heartbeat::LeaseHandoverMessage;
 use jaysaddle_wire::heartbeat::LeaseMessage;
 use jaysaddle_wire::heartbeat::LeavingMessage;
@@ -102,6 +106,7 @@
         usage: encode_usage(&heartbeat.usage),
         crash_facts: heartbeat.crash_facts.iter().map(encode_fact).collect(),
         content_blocks: heartbeat.content_blocks.iter().map(encode_block).collect(),
+        evacuations: heartbeat.evacuations.as_ref().map(encode_evacuations),
     };
     message.encode_to_vec()
 }
@@ -193,6 +198,27 @@
     }
 }
 
+fn encode_evacuations(set: &EvacuationSet) -> EvacuationMessage {
+    EvacuationMessage {
+        era: set.era.0,
+        revision: set.revision.0,
+        domains: set.domains.iter().map(ToString::to_string).collect(),
+    }
+}
+
+/// Decodes evacuated failure domains, of which there are [`MAX_EVACUATED`] at most.
+fn decode_evacuations(message: EvacuationMessage) -> eyre::Result<EvacuationSet> {
+    let domains = message.domains.into_iter().take(MAX_EVACUATED);
+    Ok(EvacuationSet {
+        era: StoreEra(message.era),
+        revision: StoreRevision(message.revision),
+        domains: domains
+            .map(|domain| domain.parse())
+            .collect::<Result<_, _>>()
+            .wrap_err("evacuations")?,
+    })
+}
+
 /// Adds a digest to an encoded heartbeat. The fields of two encoded messages in succession are those of one message.
 pub fn encode_with_digest(heartbeat: &[u8], digest: PeerDigest) -> Vec<u8> {
     let in_phase = |wanted: PeerPhase| {
@@ -371,5 +397,6 @@
             .into_iter()
             .map(decode_block)
             .collect(),
+        evacuations: message.evacuations.map(decode_evacuations).transpose()?,
     })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod directory;
 pub mod entry_codec;
 pub mod entry_order;
+mod evacuation_sync;
 pub mod exchange;
 mod forward;
 mod gauges;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -10,6 +10,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::ControllerTiming;
 use jaysaddle_fleet::controller::FleetController;
+use jaysaddle_fleet::evacuation::EvacuationState;
 use jaysaddle_fleet::lease::LeaseHandover;
 use jaysaddle_fleet::lease::LeaseState;
 use jaysaddle_fleet::lease::LeaseTiming;
@@ -39,6 +40,7 @@
 use crate::byte_budget::ResponseBudgets;
 use crate::connector::ServerConnector;
 use crate::crash_watch::ServerChecks;
+use crate::evacuation_sync::report_cold;
 use crate::loop_lag::LoopLag;
 use crate::pool::BackendPool;
 use crate::server_reach::ReachMonitor;
@@ -111,6 +113,8 @@
     pub table_position: Cell<Option<WatchPosition>>,
     /// What is remembered to deal with a restore of the store.
     pub restore: RestoreState,
+    /// Evacuated failure domains.
+    pub evacuations: RefCell<EvacuationState>,
     pub controller: RefCell<FleetController>,
     pub lease: RefCell<LeaseState>,
     /// Lease handover that this node announces while it stops.
@@ -164,6 +168,7 @@
         let mut gateway =
             RequestGateway::new(gateway_settings, settings.node.clone(), incarnation.0);
         gateway.set_pool_limits(pooled_retries(&bounds));
+        gateway.set_cold_bound(bounds.cold_bound());
         Self {
             gateway: RefCell::new(gateway),
             crashes: RefCell::default(),
@@ -183,6 +188,7 @@
             store_reads: Cell::new(0),
             table_position: Cell::new(None),
             restore: RestoreState::default(),
+            evacuations: RefCell::default(),
             controller: RefCell::new(FleetController::new(ControllerTiming::default())),
             lease: RefCell::new(lease),
             handover: RefCell::default(),
@@ -252,6 +258,21 @@
             .record_pause(server, backend, until);
     }
 
+    /// Records that a response states a backend server to be cold for `left`.
+    pub fn record_cold(&self, backend: &VmId, server: ServerNumber, left: TimeSpan) {
+        let service = self
+            .table
+            .borrow()
+            .get(backend)
+            .map(|row| row.entry.service.clone());
+        let Some(service) = service.filter(|_| left > TimeSpan(0)) else {
+            return;
+        };
+        let mut gateway = self.gateway.borrow_mut();
+        let notice = gateway.record_cold_response(server, backend, &service, left, clock::now());
+        report_cold(notice.as_slice(), "response");
+    }
+
     /// Whether the lease holder reports that the store is unreachable, which this node has not noticed.
     pub fn is_store_in_doubt(&self) -> bool {
         let now = clock::now();
--- a/crates/entry/src/node_table.rs
+++ b/crates/entry/src/node_table.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
+use jaysaddle_adapter::backend::cold_time_error;
 use jaysaddle_adapter::backend::is_newer_entry;
 use jaysaddle_adapter::backend::parse_entry;
 use jaysaddle_adapter::orders::update_entry;
@@ -15,6 +16,7 @@
 use jaysaddle_types::units::Timestamp;
 use serde_json::Value;
 
+use crate::evacuation_sync::report_cold;
 use crate::node::EntryNode;
 
 /// Time since the previous read of the store from which there may have been an outage. The store is read every
@@ -192,6 +194,13 @@
         }
     }
 
+    /// Passes what entries state about cold backend servers to the gateway.
+    fn record_cold_servers(&self) {
+        let mut gateway = self.gateway.borrow_mut();
+        let notices = gateway.record_cold_entries(&self.table.borrow(), clock::now());
+        report_cold(&notices, "entry");
+    }
+
     /// Updates the gateway's targets from the table, and notifies peers of changed targets
     /// when this node holds the lease or is a relay.
     pub fn publish_table(&self) {
@@ -199,6 +208,7 @@
             .gateway
             .borrow_mut()
             .update_targets(&self.table.borrow());
+        self.record_cold_servers();
         let is_holder = self.lease.borrow().held_term(clock::now()).is_some();
         if has_changed && (is_holder || self.is_relay.get()) {
             self.heartbeat_now.notify_one();
@@ -207,6 +217,10 @@
 }
 
 fn decode_entry(name: &str, spec: &Value) -> Option<BackendEntry> {
+    if let Some(error) = cold_time_error(spec) {
+        log::warn!("event=cold_time_ignored entry={name:?} error=\"{error:#}\"");
+        metrics::counter!("jaysaddle_cold_times_ignored_total").increment(1);
+    }
     match parse_entry(name, spec) {
         Ok(entry) => Some(entry),
         Err(error) => {
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use compact_str::ToCompactString;
 use compact_str::format_compact;
 use jaysaddle_settings::yaml::SettingsError;
 use jaysaddle_settings::yaml::parse_yaml;
@@ -30,6 +31,10 @@
     pub needs_restart: Vec<&'static str>,
 }
 
+fn or_dash(value: Option<impl ToCompactString>) -> CompactString {
+    value.map_or("-".into(), |value| value.to_compact_string())
+}
+
 /// Compares new settings with those in force.
 pub fn compare_settings(old: &EntrySettings, new: &EntrySettings) -> SettingsChange {
     let mut change = SettingsChange::default();
@@ -40,12 +45,15 @@
     }
     if old.bounds != new.bounds {
         change.applied.push(format_compact!(
-            "bounds.stop_grace={} bounds.drain={} bounds.repeat_ratio={} bounds.repeat_slack={} bounds.directory_lifetime_secs={}",
+            "bounds.stop_grace={} bounds.drain={} bounds.repeat_ratio={} bounds.repeat_slack={} bounds.directory_lifetime_secs={} bounds.evacuation={} bounds.cold_ratio={} bounds.cold_slack={}",
             new.bounds.stop_grace,
             new.bounds.drain,
             new.bounds.repeat_ratio,
             new.bounds.repeat_slack,
-            new.bounds.directory_lifetime_secs
+            new.bounds.directory_lifetime_secs,
+            or_dash(new.bounds.evacuation),
+            or_dash(new.bounds.cold_ratio),
+            new.bounds.cold_slack
         ));
     }
     let restart_fields = [
@@ -134,6 +142,7 @@
         let mut gateway = node.gateway.borrow_mut();
         gateway.set_retry_limits(own.permille, own.burst);
         gateway.set_pool_limits(pooled_retries(&new.bounds));
+        gateway.set_cold_bound(new.bounds.cold_bound());
     }
     log::info!(
         "event=settings_changed applied=\"{}\" needs_restart=\"{}\"",
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -23,6 +23,7 @@
 use crate::control;
 use crate::copies;
 use crate::directory::InfoHandler;
+use crate::evacuation_sync;
 use crate::gauges;
 use crate::listener;
 use crate::listener::RequestHandler;
@@ -110,6 +111,7 @@
     spawn_local(store_sync::watch_config(node.clone()));
     spawn_local(store_sync::watch_backends(node.clone()));
     spawn_local(store_sync::sync_nodes(node.clone(), address_sender));
+    spawn_local(evacuation_sync::watch(node.clone()));
     spawn_local(content_control::sync_blocks(node.clone()));
     spawn_local(store_restore::watch_restores(node.clone()));
     spawn_local(beats::collect_addresses(
--- a/crates/entry/src/server_notices.rs
+++ b/crates/entry/src/server_notices.rs
@@ -22,6 +22,8 @@
     pub is_leaving: bool,
     /// Time for which the backend server wants nothing from this node; `None` if it has not asked for a pause.
     pub pause: Option<TimeSpan>,
+    /// Time for which the backend server stays cold; `None` if the response does not state it.
+    pub cold: Option<TimeSpan>,
 }
 
 /// Returns the decoded value of a header; `None` if it is missing, repeated or not as the platform specifies. The latter
@@ -56,6 +58,7 @@
             limit,
             is_leaving: false,
             pause: None,
+            cold: None,
         };
     }
     let leaving = single_value(
@@ -73,5 +76,6 @@
         limit,
         is_leaving: leaving.is_some(),
         pause,
+        cold: single_value(map, &headers::COLD_MS, backend, headers::parse_cold),
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
+use jaysaddle_gateway::cold_servers::ColdBound;
 use jaysaddle_types::ids::FailureDomainId;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::units::ByteCount;
@@ -41,6 +42,14 @@
     pub repeat_slack: u32,
     /// Maximum time for which callers may cache a directory response, in seconds.
     pub directory_lifetime_secs: u64,
+    /// Time within which the backend servers of an evacuated failure domain get no new requests. Evacuations are read from
+    /// the store only if it is set.
+    pub evacuation: Option<TimeSpan>,
+    /// Multiple of the rate that a service states for its cold backend servers, up to which one gets requests in a second,
+    /// over all nodes. Cold backend servers are served like others if it is not set.
+    pub cold_ratio: Option<f64>,
+    /// Number of requests that a cold backend server may get in a second in addition to the multiple.
+    pub cold_slack: u32,
 }
 
 impl Default for PlatformBounds {
@@ -51,10 +60,23 @@
             repeat_ratio: 0.2,
             repeat_slack: 100,
             directory_lifetime_secs: 2,
+            evacuation: None,
+            cold_ratio: None,
+            cold_slack: 0,
         }
     }
 }
 
+impl PlatformBounds {
+    /// Bound on the requests to cold backend servers; `None` if it is not set.
+    pub fn cold_bound(&self) -> Option<ColdBound> {
+        self.cold_ratio.map(|ratio| ColdBound {
+            ratio,
+            slack: f64::from(self.cold_slack),
+        })
+    }
+}
+
 /// Settings file of the entry VM daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 
 use crate::content_control::read_blocks;
+use crate::evacuation_sync::read_evacuations;
 use crate::exchange::ExchangeError;
 use crate::node::EntryNode;
 
@@ -30,7 +31,7 @@
 /// when it is slow.
 pub const CALL_TIMEOUT: TimeSpan = TimeSpan(900);
 /// Maximum duration of a configuration watch. A connection that has stopped responding is replaced after this time.
-const CONFIG_WATCH_TIME: TimeSpan = TimeSpan(2500);
+pub const CONFIG_WATCH_TIME: TimeSpan = TimeSpan(2500);
 /// Maximum duration of a watch of the backend entries, which change continuously.
 const BACKEND_WATCH_TIME: TimeSpan = TimeSpan(1000);
 /// The same at a relay. Nodes that follow it take over the age of its table, which includes the duration of the watch.
@@ -47,7 +48,7 @@
 /// The same at a relay, which reads for other nodes as well.
 const RELAY_READ_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which a node that follows a relay checks whether it has to read the store itself.
-const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum time between two checks of the store by a node that follows a relay.
 const STORE_CHECK_INTERVAL: TimeSpan = TimeSpan(1000);
 /// Delay between two reads of changed entries at other nodes while no lease holder is known.
@@ -125,7 +126,7 @@
 }
 
 /// Waits for changes after a position. Returns `None` when the store is restored meanwhile.
-async fn watch_changes(
+pub async fn watch_changes(
     node: &EntryNode,
     kind: ObjectKind,
     position: WatchPosition,
@@ -160,8 +161,11 @@
         let Some(position) = since else {
             match list_all(&node, ObjectKind::Config, false).await {
                 Some((objects, position)) => {
-                    // Decisions on content are known before the first request is accepted.
-                    if node.config_version() == 0 && !read_blocks(&node).await {
+                    // Decisions on content and evacuations are known before the first request is accepted.
+                    let is_first = node.config_version() == 0;
+                    let is_prepared =
+                        !is_first || read_blocks(&node).await && read_evacuations(&node).await;
+                    if !is_prepared {
                         sleep(retry_delay(&node)).await;
                         continue;
                     }
@@ -295,7 +299,7 @@
 
 /// Delay after a failed read of the store. The many nodes of a large deployment that are no relays do not have to be the
 /// first to notice that the store is back.
-fn retry_delay(node: &EntryNode) -> Duration {
+pub fn retry_delay(node: &EntryNode) -> Duration {
     let is_large = node.peers.borrow().known() > MAX_DIRECT_PEERS;
     if is_large && !node.is_relay.get() {
         STORE_CHECK_INTERVAL.as_duration()
--- a/crates/fleet/examples/measure.rs
+++ b/crates/fleet/examples/measure.rs
@@ -62,6 +62,8 @@
         services: vec![ServiceRule {
             id: ServiceId::new("engines"),
             max_connections: 100,
+            cold_rate: 0.0,
+            cold_time: TimeSpan(0),
             engine: Some(EngineProfile {
                 slots: SlotCount(14),
                 models: models.collect(),
@@ -111,6 +113,7 @@
             model: group.map(|group| ModelId::new(MODELS[group].0)),
             staged: Vec::new(),
             membership,
+            cold_left: TimeSpan(0),
         };
         table.put(entry, Timestamp(1));
     }
@@ -156,6 +159,7 @@
         digest: None,
         store_era: StoreEra(1),
         latest_term: LeaseEpoch(1),
+        evacuations: None,
     }
 }
 
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -31,10 +31,12 @@
 mod timing;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
 use jaysaddle_types::ids::FabricDomainId;
+use jaysaddle_types::ids::FailureDomainId;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ServiceId;
@@ -117,6 +119,8 @@
 struct ControlledVm {
     started: u64,
     address: Option<SocketAddr>,
+    /// `None` until its entry has been seen.
+    failure_domain: Option<FailureDomainId>,
     /// Number of orders that the VM has accepted, from its reports and responses; `None` while it is uncertain.
     order_count: Option<u64>,
     in_flight: Option<BackendOrder>,
@@ -171,6 +175,8 @@
     limited: BTreeMap<VmId, f64>,
     /// VMs that want nothing from this node, with the time until which they do.
     paused: BTreeMap<VmId, Timestamp>,
+    /// Failure domains whose VMs get nothing.
+    evacuated: BTreeSet<FailureDomainId>,
     effects: Vec<FleetEffect>,
 }
 
@@ -195,6 +201,7 @@
             is_store_unreachable: false,
             limited: BTreeMap::new(),
             paused: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             effects: Vec::new(),
         }
     }
@@ -219,6 +226,7 @@
             FleetEvent::LeaderStalled { id } => self.handle_stalled_leader(&id, now),
             FleetEvent::Limited(leaders) => self.limited = leaders.into_iter().collect(),
             FleetEvent::Paused(vms) => self.paused = vms.into_iter().collect(),
+            FleetEvent::Evacuated(domains) => self.evacuated = domains,
             FleetEvent::StoreUnreachable(value) => self.is_store_unreachable = value,
             FleetEvent::Traffic(traffic) => {
                 self.estimate_initial_demand(view);
@@ -318,9 +326,21 @@
         }
     }
 
-    /// Whether a VM wants nothing from this node for now.
+    /// Whether a VM must get nothing from this node for now: it has asked for a pause, or its failure domain is evacuated.
     fn is_paused(&self, id: &VmId, now: Timestamp) -> bool {
-        self.paused.get(id).is_some_and(|until| now < *until)
+        self.is_evacuated(id) || self.paused.get(id).is_some_and(|until| now < *until)
+    }
+
+    /// Whether the failure domain of a VM is evacuated.
+    fn is_evacuated(&self, id: &VmId) -> bool {
+        let vm = self.vms.get(id);
+        let domain = vm.and_then(|vm| vm.failure_domain.as_ref());
+        domain.is_some_and(|domain| self.evacuated.contains(domain))
+    }
+
+    /// Whether the VMs of a group get nothing, because their failure domain is evacuated.
+    fn is_group_evacuated(&self, group: &ControlledGroup) -> bool {
+        self.is_evacuated(group.leader())
     }
 
     fn group_of(&self, id: &VmId) -> Option<&GroupKey> {
--- a/crates/fleet/src/controller/adoption.rs
+++ b/crates/fleet/src/controller/adoption.rs
@@ -30,6 +30,9 @@
                 };
             }
             vm.address = Some(entry.address);
+            if vm.failure_domain.as_ref() != Some(&entry.failure_domain) {
+                vm.failure_domain = Some(entry.failure_domain.clone());
+            }
         }
         let groups = &self.groups;
         self.vms
--- a/crates/fleet/src/controller/exchange.rs
+++ b/crates/fleet/src/controller/exchange.rs
@@ -37,7 +37,7 @@
         let mut donors: BTreeMap<FabricDomainId, Vec<DonorGroup>> = BTreeMap::new();
         let mut closing_members: BTreeMap<FabricDomainId, Vec<FreeVm>> = BTreeMap::new();
         for (key, group) in self.groups.iter() {
-            if group.service != service.id {
+            if group.service != service.id || self.is_group_evacuated(group) {
                 continue;
             }
             let members: Vec<FreeVm> = group
--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -73,6 +73,7 @@
                     group.service == *service
                         && group.model == model.id
                         && group.counts_as_capacity()
+                        && !self.is_group_evacuated(group)
                         && counts(group)
                 });
                 // A reservation counts as a group, since one will be formed from its VMs.
@@ -209,6 +210,7 @@
         is_ending
             && is_reachable
             && !entry.is_draining
+            && !self.evacuated.contains(&entry.failure_domain)
             && to_free_vm(row).is_some_and(|vm| vm.domain == *domain && vm.has_weights(model))
     }
 
--- a/crates/fleet/src/controller/idle.rs
+++ b/crates/fleet/src/controller/idle.rs
@@ -23,6 +23,8 @@
     Leaving,
     /// The VM's entry names no fabric domain.
     NoFabricDomain,
+    /// The failure domain of the VM is evacuated.
+    Evacuated,
     /// The last probe of the VM has failed.
     Unreachable,
     /// An order to the VM is in flight.
@@ -48,6 +50,7 @@
         f.pad(match self {
             IdleReason::Leaving => "leaving",
             IdleReason::NoFabricDomain => "no_fabric_domain",
+            IdleReason::Evacuated => "evacuated",
             IdleReason::Unreachable => "unreachable",
             IdleReason::OrderPending => "order_pending",
             IdleReason::Joining => "joining",
@@ -73,6 +76,9 @@
         if entry.is_draining {
             return Some(IdleReason::Leaving);
         }
+        if self.evacuated.contains(&entry.failure_domain) {
+            return Some(IdleReason::Evacuated);
+        }
         if entry.fabric_domain.is_none() {
             return Some(IdleReason::NoFabricDomain);
         }
--- a/crates/fleet/src/controller/messages.rs
+++ b/crates/fleet/src/controller/messages.rs
@@ -1,8 +1,10 @@
 //! Input and output types of the controller.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
+use jaysaddle_types::ids::FailureDomainId;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::VmId;
@@ -88,6 +90,8 @@
     Limited(Vec<(VmId, f64)>),
     /// VMs that want nothing from this node for now, with the time until which they do. Replaces the previous ones.
     Paused(Vec<(VmId, Timestamp)>),
+    /// Evacuated failure domains, whose VMs get nothing. Replaces the previous ones.
+    Evacuated(BTreeSet<FailureDomainId>),
 }
 
 /// Output of [`FleetController::step`](crate::controller::FleetController::step), to be carried out by the caller.
--- a/crates/fleet/src/controller/probes.rs
+++ b/crates/fleet/src/controller/probes.rs
@@ -111,7 +111,9 @@
             let Some(address) = vm.address else {
                 continue;
             };
-            let is_paused = self.paused.get(id).is_some_and(|until| now < *until);
+            let domain = vm.failure_domain.as_ref();
+            let is_paused = self.paused.get(id).is_some_and(|until| now < *until)
+                || domain.is_some_and(|domain| self.evacuated.contains(domain));
             let is_due = vm.next_probe.is_some_and(|time| now >= time) && !is_paused;
             if is_due && !vm.probe_in_flight {
                 vm.probe_in_flight = true;
--- a/crates/fleet/src/controller/staging.rs
+++ b/crates/fleet/src/controller/staging.rs
@@ -187,6 +187,9 @@
         let Some(row) = view.table.get(&vm.id) else {
             return false;
         };
+        if self.evacuated.contains(&row.entry.failure_domain) {
+            return false;
+        }
         let is_loaded = row.entry.membership.as_ref().is_none_or(|membership| {
             matches!(
                 membership.phase,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod crash_report;
 pub mod demand;
 pub mod digest;
+pub mod evacuation;
 pub mod groups;
 pub mod heartbeat_round;
 pub mod lease;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::digest::DigestBuilder;
 use crate::digest::NodeNumber;
 use crate::digest::PeerDigest;
+use crate::evacuation::EvacuationSet;
 use crate::lease::LeaseClaim;
 use crate::lease::LeaseHandover;
 use crate::leaving::LeavingServer;
@@ -139,6 +140,8 @@
     pub store_era: StoreEra,
     /// Highest term of the lease that the node has seen.
     pub latest_term: LeaseEpoch,
+    /// Evacuated failure domains, as the node knows them; `None` if it knows of none.
+    pub evacuations: Option<EvacuationSet>,
 }
 
 /// Last heartbeat of a peer.
@@ -410,6 +413,13 @@
         peers.filter(stays).count() + 1
     }
 
+    /// The known peers among which limits for all nodes together are divided; see [`Self::sharing_nodes`].
+    pub fn sharing(&self) -> impl Iterator<Item = &NodeId> {
+        let peers = self.peers.values();
+        let sharing = peers.filter(|record| record.heartbeat.phase != PeerPhase::Stopping);
+        sharing.map(|record| &record.heartbeat.node)
+    }
+
     /// Mean age of the heartbeats from which the loads of the live peers are taken; zero without any.
     pub fn mean_age(&self, now: Timestamp) -> TimeSpan {
         if let Some(digest) = &self.digest {
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -70,6 +70,8 @@
         services: vec![ServiceRule {
             id: ServiceId::new("engines"),
             max_connections: 100,
+            cold_rate: 0.0,
+            cold_time: TimeSpan(0),
             engine: Some(EngineProfile {
                 slots: SlotCount(16),
                 models: vec![profile(LARGE, 4), profile(SMALL, 2)],
@@ -98,6 +100,7 @@
         model: None,
         staged: Vec::new(),
         membership: None,
+        cold_left: TimeSpan(0),
     }
 }
 
@@ -197,7 +200,15 @@
     }
 
     pub fn add_vm(&mut self, id: &str, domain: &str) {
-        let entry = entry(id, domain);
+        self.add_vm_in(id, domain, "a");
+    }
+
+    /// Adds a VM in a failure domain other than the usual one.
+    pub fn add_vm_in(&mut self, id: &str, domain: &str, failure_domain: &str) {
+        let entry = BackendEntry {
+            failure_domain: FailureDomainId::new(failure_domain),
+            ..entry(id, domain)
+        };
         self.table.put(entry.clone(), self.now);
         let fake = FakeVm {
             entry,
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod config_changes;
 mod controller;
 mod demand;
+mod evacuation;
 mod fake;
 mod groups;
 mod lease;
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -51,6 +51,7 @@
         digest: None,
         store_era: StoreEra(1),
         latest_term: LeaseEpoch(1),
+        evacuations: None,
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Target selection and admission for each request, and the retry budget.
 
+mod cold_shares;
 mod request_limits;
 mod retries;
 mod selection;
@@ -15,6 +16,7 @@
 use jaysaddle_admission::RetryBudget;
 use jaysaddle_fleet::peers::PeerLoad;
 use jaysaddle_fleet::table::BackendTable;
+use jaysaddle_types::ids::FailureDomainId;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ServiceId;
@@ -27,6 +29,8 @@
 use crate::choice::RequestWork;
 use crate::choice::TargetOutcome;
 use crate::choice::TargetRefusal;
+use crate::cold_servers::ColdBound;
+use crate::cold_servers::ColdServers;
 use crate::limit_shares::LimitShares;
 use crate::node_ranks::NodeRanks;
 use crate::random::XorshiftRng;
@@ -42,6 +46,8 @@
 use crate::target::current_targets;
 use crate::target::update_average;
 
+pub use crate::gateway::cold_shares::ColdNotice;
+
 /// A request in flight, as counted in the health of its target.
 #[derive(Debug)]
 pub struct AttemptRecord {
@@ -90,6 +96,15 @@
     closed: HashSet<TargetNumber>,
     limits: ServerLimits,
     pauses: ServerPauses,
+    /// Bound on the requests to cold backend servers; `None` without one.
+    cold_bound: Option<ColdBound>,
+    cold: ColdServers,
+    /// Number of requests and calls that were sent to cold backend servers.
+    cold_sends: u64,
+    /// Order of all known nodes, heard or not, for the shares of requests to cold backend servers.
+    cold_ranks: NodeRanks,
+    /// Failure domains whose backend servers get nothing.
+    evacuated: BTreeSet<FailureDomainId>,
     shares: LimitShares,
     ranks: NodeRanks,
     /// Backend servers that accept too few connections for all nodes, and leave none to this one.
@@ -121,6 +136,11 @@
             closed: HashSet::new(),
             limits: ServerLimits::default(),
             pauses: ServerPauses::default(),
+            cold_bound: None,
+            cold: ColdServers::default(),
+            cold_sends: 0,
+            cold_ranks: NodeRanks::new(node.clone()),
+            evacuated: BTreeSet::new(),
             shares: LimitShares::default(),
             ranks: NodeRanks::new(node),
             unconnected: HashSet::new(),
--- a/crates/gateway/src/gateway/request_limits.rs
+++ b/crates/gateway/src/gateway/request_limits.rs
@@ -9,6 +9,7 @@
 
 use super::RequestGateway;
 use crate::choice::LimitInputs;
+use crate::cold_servers::ColdAdmission;
 use crate::limit_shares::LimitAdmission;
 use crate::server_limits::LimitChange;
 use crate::target::RequestTarget;
@@ -29,6 +30,9 @@
         if let Some(wait) = self.pauses.remaining(server, now) {
             return LimitAdmission::Held { wait };
         }
+        if let ColdAdmission::Held { wait } = self.cold.admission(server, now) {
+            return LimitAdmission::Held { wait };
+        }
         let in_force = self
             .limits
             .get(server)
@@ -91,6 +95,7 @@
 
     /// Records that a request or a call of the controller is sent to a backend server.
     pub fn record_send(&mut self, server: ServerNumber, now: Timestamp) {
+        self.cold_sends += u64::from(self.cold.record_send(server, now));
         self.limits.record_send(server, now);
         self.shares.record_send(server, now);
     }
--- a/crates/gateway/src/gateway/selection.rs
+++ b/crates/gateway/src/gateway/selection.rs
@@ -83,7 +83,9 @@
         let model = query.model.filter(|_| has_models);
         let class = (query.service.clone(), model.cloned());
         let targets = self.targets.get(&class).map_or(&[][..], Vec::as_slice);
-        if targets.is_empty() {
+        let is_evacuated =
+            |target: &Rc<RequestTarget>| self.evacuated.contains(&target.failure_domain);
+        if targets.iter().all(is_evacuated) {
             return Err(TargetRefusal::NoTarget);
         }
         let (usable, held) = self.usable_targets(targets, query, peers, now);
@@ -127,6 +129,9 @@
     ) -> (Vec<UsableTarget<'a>>, Vec<TimeSpan>) {
         let (mut usable, mut held) = (Vec::new(), Vec::new());
         for target in targets {
+            if self.evacuated.contains(&target.failure_domain) {
+                continue;
+            }
             if self.is_excluded(target, query, peers) {
                 continue;
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod awake_clock;
 pub mod choice;
+pub mod cold_servers;
 pub mod content;
 pub mod content_blocks;
 pub mod content_weighing;
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -144,6 +144,11 @@
         sent.push_back(now);
     }
 
+    /// When this node has last sent a request to a backend server; `None` if it has not lately.
+    pub fn last_sent(&self, server: ServerNumber) -> Option<Timestamp> {
+        self.sent.get(&server)?.back().copied()
+    }
+
     /// Number of this node's requests to a backend server in the last [`LIMIT_WINDOW`].
     pub fn sent_to(&self, server: ServerNumber, now: Timestamp) -> u32 {
         let Some(sent) = self.sent.get(&server) else {
--- a/crates/gateway/tests/all/fixture.rs
+++ b/crates/gateway/tests/all/fixture.rs
@@ -82,6 +82,8 @@
             ServiceRule {
                 id: ServiceId::new(ENGINE_SERVICE),
                 max_connections: 100,
+                cold_rate: 14.0,
+                cold_time: TimeSpan::from_secs(3),
                 engine: Some(EngineProfile {
                     slots: SlotCount(SLOTS),
                     models: vec![ModelProfile {
@@ -103,6 +105,8 @@
             ServiceRule {
                 id: ServiceId::new(PLAIN_SERVICE),
                 max_connections: 100,
+                cold_rate: 0.0,
+                cold_time: TimeSpan(0),
                 engine: None,
             },
         ],
@@ -128,6 +132,7 @@
         model: None,
         staged: Vec::new(),
         membership: None,
+        cold_left: TimeSpan(0),
     }
 }
 
@@ -185,6 +190,7 @@
         digest: None,
         store_era: StoreEra(1),
         latest_term: LeaseEpoch(1),
+        evacuations: None,
     }
 }
 
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the gateway crate.
 
 mod choice;
+mod cold_servers;
 mod crash_guard;
 mod crash_simulation;
 mod delayed_loads;
--- a/crates/types/src/serving.rs
+++ b/crates/types/src/serving.rs
@@ -88,6 +88,9 @@
     pub staged: Vec<ModelId>,
     /// Current group; absent when it belongs to none.
     pub membership: Option<GroupMembership>,
+    /// Time from the write of the entry for which the backend server stays cold, so that it bears only few requests; zero
+    /// when it is warm or does not state it.
+    pub cold_left: TimeSpan,
 }
 
 /// Retry semantics of a route's requests.
@@ -202,6 +205,10 @@
     pub id: ServiceId,
     /// Maximum number of connections that one backend server accepts from all nodes together.
     pub max_connections: u32,
+    /// Requests a second that a cold backend server bears from all nodes together; 0 if there is no limit.
+    pub cold_rate: f64,
+    /// Time for which a backend server is cold after its start.
+    pub cold_time: TimeSpan,
     /// Properties of the engines; set only for services of model engines.
     pub engine: Option<EngineProfile>,
 }
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -102,6 +102,23 @@
     /// Decisions on such content.
     #[prost(message, repeated, tag = "31")]
     pub content_blocks: Vec<ContentBlockMessage>,
+    /// Evacuated failure domains; unset if the node knows of none.
+    #[prost(message, optional, tag = "32")]
+    pub evacuations: Option<EvacuationMessage>,
+}
+
+/// Evacuated failure domains as of a revision of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct EvacuationMessage {
+    /// Era of the store in which they were read.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Revision of the store as of which the list is complete.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Names of the failure domains.
+    #[prost(string, repeated, tag = "3")]
+    pub domains: Vec<String>,
 }
 
 /// Observation of a request with a piece of content at a process of a backend server.
@@ -394,4 +411,7 @@
     /// 0 unknown, 1 joining, 2 ready, 3 open, 4 closing, 5 broken.
     #[prost(uint32, tag = "15")]
     pub phase: u32,
+    /// Time from the write of the entry for which it stays cold, in milliseconds.
+    #[prost(uint64, tag = "16")]
+    pub cold_left_ms: u64,
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod cut_world;
 mod deployment;
 mod endless_bytes;
+mod evacuations;
 mod faults;
 mod faulty_answers;
 mod graceful_stop;
--- a/tests/all/platform_nodes.rs
+++ b/tests/all/platform_nodes.rs
@@ -49,6 +49,8 @@
     pub plain_servers: u16,
     /// Whether the nodes' connections to backend servers can be cut.
     pub has_cuts: bool,
+    /// Number of engines, from the first on, that are in the failure domain `b` instead of `a`.
+    pub engines_in_b: usize,
     /// Further settings of the nodes.
     pub further: Value,
 }
@@ -60,6 +62,7 @@
             engines: 8,
             plain_servers: PLAIN_BACKEND_COUNT,
             has_cuts: false,
+            engines_in_b: 0,
             further: json!({}),
         }
     }
@@ -108,6 +111,7 @@
             engines,
             plain_servers,
             has_cuts,
+            engines_in_b,
             further,
         } = setup;
         let number = NODE_SETS.fetch_add(1, Ordering::Relaxed);
@@ -121,6 +125,9 @@
         let mut config = stream_config(1, &addresses, KEY);
         add_plain_routes(&mut config, &addresses);
         let standin = PlatformStandin::start(ip(200), &config, engines, plain_servers);
+        for id in standin.engines().iter().take(engines_in_b) {
+            standin.place(id, "b");
+        }
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("nodes-{process}-{number}"));
         fs::create_dir_all(&folder).expect("the directory can be created");
