Admit by the predicted first event, and turn the lowest ranks away first

Cause: a target was full or not by the number of requests, for all ranks alike and in the order of arrival. Groups that had just opened looked empty to all nodes at once and got a hundred prompts; an account's priority replaced that of the route.

Change: heartbeats carry the unread prompt tokens of each target; a node predicts the first event from the engine's figures and fills targets up to what they can begin in time, those in its failure domain first. When more requests arrive, higher ranks (account, then route) take the room first, the rest is admitted with the same probability at all nodes, and Retry-After is longer the fewer are. Off unless the settings ask for it.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -51,14 +51,17 @@
         request: &CallerRequest,
         target: Rc<RequestTarget>,
         is_late: bool,
+        predicted_ms: Option<u32>,
     ) -> Self {
         let now = clock::now();
         let content = request.content.clone();
         let run = node.crashes.borrow_mut().begin_run(target.server, content);
-        let record = node
-            .gateway
-            .borrow_mut()
-            .record_start(&target, is_late, now);
+        let mut gateway = node.gateway.borrow_mut();
+        let mut record = gateway.record_start(&target, is_late, now);
+        if let (Some(predicted_ms), Some(size)) = (predicted_ms, request.size()) {
+            gateway.record_prompt(&mut record, size.prompt_tokens, predicted_ms);
+        }
+        drop(gateway);
         Self {
             node: node.clone(),
             target,
@@ -198,6 +201,8 @@
     /// Whether the request is expected to miss its latency target, so that requests that can still
     /// meet theirs go first.
     pub is_late: bool,
+    /// Predicted time to the first event, in milliseconds; `None` without a prediction.
+    pub predicted_ms: Option<u32>,
     /// Number of the last event that the caller has received; the stream continues after it.
     pub last_event: Option<u64>,
 }
@@ -212,10 +217,11 @@
     let SendOptions {
         target,
         is_late,
+        predicted_ms,
         last_event,
     } = options;
     sends.begin_run();
-    let mut guard = AttemptGuard::new(node, request, target.clone(), is_late);
+    let mut guard = AttemptGuard::new(node, request, target.clone(), is_late, predicted_ms);
     let key = BackendKey {
         id: target.backend.clone(),
         started: target.started,
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -21,11 +21,14 @@
 use http_body_util::Limited;
 use jaysaddle_adapter::headers;
 use jaysaddle_daemon::clock;
+use jaysaddle_gateway::choice::QueryWork;
 use jaysaddle_gateway::choice::RequestSize;
+use jaysaddle_gateway::choice::TargetQuery;
 use jaysaddle_gateway::content::RequestContent;
 use jaysaddle_gateway::content::request_name;
 use jaysaddle_gateway::routes::RouteMatch;
 use jaysaddle_gateway::target::RequestTarget;
+use jaysaddle_gateway::target::TargetNumber;
 use jaysaddle_gateway::unserved::RequestFingerprint;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::serving::ClientLimits;
@@ -260,6 +263,27 @@
         })
     }
 
+    /// Query for a target that has not received the request yet.
+    pub fn target_query<'a>(
+        &'a self,
+        tried: &'a [TargetNumber],
+        has_started: bool,
+    ) -> TargetQuery<'a> {
+        TargetQuery {
+            service: &self.route.service,
+            model: self.model.as_ref(),
+            latency_target: self.route.rule.latency_target,
+            tried,
+            has_started,
+            is_caller_retry: self.is_caller_retry,
+            work: self.size().map(|size| QueryWork {
+                rank: self.route.rank,
+                account: self.route.account.as_ref(),
+                prompt_tokens: size.prompt_tokens,
+            }),
+        }
+    }
+
     /// Time until which the caller waits, as it has stated; `None` if it has stated none.
     pub fn caller_deadline(&self) -> Option<Timestamp> {
         Some(self.received + self.stated_time?)
@@ -311,7 +335,12 @@
         }
         if target.model.is_some() {
             let offset = if is_late { LATE_PRIORITY_OFFSET } else { 0 };
-            let priority = (self.route.priority + offset).min(MAX_PRIORITY_VALUE);
+            let priority = if self.node.settings.admission.is_paced {
+                self.route.rank.engine_priority()
+            } else {
+                self.route.priority
+            };
+            let priority = (priority + offset).min(MAX_PRIORITY_VALUE);
             map.insert(headers::ENGINE_PRIORITY, number_value(u64::from(priority))?);
         }
         if let Some(last_event) = last_event {
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -48,6 +48,10 @@
             "jaysaddle_limit_diversions_total",
             "Requests that were sent elsewhere because a request limit was used up",
         ),
+        (
+            "jaysaddle_cold_sends_total",
+            "Requests and calls sent to cold backend servers",
+        ),
         (
             "jaysaddle_evacuation_changes_total",
             "Changes of the evacuated failure domains",
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -107,10 +107,19 @@
         crash_facts: heartbeat.crash_facts.iter().map(encode_fact).collect(),
         content_blocks: heartbeat.content_blocks.iter().map(encode_block).collect(),
         evacuations: heartbeat.evacuations.as_ref().map(encode_evacuations),
+        unread_tokens: unread_tokens(&heartbeat.loads),
     };
     message.encode_to_vec()
 }
 
+/// Unread prompt tokens by load; empty if there are none, as at nodes that do not count them.
+fn unread_tokens(loads: &[PeerLoad]) -> Vec<u32> {
+    if loads.iter().all(|load| load.unread == 0) {
+        return Vec::new();
+    }
+    loads.iter().map(|load| load.unread).collect()
+}
+
 fn fingerprints(unserved: &[PeerUnserved]) -> Vec<u32> {
     unserved.iter().map(|attempt| attempt.fingerprint).collect()
 }
@@ -238,6 +247,7 @@
             load_targets: digest.loads.iter().map(|load| load.target).collect(),
             load_counts: digest.loads.iter().map(|load| load.requests).collect(),
             late_counts: digest.loads.iter().map(|load| load.late).collect(),
+            unread_tokens: unread_tokens(&digest.loads),
             unserved_fingerprints: fingerprints(&digest.unserved),
             unserved_times_left_ms: times_left(&digest.unserved),
             sent_servers: digest.sent.iter().map(|sent| sent.server).collect(),
@@ -272,6 +282,7 @@
             message.load_targets,
             message.load_counts,
             message.late_counts,
+            message.unread_tokens,
         ),
         stalled_targets: message.stalled_targets,
         closed_targets: message.closed_targets,
@@ -286,13 +297,21 @@
     }
 }
 
-fn decode_loads(targets: Vec<u32>, counts: Vec<u32>, late_counts: Vec<u32>) -> Vec<PeerLoad> {
+fn decode_loads(
+    targets: Vec<u32>,
+    counts: Vec<u32>,
+    late_counts: Vec<u32>,
+    unread_tokens: Vec<u32>,
+) -> Vec<PeerLoad> {
     let loads = targets.into_iter().zip(counts).zip(late_counts);
+    let unread_tokens = unread_tokens.into_iter().chain(std::iter::repeat(0));
     loads
-        .map(|((target, requests), late)| PeerLoad {
+        .zip(unread_tokens)
+        .map(|(((target, requests), late), unread)| PeerLoad {
             target,
             requests,
             late,
+            unread,
         })
         .collect()
 }
@@ -354,6 +373,7 @@
             message.load_targets,
             message.load_counts,
             message.late_counts,
+            message.unread_tokens,
         ),
         stalled_targets: message.stalled_targets,
         work,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -26,6 +26,7 @@
 use jaysaddle_gateway::retry_pool::PoolLimits;
 use jaysaddle_gateway::service_times::ServiceTimes;
 use jaysaddle_gateway::settings::GatewaySettings;
+use jaysaddle_gateway::settings::PacingSettings;
 use jaysaddle_gateway::target::ServerNumber;
 use jaysaddle_gateway::unserved::UnservedRequests;
 use jaysaddle_types::ids::Incarnation;
@@ -153,6 +154,7 @@
         let gateway_settings = GatewaySettings {
             retry_permille: own_retries.permille,
             retry_burst: own_retries.burst,
+            pacing: settings.admission.is_paced.then(PacingSettings::default),
             ..GatewaySettings::default()
         };
         let incarnation = clock::new_incarnation();
@@ -169,6 +171,9 @@
             RequestGateway::new(gateway_settings, settings.node.clone(), incarnation.0);
         gateway.set_pool_limits(pooled_retries(&bounds));
         gateway.set_cold_bound(bounds.cold_bound());
+        if settings.admission.prefers_near {
+            gateway.set_near_domain(Some(settings.failure_domain.clone()));
+        }
         Self {
             gateway: RefCell::new(gateway),
             crashes: RefCell::default(),
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -65,6 +65,7 @@
         ("store", old.store != new.store),
         ("memory", old.memory != new.memory),
         ("processor", old.processor != new.processor),
+        ("admission", old.admission != new.admission),
     ];
     change.needs_restart.extend(
         restart_fields
--- a/crates/entry/src/request_report.rs
+++ b/crates/entry/src/request_report.rs
@@ -384,6 +384,13 @@
         if fields.inputs.held > 0 {
             write!(f, " held={}", fields.inputs.held)?;
         }
+        if let Some(paced) = &fields.inputs.paced {
+            write!(
+                f,
+                " predicted_ms={} share_permille={} room={} near={}",
+                paced.predicted_ms, paced.share_permille, paced.room, paced.is_near
+            )?;
+        }
         if let Some(inputs) = &fields.inputs.limit {
             write!(
                 f,
--- a/crates/entry/src/send_race.rs
+++ b/crates/entry/src/send_race.rs
@@ -13,7 +13,6 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_gateway::choice::TargetChoice;
 use jaysaddle_gateway::choice::TargetOutcome;
-use jaysaddle_gateway::choice::TargetQuery;
 use jaysaddle_gateway::choice::TargetRefusal;
 use jaysaddle_gateway::silence::DataWait;
 use jaysaddle_gateway::silence::SilenceMeter;
@@ -190,19 +189,15 @@
             return fail(StatusCode::BAD_GATEWAY, "no_more_sends");
         }
         let tried = self.sends.tried();
-        let query = TargetQuery {
-            service: &request.route.service,
-            model: request.model.as_ref(),
-            latency_target: request.route.rule.latency_target,
-            tried: &tried,
-            has_started: may_have_run,
-            is_caller_retry: request.is_caller_retry,
-        };
+        let query = request.target_query(&tried, may_have_run);
         let chosen = node
             .gateway
             .borrow_mut()
             .choose(&query, &node.peers.borrow(), clock::now());
-        let choice = chosen.map_err(|refusal| refusal_failure(may_have_run, refusal, node))?;
+        let choice = chosen.map_err(|refusal| {
+            report_shed(request, refusal);
+            refusal_failure(may_have_run, refusal, node)
+        })?;
         let is_retry = !tried.is_empty();
         if is_retry && !std::mem::take(&mut self.is_granted) && !try_take_retry(node, request) {
             return fail(StatusCode::BAD_GATEWAY, "no_repeat_budget");
@@ -237,6 +232,7 @@
         let options = SendOptions {
             target: target.clone(),
             is_late: choice.is_late,
+            predicted_ms: choice.inputs.paced.map(|inputs| inputs.predicted_ms),
             last_event: self.last_event,
         };
         self.pending.push(Box::pin(async move {
@@ -426,6 +422,20 @@
     is_granted
 }
 
+/// Logs and counts a request that is turned away because too many arrive.
+fn report_shed(request: &CallerRequest, refusal: TargetRefusal) {
+    let TargetRefusal::Crowded { share_permille } = refusal else {
+        return;
+    };
+    let rank = request.route.rank;
+    log::info!(
+        "event=request_shed request={} rank={rank} share_permille={share_permille} caller_retry={}",
+        request.id,
+        request.is_caller_retry
+    );
+    metrics::counter!("jaysaddle_requests_shed_total", "rank" => rank.to_string()).increment(1);
+}
+
 fn terminal_failure(
     may_have_run: bool,
     status: StatusCode,
@@ -443,7 +453,11 @@
 fn refusal_failure(may_have_run: bool, refusal: TargetRefusal, node: &EntryNode) -> RequestFailure {
     let reason = format_compact!("{refusal}");
     let status = StatusCode::BAD_GATEWAY;
-    if may_have_run || !matches!(refusal, TargetRefusal::Limited { .. }) {
+    let states_wait = matches!(
+        refusal,
+        TargetRefusal::Limited { .. } | TargetRefusal::Crowded { .. }
+    );
+    if may_have_run || !states_wait {
         return terminal_failure(may_have_run, status, &reason, node);
     }
     let retry_after = node.gateway.borrow_mut().retry_after(refusal);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -67,6 +67,17 @@
     }
 }
 
+/// Which requests are admitted and where they go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdmissionChoices {
+    /// Whether requests for models are admitted by the predicted time to their first event, and turned away by rank when
+    /// more arrive than can be begun in time. Otherwise the number of requests in flight decides.
+    pub is_paced: bool,
+    /// Whether targets in the node's failure domain go first while they have room. Takes effect together with `is_paced`.
+    pub prefers_near: bool,
+}
+
 impl PlatformBounds {
     /// Bound on the requests to cold backend servers; `None` if it is not set.
     pub fn cold_bound(&self) -> Option<ColdBound> {
@@ -105,6 +116,9 @@
     /// Platform limits; each field has a default.
     #[serde(default)]
     pub bounds: PlatformBounds,
+    /// Admission and selection; changes take effect after a restart.
+    #[serde(default)]
+    pub admission: AdmissionChoices,
     /// Minimum level of log lines: error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: CompactString,
--- a/crates/fleet/examples/measure.rs
+++ b/crates/fleet/examples/measure.rs
@@ -73,6 +73,9 @@
                 prompt_token_ms: 0.02,
                 output_token_ms: 0.5,
                 typical_output_tokens: 150,
+                step_ms: 0.0,
+                sequence_ms: 0.0,
+                steps_per_event: 1,
             }),
         }],
         ..ServingConfig::default()
@@ -138,6 +141,7 @@
                 target: load * 17 + node as u32 % 17,
                 requests: 1,
                 late: 0,
+                unread: 0,
             })
             .collect(),
         stalled_targets: Vec::new(),
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -89,10 +89,12 @@
             let own = own_loads.iter().find(|load| load.target == *target);
             let requests = total.requests - own.map_or(0, |load| load.requests.min(total.requests));
             let late = total.late - own.map_or(0, |load| load.late.min(total.late));
+            let unread = total.unread - own.map_or(0, |load| load.unread.min(total.unread));
             (requests > 0).then_some(PeerLoad {
                 target: *target,
                 requests,
                 late,
+                unread,
             })
         });
         let sent = self.sent.iter().filter_map(|(server, total)| {
--- a/crates/fleet/src/peer_totals.rs
+++ b/crates/fleet/src/peer_totals.rs
@@ -21,6 +21,8 @@
     pub requests: u32,
     /// Number of requests among them that are expected to miss their latency target.
     pub late: u32,
+    /// Prompt tokens of the requests whose response has not begun.
+    pub unread: u32,
 }
 
 /// Totals over the heartbeats of peers.
@@ -98,6 +100,7 @@
             if let Some(total) = self.loads.get_mut(&load.target) {
                 total.requests = total.requests.saturating_sub(load.requests);
                 total.late = total.late.saturating_sub(load.late);
+                total.unread = total.unread.saturating_sub(load.unread);
                 if *total == TargetTotal::default() {
                     self.loads.remove(&load.target);
                 }
@@ -117,6 +120,7 @@
             let total = TargetTotal {
                 requests: load.requests,
                 late: load.late,
+                unread: load.unread,
             };
             (load.target, total)
         });
@@ -158,6 +162,7 @@
         let total = self.loads.entry(load.target).or_default();
         total.requests += load.requests;
         total.late += load.late;
+        total.unread = total.unread.saturating_add(load.unread);
     }
 
     /// Requests in flight, by target.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -55,6 +55,8 @@
     pub requests: u32,
     /// Number of requests in flight that are expected to miss their latency target. They queue behind the others.
     pub late: u32,
+    /// Prompt tokens of the requests whose response has not begun.
+    pub unread: u32,
 }
 
 /// Attempt of a caller that a node did not serve. The caller may send the request again, to any node.
@@ -325,6 +327,11 @@
         self.widest_totals().load_of(target).late
     }
 
+    /// Prompt tokens of requests of live peers at a target whose response has not begun.
+    pub fn unread_of(&self, target: u32) -> u32 {
+        self.widest_totals().load_of(target).unread
+    }
+
     /// Whether a live peer reports a target as stalled.
     pub fn is_stalled(&self, target: u32) -> bool {
         self.totals.is_stalled(target) || self.widest_totals().is_stalled(target)
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -81,6 +81,9 @@
                 prompt_token_ms: 0.02,
                 output_token_ms: 0.5,
                 typical_output_tokens: 150,
+                step_ms: 0.0,
+                sequence_ms: 0.0,
+                steps_per_event: 1,
             }),
         }],
         ..ServingConfig::default()
--- a/crates/fleet/tests/all/peers.rs
+++ b/crates/fleet/tests/all/peers.rs
@@ -33,6 +33,7 @@
                 target: *target,
                 requests: *requests,
                 late: 0,
+                unread: 0,
             })
             .collect(),
         stalled_targets: vec![7],
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -3,11 +3,13 @@
 use std::fmt;
 use std::rc::Rc;
 
+use jaysaddle_types::ids::AccountId;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::ids::ServiceId;
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
 
+use crate::request_rank::RequestRank;
 use crate::server_limits::LimitSource;
 use crate::target::RequestTarget;
 use crate::target::TargetNumber;
@@ -50,6 +52,19 @@
     /// Whether the caller retries after an earlier refusal. Such a request is late: it must not delay requests that
     /// can still meet their latency target.
     pub is_caller_retry: bool,
+    /// What the request needs; `None` if that is not known. Without it, the selection goes by the number of requests.
+    pub work: Option<QueryWork<'a>>,
+}
+
+/// Rank and work of a request, for the selection by the predicted time to the first event.
+#[derive(Clone, Copy, Debug)]
+pub struct QueryWork<'a> {
+    /// Order of the request when there is too little room.
+    pub rank: RequestRank,
+    /// Client account; `None` on public routes.
+    pub account: Option<&'a AccountId>,
+    /// Number of tokens in the prompt.
+    pub prompt_tokens: u32,
 }
 
 /// Inputs of a selection, recorded in the request log.
@@ -69,6 +84,21 @@
     pub limit: Option<LimitInputs>,
     /// Number of targets that were left out because of the request limits of their backend servers.
     pub held: u32,
+    /// Set if the target was selected by the predicted time to the first event.
+    pub paced: Option<PacedInputs>,
+}
+
+/// Inputs of a selection by the predicted time to the first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PacedInputs {
+    /// Predicted time to the first event at the selected target, in milliseconds.
+    pub predicted_ms: u32,
+    /// Part of the requests like this one that is admitted, in thousandths.
+    pub share_permille: u32,
+    /// Requests that all targets can begin in time.
+    pub room: u32,
+    /// Whether the target is in the node's failure domain.
+    pub is_near: bool,
 }
 
 /// What was known of the request limit of the selected target, recorded in the request log.
@@ -106,6 +136,11 @@
     NoTarget,
     /// Every target is at its admission limit, closed or already tried.
     Full,
+    /// More requests arrive than the targets can begin in time, and this one is turned away.
+    Crowded {
+        /// Part of the requests like this one that is admitted, in thousandths.
+        share_permille: u32,
+    },
     /// Every target that is neither closed nor already tried has a request limit that is used up.
     Limited {
         /// Time until one of the limits allows another request.
@@ -118,6 +153,7 @@
         f.pad(match self {
             TargetRefusal::NoTarget => "no_target",
             TargetRefusal::Full => "full",
+            TargetRefusal::Crowded { .. } => "crowded",
             TargetRefusal::Limited { .. } => "limited",
         })
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Target selection and admission for each request, and the retry budget.
 
 mod cold_shares;
+mod paced;
 mod request_limits;
 mod retries;
 mod selection;
@@ -25,20 +26,24 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::arrivals::ArrivalRates;
 use crate::choice::RequestSize;
 use crate::choice::RequestWork;
 use crate::choice::TargetOutcome;
 use crate::choice::TargetRefusal;
 use crate::cold_servers::ColdBound;
 use crate::cold_servers::ColdServers;
+use crate::first_event::PredictionBias;
 use crate::limit_shares::LimitShares;
 use crate::node_ranks::NodeRanks;
 use crate::random::XorshiftRng;
+use crate::request_rank::RequestRank;
 use crate::retry_pool::RetryPool;
 use crate::routes::RouteIndex;
 use crate::server_limits::ServerLimits;
 use crate::server_pauses::ServerPauses;
 use crate::settings::GatewaySettings;
+use crate::shedding::SmoothedShare;
 use crate::target::RequestTarget;
 use crate::target::ServerNumber;
 use crate::target::TargetHealth;
@@ -59,6 +64,10 @@
     is_waiting_late: bool,
     /// Whether response data has been received.
     is_streaming: bool,
+    /// Prompt tokens that are counted in [`TargetHealth::unread`].
+    unread: u32,
+    /// Predicted time to the first event, in milliseconds; `None` without a prediction.
+    predicted_ms: Option<u32>,
 }
 
 impl AttemptRecord {
@@ -109,6 +118,16 @@
     ranks: NodeRanks,
     /// Backend servers that accept too few connections for all nodes, and leave none to this one.
     unconnected: HashSet<ServerNumber>,
+    /// Rates at which requests arrive at this node.
+    arrivals: HashMap<TargetClass, ArrivalRates>,
+    /// Mean number of prompt tokens.
+    mean_prompts: HashMap<TargetClass, f64>,
+    /// Parts of the requests of each rank that this node has admitted lately.
+    shares_by_rank: HashMap<(TargetClass, RequestRank), SmoothedShare>,
+    /// Corrections of the predicted times to the first event.
+    biases: HashMap<TargetClass, PredictionBias>,
+    /// Failure domain whose targets are preferred; `None` for no preference.
+    near_domain: Option<FailureDomainId>,
     /// When the shares of this node were last computed; `None` if they have to be computed again.
     shares_updated: Option<Timestamp>,
     random: XorshiftRng,
@@ -144,6 +163,11 @@
             shares: LimitShares::default(),
             ranks: NodeRanks::new(node),
             unconnected: HashSet::new(),
+            arrivals: HashMap::new(),
+            mean_prompts: HashMap::new(),
+            shares_by_rank: HashMap::new(),
+            biases: HashMap::new(),
+            near_domain: None,
             shares_updated: None,
             random: XorshiftRng::new(seed),
             table_version: None,
@@ -222,6 +246,16 @@
         let (min, max) = match refusal {
             TargetRefusal::Full => self.settings.retry_after_full,
             TargetRefusal::NoTarget => self.settings.retry_after_no_target,
+            TargetRefusal::Crowded { share_permille } => {
+                let (min, max) = self.settings.retry_after_crowded;
+                let missing = 1000u64.saturating_sub(u64::from(share_permille));
+                let delay = TimeSpan(min.0 + max.0.saturating_sub(min.0) * missing / 1000);
+                // Callers that are refused at the same time return at different times.
+                (
+                    TimeSpan(delay.0 * 2 / 3).max(min),
+                    TimeSpan(delay.0 * 4 / 3),
+                )
+            }
             TargetRefusal::Limited { wait } => {
                 let (min, max) = self.settings.retry_after_limited;
                 // Callers that are refused at the same time return at different times.
@@ -255,6 +289,17 @@
             started: now,
             is_waiting_late: is_late,
             is_streaming: false,
+            unread: 0,
+            predicted_ms: None,
+        }
+    }
+
+    /// Records the prompt of a request that was sent to a target by a prediction.
+    pub fn record_prompt(&mut self, record: &mut AttemptRecord, tokens: u32, predicted_ms: u32) {
+        record.unread = tokens;
+        record.predicted_ms = Some(predicted_ms);
+        if let Some(health) = self.health.get_mut(&record.number) {
+            health.unread = health.unread.saturating_add(tokens);
         }
     }
 
@@ -275,6 +320,8 @@
         if !std::mem::replace(&mut record.is_streaming, true) {
             health.streaming += 1;
         }
+        let unread = std::mem::take(&mut record.unread);
+        health.unread = health.unread.saturating_sub(unread);
         health.last_data = now;
         health.avoid_until = Timestamp(0);
         health.suspect_until = Timestamp(0);
@@ -286,6 +333,11 @@
                 let millis = now.since(record.started).as_millis().max(1) as f64;
                 let average = self.first_events.entry(record.class.clone());
                 update_average(average.or_insert(millis), millis);
+                if let Some(predicted) = record.predicted_ms {
+                    let bias = self.biases.entry(record.class.clone()).or_default();
+                    // The prediction already includes the present correction.
+                    bias.record(f64::from(predicted) / bias.ratio(), millis);
+                }
             }
         }
     }
@@ -303,6 +355,7 @@
         health.streaming = health
             .streaming
             .saturating_sub(u32::from(record.is_streaming));
+        health.unread = health.unread.saturating_sub(record.unread);
         match outcome {
             TargetOutcome::Answered => {
                 health.failure_rate *= 0.8;
@@ -336,6 +389,7 @@
                 target: number.0,
                 requests: health.in_flight,
                 late: health.waiting_late,
+                unread: health.unread,
             })
             .collect()
     }
--- a/crates/gateway/src/gateway/selection.rs
+++ b/crates/gateway/src/gateway/selection.rs
@@ -89,11 +89,31 @@
             return Err(TargetRefusal::NoTarget);
         }
         let (usable, held) = self.usable_targets(targets, query, peers, now);
-        let held_count = u32::try_from(held.len()).unwrap_or(u32::MAX);
         if let (true, Some(wait)) = (usable.is_empty(), held.into_iter().min()) {
             return Err(TargetRefusal::Limited { wait });
         }
-        let facts = self.class_facts(&class, &usable, query, peers, now);
+        if self.settings.pacing.is_some() {
+            let paced: Vec<Rc<RequestTarget>> =
+                usable.iter().map(|usable| usable.target.clone()).collect();
+            if let Some(choice) = self.choose_paced(&class, &paced, query, peers, now) {
+                return choice;
+            }
+        }
+        self.choose_by_count(&class, query, peers, now)
+    }
+
+    /// Selects a target by the number of requests in flight.
+    fn choose_by_count(
+        &mut self,
+        class: &TargetClass,
+        query: &TargetQuery<'_>,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> Result<TargetChoice, TargetRefusal> {
+        let targets = self.targets.get(class).map_or(&[][..], Vec::as_slice);
+        let (usable, held) = self.usable_targets(targets, query, peers, now);
+        let held_count = u32::try_from(held.len()).unwrap_or(u32::MAX);
+        let facts = self.class_facts(class, &usable, query, peers, now);
         let mut candidates: Vec<TargetCandidate<'_>> = usable
             .into_iter()
             .filter_map(|usable| self.candidate(usable, &facts, query, peers, now))
@@ -257,6 +277,7 @@
                 slots: target.slots,
                 limit,
                 held: 0,
+                paced: None,
             },
         })
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate performs no I/O and does not read the clock. `jaysaddle-entry` calls it for each request, passes in the
 //! current time and reports the outcome of each attempt.
 
+pub mod arrivals;
 pub mod awake_clock;
 pub mod choice;
 pub mod cold_servers;
@@ -14,12 +15,14 @@
 pub mod crash_guard;
 pub mod end_rates;
 pub mod events;
+pub mod first_event;
 pub mod gateway;
 mod key_facts;
 pub mod limit_shares;
 pub mod node_ranks;
 pub mod random;
 mod repeat_evidence;
+pub mod request_rank;
 pub mod retry_pool;
 pub mod routes;
 pub mod server_limits;
@@ -28,6 +31,7 @@
 pub mod server_runs;
 pub mod service_times;
 pub mod settings;
+pub mod shedding;
 pub mod shutdown;
 pub mod silence;
 pub mod spread;
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -13,6 +13,8 @@
 use jaysaddle_types::serving::RouteRule;
 use jaysaddle_types::serving::ServingConfig;
 
+use crate::request_rank::RequestRank;
+
 /// Lookup index over the routes and API keys of a configuration.
 #[derive(Debug)]
 pub struct RouteIndex {
@@ -43,6 +45,8 @@
     pub account: Option<AccountId>,
     /// Priority of the request; 0 is the highest.
     pub priority: u32,
+    /// Order of the request when there is too little room.
+    pub rank: RequestRank,
 }
 
 /// Reason why a request is not routed.
@@ -144,13 +148,18 @@
             _ => None,
         };
         let service = choose_service(rule, request_id).ok_or(RouteRefusal::UnknownRoute)?;
+        let priority = account
+            .and_then(|account| account.priority)
+            .unwrap_or(rule.priority);
         Ok(RouteMatch {
             rule: rule.clone(),
             service,
             account: account.map(|account| account.id.clone()),
-            priority: account
-                .and_then(|account| account.priority)
-                .unwrap_or(rule.priority),
+            priority,
+            rank: RequestRank {
+                account: priority,
+                route: rule.priority,
+            },
         })
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,8 @@
 
 use jaysaddle_types::units::TimeSpan;
 
+use crate::shedding::SheddingSettings;
+
 /// Tuning parameters of a [`RequestGateway`](crate::gateway::RequestGateway).
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -39,6 +41,52 @@
     /// Minimum and maximum of the retry delay sent to a caller when the request limits of all backend servers are used
     /// up. Within these bounds it is the time until one of the limits allows another request.
     pub retry_after_limited: (TimeSpan, TimeSpan),
+    /// Minimum and maximum of the retry delay sent to a caller whose request is turned away because too many arrive. The
+    /// fewer are admitted, the longer it is.
+    pub retry_after_crowded: (TimeSpan, TimeSpan),
+    /// Selection by the predicted time to the first event; `None` for selection by the number of requests.
+    pub pacing: Option<PacingSettings>,
+}
+
+/// Tuning parameters of the selection by the predicted time to the first event.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PacingSettings {
+    /// Part of the latency target in which the first event must be predicted to arrive. The rest covers the way to the
+    /// caller and the error of the prediction.
+    pub on_time_part: f64,
+    /// Part of a target's slots that requests of the highest rank use. With more, a request would wait for a slot.
+    pub slots_part: f64,
+    /// Part of the slots that a request leaves to the ranks before it, so that these need not wait for a slot.
+    pub rank_reserve: f64,
+    /// Part of all requests from which the ranks before need the whole reserve; with fewer, they need less.
+    pub reserve_part: f64,
+    /// Part of the prompts which a target can read until this node knows of new requests that is counted as room.
+    pub read_part: f64,
+    /// Multiple of that part up to which a request is delayed rather than turned away, if a slot is free. Prompts that wait
+    /// are read within some hundred milliseconds, sooner than a caller would come back.
+    pub late_factor: f64,
+    /// Time from the selection of a target until a heartbeat can include the request.
+    pub send_delay: TimeSpan,
+    /// Utilization up to which the targets in the node's failure domain are used before others.
+    pub near_level: f64,
+    /// Which requests are turned away.
+    pub shedding: SheddingSettings,
+}
+
+impl Default for PacingSettings {
+    fn default() -> Self {
+        Self {
+            on_time_part: 0.85,
+            slots_part: 0.9,
+            rank_reserve: 0.12,
+            reserve_part: 0.1,
+            read_part: 0.8,
+            late_factor: 2.0,
+            send_delay: TimeSpan(50),
+            near_level: 0.6,
+            shedding: SheddingSettings::default(),
+        }
+    }
 }
 
 impl Default for GatewaySettings {
@@ -59,6 +107,8 @@
             retry_after_full: (TimeSpan(300), TimeSpan(1200)),
             retry_after_no_target: (TimeSpan(900), TimeSpan(1900)),
             retry_after_limited: (TimeSpan(300), TimeSpan(5000)),
+            retry_after_crowded: (TimeSpan(400), TimeSpan(3600)),
+            pacing: None,
         }
     }
 }
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -61,3 +61,72 @@
     }
     selected
 }
+
+/// Load of a target that accepts a bounded number of further requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BoundedLoad {
+    /// Requests at the target.
+    pub load: TargetLoad,
+    /// Number of further requests that it accepts, by all nodes.
+    pub room: f64,
+}
+
+impl BoundedLoad {
+    /// Number of further requests up to a utilization.
+    fn room_to(&self, level: f64) -> f64 {
+        let room = level * self.load.capacity - self.load.requests;
+        room.clamp(0.0, self.room)
+    }
+}
+
+/// Number of halvings in the search for a level, which leaves an error far below one request.
+const LEVEL_STEPS: usize = 24;
+
+/// Utilization up to which `arrivals` requests fill the targets, lowest loads first; `None` if they accept fewer.
+pub fn bounded_level(loads: &[BoundedLoad], arrivals: f64) -> Option<f64> {
+    let total = |level: f64| loads.iter().map(|load| load.room_to(level)).sum::<f64>();
+    let highest = loads
+        .iter()
+        .map(|load| (load.load.requests + load.room) / load.load.capacity)
+        .fold(0.0, f64::max);
+    if total(highest) < arrivals {
+        return None;
+    }
+    let (mut low, mut high) = (0.0, highest);
+    for _ in 0..LEVEL_STEPS {
+        let middle = (low + high) / 2.0;
+        if total(middle) < arrivals {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    Some(high)
+}
+
+/// Selects a target for one of `arrivals` requests in proportion to what each target takes of them, and returns its
+/// position; `None` if none accepts a request.
+pub fn select_bounded(
+    loads: &[BoundedLoad],
+    arrivals: f64,
+    random: &mut XorshiftRng,
+) -> Option<usize> {
+    let level = bounded_level(loads, arrivals).unwrap_or(f64::INFINITY);
+    let rooms: Vec<f64> = loads.iter().map(|load| load.room_to(level)).collect();
+    let total: f64 = rooms.iter().sum();
+    if total <= 0.0 {
+        return None;
+    }
+    let mut remaining = total * random.fraction();
+    let mut selected = None;
+    for (position, room) in rooms.iter().enumerate() {
+        if *room > 0.0 {
+            selected = Some(position);
+            if remaining < *room {
+                break;
+            }
+        }
+        remaining -= room;
+    }
+    selected
+}
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -136,6 +136,8 @@
     pub waiting_late: u32,
     /// Requests among `in_flight` whose response has begun.
     pub streaming: u32,
+    /// Prompt tokens of the requests among `in_flight` whose response has not begun.
+    pub unread: u32,
     /// When data was last received, or when a request was sent to the idle target, whichever is later.
     pub last_data: Timestamp,
     /// Time until which this node prefers other targets.
--- a/crates/gateway/tests/all/fixture.rs
+++ b/crates/gateway/tests/all/fixture.rs
@@ -100,6 +100,9 @@
                     prompt_token_ms: 0.02,
                     output_token_ms: 0.5,
                     typical_output_tokens: 150,
+                    step_ms: 0.0,
+                    sequence_ms: 0.0,
+                    steps_per_event: 1,
                 }),
             },
             ServiceRule {
@@ -250,6 +253,7 @@
             tried: &[],
             has_started: false,
             is_caller_retry: false,
+            work: None,
         };
         let chosen = self.gateway.choose(&query, &self.peers, Timestamp(now));
         chosen.err()
@@ -268,6 +272,7 @@
             tried,
             has_started: false,
             is_caller_retry,
+            work: None,
         };
         let choice = self
             .gateway
@@ -336,6 +341,7 @@
                     target,
                     requests,
                     late: 0,
+                    unread: 0,
                 })
                 .collect(),
             stalled_targets: stalled,
--- a/crates/gateway/tests/all/limit_simulation.rs
+++ b/crates/gateway/tests/all/limit_simulation.rs
@@ -293,6 +293,7 @@
             tried: &[],
             has_started: false,
             is_caller_retry: false,
+            work: None,
         };
         let node = &mut self.nodes[number];
         let choice = match node.gateway.choose(&query, &node.peers, now) {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -12,6 +12,8 @@
 mod limited_servers;
 mod overload;
 mod peer_view;
+mod pressure;
+mod pressure_simulation;
 mod repeat_simulation;
 mod repeated_requests;
 mod retry_pool;
--- a/crates/gateway/tests/all/overload.rs
+++ b/crates/gateway/tests/all/overload.rs
@@ -99,6 +99,7 @@
         tried: &[],
         has_started: false,
         is_caller_retry: false,
+        work: None,
     };
     let refusal = fixture
         .gateway
--- a/crates/types/src/serving.rs
+++ b/crates/types/src/serving.rs
@@ -181,6 +181,12 @@
     pub output_token_ms: f64,
     /// Output tokens assumed for a request whose output length is unknown.
     pub typical_output_tokens: u32,
+    /// Time of a step in which tokens are written, without the part of each request, in milliseconds; 0 if not stated.
+    pub step_ms: f64,
+    /// Time that each request that is being written adds to a step, in milliseconds.
+    pub sequence_ms: f64,
+    /// Number of steps after which events are sent and prompts are read on.
+    pub steps_per_event: u32,
 }
 
 impl EngineProfile {
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -105,6 +105,10 @@
     /// Evacuated failure domains; unset if the node knows of none.
     #[prost(message, optional, tag = "32")]
     pub evacuations: Option<EvacuationMessage>,
+    /// Prompt tokens of the requests in flight whose response has not begun, in the order of `load_targets`. Empty if the
+    /// node does not count them.
+    #[prost(uint32, repeated, tag = "33")]
+    pub unread_tokens: Vec<u32>,
 }
 
 /// Evacuated failure domains as of a revision of the store.
@@ -232,6 +236,9 @@
     /// Numbers of the live nodes that reach no backend server.
     #[prost(fixed32, repeated, tag = "15")]
     pub cut_off: Vec<u32>,
+    /// Prompt tokens of the requests in flight whose response has not begun, in the order of `load_targets`; may be empty.
+    #[prost(uint32, repeated, tag = "16")]
+    pub unread_tokens: Vec<u32>,
 }
 
 /// Process of a backend server that has said in a response that it is leaving.
