Add a review of configurations before they are sent

Cause: operators learn of an entry that no node can decode, of a route that never matches or of limits that contradict each other only from the nodes' logs, after the configuration is in force.

Change: `jaysaddle config check` reports errors, entries that can never match, contradictions, and differences from the configuration in the store, as text or JSON, with exit codes.

Measured: the tests on good, broken and mutated files pass.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod awake_clock;
 pub mod choice;
 pub mod cold_servers;
+pub mod config_review;
 pub mod content;
 pub mod content_blocks;
 pub mod content_weighing;
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod apply;
 pub mod blocks;
 pub mod check;
+pub mod config;
 pub mod drain;
 pub mod explain;
 pub mod get;
@@ -30,6 +31,9 @@
     /// Checks configuration files against one another, without a node
     #[bpaf(command)]
     Check(#[bpaf(external(check::check_options))] check::CheckOptions),
+    /// Reviews a configuration of the platform before it is sent
+    #[bpaf(command)]
+    Config(#[bpaf(external(config::config_action))] config::ConfigAction),
     /// Applies a configuration file if the current version is the expected one
     #[bpaf(command)]
     Apply(#[bpaf(external(apply::apply_options))] apply::ApplyOptions),
@@ -71,6 +75,7 @@
     match command {
         ToolCommand::Settings(action) => settings::run(action),
         ToolCommand::Check(options) => check::run(options),
+        ToolCommand::Config(action) => config::run(action),
         ToolCommand::Apply(options) => apply::run(options),
         ToolCommand::Get(options) => get::run(options),
         ToolCommand::Explain(options) => explain::run(options),
--- a/tests/all/config_validation.rs
+++ b/tests/all/config_validation.rs
@@ -5,8 +5,15 @@
 use std::process::Command;
 use std::process::Stdio;
 
+use jaysaddle_adapter::config::parse_config;
+use jaysaddle_gateway::config_review::compare_configs;
+use jaysaddle_gateway::config_review::review_config;
+use jaysaddle_platform_standin::stream_config;
+use quickcheck::quickcheck;
 use serde_json::json;
 
+use crate::platform_nodes::PlatformNodes;
+
 /// Creates a directory for the files of one test.
 fn test_folder(name: &str) -> PathBuf {
     let folder =
@@ -144,3 +151,97 @@
     assert!(text.contains("inventory-phc-a.yaml") && text.contains("inventory-phc-b.yaml"));
     let _ = fs::remove_dir_all(folder);
 }
+
+/// Runs `jaysaddle config check` and returns its exit code and standard output.
+fn check_config(text: &str, name: &str, further: &[&str]) -> (Option<i32>, String) {
+    let file = test_folder("config").join(name);
+    fs::write(&file, text).expect("the file can be written");
+    let output = Command::new(env!("CARGO_BIN_EXE_jaysaddle"))
+        .args(["config", "check"])
+        .args(further)
+        .arg(&file)
+        .output()
+        .expect("the program can be started");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    (output.status.code(), text)
+}
+
+/// Guards against a review that overlooks errors, entries that can never match and contradictions, or that finds some in a
+/// sound configuration.
+#[test]
+fn review_of_a_configuration_finds_what_is_wrong() {
+    let host = "127.0.0.1".parse().expect("an address");
+    let good = stream_config(3, &[host], "secret");
+    let (code, output) = check_config(&good.to_string(), "good.json", &[]);
+    assert_eq!(code, Some(0), "{output}");
+    let mut bad = good.clone();
+    bad["routes"][0]["service"] = json!("elsewhere");
+    bad["routes"][0]["sloMs"] = json!(99_000_000);
+    let mut second = bad["routes"][0].clone();
+    second["name"] = json!("twin");
+    bad["routes"].as_array_mut().expect("routes").push(second);
+    bad["routes"]
+        .as_array_mut()
+        .expect("routes")
+        .push(json!({"name": "torn", "kind": "odd"}));
+    bad["tenants"][0]["apiKeys"] = json!([]);
+    let (code, output) = check_config(&bad.to_string(), "bad.json", &["--output", "json"]);
+    assert_eq!(code, Some(2), "{output}");
+    let report: serde_json::Value = serde_json::from_str(&output).expect("JSON");
+    let findings = report["findings"].to_string();
+    for expected in [
+        "elsewhere",
+        "routes.twin",
+        "torn",
+        "exceeds the timeout",
+        "no key",
+    ] {
+        assert!(findings.contains(expected), "{expected}: {findings}");
+    }
+    let (code, _) = check_config("{\n \"version\": ,", "torn.json", &[]);
+    assert_eq!(code, Some(2));
+}
+
+/// Guards against a comparison that misses a change, shows a key, or accepts a version that no node would apply.
+#[test]
+fn review_of_a_configuration_compares_it_with_the_one_in_force() {
+    let nodes = PlatformNodes::start(1, 2);
+    let mut config = stream_config(1, &nodes.addresses, "other-key");
+    let store = nodes.standin.store_address.to_string();
+    let (code, output) = check_config(&config.to_string(), "old.json", &["--against", &store]);
+    assert_eq!(code, Some(2), "{output}");
+    assert!(output.contains("not above 1"), "{output}");
+    config["version"] = json!(2);
+    config["routes"][0]["timeoutMs"] = json!(7000);
+    let (code, output) = check_config(&config.to_string(), "new.json", &["--against", &store]);
+    assert_eq!(code, Some(0), "{output}");
+    for expected in [
+        "changed: routes.drafts",
+        "changed: accounts.lender",
+        "removed: ",
+    ] {
+        assert!(output.contains(expected), "{expected}: {output}");
+    }
+    assert!(!output.contains("other-key"));
+}
+
+quickcheck! {
+    /// Guards against a panic on a file with any byte replaced or left out.
+    fn review_of_a_mutated_configuration_never_panics(position: usize, byte: u8, is_cut: bool) -> bool {
+        let host = "127.0.0.1".parse().expect("an address");
+        let mut text = stream_config(3, &[host], "secret").to_string().into_bytes();
+        let position = position % text.len();
+        if is_cut {
+            text.truncate(position);
+        } else {
+            text[position] = byte;
+        }
+        if let Ok(value) = serde_json::from_slice(&text)
+            && let Ok(decoded) = parse_config(&value)
+        {
+            let findings = review_config(&decoded.config);
+            return compare_configs(&decoded.config, &decoded.config).is_empty() && findings.len() < 1000;
+        }
+        true
+    }
+}
