Leave the cost of a selection by number as it was, and log held targets of a paced one

Cause: with admission by prediction off, the usable targets were computed twice for each request, and cold shares with each heartbeat. Change: both are computed only where the settings ask for them.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -153,9 +153,12 @@
         .borrow_mut()
         .record_request(&request.route.service, size.as_ref());
     report.record_work(work);
-    node.gateway
-        .borrow_mut()
-        .record_arrival(&request.target_query(&[], false), clock::now());
+    if node.settings.admission.is_paced {
+        let query = request.target_query(&[], false);
+        node.gateway
+            .borrow_mut()
+            .record_arrival(&query, clock::now());
+    }
     if is_isolated(node) && may_pass_on(node, &request) {
         return pass_on(node, &request, report, open).await;
     }
--- a/crates/gateway/src/gateway/cold_shares.rs
+++ b/crates/gateway/src/gateway/cold_shares.rs
@@ -111,6 +111,9 @@
 
     /// Computes this node's shares of the requests to cold backend servers.
     pub fn update_cold_shares(&mut self, peers: &PeerTable, now: Timestamp) {
+        if self.cold_bound.is_none() {
+            return;
+        }
         let members: BTreeSet<_> = peers.sharing().cloned().collect();
         self.cold_ranks.set_members(members.iter());
         let live = peers.live(now).count() + 1;
--- a/crates/gateway/src/gateway/paced.rs
+++ b/crates/gateway/src/gateway/paced.rs
@@ -43,6 +43,14 @@
 /// average. With fewer, the estimate would admit almost all accounts of a node of a large deployment.
 const MIN_ACCOUNT_RATE: f64 = 0.6;
 
+/// Targets among which a request is placed.
+pub(super) struct PacedSelection {
+    /// Targets that are neither excluded nor held back by a request limit.
+    pub usable: Vec<Rc<RequestTarget>>,
+    /// Number of targets that are held back.
+    pub held: u32,
+}
+
 /// A target with what is known of its room.
 struct PacedTarget {
     target: Rc<RequestTarget>,
@@ -116,7 +124,7 @@
     pub(super) fn choose_paced(
         &mut self,
         class: &TargetClass,
-        usable: &[Rc<RequestTarget>],
+        selection: &PacedSelection,
         query: &TargetQuery<'_>,
         peers: &PeerTable,
         now: Timestamp,
@@ -128,7 +136,14 @@
             EnginePace::of(profile, class.1.as_ref()?)?
         };
         let facts = self.node_facts(&pacing, peers, now);
-        let targets = self.paced_targets(class, usable, query, (pace, &pacing, &facts), peers, now);
+        let targets = self.paced_targets(
+            class,
+            &selection.usable,
+            query,
+            (pace, &pacing, &facts),
+            peers,
+            now,
+        );
         let is_sound = |target: &PacedTarget| !target.is_avoided;
         if !targets
             .iter()
@@ -158,7 +173,7 @@
                 peer_age: peers.mean_age(now),
                 slots: chosen.target.slots,
                 limit: self.limit_inputs(&chosen.target, peers, now),
-                held: 0,
+                held: selection.held,
                 paced: Some(PacedInputs {
                     predicted_ms: chosen.predicted_ms as u32,
                     share_permille: (share * 1000.0) as u32,
--- a/crates/gateway/src/gateway/selection.rs
+++ b/crates/gateway/src/gateway/selection.rs
@@ -8,6 +8,7 @@
 
 use super::RequestGateway;
 use super::TargetClass;
+use super::paced::PacedSelection;
 use super::request_limits::limited_requests;
 use crate::choice::ChoiceInputs;
 use crate::choice::TargetChoice;
@@ -88,14 +89,14 @@
         if targets.iter().all(is_evacuated) {
             return Err(TargetRefusal::NoTarget);
         }
-        let (usable, held) = self.usable_targets(targets, query, peers, now);
-        if let (true, Some(wait)) = (usable.is_empty(), held.into_iter().min()) {
-            return Err(TargetRefusal::Limited { wait });
-        }
         if self.settings.pacing.is_some() {
-            let paced: Vec<Rc<RequestTarget>> =
-                usable.iter().map(|usable| usable.target.clone()).collect();
-            if let Some(choice) = self.choose_paced(&class, &paced, query, peers, now) {
+            let (usable, held) = self.usable_targets(targets, query, peers, now);
+            let usable = usable.into_iter().map(|usable| usable.target.clone());
+            let usable = PacedSelection {
+                usable: usable.collect(),
+                held: u32::try_from(held.len()).unwrap_or(u32::MAX),
+            };
+            if let Some(choice) = self.choose_paced(&class, &usable, query, peers, now) {
                 return choice;
             }
         }
@@ -113,6 +114,9 @@
         let targets = self.targets.get(class).map_or(&[][..], Vec::as_slice);
         let (usable, held) = self.usable_targets(targets, query, peers, now);
         let held_count = u32::try_from(held.len()).unwrap_or(u32::MAX);
+        if let (true, Some(wait)) = (usable.is_empty(), held.into_iter().min()) {
+            return Err(TargetRefusal::Limited { wait });
+        }
         let facts = self.class_facts(class, &usable, query, peers, now);
         let mut candidates: Vec<TargetCandidate<'_>> = usable
             .into_iter()
