--- a/crates/gateway/src/gateway/paced.rs
+++ b/crates/gateway/src/gateway/paced.rs
@@ -32,6 +32,8 @@
 use crate::spread::select_bounded;
 use crate::target::RequestTarget;
 use crate::target::update_average;
+use crate::target_room::ClassRoom;
+use crate::target_room::TargetUse;
 
 /// Rank of requests whose callers come back after a refusal: they are late, and must not delay those that can be on time.
 const RETRY_RANK: RequestRank = RequestRank {
@@ -130,20 +132,12 @@
         now: Timestamp,
     ) -> Option<Result<TargetChoice, TargetRefusal>> {
         let pacing = self.settings.pacing?;
-        query.work.as_ref()?;
-        let pace = {
-            let profile = self.index.as_ref()?.config().engine(query.service)?;
-            EnginePace::of(profile, class.1.as_ref()?)?
-        };
         let facts = self.node_facts(&pacing, peers, now);
-        let targets = self.paced_targets(
-            class,
-            &selection.usable,
-            query,
-            (pace, &pacing, &facts),
-            peers,
-            now,
-        );
+        let room = self.class_room(class, &selection.usable, query, &facts, now)?;
+        let targets = selection.usable.iter();
+        let targets: Vec<PacedTarget> = targets
+            .map(|target| self.paced_target(target, &room, peers, now))
+            .collect();
         let is_sound = |target: &PacedTarget| !target.is_avoided;
         if !targets
             .iter()
@@ -274,88 +268,84 @@
         })
     }
 
-    fn paced_targets(
+    /// What is known of all targets of a class for one request.
+    fn class_room(
         &self,
         class: &TargetClass,
         usable: &[Rc<RequestTarget>],
         query: &TargetQuery<'_>,
-        (pace, pacing, facts): (EnginePace, &PacingSettings, &NodeFacts),
-        peers: &PeerTable,
+        facts: &NodeFacts,
         now: Timestamp,
-    ) -> Vec<PacedTarget> {
+    ) -> Option<ClassRoom> {
+        let pacing = self.settings.pacing?;
+        let prompt = f64::from(query.work.as_ref()?.prompt_tokens);
+        let profile = self.index.as_ref()?.config().engine(query.service)?;
+        let pace = EnginePace::of(profile, class.1.as_ref()?)?;
         let bias = self.biases.get(class).copied().unwrap_or_default().ratio();
-        let limit_ms = query.latency_target.as_millis() as f64 * pacing.on_time_part / bias;
-        let prompt = query
-            .work
-            .as_ref()
-            .map_or(0.0, |work| f64::from(work.prompt_tokens));
-        let mean_prompt = self
-            .mean_prompts
-            .get(class)
-            .copied()
-            .unwrap_or(prompt)
-            .max(1.0);
-        let duration = self.duration(class);
-        let slots_part = pacing.slots_part - self.slots_reserve(class, query, pacing, now);
+        let mean_prompt = self.mean_prompts.get(class).copied();
         let pauses = usable
             .iter()
             .filter_map(|target| self.health.get(&target.number));
-        let min_pause = pauses
-            .map(|health| health.pause_ms)
-            .filter(|pause| *pause > 0.0)
-            .fold(f64::INFINITY, f64::min);
-        let is_cold = |target: &RequestTarget| {
-            self.cold.admission(target.server, now) == ColdAdmission::Admitted
-        };
-        let paced = usable.iter().map(|target| {
-            let health = self.health.get(&target.number);
-            let slowdown = health.map_or(1.0, |health| health.slowdown(min_pause));
-            let pace = pace.slowed(slowdown);
-            let own = health.map_or(0, |health| health.in_flight);
-            let own_unread = health.map_or(0, |health| health.unread);
-            let all = own + peers.load_of(target.number.0);
-            let requests = f64::from(all);
-            // Prompts are read on while the counts of the peers are under way.
-            let read = facts.age_ms / pace.token_ms;
-            let peers_unread = (f64::from(peers.unread_of(target.number.0)) - read).max(0.0);
-            let unread = peers_unread + f64::from(own_unread);
-            // Requests that end until this node knows of new ones make room for them.
-            let remaining = requests * (1.0 - facts.age_ms / duration).max(0.0);
-            let free_slots = (f64::from(target.slots) * slots_part - remaining).max(0.0);
-            let room_within = |limit_ms: f64| {
-                let spare = pace.unread_limit(requests, limit_ms) - unread - prompt;
-                if spare < 0.0 {
-                    return 0.0;
-                }
-                let prompts = (spare + read * pacing.read_part) / mean_prompt;
-                let room = (1.0 + prompts).min(free_slots);
-                if is_cold(target) { room.min(1.0) } else { room }
-            };
-            let room = room_within(limit_ms);
-            let late_room = room_within(limit_ms * pacing.late_factor);
-            let is_avoided = peers.is_stalled(target.number.0)
-                || health.is_some_and(|health| {
-                    now < health.avoid_until
-                        || self.has_stalled(target, health, self.settings.avoid_after, now)
-                });
-            PacedTarget {
-                target: target.clone(),
-                load: BoundedLoad {
-                    load: TargetLoad {
-                        requests: requests + 1.0 - 1.0 / slowdown,
-                        capacity: f64::from(target.slots) / slowdown,
-                    },
-                    room,
-                },
-                late_room,
-                requests: (all, own),
-                predicted_ms: pace.first_event_ms(requests, unread, prompt) * bias,
-                is_avoided,
-                is_near: self.near_domain.as_ref() == Some(&target.failure_domain),
-                can_be_on_time: pace.unread_limit(0.0, limit_ms) >= prompt,
-            }
+        Some(ClassRoom {
+            pace,
+            bias,
+            limit_ms: query.latency_target.as_millis() as f64 * pacing.on_time_part / bias,
+            late_factor: pacing.late_factor,
+            prompt,
+            mean_prompt: mean_prompt.unwrap_or(prompt).max(1.0),
+            duration: self.duration(class),
+            slots_part: pacing.slots_part - self.slots_reserve(class, query, &pacing, now),
+            read_part: pacing.read_part,
+            min_pause: pauses
+                .map(|health| health.pause_ms)
+                .filter(|pause| *pause > 0.0)
+                .fold(f64::INFINITY, f64::min),
+            age_ms: facts.age_ms,
+        })
+    }
+
+    fn paced_target(
+        &self,
+        target: &Rc<RequestTarget>,
+        room: &ClassRoom,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> PacedTarget {
+        let health = self.health.get(&target.number);
+        let (own, own_unread) = health.map_or((0, 0), |health| (health.in_flight, health.unread));
+        let all = own + peers.load_of(target.number.0);
+        let slowdown = health.map_or(1.0, |health| health.slowdown(room.min_pause));
+        let is_cold = self.cold.admission(target.server, now) == ColdAdmission::Admitted;
+        let target_room = room.target_room(&TargetUse {
+            slots: f64::from(target.slots),
+            requests: f64::from(all),
+            own_unread: f64::from(own_unread),
+            peers_unread: f64::from(peers.unread_of(target.number.0)),
+            slowdown,
+            is_cold,
         });
-        paced.collect()
+        let is_avoided = peers.is_stalled(target.number.0)
+            || health.is_some_and(|health| {
+                now < health.avoid_until
+                    || self.has_stalled(target, health, self.settings.avoid_after, now)
+            });
+        PacedTarget {
+            target: target.clone(),
+            load: BoundedLoad {
+                load: TargetLoad {
+                    // A slow target does not rank equally with others while it is idle.
+                    requests: f64::from(all) + 1.0 - 1.0 / slowdown,
+                    capacity: f64::from(target.slots) / slowdown,
+                },
+                room: target_room.in_time,
+            },
+            late_room: target_room.late,
+            requests: (all, own),
+            predicted_ms: target_room.predicted_ms,
+            is_avoided,
+            is_near: self.near_domain.as_ref() == Some(&target.failure_domain),
+            can_be_on_time: target_room.can_be_on_time,
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod silence;
 pub mod spread;
 pub mod target;
+pub mod target_room;
 pub mod unserved;
 pub mod withheld;
