--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -59,7 +59,7 @@
 /// Rank and work of a request, for the selection by the predicted time to the first event.
 #[derive(Clone, Copy, Debug)]
 pub struct QueryWork<'a> {
-    /// Order of the request when there is too little room, by the priorities of its client account and its route.
+    /// Order of the request when there is too little room: the priority of its client account, then that of its route.
     pub rank: RequestRank,
     /// Client account; `None` on public routes.
     pub account: Option<&'a AccountId>,
