Add failing tests of a holder whose view is older than the last holder's orders

The new holder frees members of a group that the last one has opened, moves a VM that the last one has moved, and reuses the members of a serving leader whose entry has expired or returns.

--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use jaysaddle_fleet::controller::ControllerTiming;
 use jaysaddle_fleet::controller::FleetController;
@@ -40,6 +41,9 @@
 /// Time after which the outcome of an order without a response counts as unknown.
 const ORDER_TIMEOUT: TimeSpan = TimeSpan(800);
 
+/// Time without a write after which an entry expires.
+const EXPIRY_TIME: TimeSpan = TimeSpan(3600);
+
 /// Name of the model with groups of four.
 pub const LARGE: &str = "large";
 /// Name of the model with groups of two.
@@ -153,6 +157,12 @@
     pub is_table_current: bool,
     /// While set, the entries in the table are not updated.
     pub is_store_stale: bool,
+    /// Time in milliseconds by which the table of the next holder is older than that of the first one.
+    pub table_age: u64,
+    /// Table of the next holder, until it takes over.
+    next_table: Option<BackendTable>,
+    /// Entries that the table of the next holder does not show yet, with the time in milliseconds at which it does.
+    delayed: VecDeque<(u64, BackendEntry)>,
     /// VMs that ignore orders and do not respond to them.
     pub unresponsive: BTreeSet<VmId>,
     /// VMs whose process is paused: it accepts connections but sends nothing, and carries out its orders when it continues.
@@ -192,6 +202,9 @@
             stats: Vec::new(),
             is_table_current: true,
             is_store_stale: false,
+            table_age: 0,
+            next_table: Some(BackendTable::default()),
+            delayed: VecDeque::new(),
             unresponsive: BTreeSet::new(),
             paused: BTreeSet::new(),
             waiting: Vec::new(),
@@ -224,6 +237,15 @@
         self.vms.insert(vm(id), fake);
     }
 
+    /// Replaces the controller by one of another node whose table is older by [`FakeFleet::table_age`].
+    pub fn take_over(&mut self, term: u64) {
+        self.table = self
+            .next_table
+            .take()
+            .expect("the first change of the holder");
+        self.replace_controller(term);
+    }
+
     pub fn acquire(&mut self, term: u64) {
         self.handle_event(FleetEvent::Acquired(LeaseEpoch(term)));
     }
@@ -269,6 +291,40 @@
         }
     }
 
+    /// Ends a VM's time without connections.
+    pub fn make_reachable(&mut self, id: &VmId) {
+        self.vms.get_mut(id).expect("VM").is_reachable = true;
+    }
+
+    /// Makes the entry of a VM expire, as after heartbeats that did not reach the store.
+    pub fn expire_entry(&mut self, id: &VmId) {
+        self.table.begin_watch(Timestamp(0));
+        self.table.remove(id, self.now + EXPIRY_TIME);
+    }
+
+    /// Registers a VM again under its entry.
+    pub fn restore_entry(&mut self, id: &VmId) {
+        self.table.put(self.vms[id].entry.clone(), self.now);
+    }
+
+    /// Members by rank of the groups whose leader is open, as the VMs themselves know it.
+    pub fn open_groups(&self) -> Vec<Vec<VmId>> {
+        let memberships = || {
+            let entries = self.vms.values().map(|fake| &fake.entry);
+            entries.filter_map(|entry| Some((&entry.id, entry.membership.as_ref()?)))
+        };
+        memberships()
+            .filter(|(_, leader)| leader.rank == 0 && leader.phase == MemberPhase::Open)
+            .map(|(_, leader)| {
+                let members = memberships().filter(|(_, other)| other.key == leader.key);
+                let by_rank: BTreeMap<u32, VmId> = members
+                    .map(|(id, other)| (other.rank, id.clone()))
+                    .collect();
+                by_rank.into_values().collect()
+            })
+            .collect()
+    }
+
     /// Makes a VM fail for good: it is unreachable and serves nothing. Its entry stays until it is removed.
     pub fn kill(&mut self, id: &VmId) {
         let fake = self.vms.get_mut(id).expect("VM");
@@ -449,6 +505,15 @@
 
     /// Advances the clock in steps of [`TICK_MS`]: completes joins, updates entries and ticks the controller.
     pub fn advance(&mut self, millis: u64) {
+        self.advance_clock(millis, true);
+    }
+
+    /// Advances the clock while no node holds the lease.
+    pub fn advance_without_control(&mut self, millis: u64) {
+        self.advance_clock(millis, false);
+    }
+
+    fn advance_clock(&mut self, millis: u64, has_controller: bool) {
         let end = self.now.0 + millis;
         while self.now.0 < end {
             self.now = Timestamp(self.now.0 + TICK_MS);
@@ -464,11 +529,30 @@
                 if !self.is_store_stale
                     && fake.is_reachable
                     && !self.paused.contains(&fake.entry.id)
-                    && self.table.get(&fake.entry.id).is_some()
                 {
-                    self.table.put(fake.entry.clone(), self.now);
+                    let shown_at = self.now.0 + self.table_age;
+                    self.delayed.push_back((shown_at, fake.entry.clone()));
+                    let is_first = self.next_table.is_some();
+                    if is_first && self.table.get(&fake.entry.id).is_some() {
+                        self.table.put(fake.entry.clone(), self.now);
+                    }
+                }
+            }
+            let now = self.now;
+            while let Some((_, entry)) = self.delayed.pop_front_if(|(at, _)| *at <= now.0) {
+                match &mut self.next_table {
+                    Some(table) => {
+                        table.put(entry, now);
+                    }
+                    None if self.table.get(&entry.id).is_some() => {
+                        self.table.put(entry, now);
+                    }
+                    None => {}
                 }
             }
+            if !has_controller {
+                continue;
+            }
             let traffic = NodeTraffic {
                 node: NodeKey {
                     id: NodeId::new("node"),
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -13,3 +13,4 @@
 mod plan;
 mod silence;
 mod table;
+mod takeover;
--- /dev/null
+++ b/crates/fleet/tests/all/takeover.rs
@@ -0,0 +1,176 @@
+//! Tests of a controller that takes over from one whose table was newer than its own.
+
+use jaysaddle_types::ids::VmId;
+
+use crate::fake::FakeFleet;
+use crate::fake::LARGE;
+use crate::fake::SMALL;
+
+/// What happens to a member of a group right after the controller was replaced.
+#[derive(Clone, Copy, Debug)]
+enum MemberFault {
+    Drains,
+    LosesEntry,
+    StopsAnswering,
+}
+
+const FAULTS: [MemberFault; 3] = [
+    MemberFault::Drains,
+    MemberFault::LosesEntry,
+    MemberFault::StopsAnswering,
+];
+
+/// Ages of the table in milliseconds.
+const TABLE_AGES: [u64; 4] = [200, 300, 400, 600];
+
+fn inject(fleet: &mut FakeFleet, id: &VmId, fault: MemberFault) {
+    match fault {
+        MemberFault::Drains => fleet.drain(id),
+        MemberFault::LosesEntry => fleet.remove_entry(id),
+        MemberFault::StopsAnswering => {
+            fleet.make_unreachable(id);
+            fleet.remove_entry(id);
+        }
+    }
+}
+
+/// Members by rank of the group that is opened first.
+fn wait_for_group(fleet: &mut FakeFleet) -> Vec<VmId> {
+    loop {
+        fleet.advance(100);
+        if let Some(group) = fleet.open_groups().pop() {
+            return group;
+        }
+        assert!(fleet.now.0 < 30_000, "no group was opened");
+    }
+}
+
+/// Guards against a VM in two groups: the previous holder has opened a group, the table of the next one still shows it as
+/// joining, and one of its members fails. The others must not join another group while the leader serves. Reported for
+/// mrd-jaysaddle (incident TWO).
+#[test]
+fn members_of_a_group_opened_by_the_previous_holder_are_not_reused() {
+    let mut failed = Vec::new();
+    let mut cases = 0;
+    for count in 4..13 {
+        for age in TABLE_AGES {
+            for fault in FAULTS {
+                let mut fleet = FakeFleet::new(count);
+                fleet.table_age = age;
+                let group = wait_for_group(&mut fleet);
+                fleet.take_over(2);
+                fleet.advance(100);
+                inject(&mut fleet, &group[1], fault);
+                fleet.advance(3000);
+                cases += 1;
+                if !fleet.overlapping_joins.is_empty() {
+                    failed.push((count, age, fault, fleet.overlapping_joins.clone()));
+                }
+            }
+        }
+    }
+    let count = failed.len();
+    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+}
+
+/// Guards against a VM in two groups: the previous holder has moved a VM to another group and opened that, and the table of
+/// the next one shows neither. The number of orders in the VM's report already contains the move, so that an order to join
+/// that carries this number would be accepted.
+#[test]
+fn vm_moved_by_the_previous_holder_is_not_moved_again() {
+    let mut failed = Vec::new();
+    let mut cases = 0;
+    for count in 4..13 {
+        for takeover in (100..2500).step_by(100) {
+            let mut fleet = FakeFleet::new(count);
+            fleet.table_age = 1500;
+            fleet.advance(15_000);
+            let group = fleet.serving_group(SMALL, LARGE);
+            fleet.drain(&group[1]);
+            fleet.advance(takeover);
+            fleet.take_over(2);
+            fleet.advance(4000);
+            cases += 1;
+            if !fleet.overlapping_joins.is_empty() {
+                failed.push((count, takeover, fleet.overlapping_joins.clone()));
+            }
+        }
+    }
+    let count = failed.len();
+    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+}
+
+/// Guards against a VM in two groups: the entry of a leader has expired while it serves, and the next holder has never seen
+/// it. The leader answers, so it must be ordered to leave before its members join another group.
+#[test]
+fn members_of_a_serving_leader_without_an_entry_are_not_reused() {
+    let mut failed = Vec::new();
+    let mut cases = 0;
+    for count in 4..13 {
+        for age in [0, 300, 2000, 4000] {
+            let mut fleet = FakeFleet::new(count);
+            fleet.advance(15_000);
+            let group = fleet.serving_group(LARGE, SMALL);
+            fleet.expire_entry(&group[0]);
+            fleet.advance_without_control(age);
+            fleet.replace_controller(2);
+            fleet.advance(14_000);
+            cases += 1;
+            if !fleet.overlapping_joins.is_empty() {
+                failed.push((count, age, fleet.overlapping_joins.clone()));
+            }
+        }
+    }
+    let count = failed.len();
+    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+}
+
+/// Guards against a VM in two groups: the holder has ended a group because its leader lost its entry and did not answer,
+/// but the leader continues to serve and its entry returns while the other members are idle.
+#[test]
+fn leader_that_returns_is_ordered_to_leave_before_its_members_join() {
+    let mut failed = Vec::new();
+    let mut cases = 0;
+    for count in 4..13 {
+        let mut fleet = FakeFleet::new(count);
+        fleet.advance(15_000);
+        let group = fleet.serving_group(LARGE, SMALL);
+        for id in &group {
+            fleet.make_unreachable(id);
+        }
+        fleet.expire_entry(&group[0]);
+        fleet.advance(6000);
+        for id in &group {
+            fleet.make_reachable(id);
+        }
+        fleet.restore_entry(&group[0]);
+        fleet.advance(5000);
+        cases += 1;
+        if !fleet.overlapping_joins.is_empty() {
+            failed.push((count, fleet.overlapping_joins.clone()));
+        }
+    }
+    let count = failed.len();
+    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+}
+
+/// Guards against VMs that stay idle after a change of the holder: a group that the next holder takes over while it is
+/// being formed, and whose member drains, must end soon, so that the others serve again.
+#[test]
+fn members_of_an_abandoned_takeover_serve_again() {
+    for age in TABLE_AGES {
+        let mut fleet = FakeFleet::new(9);
+        fleet.table_age = age;
+        let group = wait_for_group(&mut fleet);
+        fleet.take_over(2);
+        fleet.advance(100);
+        fleet.drain(&group[1]);
+        fleet.advance(6000);
+        let serving: usize = [LARGE, SMALL]
+            .into_iter()
+            .flat_map(|name| fleet.serving_groups(name))
+            .map(|members| members.len())
+            .sum();
+        assert!(serving >= 6, "{age} ms: {serving} {:#?}", fleet.decisions);
+    }
+}
