Log on which view a VM is ordered to join a group

The line names the VM's last group, the phase of its leader as shown, when the group was ended, the age of the entry and the expected number of orders.

--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -128,14 +128,14 @@
             self.exchange_groups(service, &free, &lasting_needs, view, now);
             let is_answering = |group: &ControlledGroup| !self.has_silent_member(group);
             let mut needs = self.model_needs(&service.id, profile, is_answering, now);
-            self.form_reserved(&service.id, &free, &needs, now);
+            self.form_reserved(&service.id, &free, &needs, view, reported, now);
             let unreserved: Vec<FreeVm> = free
                 .into_iter()
                 .filter(|vm| !self.is_reserved(vm))
                 .filter(|vm| self.group_of(&vm.id).is_none())
                 .collect();
             for group in plan_groups(unreserved.clone(), &mut needs, self.join_load_budget()) {
-                self.start_group(&service.id, group, now);
+                self.start_group(&service.id, group, view, reported, now);
             }
             let remaining: Vec<FreeVm> = unreserved
                 .into_iter()
@@ -220,6 +220,8 @@
         service: &ServiceId,
         free: &[FreeVm],
         needs: &[ModelNeed],
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
         now: Timestamp,
     ) {
         for (domain, (model, _)) in self.reservations.clone() {
@@ -233,7 +235,7 @@
                 .collect();
             if let Some(group) = plan_domain_group(&domain, &free, need) {
                 self.reservations.remove(&domain);
-                self.start_group(service, group, now);
+                self.start_group(service, group, view, reported, now);
             }
         }
     }
@@ -242,6 +244,8 @@
         &mut self,
         service: &ServiceId,
         planned: PlannedGroup,
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
         now: Timestamp,
     ) {
         let Some(term) = self.term else {
@@ -267,6 +271,9 @@
             planned.loading.len(),
             planned.join_time.as_millis()
         ));
+        for id in &planned.members {
+            self.log_assignment(id, &key, view, reported, now);
+        }
         let group = ControlledGroup {
             service: service.clone(),
             model: planned.model.clone(),
--- a/crates/fleet/src/controller/idle.rs
+++ b/crates/fleet/src/controller/idle.rs
@@ -150,6 +150,40 @@
         }
     }
 
+    /// Logs on which view a VM is ordered to join a group: its last group, what shows that the leader of that group does not
+    /// serve, and the age of its entry.
+    pub(super) fn log_assignment(
+        &mut self,
+        id: &VmId,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
+        now: Timestamp,
+    ) {
+        let Some(row) = view.table.get(id) else {
+            return;
+        };
+        let age_ms = now.since(row.last_write).as_millis();
+        let order_count = self.vms.get(id).and_then(|vm| vm.order_count);
+        let line = match &row.entry.membership {
+            Some(last) => {
+                let leader = reported.get(&last.key).and_then(|group| group.leader_phase);
+                let ended = self.ended_groups.get(&last.key);
+                let ended_ms = ended.map(|ended| now.since(*ended).as_millis());
+                format_compact!(
+                    "vm={id} decision=assign group={key} last={} phase={:?} leader={leader:?} ended_ms={ended_ms:?} \
+                     entry_age_ms={age_ms} orders={order_count:?}",
+                    last.key,
+                    last.phase
+                )
+            }
+            None => format_compact!(
+                "vm={id} decision=assign group={key} last=- entry_age_ms={age_ms} orders={order_count:?}"
+            ),
+        };
+        self.log_decision(line);
+    }
+
     /// Logs the reason for each idle VM whose reason has changed since the last summary.
     pub(super) fn log_idle_reasons(
         &mut self,
