Free the members of a group only on evidence that its leader cannot serve

Cause: a new holder judged groups by its own table and ended them without their leader's word. A group that the last holder had already opened was taken over as joining and abandoned when a member failed; an ended group counted more than the leader's report; a leader without an entry counted as stopped after two failed probes, or after two seconds without having been asked.

Every path that ends a group now names its evidence (StopEvidence): the leader's answer to an order to leave, its report, that this controller never ordered it to open, or its silence without an entry for as long as it might serve. Groups taken over in any stage but serving are ordered to leave first.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -7,8 +7,8 @@
 //!
 //! - A group is opened only after every member has reported that it holds its part of the weights under the group's
 //!   name and generation.
-//! - A VM is ordered to join another group only if the leader of its current group is not serving: the leader has
-//!   acknowledged an order to leave, reports that it does not serve, or has failed.
+//! - A VM is ordered to join another group only if the leader of its current group cannot serve any more, on one of the
+//!   grounds of [`StopEvidence`](stop_evidence::StopEvidence).
 //! - A group is not ended because a member is silent, only closed to new requests until the member answers or counts as
 //!   lost.
 //! - Every order to join carries the number of orders that the VM is known to have accepted, so that an order which
@@ -27,6 +27,7 @@
 mod stages;
 mod staging;
 mod stats;
+mod stop_evidence;
 mod summary;
 mod timing;
 
@@ -48,6 +49,7 @@
 
 use crate::controller::group_table::GroupTable;
 use crate::controller::reachability::Reachability;
+use crate::controller::stop_evidence::EndedGroup;
 use crate::demand::DemandEstimator;
 use crate::groups::reported_groups;
 use crate::load_rate::LoadRateLimiter;
@@ -93,6 +95,9 @@
     model: ModelId,
     members: Vec<VmId>,
     stage: GroupStage,
+    /// Whether a previous holder has formed the group, so that its order to open may take effect unseen.
+    is_adopted: bool,
+    /// When this controller formed or adopted the group.
     created: Timestamp,
     /// Members that have accepted the order to join, with the time of acceptance.
     joined: BTreeMap<VmId, Timestamp>,
@@ -158,9 +163,11 @@
     groups: GroupTable,
     vms: BTreeMap<VmId, ControlledVm>,
     /// Groups that the controller has ended, with the time. Entries may still show them for a while.
-    ended_groups: BTreeMap<GroupKey, Timestamp>,
+    ended_groups: BTreeMap<GroupKey, EndedGroup>,
     /// Fabric domains whose free VMs are reserved for a model, and the expiry of the reservation.
     reservations: BTreeMap<FabricDomainId, (ModelId, Timestamp)>,
+    /// Leaders without an entry of groups that are not managed. They are probed as long as their members report them.
+    unregistered_leaders: BTreeSet<VmId>,
     /// Time of the last exchange in each fabric domain.
     last_exchanges: BTreeMap<FabricDomainId, Timestamp>,
     demand: DemandEstimator,
@@ -191,6 +198,7 @@
             vms: BTreeMap::new(),
             ended_groups: BTreeMap::new(),
             reservations: BTreeMap::new(),
+            unregistered_leaders: BTreeSet::new(),
             last_exchanges: BTreeMap::new(),
             demand: DemandEstimator::default(),
             load_limiter: LoadRateLimiter::default(),
@@ -281,6 +289,7 @@
         self.vms.clear();
         self.ended_groups.clear();
         self.reservations.clear();
+        self.unregistered_leaders.clear();
         self.idle_reasons.clear();
         self.term_start = now;
         self.last_summary = now;
--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -279,6 +279,7 @@
             model: planned.model.clone(),
             members: planned.members.clone(),
             stage: GroupStage::Joining,
+            is_adopted: false,
             created: now,
             joined: BTreeMap::new(),
             last_order: None,
--- a/crates/fleet/src/controller/idle.rs
+++ b/crates/fleet/src/controller/idle.rs
@@ -95,27 +95,24 @@
         match membership.phase {
             MemberPhase::Broken => None,
             MemberPhase::Ready if self.ended_groups.contains_key(&membership.key) => None,
-            MemberPhase::Ready => match reported.get(&membership.key) {
-                // The leader's own report shows whether it serves.
-                Some(group) if group.leader_phase.is_some() => matches!(
-                    group.leader_phase,
-                    Some(MemberPhase::Open | MemberPhase::Closing)
-                )
-                .then_some(IdleReason::LeaderServing),
-                // The leader is not registered, so it cannot be probed. Wait until it has finished its requests, or
-                // only until its entry would have reappeared if the entry has expired.
-                _ => {
-                    let removed = view.table.removed_leader(&membership.key);
-                    let has_expired = removed.is_some_and(|row| row.has_expired);
-                    let since = removed.map_or(self.term_start, |row| row.removed_at);
-                    let limit = if has_expired {
-                        self.timing.unknown_leader_timeout
-                    } else {
-                        self.timing.finish_timeout
-                    };
-                    (now.since(since) < limit).then_some(IdleReason::LeaderUnknown)
+            MemberPhase::Ready => {
+                let group = reported.get(&membership.key);
+                match group.and_then(|group| group.leader_phase) {
+                    Some(MemberPhase::Broken) => None,
+                    Some(MemberPhase::Open | MemberPhase::Closing) => {
+                        Some(IdleReason::LeaderServing)
+                    }
+                    // The leader is ordered to leave first: an order to open it may have taken effect unseen.
+                    Some(_) => Some(IdleReason::LeaderUnknown),
+                    None if view.table.removed_leader(&membership.key).is_some() => {
+                        Some(IdleReason::LeaderUnknown)
+                    }
+                    // Which VM leads the group is not known, so it cannot be asked. Wait until it has finished its
+                    // requests.
+                    None => (now.since(self.term_start) < self.timing.finish_timeout)
+                        .then_some(IdleReason::LeaderUnknown),
                 }
-            },
+            }
             MemberPhase::Joining => Some(IdleReason::Joining),
             MemberPhase::Open | MemberPhase::Closing | MemberPhase::Unknown => {
                 Some(IdleReason::LeaderServing)
@@ -169,7 +166,7 @@
             Some(last) => {
                 let leader = reported.get(&last.key).and_then(|group| group.leader_phase);
                 let ended = self.ended_groups.get(&last.key);
-                let ended_ms = ended.map(|ended| now.since(*ended).as_millis());
+                let ended_ms = ended.map(|ended| now.since(ended.at).as_millis());
                 format_compact!(
                     "vm={id} decision=assign group={key} last={} phase={:?} leader={leader:?} ended_ms={ended_ms:?} \
                      entry_age_ms={age_ms} orders={order_count:?}",
--- a/crates/fleet/src/controller/orders.rs
+++ b/crates/fleet/src/controller/orders.rs
@@ -9,6 +9,7 @@
 
 use crate::controller::FleetController;
 use crate::controller::FleetEffect;
+use crate::controller::stop_evidence::StopEvidence;
 
 impl FleetController {
     /// Sends an order to the leader of a group. Returns whether it was sent.
@@ -119,14 +120,13 @@
                     .groups
                     .get(&key)
                     .is_some_and(|group| group.leader() == id);
-                let has_left = match result {
-                    OrderResult::Begun | OrderResult::Done => true,
-                    OrderResult::Refused { status } => status == 409,
-                    _ => false,
-                };
-                if is_leader && has_left {
-                    self.log_decision(format_compact!("group={key} decision=free reason=left"));
-                    self.end_group(&key, now);
+                if let Some(evidence) = StopEvidence::from_leave(result)
+                    && is_leader
+                {
+                    self.log_decision(format_compact!(
+                        "group={key} decision=free reason={evidence}"
+                    ));
+                    self.end_group(&key, evidence, now);
                 }
             }
             BackendOrder::Open { .. } | BackendOrder::Close { .. } | BackendOrder::Stage { .. } => {
--- a/crates/fleet/src/controller/release.rs
+++ b/crates/fleet/src/controller/release.rs
@@ -25,7 +25,7 @@
             let has_ended = self
                 .ended_groups
                 .get(&membership.key)
-                .is_some_and(|ended| now.since(*ended) >= self.timing.release_delay);
+                .is_some_and(|ended| now.since(ended.at) >= self.timing.release_delay);
             let is_idle = self.vms.get(&entry.id).is_some_and(|vm| {
                 vm.in_flight.is_none()
                     && vm.reachability.failed() == 0
--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -10,8 +10,8 @@
 use crate::controller::FleetController;
 use crate::controller::FleetView;
 use crate::controller::GroupStage;
+use crate::controller::stop_evidence::StopEvidence;
 use crate::groups::ReportedGroup;
-use crate::table::BackendTable;
 
 /// Fault of a member that is not registered.
 const GONE: &str = "gone";
@@ -100,7 +100,20 @@
             self.log_decision(format_compact!(
                 "group={key} decision=abandon vm={id} reason={reason}"
             ));
-            self.end_group(key, now);
+            if group.is_adopted {
+                self.set_stage(key, GroupStage::Dissolving);
+                self.advance_dissolving(key, view, now);
+            } else {
+                self.end_group(key, StopEvidence::NeverOpened, now);
+            }
+            return;
+        }
+        if self.leader_evidence(key, view, now) == Some(StopEvidence::Broken) {
+            self.log_decision(format_compact!(
+                "group={key} decision=free reason={}",
+                StopEvidence::Broken
+            ));
+            self.end_group(key, StopEvidence::Broken, now);
             return;
         }
         let is_ready = reported.is_some_and(|group| {
@@ -265,29 +278,18 @@
             return;
         };
         let leader = group.leader().clone();
-        let entry = view.table.get(&leader).map(|row| &row.entry);
-        let reason = match entry {
-            Some(entry) => match &entry.membership {
-                Some(membership) if membership.key == *key => match membership.phase {
-                    MemberPhase::Broken => Some("leader_broken"),
-                    _ => None,
-                },
-                _ => Some("leader_left"),
-            },
-            None => {
-                if let Some(vm) = self.vms.get_mut(&leader)
-                    && vm.next_probe.is_none()
-                    && !vm.probe_in_flight
-                {
-                    vm.next_probe = Some(now);
-                }
-                self.has_stopped_serving(&leader, view.table, now)
-                    .then_some("leader_gone")
-            }
-        };
-        if let Some(reason) = reason {
-            self.log_decision(format_compact!("group={key} decision=free reason={reason}"));
-            self.end_group(key, now);
+        if view.table.get(&leader).is_none()
+            && let Some(vm) = self.vms.get_mut(&leader)
+            && vm.next_probe.is_none()
+            && !vm.probe_in_flight
+        {
+            vm.next_probe = Some(now);
+        }
+        if let Some(evidence) = self.leader_evidence(key, view, now) {
+            self.log_decision(format_compact!(
+                "group={key} decision=free reason={evidence}"
+            ));
+            self.end_group(key, evidence, now);
             return;
         }
         let is_due = group
@@ -298,35 +300,6 @@
         }
     }
 
-    /// Whether a leader without an entry has stopped serving. A leader that refuses connections may still be finishing
-    /// its requests, with its group open until then. A leader that does not respond counts as failed.
-    pub(super) fn has_stopped_serving(
-        &self,
-        leader: &VmId,
-        table: &BackendTable,
-        now: Timestamp,
-    ) -> bool {
-        if !self.is_lost(leader) {
-            return false;
-        }
-        let has_expired = table.removed(leader).is_some_and(|row| row.has_expired);
-        let Some(vm) = self.vms.get(leader) else {
-            return true;
-        };
-        let may_finish = vm.reachability.is_refusing() && !has_expired;
-        let limit = self.timing.finish_timeout;
-        !may_finish
-            || vm
-                .reachability
-                .failed_since()
-                .is_some_and(|since| now.since(since) >= limit)
-    }
-
-    pub(super) fn end_group(&mut self, key: &GroupKey, now: Timestamp) {
-        self.groups.remove(key);
-        self.ended_groups.insert(key.clone(), now);
-    }
-
     pub(super) fn set_stage(&mut self, key: &GroupKey, stage: GroupStage) {
         if let Some(group) = self.groups.get_mut(key) {
             // When a group enters the opening stage, its order to open has just been sent. A repeated order would be
--- /dev/null
+++ b/crates/fleet/src/controller/stop_evidence.rs
@@ -0,0 +1,127 @@
+//! What shows that the leader of a group cannot serve any more. The members of a group are free only on such evidence.
+
+use std::fmt;
+
+use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::GroupKey;
+use jaysaddle_types::serving::MemberPhase;
+use jaysaddle_types::serving::OrderResult;
+use jaysaddle_types::units::Timestamp;
+
+use crate::controller::FleetController;
+use crate::controller::FleetView;
+use crate::table::BackendTable;
+
+/// Status with which a backend server refuses an order that does not fit its state.
+const CONFLICT: u16 = 409;
+/// Status of a response of another backend server at the address.
+const MISDIRECTED: u16 = 421;
+
+/// Why the leader of a group cannot serve any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StopEvidence {
+    /// The leader has accepted the order to leave, or refused it because it is not in the group.
+    Left,
+    /// Another backend server answers at the address of the leader.
+    Replaced,
+    /// The leader reports that the group is broken.
+    Broken,
+    /// The leader reports, later than the group was taken over, that it is not in the group.
+    Outside,
+    /// This controller has formed the group and never ordered its leader to open.
+    NeverOpened,
+    /// The leader has no entry and has not answered for as long as it might serve. It may return.
+    Gone,
+}
+
+impl fmt::Display for StopEvidence {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            StopEvidence::Left => "left",
+            StopEvidence::Replaced => "leader_replaced",
+            StopEvidence::Broken => "leader_broken",
+            StopEvidence::Outside => "leader_left",
+            StopEvidence::NeverOpened => "never_opened",
+            StopEvidence::Gone => "leader_gone",
+        })
+    }
+}
+
+impl StopEvidence {
+    /// What the result of an order to leave shows of the leader that received it.
+    pub fn from_leave(result: OrderResult) -> Option<Self> {
+        match result {
+            OrderResult::Begun | OrderResult::Done => Some(StopEvidence::Left),
+            OrderResult::Refused { status: CONFLICT } => Some(StopEvidence::Left),
+            OrderResult::Refused {
+                status: MISDIRECTED,
+            } => Some(StopEvidence::Replaced),
+            _ => None,
+        }
+    }
+}
+
+/// A group that this controller has ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndedGroup {
+    /// When it was ended.
+    pub at: Timestamp,
+    /// Why its leader cannot serve.
+    pub evidence: StopEvidence,
+}
+
+impl FleetController {
+    /// What shows that the leader of a managed group cannot serve any more; `None` as long as it may.
+    pub(super) fn leader_evidence(
+        &self,
+        key: &GroupKey,
+        view: FleetView<'_>,
+        now: Timestamp,
+    ) -> Option<StopEvidence> {
+        let group = self.groups.get(key)?;
+        let leader = group.leader();
+        let Some(row) = view.table.get(leader) else {
+            return self
+                .has_stopped_serving(leader, view.table, now)
+                .then_some(StopEvidence::Gone);
+        };
+        match &row.entry.membership {
+            Some(membership) if membership.key == *key => {
+                (membership.phase == MemberPhase::Broken).then_some(StopEvidence::Broken)
+            }
+            // An entry from before the group was taken over may be older than the leader's order to join.
+            _ => (row.last_write > group.created).then_some(StopEvidence::Outside),
+        }
+    }
+
+    /// Whether a leader without an entry has stopped serving. A leader that refuses connections may still be finishing
+    /// its requests, with its group open until then. One without a connection may only be cut off from this node; its
+    /// entry returns within two seconds if it is alive.
+    pub(super) fn has_stopped_serving(
+        &self,
+        leader: &VmId,
+        table: &BackendTable,
+        now: Timestamp,
+    ) -> bool {
+        if table.get(leader).is_some() || !self.is_lost(leader) {
+            return false;
+        }
+        let Some(vm) = self.vms.get(leader) else {
+            return false;
+        };
+        let limit = if vm.reachability.is_refusing() {
+            self.timing.finish_timeout
+        } else {
+            self.timing.unknown_leader_timeout
+        };
+        let failed_since = vm.reachability.failed_since();
+        failed_since.is_some_and(|since| now.since(since) >= limit)
+    }
+
+    /// Ends a group: its members are free.
+    pub(super) fn end_group(&mut self, key: &GroupKey, evidence: StopEvidence, now: Timestamp) {
+        self.groups.remove(key);
+        let ended = EndedGroup { at: now, evidence };
+        self.ended_groups.insert(key.clone(), ended);
+    }
+}
