Join VMs by the group and the number of orders of one moment

Cause: an order to join carries the number of orders that the VM has accepted, read from its report, while the VM was judged free by its entry. After a change of the holder the number could already contain the last holder's join and the entry not, so that the order was accepted and the check against late orders had no effect.

A report now gives the group together with the number (VmState), and responses to orders update both. A VM joins a group only if the group that it reported has ended or is the one by which it was judged; the order takes effect only in that state.

--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -23,6 +23,7 @@
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::FleetEvent;
 use jaysaddle_fleet::controller::ProbeResult;
+use jaysaddle_fleet::controller::VmState;
 use jaysaddle_fleet::leaving::LeavingServer;
 use jaysaddle_gateway::silence::DataWait;
 use jaysaddle_gateway::target::ServerNumber;
@@ -344,18 +345,30 @@
     }
 }
 
+/// Decodes the state that a report contains.
+///
+/// # Errors
+///
+/// Fails if the report is malformed.
+fn read_state(body: &[u8]) -> eyre::Result<VmState> {
+    let report = parse_report(body)?;
+    let group = report.group.map(|group| group.key()).transpose()?;
+    Ok(VmState {
+        order_count: report.order_count,
+        group,
+    })
+}
+
 /// Reads the report of a VM and passes on what that shows. With `is_repeated`, only a new connection is used.
 pub async fn probe(node: Rc<EntryNode>, id: VmId, address: SocketAddr, is_repeated: bool) {
     let key = backend_key(&node, &id, address);
     let result = match read_report(&node, &key, is_repeated).await {
-        Ok((200, body)) => match parse_report(&body) {
-            Ok(report) => {
+        Ok((200, body)) => match read_state(&body) {
+            Ok(state) => {
                 if node.store.is_unreachable(clock::now()) {
                     node.apply_report(&id, &body);
                 }
-                ProbeResult::Reported {
-                    order_count: report.order_count,
-                }
+                ProbeResult::Reported(state)
             }
             Err(error) => {
                 log::warn!("event=report_undecodable vm={id} error=\"{error:#}\"");
@@ -373,7 +386,7 @@
         Err(result) => result,
     };
     let result = match result {
-        ProbeResult::Reported { .. } | ProbeResult::Void => result,
+        ProbeResult::Reported(_) | ProbeResult::Void => result,
         _ if confirms_failure(&node).await => result,
         _ => ProbeResult::Void,
     };
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -12,7 +12,8 @@
 //! - A group is not ended because a member is silent, only closed to new requests until the member answers or counts as
 //!   lost.
 //! - Every order to join carries the number of orders that the VM is known to have accepted, so that an order which
-//!   arrives after a newer one is rejected.
+//!   arrives after a newer one is rejected. The number is of the same moment as the group by which the VM was judged free:
+//!   an entry may be older than the number and hide a move to another group.
 
 mod adoption;
 mod exchange;
@@ -62,6 +63,7 @@
 pub use crate::controller::messages::FleetView;
 pub use crate::controller::messages::NodeTraffic;
 pub use crate::controller::messages::ProbeResult;
+pub use crate::controller::messages::VmState;
 pub use crate::controller::stats::FleetStats;
 pub use crate::controller::stats::ModelStats;
 pub use crate::controller::timing::ControllerTiming;
@@ -99,6 +101,8 @@
     is_adopted: bool,
     /// When this controller formed or adopted the group.
     created: Timestamp,
+    /// Groups that the members belonged to when this group was formed.
+    origins: BTreeMap<VmId, Option<GroupKey>>,
     /// Members that have accepted the order to join, with the time of acceptance.
     joined: BTreeMap<VmId, Timestamp>,
     /// When the last order of the current stage was sent to the leader.
@@ -126,8 +130,8 @@
     address: Option<SocketAddr>,
     /// `None` until its entry has been seen.
     failure_domain: Option<FailureDomainId>,
-    /// Number of orders that the VM has accepted, from its reports and responses; `None` while it is uncertain.
-    order_count: Option<u64>,
+    /// State by the VM's reports and responses; `None` while it is uncertain.
+    state: Option<VmState>,
     in_flight: Option<BackendOrder>,
     /// Ended group that the VM was last ordered to leave.
     released_from: Option<GroupKey>,
@@ -317,6 +321,7 @@
         }
         let reported = reported_groups(view.table, view.config);
         self.adopt(&reported, view, now);
+        self.probe_unknown_states(view, now);
         let keys: Vec<GroupKey> = self.groups.keys().cloned().collect();
         for key in keys {
             self.advance(&key, view, reported.get(&key), now);
--- a/crates/fleet/src/controller/adoption.rs
+++ b/crates/fleet/src/controller/adoption.rs
@@ -126,6 +126,7 @@
                 stage,
                 is_adopted: true,
                 created: now,
+                origins: BTreeMap::new(),
                 joined,
                 last_order: None,
             },
--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -274,6 +274,14 @@
         for id in &planned.members {
             self.log_assignment(id, &key, view, reported, now);
         }
+        let origins = planned
+            .members
+            .iter()
+            .filter_map(|id| {
+                let state = self.vms.get(id)?.state.as_ref()?;
+                Some((id.clone(), state.group.clone()))
+            })
+            .collect();
         let group = ControlledGroup {
             service: service.clone(),
             model: planned.model.clone(),
@@ -281,6 +289,7 @@
             stage: GroupStage::Joining,
             is_adopted: false,
             created: now,
+            origins,
             joined: BTreeMap::new(),
             last_order: None,
         };
--- a/crates/fleet/src/controller/idle.rs
+++ b/crates/fleet/src/controller/idle.rs
@@ -27,6 +27,8 @@
     Evacuated,
     /// The last probe of the VM has failed.
     Unreachable,
+    /// The VM has not reported its group yet, or its entry does not show that group.
+    StateUnknown,
     /// An order to the VM is in flight.
     OrderPending,
     /// The VM is joining a group that this controller does not manage.
@@ -55,6 +57,7 @@
             IdleReason::OrderPending => "order_pending",
             IdleReason::Joining => "joining",
             IdleReason::LeaderServing => "leader_serving",
+            IdleReason::StateUnknown => "state_unknown",
             IdleReason::LeaderUnknown => "leader_unknown",
             IdleReason::Reserved => "reserved",
             IdleReason::Loading => "loading",
@@ -91,6 +94,26 @@
         if vm.in_flight.is_some() || self.group_of(&entry.id).is_some() {
             return Some(IdleReason::OrderPending);
         }
+        let blocker = self.last_group_blocker(entry, view, reported, now);
+        let is_state_known = || {
+            let shown = entry.membership.as_ref().map(|membership| &membership.key);
+            vm.state.as_ref().is_some_and(|state| {
+                state.group.as_ref().is_none_or(|group| {
+                    Some(group) == shown || self.ended_groups.contains_key(group)
+                })
+            })
+        };
+        blocker.or_else(|| (!is_state_known()).then_some(IdleReason::StateUnknown))
+    }
+
+    /// The reason why the last group of a VM, as its entry shows it, keeps the VM from joining another one.
+    fn last_group_blocker(
+        &self,
+        entry: &BackendEntry,
+        view: FleetView<'_>,
+        reported: &BTreeMap<GroupKey, ReportedGroup>,
+        now: Timestamp,
+    ) -> Option<IdleReason> {
         let membership = entry.membership.as_ref()?;
         match membership.phase {
             MemberPhase::Broken => None,
@@ -161,7 +184,8 @@
             return;
         };
         let age_ms = now.since(row.last_write).as_millis();
-        let order_count = self.vms.get(id).and_then(|vm| vm.order_count);
+        let state = self.vms.get(id).and_then(|vm| vm.state.as_ref());
+        let order_count = state.map(|state| state.order_count);
         let line = match &row.entry.membership {
             Some(last) => {
                 let leader = reported.get(&last.key).and_then(|group| group.leader_phase);
--- a/crates/fleet/src/controller/messages.rs
+++ b/crates/fleet/src/controller/messages.rs
@@ -10,6 +10,7 @@
 use jaysaddle_types::ids::VmId;
 use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::GroupKey;
 use jaysaddle_types::serving::OrderResult;
 use jaysaddle_types::serving::ServingConfig;
 use jaysaddle_types::units::Timestamp;
@@ -26,14 +27,25 @@
     pub work: Vec<(ModelId, u64)>,
 }
 
+/// Group of a VM and the number of its orders at one moment.
+///
+/// # Invariants
+///
+/// Both come from the same report or response. An order to join that names the number then takes effect only as long as
+/// the VM is in this group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmState {
+    /// Number of orders that the VM has accepted since its start.
+    pub order_count: u64,
+    /// Group that the VM belongs to.
+    pub group: Option<GroupKey>,
+}
+
 /// Result of a probe.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ProbeResult {
     /// The VM's report was received.
-    Reported {
-        /// Number of orders that the VM has accepted since its start.
-        order_count: u64,
-    },
+    Reported(VmState),
     /// The host refused the connection, or another process answered at the address: the process is gone or leaving.
     Refused,
     /// No connection could be opened in time.
--- a/crates/fleet/src/controller/orders.rs
+++ b/crates/fleet/src/controller/orders.rs
@@ -9,8 +9,20 @@
 
 use crate::controller::FleetController;
 use crate::controller::FleetEffect;
+use crate::controller::VmState;
 use crate::controller::stop_evidence::StopEvidence;
 
+/// Applies an order that the VM has carried out to its state.
+fn record_effect(state: &mut VmState, order: &BackendOrder) {
+    match order {
+        BackendOrder::Join { key, .. } => state.group = Some(key.clone()),
+        BackendOrder::Leave { key } => {
+            state.group.take_if(|group| group == key);
+        }
+        BackendOrder::Open { .. } | BackendOrder::Close { .. } | BackendOrder::Stage { .. } => {}
+    }
+}
+
 impl FleetController {
     /// Sends an order to the leader of a group. Returns whether it was sent.
     pub(super) fn order_leader(
@@ -50,13 +62,14 @@
             return false;
         }
         let is_join = matches!(order, BackendOrder::Join { .. });
-        if is_join && vm.order_count.is_none() {
+        if is_join && vm.state.is_none() {
             if vm.next_probe.is_none() {
                 vm.next_probe = Some(now);
             }
             return false;
         }
-        let order_count = vm.order_count.filter(|_| is_join);
+        let state = vm.state.as_ref().filter(|_| is_join);
+        let order_count = state.map(|state| state.order_count);
         vm.in_flight = Some(order.clone());
         self.effects.push(FleetEffect::Order {
             id: id.clone(),
@@ -84,18 +97,26 @@
         match result {
             OrderResult::Begun => {
                 vm.reachability.record_response();
-                vm.order_count = vm.order_count.map(|count| count + 1);
+                if let Some(state) = &mut vm.state {
+                    state.order_count += 1;
+                    record_effect(state, &order);
+                }
+            }
+            OrderResult::Done => {
+                vm.reachability.record_response();
+                if let Some(state) = &mut vm.state {
+                    record_effect(state, &order);
+                }
             }
-            OrderResult::Done => vm.reachability.record_response(),
             OrderResult::Refused { .. } => {
                 vm.reachability.record_response();
                 vm.next_order = Some(now + retry_delay);
-                vm.order_count = None;
+                vm.state = None;
                 vm.next_probe = Some(now + retry_delay);
             }
             OrderResult::Unreachable | OrderResult::Unknown => {
                 vm.next_order = Some(now + retry_delay);
-                vm.order_count = None;
+                vm.state = None;
                 vm.next_probe = Some(now);
             }
         }
--- a/crates/fleet/src/controller/probes.rs
+++ b/crates/fleet/src/controller/probes.rs
@@ -7,6 +7,7 @@
 use crate::controller::ControlledGroup;
 use crate::controller::FleetController;
 use crate::controller::FleetEffect;
+use crate::controller::FleetView;
 use crate::controller::GroupStage;
 use crate::controller::ProbeResult;
 
@@ -23,16 +24,23 @@
             reachability.is_silent(&timing),
             reachability.is_lost(&timing),
         );
-        match result {
-            ProbeResult::Reported { order_count } => {
+        match &result {
+            ProbeResult::Reported(state) => {
                 reachability.record_response();
                 vm.last_report = Some(now);
-                vm.order_count = vm.order_count.max(Some(order_count));
+                // A report can be a few hundred milliseconds old, and older than the response to an order.
+                let is_older = vm
+                    .state
+                    .as_ref()
+                    .is_some_and(|known| known.order_count > state.order_count);
+                if !is_older {
+                    vm.state = Some(state.clone());
+                }
                 vm.next_probe = None;
             }
             ProbeResult::Void => vm.next_probe = Some(now + timing.retry_delay),
             ProbeResult::Refused | ProbeResult::Unreachable | ProbeResult::Silent => {
-                reachability.record_failure(result, &timing, now);
+                reachability.record_failure(&result, &timing, now);
                 let pause = if reachability.is_lost(&timing) {
                     timing.lost_probe_interval
                 } else if reachability.is_silent(&timing) {
@@ -106,6 +114,38 @@
         }
     }
 
+    /// Schedules probes of the VMs whose state must be known before they may join a group: those in no managed group, and the
+    /// members of groups that are ending.
+    pub(super) fn probe_unknown_states(&mut self, view: FleetView<'_>, now: Timestamp) {
+        for row in view.table.rows() {
+            let entry = &row.entry;
+            if entry.is_draining {
+                continue;
+            }
+            let group = self.groups.group_of(&entry.id);
+            let group = group.and_then(|key| self.groups.get(key));
+            if group.is_some_and(|group| {
+                group.counts_as_capacity() && group.stage != GroupStage::Joining
+            }) {
+                continue;
+            }
+            let Some(vm) = self.vms.get_mut(&entry.id) else {
+                continue;
+            };
+            let shown = entry.membership.as_ref().map(|membership| &membership.key);
+            let is_known = vm.state.as_ref().is_some_and(|state| {
+                state.group.as_ref() == shown
+                    || vm
+                        .last_report
+                        .is_some_and(|time| now.since(time) < self.timing.report_validity)
+            });
+            let is_idle = vm.next_probe.is_none() && !vm.probe_in_flight && vm.in_flight.is_none();
+            if !is_known && is_idle && vm.reachability.failed() == 0 {
+                vm.next_probe = Some(now);
+            }
+        }
+    }
+
     pub(super) fn send_due_probes(&mut self, now: Timestamp) {
         for (id, vm) in &mut self.vms {
             let Some(address) = vm.address else {
--- a/crates/fleet/src/controller/reachability.rs
+++ b/crates/fleet/src/controller/reachability.rs
@@ -33,12 +33,12 @@
     /// Records a probe without a report. Void probes are not recorded.
     pub fn record_failure(
         &mut self,
-        result: ProbeResult,
+        result: &ProbeResult,
         timing: &ControllerTiming,
         now: Timestamp,
     ) {
         self.failed += 1;
-        self.is_refusing = result == ProbeResult::Refused;
+        self.is_refusing = *result == ProbeResult::Refused;
         let is_gone = matches!(result, ProbeResult::Refused | ProbeResult::Unreachable);
         self.gone = if is_gone { self.gone + 1 } else { 0 };
         let (first, last) = self.failed_between.unwrap_or((now, now));
--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -7,6 +7,7 @@
 use jaysaddle_types::serving::MemberPhase;
 use jaysaddle_types::units::Timestamp;
 
+use crate::controller::ControlledGroup;
 use crate::controller::FleetController;
 use crate::controller::FleetView;
 use crate::controller::GroupStage;
@@ -82,6 +83,8 @@
                 fault = Some((id.clone(), "draining"));
             } else if self.is_lost(id) {
                 fault = Some((id.clone(), "unreachable"));
+            } else if self.has_moved(&group, id, key) {
+                fault = Some((id.clone(), "in_another_group"));
             } else if let Some(accepted) = group.joined.get(id) {
                 let is_shown = row
                     .entry
@@ -130,6 +133,17 @@
             }
             return;
         }
+        for id in &group.members {
+            let state = self.vms.get(id).and_then(|vm| vm.state.as_ref());
+            if state.is_some_and(|state| state.group.as_ref() == Some(key))
+                && let Some(group) = self.groups.get_mut(key)
+            {
+                group.joined.entry(id.clone()).or_insert(now);
+            }
+        }
+        let Some(group) = self.groups.get(key).cloned() else {
+            return;
+        };
         let missing: Vec<VmId> = group
             .members
             .iter()
@@ -146,6 +160,16 @@
         }
     }
 
+    /// Whether a member that has not joined yet is known to be in a group other than the one it was taken from.
+    fn has_moved(&self, group: &ControlledGroup, id: &VmId, key: &GroupKey) -> bool {
+        let state = self.vms.get(id).and_then(|vm| vm.state.as_ref());
+        let origin = group.origins.get(id);
+        !group.joined.contains_key(id)
+            && state.zip(origin).is_some_and(|(state, origin)| {
+                state.group.as_ref() != Some(key) && state.group != *origin
+            })
+    }
+
     pub(super) fn advance_serving(
         &mut self,
         key: &GroupKey,
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -12,6 +12,7 @@
 use jaysaddle_fleet::controller::FleetView;
 use jaysaddle_fleet::controller::NodeTraffic;
 use jaysaddle_fleet::controller::ProbeResult;
+use jaysaddle_fleet::controller::VmState;
 use jaysaddle_fleet::groups::reported_groups;
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_types::ids::FabricDomainId;
@@ -374,9 +375,14 @@
                     let result = if self.paused.contains(&id) {
                         ProbeResult::Silent
                     } else if fake.is_reachable {
-                        ProbeResult::Reported {
+                        ProbeResult::Reported(VmState {
                             order_count: fake.order_count,
-                        }
+                            group: fake
+                                .entry
+                                .membership
+                                .as_ref()
+                                .map(|membership| membership.key.clone()),
+                        })
                     } else if self.refusing.contains(&id) {
                         ProbeResult::Refused
                     } else {
