Open a group only after each member has reported that it is in it

Requests to a group wait until it breaks if one of its members is in another group when it is opened.

Cause: a group that the last holder had been forming was opened as soon as the entries showed all members ready, although a late order of that holder could have moved a member whose entry was not updated yet.

Evidence: group_whose_member_was_moved_unseen_is_not_opened failed before. The open order now waits for a report or response of each member that names the group.

--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -128,7 +128,14 @@
                 )
         });
         if is_ready {
-            if self.order_leader(key, BackendOrder::Open { key: key.clone() }, now) {
+            // An order of the previous holder may have moved a member, and its entry may not show that yet.
+            let mut states = group.members.iter().map(|id| self.vms.get(id));
+            let have_reported = states.all(|vm| {
+                let state = vm.and_then(|vm| vm.state.as_ref());
+                state.is_some_and(|state| state.group.as_ref() == Some(key))
+            });
+            if have_reported && self.order_leader(key, BackendOrder::Open { key: key.clone() }, now)
+            {
                 self.set_stage(key, GroupStage::Opening);
             }
             return;
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -27,6 +27,7 @@
 use jaysaddle_types::serving::BackendEntry;
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::EngineProfile;
+use jaysaddle_types::serving::GroupKey;
 use jaysaddle_types::serving::GroupMembership;
 use jaysaddle_types::serving::MemberPhase;
 use jaysaddle_types::serving::ModelProfile;
@@ -164,6 +165,12 @@
     next_table: Option<BackendTable>,
     /// Entries that the table of the next holder does not show yet, with the time in milliseconds at which it does.
     delayed: VecDeque<(u64, BackendEntry)>,
+    /// VMs whose entries in the table are not updated.
+    pub stale: BTreeSet<VmId>,
+    /// Members of each group that was formed.
+    formed: BTreeMap<GroupKey, Vec<VmId>>,
+    /// Groups that were opened without all of their members.
+    pub partial_opens: Vec<GroupKey>,
     /// VMs that ignore orders and do not respond to them.
     pub unresponsive: BTreeSet<VmId>,
     /// VMs whose process is paused: it accepts connections but sends nothing, and carries out its orders when it continues.
@@ -206,6 +213,9 @@
             table_age: 0,
             next_table: Some(BackendTable::default()),
             delayed: VecDeque::new(),
+            stale: BTreeSet::new(),
+            formed: BTreeMap::new(),
+            partial_opens: Vec::new(),
             unresponsive: BTreeSet::new(),
             paused: BTreeSet::new(),
             waiting: Vec::new(),
@@ -326,6 +336,17 @@
             .collect()
     }
 
+    /// Ends the loading of a VM's weights before that of the other members.
+    pub fn finish_join(&mut self, id: &VmId) {
+        let fake = self.vms.get_mut(id).expect("VM");
+        fake.ready_at = Some(self.now.0);
+    }
+
+    /// Carries out an order of a previous holder that arrives late.
+    pub fn receive_late_order(&mut self, id: &VmId, order: &BackendOrder) {
+        self.execute_order(id, order, None);
+    }
+
     /// Makes a VM fail for good: it is unreachable and serves nothing. Its entry stays until it is removed.
     pub fn kill(&mut self, id: &VmId) {
         let fake = self.vms.get_mut(id).expect("VM");
@@ -452,6 +473,7 @@
                 if is_leader_serving {
                     self.overlapping_joins.push(id.clone());
                 }
+                self.formed.insert(key.clone(), members.clone());
                 let rank = members
                     .iter()
                     .position(|member| member == id)
@@ -480,6 +502,16 @@
                     return OrderResult::Refused { status: 409 };
                 }
                 membership.phase = MemberPhase::Open;
+                let is_member = |id: &VmId| {
+                    let membership = self.vms[id].entry.membership.as_ref();
+                    membership.is_some_and(|membership| membership.key == *key)
+                };
+                if !self.formed[key].iter().all(is_member) {
+                    self.partial_opens.push(key.clone());
+                }
+                let fake = self.vms.get_mut(id).expect("VM");
+                fake.order_count += 1;
+                return OrderResult::Begun;
             }
             BackendOrder::Close { key } => {
                 if let Some(membership) = &mut fake.entry.membership
@@ -535,6 +567,7 @@
                 if !self.is_store_stale
                     && fake.is_reachable
                     && !self.paused.contains(&fake.entry.id)
+                    && !self.stale.contains(&fake.entry.id)
                 {
                     let shown_at = self.now.0 + self.table_age;
                     self.delayed.push_back((shown_at, fake.entry.clone()));
--- a/crates/fleet/tests/all/takeover.rs
+++ b/crates/fleet/tests/all/takeover.rs
@@ -1,10 +1,16 @@
 //! Tests of a controller that takes over from one whose table was newer than its own.
 
+use jaysaddle_fleet::groups::group_generation;
+use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::BackendOrder;
+use jaysaddle_types::serving::GroupKey;
 
 use crate::fake::FakeFleet;
 use crate::fake::LARGE;
 use crate::fake::SMALL;
+use crate::fake::model;
 
 /// What happens to a member of a group right after the controller was replaced.
 #[derive(Clone, Copy, Debug)]
@@ -154,6 +160,36 @@
     assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
 }
 
+/// Guards against a group that is opened without all of its members: a late order of the previous holder has moved a member,
+/// and the table of the next holder still shows it in the group.
+#[test]
+fn group_whose_member_was_moved_unseen_is_not_opened() {
+    let mut fleet = FakeFleet::new(2);
+    fleet.advance(1500);
+    let joins: Vec<(VmId, BackendOrder)> = fleet.orders.clone();
+    let (leader, member) = (joins[0].0.clone(), joins[1].0.clone());
+    fleet.finish_join(&member);
+    fleet.advance(200);
+    fleet.replace_controller(2);
+    fleet.stale.insert(member.clone());
+    let other = GroupKey {
+        group: GroupId::new("g1-9"),
+        generation: group_generation(LeaseEpoch(1), 9),
+    };
+    let order = BackendOrder::Join {
+        key: other,
+        model: model(SMALL),
+        members: vec![member.clone()],
+    };
+    fleet.receive_late_order(&member, &order);
+    fleet.advance(15_000);
+    assert!(
+        fleet.partial_opens.is_empty(),
+        "leader {leader}: {:#?}",
+        fleet.decisions
+    );
+}
+
 /// Guards against VMs that stay idle after a change of the holder: a group that the next holder takes over while it is
 /// being formed, and whose member drains, must end soon, so that the others serve again.
 #[test]
