--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -12,7 +12,6 @@
 use jaysaddle_fleet::controller::FleetView;
 use jaysaddle_fleet::controller::NodeTraffic;
 use jaysaddle_fleet::controller::ProbeResult;
-use jaysaddle_fleet::controller::VmState;
 use jaysaddle_fleet::groups::reported_groups;
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_types::ids::FabricDomainId;
@@ -28,7 +27,6 @@
 use jaysaddle_types::serving::BackendOrder;
 use jaysaddle_types::serving::EngineProfile;
 use jaysaddle_types::serving::GroupKey;
-use jaysaddle_types::serving::GroupMembership;
 use jaysaddle_types::serving::MemberPhase;
 use jaysaddle_types::serving::ModelProfile;
 use jaysaddle_types::serving::OrderResult;
@@ -38,6 +36,8 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::fake_vm::FakeVm;
+
 /// Interval of the controller's ticks.
 const TICK_MS: u64 = 100;
 /// Time after which the outcome of an order without a response counts as unknown.
@@ -113,27 +113,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct FakeVm {
-    entry: BackendEntry,
-    order_count: u64,
-    /// Model of the last group. Unlike the model in the entry, it stays known after the VM has left the group.
-    last_model: Option<ModelId>,
-    /// Time in milliseconds at which the join in progress completes.
-    ready_at: Option<u64>,
-    /// Model that is being staged, and the time in milliseconds at which that completes.
-    staging: Option<(ModelId, u64)>,
-    is_reachable: bool,
-}
-
-impl FakeVm {
-    fn finish_staging(&mut self, now: u64) {
-        if let Some((model, _)) = self.staging.take_if(|(_, time)| now >= *time) {
-            self.entry.staged = vec![model];
-        }
-    }
-}
-
 /// An order to a VM whose process is paused.
 #[derive(Clone, Debug)]
 struct WaitingOrder {
@@ -237,14 +216,7 @@
             ..entry(id, domain)
         };
         self.table.put(entry.clone(), self.now);
-        let fake = FakeVm {
-            entry,
-            order_count: 0,
-            last_model: None,
-            ready_at: None,
-            staging: None,
-            is_reachable: true,
-        };
+        let fake = FakeVm::new(entry);
         self.vms.insert(vm(id), fake);
     }
 
@@ -396,14 +368,7 @@
                     let result = if self.paused.contains(&id) {
                         ProbeResult::Silent
                     } else if fake.is_reachable {
-                        ProbeResult::Reported(VmState {
-                            order_count: fake.order_count,
-                            group: fake
-                                .entry
-                                .membership
-                                .as_ref()
-                                .map(|membership| membership.key.clone()),
-                        })
+                        ProbeResult::Reported(fake.state())
                     } else if self.refusing.contains(&id) {
                         ProbeResult::Refused
                     } else {
@@ -461,47 +426,18 @@
         }
         let is_leader_serving = self.leader_serves(&self.vms[id].entry);
         let fake = self.vms.get_mut(id).expect("VM");
-        if order_count.is_some_and(|count| count != fake.order_count) {
-            return OrderResult::Refused { status: 409 };
+        let result = fake.execute(order, order_count, self.now, self.staging_ms);
+        if result != OrderResult::Begun {
+            return result;
         }
         match order {
-            BackendOrder::Join {
-                key,
-                model,
-                members,
-            } => {
+            BackendOrder::Join { key, members, .. } => {
                 if is_leader_serving {
                     self.overlapping_joins.push(id.clone());
                 }
                 self.formed.insert(key.clone(), members.clone());
-                let rank = members
-                    .iter()
-                    .position(|member| member == id)
-                    .expect("rank");
-                let time = if fake.last_model.as_ref() == Some(model) {
-                    200
-                } else if fake.entry.staged.contains(model) {
-                    1100
-                } else {
-                    12_000
-                };
-                fake.ready_at = Some(self.now.0 + time);
-                fake.entry.model = Some(model.clone());
-                fake.last_model = Some(model.clone());
-                fake.entry.membership = Some(GroupMembership {
-                    key: key.clone(),
-                    rank: u32::try_from(rank).expect("rank"),
-                    phase: MemberPhase::Joining,
-                });
             }
             BackendOrder::Open { key } => {
-                let Some(membership) = &mut fake.entry.membership else {
-                    return OrderResult::Refused { status: 409 };
-                };
-                if membership.key != *key || membership.phase != MemberPhase::Ready {
-                    return OrderResult::Refused { status: 409 };
-                }
-                membership.phase = MemberPhase::Open;
                 let is_member = |id: &VmId| {
                     let membership = self.vms[id].entry.membership.as_ref();
                     membership.is_some_and(|membership| membership.key == *key)
@@ -509,36 +445,10 @@
                 if !self.formed[key].iter().all(is_member) {
                     self.partial_opens.push(key.clone());
                 }
-                let fake = self.vms.get_mut(id).expect("VM");
-                fake.order_count += 1;
-                return OrderResult::Begun;
-            }
-            BackendOrder::Close { key } => {
-                if let Some(membership) = &mut fake.entry.membership
-                    && membership.key == *key
-                {
-                    membership.phase = MemberPhase::Ready;
-                }
-            }
-            BackendOrder::Leave { key } => {
-                if fake
-                    .entry
-                    .membership
-                    .as_ref()
-                    .is_none_or(|membership| membership.key != *key)
-                {
-                    return OrderResult::Refused { status: 409 };
-                }
-                fake.entry.membership = None;
-                fake.entry.model = None;
-            }
-            BackendOrder::Stage { model } => {
-                fake.staging = Some((model.clone(), self.now.0 + self.staging_ms));
-                fake.finish_staging(self.now.0);
             }
+            _ => {}
         }
-        fake.order_count += 1;
-        OrderResult::Begun
+        result
     }
 
     /// Advances the clock in steps of [`TICK_MS`]: completes joins, updates entries and ticks the controller.
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod demand;
 mod evacuation;
 mod fake;
+mod fake_vm;
 mod groups;
 mod lease;
 mod lease_restores;
