Check the lease again after the connection for an order is open

An order could leave up to 800 ms after the lease had passed to another node, when its connection was slow to open. Found by reading; no test shows it.

--- a/crates/entry/src/backend_calls.rs
+++ b/crates/entry/src/backend_calls.rs
@@ -183,6 +183,11 @@
     let key = backend_key(&node, &id, address);
     let exchange = async {
         let pooled = node.pool.take(&key, true, u32::MAX).await?;
+        // The connection may have taken longer to open than the lease lasts.
+        if node.lease.borrow().held_term(clock::now()).is_none() {
+            node.pool.put(pooled, None);
+            return Err(ExchangeError::not_run(eyre!("the lease has ended")));
+        }
         call_backend(&node, &key, pooled, Method::POST, ORDER_PATH, body).await
     };
     let outcome = match timeout(ORDER_TIMEOUT, exchange).await {
