Let successions follow orders closely in the exploration

Most successions now happen within 0.8 s after an accepted order to join or open, with disturbances of the latest groups right after them.

--- a/crates/fleet/tests/all/succession_faults.rs
+++ b/crates/fleet/tests/all/succession_faults.rs
@@ -31,6 +31,8 @@
 
 /// Time at which the first node holds the lease, in milliseconds.
 const START_MS: u64 = 10_000;
+/// Time that the first holder has at least, in milliseconds.
+const FIRST_TERM_MS: u64 = 800;
 /// Time of a load from the weight store once there is traffic, in milliseconds.
 pub const LOAD_MS: u64 = 3000;
 /// Greatest number of VMs that a run has.
@@ -59,6 +61,8 @@
 #[derive(Clone, Debug)]
 pub enum Disturbance {
     Succeed(Succession),
+    /// Succeeds right after the next order to join or open has been accepted.
+    Arm(Succession),
     Acquire {
         index: usize,
     },
@@ -192,7 +196,7 @@
     let end = START_MS + world.between(4000, 14_000);
     let mut successions = Vec::new();
     for _ in 0..world.between(1, 3) {
-        let time = world.between(START_MS + 800, end);
+        let time = world.between(START_MS + FIRST_TERM_MS, end);
         let kind = match world.random.below(5) {
             0 | 1 => Succession::Resigned,
             2 => Succession::Lapsed,
@@ -200,7 +204,12 @@
             _ => Succession::HandedOver,
         };
         successions.push(time);
-        world.schedule(time, WorldEvent::Disturb(Disturbance::Succeed(kind)));
+        let disturbance = if world.chance(60) {
+            Disturbance::Arm(kind)
+        } else {
+            Disturbance::Succeed(kind)
+        };
+        world.schedule(time, WorldEvent::Disturb(disturbance));
     }
     for _ in 0..world.between(1, 8) {
         let index = world.random.below(successions.len() as u64);
@@ -220,6 +229,7 @@
         let disturbance = draw_disturbance(world);
         world.schedule(time, WorldEvent::Disturb(disturbance));
     }
+    world.aftermath = world.random.below(3);
     world.faults_until = end + 2000;
     world.disturb_until(end + 2000 + MAX_DELAY_MS);
 }
@@ -258,29 +268,27 @@
 }
 
 impl World {
-    /// A VM that serves, most often one of a group.
+    /// A VM that serves: most often a member of a group, and often of the latest one.
     fn draw_vm(&mut self) -> Option<VmId> {
         let running = self.vms.iter().filter(|(_, vm)| vm.life == VmLife::Running);
-        let running: Vec<(VmId, bool)> = running
-            .map(|(id, vm)| (id.clone(), vm.key().is_some()))
+        let running: Vec<(VmId, u64)> = running
+            .map(|(id, vm)| (id.clone(), vm.key().map_or(0, |key| key.generation.0)))
             .collect();
-        let members: Vec<&VmId> = running
-            .iter()
-            .filter(|(_, is_member)| *is_member)
+        let latest = running.iter().map(|(_, generation)| *generation).max()?;
+        let least = match self.random.below(10) {
+            0..=3 => latest,
+            4..=7 => latest.min(1),
+            _ => 0,
+        };
+        let drawn: Vec<VmId> = running
+            .into_iter()
+            .filter(|(_, generation)| *generation >= least)
             .map(|(id, _)| id)
             .collect();
-        let index = |world: &mut World, count: usize| {
-            usize::try_from(world.random.below(count as u64)).expect("small")
-        };
-        if !members.is_empty() && self.chance(80) {
-            let at = index(self, members.len());
-            return Some(members[at].clone());
-        }
-        if running.is_empty() {
-            return None;
-        }
-        let at = index(self, running.len());
-        Some(running[at].0.clone())
+        let index = self.random.below(drawn.len() as u64);
+        drawn
+            .into_iter()
+            .nth(usize::try_from(index).expect("small"))
     }
 
     /// Carries out a disturbance.
@@ -289,6 +297,7 @@
         let now = self.now;
         match disturbance {
             Disturbance::Succeed(kind) => self.succeed(kind),
+            Disturbance::Arm(kind) => self.armed.push(kind),
             Disturbance::Acquire { index } => {
                 if !self.store.is_up(now) {
                     // The lease is in the store.
@@ -301,11 +310,15 @@
                 self.term += 1;
                 self.active = Some(index);
                 self.step_holder(index, FleetEvent::Acquired(LeaseEpoch(self.term)));
+                self.draw_aftermath();
             }
             Disturbance::Accept {
                 index,
                 groups_formed,
-            } => self.accept_handover(index, groups_formed),
+            } => {
+                self.accept_handover(index, groups_formed);
+                self.draw_aftermath();
+            }
             Disturbance::Evacuate { domain, millis } => {
                 self.evacuated.insert(FailureDomainId::new(domain));
                 let event = WorldEvent::Disturb(Disturbance::EndEvacuation { domain });
@@ -344,6 +357,31 @@
         }
     }
 
+    /// Succeeds shortly after an order to join or open has been accepted, if a succession waits for that.
+    pub fn succeed_if_armed(&mut self) {
+        if self.now < self.faults_until
+            && let Some(kind) = self.armed.pop()
+        {
+            let time = self.now + self.between(10, 800);
+            let event = WorldEvent::Disturb(Disturbance::Succeed(kind));
+            self.disturb_until(time);
+            self.schedule(time, event);
+        }
+    }
+
+    /// Draws the disturbances right after a succession.
+    fn draw_aftermath(&mut self) {
+        if self.now >= self.faults_until || self.now < START_MS + FIRST_TERM_MS {
+            return;
+        }
+        for _ in 0..self.aftermath {
+            let time = self.now + self.between(10, 1500);
+            let disturbance = draw_disturbance(self);
+            self.disturb_until(time);
+            self.schedule(time, WorldEvent::Disturb(disturbance));
+        }
+    }
+
     fn succeed(&mut self, kind: Succession) {
         let Some(index) = self.active.take() else {
             return;
--- a/crates/fleet/tests/all/succession_messages.rs
+++ b/crates/fleet/tests/all/succession_messages.rs
@@ -211,12 +211,14 @@
             match &order {
                 BackendOrder::Join { key, .. } => {
                     self.accepted.0 += 1;
+                    self.succeed_if_armed();
                     if let (true, Some(before), Some(leader)) = (is_serving, before, leader) {
                         self.check_join(&id, &before, &leader, key);
                     }
                 }
                 BackendOrder::Open { key } => {
                     self.accepted.1 += 1;
+                    self.succeed_if_armed();
                     self.check_members(&id, key);
                 }
                 _ => {}
--- a/crates/fleet/tests/all/succession_world.rs
+++ b/crates/fleet/tests/all/succession_world.rs
@@ -27,6 +27,7 @@
 use jaysaddle_types::units::Timestamp;
 
 use crate::succession_faults::Disturbance;
+use crate::succession_faults::Succession;
 use crate::succession_holder::EntryChange;
 use crate::succession_holder::Holder;
 use crate::succession_holder::SimStore;
@@ -117,6 +118,10 @@
     pub notices_stalls: bool,
     /// Reason that the holder has last logged for each idle VM.
     pub idle_reasons: BTreeMap<VmId, String>,
+    /// Successions that happen right after the next order to join or open has been accepted.
+    pub armed: Vec<Succession>,
+    /// Number of disturbances right after each succession.
+    pub aftermath: u64,
     pub broken: Option<(BrokenRule, String)>,
     /// Joins of members of a leader that was to be treated as gone.
     pub exempt_joins: u64,
@@ -151,6 +156,8 @@
             close_ms: 0,
             notices_stalls: false,
             idle_reasons: BTreeMap::new(),
+            armed: Vec::new(),
+            aftermath: 0,
             broken: None,
             exempt_joins: 0,
             accepted: (0, 0),
