Open a group taken over only when its members confirm it

What callers saw: nothing yet. Seed 2422 of the exploration reached a group that was opened without a member.

Cause: the last holder had abandoned a group that it never opened, because a member drained, and had moved another member to a new group. The table of the next holder was two seconds old, showed the abandoned group complete and loaded, and the group was opened.

Change: each member of a group taken over must have reported the group to this holder before its leader is ordered to open. The members are probed from the takeover on, so this takes one probe.

--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -128,6 +128,14 @@
                 )
         });
         if is_ready {
+            // The last holder may have moved a member since the table was current.
+            let is_confirmed = group.members.iter().all(|id| {
+                let state = self.vms.get(id).and_then(|vm| vm.state.as_ref());
+                state.is_some_and(|state| state.group.as_ref() == Some(key))
+            });
+            if group.is_adopted && !is_confirmed {
+                return;
+            }
             if self.order_leader(key, BackendOrder::Open { key: key.clone() }, now) {
                 self.set_stage(key, GroupStage::Opening);
             }
--- a/crates/fleet/tests/all/succession.rs
+++ b/crates/fleet/tests/all/succession.rs
@@ -33,6 +33,12 @@
 /// Number of failing seeds that are listed.
 const MAX_LISTED: usize = 40;
 
+/// Seeds that have found faults of the controller.
+const FOUND: [(u64, &str); 1] = [(
+    2422,
+    "the next holder opens a group from which the last one has moved a member",
+)];
+
 /// Reasons that must end, after which the VM joins a group if others are free.
 const PASSING_REASONS: [&str; 6] = [
     "unreachable",
@@ -204,3 +210,12 @@
     );
     assert!(joins > 0 && openings > 0, "nothing was ordered");
 }
+
+/// Guards against the return of faults that the exploration has found.
+#[test]
+fn seeds_that_found_faults_pass() {
+    for (seed, fault) in FOUND {
+        let (_, broken) = run(seed, false);
+        assert_eq!(broken, None, "JAYSADDLE_SEED={seed}, found because {fault}");
+    }
+}
