--- a/crates/fleet/src/controller/probes.rs
+++ b/crates/fleet/src/controller/probes.rs
@@ -10,6 +10,7 @@
 use crate::controller::FleetView;
 use crate::controller::GroupStage;
 use crate::controller::ProbeResult;
+use crate::controller::VmState;
 
 impl FleetController {
     pub(super) fn probe_done(&mut self, id: &VmId, result: ProbeResult, now: Timestamp) {
@@ -133,15 +134,23 @@
                 continue;
             };
             let shown = entry.membership.as_ref().map(|membership| &membership.key);
-            let is_known = vm.state.as_ref().is_some_and(|state| {
-                state.group.as_ref().is_none_or(|group| {
+            let has_joined = group.is_some_and(|group| group.joined.contains_key(&entry.id));
+            let is_plausible = |state: &VmState| match &state.group {
+                Some(group) => {
                     Some(group) == shown
                         || Some(group) == managed
                         || self.ended_groups.contains_key(group)
-                }) || vm
-                    .last_report
-                    .is_some_and(|time| now.since(time) < self.timing.report_validity)
-            });
+                }
+                // A report that is older than the order to join names no group yet.
+                None => !has_joined,
+            };
+            let has_reported = vm
+                .last_report
+                .is_some_and(|time| now.since(time) < self.timing.report_validity);
+            let is_known = vm
+                .state
+                .as_ref()
+                .is_some_and(|state| has_reported || is_plausible(state));
             let is_idle = vm.next_probe.is_none() && !vm.probe_in_flight && vm.in_flight.is_none();
             if !is_known && is_idle && vm.reachability.failed() == 0 {
                 vm.next_probe = Some(now);
