Probe members whose entry shows a group that their report does not name yet

Also, an entry without the group counts as the leader's word only if the leader's last report or response agrees: after an outage of the store, entries from before it return.

--- a/crates/fleet/src/controller/probes.rs
+++ b/crates/fleet/src/controller/probes.rs
@@ -142,7 +142,7 @@
                         || self.ended_groups.contains_key(group)
                 }
                 // A report that is older than the order to join names no group yet.
-                None => !has_joined,
+                None => managed.is_none() || !has_joined && shown != managed,
             };
             let has_reported = vm
                 .last_report
--- a/crates/fleet/src/controller/stop_evidence.rs
+++ b/crates/fleet/src/controller/stop_evidence.rs
@@ -92,8 +92,12 @@
             Some(membership) if membership.key == *key => {
                 (membership.phase == MemberPhase::Broken).then_some(StopEvidence::Broken)
             }
-            // An entry from before the group was taken over may be older than the leader's order to join.
-            _ => (row.last_write > group.created).then_some(StopEvidence::Outside),
+            // An entry from before an outage of the store, or before the leader's order to join, is no evidence.
+            _ => {
+                let state = self.vms.get(leader).and_then(|vm| vm.state.as_ref());
+                let is_outside = state.is_some_and(|state| state.group.as_ref() != Some(key));
+                (is_outside && row.last_write > group.created).then_some(StopEvidence::Outside)
+            }
         }
     }
 
