Decode each object in the store's responses by itself

Callers lost the backend servers that came after another writer had left one unreadable object among the entries: no node followed the entries any more until that object was removed, and a new configuration was not applied while such an object was in the kind `config`.

Cause: `parse_response` built one `serde_json::Value` for all objects of a list or watch, so nesting beyond the decoder's limit, a number out of range or text that is no UTF-8 in one object made the whole response malformed. An event whose object was no object did the same to a watch. `list_all` continued after the last decodable object, so a page without any ended the listing, and what followed counted as gone. A single object that could not be decoded counted as a store that is unreachable.

An unreadable object keeps its name and has no content: an entry then names no server to use, and a configuration leaves the one in force. A page without any name fails the listing instead of ending it. Each response gives at most one log line, and all such objects are counted.

--- a/crates/entry/src/evacuation_sync.rs
+++ b/crates/entry/src/evacuation_sync.rs
@@ -118,7 +118,9 @@
         };
         let kind = ObjectKind::Evacuations;
         match watch_changes(&node, kind, known.position, CONFIG_WATCH_TIME).await {
-            Some(Ok(StoreResponse::Changes { changes, revision })) => {
+            Some(Ok(StoreResponse::Changes {
+                changes, revision, ..
+            })) => {
                 let has_changes = !changes.is_empty();
                 for change in changes {
                     if change.is_removed {
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -1,5 +1,6 @@
 //! Descriptions of all metrics, and gauges for the state of the node. docs/metrics.md lists the metrics.
 
+use jaysaddle_adapter::store::ObjectKind;
 use jaysaddle_daemon::clock;
 use jaysaddle_fleet::controller::FleetStats;
 use jaysaddle_fleet::peers::PeerPhase;
@@ -10,6 +11,7 @@
 use crate::response_bounds::BoundKind;
 use crate::silence::AwaitedPart;
 use crate::silence::SilenceEnd;
+use crate::store_client::UNREADABLE_OBJECTS;
 
 /// Registers the descriptions of the metrics and initializes counters, so that they are exported
 /// before their first event.
@@ -168,6 +170,13 @@
     for end in SilenceEnd::ALL {
         metrics::counter!(ends, "end" => end.label()).increment(0);
     }
+    metrics::describe_counter!(
+        UNREADABLE_OBJECTS,
+        "Unreadable objects in responses of the store, by kind"
+    );
+    for kind in ObjectKind::ALL {
+        metrics::counter!(UNREADABLE_OBJECTS, "kind" => kind.as_str()).increment(0);
+    }
     let bounds = "jaysaddle_response_bounds_total";
     metrics::describe_counter!(
         bounds,
--- a/crates/entry/src/node_table.rs
+++ b/crates/entry/src/node_table.rs
@@ -137,7 +137,7 @@
     pub fn apply_change(&self, change: StoreChange) {
         let StoreObject { name, spec, .. } = change.object;
         if self.is_outdated(&name, &spec, change.is_removed) {
-            log::debug!("event=change_outdated entry={name}");
+            log::debug!("event=change_outdated entry={name:?}");
         } else if change.is_removed {
             self.remove_entry(&name);
         } else {
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use jaysaddle_adapter::headers;
 use jaysaddle_adapter::store::StoreCall;
+use jaysaddle_adapter::store::StoreObject;
 use jaysaddle_adapter::store::StoreResponse;
 use jaysaddle_adapter::store::encode_call;
 use jaysaddle_adapter::store::parse_response;
@@ -41,6 +42,10 @@
 const MAX_IDLE_CONNECTIONS: usize = 3;
 /// Limit of a response, which may list the entries of the whole fleet.
 const MAX_RESPONSE: ByteCount = ByteCount(8 << 20);
+/// Counter of unreadable objects.
+pub const UNREADABLE_OBJECTS: &str = "jaysaddle_objects_unreadable_total";
+/// Maximum number of bytes of an unreadable object's name in a log line.
+const MAX_LOGGED_NAME: usize = 64;
 /// Name of the store in logs.
 const STORE_NAME: &str = "store";
 
@@ -64,6 +69,40 @@
 /// milliseconds, and within 250 ms when it is slow.
 const UNREACHABLE_TIMEOUT: TimeSpan = TimeSpan(450);
 
+/// Reports the unreadable objects of a response, with one line for all of them.
+fn report_unreadable(call: &StoreCall, response: &StoreResponse) {
+    let (objects, unnamed): (Vec<&StoreObject>, usize) = match response {
+        StoreResponse::Page {
+            objects, unnamed, ..
+        } => (objects.iter().collect(), *unnamed),
+        StoreResponse::Changes {
+            changes, unnamed, ..
+        } => (
+            changes.iter().map(|change| &change.object).collect(),
+            *unnamed,
+        ),
+        StoreResponse::Object(object) => (vec![object], 0),
+        _ => return,
+    };
+    let faults = || {
+        let faulty = objects.iter();
+        faulty.filter_map(|object| object.fault.as_ref().map(|fault| (&object.name, fault)))
+    };
+    let count = faults().count() + unnamed;
+    if count == 0 {
+        return;
+    }
+    let kind = call.kind().as_str();
+    metrics::counter!(UNREADABLE_OBJECTS, "kind" => kind).increment(count as u64);
+    let (name, fault) = faults()
+        .next()
+        .map_or(("", "no usable name"), |(name, fault)| {
+            (name.as_str(), fault.as_str())
+        });
+    let name = &name[..name.floor_char_boundary(MAX_LOGGED_NAME)];
+    log::warn!("event=object_unreadable kind={kind} name={name:?} reason={fault:?} count={count}");
+}
+
 impl StoreClient {
     pub fn new(address: SocketAddr, budget: Arc<ByteBudget>) -> Self {
         Self {
@@ -172,6 +211,9 @@
             self.overdue_since.set(None);
         }
         self.record_outcome(call, &result);
+        if let Ok(response) = &result {
+            report_unreadable(call, response);
+        }
         result
     }
 
--- a/crates/entry/src/store_sync.rs
+++ b/crates/entry/src/store_sync.rs
@@ -83,12 +83,12 @@
 ) -> Option<(Vec<StoreObject>, WatchPosition)> {
     let restores = node.store.restores();
     let mut all = Vec::new();
-    let mut after = None;
+    let mut after: Option<CompactString> = None;
     let mut first_revision = None;
     loop {
         let call = StoreCall::List {
             kind,
-            after: after.take(),
+            after: after.clone(),
             may_be_stale,
         };
         let result = node.store.call(&call, CALL_TIMEOUT).await;
@@ -98,23 +98,23 @@
         match result {
             Ok(StoreResponse::Page {
                 objects,
-                undecodable,
+                last_name,
                 has_more,
                 revision,
+                ..
             }) => {
-                if undecodable > 0 {
-                    log::warn!(
-                        "event=objects_undecodable kind={} count={undecodable}",
-                        kind.as_str()
-                    );
-                }
                 // Watching from the revision of the first page covers changes made while later pages are read.
                 let revision = *first_revision.get_or_insert(revision);
-                after = objects.last().map(|object| object.name.clone());
                 all.extend(objects);
-                if !has_more || after.is_none() {
+                if !has_more {
                     return Some((all, WatchPosition { revision, restores }));
                 }
+                // Objects on pages that cannot be read are unknown, so they must not count as gone.
+                if last_name.is_none() || last_name == after {
+                    log::warn!("event=list_position_unknown kind={}", kind.as_str());
+                    return None;
+                }
+                after = last_name;
             }
             Ok(StoreResponse::NotFound) => {
                 let revision = StoreRevision(0);
@@ -177,7 +177,9 @@
             continue;
         };
         match watch_changes(&node, ObjectKind::Config, position, CONFIG_WATCH_TIME).await {
-            Some(Ok(StoreResponse::Changes { changes, revision })) => {
+            Some(Ok(StoreResponse::Changes {
+                changes, revision, ..
+            })) => {
                 let objects = changes
                     .into_iter()
                     .filter(|change| !change.is_removed)
@@ -244,7 +246,9 @@
             BACKEND_WATCH_TIME
         };
         match watch_changes(&node, ObjectKind::Backends, position, wait).await {
-            Some(Ok(StoreResponse::Changes { changes, revision })) => {
+            Some(Ok(StoreResponse::Changes {
+                changes, revision, ..
+            })) => {
                 node.table.borrow_mut().begin_changes(clock::now());
                 node.store_reads.set(node.store_reads.get() + 1);
                 for change in changes {
--- a/src/commands/blocks.rs
+++ b/src/commands/blocks.rs
@@ -119,7 +119,10 @@
             },
         )?;
         let StoreResponse::Page {
-            objects, has_more, ..
+            objects,
+            last_name,
+            has_more,
+            ..
         } = page
         else {
             return Ok(());
@@ -136,7 +139,7 @@
                 object.name, block.version, block.ends
             );
         }
-        after = objects.last().map(|object| object.name.clone());
+        after = last_name;
         if !has_more || after.is_none() {
             return Ok(());
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -54,3 +54,4 @@
 mod store_restores;
 mod traces;
 mod unframed_answers;
+mod unreadable_objects;
