Take over a lease whose object is unreadable

After another writer had replaced the content of the lease object by one that cannot be decoded, no node held the lease until the object was removed, so nothing formed or repaired groups.

Cause: the holder's next write conflicts, every read of the object ended as a failed read, and a node acquires the lease only after a read.

Such an object now counts as a lease of an unknown holder and term 0: it is taken over by a conditional write of its version if it is unchanged for the validity of a lease. The new term does not depend on the object, since it is above all terms that the node has seen in claims, reads and groups.

Not covered: an object whose `metadata.revision` cannot be read. No conditional write can replace it, so the node only logs it, as before.

--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -34,6 +34,9 @@
 /// Name of the lease object in the store.
 const LEASE_NAME: &str = "controller";
 
+/// Holder of a lease whose object is unreadable. Not a valid node id, so no node takes it for its own.
+const UNKNOWN_HOLDER: &str = "?";
+
 /// Stored content of the lease object.
 #[derive(Debug, Serialize, Deserialize)]
 struct LeaseBody {
@@ -182,8 +185,19 @@
                 };
                 LeaseEvent::Read(Some((object.version, record)))
             }
+            Err(error) if object.version > ObjectVersion(0) => {
+                log::error!("event=lease_undecodable error={:?}", error.to_string());
+                // Another node may hold it, so it is taken over only if nobody renews it for its validity.
+                let record = LeaseRecord {
+                    holder: Some(NodeId::new(UNKNOWN_HOLDER)),
+                    term: LeaseEpoch(0),
+                    write_number: 0,
+                };
+                LeaseEvent::Read(Some((object.version, record)))
+            }
+            // Without a version, no conditional write can replace it.
             Err(error) => {
-                log::error!("event=lease_undecodable error=\"{error}\"");
+                log::error!("event=lease_undecodable error={:?}", error.to_string());
                 LeaseEvent::ReadFailed
             }
         },
--- a/tests/all/unreadable_objects.rs
+++ b/tests/all/unreadable_objects.rs
@@ -12,6 +12,10 @@
 
 /// Time from a new configuration within which its keys are valid at all nodes.
 const KEY_TIME: Duration = Duration::from_secs(3);
+/// Time after which a lease that is not renewed has expired.
+const LEASE_TIME: Duration = Duration::from_secs(2);
+/// Maximum time until a node holds the lease again.
+const HOLDER_TIME: Duration = Duration::from_secs(6);
 /// Time within which all nodes learn that a backend server is gone.
 const REMOVAL_TIME: Duration = Duration::from_millis(2500);
 /// Maximum time until the nodes use a new backend server.
@@ -156,3 +160,34 @@
     assert!(late.is_empty(), "{late:#?}");
     assert_running(&set);
 }
+
+/// Guards against an unreadable lease that leaves the nodes without a controller.
+#[test]
+fn controller_goes_on_after_an_unreadable_lease() {
+    let set = PlatformNodes::start(3, 4);
+    set.wait_serving(2);
+    let mut late = Vec::new();
+    // Without a readable version, no conditional write can replace the lease.
+    const WITHOUT_VERSION: [&str; 4] = ["j-none", "k-none", "l-revision", "n-name"];
+    for (name, text) in unreadable_objects() {
+        if WITHOUT_VERSION.contains(&name) {
+            continue;
+        }
+        set.wait("a holder", |set| set.lease_holder().is_some());
+        let text = text.replacen(&format!("\"{name}\""), "\"controller\"", 1);
+        set.standin
+            .put_raw_object("jaysaddle-control", "controller", text);
+        // The lease that was held before expires meanwhile.
+        thread::sleep(LEASE_TIME);
+        let begun = Instant::now();
+        while set.lease_holder().is_none() && begun.elapsed() < HOLDER_TIME {
+            thread::sleep(Duration::from_millis(50));
+        }
+        if begun.elapsed() >= HOLDER_TIME {
+            late.push(name);
+            set.standin.remove_object("jaysaddle-control", "controller");
+        }
+    }
+    assert!(late.is_empty(), "no holder after {late:?}");
+    assert_running(&set);
+}
