--- a/tests/all/unreadable_objects.rs
+++ b/tests/all/unreadable_objects.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::platform_nodes::KEY;
+use crate::platform_nodes::NodeSetup;
 use crate::platform_nodes::PlatformNodes;
 
 /// Time from a new configuration within which its keys are valid at all nodes.
@@ -16,6 +17,8 @@
 const LEASE_TIME: Duration = Duration::from_secs(2);
 /// Maximum time until a node holds the lease again.
 const HOLDER_TIME: Duration = Duration::from_secs(6);
+/// Time within which all nodes know of an evacuation.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
 /// Time within which all nodes learn that a backend server is gone.
 const REMOVAL_TIME: Duration = Duration::from_millis(2500);
 /// Maximum time until the nodes use a new backend server.
@@ -191,3 +194,41 @@
     assert!(late.is_empty(), "no holder after {late:?}");
     assert_running(&set);
 }
+
+/// Guards against unreadable objects of the other kinds that hide a new evacuation, or keep a node from starting.
+#[test]
+fn other_kinds_are_followed_beside_unreadable_objects() {
+    let mut set = PlatformNodes::start_setup(NodeSetup {
+        nodes: 2,
+        engines_in_b: 4,
+        further: json!({"bounds": {"evacuation": "5000ms", "cold_ratio": 1.5, "cold_slack": 5}}),
+        ..NodeSetup::default()
+    });
+    set.wait_serving(4);
+    for kind in ["jaysaddle-nodes", "jaysaddle-content-blocks", "evacuations"] {
+        for (name, text) in unreadable_objects() {
+            set.standin.put_raw_object(kind, name, text);
+        }
+    }
+    // The objects before are a change of their own, so that the line of the next one names it alone.
+    thread::sleep(EVACUATION_TIME);
+    let has_logged =
+        |set: &PlatformNodes, node: usize| set.log(node).contains("event=evacuation begun=b ");
+    set.standin.set_evacuated("b", true);
+    let begun = Instant::now();
+    set.wait("the evacuation is known", |set| {
+        (0..2).all(|node| has_logged(set, node))
+    });
+    assert!(begun.elapsed() < EVACUATION_TIME);
+    set.standin.set_page_size(2);
+    set.kill(1);
+    set.restart(1);
+    set.wait("the restarted node serves", |set| set.is_ready(1));
+    set.wait("the restarted node has its peer", |set| {
+        let metrics = set.get(1, 7702, "/metrics");
+        metrics.is_some_and(|metrics| {
+            String::from_utf8_lossy(metrics.as_bytes()).contains("jaysaddle_live_peers 1")
+        })
+    });
+    assert_running(&set);
+}
