Accept at-most-once requests at a stopping node only if they are sure to end

Callers saw requests that may run at most once cut without an answer at the end of a planned stop: requests of routes of kind unsafe, and streams that cannot be resumed, sent in the first 3 s after SIGTERM. They cannot repeat them.

Cause: in that time a stopping node accepts a request unless requests of its route usually take longer than what is left. That is an estimate from other requests, and a longer request outlasts the process.

Evidence: at_most_once_requests_of_a_stopping_node_are_answered_or_refused sends short and long requests every 90 ms to a plain service and to groups, on kept and new connections.

Such requests are now accepted only if their own time limit, the time that the caller states or the timeout of the route, ends before the stop does. Others are refused before their body is read: 503, not run, with Retry-After. Requests that may be repeated keep the rule of recent service times.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -221,7 +221,7 @@
     };
     let now = clock::now();
     let usual = node.service_times.borrow().usual(&route.rule.name, now);
-    if plan.admits(ends_by.since(now), usual, now) {
+    if plan.admits(route.rule.kind, ends_by.since(now), usual, now) {
         Ok(())
     } else {
         Err(stopping_refusal(node))
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,5 +1,6 @@
 //! Decides which requests a node accepts while it stops, from the time until its process ends.
 
+use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
@@ -65,18 +66,25 @@
         }
     }
 
-    /// Whether a request that arrives now is accepted. `time_limit` is the time after which it ends in any case, because
-    /// its caller waits no longer or its route allows no more; `usual` the time within which requests of its route
-    /// usually end.
+    /// Whether a request of `kind` that arrives now is accepted. `time_limit` is the time after which it ends in any
+    /// case, because its caller waits no longer or its route allows no more; `usual` the time within which requests of its
+    /// route usually end.
     ///
-    /// While callers may hold the node's address, a request is accepted unless it usually needs longer than the time left.
-    /// After that, it is accepted only if it is sure to end: recent service times are no bound for the next one.
-    pub fn admits(&self, time_limit: TimeSpan, usual: Option<TimeSpan>, now: Timestamp) -> bool {
+    /// Recent service times are no bound for the next one. They count only while callers may hold the node's address, and
+    /// only for requests that their callers can repeat after a cut. All others are accepted only if they are sure to end.
+    pub fn admits(
+        &self,
+        kind: RequestKind,
+        time_limit: TimeSpan,
+        usual: Option<TimeSpan>,
+        now: Timestamp,
+    ) -> bool {
         if now >= self.closing_from {
             return false;
         }
         let available = self.request_deadline.since(now);
         let is_usually_short = || usual.is_none_or(|usual| usual <= available);
-        time_limit <= available || (now < self.address_until && is_usually_short())
+        let may_outlast = kind.may_retry() && now < self.address_until;
+        time_limit <= available || (may_outlast && is_usually_short())
     }
 }
--- a/crates/gateway/tests/all/shutdown.rs
+++ b/crates/gateway/tests/all/shutdown.rs
@@ -6,6 +6,7 @@
 use jaysaddle_gateway::shutdown::ShutdownSettings;
 use jaysaddle_test_support::TestRandom;
 use jaysaddle_test_support::seeds;
+use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
@@ -13,6 +14,15 @@
 const GRACE: TimeSpan = TimeSpan::from_secs(8);
 /// Time after SIGTERM up to which the platform excuses requests that still run at the end of the grace period.
 const EXCUSED_PERIOD: TimeSpan = TimeSpan::from_secs(3);
+const PAUSE_TARGET: TimeSpan = TimeSpan(300);
+const RESUMABLE: RequestKind = RequestKind::Stream {
+    is_resumable: true,
+    pause_target: PAUSE_TARGET,
+};
+const UNRESUMABLE: RequestKind = RequestKind::Stream {
+    is_resumable: false,
+    pause_target: PAUSE_TARGET,
+};
 const ROUTE: CompactString = CompactString::const_new("drafts");
 
 fn plan() -> ShutdownPlan {
@@ -30,7 +40,7 @@
             let usual = Some(TimeSpan(service));
             let limit = TimeSpan(service + 2000);
             assert!(
-                !plan.admits(limit, usual, now),
+                !plan.admits(RESUMABLE, limit, usual, now),
                 "{after} ms, needs {service} ms"
             );
         }
@@ -45,10 +55,14 @@
         let now = STARTED + TimeSpan(after);
         let left = plan.request_deadline.since(now);
         let short = Some(TimeSpan(5));
-        assert!(!plan.admits(TimeSpan(left.0 + 1), short, now), "{after} ms");
-        assert!(!plan.admits(TimeSpan(left.0 + 1), None, now), "{after} ms");
+        let longer = TimeSpan(left.0 + 1);
         let is_open = now < plan.closing_from;
-        assert_eq!(plan.admits(left, None, now), is_open, "{after} ms");
+        for kind in [RESUMABLE, RequestKind::Idempotent, RequestKind::AtMostOnce] {
+            assert!(!plan.admits(kind, longer, short, now), "{after} ms");
+            assert!(!plan.admits(kind, longer, None, now), "{after} ms");
+            let is_admitted = plan.admits(kind, left, None, now);
+            assert_eq!(is_admitted, is_open, "{after} ms");
+        }
     }
 }
 
@@ -61,8 +75,36 @@
         let now = STARTED + TimeSpan(after);
         let left = plan.request_deadline.since(now);
         let limit = TimeSpan::from_secs(30);
-        assert!(plan.admits(limit, Some(left), now), "{after} ms");
-        assert!(plan.admits(limit, None, now), "{after} ms, nothing known");
+        for kind in [RESUMABLE, RequestKind::Idempotent] {
+            assert!(plan.admits(kind, limit, Some(left), now), "{after} ms");
+            assert!(
+                plan.admits(kind, limit, None, now),
+                "{after} ms, nothing known"
+            );
+        }
+    }
+}
+
+/// Guards against at-most-once requests that are accepted in the first seconds of a stop because others of their route
+/// were short, and then are cut although their callers cannot repeat them.
+#[test]
+fn at_most_once_requests_are_accepted_only_if_they_are_sure_to_end() {
+    let plan = plan();
+    for after in (0..8000).step_by(10) {
+        let now = STARTED + TimeSpan(after);
+        let left = plan.request_deadline.since(now);
+        let is_open = now < plan.closing_from;
+        for kind in [RequestKind::AtMostOnce, UNRESUMABLE] {
+            for usual in [None, Some(TimeSpan(5)), Some(left)] {
+                let longer = TimeSpan(left.0 + 1);
+                assert!(!plan.admits(kind, longer, usual, now), "{after} ms");
+            }
+            // An estimate does not refuse what ends in any case.
+            for usual in [None, Some(TimeSpan(left.0 + 1))] {
+                let is_admitted = plan.admits(kind, left, usual, now);
+                assert_eq!(is_admitted, is_open, "{after} ms");
+            }
+        }
     }
 }
 
@@ -81,7 +123,7 @@
         ];
         assert!(times.is_sorted(), "{grace}: {plan:?}");
         assert!(plan.request_deadline <= plan.exit_by, "{grace}: {plan:?}");
-        assert!(!plan.admits(TimeSpan(0), None, plan.closing_from));
+        assert!(!plan.admits(RESUMABLE, TimeSpan(0), None, plan.closing_from));
     }
 }
 
@@ -146,7 +188,7 @@
             }
             while (open.len() as u64) < callers {
                 let usual = times.usual(&ROUTE, now);
-                if now >= STARTED && !plan.admits(limit, usual, now) {
+                if now >= STARTED && !plan.admits(RESUMABLE, limit, usual, now) {
                     refused_early += u32::from(now < plan.address_until);
                     break;
                 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod graceful_stop;
 mod invalid_input;
 mod inventory_callers;
+mod late_requests;
 mod leader_failure;
 mod load;
 mod lost_responses;
