Count the ends of a planned stop from when SIGTERM may have arrived

Callers of a node that was paused when SIGTERM arrived saw requests cut without an answer that it had read and passed on after the pause.

Cause: the times of a stop counted from when the event loop handled the signal. The platform counts from when it sent it, so it killed the process while it still accepted and served requests.

Evidence: requests_of_a_node_that_notices_sigterm_late_are_answered_or_refused pauses a node for 2 s around SIGTERM, sends at-most-once requests from then on, and kills it 8 s after SIGTERM.

The time of a signal cannot be read. A regular task that runs 0.1 s late or more shows a pause; the signal then counts as sent when a task last ran before it, the earliest time possible. The last admission, the last answer and the exit count from that. The time for which callers may hold the address counts from when the node notices, because it leaves the directory only then.

--- a/crates/entry/src/loop_lag.rs
+++ b/crates/entry/src/loop_lag.rs
@@ -24,6 +24,10 @@
     largest: Cell<Option<(Timestamp, TimeSpan)>>,
     /// When one of the tasks is to run next; `None` before the first run.
     due: Cell<Option<Timestamp>>,
+    /// When one of the tasks ran last.
+    last_run: Cell<Timestamp>,
+    /// When one of the tasks ran last before the last pause.
+    run_before_pause: Cell<Timestamp>,
     /// End of the time after the last pause in which the tasks read what has arrived meanwhile.
     catch_up_until: Cell<Timestamp>,
 }
@@ -46,15 +50,35 @@
     /// Records that a task runs, which runs again after `interval`.
     pub fn record_run(&self, interval: TimeSpan) {
         let now = clock::now();
+        if self.is_late(now) {
+            self.run_before_pause.set(self.last_run.get());
+        }
         self.catch_up_until.set(self.catch_up_until(now));
+        self.last_run.set(now);
         self.due.set(Some(now + interval));
     }
 
+    /// Whether no task has run since a pause that has just ended.
+    fn is_late(&self, now: Timestamp) -> bool {
+        let due = self.due.get();
+        due.is_some_and(|due| now.since(due) >= MIN_PAUSE)
+    }
+
+    /// Earliest time at which an event may have happened that is handled now: in a pause, nothing is handled.
+    pub fn earliest_event_time(&self, now: Timestamp) -> Timestamp {
+        if self.is_late(now) {
+            self.last_run.get()
+        } else if now < self.catch_up_until.get() {
+            self.run_before_pause.get()
+        } else {
+            now
+        }
+    }
+
     /// End of the time after the last pause in which the tasks read what has arrived meanwhile.
     pub fn catch_up_until(&self, now: Timestamp) -> Timestamp {
         // Other tasks may run before the one that records the pause.
-        let is_late = |due: Timestamp| now.since(due) >= MIN_PAUSE;
-        if self.due.get().is_some_and(is_late) {
+        if self.is_late(now) {
             now + CATCH_UP_TIME
         } else {
             self.catch_up_until.get()
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -27,12 +27,18 @@
 /// Withdraws from the directory, releases or hands over the lease, and ends all connections after the open requests
 /// have finished, before the platform kills the process.
 pub async fn stop(node: Rc<EntryNode>, socket: Rc<UdpSocket>, addresses: PeerAddresses) {
-    let started = clock::now();
-    log::info!("event=stopping open_requests={}", node.open_requests.get());
+    let noticed = clock::now();
+    // The platform counts from the signal, which may have arrived in a pause of this process.
+    let signalled = node.loop_lag.earliest_event_time(noticed);
+    log::info!(
+        "event=stopping open_requests={} late_ms={}",
+        node.open_requests.get(),
+        noticed.since(signalled).as_millis()
+    );
     node.phase.set(PeerPhase::Stopping);
     let settings = ShutdownSettings::default();
-    let plan = ShutdownPlan::new(settings, started, node.bounds.get().stop_grace);
-    node.shutdown.begin(plan, started);
+    let plan = ShutdownPlan::new(settings, signalled, noticed, node.bounds.get().stop_grace);
+    node.shutdown.begin(plan, signalled);
     node.gateway.borrow_mut().release_limits();
     lease::resign(&node);
     beats::send_to_all(&node, &socket, &addresses).await;
@@ -67,7 +73,7 @@
         shutdown.connections(),
         shutdown.requests(),
         shutdown.cut_requests(),
-        clock::now().since(started).as_millis()
+        clock::now().since(signalled).as_millis()
     );
 }
 
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -52,16 +52,22 @@
 }
 
 impl ShutdownPlan {
-    /// Plans a stop that begins at `started` and ends before the platform kills the process after `grace`.
-    pub fn new(settings: ShutdownSettings, started: Timestamp, grace: TimeSpan) -> Self {
+    /// Plans a stop that ends before the platform kills the process, `grace` after it has sent the signal at `signalled`.
+    /// Callers learn of the stop from `noticed` on.
+    pub fn new(
+        settings: ShutdownSettings,
+        signalled: Timestamp,
+        noticed: Timestamp,
+        grace: TimeSpan,
+    ) -> Self {
         let available = TimeSpan(grace.0.saturating_sub(settings.kill_margin.0));
-        let exit_by = started + available;
-        let closing_from = started.max(exit_by - settings.closing_time);
+        let exit_by = noticed.max(signalled + available);
+        let closing_from = noticed.max(exit_by - settings.closing_time);
         Self {
-            address_until: closing_from.min(started + settings.address_period),
-            withdrawn_until: closing_from.min(started + settings.connection_period),
+            address_until: closing_from.min(noticed + settings.address_period),
+            withdrawn_until: closing_from.min(noticed + settings.connection_period),
             closing_from,
-            request_deadline: started.max(exit_by - settings.response_margin),
+            request_deadline: noticed.max(exit_by - settings.response_margin),
             exit_by,
         }
     }
--- a/crates/gateway/tests/all/shutdown.rs
+++ b/crates/gateway/tests/all/shutdown.rs
@@ -26,7 +26,7 @@
 const ROUTE: CompactString = CompactString::const_new("drafts");
 
 fn plan() -> ShutdownPlan {
-    ShutdownPlan::new(ShutdownSettings::default(), STARTED, GRACE)
+    ShutdownPlan::new(ShutdownSettings::default(), STARTED, STARTED, GRACE)
 }
 
 /// Guards against requests that are accepted although they usually take longer than the time that is left.
@@ -108,22 +108,29 @@
     }
 }
 
-/// Guards against a stop that ends after the platform kills the process, with short grace periods too.
+/// Guards against a stop that ends after the platform kills the process, with short grace periods and with signals that
+/// the node notices late too.
 #[test]
 fn stop_ends_before_the_process_is_killed() {
     for grace in [0, 1, 300, 400, 500, 900, 1000, 3000, 8000, 60_000] {
         let grace = TimeSpan(grace);
-        let plan = ShutdownPlan::new(ShutdownSettings::default(), STARTED, grace);
-        assert!(plan.exit_by <= STARTED + grace, "{grace}: {plan:?}");
-        let times = [
-            plan.address_until,
-            plan.withdrawn_until,
-            plan.closing_from,
-            plan.exit_by,
-        ];
-        assert!(times.is_sorted(), "{grace}: {plan:?}");
-        assert!(plan.request_deadline <= plan.exit_by, "{grace}: {plan:?}");
-        assert!(!plan.admits(RESUMABLE, TimeSpan(0), None, plan.closing_from));
+        for late in [0, 150, 2000, 7000, 20_000].map(TimeSpan) {
+            let noticed = STARTED + late;
+            let plan = ShutdownPlan::new(ShutdownSettings::default(), STARTED, noticed, grace);
+            let end = noticed.max(STARTED + grace);
+            assert!(plan.exit_by <= end, "{grace}, {late}: {plan:?}");
+            let times = [
+                noticed,
+                plan.address_until,
+                plan.withdrawn_until,
+                plan.closing_from,
+                plan.exit_by,
+            ];
+            assert!(times.is_sorted(), "{grace}, {late}: {plan:?}");
+            let is_before_exit = plan.request_deadline <= plan.exit_by;
+            assert!(is_before_exit, "{grace}, {late}: {plan:?}");
+            assert!(!plan.admits(RESUMABLE, TimeSpan(0), None, plan.closing_from));
+        }
     }
 }
 
--- a/tests/all/late_requests.rs
+++ b/tests/all/late_requests.rs
@@ -299,3 +299,15 @@
         assert!(request.raw.is_served(), "{}", describe(request));
     }
 }
+
+/// Guards against a stop whose times count from when the process handles SIGTERM: after a pause it then works on requests
+/// when the platform kills it.
+#[test]
+fn requests_of_a_node_that_notices_sigterm_late_are_answered_or_refused() {
+    let mut nodes = start_nodes(2);
+    let pause = Duration::from_millis(2000);
+    let from = pause + Duration::from_millis(50);
+    let calls = calls_from(from, &[(2300, 3000), (200, 1000)]);
+    let (requests, code) = call_while_stopping(&mut nodes, &calls, pause);
+    assert_all_told(&requests, code, &nodes.log(0));
+}
