Check at-most-once requests against a planned stop before each send

Callers saw at-most-once requests of a stopping node given up at the end of the process although they had run: requests that were sent before SIGTERM.

Cause: a request is checked against the stop when it arrives and while its body is read. A backend server may refuse it seconds later, as not run. It was then sent to another one, which still worked on it when the process ended.

Evidence: at_most_once_requests_that_a_server_refuses_late_are_not_sent_again sends eight requests of 6 s, and one of two servers refuses its requests 2.5 s after SIGTERM.

Such a request is refused before a send, as not run, if its own time limit ends after the stop, and it is not passed on to another node then.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -313,6 +313,12 @@
         self.time_left().0 == 0 && self.own_time_left().0 > 0
     }
 
+    /// Whether the request may run at most once and is not sure to end before the planned stop of this node.
+    pub fn may_outlast_stop(&self) -> bool {
+        let is_bound = self.deadline > self.node.shutdown.request_deadline();
+        is_bound && !self.route.rule.kind.may_retry()
+    }
+
     /// Builds the request to send to `target`. With `last_event`, the stream resumes after that event.
     pub fn for_target(
         &self,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -169,6 +169,7 @@
         Err(failure)
             if failure.verdict == Verdict::NotRun
                 && is_isolated(node)
+                && !request.may_outlast_stop()
                 && may_pass_on(node, &request) =>
         {
             return pass_on(node, &request, report, open).await;
@@ -229,7 +230,7 @@
 }
 
 /// Refusal of a stopping node, with the time after which another node or the next process can serve the request.
-fn stopping_refusal(node: &EntryNode) -> RequestFailure {
+pub fn stopping_refusal(node: &EntryNode) -> RequestFailure {
     let has_other_node = node
         .peers
         .borrow()
--- a/crates/entry/src/send_race.rs
+++ b/crates/entry/src/send_race.rs
@@ -29,6 +29,7 @@
 use crate::content_control::check_content;
 use crate::content_control::is_blocked;
 use crate::content_control::is_retry_withheld;
+use crate::forward::stopping_refusal;
 use crate::node::EntryNode;
 use crate::response::RequestFailure;
 use crate::send_history::SendHistory;
@@ -175,6 +176,10 @@
         let (node, request) = (self.node, self.request);
         let may_have_run = self.sends.runs() > 0;
         let fail = |status, reason| Err(terminal_failure(may_have_run, status, reason, node));
+        // A backend server may refuse a request seconds after it has received it.
+        if request.may_outlast_stop() && !may_have_run {
+            return Err(stopping_refusal(node));
+        }
         if request.time_left() < MIN_RETRY_TIME {
             return fail(StatusCode::GATEWAY_TIMEOUT, "time_is_up");
         }
