--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,5 +1,6 @@
 //! Decides which requests a node accepts while it stops, from the time until its process ends.
 
+use jaysaddle_types::serving::RequestKind;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
@@ -51,32 +52,45 @@
 }
 
 impl ShutdownPlan {
-    /// Plans a stop that begins at `started` and ends before the platform kills the process after `grace`.
-    pub fn new(settings: ShutdownSettings, started: Timestamp, grace: TimeSpan) -> Self {
+    /// Plans a stop that ends before the platform kills the process, `grace` after it has sent the signal at `signalled`.
+    /// Callers learn of the stop from `noticed` on.
+    pub fn new(
+        settings: ShutdownSettings,
+        signalled: Timestamp,
+        noticed: Timestamp,
+        grace: TimeSpan,
+    ) -> Self {
         let available = TimeSpan(grace.0.saturating_sub(settings.kill_margin.0));
-        let exit_by = started + available;
-        let closing_from = started.max(exit_by - settings.closing_time);
+        let exit_by = noticed.max(signalled + available);
+        let closing_from = noticed.max(exit_by - settings.closing_time);
         Self {
-            address_until: closing_from.min(started + settings.address_period),
-            withdrawn_until: closing_from.min(started + settings.connection_period),
+            address_until: closing_from.min(noticed + settings.address_period),
+            withdrawn_until: closing_from.min(noticed + settings.connection_period),
             closing_from,
-            request_deadline: started.max(exit_by - settings.response_margin),
+            request_deadline: noticed.max(exit_by - settings.response_margin),
             exit_by,
         }
     }
 
-    /// Whether a request that arrives now is accepted. `time_limit` is the time after which it ends in any case, because
-    /// its caller waits no longer or its route allows no more; `usual` the time within which requests of its route
-    /// usually end.
+    /// Whether a request of `kind` that arrives now is accepted. `time_limit` is the time after which it ends in any
+    /// case, because its caller waits no longer or its route allows no more; `usual` the time within which requests of its
+    /// route usually end.
     ///
-    /// While callers may hold the node's address, a request is accepted unless it usually needs longer than the time left.
-    /// After that, it is accepted only if it is sure to end: recent service times are no bound for the next one.
-    pub fn admits(&self, time_limit: TimeSpan, usual: Option<TimeSpan>, now: Timestamp) -> bool {
+    /// Recent service times are no bound for the next one. They count only while callers may hold the node's address, and
+    /// only for requests that their callers can repeat after a cut. All others are accepted only if they are sure to end.
+    pub fn admits(
+        &self,
+        kind: RequestKind,
+        time_limit: TimeSpan,
+        usual: Option<TimeSpan>,
+        now: Timestamp,
+    ) -> bool {
         if now >= self.closing_from {
             return false;
         }
         let available = self.request_deadline.since(now);
         let is_usually_short = || usual.is_none_or(|usual| usual <= available);
-        time_limit <= available || (now < self.address_until && is_usually_short())
+        let may_outlast = kind.may_retry() && now < self.address_until;
+        time_limit <= available || (may_outlast && is_usually_short())
     }
 }
