Free members on a leader's entry only if its report agrees

What callers saw: nothing yet.

Cause: the entry of a leader that named another group, or none, ended its group as soon as it was observed later than the group was taken over. A listing after an outage of the store can show an entry from before the leader joined, which then counts as written at that time. Usually the leader writes its entry again before orders are given; not if it is cut off, or if the next outage begins within that time.

Change: the last report or response of the leader must also show that it is not in the group.

--- a/crates/fleet/src/controller/stop_evidence.rs
+++ b/crates/fleet/src/controller/stop_evidence.rs
@@ -26,7 +26,7 @@
     Replaced,
     /// The leader reports that the group is broken.
     Broken,
-    /// The leader reports, later than the group was taken over, that it is not in the group.
+    /// The entry of the leader, later than the group was taken over, and its last report show that it is not in the group.
     Outside,
     /// This controller has formed the group and never ordered its leader to open.
     NeverOpened,
@@ -89,8 +89,13 @@
             Some(membership) if membership.key == *key => {
                 (membership.phase == MemberPhase::Broken).then_some(StopEvidence::Broken)
             }
-            // An entry from before the group was taken over may be older than the leader's order to join.
-            _ => (row.last_write > group.created).then_some(StopEvidence::Outside),
+            // An entry from before the group was taken over may be older than the leader's order to join, and so may one
+            // that is listed after an outage. The leader itself must have reported that it is not in the group.
+            _ => {
+                let state = self.vms.get(leader).and_then(|vm| vm.state.as_ref());
+                let has_left = state.is_some_and(|state| state.group.as_ref() != Some(key));
+                (has_left && row.last_write > group.created).then_some(StopEvidence::Outside)
+            }
         }
     }
 
--- a/crates/fleet/tests/all/succession.rs
+++ b/crates/fleet/tests/all/succession.rs
@@ -34,10 +34,20 @@
 const MAX_LISTED: usize = 40;
 
 /// Seeds that have found faults of the controller.
-const FOUND: [(u64, &str); 1] = [(
-    2422,
-    "the next holder opens a group from which the last one has moved a member",
-)];
+const FOUND: [(u64, &str); 3] = [
+    (
+        2422,
+        "the next holder opens a group from which the last one has moved a member",
+    ),
+    (
+        13_782,
+        "an entry from before an outage frees the members of its leader",
+    ),
+    (
+        20_622,
+        "an entry from before an outage frees the members of its leader",
+    ),
+];
 
 /// Reasons that must end, after which the VM joins a group if others are free.
 const PASSING_REASONS: [&str; 6] = [
--- a/crates/fleet/tests/all/takeover.rs
+++ b/crates/fleet/tests/all/takeover.rs
@@ -2,10 +2,13 @@
 
 use jaysaddle_fleet::controller::FleetEvent;
 use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::BackendEntry;
 
 use crate::fake::FakeFleet;
 use crate::fake::LARGE;
 use crate::fake::SMALL;
+use crate::fake::entry;
+use crate::fake::model;
 
 /// What happens to a member of a group right after the controller was replaced.
 #[derive(Clone, Copy, Debug)]
@@ -204,3 +207,29 @@
     let count = failed.len();
     assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
 }
+
+/// Guards against a VM in two groups: a listing after an outage of the store shows an entry from before the leader's group was
+/// formed, as if it had just been written. Found by seed 20622 of `successions_keep_the_rules`.
+#[test]
+fn older_entry_of_a_leader_does_not_free_its_members() {
+    let mut failed = Vec::new();
+    let mut cases = 0;
+    for count in 4..13 {
+        let mut fleet = FakeFleet::new(count);
+        fleet.advance(15_000);
+        let group = fleet.serving_group(LARGE, SMALL);
+        let older = BackendEntry {
+            staged: vec![model(LARGE), model(SMALL)],
+            ..entry(group[0].as_str(), "d0")
+        };
+        fleet.is_store_stale = true;
+        fleet.table.put(older, fleet.now);
+        fleet.advance(1000);
+        cases += 1;
+        if !fleet.overlapping_joins.is_empty() {
+            failed.push((count, fleet.overlapping_joins.clone()));
+        }
+    }
+    let count = failed.len();
+    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+}
