--- a/tests/all/late_requests.rs
+++ b/tests/all/late_requests.rs
@@ -11,12 +11,11 @@
 
 use jaysaddle_platform_standin::StandinWork;
 use jaysaddle_platform_standin::add_plain_routes;
+use jaysaddle_platform_standin::add_unresumable_streams;
 use jaysaddle_platform_standin::set_route_timeouts;
 use jaysaddle_platform_standin::stream_config;
 use jaysaddle_platform_standin::target_with_work;
 use rustix::process::Signal;
-use serde_json::Value;
-use serde_json::json;
 
 use crate::platform_nodes::KEY;
 use crate::platform_nodes::NodeSetup;
@@ -191,18 +190,7 @@
     let mut config = stream_config(2, &nodes.addresses, KEY);
     add_plain_routes(&mut config, &nodes.addresses);
     set_route_timeouts(&mut config, ROUTE_TIMEOUT_MS);
-    let routes = config["routes"].as_array_mut().expect("routes");
-    let streams = routes.iter().filter(|route| route["kind"] == "stream");
-    let calls: Vec<Value> = streams
-        .cloned()
-        .map(|mut route| {
-            route["name"] = json!("calls");
-            route["pathPrefix"] = json!("/calls/");
-            route["resumable"] = json!(false);
-            route
-        })
-        .collect();
-    routes.extend(calls);
+    add_unresumable_streams(&mut config);
     nodes.standin.set_work(StandinWork {
         is_plain_reliable: true,
         ..StandinWork::default()
