Add a soak of planned stops with at-most-once requests

No soak covered at-most-once requests that are sent to stopping nodes until their processes are gone. This one stops two to four nodes one after the other or at once, with further signals and with pauses around SIGTERM. Callers use kept and new connections, and some send two requests at once.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod invalid_input;
 mod inventory_callers;
 mod late_requests;
+mod late_soak;
 mod leader_failure;
 mod load;
 mod lost_responses;
