Accept at-most-once requests early in a stop if they are usually short

In the first 3 s such a request is now accepted if its route usually needs at most half of the time that is left, and if that is known; later only if it is sure to end, as before. Each further send is checked by the same rule.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -313,10 +313,15 @@
         self.time_left().0 == 0 && self.own_time_left().0 > 0
     }
 
-    /// Whether the request may run at most once and is not sure to end before the planned stop of this node.
+    /// Whether the request may run at most once and would not be accepted any more by this node, which stops.
     pub fn may_outlast_stop(&self) -> bool {
-        let is_bound = self.deadline > self.node.shutdown.request_deadline();
-        is_bound && !self.route.rule.kind.may_retry()
+        let rule = &self.route.rule;
+        let now = clock::now();
+        !rule.kind.may_retry()
+            && self.node.shutdown.plan().is_some_and(|plan| {
+                let usual = self.node.service_times.borrow().usual(&rule.name, now);
+                !plan.admits(rule.kind, self.deadline.since(now), usual, now)
+            })
     }
 
     /// Builds the request to send to `target`. With `last_event`, the stream resumes after that event.
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -4,6 +4,9 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+/// Number of times that an at-most-once request must usually fit into the time that is left.
+const AT_MOST_ONCE_MARGIN: u64 = 2;
+
 /// Times of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownSettings {
@@ -76,8 +79,9 @@
     /// case, because its caller waits no longer or its route allows no more; `usual` the time within which requests of its
     /// route usually end.
     ///
-    /// Recent service times are no bound for the next one. They count only while callers may hold the node's address, and
-    /// only for requests that their callers can repeat after a cut. All others are accepted only if they are sure to end.
+    /// Recent service times are no bound for the next one. They count only while callers may hold the node's address. An
+    /// at-most-once request, which its caller cannot repeat after a cut, must usually be far shorter than the time that is
+    /// left. All others are accepted only if they are sure to end.
     pub fn admits(
         &self,
         kind: RequestKind,
@@ -89,8 +93,11 @@
             return false;
         }
         let available = self.request_deadline.since(now);
-        let is_usually_short = || usual.is_none_or(|usual| usual <= available);
-        let may_outlast = kind.may_retry() && now < self.address_until;
-        time_limit <= available || (may_outlast && is_usually_short())
+        let is_usually_short = if kind.may_retry() {
+            usual.is_none_or(|usual| usual <= available)
+        } else {
+            usual.is_some_and(|usual| usual.0.saturating_mul(AT_MOST_ONCE_MARGIN) <= available.0)
+        };
+        time_limit <= available || (now < self.address_until && is_usually_short)
     }
 }
