Free the members of a leader without entry and connection at once

Cause: members of a crashed server waited two seconds more for its entry to return. Since they leave its group before they join another one, the wait protects nothing and only keeps them idle.

--- a/crates/fleet/src/controller/stop_evidence.rs
+++ b/crates/fleet/src/controller/stop_evidence.rs
@@ -103,8 +103,8 @@
     }
 
     /// Whether a leader without an entry counts as gone. A leader that has deregistered itself and refuses connections may
-    /// still be finishing its requests, with its group open until then. One whose entry has expired, or without a
-    /// connection, may only be cut off; its entry returns within two seconds if it is alive.
+    /// still be finishing its requests, with its group open until then. Any other may at most be cut off. Its members leave
+    /// its group before they join another one, so waiting would only keep them idle.
     pub(super) fn has_stopped_serving(
         &self,
         leader: &VmId,
@@ -118,19 +118,12 @@
             return false;
         };
         let has_expired = table.removed(leader).is_some_and(|row| row.has_expired);
-        let limit = if vm.reachability.is_refusing() && !has_expired {
-            self.timing.finish_timeout
-        } else {
-            self.timing.unknown_leader_timeout
-        };
-        // The two seconds in which an entry returns begin with its removal, and probes may have failed long before. While
-        // the store is unreachable, no entry returns.
-        let watched_until = self.store_unreachable_since.unwrap_or(now);
-        let may_return = table.removed(leader).is_some_and(|row| {
-            watched_until.since(row.removed_at) < self.timing.unknown_leader_timeout
-        });
+        if !vm.reachability.is_refusing() || has_expired {
+            return true;
+        }
+        let limit = self.timing.finish_timeout;
         let failed_since = vm.reachability.failed_since();
-        !may_return && failed_since.is_some_and(|since| now.since(since) >= limit)
+        failed_since.is_some_and(|since| now.since(since) >= limit)
     }
 
     /// Whether a VM may join another group directly from `group`. If the leader only counts as gone, or is not known, the VM
