--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -181,8 +181,7 @@
     last_summary: Timestamp,
     /// Reason that was last logged for each idle VM.
     idle_reasons: BTreeMap<VmId, IdleReason>,
-    /// When this node found the store unreachable; `None` while it is reachable.
-    store_unreachable_since: Option<Timestamp>,
+    is_store_unreachable: bool,
     /// Parts of their slots that leaders with a request limit can use.
     limited: BTreeMap<VmId, f64>,
     /// VMs that want nothing from this node, with the time until which they do.
@@ -211,7 +210,7 @@
             has_planned: false,
             last_summary: Timestamp(0),
             idle_reasons: BTreeMap::new(),
-            store_unreachable_since: None,
+            is_store_unreachable: false,
             limited: BTreeMap::new(),
             paused: BTreeMap::new(),
             evacuated: BTreeSet::new(),
@@ -240,10 +239,7 @@
             FleetEvent::Limited(leaders) => self.limited = leaders.into_iter().collect(),
             FleetEvent::Paused(vms) => self.paused = vms.into_iter().collect(),
             FleetEvent::Evacuated(domains) => self.evacuated = domains,
-            FleetEvent::StoreUnreachable(value) => {
-                let since = self.store_unreachable_since.unwrap_or(now);
-                self.store_unreachable_since = value.then_some(since);
-            }
+            FleetEvent::StoreUnreachable(value) => self.is_store_unreachable = value,
             FleetEvent::Traffic(traffic) => {
                 self.estimate_initial_demand(view);
                 self.demand.observe(traffic, now);
@@ -330,7 +326,7 @@
         for key in keys {
             self.advance(&key, view, reported.get(&key), now);
         }
-        if self.store_unreachable_since.is_some() {
+        if self.is_store_unreachable {
             self.probe_changing_groups(now);
         }
         self.send_due_probes(now);
--- a/crates/fleet/src/controller/stop_evidence.rs
+++ b/crates/fleet/src/controller/stop_evidence.rs
@@ -33,7 +33,7 @@
     Outside,
     /// This controller has formed the group and never ordered its leader to open.
     NeverOpened,
-    /// The leader has no entry and has not answered for as long as it might serve. It may return.
+    /// The leader has no entry and does not answer. It may only be cut off, and return.
     Gone,
 }
 
--- a/crates/fleet/src/controller/timing.rs
+++ b/crates/fleet/src/controller/timing.rs
@@ -26,8 +26,8 @@
     /// Maximum time for which a leader that no longer listens may finish its requests: the platform's bound of 10 s
     /// plus the age of the last report.
     pub finish_timeout: TimeSpan,
-    /// Time after which a new lease holder treats an unregistered leader with an expired entry as failed. The platform
-    /// restores the entry of a live backend server within two seconds.
+    /// Time after which a leader that answers but whose entry has expired is ordered to leave. The platform restores the
+    /// entry of a live backend server within two seconds.
     pub unknown_leader_timeout: TimeSpan,
     /// Number of consecutive failed probes after which a VM counts as lost or silent.
     pub lost_probe_count: u32,
