--- a/crates/fleet/tests/all/takeover.rs
+++ b/crates/fleet/tests/all/takeover.rs
@@ -1,5 +1,7 @@
 //! Tests of a controller that takes over from one whose table was newer than its own.
 
+use std::fmt;
+
 use jaysaddle_fleet::controller::FleetEvent;
 use jaysaddle_fleet::groups::group_generation;
 use jaysaddle_types::ids::GroupId;
@@ -32,6 +34,32 @@
 /// Ages of the table in milliseconds.
 const TABLE_AGES: [u64; 4] = [200, 300, 400, 600];
 
+/// Cases of a test in which a VM joined a group while it was in another one.
+#[derive(Default)]
+struct OverlapTally {
+    cases: usize,
+    failed: Vec<String>,
+}
+
+impl OverlapTally {
+    fn record(&mut self, case: &dyn fmt::Debug, fleet: &FakeFleet) {
+        self.cases += 1;
+        if !fleet.overlapping_joins.is_empty() {
+            let joins = &fleet.overlapping_joins;
+            self.failed.push(format!("{case:?}: {joins:?}"));
+        }
+    }
+
+    fn assert_none(self) {
+        let (failed, cases) = (self.failed, self.cases);
+        assert!(
+            failed.is_empty(),
+            "{} of {cases} cases: {failed:#?}",
+            failed.len()
+        );
+    }
+}
+
 fn inject(fleet: &mut FakeFleet, id: &VmId, fault: MemberFault) {
     match fault {
         MemberFault::Drains => fleet.drain(id),
@@ -59,8 +87,7 @@
 /// mrd-jaysaddle (incident TWO).
 #[test]
 fn members_of_a_group_opened_by_the_previous_holder_are_not_reused() {
-    let mut failed = Vec::new();
-    let mut cases = 0;
+    let mut tally = OverlapTally::default();
     for count in 4..13 {
         for age in TABLE_AGES {
             for fault in FAULTS {
@@ -71,15 +98,11 @@
                 fleet.advance(100);
                 inject(&mut fleet, &group[1], fault);
                 fleet.advance(3000);
-                cases += 1;
-                if !fleet.overlapping_joins.is_empty() {
-                    failed.push((count, age, fault, fleet.overlapping_joins.clone()));
-                }
+                tally.record(&(count, age, fault), &fleet);
             }
         }
     }
-    let count = failed.len();
-    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+    tally.assert_none();
 }
 
 /// Guards against a VM in two groups: the previous holder has moved a VM to another group and opened that, and the table of
@@ -87,8 +110,7 @@
 /// that carries this number would be accepted.
 #[test]
 fn vm_moved_by_the_previous_holder_is_not_moved_again() {
-    let mut failed = Vec::new();
-    let mut cases = 0;
+    let mut tally = OverlapTally::default();
     for count in 4..13 {
         for takeover in (100..2500).step_by(100) {
             let mut fleet = FakeFleet::new(count);
@@ -99,22 +121,17 @@
             fleet.advance(takeover);
             fleet.take_over(2);
             fleet.advance(4000);
-            cases += 1;
-            if !fleet.overlapping_joins.is_empty() {
-                failed.push((count, takeover, fleet.overlapping_joins.clone()));
-            }
+            tally.record(&(count, takeover), &fleet);
         }
     }
-    let count = failed.len();
-    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+    tally.assert_none();
 }
 
 /// Guards against a VM in two groups: the entry of a leader has expired while it serves, and the next holder has never seen
 /// it. The leader answers, so it must be ordered to leave before its members join another group.
 #[test]
 fn members_of_a_serving_leader_without_an_entry_are_not_reused() {
-    let mut failed = Vec::new();
-    let mut cases = 0;
+    let mut tally = OverlapTally::default();
     for count in 4..13 {
         for age in [0, 300, 2000, 4000] {
             let mut fleet = FakeFleet::new(count);
@@ -124,22 +141,17 @@
             fleet.advance_without_control(age);
             fleet.replace_controller(2);
             fleet.advance(14_000);
-            cases += 1;
-            if !fleet.overlapping_joins.is_empty() {
-                failed.push((count, age, fleet.overlapping_joins.clone()));
-            }
+            tally.record(&(count, age), &fleet);
         }
     }
-    let count = failed.len();
-    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+    tally.assert_none();
 }
 
 /// Guards against a VM in two groups: the holder has ended a group because its leader lost its entry and did not answer,
 /// but the leader continues to serve and its entry returns while the other members are idle.
 #[test]
 fn leader_that_returns_is_ordered_to_leave_before_its_members_join() {
-    let mut failed = Vec::new();
-    let mut cases = 0;
+    let mut tally = OverlapTally::default();
     for count in 4..13 {
         let mut fleet = FakeFleet::new(count);
         fleet.advance(15_000);
@@ -154,13 +166,9 @@
         }
         fleet.restore_entry(&group[0]);
         fleet.advance(5000);
-        cases += 1;
-        if !fleet.overlapping_joins.is_empty() {
-            failed.push((count, fleet.overlapping_joins.clone()));
-        }
+        tally.record(&count, &fleet);
     }
-    let count = failed.len();
-    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+    tally.assert_none();
 }
 
 /// A group of two VMs whose leader still loads its weights while the member is ready, at the end of the holder's term.
@@ -318,8 +326,7 @@
 /// `successions_keep_the_rules`.
 #[test]
 fn members_of_a_leader_whose_entry_may_return_are_not_reused() {
-    let mut failed = Vec::new();
-    let mut cases = 0;
+    let mut tally = OverlapTally::default();
     for count in 4..13 {
         for (before_outage, outage) in [(1900, 0), (1000, 3000)] {
             let mut fleet = FakeFleet::new(count);
@@ -332,22 +339,17 @@
             fleet.advance(before_outage);
             fleet.handle_event(FleetEvent::StoreUnreachable(true));
             fleet.advance(outage);
-            cases += 1;
-            if !fleet.overlapping_joins.is_empty() {
-                failed.push((count, outage, fleet.overlapping_joins.clone()));
-            }
+            tally.record(&(count, outage), &fleet);
         }
     }
-    let count = failed.len();
-    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+    tally.assert_none();
 }
 
 /// Guards against a VM in two groups: a listing after an outage of the store shows an entry from before the leader's group was
 /// formed, as if it had just been written. Found by seed 20622 of `successions_keep_the_rules`.
 #[test]
 fn older_entry_of_a_leader_does_not_free_its_members() {
-    let mut failed = Vec::new();
-    let mut cases = 0;
+    let mut tally = OverlapTally::default();
     for count in 4..13 {
         let mut fleet = FakeFleet::new(count);
         fleet.advance(15_000);
@@ -359,11 +361,7 @@
         fleet.is_store_stale = true;
         fleet.table.put(older, fleet.now);
         fleet.advance(1000);
-        cases += 1;
-        if !fleet.overlapping_joins.is_empty() {
-            failed.push((count, fleet.overlapping_joins.clone()));
-        }
+        tally.record(&count, &fleet);
     }
-    let count = failed.len();
-    assert!(failed.is_empty(), "{count} of {cases} cases: {failed:?}");
+    tally.assert_none();
 }
