Count the excused time of a stop from SIGTERM, also if it is noticed late

Cause: requests that usually end in time are accepted for 3 s, counted from when the node notices SIGTERM, while the platform excuses cuts of requests that were sent within 3 s of the signal itself. Lags of the event loop below 100 ms do not count as a pause: the node's log has no line for 108 ms, then event=stopping late_ms=0 43 ms after the signal and five ended requests within 4 ms. A pause that the node knew of prolonged the period as well.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -13,6 +13,9 @@
     /// Time for which callers may come with an address from the directory. Some cache a response for three times its
     /// lifetime.
     pub address_period: TimeSpan,
+    /// Time by which the signal may have been sent earlier than the node knows. Lags of the event loop below 100 ms do not
+    /// count as a pause.
+    pub notice_margin: TimeSpan,
     /// Time after which idle connections are closed; some more than [`Self::address_period`], in which callers leave.
     pub connection_period: TimeSpan,
     /// Time before the platform kills the process at which it exits.
@@ -27,6 +30,7 @@
     fn default() -> Self {
         Self {
             address_period: TimeSpan(3000),
+            notice_margin: TimeSpan(100),
             connection_period: TimeSpan(3300),
             kill_margin: TimeSpan(400),
             response_margin: TimeSpan(150),
@@ -42,7 +46,8 @@
 /// - `address_until <= withdrawn_until <= closing_from <= exit_by` and `request_deadline <= exit_by`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownPlan {
-    /// Time until which callers may come with an address from the directory.
+    /// Time until which requests are accepted that usually end in time. The platform excuses those cut at the end that were
+    /// sent while callers may have held an address from before the signal, however late the node noticed it.
     pub address_until: Timestamp,
     /// Time until which idle connections are kept open.
     pub withdrawn_until: Timestamp,
@@ -66,8 +71,9 @@
         let available = TimeSpan(grace.0.saturating_sub(settings.kill_margin.0));
         let exit_by = noticed.max(signalled + available);
         let closing_from = noticed.max(exit_by - settings.closing_time);
+        let address_until = signalled + settings.address_period - settings.notice_margin;
         Self {
-            address_until: closing_from.min(noticed + settings.address_period),
+            address_until: closing_from.min(noticed.max(address_until)),
             withdrawn_until: closing_from.min(noticed + settings.connection_period),
             closing_from,
             request_deadline: noticed.max(exit_by - settings.response_margin),
@@ -79,7 +85,7 @@
     /// case, because its caller waits no longer or its route allows no more; `usual` the time within which requests of its
     /// route usually end.
     ///
-    /// Recent service times are no bound for the next one. They count only while callers may hold the node's address. An
+    /// Recent service times are no bound for the next one. They count only until [`Self::address_until`]. An
     /// at-most-once request, which its caller cannot repeat after a cut, must usually be far shorter than the time that is
     /// left. All others are accepted only if they are sure to end.
     pub fn admits(
