--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod metered_stream;
 mod node;
 mod node_table;
-mod own_pause;
+pub mod own_pause;
 mod pass_on;
 mod pool;
 mod progress;
