Accept no request that is cut early because the time of SIGTERM is unknown

The platform excuses cuts in the last sixth of the grace period only, from 6.7 s on.

Cause: a node that was paused counts from the begin of the pause, as it must be gone before the platform kills it. If SIGTERM came at the end of the pause, all ends come earlier than that by the length of the pause, and so does the cut of a request that was accepted because its route is usually short.

If a cut at the last moment might come before the last sixth, which is from 0.8 s of uncertainty on, only requests that are sure to end are accepted, and the others refused as not run, so that they can be sent to another node.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -71,12 +71,20 @@
         let available = TimeSpan(grace.0.saturating_sub(settings.kill_margin.0));
         let exit_by = noticed.max(signalled + available);
         let closing_from = noticed.max(exit_by - settings.closing_time);
-        let address_until = signalled + settings.address_period - settings.notice_margin;
+        let request_deadline = noticed.max(exit_by - settings.response_margin);
+        // The platform excuses only cuts in the last sixth of the grace period. If the signal may have been sent so much later
+        // than at `signalled` that a cut at the deadline would come before, no request is accepted that may be cut.
+        let last_sixth = noticed + TimeSpan(grace.0 * 5 / 6);
+        let address_until = if noticed == signalled || request_deadline >= last_sixth {
+            signalled + settings.address_period - settings.notice_margin
+        } else {
+            noticed
+        };
         Self {
             address_until: closing_from.min(noticed.max(address_until)),
             withdrawn_until: closing_from.min(noticed + settings.connection_period),
             closing_from,
-            request_deadline: noticed.max(exit_by - settings.response_margin),
+            request_deadline,
             exit_by,
         }
     }
--- a/crates/gateway/tests/all/shutdown.rs
+++ b/crates/gateway/tests/all/shutdown.rs
@@ -87,6 +87,29 @@
     }
 }
 
+/// Guards against requests that are accepted by usual times and cut before the last sixth of the grace period, the only one in
+/// which the platform excuses it: the signal came at the end of a pause, and the node counts from the begin. Found by seed 2031
+/// of `late_soak`.
+#[test]
+fn requests_are_not_cut_early_because_the_time_of_sigterm_is_unknown() {
+    for (late, is_expected) in [
+        (0, true),
+        (150, true),
+        (700, true),
+        (850, false),
+        (2000, false),
+    ] {
+        let noticed = STARTED + TimeSpan(late);
+        let plan = ShutdownPlan::new(ShutdownSettings::default(), STARTED, noticed, GRACE);
+        let longer = TimeSpan(plan.request_deadline.since(noticed).0 + 1);
+        for kind in [RESUMABLE, RequestKind::Idempotent, RequestKind::AtMostOnce] {
+            let is_admitted = plan.admits(kind, longer, Some(TimeSpan(5)), noticed);
+            assert_eq!(is_admitted, is_expected, "{late} ms late");
+        }
+        assert!(plan.admits(RESUMABLE, TimeSpan(1000), None, noticed));
+    }
+}
+
 /// Guards against refusals while there is time: callers that hold the node's address are served as long as their
 /// requests usually end.
 #[test]
