Ignore terms of the lease that no node can have acquired

Another writer can leave a lease object with a term such as 2^64 - 1, or an entry whose group names one. The next holder's term then wrapped round or left no room in the generations of its groups: they were lower than those before, and backend servers refuse such joins. The nodes had recorded the larger term as the latest, so that a handover would be refused, and heartbeats passed it on. A claim with a remaining time out of range kept a node from the lease for good.

The latest known term was taken from any source, and the next term and the generations are made of it by shifts that drop high bits. Terms from 2^43 on are ignored now: a generation has 44 bits for its term, and 134 million acquisitions fit below. The lease object with such a term counts as one whose term is not known, as an unreadable one does. The remaining time of a claim counts as the validity of a lease at most.

--- a/crates/fleet/src/groups.rs
+++ b/crates/fleet/src/groups.rs
@@ -13,6 +13,7 @@
 use jaysaddle_types::serving::MemberPhase;
 use jaysaddle_types::serving::ServingConfig;
 
+use crate::lease::is_credible;
 use crate::table::BackendTable;
 
 /// Number of low bits of a generation that count the groups of a term; the high bits hold the term. No term forms
@@ -40,12 +41,13 @@
     (key.group.as_str() == group_name(term, number)).then_some(term)
 }
 
-/// Highest term of the lease under which a group was formed that a backend server reports.
+/// Highest credible term of the lease under which a group was formed that a backend server reports.
 pub fn latest_reported_term(table: &BackendTable) -> LeaseEpoch {
     let mut latest = LeaseEpoch(0);
     for membership in table.rows().filter_map(|row| row.entry.membership.as_ref()) {
         if term_bits(membership.key.generation) > latest
             && let Some(term) = formation_term(&membership.key)
+            && is_credible(term)
         {
             latest = term;
         }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -38,6 +38,7 @@
 pub use crate::lease::messages::LeaseRecord;
 pub use crate::lease::messages::LeaseWrite;
 pub use crate::lease::term::TermNode;
+pub(crate) use crate::lease::term::is_credible;
 
 /// Durations and intervals of the lease protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -200,7 +201,7 @@
             LeaseEvent::Read(object) => self.handle_read(object, now, &mut effects),
             LeaseEvent::ReadFailed => self.pending = PendingCall::None,
             LeaseEvent::Written(result) => self.handle_write_result(result, now, &mut effects),
-            LeaseEvent::TermSeen(term) => self.latest_term = self.latest_term.max(term),
+            LeaseEvent::TermSeen(term) => self.observe_term(term),
             LeaseEvent::StoreRestored => {
                 self.known_object = None;
                 self.observed_version = None;
@@ -272,7 +273,7 @@
             groups_formed,
         } = handover;
         let is_for_others = successor != self.own || self.is_resigning;
-        let is_outdated = self.latest_term > term;
+        let is_outdated = self.latest_term > term || !is_credible(term);
         if is_for_others || is_outdated || self.held.is_some() {
             return;
         }
@@ -296,6 +297,13 @@
         });
     }
 
+    /// Records that a term has been in use, unless no node can have acquired it.
+    fn observe_term(&mut self, term: LeaseEpoch) {
+        if is_credible(term) {
+            self.latest_term = self.latest_term.max(term);
+        }
+    }
+
     fn next_term(&self) -> LeaseEpoch {
         self.term_node.term_after(self.latest_term)
     }
@@ -352,6 +360,9 @@
     }
 
     fn handle_claim(&mut self, claim: LeaseClaim, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
+        if !is_credible(claim.term) {
+            return;
+        }
         if let Some((term, _)) = self.held {
             if claim.term > term {
                 self.held = None;
@@ -360,9 +371,10 @@
                 return;
             }
         }
-        self.latest_term = self.latest_term.max(claim.term);
+        self.observe_term(claim.term);
         self.observed_version = Some(claim.version);
-        self.other_holder_until = Some(now + claim.remaining);
+        // No lease lasts longer than its validity.
+        self.other_holder_until = Some(now + claim.remaining.min(self.timing.duration));
     }
 
     fn handle_read(
@@ -377,7 +389,7 @@
         }
         let must_read = std::mem::take(&mut self.must_read);
         let held_term = self.held.map(|(term, _)| term);
-        let Some((version, record)) = object else {
+        let Some((version, mut record)) = object else {
             self.known_object = None;
             if let Some(term) = held_term {
                 self.send_write(term, now, effects);
@@ -388,6 +400,10 @@
             }
             return;
         };
+        // Another writer has replaced the object, and nothing is known of the term.
+        if !is_credible(record.term) {
+            record.term = LeaseEpoch(0);
+        }
         if let Some(term) = held_term
             && must_read
             && record.term <= term
@@ -404,7 +420,7 @@
             .known_object
             .as_ref()
             .is_some_and(|(known, _)| *known == version);
-        self.latest_term = self.latest_term.max(record.term);
+        self.observe_term(record.term);
         self.known_object = Some((version, record));
         self.observed_version = Some(version);
         if self.held.is_some() {
--- a/crates/fleet/src/lease/term.rs
+++ b/crates/fleet/src/lease/term.rs
@@ -12,6 +12,15 @@
 /// the store and the peers have forgotten a later one, do not acquire the same term.
 const TERM_NODE_BITS: u32 = 16;
 
+/// First term that is not believed. The generation of a group has 44 bits for its term, and a term that leaves none above it
+/// would end the order of generations. Terms below it suffice for 134 million acquisitions.
+const FIRST_ODD_TERM: LeaseEpoch = LeaseEpoch(1 << 43);
+
+/// Whether a node may have acquired `term`. Others come from objects and entries of other writers.
+pub(crate) fn is_credible(term: LeaseEpoch) -> bool {
+    term < FIRST_ODD_TERM
+}
+
 /// Identifies the start of a node in the terms that it acquires.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TermNode(pub u16);
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod groups;
 mod lease;
 mod lease_restores;
+mod odd_values;
 mod peers;
 mod plan;
 mod silence;
