Keep the controller running beside a VM with the highest order count

A backend server whose report stated 2^64 - 1 accepted orders ended the controller's step with an overflow at the next order that it accepted: a panic in builds with overflow checks; others go on with a count of 0, which the backend server refuses. The count is raised without overflow now. The next order is refused at worst, which asks the backend server anew.

Before, the new test panicked in controller/orders.rs; now the VMs beside this one, and beside an entry with the highest rank, generation and slots, serve.

--- a/crates/fleet/src/controller/orders.rs
+++ b/crates/fleet/src/controller/orders.rs
@@ -103,7 +103,8 @@
             OrderResult::Begun => {
                 vm.reachability.record_response();
                 if let Some(state) = &mut vm.state {
-                    state.order_count += 1;
+                    // At a count that has no successor, the backend server refuses the next order, and is asked again.
+                    state.order_count = state.order_count.saturating_add(1);
                     record_effect(state, &order);
                 }
             }
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -319,6 +319,11 @@
         self.execute_order(id, order, Some(order_count));
     }
 
+    /// Makes a VM report a number of accepted orders.
+    pub fn set_order_count(&mut self, id: &VmId, count: u64) {
+        self.vms.get_mut(id).expect("VM").order_count = count;
+    }
+
     /// Number of orders that a VM has accepted.
     pub fn order_count(&self, id: &VmId) -> u64 {
         self.vms[id].state().order_count
--- a/crates/fleet/tests/all/fake_vm.rs
+++ b/crates/fleet/tests/all/fake_vm.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct FakeVm {
     pub entry: BackendEntry,
-    order_count: u64,
+    pub order_count: u64,
     /// Model of the last group. Unlike the model in the entry, it stays known after the VM has left the group.
     last_model: Option<ModelId>,
     /// Time in milliseconds at which the join in progress completes.
@@ -126,7 +126,7 @@
                 self.finish_staging(now.0);
             }
         }
-        self.order_count += 1;
+        self.order_count = self.order_count.wrapping_add(1);
         OrderResult::Begun
     }
 }
--- a/crates/fleet/tests/all/odd_values.rs
+++ b/crates/fleet/tests/all/odd_values.rs
@@ -24,7 +24,11 @@
 use jaysaddle_types::units::Timestamp;
 use quickcheck::QuickCheck;
 
+use crate::fake::FakeFleet;
+use crate::fake::LARGE;
+use crate::fake::SMALL;
 use crate::fake::entry;
+use crate::fake::vm;
 
 /// What a node learns of a term before it acquires the lease.
 fn events_with(term: LeaseEpoch) -> Vec<LeaseEvent> {
@@ -120,3 +124,23 @@
     }
     assert_eq!(latest_reported_term(&table), LeaseEpoch(9));
 }
+
+/// Guards against one backend server with an odd report or entry that ends the controller or keeps
+/// the other VMs from serving.
+#[test]
+fn other_vms_serve_beside_one_with_odd_values() {
+    let mut fleet = FakeFleet::new(10);
+    let odd = vm("vm9");
+    fleet.set_order_count(&odd, u64::MAX);
+    fleet.add_vm("odd", "d0");
+    fleet.stale.insert(vm("odd"));
+    let mut row = entry("odd", "d0");
+    row.slots.0 = u32::MAX;
+    row.started = u64::MAX;
+    row.membership = Some(odd_membership(u64::MAX));
+    row.cold_left = TimeSpan(u64::MAX);
+    fleet.table.put(row, Timestamp(1000));
+    fleet.advance(60_000);
+    let served = 4 * fleet.serving_groups(LARGE).len() + 2 * fleet.serving_groups(SMALL).len();
+    assert!(served >= 8, "{served}: {:#?}", fleet.decisions);
+}
