Bound the idle timeout that a backend server states

A Keep-Alive timeout near 2^64 s in an answer overflowed when it was converted to milliseconds: a panic in builds with overflow checks, elsewhere an arbitrary time for which the idle connection is used. It is decoded beside the other headers of the platform.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -180,10 +180,7 @@
 
 fn keep_alive_timeout(response: &ReceivedResponse) -> Option<TimeSpan> {
     let value = response.headers().get("keep-alive")?.to_str().ok()?;
-    let seconds = value
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    Some(TimeSpan::from_secs(seconds.parse().ok()?))
+    headers::parse_keep_alive(value)
 }
 
 /// Outcome of a single send.
