Ignore decisions on content after which none can be made

After another writer had put a decision with the version 2^64 - 1 into the store, a node that decided on the same piece stopped with an overflow, or made a decision with the version 0, which no peer and no store takes over. Versions rise with each decision, and any value was believed. Versions above 2^48 are ignored now, and in the store such a decision counts as undecodable, so that the next own one replaces it.

Evidence: the new test panicked with the check left out, and passes.

--- a/crates/entry/src/content_control.rs
+++ b/crates/entry/src/content_control.rs
@@ -16,6 +16,7 @@
 use jaysaddle_fleet::peers::PeerPhase;
 use jaysaddle_fleet::relays::MAX_DIRECT_PEERS;
 use jaysaddle_gateway::content_blocks::BlockRecord;
+use jaysaddle_gateway::content_blocks::MAX_VERSION;
 use jaysaddle_gateway::crash_evidence::PeerRole;
 use jaysaddle_gateway::crash_guard::BlockDecision;
 use jaysaddle_gateway::crash_guard::ContentState;
@@ -200,7 +201,9 @@
 
 fn merge_object(node: &EntryNode, object: &StoreObject) {
     let key = object.name.parse::<ContentKey>();
-    let (Ok(key), Ok(body)) = (key, StoredBlock::deserialize(&object.spec)) else {
+    let body = StoredBlock::deserialize(&object.spec).ok();
+    let body = body.filter(|body| body.version <= MAX_VERSION);
+    let (Ok(key), Some(body)) = (key, body) else {
         log::warn!("event=content_block_undecodable object={:?}", object.name);
         return;
     };
--- a/crates/gateway/src/content_blocks.rs
+++ b/crates/gateway/src/content_blocks.rs
@@ -31,6 +31,9 @@
 /// Time after which the next records are announced if there are more; the interval of heartbeats.
 const ANNOUNCE_INTERVAL: TimeSpan = TimeSpan(200);
 
+/// Highest version that is believed. A decision after one without a successor would not be later than it.
+pub const MAX_VERSION: u64 = 1 << 48;
+
 /// State of a piece of content.
 ///
 /// # Invariants
@@ -136,8 +139,11 @@
     }
 
     /// Takes over a decision of a peer or of the store, if it is later than the known one. Returns whether that changes
-    /// whether requests are refused.
+    /// whether requests are refused. One with a version above [`MAX_VERSION`] is ignored.
     pub fn merge(&mut self, block: &PeerBlock, is_stored: bool, now: Timestamp) -> bool {
+        if block.version > MAX_VERSION {
+            return false;
+        }
         let known = self.records.get_mut(&block.key);
         if let Some(record) = known
             && record.version >= block.version
--- a/crates/gateway/tests/all/crash_guard.rs
+++ b/crates/gateway/tests/all/crash_guard.rs
@@ -377,6 +377,27 @@
     assert!(node.is_blocked("bad"), "a block of an operator has no end");
 }
 
+/// Guards against a stored decision with the last version, after which a node can make none.
+#[test]
+fn decision_without_a_successor_is_ignored() {
+    for version in [u64::MAX, u64::MAX - 1, 1 << 49] {
+        let mut node = TestNode::new();
+        let odd = PeerBlock {
+            key: part("bad"),
+            version,
+            is_blocked: false,
+            ends: 0,
+            age: TimeSpan(0),
+        };
+        node.guard.merge_stored(&odd, node.now);
+        node.crash_twice("bad");
+        node.pass(400);
+        assert!(node.is_blocked("bad"), "{version}");
+        let announced = node.guard.announced_blocks(node.now);
+        assert!(announced.iter().all(|block| block.version < version));
+    }
+}
+
 /// Guards against a block without end, and against as many losses after its end as before its beginning.
 #[test]
 fn block_on_few_ends_is_tried_again_with_one_end() {
