Keep each log line to one line of bounded length

A text of another writer could fill a log line with many kilobytes: the id of the group in a report of a backend server of 60 KB gave an error of 140,078 bytes, and the queue of the logger holds 2,048 lines. Most texts are escaped where they are logged, but nothing made sure of it.

The logger itself now escapes control characters and the line separators of Unicode, and cuts a line after 4 KiB, with its length before.

Evidence: with a function that left the text as it is, both new tests failed, one at the first control character and one with the length above; they pass now.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod lease;
 mod listener;
 pub mod log_limiter;
+pub mod log_line;
 mod log_writer;
 mod loop_lag;
 pub mod metered_stream;
--- a/crates/entry/src/log_writer.rs
+++ b/crates/entry/src/log_writer.rs
@@ -23,6 +23,7 @@
 
 use crate::log_limiter::LogDecision;
 use crate::log_limiter::LogLimiter;
+use crate::log_line::single_line;
 
 /// Capacity of the queue to the writer thread. At a few hundred lines per second this covers several seconds
 /// of a full pipe.
@@ -76,7 +77,7 @@
             metrics::counter!("jaysaddle_log_lines_left_out_total").increment(1);
             return;
         };
-        let mut line = record.args().to_string();
+        let mut line = single_line(&record.args().to_string());
         if suppressed > 0 {
             line.push_str(&format!(" left_out_before={suppressed}"));
         }
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod entry_codec;
 mod entry_order;
 mod log_limiter;
+mod log_line;
 mod responses;
 mod stated_limit;
 mod store_era;
