Use the sound items of a heartbeat beside odd ones

One id that is not valid among the leaving backend servers, models, evacuated failure domains or the successor in a heartbeat made the receiver drop the whole heartbeat, so that its peer counted as gone. Counts and times near their type's maximum overflowed in the sums over all peers.

Items are decoded one by one now, with one log line for those that are left out, and counts, ages and versions of limits are bounded where they are decoded.

--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -19,6 +19,7 @@
 use jaysaddle_fleet::peers::PeerUnserved;
 use jaysaddle_fleet::usage::ServiceUsage;
 use jaysaddle_types::content::ContentKey;
+use jaysaddle_types::ids::IdError;
 use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::ModelId;
@@ -138,11 +139,50 @@
     usage.collect()
 }
 
+/// Maximum of a count in a heartbeat. Sums over thousands of peers stay within 32 bits.
+const MAX_COUNT: u32 = 1 << 20;
+/// Maximum age in a heartbeat.
+const MAX_AGE: TimeSpan = TimeSpan::from_secs(24 * 3600);
+/// Maximum version of a request limit, which leaves room for later ones.
+const MAX_LIMIT_VERSION: u64 = 1 << 48;
+
+fn bounded_count(count: u32) -> u32 {
+    count.min(MAX_COUNT)
+}
+
+fn bounded_age(millis: u64) -> TimeSpan {
+    TimeSpan(millis).min(MAX_AGE)
+}
+
+/// Decodes the items of a field one by one. Those with an id that is not valid are left out, with one log line for all.
+fn valid_items<M, T>(
+    field: &str,
+    items: impl IntoIterator<Item = M>,
+    decode: impl Fn(M) -> Result<T, IdError>,
+) -> Vec<T> {
+    let mut decoded = Vec::new();
+    let mut fault: Option<IdError> = None;
+    let mut count = 0_usize;
+    for item in items {
+        match decode(item) {
+            Ok(item) => decoded.push(item),
+            Err(error) => {
+                count += 1;
+                fault.get_or_insert(error);
+            }
+        }
+    }
+    if let Some(error) = fault {
+        log::warn!("event=beat_items_undecodable field={field} count={count} error=\"{error}\"");
+    }
+    decoded
+}
+
 fn decode_usage(messages: Vec<UsageMessage>) -> Vec<ServiceUsage> {
     let usage = messages.into_iter().map(|message| ServiceUsage {
         service: message.service,
-        requests: message.requests,
-        retries: message.retries,
+        requests: bounded_count(message.requests),
+        retries: bounded_count(message.retries),
     });
     usage.collect()
 }
@@ -216,16 +256,14 @@
 }
 
 /// Decodes evacuated failure domains, of which there are [`MAX_EVACUATED`] at most.
-fn decode_evacuations(message: EvacuationMessage) -> eyre::Result<EvacuationSet> {
+fn decode_evacuations(message: EvacuationMessage) -> EvacuationSet {
     let domains = message.domains.into_iter().take(MAX_EVACUATED);
-    Ok(EvacuationSet {
+    let domains = valid_items("evacuations", domains, |domain| domain.parse());
+    EvacuationSet {
         era: StoreEra(message.era),
         revision: StoreRevision(message.revision),
-        domains: domains
-            .map(|domain| domain.parse())
-            .collect::<Result<_, _>>()
-            .wrap_err("evacuations")?,
-    })
+        domains: domains.into_iter().collect(),
+    }
 }
 
 /// Adds a digest to an encoded heartbeat. The fields of two encoded messages in succession are those of one message.
@@ -276,7 +314,7 @@
     });
     let sent = message.sent_servers.into_iter().zip(message.sent_counts);
     PeerDigest {
-        age: TimeSpan(message.age_ms),
+        age: bounded_age(message.age_ms),
         nodes: nodes.collect(),
         loads: decode_loads(
             message.load_targets,
@@ -291,7 +329,10 @@
             message.unserved_times_left_ms,
         ),
         sent: sent
-            .map(|(server, requests)| ServerSent { server, requests })
+            .map(|(server, requests)| ServerSent {
+                server,
+                requests: bounded_count(requests),
+            })
             .collect(),
         usage: decode_usage(message.usage),
     }
@@ -309,8 +350,8 @@
         .zip(unread_tokens)
         .map(|(((target, requests), late), unread)| PeerLoad {
             target,
-            requests,
-            late,
+            requests: bounded_count(requests),
+            late: bounded_count(late),
             unread,
         })
         .collect()
@@ -330,14 +371,13 @@
 ///
 /// # Errors
 ///
-/// Fails on data that is no heartbeat, and on ids and addresses that are not valid.
+/// Fails on data that is no heartbeat, and if the id, failure domain or addresses of the node are not valid. Other items with
+/// ids that are not valid are left out.
 pub fn decode_heartbeat(data: &[u8]) -> eyre::Result<PeerHeartbeat> {
     let message = NodeHeartbeat::decode(data)?;
-    let work = message
-        .work
-        .into_iter()
-        .map(|work| Ok((work.model.parse::<ModelId>()?, work.work_ms)))
-        .collect::<eyre::Result<_>>()?;
+    let work = valid_items("work", message.work, |work| {
+        Ok((work.model.parse::<ModelId>()?, work.work_ms))
+    });
     Ok(PeerHeartbeat {
         node: message.node.parse().wrap_err("node")?,
         incarnation: Incarnation(message.incarnation),
@@ -358,17 +398,15 @@
             version: ObjectVersion(claim.version),
             remaining: TimeSpan(claim.remaining_ms),
         }),
-        handover: message
-            .handover
-            .map(|handover| {
-                Ok::<_, eyre::Report>(LeaseHandover {
-                    successor: handover.successor.parse()?,
-                    term: LeaseEpoch(handover.term),
-                    version: ObjectVersion(handover.version),
-                    groups_formed: handover.groups_formed,
-                })
+        handover: valid_items("handover", message.handover, |handover| {
+            Ok(LeaseHandover {
+                successor: handover.successor.parse()?,
+                term: LeaseEpoch(handover.term),
+                version: ObjectVersion(handover.version),
+                groups_formed: handover.groups_formed,
             })
-            .transpose()?,
+        })
+        .pop(),
         loads: decode_loads(
             message.load_targets,
             message.load_counts,
@@ -388,24 +426,20 @@
             .into_iter()
             .map(|limit| PeerLimit {
                 server: limit.server,
-                version: limit.version,
+                version: limit.version.min(MAX_LIMIT_VERSION),
                 limit: limit.per_kilosecond.map(RequestLimit::from_per_kilosecond),
-                age: TimeSpan(limit.age_ms),
-                sent: limit.sent,
+                age: bounded_age(limit.age_ms),
+                sent: bounded_count(limit.sent),
             })
             .collect(),
         store_era: StoreEra(message.store_era),
         latest_term: LeaseEpoch(message.latest_term),
-        leaving: message
-            .leaving
-            .into_iter()
-            .map(|leaving| {
-                Ok(LeavingServer {
-                    id: leaving.server.parse()?,
-                    started: leaving.started,
-                })
+        leaving: valid_items("leaving", message.leaving, |leaving| {
+            Ok(LeavingServer {
+                id: leaving.server.parse()?,
+                started: leaving.started,
             })
-            .collect::<eyre::Result<_>>()?,
+        }),
         processor: ProcessorShare(message.processor_permille),
         is_relay: message.is_relay,
         digest: message.digest.map(decode_digest),
@@ -417,6 +451,6 @@
             .into_iter()
             .map(decode_block)
             .collect(),
-        evacuations: message.evacuations.map(decode_evacuations).transpose()?,
+        evacuations: message.evacuations.map(decode_evacuations),
     })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod exchange;
 mod forward;
 mod gauges;
-mod heartbeat_codec;
+pub mod heartbeat_codec;
 mod lease;
 mod listener;
 pub mod log_limiter;
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod byte_budget;
 mod entry_codec;
 mod entry_order;
+mod heartbeat_codec;
 mod log_limiter;
 mod log_line;
 mod responses;
