Use the sound entries of a copy of the table beside odd ones

One entry that cannot be decoded in the reply of a peer made the whole copy fail, so that a node which follows a relay kept its old table until it read the store itself. Such an entry now names no backend server to use, as in the store, and the others are applied.

The whole list was collected into one result before, which the first error ends; the new test reads five entries of which three are odd.

--- a/crates/entry/src/copies.rs
+++ b/crates/entry/src/copies.rs
@@ -36,7 +36,8 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::entry_codec::decode_entry;
+use crate::entry_codec::CopiedEntries;
+use crate::entry_codec::decode_entries;
 use crate::entry_codec::encode_entry;
 use crate::node::EntryNode;
 use crate::node_table::TableDifference;
@@ -258,15 +259,16 @@
         }
         let unknown = reply.unknown.iter();
         let unknown = unknown.filter_map(|position| names.get(*position as usize).cloned());
-        let entries = reply
-            .entries
-            .iter()
-            .map(|entry| Ok((entry.name.as_str().into(), decode_entry(entry)?)))
-            .collect::<eyre::Result<Vec<_>>>()?;
+        let CopiedEntries {
+            sound: entries,
+            odd,
+        } = decode_entries(&reply.entries);
         let sent: HashSet<&CompactString> = entries.iter().map(|(name, _)| name).collect();
         let gone = reply.gone.into_iter().map(CompactString::from);
+        // An entry that cannot be decoded names no backend server to use, as in the store.
         let gone: Vec<CompactString> = gone
             .chain(unknown)
+            .chain(odd)
             .filter(|name| !sent.contains(name))
             .collect();
         log::info!(
--- a/crates/entry/src/entry_codec.rs
+++ b/crates/entry/src/entry_codec.rs
@@ -1,5 +1,6 @@
 //! Translates entries of backend servers to and from the messages in copies of the table.
 
+use compact_str::CompactString;
 use jaysaddle_adapter::backend::entry_spec;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::serving::BackendEntry;
@@ -88,3 +89,35 @@
     };
     Ok(entry_spec(&entry, message.write_count))
 }
+
+/// Entries of a copy.
+#[derive(Debug, Default)]
+pub struct CopiedEntries {
+    /// Names and contents of the entries, in the form in which the store holds them.
+    pub sound: Vec<(CompactString, Value)>,
+    /// Names of entries that cannot be decoded.
+    pub odd: Vec<CompactString>,
+}
+
+/// Decodes the entries of a copy one by one, with one log line for those that cannot be decoded.
+pub fn decode_entries(messages: &[SnapshotEntry]) -> CopiedEntries {
+    let mut copied = CopiedEntries::default();
+    let mut fault = None;
+    for message in messages {
+        let name = CompactString::from(message.name.as_str());
+        match decode_entry(message) {
+            Ok(spec) => copied.sound.push((name, spec)),
+            Err(error) => {
+                copied.odd.push(name);
+                fault.get_or_insert(error);
+            }
+        }
+    }
+    if let Some(error) = fault {
+        log::warn!(
+            "event=copied_entries_undecodable count={} error=\"{error:#}\"",
+            copied.odd.len()
+        );
+    }
+    copied
+}
--- a/crates/entry/tests/all/entry_codec.rs
+++ b/crates/entry/tests/all/entry_codec.rs
@@ -3,6 +3,7 @@
 use jaysaddle_adapter::backend::entry_write_count;
 use jaysaddle_adapter::backend::is_newer_entry;
 use jaysaddle_adapter::backend::parse_entry;
+use jaysaddle_entry::entry_codec::decode_entries;
 use jaysaddle_entry::entry_codec::decode_entry;
 use jaysaddle_entry::entry_codec::encode_entry;
 use serde_json::Value;
@@ -51,3 +52,25 @@
     message.address = "nowhere".to_owned();
     assert!(decode_entry(&message).is_err());
 }
+
+/// Guards against one odd entry of a copy that hides all others, so that a node which follows a relay has no table.
+#[test]
+fn sound_entries_of_a_copy_are_used_beside_odd_ones() {
+    let copy = |name: &str, address: &str| {
+        let entry = parse_entry("i-1", &plain()).expect("an entry");
+        let mut message = encode_entry(&entry, 4);
+        message.name = name.to_owned();
+        message.address = address.to_owned();
+        message
+    };
+    let sound = "10.0.0.1:80";
+    let copied = decode_entries(&[
+        copy("i-1", sound),
+        copy("i-2", "10.0.0.1:65536"),
+        copy("line\nbreak", sound),
+        copy(&"n".repeat(1 << 16), sound),
+        copy("i-3", sound),
+    ]);
+    let names: Vec<&str> = copied.sound.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!((names, copied.odd.len()), (vec!["i-1", "i-3"], 3));
+}
