Show that VMs of a domain with two models stay idle

With two models, VMs that could serve stay idle for good.

No group is complete, and staging spares each VM's only copy. - The smaller model's marginal value is a third of the larger one's, so its VMs are kept for the larger one.

Neither needs a change of the lease holder, which is only one way to such a state.

--- a/crates/fleet/tests/all/competing_models.rs
+++ b/crates/fleet/tests/all/competing_models.rs
@@ -8,6 +8,7 @@
 
 use jaysaddle_test_support::TestRandom;
 use jaysaddle_types::ids::VmId;
+use jaysaddle_types::serving::BackendEntry;
 use jaysaddle_types::serving::ServingConfig;
 use jaysaddle_types::units::TimeSpan;
 
@@ -15,6 +16,7 @@
 use crate::fake::LARGE;
 use crate::fake::SMALL;
 use crate::fake::config;
+use crate::fake::entry;
 use crate::fake::model;
 use crate::fake::vm;
 
@@ -216,3 +218,35 @@
         assert!(day.fleet.overlapping_joins.is_empty());
     }
 }
+
+/// Number of VMs of one fabric domain that serve 25 s after the start. On the host of each are the weights of one model.
+fn serving_vms(staged: &[&str], large_demand: u64) -> usize {
+    let mut fleet = FakeFleet::without_vms(config());
+    fleet.staging_ms = 12_000;
+    for (number, name) in staged.iter().enumerate() {
+        fleet.register(BackendEntry {
+            staged: vec![model(name)],
+            ..entry(&format!("vm{number}"), "d0")
+        });
+    }
+    fleet.acquire(1);
+    for _ in 0..250 {
+        for (name, demand) in [(LARGE, large_demand), (SMALL, 1)] {
+            *fleet.work.entry(model(name)).or_default() += demand * TICK_MS;
+        }
+        fleet.advance(TICK_MS);
+    }
+    fleet.open_groups().concat().len()
+}
+
+/// Guards against VMs that stay idle because each has the only copy of a model's weights, and too few have the same.
+#[test]
+fn weights_of_idle_vms_are_replaced_if_they_complete_no_group() {
+    assert_eq!(serving_vms(&[LARGE, LARGE, LARGE, SMALL], 1), 4);
+}
+
+/// Guards against VMs that stay idle because they are kept for a model of which they are too few for a group.
+#[test]
+fn vms_are_not_kept_for_a_group_for_which_they_are_too_few() {
+    assert_eq!(serving_vms(&[SMALL; 5], 50), 4);
+}
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -215,9 +215,14 @@
             failure_domain: FailureDomainId::new(failure_domain),
             ..entry(id, domain)
         };
+        self.register(entry);
+    }
+
+    /// Registers a VM with the given entry.
+    pub fn register(&mut self, entry: BackendEntry) {
         self.table.put(entry.clone(), self.now);
-        let fake = FakeVm::new(entry);
-        self.vms.insert(vm(id), fake);
+        let id = entry.id.clone();
+        self.vms.insert(id, FakeVm::new(entry));
     }
 
     /// Replaces the controller by one of another node whose table is older by [`FakeFleet::table_age`].
