--- a/crates/fleet/tests/all/config_changes.rs
+++ b/crates/fleet/tests/all/config_changes.rs
@@ -100,3 +100,30 @@
         assert!(fleet.overlapping_joins.is_empty());
     }
 }
+
+/// Guards against VMs that stay idle: the group size of a model changes, or the model is removed, while its groups are being
+/// formed. They can never be complete, and must not hold their VMs until the join times out.
+#[test]
+fn groups_being_formed_end_when_their_size_changes() {
+    for (has_new_holder, removes) in [(false, false), (true, false), (false, true), (true, true)] {
+        let mut fleet = FakeFleet::new(12);
+        fleet.advance(3000);
+        if removes {
+            let models = &mut profile(&mut fleet).models;
+            models.retain(|profile| profile.id != model(SMALL));
+        } else {
+            set_group_size(&mut fleet, SMALL, 3);
+        }
+        if has_new_holder {
+            fleet.replace_controller(2);
+        }
+        fleet.advance(25_000);
+        let serving = fleet.serving_groups(SMALL).len() + fleet.serving_groups(LARGE).len();
+        assert_eq!(
+            serving, 3,
+            "new holder {has_new_holder}, removed {removes}: {:#?}",
+            fleet.decisions
+        );
+        assert!(fleet.overlapping_joins.is_empty());
+    }
+}
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -152,6 +152,8 @@
     pub partial_opens: Vec<GroupKey>,
     /// VMs that ignore orders and do not respond to them.
     pub unresponsive: BTreeSet<VmId>,
+    /// VMs that refuse their next order with the status 503.
+    pub refusals: BTreeSet<VmId>,
     /// VMs whose process is paused: it accepts connections but sends nothing, and carries out its orders when it continues.
     pub paused: BTreeSet<VmId>,
     waiting: Vec<WaitingOrder>,
@@ -196,6 +198,7 @@
             formed: BTreeMap::new(),
             partial_opens: Vec::new(),
             unresponsive: BTreeSet::new(),
+            refusals: BTreeSet::new(),
             paused: BTreeSet::new(),
             waiting: Vec::new(),
             refusing: BTreeSet::new(),
@@ -436,6 +439,9 @@
         if !self.vms[id].is_reachable {
             return OrderResult::Unreachable;
         }
+        if self.refusals.remove(id) {
+            return OrderResult::Refused { status: 503 };
+        }
         let is_leader_serving = self.leader_serves(&self.vms[id].entry);
         let fake = self.vms.get_mut(id).expect("VM");
         let result = fake.execute(order, order_count, self.now, self.staging_ms);
--- a/crates/fleet/tests/all/takeover.rs
+++ b/crates/fleet/tests/all/takeover.rs
@@ -292,6 +292,23 @@
     }
 }
 
+/// Guards against VMs that stay idle: a member of a leader that counts as gone refuses its order to leave once.
+#[test]
+fn member_that_refuses_to_leave_is_ordered_again() {
+    let mut fleet = FakeFleet::new(4);
+    fleet.advance(15_000);
+    let group = fleet.serving_group(LARGE, SMALL);
+    fleet.make_unreachable(&group[0]);
+    fleet.remove_entry(&group[0]);
+    fleet.refusals.insert(group[1].clone());
+    let from = fleet.orders.len();
+    fleet.advance(30_000);
+    let is_leave = |order: &BackendOrder| matches!(order, BackendOrder::Leave { .. });
+    let orders = fleet.orders[from..].iter();
+    let count = orders.filter(|(to, order)| *to == group[1] && is_leave(order));
+    assert_eq!(count.count(), 2, "{:#?}", fleet.decisions);
+}
+
 /// Guards against VMs that stay idle after a change of the holder: a group that the next holder takes over while it is
 /// being formed, and whose member drains, must end soon, so that the others serve again.
 #[test]
