End a group being formed when its model's group size changes

A change of the configuration that gives a model another group size, or removes it, left the VMs of the groups that were being formed idle until the join timeout of 60 s: such a group is never complete by the new size, so that it is neither opened nor given up. Open groups were closed already.

The change now counts as a fault of the group. A group of this holder has never been opened, so its members are free; a group of a previous holder is dissolved, its leader leaves first.

groups_being_formed_end_when_their_size_changes failed before (one of three groups serves 25 s after the change, with the same and with the next holder) and passes now.

--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -96,6 +96,11 @@
                 }
             }
         }
+        let engine = view.config.engine(&group.service);
+        let profile = engine.and_then(|engine| engine.model(&group.model));
+        if profile.is_none_or(|profile| profile.group_size != group.members.len()) {
+            fault = Some((group.leader().clone(), "group_size_changed"));
+        }
         if fault.is_none() && now.since(group.created) >= self.timing.join_timeout {
             fault = Some((group.leader().clone(), "join_timeout"));
         }
