Repeat an order to leave that a member refuses

A member of a leader that counts as gone must leave before it may join another group. It was ordered once; only an order without an answer was repeated. A member that refused the order for a passing reason (503) stayed in the group, and idle, for the rest of the term. Before the members had to leave first, a refusal did not matter.

An order is now repeated unless its answer shows that the member is not in the group.

member_that_refuses_to_leave_is_ordered_again failed before (one order within 30 s) and passes now.

--- a/crates/fleet/src/controller/orders.rs
+++ b/crates/fleet/src/controller/orders.rs
@@ -142,8 +142,9 @@
                 }
             }
             BackendOrder::Leave { key } => {
-                let is_unclear = matches!(result, OrderResult::Unreachable | OrderResult::Unknown);
-                if is_unclear && let Some(vm) = self.vms.get_mut(id) {
+                if StopEvidence::from_leave(result).is_none()
+                    && let Some(vm) = self.vms.get_mut(id)
+                {
                     vm.released_from = None;
                 }
                 let is_leader = self
