Show two more ways in which a change of the configuration leaves VMs idle

The group size of a model is lowered from four to three, and the next holder's table shows only three members of a group of four: the group counts as complete, and is taken over as such. When the fourth member is shown, the group is neither complete nor of another size, so that it gets no requests and is not ended.

The open groups of a model that is removed get no requests, but are closed only by the next holder.

--- a/crates/fleet/tests/all/config_changes.rs
+++ b/crates/fleet/tests/all/config_changes.rs
@@ -127,3 +127,38 @@
         assert!(fleet.overlapping_joins.is_empty());
     }
 }
+
+/// Guards against VMs that a group holds without serving: the group size is lowered, and the next holder takes the group over
+/// as complete, because its table does not show the last member yet.
+#[test]
+fn group_taken_over_without_its_last_member_ends_after_a_change_of_its_size() {
+    for formed in [1500, 15_000] {
+        let mut fleet = FakeFleet::new(4);
+        profile(&mut fleet)
+            .models
+            .retain(|profile| profile.id == model(LARGE));
+        fleet.advance(formed);
+        let last = fleet.orders[3].0.clone();
+        set_group_size(&mut fleet, LARGE, 3);
+        fleet.remove_entry(&last);
+        fleet.replace_controller(2);
+        fleet.advance(3000);
+        fleet.restore_entry(&last);
+        fleet.advance(25_000);
+        let groups = fleet.serving_groups(LARGE);
+        assert_eq!(groups.len(), 1, "{formed} ms: {:#?}", fleet.decisions);
+        assert!(fleet.overlapping_joins.is_empty());
+    }
+}
+
+/// Guards against VMs that open groups hold without serving after their model was removed.
+#[test]
+fn open_groups_of_a_removed_model_end() {
+    let mut fleet = FakeFleet::new(8);
+    fleet.advance(15_000);
+    let models = &mut profile(&mut fleet).models;
+    models.retain(|profile| profile.id == model(LARGE));
+    fleet.advance(30_000);
+    let groups = fleet.serving_groups(LARGE);
+    assert_eq!(groups.len(), 2, "{:#?}", fleet.decisions);
+}
