End a group that was taken over without all of its members

After the group size of a model was lowered, a new holder could take a group for complete whose last member its table did not show, as a group that is being formed or as an open one. When that member was shown, the group got no requests, and nothing ended it: the size that the configuration names was that of the group as it was taken over.

Such a group now counts as one of another size: it is closed, or dissolved if it is not open, and its members form groups again once the leader has left.

group_taken_over_without_its_last_member_ends_after_a_change_of_its_size failed before (no group serves 28 s later) and passes now, with a group that is being formed and with an open one.

--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -17,6 +17,12 @@
 /// Fault of a member that is not registered.
 const GONE: &str = "gone";
 
+/// Whether more members report the group than it was taken over with. The configured size was lowered meanwhile, so that the
+/// group seemed complete before all of them were shown.
+fn has_further_members(group: &ControlledGroup, reported: &ReportedGroup) -> bool {
+    reported.members.len() > group.members.len()
+}
+
 impl FleetController {
     /// The reason why a member can no longer be part of its group; `None` if it can.
     pub(super) fn member_fault(
@@ -98,7 +104,9 @@
         }
         let engine = view.config.engine(&group.service);
         let profile = engine.and_then(|engine| engine.model(&group.model));
-        if profile.is_none_or(|profile| profile.group_size != group.members.len()) {
+        if profile.is_none_or(|profile| profile.group_size != group.members.len())
+            || reported.is_some_and(|reported| has_further_members(&group, reported))
+        {
             fault = Some((group.leader().clone(), "group_size_changed"));
         }
         if fault.is_none() && now.since(group.created) >= self.timing.join_timeout {
@@ -259,7 +267,8 @@
         let Some(reported) = reported else {
             return;
         };
-        let has_other_size = reported.size > 0 && reported.size != group.members.len();
+        let has_other_size = reported.size > 0 && reported.size != group.members.len()
+            || has_further_members(&group, reported);
         let close_reason = if reported.has_draining_member {
             Some("draining_member")
         } else {
