Close the open groups of a model that is removed

The open groups of a model that a change of the configuration removes get no requests, but only the next holder closed them, so that their VMs stayed idle until the lease changed hands. The size of such a model, 0, was left out of the comparison with the size of the group.

open_groups_of_a_removed_model_end failed before (one of two possible groups serves 30 s later) and passes now.

--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -267,8 +267,8 @@
         let Some(reported) = reported else {
             return;
         };
-        let has_other_size = reported.size > 0 && reported.size != group.members.len()
-            || has_further_members(&group, reported);
+        let has_other_size =
+            reported.size != group.members.len() || has_further_members(&group, reported);
         let close_reason = if reported.has_draining_member {
             Some("draining_member")
         } else {
