Give the lease up when a later term is seen

A holder that does not know that it has lost the lease went on to order VMs, also those of groups that the next holder had formed: it took these groups over, and ordered their members to leave between the last report and the opening of the group. Heartbeats of the next holder ended that only if they arrived. A term that a reported group or a peer shows was remembered for the next acquisition only.

A later term, from wherever it is known, now ends the lease, as a claim with a later term does already.

holder_that_sees_a_later_term_gives_the_lease_up failed before.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -200,7 +200,14 @@
             LeaseEvent::Read(object) => self.handle_read(object, now, &mut effects),
             LeaseEvent::ReadFailed => self.pending = PendingCall::None,
             LeaseEvent::Written(result) => self.handle_write_result(result, now, &mut effects),
-            LeaseEvent::TermSeen(term) => self.latest_term = self.latest_term.max(term),
+            LeaseEvent::TermSeen(term) => {
+                self.latest_term = self.latest_term.max(term);
+                if self.held.take_if(|(held, _)| *held < term).is_some() {
+                    // Another node has held the lease since, and may hold it now.
+                    self.other_holder_until = Some(now + self.timing.duration);
+                    effects.push(LeaseEffect::Lost);
+                }
+            }
             LeaseEvent::StoreRestored => {
                 self.known_object = None;
                 self.observed_version = None;
--- a/crates/fleet/src/lease/messages.rs
+++ b/crates/fleet/src/lease/messages.rs
@@ -77,7 +77,7 @@
     ReadFailed,
     /// A write completed.
     Written(LeaseWrite),
-    /// A term was seen outside of the lease object.
+    /// A term was seen outside of the lease object. A holder of an earlier one gives the lease up.
     TermSeen(LeaseEpoch),
     /// The store has come back from an older copy. All versions and calls in flight are void.
     StoreRestored,
--- a/crates/fleet/tests/all/lease.rs
+++ b/crates/fleet/tests/all/lease.rs
@@ -177,6 +177,20 @@
     assert!(lease.held_term(Timestamp(1100)).is_none());
 }
 
+/// Guards against a holder that orders the members of a later holder's groups, because it does not know that it has lost the
+/// lease.
+#[test]
+fn holder_that_sees_a_later_term_gives_the_lease_up() {
+    let mut lease = lease_state("a");
+    acquire_first_term(&mut lease, 1000);
+    let effects = lease.step(LeaseEvent::TermSeen(term(1)), Timestamp(1100));
+    assert_eq!(effects, vec![]);
+    let effects = lease.step(LeaseEvent::TermSeen(term(2)), Timestamp(1200));
+    assert_eq!(effects, vec![LeaseEffect::Lost]);
+    assert!(lease.held_term(Timestamp(1200)).is_none());
+    assert_eq!(tick(&mut lease, 1300), vec![]);
+}
+
 /// Guards against an interruption of repairs while the store is unreachable for all nodes, and against a holder that
 /// keeps the lease although the store names another one after the outage.
 #[test]
