--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -201,7 +201,15 @@
             LeaseEvent::Read(object) => self.handle_read(object, now, &mut effects),
             LeaseEvent::ReadFailed => self.pending = PendingCall::None,
             LeaseEvent::Written(result) => self.handle_write_result(result, now, &mut effects),
-            LeaseEvent::TermSeen(term) => self.observe_term(term),
+            LeaseEvent::TermSeen(term) => {
+                self.observe_term(term);
+                let is_later = |held: LeaseEpoch| is_credible(term) && held < term;
+                if self.held.take_if(|(held, _)| is_later(*held)).is_some() {
+                    // Another node has held the lease since, and may hold it now.
+                    self.other_holder_until = Some(now + self.timing.duration);
+                    effects.push(LeaseEffect::Lost);
+                }
+            }
             LeaseEvent::StoreRestored => {
                 self.known_object = None;
                 self.observed_version = None;
--- a/crates/fleet/tests/all/config_changes.rs
+++ b/crates/fleet/tests/all/config_changes.rs
@@ -100,3 +100,65 @@
         assert!(fleet.overlapping_joins.is_empty());
     }
 }
+
+/// Guards against VMs that stay idle: the group size of a model changes, or the model is removed, while its groups are being
+/// formed. They can never be complete, and must not hold their VMs until the join times out.
+#[test]
+fn groups_being_formed_end_when_their_size_changes() {
+    for (has_new_holder, removes) in [(false, false), (true, false), (false, true), (true, true)] {
+        let mut fleet = FakeFleet::new(12);
+        fleet.advance(3000);
+        if removes {
+            let models = &mut profile(&mut fleet).models;
+            models.retain(|profile| profile.id != model(SMALL));
+        } else {
+            set_group_size(&mut fleet, SMALL, 3);
+        }
+        if has_new_holder {
+            fleet.replace_controller(2);
+        }
+        fleet.advance(25_000);
+        let serving = fleet.serving_groups(SMALL).len() + fleet.serving_groups(LARGE).len();
+        assert_eq!(
+            serving, 3,
+            "new holder {has_new_holder}, removed {removes}: {:#?}",
+            fleet.decisions
+        );
+        assert!(fleet.overlapping_joins.is_empty());
+    }
+}
+
+/// Guards against VMs that a group holds without serving: the group size is lowered, and the next holder takes the group over
+/// as complete, because its table does not show the last member yet.
+#[test]
+fn group_taken_over_without_its_last_member_ends_after_a_change_of_its_size() {
+    for formed in [1500, 15_000] {
+        let mut fleet = FakeFleet::new(4);
+        profile(&mut fleet)
+            .models
+            .retain(|profile| profile.id == model(LARGE));
+        fleet.advance(formed);
+        let last = fleet.orders[3].0.clone();
+        set_group_size(&mut fleet, LARGE, 3);
+        fleet.remove_entry(&last);
+        fleet.replace_controller(2);
+        fleet.advance(3000);
+        fleet.restore_entry(&last);
+        fleet.advance(25_000);
+        let groups = fleet.serving_groups(LARGE);
+        assert_eq!(groups.len(), 1, "{formed} ms: {:#?}", fleet.decisions);
+        assert!(fleet.overlapping_joins.is_empty());
+    }
+}
+
+/// Guards against VMs that open groups hold without serving after their model was removed.
+#[test]
+fn open_groups_of_a_removed_model_end() {
+    let mut fleet = FakeFleet::new(8);
+    fleet.advance(15_000);
+    let models = &mut profile(&mut fleet).models;
+    models.retain(|profile| profile.id == model(LARGE));
+    fleet.advance(30_000);
+    let groups = fleet.serving_groups(LARGE);
+    assert_eq!(groups.len(), 2, "{:#?}", fleet.decisions);
+}
