Keep the groups of a service whose profile is unreadable

A configuration whose service has no readable profile would have closed all of its groups, since the branch that closes groups of a removed model cannot tell the two apart. Groups now end only if the profile is there and has no such model, or another size. groups_of_a_service_without_a_profile_stay_open shows that open groups stay; with the merged code before, they closed.

--- a/crates/fleet/src/controller/stages.rs
+++ b/crates/fleet/src/controller/stages.rs
@@ -17,6 +17,16 @@
 /// Fault of a member that is not registered.
 const GONE: &str = "gone";
 
+/// Whether the configuration asks for groups of another size, or for none. A service that it does not name may only be
+/// unreadable, which must not end its groups.
+fn has_other_size(group: &ControlledGroup, view: FleetView<'_>) -> bool {
+    let engine = view.config.engine(&group.service);
+    engine.is_some_and(|engine| {
+        let profile = engine.model(&group.model);
+        profile.is_none_or(|profile| profile.group_size != group.members.len())
+    })
+}
+
 /// Whether more members report the group than it was taken over with. The configured size was lowered meanwhile, so that the
 /// group seemed complete before all of them were shown.
 fn has_further_members(group: &ControlledGroup, reported: &ReportedGroup) -> bool {
@@ -102,9 +112,7 @@
                 }
             }
         }
-        let engine = view.config.engine(&group.service);
-        let profile = engine.and_then(|engine| engine.model(&group.model));
-        if profile.is_none_or(|profile| profile.group_size != group.members.len())
+        if has_other_size(&group, view)
             || reported.is_some_and(|reported| has_further_members(&group, reported))
         {
             fault = Some((group.leader().clone(), "group_size_changed"));
@@ -267,8 +275,7 @@
         let Some(reported) = reported else {
             return;
         };
-        let has_other_size =
-            reported.size != group.members.len() || has_further_members(&group, reported);
+        let has_other_size = has_other_size(&group, view) || has_further_members(&group, reported);
         let close_reason = if reported.has_draining_member {
             Some("draining_member")
         } else {
--- a/crates/fleet/tests/all/config_changes.rs
+++ b/crates/fleet/tests/all/config_changes.rs
@@ -162,3 +162,17 @@
     let groups = fleet.serving_groups(LARGE);
     assert_eq!(groups.len(), 2, "{:#?}", fleet.decisions);
 }
+
+/// Guards against an outage of all groups of a service because its part of a configuration is unreadable.
+#[test]
+fn groups_of_a_service_without_a_profile_stay_open() {
+    let mut fleet = FakeFleet::new(8);
+    fleet.advance(15_000);
+    let before = fleet.open_groups();
+    for service in &mut fleet.config.services {
+        service.engine = None;
+    }
+    fleet.advance(10_000);
+    assert!(!before.is_empty());
+    assert_eq!(fleet.open_groups(), before, "{:#?}", fleet.decisions);
+}
