Give each target at least one slot

With 0 slots in the engine profile of a configuration and a request limit that a leader of a group had stated, the selection of a target panicked, also in release builds: the capacity is bounded to the range from 0.05 to the number of slots, and the lower bound was above the upper one. A target of an engine has at least one slot now, as those of plain services do. The platform says that its store accepts only valid configurations; the check of configurations still reports 0 slots.

Evidence: the new property test, which sends requests with odd configurations, entries and limits, panicked with "min > max" before; 1,000 random cases pass now.

--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -111,7 +111,8 @@
             &row.entry,
             Some(group.model),
             Some(group.key),
-            slots,
+            // As for plain services.
+            slots.max(1),
         ));
     }
     for row in table.rows() {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod fixture;
 mod limit_simulation;
 mod limited_servers;
+mod odd_values;
 mod overload;
 mod peer_view;
 mod pressure;
