Bound the rate that is divided for a cold backend server

With a rate near 2^32 requests a second for cold backend servers in a configuration, a node tried four billion divisions at each update of the shares, in its event loop. Above 100,000 requests a second the bound makes no difference, so it is cut there.

Evidence: with such rates the property test of odd values did not end within 400 s before; it takes 0.7 s.

--- a/crates/gateway/src/cold_servers.rs
+++ b/crates/gateway/src/cold_servers.rs
@@ -64,6 +64,10 @@
     }
 }
 
+/// Highest bound that is divided, in requests a second. Above it, a cold backend server bears what nodes can send; and the
+/// division tries all numbers of requests up to the bound.
+const MAX_BOUND: f64 = 1e5;
+
 /// How the requests to one cold backend server are divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnerPlan {
@@ -77,6 +81,7 @@
     /// Divides `bound` requests a second among `nodes` nodes. As many nodes as possible send, because each of them gets
     /// only a part of the callers' requests.
     pub fn new(bound: f64, nodes: usize, settings: &ColdSettings) -> Self {
+        let bound = bound.min(MAX_BOUND);
         let usable = (bound * settings.used_part).max(0.0) as u32;
         let mut best = Self {
             owners: 0,
--- a/crates/gateway/tests/all/odd_values.rs
+++ b/crates/gateway/tests/all/odd_values.rs
@@ -6,6 +6,7 @@
 use jaysaddle_gateway::choice::QueryWork;
 use jaysaddle_gateway::choice::TargetOutcome;
 use jaysaddle_gateway::choice::TargetQuery;
+use jaysaddle_gateway::cold_servers::ColdBound;
 use jaysaddle_gateway::gateway::RequestGateway;
 use jaysaddle_gateway::request_rank::RequestRank;
 use jaysaddle_gateway::settings::GatewaySettings;
@@ -103,6 +104,12 @@
         };
         fixture.gateway = RequestGateway::new(settings, NodeId::new("node"), 1);
         fixture.gateway.set_config(config, &table);
+        let bound = ColdBound {
+            ratio: 1.5,
+            slack: 5.0,
+        };
+        fixture.gateway.set_cold_bound(Some(bound));
+        fixture.gateway.record_cold_entries(&table, Timestamp(500));
         let started = Timestamp(1000);
         for number in 0..3 {
             let server = ServerNumber::of(&VmId::new(format!("vm{number}-0")), 1);
@@ -114,6 +121,9 @@
         }
         for turn in 0..40 {
             let now = 1000 + turn * 50;
+            fixture
+                .gateway
+                .update_cold_shares(&fixture.peers, Timestamp(now));
             if turn % 10 == 9 {
                 fixture.service = ServiceId::new(PLAIN_SERVICE);
             }
