Do not plan with weights that a load is replacing

At 56.4 s a stranded VM is ordered to load the smaller model in place of the larger one. The entry shows the larger one until the load has ended and the table has read it, so at 60.0 s an exchange closes a group of the other domain for a larger group with that VM. The reservation is dropped 1.1 s later, since only three candidates are left, and the fleet begins again.

While weights are being staged on a host, those that they replace no longer count for groups, exchanges and reservations. Only stranded VMs lose weights that they do not also have in memory, so other loads change nothing.

--- a/crates/fleet/src/controller/forming.rs
+++ b/crates/fleet/src/controller/forming.rs
@@ -17,7 +17,6 @@
 use crate::controller::FleetController;
 use crate::controller::FleetView;
 use crate::controller::GroupStage;
-use crate::controller::to_free_vm;
 use crate::groups::ReportedGroup;
 use crate::groups::group_generation;
 use crate::groups::group_name;
@@ -120,7 +119,7 @@
             let free: Vec<FreeVm> = rows
                 .filter(|row| row.entry.service == service.id)
                 .filter(|row| self.join_blocker(&row.entry, view, reported, now).is_none())
-                .filter_map(to_free_vm)
+                .filter_map(|row| self.free_vm(row, now))
                 .collect();
             // A silent group is replaced from free VMs only: other groups are not closed for it.
             let lasting_needs = self.model_needs(&service.id, profile, |_| true, now);
@@ -181,7 +180,7 @@
             let candidates = view
                 .table
                 .rows()
-                .filter(|row| self.may_soon_join(row, &domain, &model))
+                .filter(|row| self.may_soon_join(row, &domain, &model, now))
                 .count();
             let size = view
                 .config
@@ -202,7 +201,13 @@
     }
 
     /// Whether a VM of `domain` can join a group of `model` without a load, now or after its closing group has ended.
-    fn may_soon_join(&self, row: &TableRow, domain: &FabricDomainId, model: &ModelId) -> bool {
+    fn may_soon_join(
+        &self,
+        row: &TableRow,
+        domain: &FabricDomainId,
+        model: &ModelId,
+        now: Timestamp,
+    ) -> bool {
         let entry = &row.entry;
         let is_ending = self.group_of(&entry.id).is_none_or(|key| {
             self.groups.get(key).is_some_and(|group| {
@@ -220,7 +225,9 @@
             && is_reachable
             && !entry.is_draining
             && !self.evacuated.contains(&entry.failure_domain)
-            && to_free_vm(row).is_some_and(|vm| vm.domain == *domain && vm.has_weights(model))
+            && self
+                .free_vm(row, now)
+                .is_some_and(|vm| vm.domain == *domain && vm.has_weights(model))
     }
 
     /// Forms the groups for which VMs are reserved, as soon as enough of them are free.
--- a/crates/fleet/src/controller/staging.rs
+++ b/crates/fleet/src/controller/staging.rs
@@ -19,6 +19,7 @@
 use crate::staging_plan::DomainMembers;
 use crate::staging_plan::PlannedStaging;
 use crate::staging_plan::plan_staging;
+use crate::table::TableRow;
 
 /// Number of loads reserved for VMs that cannot join any group. New VMs may register at any time, and loads in
 /// progress for serving VMs would delay theirs.
@@ -216,6 +217,15 @@
         (now < *until).then_some(model)
     }
 
+    /// The VM of a row as plans see it: weights on the host that a load in progress replaces do not count.
+    pub(super) fn free_vm(&self, row: &TableRow, now: Timestamp) -> Option<FreeVm> {
+        let mut vm = to_free_vm(row)?;
+        if self.is_staging(&vm, now) {
+            vm.staged.clear();
+        }
+        Some(vm)
+    }
+
     /// Whether weights are being staged on a VM's host.
     pub(super) fn is_staging(&self, vm: &FreeVm, now: Timestamp) -> bool {
         let model = self.pending_staging(&vm.id, now);
--- a/crates/fleet/tests/all/succession.rs
+++ b/crates/fleet/tests/all/succession.rs
@@ -34,7 +34,7 @@
 const MAX_LISTED: usize = 40;
 
 /// Seeds that have found faults of the controller.
-const FOUND: [(u64, &str); 5] = [
+const FOUND: [(u64, &str); 6] = [
     (38, "the weights of idle VMs are never replaced"),
     (
         197,
@@ -44,6 +44,10 @@
         2422,
         "the next holder opens a group from which the last one has moved a member",
     ),
+    (
+        13_320,
+        "a group is closed for weights that a load is replacing",
+    ),
     (
         13_782,
         "an entry from before an outage frees the members of its leader",
