Wait for the entry of a leader whose group may still be opened

The controller freed the members 0.1 and 0.9 s after the removal. The platform treats an entry as gone only when it has been missing for two seconds. If the last entry of a leader shows the group as ready, its members now wait for that long from the removal. The members of a leader that served when it crashed, whose entry shows the group open, are freed at once as before. Those of one that crashes between the join and the opening wait two seconds.

--- a/crates/fleet/src/controller/stop_evidence.rs
+++ b/crates/fleet/src/controller/stop_evidence.rs
@@ -84,9 +84,9 @@
         let group = self.groups.get(key)?;
         let leader = group.leader();
         let Some(row) = view.table.get(leader) else {
-            return self
-                .has_stopped_serving(leader, view.table, now)
-                .then_some(StopEvidence::Gone);
+            let is_gone = self.has_stopped_serving(leader, view.table, now)
+                && !self.may_still_open(leader, key, view.table, now);
+            return is_gone.then_some(StopEvidence::Gone);
         };
         match &row.entry.membership {
             Some(membership) if membership.key == *key => {
@@ -126,6 +126,24 @@
         failed_since.is_some_and(|since| now.since(since) >= limit)
     }
 
+    /// Whether a leader without an entry, whose group was not open yet, may still open it: an order may be under way to a
+    /// leader that is only cut off, or be carried out by a process that is paused. The platform allows an entry two seconds to
+    /// return. Groups that served do not wait, so that few members of crashed leaders do.
+    fn may_still_open(
+        &self,
+        leader: &VmId,
+        key: &GroupKey,
+        table: &BackendTable,
+        now: Timestamp,
+    ) -> bool {
+        table.removed(leader).is_some_and(|row| {
+            let membership = row.entry.membership.as_ref();
+            let is_unopened = membership
+                .is_some_and(|group| group.key == *key && group.phase == MemberPhase::Ready);
+            is_unopened && now.since(row.removed_at) < self.timing.unknown_leader_timeout
+        })
+    }
+
     /// Whether a VM may join another group directly from `group`. If the leader only counts as gone, or is not known, the VM
     /// leaves first, so that it is in no group of a leader that turns out to serve.
     pub(super) fn may_join_from(
--- a/crates/fleet/tests/all/succession.rs
+++ b/crates/fleet/tests/all/succession.rs
@@ -34,7 +34,7 @@
 const MAX_LISTED: usize = 40;
 
 /// Seeds that have found faults of the controller.
-const FOUND: [(u64, &str); 6] = [
+const FOUND: [(u64, &str); 8] = [
     (38, "the weights of idle VMs are never replaced"),
     (
         197,
@@ -44,6 +44,14 @@
         2422,
         "the next holder opens a group from which the last one has moved a member",
     ),
+    (
+        5247,
+        "an order to open is under way to a leader that counts as gone",
+    ),
+    (
+        12_156,
+        "a paused leader that counts as gone carries out an order to open",
+    ),
     (
         13_320,
         "a group is closed for weights that a load is replacing",
