Kill the leader in the middle of a response, however busy the machine is

unstreamed_request_is_retried_at_another_group failed once at a load of about 30: one start instead of two, and the response whole. The fault is in the test. The response takes 1.2 s, and the test kills the leader about half a second after its start, if it gets the processor in time. A whole response from a single start means that this run had ended before the kill.

The engines are now slowed by a factor of ten until the kill, so that the response would take 12 s, and the others are set to their usual pace after it. The test also checks that the engine counts the run as aborted by the kill, which it only assumed before.

--- a/tests/all/leader_failure.rs
+++ b/tests/all/leader_failure.rs
@@ -8,8 +8,11 @@
 use crate::deployment::Deployment;
 use crate::deployment::DeploymentSettings;
 
-/// Tokens of a response that takes over a second, so that the kill happens in the middle of it.
+/// Tokens of a response that takes over a second.
 const LONG_RESPONSE_TOKENS: u32 = 600;
+/// Factor by which engines are slowed until the kill. The response then takes 12 s, so that the kill happens in the middle
+/// of it also on a busy machine.
+const SLOWDOWN: f64 = 10.0;
 
 /// VMs that started the request with `prompt`, each with its number of starts.
 fn starts(deployment: &Deployment, prompt: &str) -> Vec<(String, u64)> {
@@ -31,6 +34,16 @@
     found
 }
 
+/// Number of runs that ended because the VM was killed or a member was missing.
+fn aborted_runs(deployment: &Deployment, vm: &str) -> u64 {
+    let url = format!("http://{}/control/stats", deployment.control_address(vm));
+    let response = minreq::get(url).with_timeout(5).send();
+    let response = response.expect("the control address responds");
+    let stats: Value =
+        serde_json::from_slice(response.as_bytes()).expect("the statistics are JSON");
+    stats[vm]["aborted"].as_u64().expect("a count")
+}
+
 /// Sends a long request, kills its group leader while it runs, and returns the status and body of
 /// the response.
 fn kill_leader_mid_response(deployment: &Deployment, prompt: &str, stream: bool) -> (u16, String) {
@@ -40,6 +53,12 @@
         "max_tokens": LONG_RESPONSE_TOKENS,
         "stream": stream,
     });
+    let set_fault = |vm: &str, fault: &str| {
+        let fault = json!({ "vm": vm, "fault": fault, "value": SLOWDOWN });
+        deployment.set_fault(deployment.control_address(vm), &fault);
+    };
+    let vms: Vec<String> = deployment.vms().into_iter().map(|(vm, _, _)| vm).collect();
+    vms.iter().for_each(|vm| set_fault(vm, "slow"));
     std::thread::scope(|scope| {
         let headers = [("Authorization", "Bearer lender-a-key")];
         let call =
@@ -48,8 +67,10 @@
         // Some tokens must have been sent before the leader fails.
         std::thread::sleep(std::time::Duration::from_millis(300));
         let (leader, _) = starts(deployment, prompt).remove(0);
-        let control = deployment.control_address(&leader);
-        deployment.set_fault(control, &json!({ "vm": leader, "fault": "kill" }));
+        set_fault(&leader, "kill");
+        assert_eq!(aborted_runs(deployment, &leader), 1, "killed in the run");
+        let others = vms.iter().filter(|vm| **vm != leader);
+        others.for_each(|vm| set_fault(vm, "recover"));
         let response = call
             .join()
             .expect("the caller does not panic")
