Take the end of a connection when callers of tests read it

stops_before_the_first_configuration_end_the_process failed beside other tests: a pipelined request without an answer, whose connection ended 217 or 229 ms after it was sent, where 200 ms are allowed. The fault is in the callers of the tests, which counted their own pauses. A stopping node answers the first request and closes the connection; the second and the third, which follow 20 and 40 ms later, cross this end and are not read. The caller then slept 50 ms after each request that was not served, and 20 ms before each read, before it took the time of the next one: 160 ms for the last request if the connection ends at once.

Evidence: in the two failed runs whose node logs were read, all requests without an answer were of the slow pipelined caller and took 208, 224 and 224 ms. The node had logged no line for them, and had answered others within milliseconds all the while.

The end of a connection is now taken once, when it is read, and holds for all requests that wait on it; the pause after a refusal comes after the last of them. The limit of 200 ms is unchanged.

--- a/tests/all/raw_callers.rs
+++ b/tests/all/raw_callers.rs
@@ -179,6 +179,7 @@
             is_usable &= is_sent.is_ok();
             pending.push((id, Instant::now()));
         }
+        let mut is_served = true;
         for (id, sent) in pending {
             let (outcome, may_continue) = connection.read_response(self.style.reads_slowly());
             is_usable &= may_continue;
@@ -186,14 +187,16 @@
                 id,
                 style: self.style,
                 sent,
-                ended: Instant::now(),
+                ended: connection.end_read.unwrap_or_else(Instant::now),
                 outcome,
             };
-            if !request.is_served() {
-                thread::sleep(REFUSAL_PAUSE);
-            }
+            is_served &= request.is_served();
             requests.push(request);
         }
+        // After the last response, since a pause before it would count as time until the connection ended.
+        if !is_served {
+            thread::sleep(REFUSAL_PAUSE);
+        }
         is_usable
     }
 }
@@ -219,6 +222,8 @@
     received: Vec<u8>,
     /// Number of bytes received for the present response.
     response_bytes: usize,
+    /// When the end of the connection was read; `None` before.
+    end_read: Option<Instant>,
 }
 
 /// Head of a response.
@@ -239,6 +244,7 @@
             stream,
             received: Vec::new(),
             response_bytes: 0,
+            end_read: None,
         }
     }
 
@@ -255,12 +261,18 @@
 
     /// Reads more bytes. Returns false at the end of the connection.
     fn read_more(&mut self, is_slow: bool) -> bool {
+        if self.end_read.is_some() {
+            return false;
+        }
         let mut buffer = vec![0; if is_slow { SLOW_READ_BYTES } else { 64 * 1024 }];
         if is_slow {
             thread::sleep(PART_PAUSE);
         }
         match self.stream.read(&mut buffer) {
-            Ok(0) | Err(_) => false,
+            Ok(0) | Err(_) => {
+                self.end_read = Some(Instant::now());
+                false
+            }
             Ok(count) => {
                 self.received.extend_from_slice(&buffer[..count]);
                 self.response_bytes += count;
