--- a/crates/fleet/src/controller/stranded.rs
+++ b/crates/fleet/src/controller/stranded.rs
@@ -82,7 +82,8 @@
         planned
     }
 
-    /// Replaces weights of stranded VMs by those of a model of which the VMs then form a group, within `allowed` loads.
+    /// Replaces weights of stranded VMs by those of a model of which the VMs then form a group, as far as the loads that
+    /// may begin now suffice.
     pub(super) fn restage_stranded(
         &mut self,
         stranded: &[Vec<FreeVm>],
