Bind a handover of the lease to one process and a new term

Cause: a handover named its successor's node without the incarnation and kept the term. The process of the successor that had started again accepted the handover that the first holder still repeated, while a third node held the lease. The only guard, the last sender, is lost with the process.

A handover now names the incarnation, transfers the rest of the validity only, and the successor begins a term above the last one. A known later term excludes a repetition, and generations of groups rise with each holder, so the count of groups is no longer passed on.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -63,7 +63,7 @@
         table_age: node.table_age(now),
         is_store_unreachable: node.store.is_unreachable(now),
         claim: node.lease.borrow().claim(now),
-        handover: node.handover.borrow().clone(),
+        handover: lease::announced_handover(node),
         loads: gateway.loads(),
         stalled_targets: stalled.map(|(number, _)| number.0).collect(),
         work: gateway.work(),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -132,9 +132,7 @@
 pub fn handle_fleet_event(node: &Rc<EntryNode>, event: FleetEvent) {
     let Some(config) = node.config.borrow().clone() else {
         // Without a configuration no model is known, so only the lease events are processed.
-        if let FleetEvent::Acquired(_) | FleetEvent::HandoverAccepted { .. } | FleetEvent::Lost =
-            event
-        {
+        if let FleetEvent::Acquired(_) | FleetEvent::Lost = event {
             let table = node.table.borrow();
             let empty = jaysaddle_types::serving::ServingConfig::default();
             let view = FleetView {
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -26,6 +26,7 @@
 use jaysaddle_types::ids::ObjectVersion;
 use jaysaddle_types::ids::StoreEra;
 use jaysaddle_types::ids::StoreRevision;
+use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::units::ProcessorShare;
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
@@ -42,6 +43,22 @@
 use jaysaddle_wire::heartbeat::WorkMessage;
 use prost::Message;
 
+fn encode_claim(claim: &LeaseClaim) -> LeaseMessage {
+    LeaseMessage {
+        term: claim.term.0,
+        version: claim.version.0,
+        remaining_ms: claim.remaining.as_millis(),
+    }
+}
+
+fn decode_claim(message: &LeaseMessage) -> LeaseClaim {
+    LeaseClaim {
+        term: LeaseEpoch(message.term),
+        version: ObjectVersion(message.version),
+        remaining: TimeSpan(message.remaining_ms),
+    }
+}
+
 /// Encodes a heartbeat without a digest.
 pub fn encode_heartbeat(heartbeat: &PeerHeartbeat) -> Vec<u8> {
     let message = NodeHeartbeat {
@@ -59,19 +76,14 @@
         config_version: heartbeat.config_version,
         table_age_ms: heartbeat.table_age.as_millis(),
         is_store_unreachable: heartbeat.is_store_unreachable,
-        lease: heartbeat.claim.as_ref().map(|claim| LeaseMessage {
-            term: claim.term.0,
-            version: claim.version.0,
-            remaining_ms: claim.remaining.as_millis(),
-        }),
+        lease: heartbeat.claim.as_ref().map(encode_claim),
         handover: heartbeat
             .handover
             .as_ref()
             .map(|handover| LeaseHandoverMessage {
-                successor: handover.successor.to_string(),
-                term: handover.term.0,
-                version: handover.version.0,
-                groups_formed: handover.groups_formed,
+                successor: handover.successor.id.to_string(),
+                incarnation: handover.successor.incarnation.0,
+                lease: Some(encode_claim(&handover.claim)),
             }),
         load_targets: heartbeat.loads.iter().map(|load| load.target).collect(),
         load_counts: heartbeat.loads.iter().map(|load| load.requests).collect(),
@@ -393,18 +405,15 @@
         config_version: message.config_version,
         table_age: TimeSpan(message.table_age_ms),
         is_store_unreachable: message.is_store_unreachable,
-        claim: message.lease.map(|claim| LeaseClaim {
-            term: LeaseEpoch(claim.term),
-            version: ObjectVersion(claim.version),
-            remaining: TimeSpan(claim.remaining_ms),
-        }),
+        claim: message.lease.as_ref().map(decode_claim),
         handover: valid_items("handover", message.handover, |handover| {
-            Ok(LeaseHandover {
-                successor: handover.successor.parse()?,
-                term: LeaseEpoch(handover.term),
-                version: ObjectVersion(handover.version),
-                groups_formed: handover.groups_formed,
-            })
+            let successor = NodeKey {
+                id: handover.successor.parse()?,
+                incarnation: Incarnation(handover.incarnation),
+            };
+            // Without a claim there is no validity left, so the handover is never accepted.
+            let claim = decode_claim(&handover.lease.unwrap_or_default());
+            Ok(LeaseHandover { successor, claim })
         })
         .pop(),
         loads: decode_loads(
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -13,6 +13,7 @@
 use jaysaddle_fleet::groups::latest_reported_term;
 use jaysaddle_fleet::lease::LeaseEffect;
 use jaysaddle_fleet::lease::LeaseEvent;
+use jaysaddle_fleet::lease::LeaseHandover;
 use jaysaddle_fleet::lease::LeaseRecord;
 use jaysaddle_fleet::lease::LeaseWrite;
 use jaysaddle_fleet::peers::PeerHeartbeat;
@@ -58,32 +59,42 @@
     let successor = is_store_unreachable_for_majority(node)
         .then(|| choose_successor(node))
         .flatten();
-    let groups_formed = node.controller.borrow().groups_formed();
-    let handover =
-        successor.and_then(|successor| node.lease.borrow().handover(successor, groups_formed, now));
+    let handover = successor.and_then(|successor| node.lease.borrow().handover(successor, now));
     let Some(handover) = handover else {
         handle_lease_event(node, LeaseEvent::Resign);
         return;
     };
     log::info!(
-        "event=lease_handed_over successor={} term={} groups_formed={groups_formed}",
-        handover.successor,
-        handover.term
+        "event=lease_handed_over successor={} incarnation={} term={} remaining_ms={}",
+        handover.successor.id,
+        handover.successor.incarnation,
+        handover.claim.term,
+        handover.claim.remaining.as_millis()
     );
     handle_lease_event(node, LeaseEvent::HandOver);
-    *node.handover.borrow_mut() = Some(handover);
+    *node.handover.borrow_mut() = Some((handover, now));
+}
+
+/// The handover to announce now; `None` once the lease that it hands over would have expired.
+pub fn announced_handover(node: &EntryNode) -> Option<LeaseHandover> {
+    let handover = node.handover.borrow();
+    let (handover, since) = handover.as_ref()?;
+    handover.after(clock::now().since(*since))
 }
 
 /// Chooses the serving node with the most recent backend table, a relay if there are any, since only relays hear whether
 /// the store is unreachable for the others.
-fn choose_successor(node: &EntryNode) -> Option<NodeId> {
+fn choose_successor(node: &EntryNode) -> Option<NodeKey> {
     node.peers
         .borrow()
         .heard(clock::now())
         .map(|record| &record.heartbeat)
         .filter(|heartbeat| heartbeat.phase == PeerPhase::Serving)
         .min_by_key(|heartbeat| (!heartbeat.is_relay, heartbeat.table_age, &heartbeat.node))
-        .map(|heartbeat| heartbeat.node.clone())
+        .map(|heartbeat| NodeKey {
+            id: heartbeat.node.clone(),
+            incarnation: heartbeat.incarnation,
+        })
 }
 
 /// Accepts the lease when a peer that shuts down has named this node as its successor.
@@ -95,10 +106,6 @@
         return;
     }
     let event = LeaseEvent::HandoverReceived {
-        from: NodeKey {
-            id: heartbeat.node.clone(),
-            incarnation: heartbeat.incarnation,
-        },
         handover: handover.clone(),
         is_store_unreachable: is_store_unreachable_for_majority(node),
     };
@@ -140,18 +147,9 @@
                 log::info!("event=lease_acquired term={term}");
                 handle_fleet_event(node, FleetEvent::Acquired(term));
             }
-            LeaseEffect::HandoverAccepted {
-                term,
-                groups_formed,
-            } => {
-                log::info!("event=lease_taken_over term={term} groups_formed={groups_formed}");
-                handle_fleet_event(
-                    node,
-                    FleetEvent::HandoverAccepted {
-                        term,
-                        groups_formed,
-                    },
-                );
+            LeaseEffect::HandoverAccepted(term) => {
+                log::info!("event=lease_taken_over term={term}");
+                handle_fleet_event(node, FleetEvent::Acquired(term));
                 request_all_reports(node);
             }
             LeaseEffect::Lost => {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -31,6 +31,7 @@
 use jaysaddle_gateway::unserved::UnservedRequests;
 use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::VmId;
+use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::serving::ServingConfig;
 use jaysaddle_types::units::RequestLimit;
 use jaysaddle_types::units::TimeSpan;
@@ -118,8 +119,8 @@
     pub evacuations: RefCell<EvacuationState>,
     pub controller: RefCell<FleetController>,
     pub lease: RefCell<LeaseState>,
-    /// Lease handover that this node announces while it stops.
-    pub handover: RefCell<Option<LeaseHandover>>,
+    /// Lease handover that this node announces while it stops, and when it was made.
+    pub handover: RefCell<Option<(LeaseHandover, Timestamp)>>,
     /// Limits on the memory of responses.
     pub budgets: ResponseBudgets,
     pub pool: BackendPool,
@@ -159,8 +160,12 @@
         };
         let incarnation = clock::new_incarnation();
         let budgets = ResponseBudgets::of(settings.memory);
+        let key = NodeKey {
+            id: settings.node.clone(),
+            incarnation,
+        };
         let mut lease = LeaseState::new(
-            settings.node.clone(),
+            key,
             TermNode::of(&settings.node, incarnation),
             LeaseTiming::default(),
         );
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -164,7 +164,7 @@
 pub struct FleetController {
     timing: ControllerTiming,
     term: Option<LeaseEpoch>,
-    /// Number of groups formed in the current term, including those formed before a handover.
+    /// Number of groups formed in the current term.
     groups_formed: u64,
     groups: GroupTable,
     vms: BTreeMap<VmId, ControlledVm>,
@@ -231,11 +231,7 @@
         now: Timestamp,
     ) -> Vec<FleetEffect> {
         match event {
-            FleetEvent::Acquired(term) => self.start_term(term, 0, now),
-            FleetEvent::HandoverAccepted {
-                term,
-                groups_formed,
-            } => self.start_term(term, groups_formed, now),
+            FleetEvent::Acquired(term) => self.start_term(term, now),
             FleetEvent::Lost => self.end_term(),
             FleetEvent::Tick => self.tick(view, now),
             FleetEvent::OrderDone { id, order, result } => self.order_done(&id, order, result, now),
@@ -253,11 +249,6 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Number of groups formed in the current term, for a handover of the lease.
-    pub fn groups_formed(&self) -> u64 {
-        self.groups_formed
-    }
-
     /// Leaders of the groups that must not receive new requests.
     pub fn closed_leaders(&self) -> Vec<VmId> {
         self.groups
@@ -291,9 +282,9 @@
         }
     }
 
-    fn start_term(&mut self, term: LeaseEpoch, groups_formed: u64, now: Timestamp) {
+    fn start_term(&mut self, term: LeaseEpoch, now: Timestamp) {
         self.term = Some(term);
-        self.groups_formed = groups_formed;
+        self.groups_formed = 0;
         self.groups.clear();
         self.vms.clear();
         self.ended_groups.clear();
--- a/crates/fleet/src/controller/messages.rs
+++ b/crates/fleet/src/controller/messages.rs
@@ -63,15 +63,8 @@
 pub enum FleetEvent {
     /// Periodic tick, which advances all groups and plans new ones.
     Tick,
-    /// This node has acquired the lease for a new term.
+    /// This node has acquired the lease, or accepted it from a node that shuts down, for a new term.
     Acquired(LeaseEpoch),
-    /// This node has accepted the lease from a node that shuts down.
-    HandoverAccepted {
-        /// Term of the previous holder, which continues.
-        term: LeaseEpoch,
-        /// Number of groups that the previous holder has formed in the term.
-        groups_formed: u64,
-    },
     /// This node no longer holds the lease.
     Lost,
     /// An order completed or failed.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -4,9 +4,10 @@
 //! platform's store, which the holder renews by conditional writes. The holder's heartbeats state the remaining
 //! validity, so that another node can acquire the lease as soon as it expires, without polling the store meanwhile.
 //!
-//! If the holder shuts down while the store is unreachable for most nodes, it hands the lease over to a peer. The
-//! successor keeps the lease on the same terms as the previous holder: while the store is unreachable for most nodes,
-//! it extends the lease locally, and its next access to the store shows whether another node has acquired it.
+//! If the holder shuts down while the store is unreachable for most nodes, it hands the lease over to one run of a peer.
+//! The successor continues with what is left of the validity and under a term of its own: while the store is unreachable
+//! for most nodes, it extends the lease locally, and its next access to the store shows whether another node has acquired
+//! it.
 //!
 //! The store may come back from an older copy, whose lease object names an earlier term or holder. A holder then keeps its
 //! lease and writes it again over an object of a term that is no later; other nodes wait until any holder has done so.
@@ -15,7 +16,11 @@
 //!
 //! # Invariants
 //!
-//! A holder stops holding the lease before it announces a handover, and names exactly one successor.
+//! A holder stops holding the lease before it announces a handover, and names exactly one run of one node.
+//!
+//! No two holders have the same term, whether they acquire the lease or accept it. A handover is accepted only by a node
+//! that knows no term above that of the handing holder. Its own term is above it, so no handover is accepted twice, and
+//! below that of any node that acquires the lease through the store afterwards.
 //!
 //! A holder's validity counts from before its write was sent, on a clock that advances during suspension. A follower
 //! counts from the receipt of a heartbeat or read. The follower's deadline is therefore never earlier than the
@@ -74,7 +79,7 @@
 /// State machine of the controller's lease at one node, as holder or follower.
 #[derive(Debug)]
 pub struct LeaseState {
-    own: NodeId,
+    own: NodeKey,
     term_node: TermNode,
     timing: LeaseTiming,
     /// Term and expiry time while this node holds the lease.
@@ -91,7 +96,7 @@
     is_resigning: bool,
     /// Highest term that is known to have been in use.
     latest_term: LeaseEpoch,
-    /// Term that this node has acquired last.
+    /// Term that this node has begun last.
     acquired_term: Option<LeaseEpoch>,
     /// Whether the object has to be read before it is renewed, because the store was restored.
     must_read: bool,
@@ -99,13 +104,11 @@
     acquire_after: Timestamp,
     /// Whether the object has not been read since this node started later than others.
     is_late_start: bool,
-    /// The node whose handover was accepted. An incarnation hands over at most once.
-    accepted_from: Option<NodeKey>,
 }
 
 impl LeaseState {
     /// Creates the state of a node that does not hold the lease and has no information about it.
-    pub fn new(own: NodeId, term_node: TermNode, timing: LeaseTiming) -> Self {
+    pub fn new(own: NodeKey, term_node: TermNode, timing: LeaseTiming) -> Self {
         Self {
             own,
             term_node,
@@ -123,7 +126,6 @@
             must_read: false,
             acquire_after: Timestamp(0),
             is_late_start: false,
-            accepted_from: None,
         }
     }
 
@@ -163,20 +165,9 @@
     }
 
     /// The handover to announce when this node shuts down; `None` if it does not hold the lease.
-    pub fn handover(
-        &self,
-        successor: NodeId,
-        groups_formed: u64,
-        now: Timestamp,
-    ) -> Option<LeaseHandover> {
-        let term = self.held_term(now)?;
-        let (version, _) = self.known_object.as_ref()?;
-        Some(LeaseHandover {
-            successor,
-            term,
-            version: *version,
-            groups_formed,
-        })
+    pub fn handover(&self, successor: NodeKey, now: Timestamp) -> Option<LeaseHandover> {
+        let claim = self.claim(now)?;
+        Some(LeaseHandover { successor, claim })
     }
 
     /// Handles an event and returns the effects to carry out, in order.
@@ -227,12 +218,11 @@
                 }
             }
             LeaseEvent::HandoverReceived {
-                from,
                 handover,
                 is_store_unreachable,
             } => {
                 if is_store_unreachable {
-                    self.accept_handover(from, handover, now, &mut effects);
+                    self.accept_handover(handover, now, &mut effects);
                 }
             }
             LeaseEvent::Resign => {
@@ -269,40 +259,33 @@
 
     fn accept_handover(
         &mut self,
-        from: NodeKey,
         handover: LeaseHandover,
         now: Timestamp,
         effects: &mut Vec<LeaseEffect>,
     ) {
-        let LeaseHandover {
-            successor,
-            term,
-            version,
-            groups_formed,
-        } = handover;
+        let LeaseHandover { successor, claim } = handover;
         let is_for_others = successor != self.own || self.is_resigning;
-        let is_outdated = self.latest_term > term || !is_credible(term);
-        if is_for_others || is_outdated || self.held.is_some() {
+        // Heartbeats repeat the handover. Once this node has accepted it or another one has acquired the lease, a later
+        // term is known.
+        let is_outdated = self.latest_term > claim.term || !is_credible(claim.term);
+        let remaining = claim.remaining.min(self.timing.duration);
+        if is_for_others || is_outdated || self.held.is_some() || remaining.0 == 0 {
             return;
         }
-        // Heartbeats repeat the handover; a lease that was lost in the meantime must not be accepted again.
-        if self.accepted_from.as_ref() == Some(&from) {
-            return;
-        }
-        self.accepted_from = Some(from);
+        self.observe_term(claim.term);
+        let term = self.term_node.term_after_handover(claim.term);
         let record = LeaseRecord {
             holder: None,
-            term,
+            term: claim.term,
             write_number: 0,
         };
-        self.known_object = Some((version, record));
-        self.observed_version = Some(version);
+        self.known_object = Some((claim.version, record));
+        self.observed_version = Some(claim.version);
         self.pending = PendingCall::None;
-        self.held = Some((term, now + self.timing.duration));
-        effects.push(LeaseEffect::HandoverAccepted {
-            term,
-            groups_formed,
-        });
+        self.latest_term = self.latest_term.max(term);
+        self.acquired_term = Some(term);
+        self.held = Some((term, now + remaining));
+        effects.push(LeaseEffect::HandoverAccepted(term));
     }
 
     /// Records that a term has been in use, unless no node can have acquired it.
@@ -360,7 +343,7 @@
     }
 
     fn send_write(&mut self, term: LeaseEpoch, now: Timestamp, effects: &mut Vec<LeaseEffect>) {
-        let record = self.next_record(Some(self.own.clone()), term);
+        let record = self.next_record(Some(self.own.id.clone()), term);
         let version = self.known_object.as_ref().map(|(version, _)| *version);
         self.pending = PendingCall::Write { since: now, term };
         self.last_write = now;
@@ -422,7 +405,7 @@
             return;
         }
         let is_free = record.holder.is_none();
-        let is_own = record.holder.as_ref() == Some(&self.own);
+        let is_own = record.holder.as_ref() == Some(&self.own.id);
         let is_last_observed = self.observed_version == Some(version);
         let is_unchanged = self
             .known_object
@@ -473,7 +456,7 @@
                     return;
                 }
                 let record = LeaseRecord {
-                    holder: Some(self.own.clone()),
+                    holder: Some(self.own.id.clone()),
                     term,
                     write_number: self.write_number,
                 };
--- a/crates/fleet/src/lease/messages.rs
+++ b/crates/fleet/src/lease/messages.rs
@@ -32,14 +32,25 @@
 /// Handover of the lease from its holder to a successor while the store is unreachable.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaseHandover {
-    /// The only node that may accept the lease.
-    pub successor: NodeId,
-    /// Current term, under which the successor continues.
-    pub term: LeaseEpoch,
-    /// Version of the lease object after the last renewal.
-    pub version: ObjectVersion,
-    /// Number of groups formed in this term. The successor continues the numbering from here.
-    pub groups_formed: u64,
+    /// The only run of a node that may accept the lease.
+    pub successor: NodeKey,
+    /// The lease that the holder gives up. Its validity continues to run out, and the successor's term follows its term.
+    pub claim: LeaseClaim,
+}
+
+impl LeaseHandover {
+    /// The handover as it is after `elapsed`; `None` once the lease that it hands over would have expired.
+    pub fn after(&self, elapsed: TimeSpan) -> Option<Self> {
+        let remaining = self.claim.remaining.0.checked_sub(elapsed.0)?;
+        let claim = LeaseClaim {
+            remaining: TimeSpan(remaining),
+            ..self.claim
+        };
+        (remaining > 0).then(|| Self {
+            claim,
+            ..self.clone()
+        })
+    }
 }
 
 /// Result of a write to the lease object.
@@ -89,9 +100,7 @@
     HandOver,
     /// A holder that shuts down has announced its successor.
     HandoverReceived {
-        /// The node that hands the lease over, with its incarnation.
-        from: NodeKey,
-        /// The announced handover; ignored unless it names this node.
+        /// The announced handover; ignored unless it names this run of this node.
         handover: LeaseHandover,
         /// Whether the store is unreachable for this node and most of its peers; if not, the handover is ignored.
         is_store_unreachable: bool,
@@ -112,13 +121,8 @@
     },
     /// This node has acquired the lease through the store.
     Acquired(LeaseEpoch),
-    /// This node has accepted a lease that another node handed over.
-    HandoverAccepted {
-        /// Term of the previous holder, which continues.
-        term: LeaseEpoch,
-        /// Number of groups that the previous holder has formed in the term.
-        groups_formed: u64,
-    },
+    /// This node has accepted a lease that another node handed over, and holds it under a new term.
+    HandoverAccepted(LeaseEpoch),
     /// This node no longer holds the lease.
     Lost,
 }
--- a/crates/fleet/tests/all/lease.rs
+++ b/crates/fleet/tests/all/lease.rs
@@ -17,9 +17,16 @@
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+fn node_key(name: &str, incarnation: u64) -> NodeKey {
+    NodeKey {
+        id: NodeId::new(name),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
 fn lease_state(name: &str) -> LeaseState {
     LeaseState::new(
-        NodeId::new(name),
+        node_key(name, 1),
         TermNode::default(),
         LeaseTiming::default(),
     )
@@ -27,7 +34,12 @@
 
 /// The term of the `round`th acquisition. The low bits are those of [`TermNode::default`].
 fn term(round: u64) -> LeaseEpoch {
-    LeaseEpoch(round << 16)
+    LeaseEpoch(round << 20)
+}
+
+/// The term of the `count`th handover after the `round`th acquisition.
+fn handover_term(round: u64, count: u64) -> LeaseEpoch {
+    LeaseEpoch((round << 20) | (count << 16))
 }
 
 fn record(holder: &str, round: u64) -> LeaseRecord {
@@ -223,10 +235,6 @@
 
 fn handover_received(handover: &LeaseHandover) -> LeaseEvent {
     LeaseEvent::HandoverReceived {
-        from: NodeKey {
-            id: NodeId::new("a"),
-            incarnation: Incarnation(1),
-        },
         handover: handover.clone(),
         is_store_unreachable: true,
     }
@@ -240,7 +248,7 @@
     acquire_first_term(&mut holder, 1000);
     tick_during_outage(&mut holder, 1500);
     let handover = holder
-        .handover(NodeId::new("b"), 7, Timestamp(2000))
+        .handover(node_key("b", 1), Timestamp(2000))
         .expect("it holds the lease");
     let effects = holder.step(LeaseEvent::HandOver, Timestamp(2000));
     assert_eq!(
@@ -252,10 +260,8 @@
     let effects = successor.step(handover_received(&handover), Timestamp(2010));
     assert_eq!(
         effects,
-        vec![LeaseEffect::HandoverAccepted {
-            term: term(1),
-            groups_formed: 7
-        }]
+        vec![LeaseEffect::HandoverAccepted(handover_term(1, 1))],
+        "the successor counts its groups from the start, so its term is a new one"
     );
     for now in (2100..9000).step_by(100) {
         tick_during_outage(&mut successor, now);
@@ -319,7 +325,7 @@
     let mut holder = lease_state("a");
     acquire_first_term(&mut holder, 1000);
     let handover = holder
-        .handover(NodeId::new("b"), 0, Timestamp(1100))
+        .handover(node_key("b", 1), Timestamp(1100))
         .expect("it holds the lease");
     let mut successor = lease_state("b");
     successor.step(handover_received(&handover), Timestamp(1110));
@@ -346,3 +352,114 @@
             .is_empty()
     );
 }
+
+/// Guards against two holders: a node that has started again must not accept the handover that named its last process.
+#[test]
+fn restarted_node_rejects_handover_to_its_last_process() {
+    let mut holder = lease_state("a");
+    acquire_first_term(&mut holder, 1000);
+    let handover = holder
+        .handover(node_key("b", 1), Timestamp(1100))
+        .expect("it holds the lease");
+    let mut restarted = LeaseState::new(
+        node_key("b", 2),
+        TermNode::default(),
+        LeaseTiming::default(),
+    );
+    let effects = restarted.step(handover_received(&handover), Timestamp(1200));
+    assert!(effects.is_empty(), "{effects:?}");
+}
+
+/// Guards against two holders: a handover that has come back to its first successor must not make the older one valid again.
+#[test]
+fn earlier_handover_is_rejected_after_a_later_one() {
+    let mut first = lease_state("a");
+    acquire_first_term(&mut first, 1000);
+    let old = first
+        .handover(node_key("b", 1), Timestamp(1100))
+        .expect("it holds the lease");
+    let mut second = lease_state("b");
+    second.step(handover_received(&old), Timestamp(1110));
+    let onward = second
+        .handover(node_key("c", 1), Timestamp(1200))
+        .expect("it holds the lease");
+    let mut third = lease_state("c");
+    let effects = third.step(handover_received(&onward), Timestamp(1210));
+    assert_eq!(
+        effects,
+        vec![LeaseEffect::HandoverAccepted(handover_term(1, 2))]
+    );
+    let back = third
+        .handover(node_key("d", 1), Timestamp(1300))
+        .expect("it holds the lease");
+    let mut last = lease_state("d");
+    last.step(handover_received(&back), Timestamp(1310));
+    last.step(LeaseEvent::Release, Timestamp(1400));
+    for handover in [&old, &onward, &back] {
+        let effects = last.step(handover_received(handover), Timestamp(1410));
+        assert!(effects.is_empty(), "{effects:?}");
+    }
+}
+
+/// Guards against a term that does not rise: a successor may end before any peer has heard its term.
+#[test]
+fn acquisition_follows_a_handover_that_nobody_has_heard() {
+    let mut holder = lease_state("a");
+    acquire_first_term(&mut holder, 1000);
+    let handover = holder
+        .handover(node_key("b", 1), Timestamp(1100))
+        .expect("it holds the lease");
+    let high_number = TermNode(u16::MAX);
+    let mut successor = LeaseState::new(node_key("b", 1), high_number, LeaseTiming::default());
+    successor.step(handover_received(&handover), Timestamp(1110));
+    let unheard = successor.held_term(Timestamp(1120)).expect("it accepted");
+    assert!(unheard < TermNode::default().term_after(term(1)));
+}
+
+/// Guards against a successor that holds the lease after other nodes may have acquired it: a handover transfers no more
+/// than the rest of the validity.
+#[test]
+fn handover_transfers_the_rest_of_the_validity() {
+    let mut holder = lease_state("a");
+    acquire_first_term(&mut holder, 1000);
+    let duration = LeaseTiming::default().duration;
+    let end = 1000 + duration.0;
+    let handover = holder
+        .handover(node_key("b", 1), Timestamp(1100))
+        .expect("it holds the lease");
+    let late = handover
+        .after(TimeSpan(end - 1100 - 50))
+        .expect("it is still valid");
+    let mut successor = lease_state("b");
+    successor.step(handover_received(&late), Timestamp(end - 40));
+    assert!(successor.held_term(Timestamp(end + 9)).is_some());
+    assert!(successor.held_term(Timestamp(end + 10)).is_none());
+    assert!(handover.after(TimeSpan(end - 1100)).is_none());
+}
+
+/// Guards against groups with the names of earlier ones: the term of an accepted lease must not begin again when the response
+/// to its renewal arrives after it has expired.
+#[test]
+fn late_renewal_does_not_restart_the_term_of_a_handover() {
+    let mut holder = lease_state("a");
+    acquire_first_term(&mut holder, 1000);
+    let handover = holder
+        .handover(node_key("b", 1), Timestamp(1100))
+        .expect("it holds the lease");
+    let mut successor = lease_state("b");
+    successor.step(handover_received(&handover), Timestamp(1110));
+    let effects = tick(&mut successor, 2300);
+    assert!(
+        matches!(effects[..], [LeaseEffect::Write { .. }]),
+        "{effects:?}"
+    );
+    let written = LeaseWrite::Done {
+        version: ObjectVersion(6),
+    };
+    // The validity has ended at 2600, and the write was sent at 2300.
+    let effects = successor.step(LeaseEvent::Written(written), Timestamp(2900));
+    let is_begun_again = effects.iter().any(
+        |effect| matches!(effect, LeaseEffect::Acquired(again) if *again == handover_term(1, 1)),
+    );
+    assert!(!is_begun_again, "{effects:?}");
+}
--- a/crates/fleet/tests/all/lease_restores.rs
+++ b/crates/fleet/tests/all/lease_restores.rs
@@ -5,8 +5,10 @@
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 
+use jaysaddle_fleet::lease::LeaseClaim;
 use jaysaddle_fleet::lease::LeaseEffect;
 use jaysaddle_fleet::lease::LeaseEvent;
+use jaysaddle_fleet::lease::LeaseHandover;
 use jaysaddle_fleet::lease::LeaseRecord;
 use jaysaddle_fleet::lease::LeaseState;
 use jaysaddle_fleet::lease::LeaseTiming;
@@ -18,23 +20,24 @@
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::units::Timestamp;
 
-const NODES: usize = 5;
-const HEARTBEAT_MS: u64 = 200;
-const TICK_MS: u64 = 100;
-const UNTIL_MS: u64 = 60_000;
+pub const NODES: usize = 5;
+pub const HEARTBEAT_MS: u64 = 200;
+pub const TICK_MS: u64 = 100;
+pub const UNTIL_MS: u64 = 60_000;
 /// Time after which nothing is disturbed.
-const QUIET_MS: u64 = UNTIL_MS - 15_000;
+pub const QUIET_MS: u64 = UNTIL_MS - 15_000;
 
 type StoredLease = Option<(u64, LeaseRecord)>;
 
 /// The store: the lease object, with its states in the past.
-struct FakeStore {
+pub struct FakeStore {
     object: StoredLease,
     revision: u64,
     era: u64,
-    is_down: bool,
+    pub is_down: bool,
     past: Vec<(u64, StoredLease, u64)>,
 }
 
@@ -57,25 +60,28 @@
     },
     Heartbeat {
         node: usize,
-        event: Option<LeaseEvent>,
+        claim: Option<LeaseClaim>,
+        handover: Option<LeaseHandover>,
         latest_term: LeaseEpoch,
         era: u64,
     },
 }
 
-struct FakeNode {
-    lease: LeaseState,
-    life: u64,
-    is_up: bool,
+pub struct FakeNode {
+    pub lease: LeaseState,
+    pub life: u64,
+    pub is_up: bool,
     era: u64,
     restores: u64,
+    /// Handover that the node repeats in its heartbeats until it ends.
+    pub handover: Option<(LeaseHandover, Timestamp)>,
 }
 
-struct LeaseCluster {
-    nodes: Vec<FakeNode>,
-    store: FakeStore,
-    now: u64,
-    random: TestRandom,
+pub struct LeaseCluster {
+    pub nodes: Vec<FakeNode>,
+    pub store: FakeStore,
+    pub now: u64,
+    pub random: TestRandom,
     messages: BinaryHeap<Reverse<(u64, u64)>>,
     contents: BTreeMap<u64, Message>,
     next_message: u64,
@@ -83,15 +89,26 @@
     cut: (usize, u64),
     /// A node that is to be killed, and when.
     pending_kill: Option<(usize, u64)>,
-    acquired: Vec<LeaseEpoch>,
+    /// Terms in the order in which holders have begun them.
+    pub acquired: Vec<LeaseEpoch>,
     /// Time for which the lease was held in the last five seconds.
-    held_ms: u64,
+    pub held_ms: u64,
+    /// Probability of a heartbeat's second delivery, and how much later it may be.
+    pub doubled: (u64, u64),
 }
 
-fn new_node(number: usize, life: u64) -> FakeNode {
-    let id = NodeId::new(format!("n{number}"));
-    let term_node = TermNode::of(&id, Incarnation(life));
-    let mut lease = LeaseState::new(id, term_node, LeaseTiming::default());
+/// The run of a node with its number of starts.
+pub fn node_key(number: usize, life: u64) -> NodeKey {
+    NodeKey {
+        id: NodeId::new(format!("n{number}")),
+        incarnation: Incarnation(life),
+    }
+}
+
+pub fn new_node(number: usize, life: u64) -> FakeNode {
+    let key = node_key(number, life);
+    let term_node = TermNode::of(&key.id, key.incarnation);
+    let mut lease = LeaseState::new(key, term_node, LeaseTiming::default());
     if life > 1 {
         lease.delay_acquisition();
     }
@@ -101,11 +118,12 @@
         is_up: true,
         era: 0,
         restores: 0,
+        handover: None,
     }
 }
 
 impl LeaseCluster {
-    fn new(seed: u64) -> Self {
+    pub fn new(seed: u64) -> Self {
         Self {
             nodes: (0..NODES).map(|number| new_node(number, 1)).collect(),
             store: FakeStore {
@@ -124,6 +142,7 @@
             pending_kill: None,
             acquired: Vec::new(),
             held_ms: 0,
+            doubled: (0, 0),
         }
     }
 
@@ -134,7 +153,7 @@
         self.contents.insert(number, message);
     }
 
-    fn step(&mut self, node: usize, event: LeaseEvent) {
+    pub fn step(&mut self, node: usize, event: LeaseEvent) {
         let effects = self.nodes[node].lease.step(event, Timestamp(self.now));
         for effect in effects {
             match effect {
@@ -158,7 +177,8 @@
                     };
                     self.post(delay, message);
                 }
-                LeaseEffect::HandoverAccepted { .. } | LeaseEffect::Lost => {}
+                LeaseEffect::HandoverAccepted(term) => self.acquired.push(term),
+                LeaseEffect::Lost => {}
             }
         }
     }
@@ -239,14 +259,22 @@
             }
             Message::Heartbeat {
                 node,
-                event,
+                claim,
+                handover,
                 latest_term,
                 era,
             } => {
                 if self.nodes[node].is_up {
                     self.observe_era(node, era);
                     self.step(node, LeaseEvent::TermSeen(latest_term));
-                    if let Some(event) = event {
+                    if let Some(claim) = claim {
+                        self.step(node, LeaseEvent::Claimed(claim));
+                    }
+                    if let Some(handover) = handover {
+                        let event = LeaseEvent::HandoverReceived {
+                            handover,
+                            is_store_unreachable: self.store.is_down && !self.is_cut(node),
+                        };
                         self.step(node, event);
                     }
                 }
@@ -264,27 +292,46 @@
         }
     }
 
-    fn send_heartbeats(&mut self, from: usize) {
+    pub fn send_heartbeats(&mut self, from: usize) {
         let now = Timestamp(self.now);
         let lease = &self.nodes[from].lease;
-        let event = lease.claim(now).map(LeaseEvent::Claimed);
+        let claim = lease.claim(now);
+        let handover = self.nodes[from].handover.as_ref();
+        let handover = handover.and_then(|(handover, since)| handover.after(now.since(*since)));
         let (latest_term, era) = (lease.latest_term(), self.nodes[from].era);
         for node in (0..NODES).filter(|node| *node != from) {
             let is_cut = self.is_cut(node) || self.is_cut(from);
             if !is_cut && self.random.below(10) > 0 {
                 let delay = 1 + self.random.below(30);
-                let event = event.clone();
                 let message = Message::Heartbeat {
                     node,
-                    event,
+                    claim,
+                    handover: handover.clone(),
                     latest_term,
                     era,
                 };
+                let (percent, lateness) = self.doubled;
+                if percent > 0 && self.random.below(100) < percent {
+                    let copied = delay + self.random.below(lateness);
+                    self.post(copied, message.clone());
+                }
                 self.post(delay, message);
             }
         }
     }
 
+    /// Delivers the messages that are due.
+    pub fn deliver_messages(&mut self) {
+        while let Some(Reverse((time, number))) = self.messages.peek().copied()
+            && time <= self.now
+        {
+            self.messages.pop();
+            if let Some(message) = self.contents.remove(&number) {
+                self.handle(message);
+            }
+        }
+    }
+
     fn restore(&mut self, age: u64) {
         // Half of the copies are from a moment at which the lease was free, if there was one.
         let since = self.now.saturating_sub(10_000);
@@ -365,14 +412,7 @@
             if let Some(node) = starts.remove(&now) {
                 self.nodes[node] = new_node(node, self.nodes[node].life + 1);
             }
-            while let Some(Reverse((time, number))) = self.messages.peek().copied()
-                && time <= now
-            {
-                self.messages.pop();
-                if let Some(message) = self.contents.remove(&number) {
-                    self.handle(message);
-                }
-            }
+            self.deliver_messages();
             for node in 0..NODES {
                 if !self.nodes[node].is_up {
                     continue;
@@ -399,12 +439,12 @@
         }
     }
 
-    fn is_cut(&self, node: usize) -> bool {
+    pub fn is_cut(&self, node: usize) -> bool {
         let (cut, until) = self.cut;
         node == cut && self.now < until
     }
 
-    fn holders(&self) -> Vec<usize> {
+    pub fn holders(&self) -> Vec<usize> {
         let now = Timestamp(self.now);
         (0..NODES)
             .filter(|node| self.nodes[*node].is_up)
@@ -436,12 +476,16 @@
 /// Guards against a lease that is lost because the copy names an earlier holder.
 #[test]
 fn holder_writes_its_lease_over_an_older_one() {
-    let mut lease = LeaseState::new(NodeId::new("a"), TermNode(3), LeaseTiming::default());
+    let key = NodeKey {
+        id: NodeId::new("a"),
+        incarnation: Incarnation(1),
+    };
+    let mut lease = LeaseState::new(key, TermNode(3), LeaseTiming::default());
     let tick = LeaseEvent::Tick {
         rank: 0,
         is_store_unreachable: false,
     };
-    lease.step(LeaseEvent::TermSeen(LeaseEpoch(6 << 16)), Timestamp(1000));
+    lease.step(LeaseEvent::TermSeen(LeaseEpoch(6 << 20)), Timestamp(1000));
     lease.step(tick.clone(), Timestamp(1000));
     lease.step(LeaseEvent::Read(None), Timestamp(1010));
     let version = ObjectVersion(40);
@@ -449,13 +493,13 @@
         LeaseEvent::Written(LeaseWrite::Done { version }),
         Timestamp(1020),
     );
-    let term = LeaseEpoch((7 << 16) | 3);
+    let term = LeaseEpoch((7 << 20) | 3);
     assert_eq!(lease.held_term(Timestamp(1030)), Some(term));
     lease.step(LeaseEvent::StoreRestored, Timestamp(1100));
     assert_eq!(lease.step(tick, Timestamp(1200)), vec![LeaseEffect::Read]);
     let older = LeaseRecord {
         holder: Some(NodeId::new("b")),
-        term: LeaseEpoch(5 << 16),
+        term: LeaseEpoch(5 << 20),
         write_number: 3,
     };
     let read = LeaseEvent::Read(Some((ObjectVersion(12), older)));
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod fake_vm;
 mod groups;
 mod lease;
+mod lease_handovers;
 mod lease_restores;
 mod odd_values;
 mod peers;
--- a/crates/fleet/tests/all/odd_values.rs
+++ b/crates/fleet/tests/all/odd_values.rs
@@ -14,9 +14,11 @@
 use jaysaddle_fleet::table::BackendTable;
 use jaysaddle_types::ids::Generation;
 use jaysaddle_types::ids::GroupId;
+use jaysaddle_types::ids::Incarnation;
 use jaysaddle_types::ids::LeaseEpoch;
 use jaysaddle_types::ids::NodeId;
 use jaysaddle_types::ids::ObjectVersion;
+use jaysaddle_types::node::NodeKey;
 use jaysaddle_types::serving::GroupKey;
 use jaysaddle_types::serving::GroupMembership;
 use jaysaddle_types::serving::MemberPhase;
@@ -52,7 +54,11 @@
 /// The term that a node holds ten seconds after an event, if it is the latest that the node knows.
 fn term_after(event: LeaseEvent) -> Option<LeaseEpoch> {
     let node = NodeId::new("a");
-    let mut lease = LeaseState::new(node, TermNode(7), LeaseTiming::default());
+    let key = NodeKey {
+        id: node,
+        incarnation: Incarnation(1),
+    };
+    let mut lease = LeaseState::new(key, TermNode(7), LeaseTiming::default());
     let mut pending = lease.step(event, Timestamp(1000));
     for now in (1000..11_000).step_by(100) {
         let now = Timestamp(now);
--- a/crates/fleet/tests/all/succession_faults.rs
+++ b/crates/fleet/tests/all/succession_faults.rs
@@ -68,7 +68,6 @@
     },
     Accept {
         index: usize,
-        groups_formed: u64,
     },
     Leave {
         is_announced: bool,
@@ -312,11 +311,8 @@
                 self.step_holder(index, FleetEvent::Acquired(LeaseEpoch(self.term)));
                 self.draw_aftermath();
             }
-            Disturbance::Accept {
-                index,
-                groups_formed,
-            } => {
-                self.accept_handover(index, groups_formed);
+            Disturbance::Accept { index } => {
+                self.accept_handover(index);
                 self.draw_aftermath();
             }
             Disturbance::Evacuate { domain, millis } => {
@@ -390,7 +386,6 @@
         let others = 1 + self.random.below(count - 1);
         let next = (index + usize::try_from(others).expect("small")) % self.holders.len();
         self.idle_reasons.clear();
-        let groups_formed = self.holders[index].controller.groups_formed();
         self.step_holder(index, FleetEvent::Lost);
         let (delay, next) = match kind {
             Succession::Resigned => (self.between(10, 500), Disturbance::Acquire { index: next }),
@@ -402,25 +397,16 @@
                     Disturbance::Acquire { index: next },
                 )
             }
-            Succession::HandedOver => (
-                self.between(10, 50),
-                Disturbance::Accept {
-                    index: next,
-                    groups_formed,
-                },
-            ),
+            Succession::HandedOver => (self.between(10, 50), Disturbance::Accept { index: next }),
         };
         self.disturb_until(self.now + delay);
         self.schedule(self.now + delay, WorldEvent::Disturb(next));
     }
 
-    fn accept_handover(&mut self, index: usize, groups_formed: u64) {
+    fn accept_handover(&mut self, index: usize) {
+        self.term += 1;
         self.active = Some(index);
-        let event = FleetEvent::HandoverAccepted {
-            term: LeaseEpoch(self.term),
-            groups_formed,
-        };
-        self.step_holder(index, event);
+        self.step_holder(index, FleetEvent::Acquired(LeaseEpoch(self.term)));
         let holder = &mut self.holders[index];
         holder.collect_reports(self.now);
         let origin = (index, holder.process);
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -57,8 +57,9 @@
     /// Whether the node gets no response from the store.
     #[prost(bool, tag = "17")]
     pub is_store_unreachable: bool,
-    /// The controller's lease; set when the node is stopping and has handed it over.
-    #[prost(message, optional, tag = "18")]
+    /// The controller's lease; set when the node is stopping and has handed it over. Tag 18 was a handover without the
+    /// incarnation of its successor, which must not be accepted.
+    #[prost(message, optional, tag = "34")]
     pub handover: Option<LeaseHandoverMessage>,
     /// Numbers of the targets that must not receive new requests.
     #[prost(uint32, repeated, tag = "14")]
@@ -292,15 +293,12 @@
     /// Name of the node that may hold the lease from now on.
     #[prost(string, tag = "1")]
     pub successor: String,
-    /// Term of the lease; raised with every change of holder.
+    /// Incarnation of that node. A later process of the node must not accept the handover.
     #[prost(uint64, tag = "2")]
-    pub term: u64,
-    /// Version of the lease object in the store.
-    #[prost(uint64, tag = "3")]
-    pub version: u64,
-    /// Number of groups that were formed during the term.
-    #[prost(uint64, tag = "4")]
-    pub groups_formed: u64,
+    pub incarnation: u64,
+    /// The lease as the stopping node held it, with the validity that is left.
+    #[prost(message, optional, tag = "3")]
+    pub lease: Option<LeaseMessage>,
 }
 
 /// Work of callers' requests for one model since the node's start.
