Take a lease record of an earlier process for another holder's

A holder that had accepted a handover kept its lower term when the store showed a record with its node's name, although its last process had written it, late and under a term of its own. Generations of groups would then not rise with the term in the store.

A record counts as the own one only with the term that the process holds.

record_of_an_earlier_process_is_not_the_own_one failed before (no Lost).

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -405,7 +405,8 @@
             return;
         }
         let is_free = record.holder.is_none();
-        let is_own = record.holder.as_ref() == Some(&self.own.id);
+        // An earlier process of this node has written under a term of its own.
+        let is_own = record.holder.as_ref() == Some(&self.own.id) && Some(record.term) == held_term;
         let is_last_observed = self.observed_version == Some(version);
         let is_unchanged = self
             .known_object
--- a/crates/fleet/tests/all/lease.rs
+++ b/crates/fleet/tests/all/lease.rs
@@ -463,3 +463,23 @@
     );
     assert!(!is_begun_again, "{effects:?}");
 }
+
+/// Guards against a holder whose term is below that in the store: a late write of the node's last process names the same node.
+#[test]
+fn record_of_an_earlier_process_is_not_the_own_one() {
+    let mut holder = lease_state("a");
+    acquire_first_term(&mut holder, 1000);
+    let handover = holder
+        .handover(node_key("b", 2), Timestamp(1100))
+        .expect("it holds the lease");
+    let mut successor = LeaseState::new(node_key("b", 2), TermNode(1), LeaseTiming::default());
+    successor.step(handover_received(&handover), Timestamp(1110));
+    assert!(successor.held_term(Timestamp(1120)).is_some());
+    let mut of_last_process = record("b", 2);
+    of_last_process.term.0 |= 9;
+    let read = LeaseEvent::Read(Some((ObjectVersion(6), of_last_process)));
+    assert_eq!(
+        successor.step(read, Timestamp(1200)),
+        vec![LeaseEffect::Lost]
+    );
+}
