Recognize a repeated request whatever its caller states differently

Cause: the name of a whole request held the estimate, so each repetition was a new request with one end. The name leaves it out now. A second name of path, client account and body recognizes repetitions that state another query, count or part. Sound requests may share it, so it is accused only after three ends under three different requests that nothing else explains and no survival in between. Callers' retries are recognized by the first name too.

--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -25,11 +25,13 @@
 use jaysaddle_gateway::choice::RequestSize;
 use jaysaddle_gateway::choice::TargetQuery;
 use jaysaddle_gateway::content::RequestContent;
+use jaysaddle_gateway::content::normalized_path;
 use jaysaddle_gateway::content::request_name;
 use jaysaddle_gateway::routes::RouteMatch;
 use jaysaddle_gateway::target::RequestTarget;
 use jaysaddle_gateway::target::TargetNumber;
 use jaysaddle_gateway::unserved::RequestFingerprint;
+use jaysaddle_types::ids::AccountId;
 use jaysaddle_types::ids::ModelId;
 use jaysaddle_types::serving::ClientLimits;
 use jaysaddle_types::serving::RequestKind;
@@ -99,13 +101,42 @@
     headers::EXPECTED_BACKEND,
 ];
 
-/// Headers that belong to the content of a request, so that all attempts of a caller state the same values.
-const CONTENT_HEADERS: [HeaderName; 4] = [
-    headers::MODEL,
-    headers::TOKEN_COUNTS,
-    headers::PROMPT_PARTS,
-    headers::OUTPUT_ESTIMATE,
-];
+/// Headers that belong to the content of a request. The estimate of the output is not among them: a caller may state another
+/// one for the same request.
+const CONTENT_HEADERS: [HeaderName; 3] =
+    [headers::MODEL, headers::TOKEN_COUNTS, headers::PROMPT_PARTS];
+
+/// Names by which repetitions of a request are recognized.
+struct RequestNames {
+    /// Name of the whole content. Requests that differ in it may be independent of each other.
+    whole: CompactString,
+    /// Name of the path, client account and body.
+    path: CompactString,
+}
+
+impl RequestNames {
+    fn of(parts: &http::request::Parts, account: Option<&str>, body: &[u8]) -> Self {
+        let account = account.map(str::as_bytes);
+        // Bodies may be long, so each is digested once.
+        let body = request_name(&[Some(body)]);
+        let body = Some(body.as_bytes());
+        let target = parts.uri.path_and_query();
+        let mut fields = vec![
+            Some(parts.method.as_str().as_bytes()),
+            target.map(|target| target.as_str().as_bytes()),
+            account,
+            body,
+        ];
+        for name in &CONTENT_HEADERS {
+            fields.push(parts.headers.get(name).map(HeaderValue::as_bytes));
+        }
+        let path = normalized_path(parts.uri.path());
+        Self {
+            whole: request_name(&fields),
+            path: request_name(&[Some(path.as_bytes()), account, body]),
+        }
+    }
+}
 
 /// Removes the headers in [`UNFORWARDED_HEADERS`] and those named by the `Connection` header.
 pub fn strip_connection_headers(map: &mut HeaderMap) {
@@ -197,39 +228,17 @@
         let id = header_text(&parts.headers, &headers::REQUEST_ID)
             .unwrap_or("-")
             .to_compact_string();
-        let content = (
-            parts.method.as_str(),
-            parts.uri.path_and_query().map(|target| target.as_str()),
-            route.account.as_ref(),
-            CONTENT_HEADERS.map(|name| parts.headers.get(name).map(HeaderValue::as_bytes)),
-            &body,
-        );
-        let fingerprint = RequestFingerprint::of(&content);
         let shared_parts = header_text(&parts.headers, &headers::PROMPT_PARTS)
             .map(headers::shared_prompt_parts)
             .unwrap_or_default();
         let class = model
             .as_ref()
             .map_or(route.service.as_str(), ModelId::as_str);
-        let mut fields = vec![
-            Some(parts.method.as_str().as_bytes()),
-            parts
-                .uri
-                .path_and_query()
-                .map(|target| target.as_str().as_bytes()),
-            route
-                .account
-                .as_ref()
-                .map(|account| account.as_str().as_bytes()),
-            Some(&body[..]),
-        ];
-        fields.extend(
-            CONTENT_HEADERS
-                .iter()
-                .map(|name| parts.headers.get(name).map(HeaderValue::as_bytes)),
-        );
-        let whole = request_name(&fields);
-        let content = RequestContent::new(&shared_parts, &whole, class, &id);
+        let account = route.account.as_ref().map(AccountId::as_str);
+        let names = RequestNames::of(&parts, account, &body);
+        let fingerprint = RequestFingerprint::of(&names.whole);
+        let content = RequestContent::new(&shared_parts, &names.whole, class, &id);
+        let content = content.with_path(&names.path);
         Self {
             node,
             id,
--- a/crates/entry/src/heartbeat_codec.rs
+++ b/crates/entry/src/heartbeat_codec.rs
@@ -3,6 +3,7 @@
 use eyre::WrapErr;
 use jaysaddle_fleet::crash_report::CrashFact;
 use jaysaddle_fleet::crash_report::PeerBlock;
+use jaysaddle_fleet::crash_report::PieceScope;
 use jaysaddle_fleet::crash_report::RunFate;
 use jaysaddle_fleet::digest::NodeNumber;
 use jaysaddle_fleet::digest::PeerDigest;
@@ -217,7 +218,8 @@
         source: fact.source,
         has_survived: fact.fate == RunFate::Survived,
         age_ms: fact.age.as_millis(),
-        is_whole: fact.is_whole,
+        is_whole: fact.scope == PieceScope::Request,
+        is_path: fact.scope == PieceScope::Path,
         was_answered: fact.was_answered,
     }
 }
@@ -225,7 +227,11 @@
 fn decode_fact(message: CrashFactMessage) -> CrashFact {
     CrashFact {
         key: ContentKey(message.key),
-        is_whole: message.is_whole,
+        scope: match (message.is_whole, message.is_path) {
+            (true, _) => PieceScope::Request,
+            (false, true) => PieceScope::Path,
+            (false, false) => PieceScope::Part,
+        },
         was_answered: message.was_answered,
         class: ContentKey(u64::from(message.class)),
         server: message.server,
--- a/crates/fleet/src/crash_report.rs
+++ b/crates/fleet/src/crash_report.rs
@@ -12,13 +12,32 @@
     Survived,
 }
 
+/// How much of a request a piece of content stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum PieceScope {
+    /// A part of a prompt, which requests share.
+    Part,
+    /// A whole request.
+    Request,
+    /// Path, client account and body of a request. Its repetitions share them whatever else they state, and sound requests may
+    /// share them too.
+    Path,
+}
+
+impl PieceScope {
+    /// Whether the piece names a request that callers repeat, so that its ends count without traffic to compare with.
+    pub fn is_repeated(self) -> bool {
+        matches!(self, PieceScope::Request | PieceScope::Path)
+    }
+}
+
 /// Observation of a request with a piece of content at a process of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashFact {
     /// The piece of content.
     pub key: ContentKey,
-    /// Whether the piece is a whole request, rather than a part that requests share.
-    pub is_whole: bool,
+    /// How much of the request the piece stands for.
+    pub scope: PieceScope,
     /// Model, or service, of the request.
     pub class: ContentKey,
     /// Number of the process of the backend server, which is the same at all nodes.
--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -23,6 +23,8 @@
     Part,
     /// The whole request. Callers that repeat a request send the same content.
     Whole,
+    /// Path, client account and body of the request, without what its callers may state differently when they repeat it.
+    Path,
     /// The model, or the service of a request without one.
     Class,
 }
@@ -32,6 +34,7 @@
         match self {
             ContentKind::Part => "part",
             ContentKind::Whole => "request",
+            ContentKind::Path => "path",
             ContentKind::Class => "class",
         }
     }
@@ -67,6 +70,29 @@
     name
 }
 
+/// A path as it is compared: escapes of characters that need none are decoded, and the others have upper-case digits.
+pub fn normalized_path(path: &str) -> CompactString {
+    let mut normalized = CompactString::default();
+    let mut rest = path;
+    while let Some((before, after)) = rest.split_once('%') {
+        normalized.push_str(before);
+        rest = after;
+        let digits = after.get(..2);
+        let Some(byte) = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok()) else {
+            normalized.push('%');
+            continue;
+        };
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            normalized.push(char::from(byte));
+        } else {
+            normalized.push_str(&format_compact!("%{byte:02X}"));
+        }
+        rest = &after[2..];
+    }
+    normalized.push_str(rest);
+    normalized
+}
+
 /// A piece of content that may end backend servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ContentItem {
@@ -137,6 +163,12 @@
         }
     }
 
+    /// Adds the name of the path, client account and body.
+    pub fn with_path(mut self, name: &str) -> Self {
+        self.items.push(ContentItem::new(ContentKind::Path, name));
+        self
+    }
+
     /// Number that all requests with the same content share.
     pub fn whole_number(&self) -> u32 {
         let whole = self
@@ -147,6 +179,7 @@
     }
 }
 
-fn short_number(key: ContentKey) -> u32 {
+/// Number of a piece in the evidence against others.
+pub(crate) fn short_number(key: ContentKey) -> u32 {
     (key.0 >> 32) as u32
 }
--- a/crates/gateway/src/crash_announcement.rs
+++ b/crates/gateway/src/crash_announcement.rs
@@ -36,7 +36,7 @@
             let count = facts.ends.len();
             let fact = |fate: RunFate, sighting: &Sighting| CrashFact {
                 key: *key,
-                is_whole: facts.is_whole,
+                scope: facts.scope,
                 class: facts.class,
                 server: sighting.server,
                 source: sighting.source,
@@ -44,7 +44,7 @@
                 was_answered: sighting.was_answered,
                 age: now.since(sighting.at),
             };
-            let is_first = facts.is_whole && count < MIN_ENDS;
+            let is_first = facts.scope.is_repeated() && count < MIN_ENDS;
             let time = if is_first {
                 FIRST_END_ANNOUNCE_TIME
             } else {
@@ -99,8 +99,8 @@
         let is_asked = now.since(facts.questioned) < ANNOUNCE_TIME;
         let mut ends = facts.ends.iter();
         // The peers weigh an end that this node announces without what else it knows.
-        let is_announcing =
-            facts.is_whole && ends.any(|end| end.is_own && now.since(end.learned) < ANNOUNCE_TIME);
+        let is_announcing = facts.scope.is_repeated()
+            && ends.any(|end| end.is_own && now.since(end.learned) < ANNOUNCE_TIME);
         if !(is_asked || is_announcing) || role != PeerRole::Follower && facts.ends.len() < MIN_ENDS
         {
             return None;
@@ -108,7 +108,8 @@
         let own = facts.survivals.iter().filter(|one| one.is_own);
         let latest = own.max_by_key(|one| one.at)?;
         // Whole requests may come again after a long time.
-        let is_between_ends = || facts.is_whole && facts.ends.iter().any(|end| end.at <= latest.at);
+        let is_between_ends =
+            || facts.scope.is_repeated() && facts.ends.iter().any(|end| end.at <= latest.at);
         (now.since(latest.at) < ANSWER_TIME || is_between_ends()).then_some(latest)
     }
 }
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -14,6 +14,7 @@
 use std::collections::HashMap;
 
 use jaysaddle_fleet::crash_report::CrashFact;
+use jaysaddle_fleet::crash_report::PieceScope;
 use jaysaddle_fleet::crash_report::RunFate;
 use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::units::TimeSpan;
@@ -128,8 +129,8 @@
 }
 
 /// Time for which an end counts.
-fn end_window(is_whole: bool) -> TimeSpan {
-    if is_whole {
+fn end_window(scope: PieceScope) -> TimeSpan {
+    if scope.is_repeated() {
         WHOLE_END_WINDOW
     } else {
         PART_END_WINDOW
@@ -237,7 +238,7 @@
 
     /// Adds an observation of a peer. Returns whether it is new.
     pub fn merge(&mut self, fact: CrashFact, now: Timestamp) -> bool {
-        let is_new = fact.age < end_window(fact.is_whole) && self.add(fact, false, now);
+        let is_new = fact.age < end_window(fact.scope) && self.add(fact, false, now);
         if fact.fate == RunFate::Ended
             && let Some(facts) = self.facts.get_mut(&fact.key)
         {
@@ -271,7 +272,7 @@
         });
         let mut facts = KeyFacts {
             class: fact.class,
-            is_whole: fact.is_whole,
+            scope: fact.scope,
             ends: vec![sighting],
             survivals: Vec::new(),
             cleared: Timestamp(0),
@@ -361,7 +362,7 @@
         let overview = self.end_overview(same_time, |key| history(key) == PieceHistory::Blocked);
         for candidate in candidates {
             let Candidate { facts, history, .. } = candidate;
-            let weighing = if facts.is_whole {
+            let weighing = if facts.scope.is_repeated() {
                 overview.weigh(candidate.key, facts, history, now)
             } else {
                 self.weigh(candidate, &all_ends, same_time, now)
@@ -453,7 +454,7 @@
     /// Forgets what is too old to count.
     pub fn expire(&mut self, now: Timestamp) {
         self.facts.retain(|_, facts| {
-            let window = end_window(facts.is_whole);
+            let window = end_window(facts.scope);
             facts.ends.retain(|end| now.since(end.at) < window);
             !facts.ends.is_empty() || now.since(facts.cleared) < CLEARED_RETENTION
         });
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -9,6 +9,7 @@
 
 use jaysaddle_fleet::crash_report::CrashFact;
 use jaysaddle_fleet::crash_report::PeerBlock;
+use jaysaddle_fleet::crash_report::PieceScope;
 use jaysaddle_fleet::crash_report::RunFate;
 use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::units::TimeSpan;
@@ -233,14 +234,18 @@
             self.evidence
                 .record_fate(content.class, RunFate::Ended, now);
             for item in &content.items {
-                let source = match item.kind {
-                    // Requests with the same content are no independent evidence against its parts.
-                    ContentKind::Part | ContentKind::Class => content.whole_number(),
-                    ContentKind::Whole => content.attempt,
+                let (scope, source) = match item.kind {
+                    // Requests with the same content are no independent evidence against its parts, nor against a path that
+                    // other requests share.
+                    ContentKind::Part | ContentKind::Class => {
+                        (PieceScope::Part, content.whole_number())
+                    }
+                    ContentKind::Path => (PieceScope::Path, content.whole_number()),
+                    ContentKind::Whole => (PieceScope::Request, content.attempt),
                 };
                 let fact = CrashFact {
                     key: item.key,
-                    is_whole: item.kind == ContentKind::Whole,
+                    scope,
                     class: content.class,
                     server: server.0,
                     source,
--- a/crates/gateway/src/key_facts.rs
+++ b/crates/gateway/src/key_facts.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use jaysaddle_fleet::crash_report::PieceScope;
 use jaysaddle_fleet::crash_report::RunFate;
 use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::units::TimeSpan;
@@ -56,8 +57,7 @@
 #[derive(Debug)]
 pub(crate) struct KeyFacts {
     pub(crate) class: ContentKey,
-    /// Whether the piece is a whole request, rather than a part that requests share.
-    pub(crate) is_whole: bool,
+    pub(crate) scope: PieceScope,
     pub(crate) ends: Vec<Sighting>,
     pub(crate) survivals: Vec<Sighting>,
     /// Up to when ends do not count, because the piece was released.
@@ -78,12 +78,14 @@
     /// Adds an observation. Returns whether it is new.
     pub(crate) fn add(&mut self, fate: RunFate, sighting: Sighting) -> bool {
         let cleared = self.cleared;
-        let is_whole = self.is_whole;
+        let is_repeated = self.scope.is_repeated();
         let facts = self.facts(fate);
         let is_known = match fate {
             RunFate::Ended if sighting.at <= cleared => return false,
             // A process ends once, whoever tells of it.
-            RunFate::Ended if is_whole => facts.iter().any(|other| other.server == sighting.server),
+            RunFate::Ended if is_repeated => {
+                facts.iter().any(|other| other.server == sighting.server)
+            }
             RunFate::Ended => {
                 let same = facts.iter().filter(|other| other.is_same_time(&sighting));
                 let sources: HashSet<u32> = same.map(|other| other.source).collect();
@@ -116,7 +118,7 @@
 
     /// Whether a whole request was survived after all but one of its ends, so that these are no evidence against it.
     pub(crate) fn is_cleared_between_ends(&self) -> bool {
-        self.is_whole
+        self.scope.is_repeated()
             && !self.survivals.is_empty()
             && self.ends.len() > 1
             && self.counted_ends().count() < 2
--- a/crates/gateway/src/repeat_evidence.rs
+++ b/crates/gateway/src/repeat_evidence.rs
@@ -3,15 +3,21 @@
 //! Unlike a part of a prompt, a whole request is rarely shared, so a few ends suffice and no other traffic is needed to compare
 //! with. Two causes of ends have to be told apart from it: a common cause, which ends other processes at the same time, and chance,
 //! which meets a request twice only if it was sent again after the first end.
+//!
+//! Callers may state other prompt parts, counts or queries when they repeat a request, so its path, client account and body are
+//! weighed too. Sound requests may share these. They are accused only if several requests that differ otherwise have ended
+//! processes, none of them explains the ends by itself, and nothing with them was survived in between.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
 
+use jaysaddle_fleet::crash_report::PieceScope;
 use jaysaddle_types::content::ContentKey;
 use jaysaddle_types::units::TimeSpan;
 use jaysaddle_types::units::Timestamp;
 
+use crate::content::short_number;
 use crate::content_weighing::ContentWeighing;
 use crate::content_weighing::WeighingResult;
 use crate::crash_evidence::PieceHistory;
@@ -28,6 +34,11 @@
 const MIN_ENDS_AFTER_ANSWERS: usize = 4;
 /// Independent attempts with the same content from which fewer ends suffice.
 const MIN_ATTEMPTS: usize = 2;
+/// Different requests that must have been at the ends of a path. Two ends of a request that is about to be accused itself and
+/// one loss are no evidence against the others on its path.
+const MIN_PATH_REQUESTS: usize = 3;
+/// Time within which a node sends a request on after its backend server has ended.
+const SENT_ON_TIME: TimeSpan = TimeSpan(1000);
 /// Time for which the unexplained end of another process makes further ends likely.
 const LOSS_TIME: TimeSpan = TimeSpan::from_secs(60);
 /// Ends of one piece that explain themselves, so that they are no common cause of other ends.
@@ -72,8 +83,10 @@
 impl KnownPiece<'_> {
     /// Whether the piece is the reason for its ends, as far as known.
     fn explains_ends(&self, same_time: TimeSpan) -> bool {
+        // Ends under a path are those of its requests, and must not excuse the one that has caused them.
         self.is_blocked
-            || self.facts.ends.len() >= MIN_EXPLAINED_ENDS
+            || self.facts.scope != PieceScope::Path
+                && self.facts.ends.len() >= MIN_EXPLAINED_ENDS
                 && self.facts.is_harmful(MIN_EXPLAINED_ENDS, same_time)
     }
 }
@@ -84,6 +97,31 @@
     /// Pieces that explain the end of a process.
     reasons: HashMap<u32, Vec<ContentKey>>,
     unexplained: Vec<ProcessEnd>,
+    /// Requests that were at several ends, by the processes that have ended.
+    repetitions: HashMap<u32, Vec<u32>>,
+    /// Ends that are no further apart are at the same time.
+    same_time: TimeSpan,
+}
+
+/// Whether a whole request was at several ends because its caller has sent it again, rather than because a node has sent it on.
+fn is_repetition(facts: &KeyFacts) -> bool {
+    let mut ends = facts.ends.iter();
+    facts.scope == PieceScope::Request
+        && ends.next().is_some_and(|first| {
+            ends.any(|end| {
+                let difference = first.at.since(end.at).max(end.at.since(first.at));
+                end.source != first.source || difference >= SENT_ON_TIME
+            })
+        })
+}
+
+/// Whether processes have ended at the same time under different requests with a piece that sound requests may share.
+fn is_shared_loss(facts: &KeyFacts, end: &Sighting, same_time: TimeSpan) -> bool {
+    facts.scope == PieceScope::Path
+        && facts.ends.iter().any(|other| {
+            let difference = other.at.since(end.at).max(end.at.since(other.at));
+            other.server != end.server && other.source != end.source && difference < same_time
+        })
 }
 
 impl EndOverview {
@@ -105,9 +143,18 @@
         });
         let ends = own.0.iter().copied().chain(reported);
         let unexplained = ends.filter(|end| !reasons.contains_key(&end.server));
+        let mut repetitions: HashMap<u32, Vec<u32>> = HashMap::new();
+        for piece in pieces.iter().filter(|piece| is_repetition(piece.facts)) {
+            for end in &piece.facts.ends {
+                let request = short_number(piece.key);
+                repetitions.entry(end.server).or_default().push(request);
+            }
+        }
         Self {
+            repetitions,
             unexplained: unexplained.collect(),
             reasons,
+            same_time,
         }
     }
 
@@ -119,11 +166,12 @@
 
     /// Whether another process has ended at about the same time as one of the ends of a piece.
     fn has_common_cause(&self, facts: &KeyFacts, end: &Sighting) -> bool {
-        self.unexplained.iter().any(|other| {
+        let is_other_loss = |other: &ProcessEnd| {
             let difference = other.at.since(end.at).max(end.at.since(other.at));
             difference < COMMON_CAUSE_TIME
                 && facts.ends.iter().all(|own| own.server != other.server)
-        })
+        };
+        self.unexplained.iter().any(is_other_loss) || is_shared_loss(facts, end, self.same_time)
     }
 
     /// Whether processes of the same class are lately lost without the piece.
@@ -135,11 +183,22 @@
         })
     }
 
+    /// Whether a single request on a path may be the reason for an end, which is then accused itself.
+    fn is_under_repetition(&self, facts: &KeyFacts, end: &Sighting) -> bool {
+        let repetitions = self.repetitions.get(&end.server);
+        facts.scope == PieceScope::Path
+            && repetitions.is_some_and(|requests| {
+                let has_path = |request| facts.ends.iter().any(|one| one.source == request);
+                requests.iter().copied().any(has_path)
+            })
+    }
+
     /// Ends of a piece that count, and for which no other cause is known.
     fn own_ends<'a>(&self, key: ContentKey, facts: &'a KeyFacts) -> Vec<&'a Sighting> {
         facts
             .counted_ends()
             .filter(|end| !self.has_common_cause(facts, end) && !self.has_other_reason(key, end))
+            .filter(|end| !self.is_under_repetition(facts, end))
             .collect()
     }
 
@@ -172,9 +231,17 @@
         let is_alone = is_formerly_blocked || !self.has_other_losses(facts, now);
         let unanswered_ends = count_times(&unanswered);
         let is_clear = unanswered_ends >= min_ends && has_attempts && is_alone;
-        let is_accused = is_clear
-            || unanswered_ends >= MIN_DOUBTFUL_ENDS * (survivals + 1)
+        let has_enough_ends = unanswered_ends >= MIN_DOUBTFUL_ENDS * (survivals + 1)
             || ends >= MIN_ENDS_AFTER_ANSWERS * (survivals + 1);
+        let is_accused = match facts.scope {
+            // A single request is accused itself.
+            PieceScope::Path if !is_formerly_blocked => {
+                has_enough_ends && attempts.len() >= MIN_PATH_REQUESTS
+            }
+            PieceScope::Path | PieceScope::Request | PieceScope::Part => {
+                is_clear || has_enough_ends
+            }
+        };
         let result = if is_accused {
             WeighingResult::Accused
         } else if facts.counted_ends().count() > own_ends.len() {
--- a/crates/gateway/tests/all/repeat_simulation.rs
+++ b/crates/gateway/tests/all/repeat_simulation.rs
@@ -53,6 +53,25 @@
     crashing_gap: u64,
     keeps_id: bool,
     has_crashing: bool,
+    /// Whether each repetition of the crashing request states something else beside its path, client account and body.
+    differs: bool,
+    /// Whether all requests have one path, client account and body, as those to a model without a body.
+    shares_path: bool,
+}
+
+impl Default for Traffic {
+    fn default() -> Self {
+        Self {
+            nodes: 7,
+            servers: 3,
+            sound_gap: 400,
+            crashing_gap: 1500,
+            keeps_id: false,
+            has_crashing: true,
+            differs: false,
+            shares_path: false,
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -252,9 +271,18 @@
                 (name, format!("sound-request-{number}"))
             }
         };
+        let path = match self.traffic.shares_path {
+            true => "shared".to_owned(),
+            false => name.clone(),
+        };
+        let whole = match is_crashing && self.traffic.differs {
+            true => format!("{name}-{number}"),
+            false => name,
+        };
+        let content = RequestContent::new(&[], &whole, "service", &id).with_path(&path);
         self.requests.push(Request {
             node,
-            content: Rc::new(RequestContent::new(&[], &name, "service", &id)),
+            content: Rc::new(content),
             is_crashing,
             arrived: self.now,
             sends: 0,
@@ -453,9 +481,16 @@
     fn blocked_sound(&self) -> Vec<(String, Vec<String>)> {
         let names = (0..SOUND_NAMES).map(|number| format!("sound-{number}"));
         let is_blocked = |name: &String| {
-            let key = content_key(ContentKind::Whole, name);
+            let path = match self.traffic.shares_path {
+                true => "shared",
+                false => name,
+            };
+            let keys = [
+                content_key(ContentKind::Whole, name),
+                content_key(ContentKind::Path, path),
+            ];
             let mut nodes = self.nodes.iter();
-            nodes.any(|node| node.guard.blocks().is_blocked(key))
+            nodes.any(|node| keys.iter().any(|key| node.guard.blocks().is_blocked(*key)))
         };
         let blocked = names.filter(is_blocked);
         blocked
@@ -504,6 +539,7 @@
                 crashing_gap,
                 keeps_id,
                 has_crashing: true,
+                ..Traffic::default()
             };
             simulate(traffic, 500 + servers as u64 * 10, 6);
         }
@@ -521,6 +557,7 @@
             crashing_gap: 1500,
             keeps_id: false,
             has_crashing: true,
+            ..Traffic::default()
         };
         simulate(traffic, 600 + servers as u64 * 10, 4);
     }
@@ -537,6 +574,7 @@
             crashing_gap: 1500,
             keeps_id: false,
             has_crashing: true,
+            ..Traffic::default()
         };
         simulate(traffic, 700 + servers as u64 * 10, 2);
     }
@@ -553,7 +591,56 @@
             crashing_gap: 1000,
             keeps_id: false,
             has_crashing: false,
+            ..Traffic::default()
         };
         simulate(traffic, 800 + sound_gap, 8);
     }
 }
+
+/// Guards against a repeated request that is taken for a new one each time, because its repetitions differ in what is not their
+/// path, client account or body.
+#[test]
+fn repetitions_that_differ_are_stopped() {
+    for (nodes, servers, sound_gap) in [(7, 3, 400), (7, 1, 400), (82, 6, 10), (320, 3, 400)] {
+        let traffic = Traffic {
+            nodes,
+            servers,
+            sound_gap,
+            differs: true,
+            ..Traffic::default()
+        };
+        simulate(traffic, 900 + nodes as u64, 4);
+    }
+}
+
+/// Guards against sound requests that are blocked because they have the path, client account and body of a crashing one, as all
+/// requests to a model without a body.
+#[test]
+fn requests_that_share_their_path_are_told_apart() {
+    for (nodes, servers, sound_gap) in [(7, 3, 400), (7, 6, 40), (82, 6, 10), (320, 6, 10)] {
+        let traffic = Traffic {
+            nodes,
+            servers,
+            sound_gap,
+            shares_path: true,
+            ..Traffic::default()
+        };
+        simulate(traffic, 950 + nodes as u64, 4);
+    }
+}
+
+/// Guards against a path that is blocked because servers and whole failure domains are lost while all requests have it.
+#[test]
+fn losses_block_no_shared_path() {
+    for (nodes, servers, sound_gap) in [(7, 6, 2000), (7, 6, 400), (7, 3, 40), (82, 6, 400)] {
+        let traffic = Traffic {
+            nodes,
+            servers,
+            sound_gap,
+            has_crashing: false,
+            shares_path: true,
+            ..Traffic::default()
+        };
+        simulate(traffic, 980 + nodes as u64, 4);
+    }
+}
--- a/crates/gateway/tests/all/repeated_requests.rs
+++ b/crates/gateway/tests/all/repeated_requests.rs
@@ -5,6 +5,7 @@
 use jaysaddle_gateway::content::ContentKind;
 use jaysaddle_gateway::content::RequestContent;
 use jaysaddle_gateway::content::content_key;
+use jaysaddle_gateway::content::normalized_path;
 use jaysaddle_gateway::content::request_name;
 use jaysaddle_gateway::crash_evidence::PeerRole;
 use jaysaddle_gateway::crash_guard::CrashGuard;
@@ -294,3 +295,17 @@
     }
     assert!(!nodes.is_blocked("unlucky"));
 }
+
+/// Guards against a path that counts as another one because of an escape that stands for the same character.
+#[test]
+fn equal_paths_have_one_form() {
+    for (path, form) in [
+        ("/a/b-c", "/a/b-c"),
+        ("/%61/b%2Dc", "/a/b-c"),
+        ("/a%2fb", "/a%2Fb"),
+        ("/100%", "/100%"),
+        ("/%zz%4", "/%zz%4"),
+    ] {
+        assert_eq!(normalized_path(path), form);
+    }
+}
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -153,6 +153,10 @@
     /// Whether the answer was complete before the process ended.
     #[prost(bool, tag = "8")]
     pub was_answered: bool,
+    /// Whether the piece is the path, client account and body of a request. Nodes that do not know this field weigh it like a
+    /// part.
+    #[prost(bool, tag = "9")]
+    pub is_path: bool,
 }
 
 /// Decision on a piece of content.
--- a/tests/all/repeat_world.rs
+++ b/tests/all/repeat_world.rs
@@ -12,6 +12,7 @@
 
 use jaysaddle_platform_standin::CrashingRequest;
 use jaysaddle_platform_standin::StandinWork;
+use jaysaddle_platform_standin::estimate_header;
 use jaysaddle_platform_standin::request_headers_with_time;
 
 use crate::platform_nodes::KEY;
@@ -37,6 +38,35 @@
 
 static REQUESTS: AtomicU64 = AtomicU64::new(0);
 
+/// What a caller states differently when it repeats a request. Path, client account and body remain the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatVariation {
+    /// Nothing.
+    None,
+    /// The estimate of the output.
+    Estimate,
+    /// The query.
+    Query,
+    /// An escape in the path that stands for the same character, and the query.
+    Escape,
+}
+
+impl RepeatVariation {
+    /// The target of the repetition with this number.
+    fn target(self, path: &str, number: usize) -> String {
+        match self {
+            RepeatVariation::None | RepeatVariation::Estimate => path.to_owned(),
+            RepeatVariation::Query => format!("{path}?attempt={number}"),
+            RepeatVariation::Escape => {
+                let position = path.len() - 1 - number % 4;
+                let byte = path.as_bytes()[position];
+                let (before, after) = (&path[..position], &path[position + 1..]);
+                format!("{before}%{byte:02x}{after}?attempt={number}")
+            }
+        }
+    }
+}
+
 /// A deployment, its sound traffic, and the request that comes again.
 #[derive(Clone, Debug)]
 pub struct RepeatCase {
@@ -55,6 +85,8 @@
     pub crashing: usize,
     /// Whether the callers keep the request id.
     pub keeps_id: bool,
+    /// What the callers state differently each time.
+    pub variation: RepeatVariation,
     /// Time for which the request comes again.
     pub duration: Duration,
 }
@@ -70,6 +102,7 @@
             repeat_interval: Duration::from_millis(1500),
             crashing: 1,
             keeps_id: false,
+            variation: RepeatVariation::None,
             duration: Duration::from_secs(18),
         }
     }
@@ -81,13 +114,16 @@
     is_served: bool,
 }
 
-fn send(address: IpAddr, id: &str, path: &str) -> Option<u16> {
+fn send(address: IpAddr, id: &str, path: &str, estimate: Option<usize>) -> Option<u16> {
     let url = format!("http://{address}:7700{path}");
     let headers = request_headers_with_time(id, KEY, STATED_MS);
     let mut request = minreq::get(url);
     for (name, value) in headers {
         request = request.with_header(name, value);
     }
+    if let Some((name, value)) = estimate.map(estimate_header) {
+        request = request.with_header(name, value);
+    }
     let response = request.with_timeout(CALLER_TIMEOUT_SECS).send();
     response.ok().map(|response| response.status_code)
 }
@@ -143,7 +179,7 @@
                     let address = nodes.addresses[node];
                     scope.spawn(move || {
                         let (sent, id) = (Instant::now(), next_id("sound"));
-                        let status = send(address, &id, &format!("{}{id}", case.route));
+                        let status = send(address, &id, &format!("{}{id}", case.route), None);
                         let request = SoundRequest {
                             sent,
                             is_served: status == Some(200),
@@ -167,7 +203,10 @@
                 };
                 let address = nodes.addresses[number % nodes.addresses.len()];
                 let path = crashing_path(case, number);
-                scope.spawn(move || send(address, &id, &path));
+                let path = case.variation.target(&path, number);
+                let is_estimated = case.variation == RepeatVariation::Estimate;
+                let estimate = is_estimated.then_some(100 + number);
+                scope.spawn(move || send(address, &id, &path, estimate));
                 thread::sleep(case.repeat_interval);
             }
         });
--- a/tests/all/repeated_requests.rs
+++ b/tests/all/repeated_requests.rs
@@ -9,6 +9,7 @@
 
 use crate::platform_nodes::PlatformNodes;
 use crate::repeat_world::RepeatCase;
+use crate::repeat_world::RepeatVariation;
 use crate::repeat_world::repeat;
 
 fn check(case: &RepeatCase) {
@@ -95,6 +96,33 @@
     });
 }
 
+/// Guards against a request that is taken for a new one each time, because its caller states another estimate of the output.
+#[test]
+fn repeated_request_with_another_estimate_is_stopped() {
+    check(&RepeatCase {
+        variation: RepeatVariation::Estimate,
+        ..RepeatCase::default()
+    });
+}
+
+/// Guards against the same with another query each time.
+#[test]
+fn repeated_request_with_another_query_is_stopped() {
+    check(&RepeatCase {
+        variation: RepeatVariation::Query,
+        ..RepeatCase::default()
+    });
+}
+
+/// Guards against the same with an escape in the path that stands for the same character.
+#[test]
+fn repeated_request_with_another_escape_is_stopped() {
+    check(&RepeatCase {
+        variation: RepeatVariation::Escape,
+        ..RepeatCase::default()
+    });
+}
+
 /// Seed of the soak in CI.
 const FIRST_SEED: u64 = 3801;
 /// Longest time between two events of the soak, and longest cut or outage, in milliseconds.
@@ -142,6 +170,12 @@
             sound_interval: Some(Duration::from_millis([80, 400][random.below(2) as usize])),
             repeat_interval: Duration::from_millis(900 + random.below(1600)),
             keeps_id: random.below(3) == 0,
+            variation: [
+                RepeatVariation::None,
+                RepeatVariation::Estimate,
+                RepeatVariation::Query,
+                RepeatVariation::Escape,
+            ][random.below(4) as usize],
             duration: Duration::from_secs(16),
             ..RepeatCase::default()
         };
