--- a/tests/all/endless_bytes.rs
+++ b/tests/all/endless_bytes.rs
@@ -1,5 +1,7 @@
 //! Backend servers and a store that send bytes until the node closes the connection, to many requests at once.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
@@ -15,6 +17,8 @@
 use crate::platform_nodes::PlatformNodes;
 use crate::platform_nodes::REQUEST_TIMEOUT_SECS;
 use crate::process::wait_for;
+use crate::raw_callers::CALLERS_PORT;
+use crate::raw_callers::request_text;
 
 /// Requests that are sent at once for each kind of endless answer.
 const REQUEST_COUNT: usize = 40;
@@ -27,6 +31,8 @@
 const MAX_TAKEN_BYTES: u64 = 32 << 20;
 /// Time for which a server without callers answers without end.
 const ENDLESS_TIME: Duration = Duration::from_secs(3);
+/// Time that callers state to wait that read nothing, in milliseconds.
+const UNREAD_STATED_MS: u64 = 6000;
 /// Number of events in each stream of the stand-in engines.
 const EVENT_COUNT: usize = 30;
 
@@ -43,18 +49,17 @@
     EndlessBytes::Trailers,
 ];
 
-const CALL_KINDS: [EndlessBytes; 5] = [
+/// Kinds of endless answers to reports, orders and calls of the store. Those that a request shows beside them differ from these
+/// in the body only.
+const CALL_KINDS: [EndlessBytes; 8] = [
     EndlessBytes::HeadLines,
+    EndlessBytes::HeadLine,
     EndlessBytes::InformationalHeads,
     EndlessBytes::Body,
     EndlessBytes::ByteChunks,
     EndlessBytes::ChunkSize,
-];
-
-const REPORT_KINDS: [EndlessBytes; 3] = [
-    EndlessBytes::InformationalHeads,
-    EndlessBytes::Body,
-    EndlessBytes::ByteChunks,
+    EndlessBytes::ChunkExtension,
+    EndlessBytes::Trailers,
 ];
 
 /// Response of a node; `None` if it was cut.
@@ -318,6 +323,55 @@
     assert!(violations_seen.is_empty(), "{violations_seen:#?}");
 }
 
+/// Guards against streams without end whose callers read nothing: what a node holds for them must be bounded, and other callers
+/// must be served meanwhile.
+#[test]
+fn endless_streams_to_callers_that_do_not_read_are_bounded() {
+    let nodes = start_nodes(8);
+    nodes.wait_serving(4);
+    let mut violations_seen = Vec::new();
+    let kinds = [
+        EndlessBytes::Event,
+        EndlessBytes::RepeatedEvent,
+        EndlessBytes::Body,
+    ];
+    for (number, kind) in kinds.into_iter().enumerate() {
+        let name = format!("{kind:?}, unread");
+        nodes.wait_serving(4);
+        // Another group each time, because the nodes avoid one that has just failed.
+        let leader = nodes.standin.serving_groups()[number][0].clone();
+        nodes
+            .standin
+            .set_endless(&leader, EndlessCalls::Requests, Some(kind));
+        let before = nodes.standin.endless_counts();
+        let address = nodes.addresses[0];
+        let callers: Vec<TcpStream> = (0..REQUEST_COUNT)
+            .map(|number| {
+                let id = format!("{kind:?}-unread-{number}");
+                let mut stream =
+                    TcpStream::connect((address, CALLERS_PORT)).expect("the node accepts callers");
+                let text = request_text(address, "/drafts/x", &id, UNREAD_STATED_MS);
+                stream.write_all(&text).expect("the node reads the request");
+                stream
+            })
+            .collect();
+        let is_served = wait_for(Duration::from_millis(50), || {
+            let response = call(&nodes, 0, "beside-unread", "/drafts/x");
+            response.as_ref().is_some_and(is_complete)
+        });
+        if !is_served {
+            violations_seen.push(format!("{name}: another request is not served meanwhile"));
+        }
+        thread::sleep(ENDLESS_TIME);
+        drop(callers);
+        nodes
+            .standin
+            .set_endless(&leader, EndlessCalls::Requests, None);
+        violations_seen.extend(violations(&nodes, &name, before));
+    }
+    assert!(violations_seen.is_empty(), "{violations_seen:#?}");
+}
+
 /// The node that holds the lease.
 fn lease_holder(nodes: &PlatformNodes) -> Option<usize> {
     (0..nodes.nodes.len()).find(|node| {
@@ -335,7 +389,7 @@
     let mut nodes = start_nodes(12);
     nodes.wait_serving(6);
     let mut violations_seen = Vec::new();
-    for kind in REPORT_KINDS {
+    for kind in CALL_KINDS {
         let name = format!("reports {kind:?}");
         nodes.wait("a node holds the lease", |nodes| {
             lease_holder(nodes).is_some()
