Announce parts first that no server has survived

Sound parts that all prompts share are at every end, so with 80 of them the crashing part, which a node had seen at one end only, was not announced. Parts that were never survived come first now.

--- a/crates/gateway/src/crash_announcement.rs
+++ b/crates/gateway/src/crash_announcement.rs
@@ -76,11 +76,11 @@
             // Survivals first: they end a question.
             (Reverse(fact.fate), Reverse(*ends), fact.age, fact.key)
         };
+        // Sound parts that all prompts share may be at more ends than the guilty one, as far as this node knows. Those that were
+        // survived before are the least likely reason.
         announced.sort_by_cached_key(|one: &(usize, CrashFact)| {
-            // Of the parts of a long prompt, those that were survived before are the least likely reason.
-            let was_survived = self.has_survived(one.1.key);
             let (fate, ends, age, key) = by_importance(one);
-            (fate, ends, was_survived, age, key)
+            (fate, self.has_survived(one.1.key), ends, age, key)
         });
         let mut limit = match role {
             PeerRole::Relay => MAX_QUESTIONS,
@@ -89,7 +89,10 @@
         let turn = (now.0 / ANNOUNCE_INTERVAL.0) as usize;
         if announced.len() > limit {
             // Nothing tells which of the parts at a single end is the reason, so they take turns.
-            let is_strong = |one: &&(usize, CrashFact)| one.0 >= MIN_ENDS;
+            let is_strong = |one: &&(usize, CrashFact)| {
+                let (ends, fact) = one;
+                fact.fate == RunFate::Survived || *ends >= MIN_ENDS || !self.has_survived(fact.key)
+            };
             let strong = announced.iter().take_while(is_strong).count().min(limit);
             limit = strong.max(limit / 4);
             if strong < limit {
