--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -57,7 +57,7 @@
 /// Survivals that are remembered of a piece that is not accused.
 const MAX_RECENT: usize = 4;
 /// Maximum number of pieces whose survivals are remembered, and of pieces that were at an end. The head of a request holds about
-/// 1,000 parts, so the ends of a backend server with 17 such requests do not push out what is known of earlier ends.
+/// 1,000 parts, and an end of a backend server with 16 such requests fits.
 const MAX_RECENT_KEYS: usize = 16_384;
 const MAX_PARTS: usize = 16_384;
 /// The same of whole requests and paths, of which each request has one.
